feat: workspace, shared vocabulary and the interfaces to the outside

Cause: an empty repository; parallel work needs the interfaces first. Conclusion: the table, worker and host contracts and the document's types are fixed enough to build on.

--- /dev/null
+++ b/crates/fireflynotch/src/main.rs
@@ -0,0 +1,3 @@
+//! The client.
+
+fn main() {}
--- /dev/null
+++ b/crates/fireflynotchd/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,3 @@
+//! Placeholder until each measurement has its module.
+
+pub mod figure;
--- /dev/null
+++ b/crates/model/src/hash.rs
@@ -0,0 +1,34 @@
+//! Hash collections with a fast hasher, behind one alias so that the hasher can change in one place.
+
+/// A hash map keyed by trusted names and arena keys.
+pub type Map<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
+
+/// A hash set of trusted names and arena keys.
+pub type Set<K> = std::collections::HashSet<K, foldhash::fast::RandomState>;
+
+/// Returns a 64-bit hash of `bytes` that is the same in every process and every run.
+///
+/// Rendezvous hashing needs all daemons to agree on it, so it must not be seeded at random and must
+/// not change between releases; this is 64-bit FNV-1a followed by a finalizer that spreads the low
+/// bits.
+#[must_use]
+pub fn stable(bytes: &[u8]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let folded = bytes.iter().fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(PRIME)
+    });
+    mix(folded)
+}
+
+/// Combines two stable hashes into one, in an order-sensitive way.
+#[must_use]
+pub const fn combine(left: u64, right: u64) -> u64 {
+    mix(left ^ mix(right).rotate_left(17))
+}
+
+const fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let value = (value ^ (value >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    value ^ (value >> 33)
+}
--- /dev/null
+++ b/crates/model/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the shared vocabulary.
+
+mod hash;
+mod size;
+mod time;
--- /dev/null
+++ b/crates/plat/src/lib.rs
@@ -0,0 +1,15 @@
+//! Everything outside of the daemons, one module an interface.
+//!
+//! Each interface is a plain struct of closures ([`call::Call`]), so that a test swaps one call for a
+//! fake and a changed wire format touches one file. The contracts are written down in
+//! `docs/PLATFORM.md`: [`table`] and [`object`] are the platform's store, [`hosts`] its lagging list
+//! of hosts and executors, [`worker`] the agent that runs tasks. [`settle`] finds out what became
+//! of a write whose answer was lost.
+
+pub mod call;
+pub mod error;
+pub mod hosts;
+pub mod object;
+pub mod settle;
+pub mod table;
+pub mod worker;
--- /dev/null
+++ b/crates/plat/src/worker.rs
@@ -0,0 +1,153 @@
+//! The agent on a worker, which runs tasks under a lease.
+//!
+//! Every message carries the shard's epoch; the agent refuses one below the highest it has seen and
+//! stops everything it runs once its lease has lapsed. See `docs/TASKS.md`.
+
+use std::net::SocketAddr;
+
+use derive_more::Display;
+use derive_more::Error;
+use model::Size;
+use model::id::Attempt;
+use model::id::CheckpointId;
+use model::id::ClassId;
+use model::id::Epoch;
+use model::id::TaskId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::call::Call;
+use crate::error::CallError;
+
+/// How a task on a worker is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RunState {
+    /// It runs.
+    Running,
+    /// It ended by itself and succeeded.
+    Succeeded,
+    /// It ended by itself and failed.
+    Failed,
+    /// It was stopped on request or because the lease lapsed.
+    Stopped,
+}
+
+/// One task as its worker reports it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RunReport {
+    /// The task.
+    pub task: TaskId,
+    /// Which run of it.
+    pub attempt: Attempt,
+    /// How it is doing.
+    pub state: RunState,
+    /// What it used over the report's window; lags behind the truth.
+    pub usage: Size,
+    /// The last checkpoint the worker has stored of it.
+    pub checkpoint: Option<CheckpointId>,
+    /// How far it has come, in milliseconds of unthrottled run time.
+    pub progress_ms: u64,
+    /// The 99th percentile of its answers in microseconds, for latency-critical tasks.
+    pub p99_us: Option<u64>,
+    /// The cap on its processor time now, in thousandths of its size.
+    pub throttle_permille: u16,
+}
+
+/// The answer of a worker to every message: all that it runs or has ended without being released.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WorkerReport {
+    /// The highest epoch the agent has seen.
+    pub epoch: Epoch,
+    /// Counts the agent's reports; one with a lower number is older.
+    pub sequence: u64,
+    /// How old the usage figures are, in milliseconds.
+    pub age_ms: u64,
+    /// The tasks.
+    pub runs: Vec<RunReport>,
+}
+
+/// What to do with one task.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "do", rename_all = "kebab-case")]
+pub enum Command {
+    /// Starts a run; repeated, it has no further effect.
+    Start {
+        /// The task.
+        task: TaskId,
+        /// Which run of it.
+        attempt: Attempt,
+        /// Its class, for the worker's own guards.
+        class: ClassId,
+        /// What it may use.
+        size: Size,
+        /// Where it goes on from.
+        checkpoint: Option<CheckpointId>,
+    },
+    /// Stops a run; the report then says so.
+    Stop {
+        /// The task.
+        task: TaskId,
+        /// Which run of it.
+        attempt: Attempt,
+        /// Whether to store a checkpoint before stopping.
+        checkpoint: bool,
+    },
+    /// Caps the processor time of a run.
+    Throttle {
+        /// The task.
+        task: TaskId,
+        /// Which run of it.
+        attempt: Attempt,
+        /// The cap in thousandths of its size; 1000 lifts it.
+        permille: u16,
+    },
+    /// Forgets a run that has ended, once the table holds its end.
+    Release {
+        /// The task.
+        task: TaskId,
+        /// Which run of it.
+        attempt: Attempt,
+    },
+}
+
+/// One message to a worker: renews its lease and carries commands.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WorkerMessage {
+    /// The epoch of the shard that the sender owns.
+    pub epoch: Epoch,
+    /// How long the worker may go on from when it receives this, in milliseconds.
+    pub lease_ms: u64,
+    /// What to do, in this order.
+    pub commands: Vec<Command>,
+}
+
+/// Why a message to a worker brought no report.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum WorkerError {
+    /// The worker has seen a higher epoch and did nothing.
+    #[display("the worker obeys epoch {epoch}")]
+    Fenced {
+        /// The epoch the worker obeys.
+        epoch: Epoch,
+    },
+    /// The call itself failed.
+    #[display("{_0}")]
+    Call(#[error(not(source))] CallError),
+}
+
+/// A message and where it goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Addressed {
+    /// Where the worker's agent listens.
+    pub address: SocketAddr,
+    /// The message.
+    pub message: WorkerMessage,
+}
+
+/// The call of a worker's agent.
+#[derive(Clone)]
+pub struct Workers {
+    /// Sends a message and returns the worker's report.
+    pub send: Call<Addressed, Result<WorkerReport, WorkerError>>,
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be written.
