feat(peer): membership by heartbeat counters and bounded gossip

Cause: daemons need a view of each other that costs the same a node whatever their number. Conclusion: two peers a round suffice; liveness needs no clock of another host.

--- /dev/null
+++ b/crates/peer/src/gossip.rs
@@ -0,0 +1,167 @@
+//! Whom to tell, and how to merge what is told.
+//!
+//! Each round a daemon exchanges heartbeats with [`FANOUT`] peers, picked so that every peer's turn
+//! comes. News reach all in a number of rounds that grows with the logarithm of the daemons, while
+//! each daemon's own cost stays the same but for the size of one exchange.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use model::Mono;
+use model::id::DaemonId;
+use model::id::Incarnation;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::beat::Beat;
+use crate::members::Members;
+use crate::summary::Summary;
+
+/// How long a round lasts.
+pub const ROUND: Duration = Duration::from_secs(1);
+/// How many peers a daemon turns to in one round.
+pub const FANOUT: usize = 2;
+/// The low bits of a summary's sequence, which count within one life of its daemon.
+const SEQUENCE_BITS: u32 = 32;
+
+/// One half of an exchange; the answer has the same shape.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// The sender.
+    pub from: DaemonId,
+    /// The heartbeats it knows of.
+    pub beats: Vec<Beat>,
+    /// The sequence of the newest summary it has of each daemon, so that only newer ones are sent.
+    pub have: Vec<(DaemonId, u64)>,
+    /// Summaries that the receiver is believed not to have.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub summaries: Vec<(DaemonId, Summary)>,
+}
+
+/// The gossip state of one daemon, beside its [`Members`].
+#[derive(Clone, Debug)]
+pub struct Gossip {
+    turns: Vec<DaemonId>,
+    summaries: BTreeMap<DaemonId, Summary>,
+    had: BTreeMap<DaemonId, BTreeMap<DaemonId, u64>>,
+    first_sequence: u64,
+    rng: SmallRng,
+}
+
+impl Gossip {
+    /// Makes the state of one life of a daemon, with the seed of its choice of peers.
+    ///
+    /// The incarnation starts the sequence of summaries above those of earlier lives.
+    #[must_use]
+    pub fn new(incarnation: Incarnation, seed: u64) -> Self {
+        Self {
+            first_sequence: incarnation.0 << SEQUENCE_BITS,
+            turns: Vec::new(),
+            summaries: BTreeMap::new(),
+            had: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the peers to turn to in this round.
+    ///
+    /// Daemons that seem dead keep their turn, so that a cut that heals is noticed from both sides.
+    pub fn targets(&mut self, members: &Members) -> Vec<DaemonId> {
+        let reachable =
+            |(daemon, member): (&DaemonId, &crate::members::Member)| -> Option<DaemonId> {
+                (daemon != members.own() && member.profile.is_some()).then(|| daemon.clone())
+            };
+        let known: Vec<DaemonId> = members.all().filter_map(reachable).collect();
+        self.turns.retain(|daemon| known.contains(daemon));
+        let mut targets = Vec::new();
+        while targets.len() < FANOUT.min(known.len()) {
+            if self.turns.is_empty() {
+                self.turns.clone_from(&known);
+                self.turns.shuffle(&mut self.rng);
+            }
+            match self.turns.pop() {
+                Some(next) if !targets.contains(&next) => targets.push(next),
+                _ => {}
+            }
+        }
+        targets
+    }
+
+    /// Replaces this daemon's own summary; the sequence is set here.
+    pub fn publish(&mut self, own: &DaemonId, mut summary: Summary) {
+        let known = self
+            .summaries
+            .get(own)
+            .map_or(self.first_sequence, |known| known.sequence);
+        summary.sequence = known + 1;
+        let unchanged = self.summaries.get(own).is_some_and(|known| {
+            let same_sequence = Summary {
+                sequence: known.sequence,
+                ..summary.clone()
+            };
+            *known == same_sequence
+        });
+        if !unchanged {
+            self.summaries.insert(own.clone(), summary);
+        }
+    }
+
+    /// Returns what to send to a peer, as question or as answer.
+    #[must_use]
+    pub fn compose(&self, members: &Members, to: &DaemonId, now: Mono) -> Exchange {
+        let had = self.had.get(to);
+        let has = |daemon: &DaemonId| had.and_then(|had| had.get(daemon)).copied().unwrap_or(0);
+        let news = |(daemon, summary): (&DaemonId, &Summary)| {
+            let fresh = daemon != to && summary.sequence > has(daemon);
+            (fresh && members.is_alive(daemon, now)).then(|| (daemon.clone(), summary.clone()))
+        };
+        Exchange {
+            from: members.own().clone(),
+            beats: members.beats(now),
+            have: self.have(),
+            summaries: self.summaries.iter().filter_map(news).collect(),
+        }
+    }
+
+    /// Takes in what a peer sent, as question or as answer.
+    pub fn merge(&mut self, members: &mut Members, exchange: Exchange, now: Mono) {
+        for beat in &exchange.beats {
+            members.observe(beat, now);
+        }
+        self.had
+            .insert(exchange.from, exchange.have.into_iter().collect());
+        for (daemon, summary) in exchange.summaries {
+            let known = self
+                .summaries
+                .get(&daemon)
+                .map_or(0, |known| known.sequence);
+            if daemon != *members.own() && summary.sequence > known {
+                self.summaries.insert(daemon, summary);
+            }
+        }
+        self.summaries
+            .retain(|daemon, _| members.get(daemon).is_some());
+        self.had.retain(|daemon, _| members.get(daemon).is_some());
+    }
+
+    /// Returns the summaries of the living daemons other than this one.
+    pub fn summaries<'a>(
+        &'a self,
+        members: &'a Members,
+        now: Mono,
+    ) -> impl Iterator<Item = (&'a DaemonId, &'a Summary)> {
+        self.summaries
+            .iter()
+            .filter(move |(daemon, _)| *daemon != members.own() && members.is_alive(daemon, now))
+    }
+
+    fn have(&self) -> Vec<(DaemonId, u64)> {
+        self.summaries
+            .iter()
+            .map(|(daemon, known)| (daemon.clone(), known.sequence))
+            .collect()
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,13 @@
-//! To be written.
+//! Which daemons are there, and the messages between them.
+//!
+//! [`members`] decides from heartbeat counters which daemons are alive and whether this one is
+//! isolated; [`gossip`] picks whom to tell and merges what others tell; [`summary`] is what daemons
+//! tell each other beyond being alive; [`rpc`] carries it over `jsonrpsee`, and [`links`] keeps the
+//! connections. Nothing here decides anything that must last, see `docs/MEMBERSHIP.md`.
+
+pub mod beat;
+pub mod gossip;
+pub mod links;
+pub mod members;
+pub mod rpc;
+pub mod summary;
--- /dev/null
+++ b/crates/peer/src/summary.rs
@@ -0,0 +1,76 @@
+//! What a daemon tells the others about its load, so that they can lend, hand off and share.
+
+use model::Size;
+use model::id::ClassId;
+use model::id::DaemonId;
+use model::id::ExecutorId;
+use model::id::ShardId;
+use model::id::TeamId;
+use model::id::UpstreamId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A daemon's summary; a higher sequence replaces a lower one of the same daemon.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Counts the summaries of one daemon, over all of its lives.
+    pub sequence: u64,
+    /// The room of the shards it owns.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shards: Vec<ShardRoom>,
+    /// What the tasks of each team hold on its shards.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub teams: Vec<TeamUse>,
+    /// Slots of executors that it does not need at present.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loans: Vec<Loan>,
+    /// Upstreams that it has stopped sending to, since another half owns them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub released: Vec<Released>,
+}
+
+/// The room of one shard.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShardRoom {
+    /// The shard.
+    pub shard: ShardId,
+    /// The largest task that one of its workers could take now.
+    pub largest: Size,
+    /// The room of all its workers together.
+    pub total: Size,
+    /// How many tasks wait there.
+    pub queued: u32,
+}
+
+/// What a team's tasks hold.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TeamUse {
+    /// The team.
+    pub team: TeamId,
+    /// What is reserved for its tasks.
+    pub used: Size,
+    /// The class that holds most of it.
+    pub class: Option<ClassId>,
+}
+
+/// Slots of one executor that are lent to one daemon until the summary's loan time is over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loan {
+    /// The executor.
+    pub executor: ExecutorId,
+    /// Who may use them.
+    pub to: DaemonId,
+    /// How many.
+    pub slots: u16,
+}
+
+/// An upstream that is released, under the document that gave it away.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Released {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The document that names another owner.
+    pub doc: model::id::DocVersion,
+    /// Requests that are still in progress.
+    pub in_flight: u32,
+}
--- /dev/null
+++ b/crates/peer/tests/all/members.rs
@@ -0,0 +1,110 @@
+use std::time::Duration;
+
+use model::Mono;
+use model::id::DocVersion;
+use peer::members::ISOLATION_BOUND;
+use peer::members::MEMBER_TIMEOUT;
+
+use crate::support::beat;
+use crate::support::members;
+use crate::support::name;
+use crate::support::profile;
+
+#[test]
+fn a_daemon_is_alive_only_while_its_counter_advances() {
+    let mut members = members(0, 2);
+    let heard = Mono(1000);
+    assert!(members.observe(&beat(1, 1, 5), heard));
+    let last = heard.after(MEMBER_TIMEOUT);
+    assert!(members.is_alive(&name(1), Mono(last.0 - 1)));
+    assert!(
+        !members.observe(&beat(1, 1, 5), Mono(last.0 - 1)),
+        "the same counter is no news"
+    );
+    assert!(!members.is_alive(&name(1), last));
+}
+
+#[test]
+fn late_and_repeated_beats_are_no_news() {
+    struct Case {
+        name: &'static str,
+        incarnation: u64,
+        count: u64,
+        news: bool,
+    }
+    let cases = [
+        Case {
+            name: "repeated",
+            incarnation: 2,
+            count: 7,
+            news: false,
+        },
+        Case {
+            name: "late",
+            incarnation: 2,
+            count: 6,
+            news: false,
+        },
+        Case {
+            name: "of an earlier life",
+            incarnation: 1,
+            count: 99,
+            news: false,
+        },
+        Case {
+            name: "next",
+            incarnation: 2,
+            count: 8,
+            news: true,
+        },
+        Case {
+            name: "of a later life",
+            incarnation: 3,
+            count: 1,
+            news: true,
+        },
+    ];
+    for case in cases {
+        let mut members = members(0, 2);
+        members.observe(&beat(1, 2, 7), Mono(10));
+        let news = members.observe(&beat(1, case.incarnation, case.count), Mono(20));
+        assert_eq!(news, case.news, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_row_of_the_table_proves_no_life() {
+    let mut members = members(0, 2);
+    members.observe(&beat(1, 1, 5), Mono(0));
+    let late = Mono(0).after(MEMBER_TIMEOUT);
+    members.describe(&name(1), profile(1), late);
+    assert!(!members.is_alive(&name(1), late));
+}
+
+#[test]
+fn nobody_vouches_for_a_daemon_but_itself() {
+    let mut members = members(0, 2);
+    members.tick(DocVersion(1), false, Mono(0));
+    assert!(
+        !members.observe(&beat(0, 9, 9), Mono(0)),
+        "its own name told by a peer"
+    );
+    assert!(members.is_alive(&name(0), Mono(1_000_000)));
+}
+
+#[test]
+fn a_paused_daemon_finds_itself_isolated_when_it_wakes() {
+    let mut members = members(0, 2);
+    assert!(!members.connected(Mono(0)), "before any contact");
+    members.contact(Mono(1000));
+    let bound = Mono(1000).after(ISOLATION_BOUND);
+    assert!(members.connected(Mono(bound.0 - 1)));
+    assert!(!members.connected(bound));
+    members.contact(Mono(500));
+    assert!(
+        !members.connected(bound),
+        "an older contact does not extend the time"
+    );
+    members.contact(bound);
+    assert!(members.connected(bound.after(Duration::from_secs(1))));
+}
--- /dev/null
+++ b/crates/peer/tests/all/support.rs
@@ -0,0 +1,44 @@
+use std::net::SocketAddr;
+
+use model::Mono;
+use model::id::DaemonId;
+use model::id::DocVersion;
+use model::id::Incarnation;
+use model::place::Place;
+use peer::beat::Beat;
+use peer::members::Members;
+use peer::members::Profile;
+
+pub fn profile(incarnation: u64) -> Profile {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Profile {
+        incarnation: Incarnation(incarnation),
+        half: "left".into(),
+        place: Place::new("vlaanderen", "limburg"),
+        callers: address,
+        peers: address,
+    }
+}
+
+pub fn name(index: usize) -> DaemonId {
+    DaemonId::new(format!("daemon-{index}"))
+}
+
+pub fn beat(daemon: usize, incarnation: u64, count: u64) -> Beat {
+    Beat {
+        daemon: name(daemon),
+        incarnation: Incarnation(incarnation),
+        count,
+        doc: DocVersion(1),
+        draining: false,
+    }
+}
+
+/// A view of daemon `own` that knows the profiles of all `count` daemons.
+pub fn members(own: usize, count: usize) -> Members {
+    let mut members = Members::new(name(own), Incarnation(1), profile(1), Mono::ZERO);
+    for other in (0..count).filter(|other| *other != own) {
+        members.describe(&name(other), profile(1), Mono::ZERO);
+    }
+    members
+}
