--- /dev/null
+++ b/crates/node/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the daemon's wiring.
+
+mod logs;
+mod metrics;
+mod supervisor;
