--- a/crates/peer/src/summary.rs
+++ b/crates/peer/src/summary.rs
@@ -1,12 +1,12 @@
 //! What a daemon tells the others about its load, so that they can lend, hand off and share.
 
 use model::Size;
-use model::id::ClassId;
 use model::id::DaemonId;
 use model::id::ExecutorId;
 use model::id::ShardId;
 use model::id::TeamId;
 use model::id::UpstreamId;
+use model::place::Place;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -15,6 +15,9 @@
 pub struct Summary {
     /// Counts the summaries of one daemon, over all of its lives.
     pub sequence: u64,
+    /// The capacity of all workers of the shards it owns.
+    #[serde(default)]
+    pub capacity: Size,
     /// The room of the shards it owns.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub shards: Vec<ShardRoom>,
@@ -34,12 +37,12 @@
 pub struct ShardRoom {
     /// The shard.
     pub shard: ShardId,
-    /// The largest task that one of its workers could take now.
+    /// Where it stands.
+    pub place: Place,
+    /// The capacity of its largest worker.
     pub largest: Size,
-    /// The room of all its workers together.
-    pub total: Size,
-    /// How many tasks wait there.
-    pub queued: u32,
+    /// The free room of the worker with the most room.
+    pub free: Size,
 }
 
 /// What a team's tasks hold.
@@ -49,8 +52,6 @@
     pub team: TeamId,
     /// What is reserved for its tasks.
     pub used: Size,
-    /// The class that holds most of it.
-    pub class: Option<ClassId>,
 }
 
 /// Slots of one executor that are lent to one daemon until the summary's loan time is over.
