feat(plat): HTTP clients, rate limits and scan of the platform's interfaces

The daemon needs one place that decides what a failed call allows to conclude. plat::client maps failures; each interface has its wire format in one http module.

--- a/crates/plat/src/hosts.rs
+++ b/crates/plat/src/hosts.rs
@@ -1,6 +1,7 @@
 //! The platform's list of hosts and executors, which lags behind the truth.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use model::Size;
 use model::id::ExecutorId;
@@ -14,6 +15,17 @@
 use crate::call::Call;
 use crate::error::CallError;
 
+pub mod http;
+mod newest;
+
+pub use self::http::http;
+pub use self::newest::Newest;
+
+/// How long one call of the list may take.
+pub const DEADLINE: Duration = Duration::from_secs(2);
+/// The largest answer of the list that is read, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 4 << 20;
+
 /// What the list says of a host's life.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -4,12 +4,15 @@
 //! fake and a changed wire format touches one file. The contracts are written down in
 //! `docs/PLATFORM.md`: [`table`] and [`object`] are the platform's store, [`hosts`] its lagging list
 //! of hosts and executors, [`worker`] the agent that runs tasks. [`settle`] finds out what became
-//! of a write whose answer was lost.
+//! of a write whose answer was lost, [`pace`] keeps a daemon's own share of the store's rate, and
+//! [`client`] is the HTTP client beneath, which decides what a failure allows to conclude.
 
 pub mod call;
+pub mod client;
 pub mod error;
 pub mod hosts;
 pub mod object;
+pub mod pace;
 pub mod settle;
 pub mod table;
 pub mod worker;
--- a/crates/plat/src/table.rs
+++ b/crates/plat/src/table.rs
@@ -4,8 +4,11 @@
 //! last write. A transaction is carried out whole or not at all, and only if every row that it
 //! checks still has the version it names.
 
+use std::time::Duration;
+
 use derive_more::Display;
 use derive_more::Error;
+use derive_more::From;
 use model::id::OpId;
 use model::id::RowVersion;
 use serde::Deserialize;
@@ -15,6 +18,19 @@
 use crate::call::Call;
 use crate::error::CallError;
 
+pub mod http;
+mod scan;
+
+pub use self::http::http;
+pub use self::scan::scan_all;
+
+/// How long one call of the table may take.
+pub const DEADLINE: Duration = Duration::from_secs(2);
+/// The largest answer of the table that is read, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// The most rows that one scan may ask for.
+pub const MAX_SCAN_ROWS: usize = 500;
+
 /// One row as it was read.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
@@ -57,10 +73,27 @@
     pub writes: Vec<Write>,
 }
 
+impl Txn {
+    /// Returns whether of several copies at most one can take effect, because some row that it
+    /// checks is also written and so has another version afterwards.
+    ///
+    /// A check for an absent row counts only as long as nobody deletes that row while copies may be
+    /// under way, see "Repeating a transaction" in `docs/PLATFORM.md`.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        self.checks.iter().any(|check| self.writes_to(&check.key))
+    }
+
+    fn writes_to(&self, key: &str) -> bool {
+        self.writes.iter().any(|write| write.key == key)
+    }
+}
+
 /// Why a transaction or a read did not succeed.
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, Error, From, PartialEq, Eq)]
 pub enum TableError {
     /// A checked row has another version; nothing was written.
+    #[from(skip)]
     #[display("row {key} is at version {actual}")]
     Conflict {
         /// The key of the first row whose check failed.
@@ -84,6 +117,21 @@
     pub limit: usize,
 }
 
+impl Scan {
+    /// Returns whether `rows` can be the answer: in order, within the limit, below the prefix and
+    /// after the key named.
+    #[must_use]
+    pub fn admits(&self, rows: &[Row]) -> bool {
+        let mut last = self.after.as_deref();
+        rows.len() <= self.limit
+            && rows.iter().all(|row| {
+                let follows = last.is_none_or(|last| last < row.key.as_str());
+                last = Some(&row.key);
+                follows && row.key.starts_with(&self.prefix)
+            })
+    }
+}
+
 /// The calls of the table.
 #[derive(Clone)]
 pub struct Table {
--- /dev/null
+++ b/crates/plat/src/table/http.rs
@@ -0,0 +1,131 @@
+//! The table over HTTP and JSON.
+
+use model::id::OpId;
+use model::id::RowVersion;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Row;
+use super::Scan;
+use super::Table;
+use super::TableError;
+use super::Txn;
+use crate::call::call;
+use crate::client::Client;
+use crate::client::Endpoint;
+use crate::client::Post;
+use crate::error::CallError;
+
+/// The path of [`Table::commit`].
+pub const COMMIT_PATH: &str = "/v1/table/commit";
+/// The path of [`Table::read`].
+pub const READ_PATH: &str = "/v1/table/read";
+/// The path of [`Table::scan`].
+pub const SCAN_PATH: &str = "/v1/table/scan";
+
+/// The answer to a transaction that took effect.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Committed {
+    /// The id of the transaction.
+    pub op: OpId,
+    /// The new versions, in the order of its writes.
+    pub versions: Vec<RowVersion>,
+}
+
+/// The answer to a transaction that met a row of another version.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Conflicted {
+    /// The id of the transaction.
+    pub op: OpId,
+    /// The first row whose check failed.
+    pub key: String,
+    /// The version it has.
+    pub actual: RowVersion,
+}
+
+/// A request for one row.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReadRequest {
+    /// The key of the row.
+    pub key: String,
+}
+
+/// The answer to a request for one row.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReadAnswer {
+    /// The row, if it is there.
+    pub row: Option<Row>,
+}
+
+/// The answer to a scan.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ScanAnswer {
+    /// The rows in the order of their keys.
+    pub rows: Vec<Row>,
+}
+
+/// Makes the calls of the table at `endpoint`.
+#[must_use]
+pub fn http(client: &Client, endpoint: Endpoint) -> Table {
+    let [commits, reads, scans] = [client.clone(), client.clone(), client.clone()];
+    Table {
+        commit: call(move |txn| commit(commits.clone(), endpoint, txn)),
+        read: call(move |key| read(reads.clone(), endpoint, key)),
+        scan: call(move |query| scan(scans.clone(), endpoint, query)),
+    }
+}
+
+async fn commit(
+    client: Client,
+    endpoint: Endpoint,
+    txn: Txn,
+) -> Result<Vec<RowVersion>, TableError> {
+    let post = Post::new(COMMIT_PATH, &txn).id(txn.op.as_str());
+    let answer = client.post(&endpoint, post).await?;
+    if answer.is_ok() {
+        let committed: Committed = answer.json()?;
+        own(committed.op == txn.op)?;
+        own(committed.versions.len() == txn.writes.len())?;
+        return Ok(committed.versions);
+    }
+    if !answer.is_conflict() {
+        return Err(answer.failure().into());
+    }
+    let conflict: Conflicted = answer.json()?;
+    own(conflict.op == txn.op)?;
+    own(txn.checks.iter().any(|check| check.key == conflict.key))?;
+    Err(TableError::Conflict {
+        key: conflict.key,
+        actual: conflict.actual,
+    })
+}
+
+async fn read(client: Client, endpoint: Endpoint, key: String) -> Result<Option<Row>, TableError> {
+    let req = ReadRequest { key };
+    let answer = client.post(&endpoint, Post::new(READ_PATH, &req)).await?;
+    if !answer.is_ok() {
+        return Err(answer.failure().into());
+    }
+    let ReadAnswer { row } = answer.json()?;
+    own(row.as_ref().is_none_or(|row| row.key == req.key))?;
+    Ok(row)
+}
+
+async fn scan(client: Client, endpoint: Endpoint, query: Scan) -> Result<Vec<Row>, TableError> {
+    let answer = client.post(&endpoint, Post::new(SCAN_PATH, &query)).await?;
+    if !answer.is_ok() {
+        return Err(answer.failure().into());
+    }
+    let ScanAnswer { rows } = answer.json()?;
+    own(query.admits(&rows))?;
+    Ok(rows)
+}
+
+/// Fails unless the answer fits the question.
+fn own(fits: bool) -> Result<(), CallError> {
+    if fits {
+        Ok(())
+    } else {
+        Err(CallError::Unknown("answer to another question".to_owned()))
+    }
+}
--- /dev/null
+++ b/crates/plat/src/table/scan.rs
@@ -0,0 +1,37 @@
+//! Reads all rows below a prefix.
+
+use super::MAX_SCAN_ROWS;
+use super::Row;
+use super::Scan;
+use super::Table;
+use super::TableError;
+use crate::error::CallError;
+
+/// Reads all rows below `prefix`, page by page.
+///
+/// The pages are read one after the other, so the whole is no snapshot: a row that is written
+/// meanwhile may be missing or old, and only a transaction that checks its version tells.
+///
+/// # Errors
+///
+/// Returns the error of the first page that fails, and [`CallError::Unknown`] if a page is none
+/// that was asked for.
+pub async fn scan_all(table: &Table, prefix: &str) -> Result<Vec<Row>, TableError> {
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let page = Scan {
+            prefix: prefix.to_owned(),
+            after: rows.last().map(|row| row.key.clone()),
+            limit: MAX_SCAN_ROWS,
+        };
+        let found = (table.scan)(page.clone()).await?;
+        if !page.admits(&found) {
+            return Err(CallError::Unknown("page out of order".to_owned()).into());
+        }
+        let is_last = found.is_empty();
+        rows.extend(found);
+        if is_last {
+            return Ok(rows);
+        }
+    }
+}
--- a/crates/plat/src/worker.rs
+++ b/crates/plat/src/worker.rs
@@ -4,9 +4,11 @@
 //! stops everything it runs once its lease has lapsed. See `docs/TASKS.md`.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use derive_more::Display;
 use derive_more::Error;
+use derive_more::From;
 use model::Size;
 use model::id::Attempt;
 use model::id::CheckpointId;
@@ -19,6 +21,15 @@
 use crate::call::Call;
 use crate::error::CallError;
 
+pub mod http;
+
+pub use self::http::http;
+
+/// How long one call of a worker may take.
+pub const DEADLINE: Duration = Duration::from_secs(2);
+/// The largest answer of a worker that is read, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 1 << 20;
+
 /// How a task on a worker is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -122,10 +133,23 @@
     pub commands: Vec<Command>,
 }
 
+impl WorkerMessage {
+    /// Returns a message of the same epoch that grants nothing and commands nothing.
+    #[must_use]
+    pub const fn without_grant(&self) -> Self {
+        Self {
+            epoch: self.epoch,
+            lease_ms: 0,
+            commands: Vec::new(),
+        }
+    }
+}
+
 /// Why a message to a worker brought no report.
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, Error, From, PartialEq, Eq)]
 pub enum WorkerError {
     /// The worker has seen a higher epoch and did nothing.
+    #[from(skip)]
     #[display("the worker obeys epoch {epoch}")]
     Fenced {
         /// The epoch the worker obeys.
