feat(fake): stand-ins for table, object store, host list and executor

Each has a core in memory, direct() without a socket and serve() over the real wire, with its faults switched at fake::faults.

--- /dev/null
+++ b/crates/fake/src/executor.rs
@@ -0,0 +1,195 @@
+//! A stand-in for an executor of an upstream.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::id::ExecutorId;
+use plat::call::call;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use crate::faults::Faults;
+use crate::wire;
+use crate::wire::Answer;
+use crate::wire::Handler;
+use crate::wire::Request;
+use crate::wire::Server;
+
+mod ledger;
+
+pub use self::ledger::RunLedger;
+
+/// Why an executor refuses a request that would exceed its slots.
+pub const BUSY: &str = "busy";
+/// Why an executor refuses a request while it is leaving.
+pub const LEAVING: &str = "leaving";
+
+/// The body of an answer, by which a caller sees that it is the whole answer to its own request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The executor that ran the request.
+    pub executor: ExecutorId,
+    /// The request's id.
+    pub id: String,
+    /// The request's path with its query.
+    pub path: String,
+    /// How many bytes the request's body had.
+    pub received: usize,
+    /// Filler, so that answers have a size.
+    pub filler: String,
+}
+
+/// How long a request takes.
+pub type Delay = Arc<dyn Fn(&Request) -> Duration + Send + Sync>;
+
+struct Shared {
+    id: ExecutorId,
+    slots: usize,
+    delay: Mutex<Delay>,
+    filler_bytes: AtomicUsize,
+    leaving: AtomicBool,
+    running: AtomicUsize,
+    peak: AtomicUsize,
+    ledger: RunLedger,
+    faults: Faults,
+}
+
+/// An executor, shared by all its clones.
+#[derive(Clone)]
+pub struct FakeExecutor(Arc<Shared>);
+
+impl FakeExecutor {
+    /// Makes an executor with `slots` slots, which notes its runs in `ledger`.
+    #[must_use]
+    pub fn new(id: impl Into<ExecutorId>, slots: usize, ledger: &RunLedger) -> Self {
+        Self(Arc::new(Shared {
+            id: id.into(),
+            slots,
+            delay: Mutex::new(Arc::new(|_| Duration::ZERO)),
+            filler_bytes: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+            peak: AtomicUsize::new(0),
+            ledger: ledger.clone(),
+            faults: Faults::default(),
+        }))
+    }
+
+    /// Returns the switchboard of its faults; the operation is the last segment of the path.
+    #[must_use]
+    pub fn faults(&self) -> &Faults {
+        &self.0.faults
+    }
+
+    /// Sets how long each request takes.
+    pub fn set_delay(&self, delay: impl Fn(&Request) -> Duration + Send + Sync + 'static) {
+        *self.delay() = Arc::new(delay);
+    }
+
+    /// Sets how much filler each answer has, in bytes.
+    pub fn set_filler(&self, bytes: usize) {
+        self.0.filler_bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Sets whether new requests are refused because the executor is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.0.leaving.store(leaving, Ordering::Relaxed);
+    }
+
+    /// Returns how many requests run now.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.0.running.load(Ordering::Relaxed)
+    }
+
+    /// Returns the most requests that ever ran at once.
+    #[must_use]
+    pub fn peak(&self) -> usize {
+        self.0.peak.load(Ordering::Relaxed)
+    }
+
+    /// Returns what answers its requests, without a socket and without faults.
+    ///
+    /// A run goes on when its caller is gone, as it does in a process that works on a request.
+    #[must_use]
+    pub fn direct(&self) -> Handler {
+        let executor = self.clone();
+        call(move |req| {
+            let run = tokio::spawn(executor.clone().handle(req));
+            async move {
+                let answer = run.await;
+                answer.unwrap_or_else(|_| Answer::json(500, &"run failed"))
+            }
+        })
+    }
+
+    /// Serves over HTTP/1.1.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
+        wire::serve(address, self.0.faults.clone(), self.direct()).await
+    }
+
+    async fn handle(self, req: Request) -> Answer {
+        if self.0.leaving.load(Ordering::Relaxed) {
+            return Answer::refused(503, LEAVING);
+        }
+        let Some(_slot) = Slot::take(&self.0) else {
+            return Answer::refused(503, BUSY);
+        };
+        self.0.ledger.start(&req.id, &self.0.id);
+        let delay = self.delay().clone();
+        sleep(delay(&req)).await;
+        self.0.ledger.finish(&req.id);
+        self.echo(&req)
+    }
+
+    fn echo(&self, req: &Request) -> Answer {
+        let filler = self.0.filler_bytes.load(Ordering::Relaxed);
+        let echo = Echo {
+            executor: self.0.id.clone(),
+            id: req.id.clone(),
+            path: req.path.clone(),
+            received: Bytes::len(&req.body),
+            filler: "x".repeat(filler),
+        };
+        Answer::json(200, &echo)
+    }
+
+    fn delay(&self) -> MutexGuard<'_, Delay> {
+        self.0.delay.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One slot in use.
+struct Slot(Arc<Shared>);
+
+impl Slot {
+    fn take(shared: &Arc<Shared>) -> Option<Self> {
+        let more = |running| (running < shared.slots).then_some(running + 1);
+        let before = shared
+            .running
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, more)
+            .ok()?;
+        shared.peak.fetch_max(before + 1, Ordering::Relaxed);
+        Some(Self(shared.clone()))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/fake/src/hosts.rs
@@ -0,0 +1,126 @@
+//! A stand-in for the lagging list of hosts.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use plat::call::call;
+use plat::error::CallError;
+use plat::hosts::DEADLINE;
+use plat::hosts::HostList;
+use plat::hosts::Hosts;
+use plat::hosts::http::LIST_PATH;
+use plat::hosts::http::ListAnswer;
+use plat::hosts::http::ListRequest;
+use tokio::time::Instant;
+
+use crate::faults::Faults;
+use crate::faults::inject;
+use crate::wire;
+use crate::wire::Answer;
+use crate::wire::Request;
+use crate::wire::Server;
+
+/// The list, shared by all its clones.
+#[derive(Clone, Debug)]
+pub struct FakeHosts {
+    changes: Arc<Mutex<Vec<(Instant, HostList)>>>,
+    lag: Duration,
+    faults: Faults,
+}
+
+impl FakeHosts {
+    /// Makes a list that shows each change only `lag` after it was made; the first shows at once.
+    #[must_use]
+    pub fn new(list: HostList, lag: Duration) -> Self {
+        let first = Instant::now().checked_sub(lag).unwrap_or_else(Instant::now);
+        Self {
+            changes: Arc::new(Mutex::new(vec![(first, list)])),
+            lag,
+            faults: Faults::default(),
+        }
+    }
+
+    /// Returns the switchboard of its faults; the operation is `list`.
+    #[must_use]
+    pub const fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Changes the list and counts its revision up.
+    pub fn change(&self, change: impl FnOnce(&mut HostList)) {
+        let mut changes = self.lock();
+        let mut list = changes
+            .last()
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default();
+        change(&mut list);
+        list.revision += 1;
+        changes.push((Instant::now(), list));
+    }
+
+    /// Returns the list as it shows now, which lags behind the changes.
+    #[must_use]
+    pub fn shown(&self) -> HostList {
+        let shown = Instant::now().checked_sub(self.lag);
+        let changes = self.lock();
+        let visible = changes.iter().rfind(|(at, _)| Some(*at) <= shown);
+        visible
+            .or_else(|| changes.first())
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default()
+    }
+
+    /// Returns the interface without a socket.
+    #[must_use]
+    pub fn direct(&self) -> Hosts {
+        let hosts = self.clone();
+        Hosts {
+            list: call(move |known| {
+                let hosts = hosts.clone();
+                let faults = hosts.faults.clone();
+                let apply = move || Ok::<_, CallError>(hosts.unless_known(known));
+                async move { inject(&faults, "list", DEADLINE, apply).await }
+            }),
+        }
+    }
+
+    /// Serves the wire format of `plat::hosts::http`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
+        let hosts = self.clone();
+        let handler = call(move |req| {
+            let answer = hosts.handle(&req);
+            async move { answer }
+        });
+        wire::serve(address, self.faults.clone(), handler).await
+    }
+
+    fn handle(&self, req: &Request) -> Answer {
+        if req.path != LIST_PATH {
+            return Answer::refused(404, "no such path");
+        }
+        match serde_json::from_slice(&req.body) {
+            Ok(ListRequest { known }) => {
+                let list = self.unless_known(known);
+                Answer::json(200, &ListAnswer { list })
+            }
+            Err(error) => Answer::refused(400, &error.to_string()),
+        }
+    }
+
+    fn unless_known(&self, known: Option<u64>) -> Option<HostList> {
+        Some(self.shown()).filter(|list| known != Some(list.revision))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<(Instant, HostList)>> {
+        self.changes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/fake/src/object.rs
@@ -0,0 +1,133 @@
+//! A stand-in for the object store.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use bytes::Bytes;
+use plat::call::call;
+use plat::error::CallError;
+use plat::object::DEADLINE;
+use plat::object::Objects;
+use plat::object::http::DELETE_PATH;
+use plat::object::http::DeleteAnswer;
+use plat::object::http::HEAD_PATH;
+use plat::object::http::HeadAnswer;
+use plat::object::http::ObjectRequest;
+
+use crate::faults::Faults;
+use crate::faults::inject;
+use crate::wire;
+use crate::wire::Answer;
+use crate::wire::Request;
+use crate::wire::Server;
+
+/// The object store, shared by all its clones.
+#[derive(Clone, Debug, Default)]
+pub struct FakeObjects {
+    objects: Arc<Mutex<BTreeMap<String, Bytes>>>,
+    faults: Faults,
+}
+
+impl FakeObjects {
+    /// Makes an empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the switchboard of its faults; the operations are `put`, `head` and `delete`.
+    #[must_use]
+    pub const fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Stores an object as a worker would, and returns whether the store took it.
+    pub fn put(&self, name: &str, body: Bytes) -> bool {
+        let taken = self.faults.take("put").is_none();
+        if taken {
+            self.lock().insert(name.to_owned(), body);
+        }
+        taken
+    }
+
+    /// Returns an object as a worker would read it.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<Bytes> {
+        self.lock().get(name).cloned()
+    }
+
+    /// Returns the names of all objects.
+    #[must_use]
+    pub fn names(&self) -> Vec<String> {
+        self.lock().keys().cloned().collect()
+    }
+
+    /// Returns the interface without a socket.
+    #[must_use]
+    pub fn direct(&self) -> Objects {
+        let [heads, deletes] = [self.clone(), self.clone()];
+        Objects {
+            head: call(move |name: String| {
+                let store = heads.clone();
+                let faults = store.faults.clone();
+                let apply = move || Ok::<_, CallError>(store.head(&name));
+                async move { inject(&faults, "head", DEADLINE, apply).await }
+            }),
+            delete: call(move |name: String| {
+                let store = deletes.clone();
+                let faults = store.faults.clone();
+                let apply = move || {
+                    store.lock().remove(&name);
+                    Ok::<_, CallError>(())
+                };
+                async move { inject(&faults, "delete", DEADLINE, apply).await }
+            }),
+        }
+    }
+
+    /// Serves the wire format of `plat::object::http`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
+        let store = self.clone();
+        let handler = call(move |req| {
+            let answer = store.handle(&req);
+            async move { answer }
+        });
+        wire::serve(address, self.faults.clone(), handler).await
+    }
+
+    fn handle(&self, req: &Request) -> Answer {
+        let name = match serde_json::from_slice(&req.body) {
+            Ok(ObjectRequest { name }) => name,
+            Err(error) => return Answer::refused(400, &error.to_string()),
+        };
+        match req.path.as_str() {
+            HEAD_PATH => {
+                let bytes = self.head(&name);
+                Answer::json(200, &HeadAnswer { name, bytes })
+            }
+            DELETE_PATH => {
+                self.lock().remove(&name);
+                Answer::json(200, &DeleteAnswer { name })
+            }
+            _ => Answer::refused(404, "no such path"),
+        }
+    }
+
+    fn head(&self, name: &str) -> Option<u64> {
+        let size = self.lock().get(name).map(Bytes::len)?;
+        u64::try_from(size).ok()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Bytes>> {
+        self.objects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/fake/src/table.rs
@@ -0,0 +1,162 @@
+//! A stand-in for the transactional table.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use model::id::OpId;
+use plat::call::call;
+use plat::table::DEADLINE;
+use plat::table::Scan;
+use plat::table::Table;
+use plat::table::TableError;
+use plat::table::Txn;
+use plat::table::Write;
+use plat::table::http::COMMIT_PATH;
+use plat::table::http::Committed;
+use plat::table::http::Conflicted;
+use plat::table::http::READ_PATH;
+use plat::table::http::ReadAnswer;
+use plat::table::http::ReadRequest;
+use plat::table::http::SCAN_PATH;
+use plat::table::http::ScanAnswer;
+use serde_json::Value;
+
+use crate::faults::Faults;
+use crate::faults::inject;
+use crate::wire;
+use crate::wire::Answer;
+use crate::wire::Request;
+use crate::wire::Server;
+
+mod rows;
+
+pub use self::rows::Rows;
+
+/// The table, shared by all its clones.
+#[derive(Clone, Debug, Default)]
+pub struct FakeTable {
+    rows: Arc<Mutex<Rows>>,
+    faults: Faults,
+}
+
+impl FakeTable {
+    /// Makes an empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the switchboard of its faults; the operations are `commit`, `read` and `scan`.
+    #[must_use]
+    pub const fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Returns its rows, locked: to look at them or to write beside the interface.
+    ///
+    /// The lock must not be held over an await.
+    pub fn rows(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes a row as somebody else would, unconditionally.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a transaction without checks meets a conflict, which cannot be.
+    pub fn put(&self, key: &str, value: Value) {
+        let mut rows = self.rows();
+        let write = Write {
+            key: key.to_owned(),
+            value: Some(value),
+        };
+        let txn = Txn {
+            op: OpId::from(format!("put-{}", rows.commits())),
+            checks: Vec::new(),
+            writes: vec![write],
+        };
+        rows.commit(&txn).expect("there is nothing to check");
+    }
+
+    /// Returns the interface without a socket.
+    #[must_use]
+    pub fn direct(&self) -> Table {
+        let [commits, reads, scans] = [self.clone(), self.clone(), self.clone()];
+        Table {
+            commit: call(move |txn: Txn| {
+                let table = commits.clone();
+                let faults = table.faults.clone();
+                let apply = move || table.rows().commit(&txn);
+                async move { inject(&faults, "commit", DEADLINE, apply).await }
+            }),
+            read: call(move |key: String| {
+                let table = reads.clone();
+                let faults = table.faults.clone();
+                let apply = move || Ok::<_, TableError>(table.rows().read(&key));
+                async move { inject(&faults, "read", DEADLINE, apply).await }
+            }),
+            scan: call(move |scan: Scan| {
+                let table = scans.clone();
+                let faults = table.faults.clone();
+                let apply = move || Ok::<_, TableError>(table.rows().scan(&scan));
+                async move { inject(&faults, "scan", DEADLINE, apply).await }
+            }),
+        }
+    }
+
+    /// Serves the wire format of `plat::table::http`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
+        let table = self.clone();
+        let handler = call(move |req| {
+            let answer = table.handle(&req);
+            async move { answer }
+        });
+        wire::serve(address, self.faults.clone(), handler).await
+    }
+
+    fn handle(&self, req: &Request) -> Answer {
+        match req.path.as_str() {
+            COMMIT_PATH => match serde_json::from_slice(&req.body) {
+                Ok(txn) => self.commit(txn),
+                Err(error) => Answer::refused(400, &error.to_string()),
+            },
+            READ_PATH => match serde_json::from_slice(&req.body) {
+                Ok(ReadRequest { key }) => {
+                    let row = self.rows().read(&key);
+                    Answer::json(200, &ReadAnswer { row })
+                }
+                Err(error) => Answer::refused(400, &error.to_string()),
+            },
+            SCAN_PATH => match serde_json::from_slice(&req.body) {
+                Ok(scan) => {
+                    let rows = self.rows().scan(&scan);
+                    Answer::json(200, &ScanAnswer { rows })
+                }
+                Err(error) => Answer::refused(400, &error.to_string()),
+            },
+            _ => Answer::refused(404, "no such path"),
+        }
+    }
+
+    fn commit(&self, txn: Txn) -> Answer {
+        match self.rows().commit(&txn) {
+            Ok(versions) => {
+                let op = txn.op;
+                Answer::json(200, &Committed { op, versions })
+            }
+            Err(TableError::Conflict { key, actual }) => {
+                let op = txn.op;
+                Answer::json(409, &Conflicted { op, key, actual })
+            }
+            Err(TableError::Call(error)) => Answer::refused(503, &error.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/table/rows.rs
@@ -0,0 +1,136 @@
+//! The rows of the table, without any fault.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+use model::id::OpId;
+use model::id::RowVersion;
+use plat::table::Row;
+use plat::table::Scan;
+use plat::table::TableError;
+use plat::table::Txn;
+use serde_json::Value;
+
+/// A row that is there or was once; its versions go on counting when it is written again.
+#[derive(Clone, Debug)]
+struct Slot {
+    value: Option<Value>,
+    version: RowVersion,
+    op: OpId,
+}
+
+/// The rows, and counts of what was done to them.
+#[derive(Clone, Debug, Default)]
+pub struct Rows {
+    slots: BTreeMap<String, Slot>,
+    commits: u64,
+    writes: u64,
+    reads: u64,
+}
+
+impl Rows {
+    /// Carries out a transaction whole or not at all.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`TableError::Conflict`] with the first row whose check fails.
+    pub fn commit(&mut self, txn: &Txn) -> Result<Vec<RowVersion>, TableError> {
+        for check in &txn.checks {
+            let actual = self.version(&check.key);
+            if actual != check.version {
+                let key = check.key.clone();
+                return Err(TableError::Conflict { key, actual });
+            }
+        }
+        self.commits += 1;
+        let written = txn.writes.iter();
+        Ok(written
+            .map(|write| self.write(&write.key, write.value.clone(), &txn.op))
+            .collect())
+    }
+
+    /// Reads one row.
+    pub fn read(&mut self, key: &str) -> Option<Row> {
+        self.reads += 1;
+        self.row(key)
+    }
+
+    /// Reads rows in the order of their keys.
+    pub fn scan(&mut self, scan: &Scan) -> Vec<Row> {
+        self.reads += 1;
+        let from = match &scan.after {
+            Some(after) if *after >= scan.prefix => Bound::Excluded(after.clone()),
+            _ => Bound::Included(scan.prefix.clone()),
+        };
+        let below = self
+            .slots
+            .range((from, Bound::Unbounded))
+            .take_while(|(key, _)| key.starts_with(&scan.prefix));
+        below
+            .filter_map(|(key, slot)| slot.row(key))
+            .take(scan.limit)
+            .collect()
+    }
+
+    /// Returns one row, without counting the read.
+    #[must_use]
+    pub fn row(&self, key: &str) -> Option<Row> {
+        self.slots.get(key)?.row(key)
+    }
+
+    /// Returns all rows below a prefix, without counting the read.
+    #[must_use]
+    pub fn below(&self, prefix: &str) -> Vec<Row> {
+        let slots = self.slots.iter();
+        slots
+            .filter(|(key, _)| key.starts_with(prefix))
+            .filter_map(|(key, slot)| slot.row(key))
+            .collect()
+    }
+
+    /// Returns how many transactions took effect.
+    #[must_use]
+    pub const fn commits(&self) -> u64 {
+        self.commits
+    }
+
+    /// Returns how many rows were written.
+    #[must_use]
+    pub const fn writes(&self) -> u64 {
+        self.writes
+    }
+
+    /// Returns how many reads and scans there were.
+    #[must_use]
+    pub const fn reads(&self) -> u64 {
+        self.reads
+    }
+
+    fn version(&self, key: &str) -> RowVersion {
+        let slot = self.slots.get(key).filter(|slot| slot.value.is_some());
+        slot.map(|slot| slot.version).unwrap_or_default()
+    }
+
+    fn write(&mut self, key: &str, value: Option<Value>, op: &OpId) -> RowVersion {
+        self.writes += 1;
+        let last = self.slots.get(key).map(|slot| slot.version);
+        let slot = Slot {
+            value,
+            version: last.unwrap_or_default().next(),
+            op: op.clone(),
+        };
+        self.slots.insert(key.to_owned(), slot);
+        self.version(key)
+    }
+}
+
+impl Slot {
+    fn row(&self, key: &str) -> Option<Row> {
+        Some(Row {
+            key: key.to_owned(),
+            value: self.value.clone()?,
+            version: self.version,
+            op: self.op.clone(),
+        })
+    }
+}
--- a/crates/plat/src/worker.rs
+++ b/crates/plat/src/worker.rs
@@ -21,8 +21,11 @@
 use crate::call::Call;
 use crate::error::CallError;
 
+mod follow;
 pub mod http;
 
+pub use self::follow::Following;
+pub use self::follow::follow;
 pub use self::http::http;
 
 /// How long one call of a worker may take.
