feat(lease): ownership of shards and the life of a task as state machines

Workers' leases count from the report that a message answers, on the worker's own clock, so that a message long under way renews nothing and starts nothing; the messages are numbered, so that late and repeated copies have no effect. An owner's right to act counts from its last read of the shard's row, not from its heartbeat, which can still be written after a successor has taken the shard. Rows of ended tasks are deleted and their end is kept with the job, so that a takeover reads live tasks only.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,5 +1,19 @@
 //! Ownership of shards, epochs and the life of a task.
 //!
-//! [`record`] has the rows of the table. `docs/TASKS.md` explains the states, messages and timeouts.
+//! [`record`] has the rows of the table. [`watch`] finds out which daemons are alive, [`claim`] which
+//! shards this daemon takes or gives back, [`owner`] is the state machine of one owned shard, and
+//! [`agent`] the contract that a worker keeps, as the machine that the model check runs it against.
+//! [`timing`] has the timeouts. `docs/TASKS.md` explains the states, messages and timeouts.
 
+pub mod agent;
+pub mod claim;
+pub mod owner;
 pub mod record;
+pub mod timing;
+pub mod watch;
+
+pub use owner::Action;
+pub use owner::Event;
+pub use owner::Fact;
+pub use owner::ShardOwner;
+pub use timing::Timing;
--- /dev/null
+++ b/crates/lease/src/owner/requests.rs
@@ -0,0 +1,193 @@
+//! What the scheduler, submitters and operators ask of an owner.
+
+use model::Mono;
+use model::Size;
+use model::id::ShardId;
+use model::id::TaskId;
+use model::id::WorkerId;
+
+use super::Action;
+use super::Fact;
+use super::Refusal;
+use super::ShardOwner;
+use super::Submission;
+use super::op::Builder;
+use super::op::Kind;
+use super::op::Move;
+use super::task::Task;
+use crate::record::Phase;
+use crate::record::TaskSpec;
+
+impl ShardOwner {
+    /// Whether new transactions may be begun for a request.
+    fn serves(&self) -> Result<(), Refusal> {
+        if !self.loaded || self.giving_back {
+            return Err(Refusal::NotServing);
+        }
+        if !self.store_reachable {
+            return Err(Refusal::NoStore);
+        }
+        Ok(())
+    }
+
+    /// The task, if it waits for a worker and its row is not locked.
+    fn waiting(&self, task: &TaskId) -> Result<&Task, Refusal> {
+        let found = self.tasks.get(task).ok_or(Refusal::UnknownTask)?;
+        if found.op.is_some() {
+            return Err(Refusal::InDoubt);
+        }
+        if found.row.phase != Phase::Queued || found.cancel {
+            return Err(Refusal::WrongPhase);
+        }
+        Ok(found)
+    }
+
+    pub(super) fn start(
+        &mut self,
+        task: &TaskId,
+        worker: &WorkerId,
+        reserved: Size,
+        now: Mono,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.grant(task, worker, reserved, now) {
+            Ok(moved) => self.begin_moves(Kind::Start(moved), actions),
+            Err(why) => refuse(task, why, actions),
+        }
+    }
+
+    fn grant(
+        &self,
+        task: &TaskId,
+        worker: &WorkerId,
+        reserved: Size,
+        now: Mono,
+    ) -> Result<Move, Refusal> {
+        self.serves()?;
+        let waiting = self.waiting(task)?;
+        if reserved == Size::ZERO || !reserved.fits(&self.free(worker, now)) {
+            return Err(Refusal::NoRoom);
+        }
+        let heard = self.workers.get(worker).and_then(|known| known.heard);
+        let life = heard.ok_or(Refusal::NoRoom)?.life;
+        let mut row = waiting.row.clone();
+        row.attempt = row.attempt.next();
+        row.phase = Phase::Assigned {
+            worker: worker.clone(),
+            reserved,
+        };
+        Ok(Move {
+            task: task.clone(),
+            row,
+            life: Some(life),
+        })
+    }
+
+    pub(super) fn evict(&mut self, task: &TaskId, actions: &mut Vec<Action>) {
+        let Some(found) = self.tasks.get_mut(task) else {
+            return refuse(task, Refusal::UnknownTask, actions);
+        };
+        let Some(run) = &mut found.run else {
+            return refuse(task, Refusal::WrongPhase, actions);
+        };
+        run.evict = true;
+        self.raise_barrier(task);
+    }
+
+    /// From now on no message starts the run, so that an answer that does not list it proves that it
+    /// never will be.
+    fn raise_barrier(&mut self, task: &TaskId) {
+        let Some(found) = self.tasks.get_mut(task) else {
+            return;
+        };
+        let worker = found.row.worker().and_then(|name| self.workers.get(name));
+        let sent = worker.map_or(0, |worker| worker.sequence);
+        if let Some(run) = &mut found.run {
+            run.barrier.get_or_insert(sent + 1);
+        }
+    }
+
+    /// Cancels a task: at once where it waits, otherwise once its run has ended.
+    ///
+    /// A task whose write is in doubt is marked here and moved on when the write is settled.
+    pub(super) fn cancel(&mut self, task: &TaskId, actions: &mut Vec<Action>) {
+        let Some(found) = self.tasks.get_mut(task) else {
+            return refuse(task, Refusal::UnknownTask, actions);
+        };
+        found.cancel = true;
+        if found.row.cancel {
+            actions.push(Action::Notify(Fact::Cancelling { task: task.clone() }));
+        }
+        self.raise_barrier(task);
+    }
+
+    pub(super) fn throttle(&mut self, task: &TaskId, permille: u16, actions: &mut Vec<Action>) {
+        match self.tasks.get_mut(task).map(|found| &mut found.run) {
+            Some(Some(run)) => run.throttle = Some(permille),
+            Some(None) => refuse(task, Refusal::WrongPhase, actions),
+            None => refuse(task, Refusal::UnknownTask, actions),
+        }
+    }
+
+    pub(super) fn hand_off(&mut self, task: &TaskId, to: &ShardId, actions: &mut Vec<Action>) {
+        let waiting = self.serves().and_then(|()| self.waiting(task));
+        let (version, row) = match waiting {
+            Ok(waiting) if *to != self.claimed.shard => (waiting.version, waiting.row.clone()),
+            Ok(_) => return refuse(task, Refusal::WrongPhase, actions),
+            Err(why) => return refuse(task, why, actions),
+        };
+        let number = self.next_op();
+        let mut builder = Builder::new(&self.claimed, number);
+        builder.hand_off(version, &row, to);
+        let kind = Kind::HandOff {
+            task: task.clone(),
+            to: to.clone(),
+        };
+        self.begin(number, kind, builder.finish(), actions);
+    }
+
+    /// Queues a new task, or tells what has become of its name.
+    ///
+    /// A submission that is repeated while its first write is under way shares that one's fate.
+    pub(super) fn submit(&mut self, spec: TaskSpec, actions: &mut Vec<Action>) {
+        let task = spec.task.clone();
+        if let Err(why) = self.serves() {
+            return notify_submitted(&task, Submission::NotAccepted(why), actions);
+        }
+        if let Some(found) = self.tasks.get(&task) {
+            return notify_submitted(&task, compare(&found.row.spec, &spec), actions);
+        }
+        let under_way = self.ops.values().find_map(|op| match &op.kind {
+            Kind::Submit(first) if first.task == task => Some(first),
+            _ => None,
+        });
+        match under_way {
+            Some(first) if *first == spec => return,
+            Some(_) => return notify_submitted(&task, Submission::Conflict, actions),
+            None => {}
+        }
+        let number = self.next_op();
+        let mut builder = Builder::new(&self.claimed, number);
+        builder.submit(&spec);
+        self.begin(number, Kind::Submit(spec), builder.finish(), actions);
+    }
+}
+
+/// Compares a submission with the task that has its name.
+pub(super) fn compare(known: &TaskSpec, submitted: &TaskSpec) -> Submission {
+    if known == submitted {
+        Submission::Repeated
+    } else {
+        Submission::Conflict
+    }
+}
+
+pub(super) fn notify_submitted(task: &TaskId, result: Submission, actions: &mut Vec<Action>) {
+    let task = task.clone();
+    actions.push(Action::Notify(Fact::Submitted { task, result }));
+}
+
+pub(super) fn refuse(task: &TaskId, why: Refusal, actions: &mut Vec<Action>) {
+    let task = task.clone();
+    actions.push(Action::Notify(Fact::Refused { task, why }));
+}
--- a/crates/lease/src/record.rs
+++ b/crates/lease/src/record.rs
@@ -3,31 +3,40 @@
 //! A task's row lives below its shard, so that a successor finds all tasks of a shard with one scan,
 //! and only the owner of that shard moves it on. `docs/TASKS.md` has the states.
 
+use std::net::SocketAddr;
+
 use model::Size;
 use model::id::Attempt;
 use model::id::CheckpointId;
 use model::id::ClassId;
 use model::id::DaemonId;
+use model::id::DocVersion;
 use model::id::Epoch;
+use model::id::HalfId;
 use model::id::Incarnation;
 use model::id::ShardId;
 use model::id::TaskId;
 use model::id::TeamId;
 use model::id::WorkerId;
+use model::place::Place;
 use serde::Deserialize;
 use serde::Serialize;
 
 /// Who owns a shard; the row `shard/<shard>`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ShardRow {
     /// The owner, or `None` once it was given back.
     pub owner: Option<Owner>,
     /// Counts the owners.
     pub epoch: Epoch,
+    /// Whether nobody but the last owner can still hold a grant: it gave the shard back after it had
+    /// reached every worker with tasks, so that a successor need only wait for workers' leases.
+    #[serde(default)]
+    pub settled: bool,
 }
 
 /// The owner of a shard.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Owner {
     /// The daemon.
     pub daemon: DaemonId,
@@ -49,7 +58,7 @@
 }
 
 /// What a team asked for; it never changes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TaskSpec {
     /// The name, chosen by the submitter, unique for ever.
     pub task: TaskId,
@@ -75,7 +84,7 @@
 }
 
 /// Where a task is in its life.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(tag = "state", rename_all = "kebab-case")]
 pub enum Phase {
     /// Waits for a worker.
@@ -99,7 +108,7 @@
 }
 
 /// The row `task/<shard>/<task>`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TaskRow {
     /// What was asked for.
     pub spec: TaskSpec,
@@ -117,24 +126,121 @@
     pub cancel: bool,
 }
 
-/// The row `job/<task>`, written once with the task's first row, by which a second submission of the
-/// same name is found out.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+impl TaskRow {
+    /// The first row of a task that was just submitted.
+    #[must_use]
+    pub const fn queued(spec: TaskSpec) -> Self {
+        Self {
+            spec,
+            attempt: Attempt(0),
+            phase: Phase::Queued,
+            checkpoint: None,
+            failures: 0,
+            evictions: 0,
+            cancel: false,
+        }
+    }
+
+    /// The worker that it is granted to, if there is one.
+    #[must_use]
+    pub const fn worker(&self) -> Option<&WorkerId> {
+        match &self.phase {
+            Phase::Assigned { worker, .. } => Some(worker),
+            _ => None,
+        }
+    }
+}
+
+impl Phase {
+    /// Whether the task has ended for good.
+    #[must_use]
+    pub const fn has_ended(&self) -> bool {
+        matches!(
+            self,
+            Self::Succeeded | Self::Failed { .. } | Self::Cancelled
+        )
+    }
+}
+
+/// The row `job/<task>`, by which a second submission of the same name is found out and the task is
+/// found. It outlives the task's own row, which is deleted when the task ends, so that a scan below
+/// a shard reads no ended tasks.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct JobRow {
     /// What was asked for.
     pub spec: TaskSpec,
-    /// The shard that it was first queued at.
+    /// The shard whose owner has it now, or had it when it ended.
     pub shard: ShardId,
+    /// How it ended, once it has.
+    #[serde(default)]
+    pub end: Option<Phase>,
+}
+
+/// What a peer is told of a queued task that was moved to its shard, so that it reads the row at once
+/// and not with the next scan.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct HandOff {
+    /// The task.
+    pub task: TaskId,
+    /// The shard whose owner could not place it.
+    pub from: ShardId,
+    /// The shard that it waits at now.
+    pub to: ShardId,
+}
+
+/// The heartbeat of a daemon; the row `member/<daemon>`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct MemberRow {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Which life of it.
+    pub incarnation: Incarnation,
+    /// Counts the heartbeats of this life.
+    pub beat: u64,
+    /// The half it works for.
+    pub half: HalfId,
+    /// Where it stands.
+    pub place: Place,
+    /// Where others reach it.
+    pub addresses: Addresses,
+    /// Whether it is being stopped and takes no more shards.
+    #[serde(default)]
+    pub draining: bool,
+    /// The newest document that it has staged.
+    #[serde(default)]
+    pub staged: DocVersion,
+    /// The document that it obeys.
+    #[serde(default)]
+    pub in_force: DocVersion,
+}
+
+/// Where a daemon is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Addresses {
+    /// By callers, and by daemons that pass a request on.
+    pub callers: SocketAddr,
+    /// By the other daemons.
+    pub peers: SocketAddr,
 }
 
 /// The keys of the rows.
 pub mod key {
+    use model::id::DaemonId;
     use model::id::ShardId;
     use model::id::TaskId;
 
     /// The prefix of all shards' rows.
     pub const SHARDS: &str = "shard/";
 
+    /// The prefix of all daemons' heartbeats.
+    pub const MEMBERS: &str = "member/";
+
+    /// The key of a daemon's heartbeat.
+    #[must_use]
+    pub fn member(daemon: &DaemonId) -> String {
+        format!("{MEMBERS}{daemon}")
+    }
+
     /// The key of a shard's row.
     #[must_use]
     pub fn shard(shard: &ShardId) -> String {
--- /dev/null
+++ b/crates/lease/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Tests of ownership and the life of a task.
--- a/crates/plat/src/error.rs
+++ b/crates/plat/src/error.rs
@@ -7,7 +7,7 @@
 ///
 /// The difference decides what may be done next, see rule 1 in `docs/DESIGN.md`: a refused call had
 /// no effect, an unknown one may have had one, now or later.
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq, Hash)]
 pub enum CallError {
     /// The other side certainly did not carry the call out.
     #[display("refused: {_0}")]
--- a/crates/plat/src/settle.rs
+++ b/crates/plat/src/settle.rs
@@ -18,7 +18,7 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
 /// What became of a transaction.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Settled {
     /// It took effect.
     Committed,
--- a/crates/plat/src/table.rs
+++ b/crates/plat/src/table.rs
@@ -16,7 +16,7 @@
 use crate::error::CallError;
 
 /// One row as it was read.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Row {
     /// The key, segments joined by `/`.
     pub key: String,
@@ -29,7 +29,7 @@
 }
 
 /// A condition of a transaction: the row still has this version, 0 for an absent row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Check {
     /// The key of the row.
     pub key: String,
@@ -38,7 +38,7 @@
 }
 
 /// One write of a transaction; no value deletes the row.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Write {
     /// The key of the row.
     pub key: String,
@@ -47,7 +47,7 @@
 }
 
 /// Several writes that take effect together or not at all.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Txn {
     /// The id of this write, kept with each row it writes.
     pub op: OpId,
--- a/crates/plat/src/worker.rs
+++ b/crates/plat/src/worker.rs
@@ -34,7 +34,7 @@
 }
 
 /// One task as its worker reports it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RunReport {
     /// The task.
     pub task: TaskId,
@@ -55,11 +55,12 @@
 }
 
 /// The answer of a worker to every message: all that it runs or has ended without being released.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// The highest epoch the agent has seen.
     pub epoch: Epoch,
-    /// Counts the agent's reports; one with a lower number is older.
+    /// Counts the agent's reports; one with a lower number is older. The upper 32 bits count the
+    /// lives of the agent, for instance by its start time in seconds; see [`Self::life`].
     pub sequence: u64,
     /// How old the usage figures are, in milliseconds.
     pub age_ms: u64,
@@ -67,8 +68,16 @@
     pub runs: Vec<RunReport>,
 }
 
+impl WorkerReport {
+    /// Which life of the agent made this report; nothing of an earlier life runs any more.
+    #[must_use]
+    pub const fn life(&self) -> u32 {
+        (self.sequence >> 32) as u32
+    }
+}
+
 /// What to do with one task.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(tag = "do", rename_all = "kebab-case")]
 pub enum Command {
     /// Starts a run; repeated, it has no further effect.
@@ -112,18 +121,26 @@
 }
 
 /// One message to a worker: renews its lease and carries commands.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct WorkerMessage {
     /// The epoch of the shard that the sender owns.
     pub epoch: Epoch,
-    /// How long the worker may go on from when it receives this, in milliseconds.
+    /// Counts the messages under this epoch; the agent carries out none that is not above the last
+    /// one, so that a late or repeated copy has no effect.
+    #[serde(default)]
+    pub sequence: u64,
+    /// The newest report of the agent that the sender has seen, 0 for none. The lease counts from
+    /// when the agent made it, so that a message that was long under way renews nothing.
+    #[serde(default)]
+    pub answers: u64,
+    /// How long the worker may go on from when it made the report in `answers`, in milliseconds.
     pub lease_ms: u64,
     /// What to do, in this order.
     pub commands: Vec<Command>,
 }
 
 /// Why a message to a worker brought no report.
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq, Hash)]
 pub enum WorkerError {
     /// The worker has seen a higher epoch and did nothing.
     #[display("the worker obeys epoch {epoch}")]
