merge: lease state machines; the message carries what a lease answers

Cause: plat and lease each closed the same hole, a renewal that is late by a pause of the worker. Conclusion: the form inside the message stays, as it is the one that the model check runs.

--- a/crates/plat/src/table.rs
+++ b/crates/plat/src/table.rs
@@ -32,7 +32,7 @@
 pub const MAX_SCAN_ROWS: usize = 500;
 
 /// One row as it was read.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Row {
     /// The key, segments joined by `/`.
     pub key: String,
@@ -45,7 +45,7 @@
 }
 
 /// A condition of a transaction: the row still has this version, 0 for an absent row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Check {
     /// The key of the row.
     pub key: String,
@@ -54,7 +54,7 @@
 }
 
 /// One write of a transaction; no value deletes the row.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Write {
     /// The key of the row.
     pub key: String,
@@ -63,7 +63,7 @@
 }
 
 /// Several writes that take effect together or not at all.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Txn {
     /// The id of this write, kept with each row it writes.
     pub op: OpId,
--- a/crates/plat/src/worker/http.rs
+++ b/crates/plat/src/worker/http.rs
@@ -6,11 +6,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Following;
+use super::Addressed;
 use super::WorkerError;
 use super::WorkerReport;
 use super::Workers;
-use super::follow;
 use crate::call::call;
 use crate::client::Client;
 use crate::client::Endpoint;
@@ -18,8 +17,6 @@
 
 /// The path of [`Workers::send`].
 pub const MESSAGE_PATH: &str = "/v1/worker/message";
-/// The header that names the report which a message follows, by its sequence number.
-pub const AFTER_REPORT: &str = "ff-after-report";
 
 /// The answer of an agent that obeys a higher epoch.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -50,24 +47,23 @@
 #[must_use]
 pub fn http(client: &Client, bounds: Bounds) -> Workers {
     let client = client.clone();
-    follow(call(move |following| {
-        let client = client.clone();
-        async move { exchange(&client, bounds, following).await }
-    }))
+    Workers {
+        send: call(move |to| {
+            let client = client.clone();
+            async move { exchange(&client, bounds, to).await }
+        }),
+    }
 }
 
 async fn exchange(
     client: &Client,
     bounds: Bounds,
-    following: Following,
+    to: Addressed,
 ) -> Result<WorkerReport, WorkerError> {
-    let Following { to, after } = following;
     let endpoint = Endpoint::new(to.address, bounds.deadline, bounds.max_answer_bytes);
-    let mut post = Post::new(MESSAGE_PATH, &to.message);
-    if let Some(after) = after {
-        post = post.header(AFTER_REPORT, after.to_string());
-    }
-    let answer = client.post(&endpoint, post).await?;
+    let answer = client
+        .post(&endpoint, Post::new(MESSAGE_PATH, &to.message))
+        .await?;
     if answer.is_ok() {
         return Ok(answer.json()?);
     }
