--- /dev/null
+++ b/crates/conf/src/diff.rs
@@ -0,0 +1,149 @@
+//! What changes between two documents, and where two operators' changes conflict.
+//!
+//! Documents are compared by value, not by text: comments and layout make no change.
+
+use std::collections::BTreeSet;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::doc::Document;
+use crate::tree::escape;
+
+/// Whether a place was added, removed or set to another value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum ChangeKind {
+    /// It was not there before.
+    Added,
+    /// It is not there any more.
+    Removed,
+    /// It has another value.
+    Set,
+}
+
+/// One place that differs between two documents.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Change {
+    /// The JSON pointer (RFC 6901) of the place.
+    pub pointer: String,
+    /// What happened to it.
+    pub kind: ChangeKind,
+    /// The value before, null where it was added.
+    #[serde(default)]
+    pub before: Value,
+    /// The value after, null where it was removed.
+    #[serde(default)]
+    pub after: Value,
+    /// One line for people.
+    pub summary: String,
+}
+
+/// A place that two operators changed differently.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Conflict {
+    /// The JSON pointer (RFC 6901) of the place.
+    pub pointer: String,
+    /// What the operator who is told wanted.
+    pub ours: Change,
+    /// What came first.
+    pub theirs: Change,
+}
+
+/// Returns what changes from `before` to `after`, in the order of the places.
+#[must_use]
+pub fn changes(before: &Document, after: &Document) -> Vec<Change> {
+    let mut found = Vec::new();
+    compare("", &to_value(before), &to_value(after), &mut found);
+    found
+}
+
+/// Returns where `ours` and `theirs`, both made from one base, conflict.
+///
+/// Two changes conflict if one place lies within the other and they do not come to the same value.
+#[must_use]
+pub fn conflicts(ours: &[Change], theirs: &[Change]) -> Vec<Conflict> {
+    let mut found = Vec::new();
+    for our in ours {
+        for their in theirs {
+            let same = our.pointer == their.pointer && our.after == their.after;
+            if !same && overlap(&our.pointer, &their.pointer) {
+                found.push(Conflict {
+                    pointer: our.pointer.clone(),
+                    ours: our.clone(),
+                    theirs: their.clone(),
+                });
+            }
+        }
+    }
+    found
+}
+
+/// Returns the part of `in_force` that a daemon may serve while it cannot know whether `staged` has
+/// come into force: the upstreams that both treat alike. See `docs/CONFIGURATION.md`.
+#[must_use]
+pub fn common(in_force: &Document, staged: &Document) -> Document {
+    let mut kept = in_force.clone();
+    kept.upstreams
+        .retain(|name, upstream| staged.upstreams.get(name) == Some(upstream));
+    kept
+}
+
+fn to_value(document: &Document) -> Value {
+    serde_json::to_value(document).unwrap_or_default()
+}
+
+fn overlap(left: &str, right: &str) -> bool {
+    let within = |inner: &str, outer: &str| {
+        inner
+            .strip_prefix(outer)
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    };
+    within(left, right) || within(right, left)
+}
+
+fn compare(pointer: &str, before: &Value, after: &Value, found: &mut Vec<Change>) {
+    if before == after {
+        return;
+    }
+    let (Value::Object(old), Value::Object(new)) = (before, after) else {
+        found.push(change(pointer, ChangeKind::Set, before, after));
+        return;
+    };
+    let keys: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    for key in keys {
+        let place = format!("{pointer}/{}", escape(key));
+        match (old.get(key), new.get(key)) {
+            (Some(before), Some(after)) => compare(&place, before, after, found),
+            (None, Some(after)) => {
+                found.push(change(&place, ChangeKind::Added, &Value::Null, after));
+            }
+            (Some(before), None) => {
+                found.push(change(&place, ChangeKind::Removed, before, &Value::Null));
+            }
+            (None, None) => {}
+        }
+    }
+}
+
+fn change(pointer: &str, kind: ChangeKind, before: &Value, after: &Value) -> Change {
+    let name = pointer
+        .trim_start_matches('/')
+        .replace('/', " ")
+        .replace("~1", "/")
+        .replace("~0", "~");
+    let summary = match kind {
+        ChangeKind::Added => format!("{name}: added"),
+        ChangeKind::Removed => format!("{name}: removed"),
+        ChangeKind::Set => format!("{name}: {before} becomes {after}"),
+    };
+    Change {
+        pointer: pointer.to_owned(),
+        kind,
+        before: before.clone(),
+        after: after.clone(),
+        summary,
+    }
+}
