feat(conf): acceptance as pure machines

The rows are never deleted, so that the version of doc/staged orders all attempts. A serving daemon always knows a committed document at least as staged; one that cannot know whether the staged document came into force serves only what both have in common. Not yet model-checked.

--- /dev/null
+++ b/crates/conf/src/accept/follower.rs
@@ -0,0 +1,281 @@
+//! What every daemon does: keeps the document in force and the permission to serve.
+//!
+//! The state is plain data. Its invariant: whoever may serve knows, for every accepted document,
+//! that it is in force or at least that it is staged. `docs/CONFIGURATION.md` shows why it holds.
+
+use std::time::Duration;
+
+use model::Mono;
+use model::id::DaemonId;
+use model::id::DocVersion;
+use model::id::Incarnation;
+use model::id::RowVersion;
+
+use crate::accept::Bounds;
+use crate::accept::message::Digest;
+use crate::accept::message::News;
+use crate::accept::row::Current;
+use crate::accept::row::Staged;
+use crate::accept::row::View;
+use crate::accept::row::version_of;
+
+/// By what a daemon may serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Serve {
+    /// By nothing: it has no document yet, or has reached neither store nor serving peer in time.
+    Nothing,
+    /// By what the document in force and the staged one have in common, because it cannot know
+    /// which of them is in force; see [`crate::diff::common`].
+    Common,
+    /// By the document in force.
+    InForce,
+}
+
+/// What a follower is told.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// The table answered. `sent` is the time before the daemon wrote its own heartbeat row, which
+    /// it does before it reads.
+    Polled {
+        /// When the heartbeat row's write was sent.
+        sent: Mono,
+        /// What the reads showed.
+        view: View,
+    },
+    /// A peer answered this daemon's digest.
+    Answered {
+        /// When the digest was sent.
+        sent: Mono,
+        /// What the peer knows.
+        news: News,
+    },
+    /// A proposer pushed a document to stage, unasked; this is no sign that the daemon is heard.
+    Pushed {
+        /// What the proposer knows.
+        news: News,
+    },
+    /// A proposer says that the document staged under the ballot is in force.
+    Committed {
+        /// The ballot.
+        ballot: RowVersion,
+    },
+    /// The proposer says that it will never commit the document staged under the ballot.
+    Abandoned {
+        /// The ballot.
+        ballot: RowVersion,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What a follower asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Action {
+    /// Serve by this document from now on.
+    Apply(Current),
+    /// Take back the staged document, whose proposer seems to be gone, by
+    /// [`crate::accept::row::Write::Clear`].
+    Clear {
+        /// Its ballot.
+        ballot: RowVersion,
+    },
+}
+
+/// The state of a follower.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Follower {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Which life of it.
+    pub incarnation: Incarnation,
+    /// The bounds of the protocol.
+    pub bounds: Bounds,
+    /// The document in force.
+    pub current: Option<Current>,
+    /// The highest ballot seen.
+    pub ballot: RowVersion,
+    /// When that ballot was first seen.
+    pub ballot_at: Mono,
+    /// The document staged under that ballot, unless it has been resolved.
+    pub staged: Option<Staged>,
+    /// When `current` was last known to be the latest accepted document.
+    pub known_at: Mono,
+    /// When the daemon last reached the store or a serving peer; `None` until it has read the table
+    /// for the first time.
+    pub contact_at: Option<Mono>,
+}
+
+impl Follower {
+    /// Makes the follower of a daemon that has just started.
+    #[must_use]
+    pub fn new(daemon: DaemonId, incarnation: Incarnation, bounds: Bounds) -> Self {
+        Self {
+            daemon,
+            incarnation,
+            bounds,
+            current: None,
+            ballot: RowVersion::default(),
+            ballot_at: Mono::ZERO,
+            staged: None,
+            known_at: Mono::ZERO,
+            contact_at: None,
+        }
+    }
+
+    /// Returns the version in force, 0 before the first document.
+    #[must_use]
+    pub fn version(&self) -> DocVersion {
+        version_of(self.current.as_ref())
+    }
+
+    /// Returns what the daemon says of itself to others.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        Digest {
+            daemon: self.daemon.clone(),
+            incarnation: self.incarnation,
+            ballot: self.ballot,
+            version: self.version(),
+        }
+    }
+
+    /// Returns the answer to a peer that has sent its digest.
+    #[must_use]
+    pub fn news(&self, asker: &Digest, now: Mono) -> News {
+        let needed = asker.version < self.version();
+        let behind = asker.ballot < self.ballot;
+        News {
+            ballot: self.ballot,
+            pending: self.staged.is_some(),
+            staged: self.staged.clone().filter(|_| behind),
+            version: self.version(),
+            current: self.current.clone().filter(|_| needed),
+            age: now.since(self.known_at),
+            serving: self.serve(now) != Serve::Nothing,
+        }
+    }
+
+    /// Returns by what the daemon may serve.
+    #[must_use]
+    pub fn serve(&self, now: Mono) -> Serve {
+        let reached = self
+            .contact_at
+            .is_some_and(|at| now <= at.after(self.bounds.isolation));
+        if !reached || self.current.is_none() {
+            return Serve::Nothing;
+        }
+        let in_doubt = now > self.known_at.after(self.bounds.in_doubt);
+        if self.staged.is_some() && in_doubt {
+            return Serve::Common;
+        }
+        Serve::InForce
+    }
+
+    /// Takes in an event.
+    pub fn handle(&mut self, event: Event, now: Mono) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Polled { sent, view } => self.polled(sent, view, now, &mut actions),
+            Event::Answered { sent, news } => self.answered(sent, news, now, &mut actions),
+            Event::Pushed { news } => {
+                self.merge(self.known_at, news, now, &mut actions);
+            }
+            Event::Committed { ballot } => self.committed(ballot, now, &mut actions),
+            Event::Abandoned { ballot } => {
+                if ballot == self.ballot {
+                    self.staged = None;
+                }
+            }
+            Event::Tick => {}
+        }
+        actions
+    }
+
+    fn polled(&mut self, sent: Mono, view: View, now: Mono, actions: &mut Vec<Action>) {
+        let ballot = view.ballot;
+        let news = News {
+            ballot,
+            pending: view.staged.is_some(),
+            staged: view.staged.clone(),
+            version: view.version(),
+            current: view.current,
+            age: Duration::ZERO,
+            serving: true,
+        };
+        if self.merge(sent, news, now, actions) {
+            self.contact_at = self.contact_at.max(Some(sent));
+        }
+        let stood = now.since(self.ballot_at) > self.bounds.stage_hold;
+        if view.staged.is_some() && ballot == self.ballot && stood {
+            actions.push(Action::Clear { ballot });
+        }
+    }
+
+    fn answered(&mut self, sent: Mono, news: News, now: Mono, actions: &mut Vec<Action>) {
+        let serving = news.serving;
+        let merged = self.merge(earlier(sent, news.age), news, now, actions);
+        let joined = self.contact_at.is_some();
+        if merged && serving && joined {
+            self.contact_at = self.contact_at.max(Some(sent));
+        }
+    }
+
+    fn committed(&mut self, ballot: RowVersion, now: Mono, actions: &mut Vec<Action>) {
+        if ballot != self.ballot {
+            return;
+        }
+        let Some(staged) = self.staged.take() else {
+            return;
+        };
+        self.see(ballot.next(), now);
+        let accepted = staged.accepted(self.current.as_ref());
+        self.apply(accepted, self.known_at, actions);
+    }
+
+    /// Takes over what is newer, and returns whether the daemon now knows all that the news tell.
+    ///
+    /// `known` is a time at which the version of the news was certainly the latest. A pushed message
+    /// may have been under way for any time, so it gives none.
+    fn merge(&mut self, known: Mono, news: News, now: Mono, actions: &mut Vec<Action>) -> bool {
+        let missing = news.pending && news.staged.is_none();
+        if news.ballot > self.ballot && missing {
+            return false;
+        }
+        if news.version > self.version() {
+            let Some(current) = news.current else {
+                return false;
+            };
+            self.apply(current, known, actions);
+        } else if news.version == self.version() {
+            self.known_at = self.known_at.max(known);
+        }
+        if news.ballot > self.ballot {
+            self.see(news.ballot, now);
+            self.staged = news.staged;
+        } else if news.ballot == self.ballot && !news.pending {
+            self.staged = None;
+        }
+        let version = self.version();
+        self.staged.take_if(|staged| staged.version <= version);
+        true
+    }
+
+    fn see(&mut self, ballot: RowVersion, now: Mono) {
+        self.ballot = ballot;
+        self.ballot_at = now;
+    }
+
+    /// Puts a document into force unless the one in force is as new: versions never go down.
+    fn apply(&mut self, current: Current, known: Mono, actions: &mut Vec<Action>) {
+        if current.version <= self.version() {
+            return;
+        }
+        self.known_at = known;
+        self.current = Some(current.clone());
+        actions.push(Action::Apply(current));
+    }
+}
+
+fn earlier(at: Mono, age: Duration) -> Mono {
+    Mono(at.0.saturating_sub(model::time::millis(age)))
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -5,6 +5,7 @@
 //! place and reported together. [`diff`] tells what changes between two documents and [`api`] has
 //! the messages between daemon and operators.
 
+pub mod accept;
 pub mod api;
 pub mod diff;
 pub mod doc;
