--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -138,7 +138,6 @@
     pub fn store_answered(&self, sent: Mono) {
         let mut view = self.view();
         view.store_at = view.store_at.max(Some(sent));
-        view.members.contact(sent);
     }
 
     /// Returns the document version that a daemon was last heard to have in force.
--- /dev/null
+++ b/crates/node/src/shards/carry.rs
@@ -0,0 +1,67 @@
+//! Carries out what an owner wants done.
+
+use std::time::Duration;
+
+use lease::owner::Action;
+use model::id::Epoch;
+use model::id::ShardId;
+use model::id::WorkerId;
+use plat::error::CallError;
+use plat::settle::settle;
+use plat::table::Txn;
+use plat::worker::Addressed;
+use plat::worker::WorkerError;
+use plat::worker::WorkerMessage;
+use tokio::time::Instant;
+
+use crate::shards::driver::Driver;
+use crate::shards::input::Input;
+
+/// How long a transaction is repeated before the owner is told that it is in doubt.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(5);
+
+impl Driver {
+    /// Carries out actions of the owner of a shard, in their order.
+    pub(super) fn carry_out(&mut self, shard: &ShardId, epoch: Epoch, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Commit(txn) => self.commit(shard, epoch, txn),
+                Action::Send { worker, message } => self.send(shard, epoch, worker, message),
+                Action::Notify(fact) => self.facts.push_back((shard.clone(), fact)),
+                Action::StepDown(reason) => {
+                    log::info!(shard = shard.as_str(), epoch = epoch.0; "gives up the shard: {reason}");
+                    self.stopped.push(shard.clone());
+                }
+            }
+        }
+    }
+
+    fn commit(&self, shard: &ShardId, epoch: Epoch, txn: Txn) {
+        let cx = self.cx.clone();
+        let tx = self.tx.clone();
+        let shard = shard.clone();
+        tokio::spawn(async move {
+            let op = txn.op.clone();
+            let deadline = Instant::now() + COMMIT_TIMEOUT;
+            let settled = settle(&cx.outside.table, txn, deadline).await;
+            let _ = tx.send(Input::Settled { shard, epoch, op, settled }).await;
+        });
+    }
+
+    fn send(&self, shard: &ShardId, epoch: Epoch, worker: WorkerId, message: WorkerMessage) {
+        let hosts = self.cx.hosts.borrow().clone();
+        let entry = hosts.workers.iter().find(|entry| entry.id == worker);
+        let address = entry.map(|entry| entry.address);
+        let cx = self.cx.clone();
+        let tx = self.tx.clone();
+        let shard = shard.clone();
+        tokio::spawn(async move {
+            let sequence = message.sequence;
+            let answer = match address {
+                Some(address) => (cx.outside.workers.send)(Addressed { address, message }).await,
+                None => Err(WorkerError::Call(CallError::Refused("the host list lacks it".into()))),
+            };
+            let _ = tx.send(Input::Answer { shard, epoch, worker, sequence, answer }).await;
+        });
+    }
+}
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -90,22 +90,19 @@
         targets
     }
 
-    /// Replaces this daemon's own summary; the sequence is set here.
-    pub fn publish(&mut self, own: &DaemonId, mut summary: Summary) {
-        let known = self
-            .summaries
-            .get(own)
-            .map_or(self.first_sequence, |known| known.sequence);
-        summary.sequence = known + 1;
-        let unchanged = self.summaries.get(own).is_some_and(|known| {
-            let same_sequence = Summary {
-                sequence: known.sequence,
-                ..summary.clone()
-            };
-            *known == same_sequence
-        });
-        if !unchanged {
-            self.summaries.insert(own.clone(), summary);
+    /// Changes this daemon's own summary; if that makes a difference it is told anew.
+    pub fn update(&mut self, own: &DaemonId, change: impl FnOnce(&mut Summary)) {
+        let first = Summary {
+            sequence: self.first_sequence,
+            ..Summary::default()
+        };
+        let known = self.summaries.entry(own.clone()).or_insert(first);
+        let mut changed = known.clone();
+        change(&mut changed);
+        changed.sequence = known.sequence;
+        if changed != *known || known.sequence == self.first_sequence {
+            changed.sequence += 1;
+            *known = changed;
         }
     }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,7 +1,6 @@
 //! Which daemons are there, and the messages between them.
 //!
-//! [`members`] decides from heartbeat counters which daemons are alive and whether this one is
-//! isolated; [`gossip`] picks whom to tell and merges what others tell; [`summary`] is what daemons
+//! [`members`] decides from heartbeat counters which daemons are alive; [`gossip`] picks whom to tell and merges what others tell; [`summary`] is what daemons
 //! tell each other beyond being alive; [`rpc`] carries it over `jsonrpsee`, and [`links`] keeps the
 //! connections. Nothing here decides anything that must last, see `docs/MEMBERSHIP.md`.
 
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use conf::accept::message::Ack;
 use derive_more::Display;
 use derive_more::Error;
 use jsonrpsee::core::client::Error as RpcError;
@@ -15,10 +16,11 @@
 use jsonrpsee::http_client::HttpClientBuilder;
 use model::Map;
 
-use crate::gossip::Exchange;
-use crate::rpc::DocNotice;
+use crate::rpc::Answer;
+use crate::rpc::DocCall;
 use crate::rpc::MAX_MESSAGE_BYTES;
 use crate::rpc::PeerClient;
+use crate::rpc::Question;
 use crate::rpc::ShardAnswer;
 use crate::rpc::ShardCall;
 
@@ -50,24 +52,20 @@
     /// # Errors
     ///
     /// Returns an error when no answer came within [`GOSSIP_TIMEOUT`].
-    pub async fn gossip(&self, to: SocketAddr, exchange: Exchange) -> Result<Exchange, LinkError> {
+    pub async fn gossip(&self, to: SocketAddr, question: Question) -> Result<Answer, LinkError> {
         let client = self.client(to)?;
-        self.bounded(to, GOSSIP_TIMEOUT, client.gossip(exchange))
+        self.bounded(to, GOSSIP_TIMEOUT, client.gossip(question))
             .await
     }
 
-    /// Tells a peer of news of the document.
+    /// Tells a peer of a document that is being accepted.
     ///
     /// # Errors
     ///
     /// Returns an error when no answer came within [`GOSSIP_TIMEOUT`].
-    pub async fn document(
-        &self,
-        to: SocketAddr,
-        notice: DocNotice,
-    ) -> Result<model::id::DocVersion, LinkError> {
+    pub async fn document(&self, to: SocketAddr, call: DocCall) -> Result<Ack, LinkError> {
         let client = self.client(to)?;
-        self.bounded(to, GOSSIP_TIMEOUT, client.document(notice))
+        self.bounded(to, GOSSIP_TIMEOUT, client.document(call))
             .await
     }
 
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -19,8 +19,6 @@
 
 /// How long a daemon counts as alive after its heartbeat was last seen to advance.
 pub const MEMBER_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long a daemon may serve without having reached the store or any peer.
-pub const ISOLATION_BOUND: Duration = Duration::from_secs(10);
 /// How long a daemon that is gone stays in the view, so that late news of it are not taken for new.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
@@ -61,7 +59,6 @@
 pub struct Members {
     own: DaemonId,
     all: BTreeMap<DaemonId, Member>,
-    contact_at: Option<Mono>,
 }
 
 impl Members {
@@ -77,11 +74,7 @@
             advanced_at: now,
         };
         let all = BTreeMap::from([(own.clone(), member)]);
-        Self {
-            own,
-            all,
-            contact_at: None,
-        }
+        Self { own, all }
     }
 
     /// Returns the name of this daemon.
@@ -149,18 +142,6 @@
         });
     }
 
-    /// Notes that the store or a peer answered a message that was sent at `sent`.
-    pub fn contact(&mut self, sent: Mono) {
-        self.contact_at = self.contact_at.max(Some(sent));
-    }
-
-    /// Returns whether this daemon may serve: it has reached somebody within [`ISOLATION_BOUND`].
-    #[must_use]
-    pub fn connected(&self, now: Mono) -> bool {
-        self.contact_at
-            .is_some_and(|at| now.since(at) < ISOLATION_BOUND)
-    }
-
     /// Returns whether a daemon's heartbeat advanced within [`MEMBER_TIMEOUT`].
     #[must_use]
     pub fn is_alive(&self, daemon: &DaemonId, now: Mono) -> bool {
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -1,8 +1,11 @@
 //! The calls between daemons, over `jsonrpsee`.
 
+use conf::accept::message::Ack;
+use conf::accept::message::Digest;
+use conf::accept::message::News;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
-use model::id::DocVersion;
+use model::id::RowVersion;
 use model::id::ShardId;
 use model::id::TaskId;
 use serde::Deserialize;
@@ -14,13 +17,43 @@
 /// The largest message between daemons, in bytes.
 pub const MAX_MESSAGE_BYTES: u32 = 1 << 20;
 
-/// Tells that the table has something new of the document; the receiver reads it from there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DocNotice {
-    /// The version that is staged, if one is.
-    pub staged: Option<DocVersion>,
-    /// The version that is committed.
-    pub committed: DocVersion,
+/// An exchange as a question, with what the asker knows of the document.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Question {
+    /// Heartbeats and summaries.
+    pub exchange: Exchange,
+    /// What the asker has of the document.
+    pub digest: Digest,
+}
+
+/// The answer to a [`Question`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Heartbeats and summaries.
+    pub exchange: Exchange,
+    /// What the asker lacks of the document.
+    pub news: News,
+}
+
+/// What a proposer tells a daemon of a document; answered with an [`Ack`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "tell", rename_all = "kebab-case")]
+pub enum DocCall {
+    /// Stage this document.
+    Push {
+        /// The document.
+        news: News,
+    },
+    /// The document staged under the ballot is in force.
+    Committed {
+        /// The ballot.
+        ballot: RowVersion,
+    },
+    /// The document staged under the ballot will never be in force.
+    Abandoned {
+        /// The ballot.
+        ballot: RowVersion,
+    },
 }
 
 /// Hands something for one of its shards to the daemon that owns it.
@@ -77,11 +110,11 @@
 pub trait Peer {
     /// Exchanges heartbeats and summaries.
     #[method(name = "gossip")]
-    async fn gossip(&self, exchange: Exchange) -> RpcResult<Exchange>;
+    async fn gossip(&self, question: Question) -> RpcResult<Answer>;
 
-    /// Tells of news of the document; answers with the version in force here.
+    /// Tells of a document that is being accepted.
     #[method(name = "document")]
-    async fn document(&self, notice: DocNotice) -> RpcResult<DocVersion>;
+    async fn document(&self, call: DocCall) -> RpcResult<Ack>;
 
     /// Hands on something for a shard.
     #[method(name = "shard")]
