feat(fake): worker with true programs, lease, checkpoints and ledger; harden settle

settle concluded too much from a conflict: it read only the row whose check failed. Where that row is only checked (the shard's epoch row, moved on after our write landed) or deleted by the transaction, a committed write was reported as a conflict. It now looks for the id at every row that the transaction writes. A transaction that checks no row that it writes is not repeated any more.

Messages to workers name the report that they follow, and the agent counts the lease from when it sent that report: counted from receipt, a message that lay unread while the agent was paused would grant longer than its sender counted with.

--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod object;
 pub mod table;
 pub mod wire;
+pub mod worker;
--- /dev/null
+++ b/crates/fake/src/worker.rs
@@ -0,0 +1,244 @@
+//! A stand-in for a worker: its agent, what its tasks truly do, and a ledger over all workers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use model::Map;
+use model::Size;
+use model::id::TaskId;
+use model::id::WorkerId;
+use plat::call::call;
+use plat::error::CallError;
+use plat::worker::DEADLINE;
+use plat::worker::Following;
+use plat::worker::WorkerError;
+use plat::worker::WorkerMessage;
+use plat::worker::WorkerReport;
+use plat::worker::Workers;
+use plat::worker::follow;
+use plat::worker::http::AFTER_REPORT;
+use plat::worker::http::FencedAnswer;
+use plat::worker::http::MESSAGE_PATH;
+
+use crate::faults::Faults;
+use crate::faults::inject;
+use crate::object::FakeObjects;
+use crate::wire;
+use crate::wire::Answer;
+use crate::wire::Request;
+use crate::wire::Server;
+
+mod agent;
+mod ledger;
+mod program;
+mod run;
+
+pub use self::agent::Agent;
+pub use self::agent::AgentConfig;
+pub use self::agent::Refusal;
+pub use self::ledger::Fact;
+pub use self::ledger::Interval;
+pub use self::ledger::Ledger;
+pub use self::ledger::Tally;
+pub use self::program::Beginning;
+pub use self::program::Disturbance;
+pub use self::program::Ending;
+pub use self::program::Interference;
+pub use self::program::Program;
+pub use self::program::Programs;
+pub use self::program::RunView;
+
+/// Why an agent refuses a message that follows no report that it knows.
+const STALE: &str = "stale";
+
+struct Shared {
+    id: WorkerId,
+    agent: Mutex<Agent>,
+    ledger: Ledger,
+    faults: Faults,
+}
+
+/// A worker, shared by all its clones.
+#[derive(Clone)]
+pub struct FakeWorker(Arc<Shared>);
+
+impl FakeWorker {
+    /// Makes a worker that notes what it does in `ledger` and keeps checkpoints in `objects`.
+    #[must_use]
+    pub fn new(
+        id: impl Into<WorkerId>,
+        cfg: AgentConfig,
+        ledger: &Ledger,
+        objects: &FakeObjects,
+    ) -> Self {
+        let agent = Agent::new(cfg, objects.clone(), ledger.clock().now());
+        Self(Arc::new(Shared {
+            id: id.into(),
+            agent: Mutex::new(agent),
+            ledger: ledger.clone(),
+            faults: Faults::default(),
+        }))
+    }
+
+    /// Returns its name.
+    #[must_use]
+    pub fn id(&self) -> &WorkerId {
+        &self.0.id
+    }
+
+    /// Returns the switchboard of its faults; the operation is `message`.
+    #[must_use]
+    pub fn faults(&self) -> &Faults {
+        &self.0.faults
+    }
+
+    /// Handles a message that follows the report numbered `after`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why nothing of it was done.
+    pub fn message(
+        &self,
+        message: &WorkerMessage,
+        after: Option<u64>,
+    ) -> Result<WorkerReport, Refusal> {
+        let now = self.0.ledger.clock().now();
+        self.with(|agent| agent.message(message, after, now))
+    }
+
+    /// Returns the tasks that run now.
+    #[must_use]
+    pub fn running(&self) -> Vec<TaskId> {
+        self.with_now(|agent| agent.running())
+    }
+
+    /// Returns what is reserved for the tasks that run now.
+    #[must_use]
+    pub fn reserved(&self) -> Size {
+        self.with_now(|agent| agent.reserved())
+    }
+
+    /// Sets whether every run fails as soon as it begins.
+    pub fn set_fails_starts(&self, fails: bool) {
+        self.with(|agent| agent.set_fails_starts(fails));
+    }
+
+    /// Lets the host fail: all runs end and nothing answers until the faults are cleared.
+    pub fn crash(&self) {
+        let now = self.0.ledger.clock().now();
+        self.with(|agent| agent.crash(now));
+        self.0.faults.set(crate::faults::Fault::Down);
+    }
+
+    /// Serves the wire format of `plat::worker::http`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
+        let worker = self.clone();
+        let handler = call(move |req| {
+            let answer = worker.handle(&req);
+            async move { answer }
+        });
+        wire::serve(address, self.0.faults.clone(), handler).await
+    }
+
+    fn handle(&self, req: &Request) -> Answer {
+        if req.path != MESSAGE_PATH {
+            return Answer::refused(404, "no such path");
+        }
+        let message = match serde_json::from_slice(&req.body) {
+            Ok(message) => message,
+            Err(error) => return Answer::refused(400, &error.to_string()),
+        };
+        let after = req.headers.get(AFTER_REPORT);
+        let after = after.and_then(|after| after.to_str().ok()?.parse().ok());
+        match self.message(&message, after) {
+            Ok(report) => Answer::json(200, &report),
+            Err(Refusal::Fenced(epoch)) => Answer::json(409, &FencedAnswer { epoch }),
+            Err(Refusal::Stale) => Answer::refused(412, STALE),
+        }
+    }
+
+    async fn exchange(self, following: Following) -> Result<WorkerReport, WorkerError> {
+        let faults = self.0.faults.clone();
+        let apply = move || {
+            let report = self.message(&following.to.message, following.after);
+            report.map_err(|refusal| match refusal {
+                Refusal::Fenced(epoch) => WorkerError::Fenced { epoch },
+                Refusal::Stale => CallError::Refused(STALE.to_owned()).into(),
+            })
+        };
+        inject(&faults, "message", DEADLINE, apply).await
+    }
+
+    fn with_now<T>(&self, f: impl FnOnce(&Agent) -> T) -> T {
+        let now = self.0.ledger.clock().now();
+        self.with(|agent| {
+            agent.advance(now);
+            f(agent)
+        })
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut Agent) -> T) -> T {
+        let mut agent = self.0.agent.lock().unwrap_or_else(PoisonError::into_inner);
+        let out = f(&mut agent);
+        self.0.ledger.note(&self.0.id, agent.take_facts());
+        out
+    }
+}
+
+/// Workers by the address that they are reached at, shared by all clones.
+#[derive(Clone, Default)]
+pub struct FakeWorkers(Arc<Mutex<Map<SocketAddr, FakeWorker>>>);
+
+impl FakeWorkers {
+    /// Makes an empty set.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a worker at an address, which need not exist for calls without a socket.
+    pub fn add(&self, address: SocketAddr, worker: FakeWorker) {
+        self.lock().insert(address, worker);
+    }
+
+    /// Returns the worker at an address.
+    #[must_use]
+    pub fn get(&self, address: SocketAddr) -> Option<FakeWorker> {
+        self.lock().get(&address).cloned()
+    }
+
+    /// Brings all workers to the present, so that the ledger knows what has ended.
+    pub fn advance(&self) {
+        let workers: Vec<_> = self.lock().values().cloned().collect();
+        for worker in workers {
+            worker.with_now(|_| ());
+        }
+    }
+
+    /// Returns the interface without a socket, as one daemon has it.
+    #[must_use]
+    pub fn direct(&self) -> Workers {
+        let workers = self.clone();
+        follow(call(move |following: Following| {
+            let worker = workers.get(following.to.address);
+            async move {
+                match worker {
+                    Some(worker) => worker.exchange(following).await,
+                    None => Err(CallError::Refused("no connection".to_owned()).into()),
+                }
+            }
+        }))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Map<SocketAddr, FakeWorker>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/fake/src/worker/run.rs
@@ -0,0 +1,197 @@
+//! One run of a task on a stand-in worker.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use model::Mono;
+use model::Size;
+use model::id::CheckpointId;
+use plat::worker::RunReport;
+use plat::worker::RunState;
+
+use super::program::Beginning;
+use super::program::Disturbance;
+use super::program::Ending;
+use super::program::Program;
+use super::program::RunView;
+
+/// How long a run takes to grow to its true memory, when the guard kills it if that is too much.
+const MEMORY_RAMP: Duration = Duration::from_secs(1);
+/// Full speed in thousandths.
+pub(super) const UNTHROTTLED: u16 = 1000;
+
+/// A stop that was asked for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stopping {
+    pub(super) at: Mono,
+    pub(super) checkpoint: bool,
+}
+
+/// What was measured of a run at some time.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    at: Mono,
+    usage: Size,
+    p99_us: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub(super) beginning: Beginning,
+    pub(super) program: Program,
+    pub(super) state: RunState,
+    pub(super) checkpoint: Option<CheckpointId>,
+    pub(super) progress_ms: f64,
+    pub(super) throttle_permille: u16,
+    pub(super) stopping: Option<Stopping>,
+    began: Mono,
+    samples: VecDeque<Sample>,
+}
+
+impl Run {
+    pub(super) fn begin(beginning: Beginning, program: Program, now: Mono) -> Self {
+        Self {
+            beginning,
+            program,
+            state: RunState::Running,
+            checkpoint: None,
+            progress_ms: 0.0,
+            throttle_permille: UNTHROTTLED,
+            stopping: None,
+            began: now,
+            samples: VecDeque::new(),
+        }
+    }
+
+    /// A run that was never begun and never will be.
+    pub(super) fn never(beginning: Beginning, now: Mono) -> Self {
+        let nothing = Program::batch(Size::ZERO, Duration::ZERO);
+        let mut run = Self::begin(beginning, nothing, now);
+        run.state = RunState::Stopped;
+        run
+    }
+
+    pub(super) fn is_running(&self) -> bool {
+        self.state == RunState::Running
+    }
+
+    pub(super) fn view(&self) -> RunView {
+        RunView {
+            task: self.beginning.task.clone(),
+            class: self.beginning.class.clone(),
+            usage: self.usage(),
+            throttle_permille: self.throttle_permille,
+            p99_us: self.program.p99_us,
+        }
+    }
+
+    /// What it uses: the guards cap its processors at what is reserved and not throttled away.
+    fn usage(&self) -> Size {
+        let actual = self.program.actual;
+        let throttle = u64::from(self.throttle_permille);
+        let cap = self.beginning.size.cpu_millis * throttle / u64::from(UNTHROTTLED);
+        Size::new(
+            actual.cpu_millis.min(cap),
+            actual.memory_mib,
+            actual.accelerators,
+        )
+    }
+
+    /// How fast it goes on undisturbed: as its processors are capped.
+    #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
+    pub(super) fn speed(&self) -> f64 {
+        match self.program.actual.cpu_millis {
+            0 => f64::from(self.throttle_permille) / f64::from(UNTHROTTLED),
+            wanted => self.usage().cpu_millis as f64 / wanted as f64,
+        }
+    }
+
+    /// Returns when it next changes its state by itself, at this speed.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the remaining time is positive and far below 2^52 ms"
+    )]
+    pub(super) fn next_change(&self, now: Mono, speed: f64) -> Option<Mono> {
+        let ends = self.ends_at_ms().filter(|_| speed > 0.0).map(|ends| {
+            let left = (ends - self.progress_ms).max(0.0) / speed;
+            now.after(Duration::from_millis(left.ceil() as u64))
+        });
+        let stops = self.stopping.map(|stopping| stopping.at);
+        [ends, stops, self.killed_at()].into_iter().flatten().min()
+    }
+
+    /// Returns the state that it is in at `now`.
+    pub(super) fn due(&self, now: Mono) -> RunState {
+        if self.killed_at().is_some_and(|at| at <= now) {
+            return RunState::Failed;
+        }
+        if self
+            .ends_at_ms()
+            .is_some_and(|ends| self.progress_ms >= ends)
+        {
+            return match self.program.ending {
+                Ending::Succeeds(_) => RunState::Succeeded,
+                Ending::Fails(_) | Ending::Never => RunState::Failed,
+            };
+        }
+        if self.stopping.is_some_and(|stopping| stopping.at <= now) {
+            return RunState::Stopped;
+        }
+        self.state
+    }
+
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "run times are far below 2^52 ms"
+    )]
+    fn ends_at_ms(&self) -> Option<f64> {
+        match self.program.ending {
+            Ending::Succeeds(after) | Ending::Fails(after) => Some(after.as_millis() as f64),
+            Ending::Never => None,
+        }
+    }
+
+    fn killed_at(&self) -> Option<Mono> {
+        let over = self.program.actual.memory_mib > self.beginning.size.memory_mib;
+        over.then(|| self.began.after(MEMORY_RAMP))
+    }
+
+    /// Notes what is measured of it now, and drops what no report can show any more.
+    pub(super) fn sample(&mut self, now: Mono, lag: Duration, disturbance: Disturbance) {
+        self.samples.push_back(Sample {
+            at: now,
+            usage: self.usage(),
+            p99_us: disturbance.p99_us,
+        });
+        while self
+            .samples
+            .get(1)
+            .is_some_and(|next| now.since(next.at) >= lag)
+        {
+            self.samples.pop_front();
+        }
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "progress is positive and far below 2^52 ms"
+    )]
+    pub(super) fn report(&self, now: Mono, lag: Duration) -> RunReport {
+        let shown = self
+            .samples
+            .iter()
+            .rfind(|sample| now.since(sample.at) >= lag);
+        RunReport {
+            task: self.beginning.task.clone(),
+            attempt: self.beginning.attempt,
+            state: self.state,
+            usage: shown.map(|sample| sample.usage).unwrap_or_default(),
+            checkpoint: self.checkpoint.clone(),
+            progress_ms: self.progress_ms as u64,
+            p99_us: shown.and_then(|sample| sample.p99_us),
+            throttle_permille: self.throttle_permille,
+        }
+    }
+}
--- a/crates/plat/src/settle.rs
+++ b/crates/plat/src/settle.rs
@@ -5,6 +5,7 @@
 use model::id::RowVersion;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout_at;
 
 use crate::error::CallError;
 use crate::table::Row;
@@ -38,22 +39,30 @@
 /// Carries out `txn`, and after a lost answer repeats it under the same id until its fate is known
 /// or `deadline` has passed.
 ///
-/// Repeating is safe because every transaction of ours checks a row that it also writes: of all the
-/// copies under way at most one can take effect, and once a check fails the late ones cannot
-/// either. Whether the copy that took effect was ours shows in the id kept with the row. A row that
-/// was written again since by another is reported as [`Settled::Conflict`] with its content, from
-/// which the caller's state machine concludes.
+/// Repeating is safe where the transaction checks a row that it also writes: of all the copies
+/// under way at most one can take effect, and once a check fails the late ones cannot either. Any
+/// other transaction ([`Txn::is_repeatable`]) is sent once, and [`Settled::Unknown`] if its answer is
+/// lost.
 ///
-/// See `docs/PLATFORM.md` for the contract that this rests on.
+/// A conflict alone does not say that the transaction had no effect: the row may have moved on
+/// because of an earlier copy of it. Whether one took effect shows in the id kept with the rows that
+/// it writes. If all of those were written again since by others, [`Settled::Conflict`] is returned
+/// with the row whose check failed, from which the caller's state machine concludes.
+///
+/// See "Repeating a transaction" in `docs/PLATFORM.md` for the contract that this rests on.
 pub async fn settle(table: &Table, txn: Txn, deadline: Instant) -> Settled {
+    if Instant::now() >= deadline {
+        return Settled::Refused("the deadline passed before it was sent".to_owned());
+    }
     let mut backoff = FIRST_BACKOFF;
     let mut in_doubt = false;
     loop {
-        let answer = tokio::time::timeout_at(deadline, (table.commit)(txn.clone())).await;
+        let answer = timeout_at(deadline, (table.commit)(txn.clone())).await;
         match answer {
             Ok(Ok(_)) => return Settled::Committed,
             Ok(Err(TableError::Conflict { key, actual })) => {
-                return conflict(table, &txn, key, actual, in_doubt, deadline).await;
+                let fate = timeout_at(deadline, fate_after_conflict(table, &txn, key, actual));
+                return fate.await.unwrap_or(Settled::Unknown);
             }
             Ok(Err(TableError::Call(CallError::Refused(reason)))) if !in_doubt => {
                 return Settled::Refused(reason);
@@ -61,7 +70,7 @@
             Ok(Err(TableError::Call(_))) => in_doubt = true,
             Err(_) => return Settled::Unknown,
         }
-        if Instant::now() + backoff >= deadline {
+        if !txn.is_repeatable() || Instant::now() + backoff >= deadline {
             return Settled::Unknown;
         }
         sleep(backoff).await;
@@ -69,26 +78,28 @@
     }
 }
 
-async fn conflict(
-    table: &Table,
-    txn: &Txn,
-    key: String,
-    actual: RowVersion,
-    in_doubt: bool,
-    deadline: Instant,
-) -> Settled {
-    if !in_doubt && actual == RowVersion::default() {
-        return Settled::Conflict { key, row: None };
+/// Finds out whether an earlier copy of a transaction is why its check of `key` failed.
+async fn fate_after_conflict(table: &Table, txn: &Txn, key: String, actual: RowVersion) -> Settled {
+    for write in txn.writes.iter().filter(|write| write.value.is_some()) {
+        let row = read_from(table, &write.key, RowVersion::default()).await;
+        if row.is_some_and(|row| row.op == txn.op) {
+            return Settled::Committed;
+        }
     }
-    let row = loop {
-        match tokio::time::timeout_at(deadline, (table.read)(key.clone())).await {
-            Ok(Ok(row)) => break row,
-            Ok(Err(_)) if Instant::now() + FIRST_BACKOFF < deadline => sleep(FIRST_BACKOFF).await,
-            Ok(Err(_)) | Err(_) => return Settled::Unknown,
+    let row = read_from(table, &key, actual).await;
+    Settled::Conflict { key, row }
+}
+
+/// Reads a row until the table answers with one that is not older than `version`.
+async fn read_from(table: &Table, key: &str, version: RowVersion) -> Option<Row> {
+    let mut backoff = FIRST_BACKOFF;
+    loop {
+        match (table.read)(key.to_owned()).await {
+            Ok(Some(row)) if row.version < version => {}
+            Ok(row) => return row,
+            Err(_) => {}
         }
-    };
-    match row {
-        Some(row) if in_doubt && row.op == txn.op => Settled::Committed,
-        row => Settled::Conflict { key, row },
+        sleep(backoff).await;
+        backoff = (backoff * 2).min(MAX_BACKOFF);
     }
 }
