feat(sched): placement, fair queue, learned sizes, interference and quarantine

Placement looks workers up by site and accelerators and scores the best fitting ones with the predicted tail of the services there. Teams take turns by weighted dominant share. Throttles follow a prediction that starts from the measured p99, and nothing is done on a worker twice before a report can show the first action's effect.

--- /dev/null
+++ b/crates/sched/src/book.rs
@@ -0,0 +1,380 @@
+//! The arenas and the sums over them; every reservation is made and given back here.
+
+use conf::doc::Document;
+use conf::doc::Sharing;
+use model::Map;
+use model::Mono;
+use model::Size;
+use model::id::ClassId;
+use model::id::HalfId;
+use model::id::ShardId;
+use model::id::TaskId;
+use model::id::TeamId;
+use model::id::WorkerId;
+use model::place::Place;
+use slotmap::SlotMap;
+
+use crate::class::Class;
+use crate::facts::PeerSummary;
+use crate::facts::WorkerFacts;
+use crate::key::ClassKey;
+use crate::key::Index;
+use crate::key::Names;
+use crate::key::TaskKey;
+use crate::key::TeamKey;
+use crate::key::WorkerKey;
+use crate::task::Phase;
+use crate::task::Run;
+use crate::task::Task;
+use crate::team::Half;
+use crate::team::Team;
+use crate::worker::Worker;
+
+/// The workers of one site, by whether they have accelerators.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    /// Workers without accelerators.
+    pub(crate) plain: Vec<WorkerKey>,
+    /// Workers with accelerators.
+    pub(crate) accelerated: Vec<WorkerKey>,
+    /// The largest capacity in each dimension.
+    largest: Size,
+}
+
+/// Workers, tasks, classes, teams and halves.
+#[derive(Debug, Default)]
+pub(crate) struct Book {
+    pub(crate) workers: SlotMap<WorkerKey, Worker>,
+    pub(crate) tasks: SlotMap<TaskKey, Task>,
+    pub(crate) classes: SlotMap<ClassKey, Class>,
+    pub(crate) teams: SlotMap<TeamKey, Team>,
+    pub(crate) halves: Vec<Half>,
+    pub(crate) sites: Names<Place>,
+    pub(crate) racks: Names<ShardId>,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) sharing: Sharing,
+    /// The capacity of all listed workers.
+    pub(crate) capacity: Size,
+    /// The capacity of the workers of other daemons.
+    pub(crate) capacity_elsewhere: Size,
+    /// Counts the changes that may have made room for a task that waits.
+    pub(crate) room: u64,
+    half_names: Names<HalfId>,
+    worker_names: Map<WorkerId, WorkerKey>,
+    task_names: Map<TaskId, TaskKey>,
+    class_names: Map<ClassId, ClassKey>,
+    team_names: Map<TeamId, TeamKey>,
+}
+
+impl Book {
+    /// Returns the key of a task.
+    pub(crate) fn task_key(&self, id: &TaskId) -> Option<TaskKey> {
+        self.task_names.get(id).copied()
+    }
+
+    /// Returns the key of a worker.
+    pub(crate) fn worker_key(&self, id: &WorkerId) -> Option<WorkerKey> {
+        self.worker_names.get(id).copied()
+    }
+
+    /// Returns the capacity that is known, here and at other daemons.
+    pub(crate) fn whole(&self) -> Size {
+        self.capacity + self.capacity_elsewhere
+    }
+
+    /// Takes over the rules of a document.
+    pub(crate) fn set_document(&mut self, document: &Document) {
+        self.sharing = document.sharing.clone();
+        for id in document.classes.keys() {
+            self.intern_class(id);
+        }
+        for id in document.teams.keys() {
+            self.intern_team(id);
+        }
+        for class in self.classes.values_mut() {
+            class.rules = document.classes.get(&class.id).cloned();
+        }
+        for (id, half) in &document.halves {
+            let index = self.intern_half(id);
+            self.halves[usize::from(index.0)].percent = half.share_percent;
+        }
+        self.set_teams(document);
+        self.refresh_sites();
+    }
+
+    fn set_teams(&mut self, document: &Document) {
+        let keys: Vec<TeamKey> = self.teams.keys().collect();
+        for key in keys {
+            let rules = document.teams.get(&self.teams[key].id).cloned();
+            if let Some(rules) = &rules {
+                self.teams[key].half = self.intern_half(&rules.half);
+            }
+            self.teams[key].rules = rules;
+        }
+        self.sum_halves();
+    }
+
+    fn sum_halves(&mut self) {
+        for half in &mut self.halves {
+            half.used = Size::ZERO;
+            half.elsewhere = Size::ZERO;
+        }
+        for team in self.teams.values() {
+            let half = &mut self.halves[usize::from(team.half.0)];
+            half.used += team.used;
+            half.elsewhere += team.elsewhere;
+        }
+    }
+
+    fn intern_half(&mut self, id: &HalfId) -> Index {
+        let index = self.half_names.intern(id);
+        if self.halves.len() <= usize::from(index.0) {
+            self.halves.push(Half::default());
+        }
+        index
+    }
+
+    /// Returns the key of a class, adding one that no document names yet.
+    pub(crate) fn intern_class(&mut self, id: &ClassId) -> ClassKey {
+        if let Some(key) = self.class_names.get(id) {
+            return *key;
+        }
+        let key = self.classes.insert(Class::new(id.clone()));
+        self.class_names.insert(id.clone(), key);
+        key
+    }
+
+    /// Returns the key of a team, adding one that no document names yet.
+    pub(crate) fn intern_team(&mut self, id: &TeamId) -> TeamKey {
+        if let Some(key) = self.team_names.get(id) {
+            return *key;
+        }
+        let half = self.intern_half(&HalfId::new(""));
+        let key = self.teams.insert(Team::new(id.clone(), half));
+        self.team_names.insert(id.clone(), key);
+        key
+    }
+
+    /// Returns the key of a worker, adding one that the list of hosts does not name yet.
+    pub(crate) fn intern_worker(&mut self, id: &WorkerId) -> WorkerKey {
+        if let Some(key) = self.worker_names.get(id) {
+            return *key;
+        }
+        let site = self.sites.intern(&Place::new("", ""));
+        let rack = self.racks.intern(&ShardId::new(""));
+        let worker = Worker::unlisted(id.clone(), site, rack);
+        let key = self.workers.insert(worker);
+        self.worker_names.insert(id.clone(), key);
+        key
+    }
+
+    /// Adds a worker or replaces what is known of it.
+    pub(crate) fn upsert_worker(&mut self, facts: &WorkerFacts) {
+        let key = self.intern_worker(&facts.id);
+        let site = self.sites.intern(&facts.place);
+        let rack = self.racks.intern(&facts.rack);
+        let worker = &mut self.workers[key];
+        let same = worker.listed
+            && worker.leaving == facts.leaving
+            && worker.capacity == facts.capacity
+            && (worker.site, worker.rack) == (site, rack);
+        if same {
+            return;
+        }
+        worker.listed = true;
+        worker.leaving = facts.leaving;
+        worker.capacity = facts.capacity;
+        worker.site = site;
+        let former = std::mem::replace(&mut worker.rack, rack);
+        if former != rack {
+            self.move_rack(key, former, rack);
+        }
+        self.refresh_sites();
+    }
+
+    fn move_rack(&mut self, key: WorkerKey, from: Index, to: Index) {
+        for task in &self.workers[key].tasks {
+            let class = &mut self.classes[self.tasks[*task].class];
+            if let Some(count) = class.racks.get_mut(&from) {
+                *count = count.saturating_sub(1);
+            }
+            *class.racks.entry(to).or_default() += 1;
+        }
+    }
+
+    /// Forgets a worker, or keeps it by name while tasks are assigned to it.
+    pub(crate) fn remove_worker(&mut self, id: &WorkerId) {
+        let Some(key) = self.worker_key(id) else {
+            return;
+        };
+        self.workers[key].listed = false;
+        self.forget_if_idle(key);
+        self.refresh_sites();
+    }
+
+    fn forget_if_idle(&mut self, key: WorkerKey) {
+        let worker = &self.workers[key];
+        if worker.listed || !worker.tasks.is_empty() {
+            return;
+        }
+        self.worker_names.remove(&worker.id);
+        self.workers.remove(key);
+    }
+
+    /// Builds the pools anew, and what classes know of the sites that they may run at.
+    fn refresh_sites(&mut self) {
+        self.pools.clear();
+        self.pools
+            .resize_with(self.sites.iter().count(), Pool::default);
+        self.capacity = Size::ZERO;
+        for (key, worker) in &self.workers {
+            if !worker.listed {
+                continue;
+            }
+            let pool = &mut self.pools[usize::from(worker.site.0)];
+            pool.largest = pool.largest.max(&worker.capacity);
+            self.capacity += worker.capacity;
+            match worker.capacity.accelerators {
+                0 => pool.plain.push(key),
+                _ => pool.accelerated.push(key),
+            }
+        }
+        for class in self.classes.values_mut() {
+            let allowed = self.sites.iter().filter(|(_, place)| class.allows(place));
+            let sites: Vec<Index> = allowed.map(|(site, _)| site).collect();
+            let largest =
+                |size: Size, site: &Index| size.max(&self.pools[usize::from(site.0)].largest);
+            class.largest = sites.iter().fold(Size::ZERO, largest);
+            class.sites = sites;
+        }
+        self.room += 1;
+    }
+
+    /// Takes in what other daemons hold.
+    pub(crate) fn set_peers<'a>(&mut self, peers: impl Iterator<Item = &'a PeerSummary>) {
+        for team in self.teams.values_mut() {
+            team.elsewhere = Size::ZERO;
+        }
+        self.capacity_elsewhere = Size::ZERO;
+        for peer in peers {
+            self.capacity_elsewhere += peer.capacity;
+            for (team, used) in &peer.teams {
+                let key = self.intern_team(team);
+                self.teams[key].elsewhere += *used;
+            }
+        }
+        self.sum_halves();
+        self.room += 1;
+    }
+
+    /// Adds a task.
+    pub(crate) fn add_task(&mut self, task: Task) -> TaskKey {
+        let id = task.id.clone();
+        let key = self.tasks.insert(task);
+        self.task_names.insert(id, key);
+        key
+    }
+
+    /// Removes a task that neither waits nor runs.
+    pub(crate) fn remove_task(&mut self, key: TaskKey) {
+        if let Some(task) = self.tasks.remove(key) {
+            self.task_names.remove(&task.id);
+        }
+    }
+
+    /// Reserves room on a worker for a task, which starts there.
+    pub(crate) fn reserve(
+        &mut self,
+        key: TaskKey,
+        worker_key: WorkerKey,
+        reserved: Size,
+        now: Mono,
+    ) {
+        let task = &mut self.tasks[key];
+        task.phase = Phase::Running(Box::new(Run::new(worker_key, reserved, now, task)));
+        let class = &mut self.classes[task.class];
+        let team = &mut self.teams[task.team];
+        let worker = &mut self.workers[worker_key];
+        worker.reserved += reserved;
+        if class.is_service() {
+            worker.services += 1;
+        } else {
+            worker.batch += reserved;
+        }
+        worker.tasks.push(key);
+        team.used += reserved;
+        self.halves[usize::from(team.half.0)].used += reserved;
+        *class.racks.entry(worker.rack).or_default() += 1;
+    }
+
+    /// Gives back the room of a run and returns the run; the task's phase is left for the caller.
+    pub(crate) fn release(&mut self, key: TaskKey) -> Option<Box<Run>> {
+        let task = &mut self.tasks[key];
+        let phase = std::mem::replace(&mut task.phase, Phase::Delayed);
+        let Phase::Running(run) = phase else {
+            task.phase = phase;
+            return None;
+        };
+        let class = &mut self.classes[task.class];
+        let team = &mut self.teams[task.team];
+        team.used = team.used.saturating_sub(&run.reserved);
+        let half = &mut self.halves[usize::from(team.half.0)];
+        half.used = half.used.saturating_sub(&run.reserved);
+        let worker = &mut self.workers[run.worker];
+        worker.reserved = worker.reserved.saturating_sub(&run.reserved);
+        worker.tasks.retain(|task| *task != key);
+        if let Some(count) = class.racks.get_mut(&worker.rack) {
+            *count = count.saturating_sub(1);
+        }
+        self.room += 1;
+        self.recount(run.worker);
+        self.forget_if_idle(run.worker);
+        Some(run)
+    }
+
+    /// Counts services and batch on a worker anew, because the document may have moved a class from
+    /// one kind to the other since a task started.
+    fn recount(&mut self, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        worker.services = 0;
+        worker.batch = Size::ZERO;
+        worker.excess = Size::ZERO;
+        for task in &worker.tasks {
+            let task = &self.tasks[*task];
+            let Some(run) = task.run() else { continue };
+            if self.classes[task.class].is_service() {
+                worker.services += 1;
+            } else {
+                worker.batch += run.reserved;
+            }
+            worker.excess += run
+                .usage
+                .unwrap_or(Size::ZERO)
+                .saturating_sub(&run.reserved);
+        }
+    }
+
+    /// Counts services, batch and excess use anew on every worker, or on one.
+    pub(crate) fn recount_all(&mut self, only: Option<WorkerKey>) {
+        let keys: Vec<WorkerKey> = match only {
+            Some(key) => vec![key],
+            None => self.workers.keys().collect(),
+        };
+        for key in keys {
+            self.recount(key);
+        }
+    }
+
+    /// Returns what to reserve for a task: learned if it was, otherwise declared. What is learned
+    /// stays within the largest worker, because a quantile with its margin may lie beyond it.
+    pub(crate) fn reservation(&self, key: TaskKey) -> Size {
+        let task = &self.tasks[key];
+        let class = &self.classes[task.class];
+        let (size, learned) = class.sizes.reservation(&task.declared);
+        if !learned {
+            return size;
+        }
+        let within = size.min(&class.largest);
+        Size::new(within.cpu_millis, within.memory_mib, size.accelerators)
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -11,7 +11,27 @@
 pub mod dump;
 pub mod facts;
 
+mod blocked;
+mod book;
+mod class;
+mod control;
+mod health;
+mod interfere;
+mod key;
+mod observe;
+mod place;
+mod policy;
+mod quarantine;
+mod queue;
+mod room;
 mod sched;
+mod sizes;
+mod start;
+mod summary;
+mod task;
+mod team;
+mod view;
+mod worker;
 
 pub use config::Config;
 pub use decision::Budget;
--- /dev/null
+++ b/crates/sched/src/sizes.rs
@@ -0,0 +1,202 @@
+//! Learned sizes and run times of a class, because declared ones are claims.
+//!
+//! Peaks of finished runs are kept as quantiles, both absolute and in proportion to what was
+//! declared; the one that predicts more narrowly is used. Two generations of histograms forget old
+//! runs. See `docs/POLICY.md`.
+
+use hdrhistogram::Histogram;
+use model::Size;
+
+/// How many runs are needed before learned sizes replace declared ones.
+const MIN_RUNS: u64 = 8;
+/// How many runs one generation of histograms holds.
+const GENERATION_RUNS: u64 = 128;
+/// The precision of the histograms in significant digits.
+const DIGITS: u8 = 1;
+/// The quantile of peak processor use that is reserved; more is only slower.
+const CPU_QUANTILE: f64 = 0.90;
+/// The quantile of peak memory use that is reserved; more ends the task.
+const MEMORY_QUANTILE: f64 = 0.99;
+/// What is reserved above the quantile, in percent of it.
+const MARGIN_PERCENT: u64 = 115;
+/// A use of this part of the reservation, in percent, was probably cut off by it.
+const CUT_OFF_PERCENT: u64 = 95;
+/// What a use that was cut off is taken for, in percent of it.
+const CUT_OFF_GROWTH_PERCENT: u64 = 150;
+/// The least that is ever reserved.
+const MIN_RESERVATION: Size = Size::new(100, 64, 0);
+
+/// Quantiles over the last one to two generations of samples.
+#[derive(Debug)]
+struct Quantiles {
+    current: Histogram<u32>,
+    previous: Histogram<u32>,
+}
+
+impl Quantiles {
+    fn new() -> Self {
+        let empty = || Histogram::new(DIGITS).expect("the precision is valid");
+        Self {
+            current: empty(),
+            previous: empty(),
+        }
+    }
+
+    fn record(&mut self, sample: u64) {
+        if self.current.len() >= GENERATION_RUNS {
+            std::mem::swap(&mut self.current, &mut self.previous);
+            self.current.reset();
+        }
+        // Recording fails only beyond the range, and the histogram resizes itself.
+        self.current.saturating_record(sample.max(1));
+    }
+
+    fn all(&self) -> Histogram<u32> {
+        let mut all = self.previous.clone();
+        if all.add(&self.current).is_err() {
+            return self.current.clone();
+        }
+        all
+    }
+}
+
+/// One dimension: peaks, and peaks in thousandths of what was declared.
+#[derive(Debug)]
+struct Dimension {
+    absolute: Quantiles,
+    relative: Quantiles,
+}
+
+/// What a dimension's quantile is taken from.
+#[derive(Clone, Copy, Debug)]
+enum Learned {
+    /// The size itself.
+    Absolute(u64),
+    /// Thousandths of the declared size.
+    Relative(u64),
+}
+
+impl Learned {
+    fn of(self, declared: u64) -> u64 {
+        let size = match self {
+            Self::Absolute(size) => size,
+            Self::Relative(permille) => declared.saturating_mul(permille) / 1000,
+        };
+        size.saturating_mul(MARGIN_PERCENT) / 100
+    }
+}
+
+impl Dimension {
+    fn new() -> Self {
+        Self {
+            absolute: Quantiles::new(),
+            relative: Quantiles::new(),
+        }
+    }
+
+    fn record(&mut self, peak: u64, declared: u64) {
+        self.absolute.record(peak);
+        if let Some(permille) = peak.saturating_mul(1000).checked_div(declared) {
+            self.relative.record(permille);
+        }
+    }
+
+    fn learned(&self, quantile: f64) -> Learned {
+        let absolute = self.absolute.all();
+        let relative = self.relative.all();
+        let high = absolute.value_at_quantile(quantile);
+        if relative.len() < absolute.len() || spread(&absolute) <= spread(&relative) {
+            return Learned::Absolute(high);
+        }
+        Learned::Relative(relative.value_at_quantile(quantile))
+    }
+}
+
+fn spread(samples: &Histogram<u32>) -> f64 {
+    let high = samples.value_at_quantile(0.95);
+    let low = samples.value_at_quantile(0.05).max(1);
+    high as f64 / low as f64
+}
+
+/// What a run used at most.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Peak {
+    /// The highest use seen while it was not throttled.
+    pub(crate) usage: Size,
+    /// What was declared.
+    pub(crate) declared: Size,
+    /// What was reserved.
+    pub(crate) reserved: Size,
+}
+
+/// The learned sizes and run times of one class.
+#[derive(Debug)]
+pub(crate) struct Sizes {
+    cpu: Dimension,
+    memory: Dimension,
+    run_ms: Quantiles,
+    /// How many runs were recorded.
+    pub(crate) runs: u64,
+    learned: Option<(Learned, Learned)>,
+    /// The ninth decile of the run times in milliseconds.
+    pub(crate) run_high_ms: Option<u64>,
+}
+
+impl Sizes {
+    /// Makes sizes that have learned nothing.
+    pub(crate) fn new() -> Self {
+        Self {
+            cpu: Dimension::new(),
+            memory: Dimension::new(),
+            run_ms: Quantiles::new(),
+            runs: 0,
+            learned: None,
+            run_high_ms: None,
+        }
+    }
+
+    /// Records the peaks of a run.
+    pub(crate) fn record(&mut self, peak: &Peak) {
+        let cpu = uncut(peak.usage.cpu_millis, peak.reserved.cpu_millis);
+        let memory = uncut(peak.usage.memory_mib, peak.reserved.memory_mib);
+        self.cpu.record(cpu, peak.declared.cpu_millis);
+        self.memory.record(memory, peak.declared.memory_mib);
+        self.runs += 1;
+        if self.runs >= MIN_RUNS {
+            let cpu = self.cpu.learned(CPU_QUANTILE);
+            let memory = self.memory.learned(MEMORY_QUANTILE);
+            self.learned = Some((cpu, memory));
+        }
+    }
+
+    /// Records how long a run that succeeded took.
+    pub(crate) fn record_run(&mut self, run_ms: u64) {
+        self.run_ms.record(run_ms);
+        let all = self.run_ms.all();
+        if all.len() >= MIN_RUNS {
+            self.run_high_ms = Some(all.value_at_quantile(0.9));
+        }
+    }
+
+    /// Returns what to reserve for a task, and whether it was learned.
+    pub(crate) fn reservation(&self, declared: &Size) -> (Size, bool) {
+        match self.learned {
+            None => (declared.max(&MIN_RESERVATION), false),
+            Some((cpu, memory)) => {
+                let cpu = cpu.of(declared.cpu_millis);
+                let memory = memory.of(declared.memory_mib);
+                let size = Size::new(cpu, memory, declared.accelerators);
+                (size.max(&MIN_RESERVATION), true)
+            }
+        }
+    }
+}
+
+/// Returns what a run would have used, had its reservation not cut it off.
+const fn uncut(usage: u64, reserved: u64) -> u64 {
+    if usage.saturating_mul(100) >= reserved.saturating_mul(CUT_OFF_PERCENT) && reserved > 0 {
+        usage.saturating_mul(CUT_OFF_GROWTH_PERCENT) / 100
+    } else {
+        usage
+    }
+}
--- /dev/null
+++ b/crates/sched/src/team.rs
@@ -0,0 +1,73 @@
+//! Teams and halves: what they hold and what they may hold.
+
+use conf::doc;
+use model::Size;
+use model::id::TeamId;
+
+use crate::key::Index;
+use crate::key::LaneKey;
+
+/// Weighted shares are compared in billionths.
+const SHARE_UNITS: f64 = 1e9;
+
+/// One team.
+#[derive(Debug)]
+pub(crate) struct Team {
+    /// The name.
+    pub(crate) id: TeamId,
+    /// What the document says of it; `None` while it does not name it.
+    pub(crate) rules: Option<doc::Team>,
+    /// Its half.
+    pub(crate) half: Index,
+    /// What its tasks hold here.
+    pub(crate) used: Size,
+    /// What its tasks hold at other daemons, by their last summaries.
+    pub(crate) elsewhere: Size,
+    /// Its lanes that hold tasks.
+    pub(crate) lanes: Vec<LaneKey>,
+}
+
+impl Team {
+    /// Makes a team that the document does not name.
+    pub(crate) const fn new(id: TeamId, half: Index) -> Self {
+        Self {
+            id,
+            rules: None,
+            half,
+            used: Size::ZERO,
+            elsewhere: Size::ZERO,
+            lanes: Vec::new(),
+        }
+    }
+
+    /// Returns what its tasks hold in all.
+    pub(crate) fn held(&self) -> Size {
+        self.used + self.elsewhere
+    }
+
+    /// Returns its dominant share of `whole` divided by its weight, in billionths.
+    pub(crate) fn weighted_share(&self, whole: &Size) -> u64 {
+        let weight = self.rules.as_ref().map_or(1, |rules| rules.weight.max(1));
+        (self.held().dominant_share(whole) / f64::from(weight) * SHARE_UNITS) as u64
+    }
+}
+
+/// One half of the organisation.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Half {
+    /// The part of the capacity that its tasks may take, in percent.
+    pub(crate) percent: u8,
+    /// What its tasks hold here.
+    pub(crate) used: Size,
+    /// What its tasks hold at other daemons.
+    pub(crate) elsewhere: Size,
+}
+
+/// Returns a part of a size in percent, rounded down.
+pub(crate) const fn percent(size: &Size, percent: u8) -> Size {
+    Size::new(
+        size.cpu_millis * percent as u64 / 100,
+        size.memory_mib * percent as u64 / 100,
+        size.accelerators * percent as u64 / 100,
+    )
+}
--- /dev/null
+++ b/crates/sched/src/worker.rs
@@ -0,0 +1,146 @@
+//! A worker: what it has, what is reserved there, and what its reports said.
+
+use std::time::Duration;
+
+use model::Mono;
+use model::Size;
+use model::id::WorkerId;
+
+use crate::health::Health;
+use crate::key::Index;
+use crate::key::TaskKey;
+
+/// Figures that are newer by less than this are the same ones, told again.
+const MIN_STEP: Duration = Duration::from_millis(200);
+
+/// One worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    /// The name.
+    pub(crate) id: WorkerId,
+    /// Whether the list of hosts names it; tasks may be assigned to one that it does not.
+    pub(crate) listed: bool,
+    /// Whether it is leaving.
+    pub(crate) leaving: bool,
+    /// Its region and data centre.
+    pub(crate) site: Index,
+    /// Its rack.
+    pub(crate) rack: Index,
+    /// What it has.
+    pub(crate) capacity: Size,
+    /// What is reserved there.
+    pub(crate) reserved: Size,
+    /// The part of it that batch tasks hold.
+    pub(crate) batch: Size,
+    /// How many services are there.
+    pub(crate) services: u32,
+    /// The tasks that start or run there.
+    pub(crate) tasks: Vec<TaskKey>,
+    /// What its tasks were seen to use above their reservations.
+    pub(crate) excess: Size,
+    /// The task that it is kept for.
+    pub(crate) hold: Option<Hold>,
+    /// Whether it can be trusted with new work.
+    pub(crate) health: Health,
+    /// What its reports said.
+    pub(crate) meter: Meter,
+}
+
+/// A worker is kept for a task that needs more room than is free anywhere.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Hold {
+    /// The task.
+    pub(crate) task: TaskKey,
+    /// When there should be room.
+    pub(crate) expected: Mono,
+    /// When it is given up, so that another worker can be chosen.
+    pub(crate) expires: Mono,
+}
+
+/// What the reports of a worker said since the last action there.
+#[derive(Debug, Default)]
+pub(crate) struct Meter {
+    /// The number of the newest report.
+    pub(crate) sequence: Option<u64>,
+    /// The last number that was too low, and how many rose in a row; an agent may count anew.
+    pub(crate) restarted: (u64, u32),
+    /// The time that the newest figures are of.
+    pub(crate) figures_at: Option<Mono>,
+    /// When something was last done that the figures have to show first.
+    pub(crate) acted_at: Option<Mono>,
+    /// How many fresh reports in a row had a service above its limit.
+    pub(crate) hot: u32,
+    /// How many fresh reports came since the last action.
+    pub(crate) fresh: u32,
+    /// Whether a fresh report came since the last decision.
+    pub(crate) pending: bool,
+}
+
+impl Worker {
+    /// Makes a worker that is known by name only.
+    pub(crate) fn unlisted(id: WorkerId, site: Index, rack: Index) -> Self {
+        Self {
+            id,
+            listed: false,
+            leaving: true,
+            site,
+            rack,
+            capacity: Size::ZERO,
+            reserved: Size::ZERO,
+            batch: Size::ZERO,
+            services: 0,
+            tasks: Vec::new(),
+            excess: Size::ZERO,
+            hold: None,
+            health: Health::default(),
+            meter: Meter::default(),
+        }
+    }
+
+    /// Returns whether new work may start there as far as the list of hosts goes.
+    pub(crate) const fn is_open(&self) -> bool {
+        self.listed && !self.leaving
+    }
+
+    /// Returns what is neither reserved nor used beyond reservations.
+    pub(crate) fn free(&self) -> Size {
+        self.capacity
+            .saturating_sub(&self.reserved)
+            .saturating_sub(&self.excess)
+    }
+}
+
+impl Meter {
+    /// Takes in the number of a report and returns whether the report is a newer one.
+    pub(crate) fn accept(&mut self, sequence: u64, figures_at: Mono) -> bool {
+        let step = |known: Mono| figures_at.since(known);
+        if self.figures_at.is_some_and(|known| step(known) < MIN_STEP) {
+            return false;
+        }
+        let newer = self.sequence.is_none_or(|known| sequence > known);
+        if !newer && !self.counts_anew(sequence) {
+            return false;
+        }
+        self.sequence = Some(sequence);
+        self.figures_at = Some(figures_at);
+        self.restarted = (0, 0);
+        true
+    }
+
+    /// Returns whether reports with low numbers rise steadily, as after a restart of the agent.
+    const fn counts_anew(&mut self, sequence: u64) -> bool {
+        const RISING: u32 = 3;
+        let (last, rising) = self.restarted;
+        let rising = if sequence > last { rising + 1 } else { 1 };
+        self.restarted = (sequence, rising);
+        rising >= RISING
+    }
+
+    /// Notes an action, so that reports from before its effect are not acted upon.
+    pub(crate) const fn acted(&mut self, now: Mono) {
+        self.acted_at = Some(now);
+        self.hot = 0;
+        self.fresh = 0;
+        self.pending = false;
+    }
+}
