feat(conf): findings with their place, schema, edits that keep comments

Form is checked against the JSON Schema made from the types, meaning on the part that has no fault of form, so that one pass reports both: ten faults give ten findings, five faults of settings five. jsonc-parser stops at the first fault of syntax; that one is reported alone. The feature cst of jsonc-parser is switched on for edits.

--- /dev/null
+++ b/crates/conf/src/check/owners.rs
@@ -0,0 +1,120 @@
+//! Owners: every upstream and every request belongs to exactly one half.
+
+use model::id::UpstreamId;
+
+use crate::check::Found;
+use crate::doc::Document;
+use crate::doc::Upstream;
+use crate::finding::Code;
+use crate::finding::Finding;
+use crate::tree::escape;
+
+/// One route of an upstream and its place in the text.
+struct Route<'a> {
+    path: &'a str,
+    name: &'a UpstreamId,
+    upstream: &'a Upstream,
+    pointer: String,
+}
+
+/// Tells faults of form on an upstream's owner by what they mean.
+pub(super) fn name_owner_faults(mut finding: Finding) -> Finding {
+    let segments: Vec<&str> = finding.place.pointer.split('/').skip(1).collect();
+    match (finding.code, segments.as_slice()) {
+        (Code::DuplicateKey, ["upstreams", name]) => {
+            finding.message =
+                format!("upstream `{name}` is written twice, so two halves may own it");
+            finding.code = Code::TwoOwners;
+        }
+        (Code::DuplicateKey, ["upstreams", name, "half"]) => {
+            finding.message = format!("upstream `{name}` names two owners");
+            finding.code = Code::TwoOwners;
+        }
+        (Code::MissingKey, ["upstreams", name, "half"]) => {
+            finding.message = format!("upstream `{name}` has no owner");
+            finding.help = Some("name the half that owns it as `half`".to_owned());
+            finding.code = Code::NoOwner;
+        }
+        _ => {}
+    }
+    finding
+}
+
+pub(super) fn check(document: &Document, found: &mut Found) {
+    let mut seen: Vec<Route<'_>> = Vec::new();
+    for route in routes(document) {
+        check_path(&route, found);
+        for other in &seen {
+            check_pair(&route, other, found);
+        }
+        seen.push(route);
+    }
+    for (name, upstream) in &document.upstreams {
+        let pointer = format!("/upstreams/{}", escape(name.as_str()));
+        let routes = format!("{pointer}/routes");
+        if upstream.routes.is_empty() && found.places.has(&routes) {
+            let message = format!("upstream `{name}` has no routes and gets no requests");
+            found.warning(Code::Contradiction, &routes, message);
+        }
+        if upstream.connections < upstream.slots {
+            let message = format!(
+                "an executor with {} slots cannot fill them over {} connections",
+                upstream.slots, upstream.connections
+            );
+            found.error(
+                Code::Contradiction,
+                &format!("{pointer}/connections"),
+                message,
+            );
+        }
+    }
+}
+
+fn routes(document: &Document) -> impl Iterator<Item = Route<'_>> {
+    document.upstreams.iter().flat_map(|(name, upstream)| {
+        let paths = upstream.routes.iter().enumerate();
+        paths.map(move |(index, path)| Route {
+            path,
+            name,
+            upstream,
+            pointer: format!("/upstreams/{}/routes/{index}", escape(name.as_str())),
+        })
+    })
+}
+
+fn check_path(route: &Route<'_>, found: &mut Found) {
+    let sound = route.path.starts_with('/') && !route.path.contains(['?', '#', ' ']);
+    if !sound {
+        let message = format!("`{}` is no path prefix", route.path);
+        found.error(Code::OutOfRange, &route.pointer, message).help =
+            Some("write it like `/visits`".to_owned());
+    }
+}
+
+fn check_pair(route: &Route<'_>, other: &Route<'_>, found: &mut Found) {
+    let (path, name) = (other.path, other.name);
+    if route.upstream.half != other.upstream.half && overlap(route.path, path) {
+        let message = format!(
+            "requests for `{}` belong to half `{}` here and to half `{}` by `{path}` of upstream `{name}`",
+            route.path, route.upstream.half, other.upstream.half
+        );
+        found.error(Code::TwoOwners, &route.pointer, message);
+    } else if trim(route.path) == trim(path) {
+        let message = format!("route `{path}` is already served by upstream `{name}`");
+        found.error(Code::Contradiction, &route.pointer, message);
+    }
+}
+
+fn trim(path: &str) -> &str {
+    path.trim_end_matches('/')
+}
+
+/// Returns whether some path starts with both prefixes, counted in whole segments.
+fn overlap(left: &str, right: &str) -> bool {
+    let within = |inner: &str, outer: &str| {
+        trim(inner)
+            .strip_prefix(trim(outer))
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    };
+    within(left, right) || within(right, left)
+}
--- a/crates/conf/src/doc.rs
+++ b/crates/conf/src/doc.rs
@@ -43,7 +43,7 @@
 }
 
 /// One half of the organisation.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Half {
     /// A title for people.
@@ -51,9 +51,19 @@
     pub title: String,
     /// The part of the workers' capacity that this half's tasks may take, in percent.
     #[serde(default = "whole")]
+    #[schemars(range(min = 0, max = 100))]
     pub share_percent: u8,
 }
 
+impl Default for Half {
+    fn default() -> Self {
+        Self {
+            title: String::new(),
+            share_percent: whole(),
+        }
+    }
+}
+
 /// One region.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -72,15 +82,19 @@
     pub routes: Vec<String>,
     /// How many requests one of its executors serves at a time.
     #[serde(default = "default_slots")]
+    #[schemars(range(min = 1, max = 4_096))]
     pub slots: u16,
     /// How many connections one of its executors takes.
     #[serde(default = "default_connections")]
+    #[schemars(range(min = 1, max = 16_384))]
     pub connections: u16,
     /// The deadline of a request that names none, in milliseconds.
     #[serde(default = "default_deadline_ms")]
+    #[schemars(range(min = 1, max = 3_600_000))]
     pub deadline_ms: u64,
     /// Its weight when requests of several upstreams compete for a daemon.
     #[serde(default = "default_weight")]
+    #[schemars(range(min = 1, max = 1_000))]
     pub weight: u32,
 }
 
@@ -92,6 +106,7 @@
     pub half: HalfId,
     /// Its weight against other callers when slots are scarce.
     #[serde(default = "default_weight")]
+    #[schemars(range(min = 1, max = 1_000))]
     pub weight: u32,
 }
 
@@ -105,6 +120,7 @@
     pub quota: Size,
     /// Its weight against other teams when workers are scarce.
     #[serde(default = "default_weight")]
+    #[schemars(range(min = 1, max = 1_000))]
     pub weight: u32,
 }
 
@@ -135,9 +151,11 @@
     pub data_centres: Vec<DataCentreId>,
     /// The 99th percentile its answers should keep to, in microseconds; services only.
     #[serde(default)]
+    #[schemars(range(min = 1, max = 60_000_000))]
     pub p99_target_us: Option<u64>,
     /// The most of its tasks on one rack, so that a rack's failure does not take them all.
     #[serde(default)]
+    #[schemars(range(min = 1, max = 10_000))]
     pub max_per_rack: Option<u32>,
 }
 
@@ -147,15 +165,19 @@
 pub struct Sharing {
     /// The most of a worker that batch tasks may hold while services run there, in percent.
     #[serde(default = "default_batch_percent")]
+    #[schemars(range(min = 0, max = 100))]
     pub batch_percent: u8,
     /// What an operator gives for a better tail of services.
     #[serde(default = "default_weight")]
+    #[schemars(range(min = 0, max = 1_000))]
     pub tail_weight: u32,
     /// What an operator gives for more batch work done.
     #[serde(default = "default_weight")]
+    #[schemars(range(min = 0, max = 1_000))]
     pub throughput_weight: u32,
     /// What an operator gives for an eviction less.
     #[serde(default = "default_weight")]
+    #[schemars(range(min = 0, max = 1_000))]
     pub evictions_weight: u32,
 }
 
--- /dev/null
+++ b/crates/conf/src/edit.rs
@@ -0,0 +1,101 @@
+//! Sets values in a text and keeps its comments and layout.
+
+use derive_more::Display;
+use derive_more::Error;
+use jsonc_parser::cst::CstInputValue;
+use jsonc_parser::cst::CstNode;
+use jsonc_parser::cst::CstObject;
+use jsonc_parser::cst::CstRootNode;
+use serde_json::Value;
+
+use crate::tree::DIALECT;
+use crate::tree::unescape;
+
+/// Why a text was not edited.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum EditError {
+    /// The text is not JSON with comments.
+    #[display("the text cannot be read: {_0}")]
+    Syntax(#[error(not(source))] String),
+    /// The JSON pointer leads through a value that is no object, or to an absent list element.
+    #[display("there is no place {_0} in the text")]
+    NoPlace(#[error(not(source))] String),
+}
+
+/// Returns the text with the value at a JSON pointer set; absent objects on the way are made.
+///
+/// # Errors
+///
+/// Returns an error if the text is not JSON with comments or the pointer leads through a value that
+/// is no object.
+pub fn set(text: &str, pointer: &str, value: &Value) -> Result<String, EditError> {
+    let root = parse(text)?;
+    let no_place = || EditError::NoPlace(pointer.to_owned());
+    let (parents, name) = split(pointer).ok_or_else(no_place)?;
+    let mut object = root.object_value_or_create().ok_or_else(no_place)?;
+    for parent in parents {
+        object = object
+            .object_value_or_create(&parent)
+            .ok_or_else(no_place)?;
+    }
+    match object.get(&name) {
+        Some(property) => property.set_value(input(value)),
+        None => {
+            object.append(&name, input(value));
+        }
+    }
+    Ok(root.to_string())
+}
+
+/// Returns the text without the key at a JSON pointer; an absent one is no error.
+///
+/// # Errors
+///
+/// Returns an error if the text is not JSON with comments or the pointer names no key.
+pub fn remove(text: &str, pointer: &str) -> Result<String, EditError> {
+    let root = parse(text)?;
+    let no_place = || EditError::NoPlace(pointer.to_owned());
+    let (parents, name) = split(pointer).ok_or_else(no_place)?;
+    if let Some(property) = find(&root, &parents).and_then(|object| object.get(&name)) {
+        property.remove();
+    }
+    Ok(root.to_string())
+}
+
+fn parse(text: &str) -> Result<CstRootNode, EditError> {
+    CstRootNode::parse(text, &DIALECT).map_err(|error| EditError::Syntax(error.to_string()))
+}
+
+fn split(pointer: &str) -> Option<(Vec<String>, String)> {
+    let mut segments: Vec<String> = pointer
+        .strip_prefix('/')?
+        .split('/')
+        .map(unescape)
+        .collect();
+    let name = segments.pop()?;
+    Some((segments, name))
+}
+
+fn find(root: &CstRootNode, parents: &[String]) -> Option<CstObject> {
+    let mut node: CstNode = root.value()?;
+    for parent in parents {
+        node = node.as_object()?.get(parent)?.value()?;
+    }
+    node.as_object()
+}
+
+fn input(value: &Value) -> CstInputValue {
+    match value {
+        Value::Null => CstInputValue::Null,
+        Value::Bool(boolean) => CstInputValue::Bool(*boolean),
+        Value::Number(number) => CstInputValue::Number(number.to_string()),
+        Value::String(text) => CstInputValue::String(text.clone()),
+        Value::Array(elements) => CstInputValue::Array(elements.iter().map(input).collect()),
+        Value::Object(entries) => CstInputValue::Object(
+            entries
+                .iter()
+                .map(|(key, value)| (key.clone(), input(value)))
+                .collect(),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/conf/src/hint.rs
@@ -0,0 +1,48 @@
+//! Guesses the name that was meant by one that does not exist.
+
+/// Returns the candidate nearest to `name`, if one is near enough to be a misspelling of it.
+#[must_use]
+pub fn nearest<'a>(name: &str, candidates: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    const MOST: usize = 3;
+    let most = (name.chars().count() / 2).clamp(1, MOST);
+    candidates
+        .into_iter()
+        .map(|candidate| (distance(name, candidate), candidate))
+        .filter(|(distance, _)| *distance <= most)
+        .min()
+        .map(|(_, candidate)| candidate)
+}
+
+/// Returns the sentence that offers the candidate nearest to `name`, or lists all of a few.
+#[must_use]
+pub fn help<'a>(
+    name: &str,
+    candidates: impl IntoIterator<Item = &'a str> + Clone,
+) -> Option<String> {
+    const MOST_LISTED: usize = 8;
+    if let Some(near) = nearest(name, candidates.clone()) {
+        return Some(format!("did you mean `{near}`?"));
+    }
+    let all: Vec<String> = candidates
+        .into_iter()
+        .map(|candidate| format!("`{candidate}`"))
+        .collect();
+    let few = (1..=MOST_LISTED).contains(&all.len());
+    few.then(|| format!("there is {}", all.join(", ")))
+}
+
+/// The Levenshtein distance: how many characters are inserted, removed or replaced.
+fn distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (i, l) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, r) in right.iter().enumerate() {
+            let replaced = diagonal + usize::from(l != *r);
+            diagonal = row[j + 1];
+            row[j + 1] = replaced.min(diagonal + 1).min(row[j] + 1);
+        }
+    }
+    row[right.len()]
+}
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use jsonc_parser::ast::Value;
 use model::id::DaemonId;
 use model::id::HalfId;
 use model::place::Place;
@@ -9,6 +10,16 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::check::Invalid;
+use crate::finding::Code;
+use crate::finding::Finding;
+use crate::finding::sort;
+use crate::schema;
+use crate::shape::Shape;
+use crate::tree;
+use crate::tree::Lines;
+use crate::tree::Places;
+
 /// The settings of one daemon, read from a file at its start.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -26,13 +37,15 @@
     pub advertise: Option<Advertise>,
     /// The platform's services.
     pub platform: Platform,
-    /// The token that operators show.
+    /// The token that operators show, at least 16 bytes.
+    #[schemars(length(min = 16, max = 512))]
     pub operator_token: String,
     /// Logs and metrics.
     #[serde(default)]
     pub observe: Observe,
     /// How long a planned stop may take before requests in progress are given up, in milliseconds.
     #[serde(default = "default_drain_ms")]
+    #[schemars(range(min = 1_000, max = 3_600_000))]
     pub drain_ms: u64,
 }
 
@@ -41,10 +54,13 @@
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// For callers.
+    #[schemars(extend("format" = "socket-address"))]
     pub callers: SocketAddr,
     /// For operators: client, console, dump, readiness.
+    #[schemars(extend("format" = "socket-address"))]
     pub operators: SocketAddr,
     /// For the other daemons.
+    #[schemars(extend("format" = "socket-address"))]
     pub peers: SocketAddr,
 }
 
@@ -53,8 +69,10 @@
 #[serde(deny_unknown_fields)]
 pub struct Advertise {
     /// For callers and for requests passed on by daemons.
+    #[schemars(extend("format" = "socket-address"))]
     pub callers: SocketAddr,
     /// For the other daemons.
+    #[schemars(extend("format" = "socket-address"))]
     pub peers: SocketAddr,
 }
 
@@ -63,10 +81,13 @@
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// The transactional table.
+    #[schemars(extend("format" = "socket-address"))]
     pub table: SocketAddr,
     /// The object store.
+    #[schemars(extend("format" = "socket-address"))]
     pub objects: SocketAddr,
     /// The list of hosts.
+    #[schemars(extend("format" = "socket-address"))]
     pub hosts: SocketAddr,
 }
 
@@ -79,6 +100,7 @@
     pub log_level: LogLevel,
     /// Where metrics go over UDP, in the StatsD format; nowhere if absent.
     #[serde(default)]
+    #[schemars(extend("format" = "socket-address"))]
     pub statsd: Option<SocketAddr>,
 }
 
@@ -100,3 +122,79 @@
 const fn default_drain_ms() -> u64 {
     30_000
 }
+
+/// Reads the settings and collects all findings on them.
+///
+/// # Errors
+///
+/// Returns the findings if there are any: a daemon starts by settings without fault or not at all.
+pub fn load(text: &str) -> Result<Settings, Invalid> {
+    let root = tree::parse(text).map_err(|finding| Invalid {
+        findings: vec![finding],
+    })?;
+    let places = Places::collect(&root, &Lines::new(text));
+    let schema = schema::settings();
+    let (sound, mut findings) = Shape::new(&schema, text).check(&root);
+    findings.extend(contradictions(&root, &places));
+    sort(&mut findings);
+    let settings = sound.and_then(|value| serde_json::from_value(value).ok());
+    match settings {
+        Some(settings) if findings.is_empty() => Ok(settings),
+        _ => Err(Invalid { findings }),
+    }
+}
+
+/// The addresses that may not be given twice, because one process or service listens on each.
+const ADDRESSES: [&str; 6] = [
+    "/listen/callers",
+    "/listen/operators",
+    "/listen/peers",
+    "/platform/table",
+    "/platform/objects",
+    "/platform/hosts",
+];
+/// The addresses that others connect to, which therefore need a port.
+const CONNECTED: [&str; 6] = [
+    "/advertise/callers",
+    "/advertise/peers",
+    "/platform/table",
+    "/platform/objects",
+    "/platform/hosts",
+    "/observe/statsd",
+];
+
+/// The addresses that are told to others where none is advertised.
+const TOLD: [&str; 2] = ["/listen/callers", "/listen/peers"];
+
+fn contradictions(root: &Value<'_>, places: &Places) -> Vec<Finding> {
+    let address =
+        |pointer: &str| -> Option<SocketAddr> { tree::text_at(root, pointer)?.parse().ok() };
+    let mut findings = Vec::new();
+    let mut found = |code: Code, message: String, pointer: &str| {
+        findings.push(Finding::error(code, message, places.value(pointer)));
+    };
+    for (index, pointer) in ADDRESSES.iter().enumerate() {
+        let Some(own) = address(pointer).filter(|own| own.port() != 0) else {
+            continue;
+        };
+        let earlier = &ADDRESSES[..index];
+        if let Some(other) = earlier.iter().find(|other| address(other) == Some(own)) {
+            let message = format!("{own} is already given as `{}`", &other[1..]);
+            found(Code::Contradiction, message, pointer);
+        }
+    }
+    for pointer in CONNECTED {
+        let lost = |own: &SocketAddr| own.port() == 0 || own.ip().is_unspecified();
+        if let Some(own) = address(pointer).filter(lost) {
+            let message = format!("others cannot connect to {own}");
+            found(Code::OutOfRange, message, pointer);
+        }
+    }
+    for pointer in TOLD.iter().filter(|_| !places.has("/advertise")) {
+        if let Some(own) = address(pointer).filter(|own| own.ip().is_unspecified()) {
+            let message = format!("others cannot connect to {own}, and `advertise` is absent");
+            found(Code::Contradiction, message, pointer);
+        }
+    }
+    findings
+}
--- /dev/null
+++ b/crates/conf/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the settings, the document and its acceptance.
+
+mod check;
+mod edit;
+mod schema;
+mod settings;
