feat(route): router state machine and data path, first whole version

The public types and signatures that the daemon is wired against: RouteUpdate, Router, Proxy with update, report, drain, asks/lend/borrow and service.

--- /dev/null
+++ b/crates/route/src/pool.rs
@@ -0,0 +1,61 @@
+//! The executors of one upstream that have a free slot, sampled in constant time.
+
+use model::Map;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+use crate::key::ExecutorKey;
+
+/// A set of executors with constant-time insertion, removal and sampling.
+#[derive(Debug, Default)]
+pub struct FreeList {
+    keys: Vec<ExecutorKey>,
+    index: Map<ExecutorKey, usize>,
+}
+
+impl FreeList {
+    /// Adds or removes an executor.
+    pub fn set(&mut self, key: ExecutorKey, free: bool) {
+        match (free, self.index.get(&key).copied()) {
+            (true, None) => {
+                self.index.insert(key, self.keys.len());
+                self.keys.push(key);
+            }
+            (false, Some(at)) => self.remove_at(key, at),
+            _ => {}
+        }
+    }
+
+    fn remove_at(&mut self, key: ExecutorKey, at: usize) {
+        self.keys.swap_remove(at);
+        self.index.remove(&key);
+        if let Some(moved) = self.keys.get(at) {
+            self.index.insert(*moved, at);
+        }
+    }
+
+    /// Returns one executor at random.
+    pub fn sample(&self, rng: &mut SmallRng) -> Option<ExecutorKey> {
+        if self.keys.is_empty() {
+            return None;
+        }
+        Some(self.keys[rng.random_range(..self.keys.len())])
+    }
+
+    /// Iterates over all of them.
+    pub fn iter(&self) -> impl Iterator<Item = ExecutorKey> + '_ {
+        self.keys.iter().copied()
+    }
+
+    /// Returns how many there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Returns whether there is none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/route/src/proxy/body.rs
@@ -0,0 +1,192 @@
+//! The bodies of requests and answers, streamed with bounded memory.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use hyper::body::Incoming;
+use salvo::http::ReqBody;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+use super::exchange::Exchange;
+use crate::verdict::Finish;
+
+/// The body of a request on its way to an executor or a peer.
+pub(super) enum Outgoing {
+    /// None at all.
+    Empty,
+    /// A body that is kept and may be sent again.
+    Full(Bytes),
+    /// A body that streams through and can be sent only once.
+    Stream {
+        /// What the caller sends.
+        body: ReqBody,
+        /// How many more bytes it may have.
+        left: u64,
+    },
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match &mut *self {
+            Self::Empty => Poll::Ready(None),
+            Self::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Full(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Stream { body, left } => {
+                let frame = ready!(Pin::new(body).poll_frame(cx));
+                let Some(Ok(frame)) = frame else {
+                    return Poll::Ready(frame);
+                };
+                let size = frame.data_ref().map_or(0, Bytes::len) as u64;
+                let Some(rest) = left.checked_sub(size) else {
+                    return Poll::Ready(Some(Err(io::ErrorKind::FileTooLarge.into())));
+                };
+                *left = rest;
+                Poll::Ready(Some(Ok(frame)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Empty => true,
+            Self::Full(bytes) => bytes.is_empty(),
+            Self::Stream { body, .. } => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Empty => SizeHint::with_exact(0),
+            Self::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Stream { body, .. } => body.size_hint(),
+        }
+    }
+}
+
+/// The body of an answer on its way to the caller.
+///
+/// An error of the executor's connection, or its silence, is handed on as an error, so that the
+/// server breaks the answer off instead of ending it. The slot is given back when the body has ended;
+/// if the caller goes away before, the rest is read in the background, because the executor goes on
+/// working on it.
+pub(super) struct Answer {
+    incoming: Option<Incoming>,
+    exchange: Option<Exchange>,
+    finish: Finish,
+    max_silence: Duration,
+    silence: Pin<Box<Sleep>>,
+    armed: bool,
+}
+
+impl Answer {
+    pub(super) fn new(
+        incoming: Incoming,
+        exchange: Exchange,
+        finish: Finish,
+        max_silence: Duration,
+    ) -> Self {
+        Self {
+            incoming: Some(incoming),
+            exchange: Some(exchange),
+            finish,
+            max_silence,
+            silence: Box::pin(tokio::time::sleep(max_silence)),
+            armed: false,
+        }
+    }
+
+    fn complete(&mut self) {
+        self.incoming = None;
+        if let Some(exchange) = self.exchange.take() {
+            exchange.complete(self.finish);
+        }
+    }
+
+    fn fail(&mut self) {
+        self.incoming = None;
+        if let Some(exchange) = self.exchange.take() {
+            exchange.fail();
+        }
+    }
+
+    fn poll_silence(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if !self.armed {
+            self.armed = true;
+            let at = Instant::now() + self.max_silence;
+            self.silence.as_mut().reset(at);
+        }
+        self.silence.as_mut().poll(cx)
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let Some(incoming) = &mut self.incoming else {
+            return Poll::Ready(None);
+        };
+        match Pin::new(incoming).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.armed = false;
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.fail();
+                Poll::Ready(Some(Err(error.into())))
+            }
+            Poll::Ready(None) => {
+                self.complete();
+                Poll::Ready(None)
+            }
+            Poll::Pending => {
+                ready!(self.poll_silence(cx));
+                self.fail();
+                let silent = io::Error::new(io::ErrorKind::TimedOut, "the executor fell silent");
+                Poll::Ready(Some(Err(silent.into())))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming
+            .as_ref()
+            .map_or_else(|| SizeHint::with_exact(0), Body::size_hint)
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        let (Some(incoming), Some(exchange)) = (self.incoming.take(), self.exchange.take()) else {
+            return;
+        };
+        if incoming.is_end_stream() {
+            exchange.complete(self.finish);
+        } else {
+            exchange.drain(incoming);
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/proxy/conn.rs
@@ -0,0 +1,233 @@
+//! Connections to executors and peers, and the pool of idle ones.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use model::Map;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::body::Outgoing;
+use super::config::Bounds;
+
+/// How long a connection that has just served a request may take to be ready for the next one.
+const READY_WAIT: Duration = Duration::from_millis(20);
+/// How many probes of a quiet connection go unanswered before the kernel gives it up.
+const KEEPALIVE_PROBES: u32 = 3;
+/// The time between these probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// The most bytes of the head of an answer, and of its read buffer.
+const READ_BUFFER: usize = 64 << 10;
+
+/// A stream that counts the bytes written to it, by which it is known whether any byte of a request
+/// can have reached the other side, and the bytes that cross between regions.
+struct Counted {
+    stream: TcpStream,
+    written: Arc<AtomicU64>,
+    far: Option<Arc<AtomicU64>>,
+}
+
+impl Counted {
+    fn count_far(&self, bytes: usize) {
+        if let Some(far) = &self.far {
+            far.fetch_add(bytes as u64, Ordering::Relaxed);
+        }
+    }
+
+    fn count_written(&self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = result {
+            self.written.fetch_add(*bytes as u64, Ordering::Release);
+            self.count_far(*bytes);
+        }
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.count_far(buf.filled().len() - before);
+        result
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count_written(&result);
+        result
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.count_written(&result);
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// One connection; dropping it closes it at once.
+pub(super) struct Conn {
+    pub(super) sender: SendRequest<Outgoing>,
+    written: Arc<AtomicU64>,
+    task: JoinHandle<()>,
+}
+
+impl Conn {
+    /// Opens a connection; no request has been sent on it whatever the result.
+    pub(super) async fn open(
+        address: SocketAddr,
+        far: Option<Arc<AtomicU64>>,
+        bounds: &Bounds,
+    ) -> io::Result<Self> {
+        let stream = tokio::time::timeout(bounds.connect, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(bounds.tcp_keepalive)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(KEEPALIVE_PROBES);
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_keepalive(&keepalive)?;
+        socket.set_tcp_user_timeout(Some(bounds.tcp_user_timeout))?;
+        let written = Arc::new(AtomicU64::new(0));
+        let io = TokioIo::new(Counted {
+            stream,
+            written: Arc::clone(&written),
+            far,
+        });
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .handshake(io)
+            .await
+            .map_err(io::Error::other)?;
+        let task = tokio::spawn(async move {
+            // Its error reaches the exchange under way, if there is one.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            written,
+            task,
+        })
+    }
+
+    /// Returns how many bytes were ever written to it.
+    pub(super) fn written(&self) -> u64 {
+        self.written.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Idle {
+    conn: Conn,
+    since: Instant,
+}
+
+/// The idle connections, bounded in number and age.
+#[derive(Default)]
+pub(super) struct Pool {
+    idle: Mutex<Map<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Takes the connection that was used last, if it has not been idle for longer than `max_idle`.
+    pub(super) async fn take(&self, address: SocketAddr, max_idle: Duration) -> Option<Conn> {
+        loop {
+            let idle = self.pop(address)?;
+            if idle.since.elapsed() > max_idle {
+                return None;
+            }
+            let mut conn = idle.conn;
+            if conn.sender.is_ready() {
+                return Some(conn);
+            }
+            let ready = tokio::time::timeout(READY_WAIT, conn.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Some(conn);
+            }
+        }
+    }
+
+    fn pop(&self, address: SocketAddr) -> Option<Idle> {
+        self.lock().get_mut(&address)?.pop()
+    }
+
+    /// Keeps a connection for the next request.
+    pub(super) fn put(&self, address: SocketAddr, conn: Conn, max_idle: usize) {
+        if conn.sender.is_closed() {
+            return;
+        }
+        let mut pools = self.lock();
+        let pool = pools.entry(address).or_default();
+        if pool.len() >= max_idle {
+            pool.remove(0);
+        }
+        pool.push(Idle {
+            conn,
+            since: Instant::now(),
+        });
+    }
+
+    /// Closes all idle connections to an address, since one to it has stayed silent or broken.
+    pub(super) fn purge(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    /// Closes the connections that have been idle for longer than `max_idle`.
+    pub(super) fn expire(&self, max_idle: Duration) {
+        self.lock().retain(|_, pool| {
+            pool.retain(|idle| idle.since.elapsed() <= max_idle && !idle.conn.sender.is_closed());
+            !pool.is_empty()
+        });
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Map<SocketAddr, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/route/src/proxy/job.rs
@@ -0,0 +1,175 @@
+//! One caller's request, in the form in which it goes to executors and peers.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use model::Mono;
+use model::id::DocVersion;
+use salvo::http::ReqBody;
+
+use super::body::Outgoing;
+use super::config::Bounds;
+use super::head;
+use super::head::Intake;
+use super::reply::Reply;
+
+/// The body of a request before it is sent.
+enum Source {
+    /// Kept; it may be sent any number of times.
+    Kept(Bytes),
+    /// Streams through once; `None` once it was sent.
+    Stream(Option<ReqBody>, u64),
+}
+
+/// One caller's request.
+pub(super) struct Job {
+    pub(super) intake: Intake,
+    /// The id that the answer has to carry.
+    pub(super) id: String,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    source: Source,
+}
+
+impl Job {
+    /// Takes in a request. A small body of known length is read whole, so that a slow caller holds
+    /// no slot and the request can be sent again.
+    pub(super) async fn take(
+        req: &mut salvo::Request,
+        bounds: &Bounds,
+        fresh_id: impl FnOnce() -> String,
+    ) -> Result<Self, Box<Reply>> {
+        let intake = Intake::read(req.method(), req.uri().path(), req.headers(), bounds)?;
+        let method = req.method().clone();
+        let uri = req.uri().clone();
+        let mut headers = req.headers().clone();
+        head::strip_hop_by_hop(&mut headers);
+        if !headers.contains_key(header::HOST)
+            && let Some(authority) = uri.authority()
+        {
+            head::set(&mut headers, header::HOST, authority.as_str());
+        }
+        let id = intake.id.clone().unwrap_or_else(fresh_id);
+        head::set(&mut headers, head::REQUEST_ID, &id);
+        let source = source(req.take_body(), intake.length, bounds).await?;
+        Ok(Self {
+            intake,
+            id,
+            method,
+            uri,
+            headers,
+            source,
+        })
+    }
+
+    /// Returns whether it may be sent although it may have been run.
+    pub(super) fn repeatable(&self) -> bool {
+        self.intake.idempotent && matches!(self.source, Source::Kept(_))
+    }
+
+    /// Makes the request for an executor, or returns `None` if its body is used up.
+    pub(super) fn for_executor(&mut self, remaining: Duration) -> Option<Request<Outgoing>> {
+        self.build(remaining, |headers| {
+            headers.remove(head::HOPS);
+            headers.remove(head::VERSION);
+        })
+    }
+
+    /// Makes the request for another daemon, or returns `None` if its body is used up.
+    pub(super) fn for_peer(
+        &mut self,
+        remaining: Duration,
+        version: DocVersion,
+    ) -> Option<Request<Outgoing>> {
+        let hops = self.intake.arrival.hops.saturating_add(1);
+        let version = version.max(self.intake.arrival.version);
+        self.build(remaining, |headers| {
+            headers.insert(head::HOPS, u64::from(hops).into());
+            headers.insert(head::VERSION, version.0.into());
+        })
+    }
+
+    fn build(
+        &mut self,
+        remaining: Duration,
+        adapt: impl FnOnce(&mut HeaderMap),
+    ) -> Option<Request<Outgoing>> {
+        let body = match &mut self.source {
+            Source::Kept(bytes) if bytes.is_empty() => Outgoing::Empty,
+            Source::Kept(bytes) => Outgoing::Full(bytes.clone()),
+            Source::Stream(body, left) => Outgoing::Stream {
+                body: body.take()?,
+                left: *left,
+            },
+        };
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(path)
+            .body(body)
+            .ok()?;
+        let headers = request.headers_mut();
+        *headers = self.headers.clone();
+        let ms = model::time::millis(remaining).max(1);
+        headers.insert(head::DEADLINE_MS, ms.into());
+        adapt(headers);
+        Some(request)
+    }
+
+    /// Takes back the body of a request that was not sent.
+    pub(super) fn recover(&mut self, request: Option<Box<Request<Outgoing>>>) {
+        if let (Source::Stream(slot, left), Some(request)) = (&mut self.source, request)
+            && let Outgoing::Stream { body, left: rest } = request.into_body()
+        {
+            *slot = Some(body);
+            *left = rest;
+        }
+    }
+
+    /// Returns whether it can be sent once more, its body being there.
+    pub(super) const fn sendable(&self) -> bool {
+        !matches!(self.source, Source::Stream(None, _))
+    }
+}
+
+async fn source(body: ReqBody, length: Option<u64>, bounds: &Bounds) -> Result<Source, Box<Reply>> {
+    use http_body::Body;
+    if body.is_end_stream() {
+        return Ok(Source::Kept(Bytes::new()));
+    }
+    if length.is_none_or(|length| length > bounds.max_replay) {
+        return Ok(Source::Stream(Some(body), bounds.max_body));
+    }
+    let limit = usize::try_from(bounds.max_replay).unwrap_or(usize::MAX);
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(Source::Kept(whole.to_bytes())),
+        Err(error) => Err(Box::new(broken_body(error.as_ref()))),
+    }
+}
+
+fn broken_body(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Reply {
+    let timed_out = error
+        .downcast_ref::<io::Error>()
+        .is_some_and(|error| error.kind() == io::ErrorKind::TimedOut);
+    let status = if timed_out {
+        StatusCode::REQUEST_TIMEOUT
+    } else {
+        StatusCode::BAD_REQUEST
+    };
+    Reply::not_run(status, "the body did not arrive whole")
+}
+
+/// Returns the time from `now` to a deadline.
+pub(super) fn remaining(deadline: Mono, now: Mono) -> Duration {
+    deadline.since(now)
+}
--- /dev/null
+++ b/crates/route/src/proxy/mod.rs
@@ -0,0 +1,255 @@
+//! The data path: takes requests of callers, asks the router, and talks to executors and peers.
+//!
+//! A [`Proxy`] is cheap to clone and shares all its state. Mount [`Proxy::service`] in a server made
+//! ready with [`server::harden`], spawn [`Proxy::run`] under a supervisor, and keep the tables up to
+//! date with [`Proxy::update`]. What callers can rely on is in `docs/CALLERS.md`.
+
+mod body;
+pub mod config;
+mod conn;
+mod exchange;
+pub mod head;
+pub mod intent;
+mod job;
+pub mod reply;
+mod serve;
+pub mod server;
+mod wait;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use model::Clock;
+use model::Map;
+use model::Mono;
+use model::id::DaemonId;
+use model::id::UpstreamId;
+use plat::table::Table;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use self::conn::Pool;
+use crate::key::Ticket;
+use crate::report::Phase;
+use crate::report::Report;
+use crate::router::Router;
+use crate::router::TICK;
+use crate::slots::Ask;
+use crate::slots::Loan;
+use crate::verdict::Finish;
+use crate::verdict::Verdict;
+use crate::view::RouteUpdate;
+
+pub use config::Bounds;
+pub use config::ProxyConfig;
+
+/// The data path of one daemon.
+#[derive(Clone)]
+pub struct Proxy {
+    inner: Arc<Inner>,
+}
+
+pub(crate) struct Inner {
+    cfg: ProxyConfig,
+    table: Table,
+    clock: Clock,
+    state: Mutex<State>,
+    pool: Pool,
+    seed: u64,
+    /// Counts the request ids and the writes of this daemon.
+    sequence: AtomicU64,
+    /// Until when requests that need the store are refused, in milliseconds of the clock.
+    store_rest: AtomicU64,
+    /// Requests that are being passed to another daemon.
+    passing: AtomicUsize,
+    /// Bytes that crossed between regions, both ways.
+    far_bytes: Arc<AtomicU64>,
+    /// Tells whoever waits for the end of a drain that a request has ended.
+    ended: Notify,
+}
+
+struct State {
+    router: Router,
+    waiters: Map<Ticket, oneshot::Sender<Verdict>>,
+}
+
+impl Proxy {
+    /// Makes a data path that refuses everything until its tables are filled by [`Proxy::update`];
+    /// `seed` determines the random choices of its router, and the ids of its writes to the table:
+    /// it has to differ between the lives of a daemon.
+    #[must_use]
+    pub fn new(cfg: ProxyConfig, table: Table, clock: Clock, seed: u64) -> Self {
+        let router = Router::new(cfg.router.clone(), seed);
+        Self {
+            inner: Arc::new(Inner {
+                cfg,
+                table,
+                clock,
+                state: Mutex::new(State {
+                    router,
+                    waiters: Map::default(),
+                }),
+                pool: Pool::default(),
+                seed,
+                sequence: AtomicU64::new(0),
+                store_rest: AtomicU64::new(0),
+                passing: AtomicUsize::new(0),
+                far_bytes: Arc::new(AtomicU64::new(0)),
+                ended: Notify::new(),
+            }),
+        }
+    }
+
+    /// Lets time pass for the router and closes old idle connections; runs until it is dropped.
+    pub async fn run(self) {
+        let mut interval = tokio::time::interval(TICK);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        loop {
+            interval.tick().await;
+            self.inner.with(|router, now| router.tick(now));
+            self.inner.pool.expire(self.inner.cfg.bounds.idle);
+        }
+    }
+
+    /// Returns the routes to mount in the server towards callers: every path.
+    #[must_use]
+    pub fn service(&self) -> salvo::Router {
+        salvo::Router::with_path("{**path}").goal(self.clone())
+    }
+
+    /// Takes in changes of the tables.
+    pub fn update(&self, update: RouteUpdate) {
+        self.inner.with(|router, now| router.update(update, now));
+    }
+
+    /// Says whether this daemon may serve; one that is cut off refuses everything as not run.
+    pub fn set_serving(&self, serving: bool) {
+        self.inner.with(|router, _| router.set_serving(serving));
+    }
+
+    /// Begins a planned stop: new requests are passed to other daemons of the half, those in
+    /// progress finish. [`Proxy::drained`] waits for their end.
+    pub fn drain(&self) {
+        self.inner.with(|router, _| router.drain());
+    }
+
+    /// Waits until no request is in progress.
+    pub async fn drained(&self) {
+        loop {
+            let ended = self.inner.ended.notified();
+            if self.unfinished() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
+    /// Returns how many requests are in progress, waiting ones included.
+    #[must_use]
+    pub fn unfinished(&self) -> usize {
+        let routed = self.inner.with(|router, _| router.unfinished());
+        routed + self.inner.passing.load(Ordering::Acquire)
+    }
+
+    /// Returns how many requests are in progress at executors of an upstream.
+    #[must_use]
+    pub fn in_flight(&self, upstream: &UpstreamId) -> u32 {
+        self.inner.with(|router, _| router.in_flight(upstream))
+    }
+
+    /// Returns where an upstream is in changing hands.
+    #[must_use]
+    pub fn phase(&self, upstream: &UpstreamId) -> Option<Phase> {
+        self.inner.with(|router, _| router.phase(upstream))
+    }
+
+    /// Returns the upstreams that this daemon has left, to be told to the daemons of the new half.
+    #[must_use]
+    pub fn released(&self) -> Vec<UpstreamId> {
+        self.inner.with(|router, _| router.released())
+    }
+
+    /// Returns what to ask of each peer now, with the time to hand to [`Proxy::borrow`]; ask one
+    /// peer once at a time.
+    #[must_use]
+    pub fn asks(&self) -> (Mono, Vec<(DaemonId, Ask)>) {
+        self.inner.with(|router, now| (now, router.asks(now)))
+    }
+
+    /// Answers a peer that asks for slots.
+    #[must_use]
+    pub fn lend(&self, ask: &Ask) -> Loan {
+        self.inner.with(|router, now| router.lend(ask, now))
+    }
+
+    /// Takes in a peer's answer to a question of [`Proxy::asks`].
+    pub fn borrow(&self, loan: &Loan, asked: Mono) {
+        self.inner
+            .with(|router, now| router.borrow(loan, asked, now));
+    }
+
+    /// Returns the state for a dump on request.
+    #[must_use]
+    pub fn report(&self) -> Report {
+        let mut report = self.inner.with(|router, _| router.report());
+        report.far_bytes = self.inner.far_bytes.load(Ordering::Relaxed);
+        report
+    }
+}
+
+#[salvo::async_trait]
+impl salvo::Handler for Proxy {
+    async fn handle(
+        &self,
+        req: &mut salvo::Request,
+        _depot: &mut salvo::Depot,
+        res: &mut salvo::Response,
+        _ctrl: &mut salvo::FlowCtrl,
+    ) {
+        let reply = self.inner.serve(req).await;
+        res.status_code(reply.status);
+        res.set_headers(reply.headers);
+        res.replace_body(reply.body);
+    }
+}
+
+impl Inner {
+    /// Runs one event through the router and hands what it means for others to them.
+    fn with<T>(&self, event: impl FnOnce(&mut Router, Mono) -> T) -> T {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let answer = event(&mut state.router, now);
+        self.deliver(&mut state, now);
+        drop(state);
+        self.ended.notify_waiters();
+        answer
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Hands resolved verdicts to the requests that wait for them. A slot given to a request whose
+    /// caller has just hung up goes to the next one.
+    fn deliver(&self, state: &mut State, now: Mono) {
+        loop {
+            let resolved = state.router.take_resolved();
+            if resolved.is_empty() {
+                return;
+            }
+            for one in resolved {
+                let Some(waiter) = state.waiters.remove(&one.ticket) else {
+                    continue;
+                };
+                if let Err(Verdict::Send(grant)) = waiter.send(one.verdict) {
+                    state.router.finish(&grant, Finish::Cancelled, now);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/proxy/reply.rs
@@ -0,0 +1,95 @@
+//! The answers that a daemon gives by itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use model::outcome::Outcome;
+use salvo::http::ResBody;
+
+use super::head;
+use crate::verdict::Reason;
+use crate::verdict::Refusal;
+
+/// An answer on its way to a caller.
+#[derive(Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: ResBody,
+}
+
+impl Reply {
+    /// Makes an answer of this daemon's own, with its outcome and the reason in words.
+    #[must_use]
+    pub fn own(status: StatusCode, outcome: Outcome, reason: &str) -> Self {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let text = serde_json::json!({ "outcome": outcome, "reason": reason }).to_string();
+        Self {
+            status,
+            headers,
+            body: ResBody::Once(Bytes::from(text)),
+        }
+        .outcome(outcome)
+    }
+
+    /// Makes an answer for a request that was certainly not run.
+    #[must_use]
+    pub fn not_run(status: StatusCode, reason: &str) -> Self {
+        Self::own(status, Outcome::NotRun, reason)
+    }
+
+    /// Makes an answer for a request that may have been run.
+    #[must_use]
+    pub fn unknown(status: StatusCode, reason: &str) -> Self {
+        Self::own(status, Outcome::Unknown, reason)
+    }
+
+    /// Makes the answer for a refusal of the router.
+    #[must_use]
+    pub fn refused(refusal: &Refusal) -> Self {
+        let reply = Self::not_run(status_of(refusal.reason), &refusal.reason.to_string());
+        match refusal.reason {
+            Reason::NoRoute => reply,
+            _ => reply.retry_after(refusal.retry_after),
+        }
+    }
+
+    /// Says what became of the request.
+    #[must_use]
+    pub fn outcome(mut self, outcome: Outcome) -> Self {
+        let value = match outcome {
+            Outcome::Answered => "answered",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        };
+        self.headers
+            .insert(head::OUTCOME, HeaderValue::from_static(value));
+        self
+    }
+
+    /// Says when to try again, in whole seconds.
+    #[must_use]
+    pub fn retry_after(mut self, span: Duration) -> Self {
+        let seconds = span.as_secs() + u64::from(span.subsec_nanos() > 0);
+        self.headers
+            .insert(RETRY_AFTER, HeaderValue::from(seconds.max(1)));
+        self
+    }
+}
+
+const fn status_of(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::NoRoute => StatusCode::NOT_FOUND,
+        Reason::Overload => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/route/src/proxy/server.rs
@@ -0,0 +1,39 @@
+//! The server towards callers, with bounds on slow and broken ones.
+
+use std::time::Duration;
+
+use salvo::Server;
+use salvo::conn::Acceptor;
+use salvo::fuse::FuseConfig;
+
+/// How long a caller may take to send the head of a request, on a fresh or an idle connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a caller may pause while it sends a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a caller may take no bytes of its answer.
+const WRITE_STALL: Duration = Duration::from_secs(30);
+/// The most bytes of the head of a request.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// The most requests that one connection may have under way.
+const MAX_STREAMS: u32 = 128;
+/// How often a quiet HTTP/2 connection is probed, and how long the probe may take.
+const PING_INTERVAL: Duration = Duration::from_secs(15);
+/// How long a probe of an HTTP/2 connection may take.
+const PING_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Sets the bounds on slow, silent and oversized callers.
+#[must_use]
+pub fn harden<A: Acceptor + Send>(server: Server<A>) -> Server<A> {
+    let fuse = FuseConfig::default()
+        .with_http1_header_timeout(HEAD_TIMEOUT)
+        .with_request_body_timeout(BODY_TIMEOUT)
+        .with_write_stall_timeout(WRITE_STALL);
+    let mut server = server.fuse_config(fuse);
+    server.http1_mut().max_buf_size(MAX_HEAD_BYTES);
+    server
+        .http2_mut()
+        .max_concurrent_streams(MAX_STREAMS)
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT);
+    server
+}
--- /dev/null
+++ b/crates/route/src/router/dump.rs
@@ -0,0 +1,107 @@
+//! The dump of the router's state.
+
+use model::id::DocVersion;
+use model::id::UpstreamId;
+
+use super::Router;
+use crate::key::UpstreamKey;
+use crate::report::Phase;
+use crate::report::Report;
+use crate::report::UpstreamReport;
+
+impl Router {
+    /// Returns the state for a dump on request.
+    #[must_use]
+    pub fn report(&self) -> Report {
+        let mut report = Report {
+            version: self.version,
+            serving: self.serving,
+            draining: self.draining,
+            held: self.held.len(),
+            refused: self.refused.clone(),
+            ..Report::default()
+        };
+        for upstream in self.upstreams.values() {
+            report.upstreams.insert(
+                upstream.id.clone(),
+                UpstreamReport {
+                    phase: upstream.phase,
+                    in_flight: upstream.in_flight,
+                    waiting: upstream.queue.len(),
+                    slots: upstream.near_slots + upstream.far_slots,
+                    borrowed: 0,
+                    lent: 0,
+                    service_ms: upstream.service.mean_ms(),
+                    ejected: upstream
+                        .ejected
+                        .iter()
+                        .filter_map(|key| self.executors.get(*key))
+                        .map(|executor| executor.id.clone())
+                        .collect(),
+                    requests: upstream.requests,
+                    sends: upstream.sends,
+                },
+            );
+        }
+        self.add_loans(&mut report);
+        report
+    }
+
+    fn add_loans(&self, report: &mut Report) {
+        for executor in self.executors.values() {
+            let id = &self.upstreams[executor.upstream].id;
+            if let Some(upstream) = report.upstreams.get_mut(id) {
+                upstream.borrowed += u32::from(executor.borrowed);
+                upstream.lent += u32::from(executor.lent);
+            }
+        }
+    }
+
+    /// Returns the version of the document in force, 0 without one.
+    #[must_use]
+    pub const fn version(&self) -> DocVersion {
+        self.version
+    }
+
+    /// Returns the name of an upstream, empty if it is gone.
+    #[must_use]
+    pub fn upstream_name(&self, key: UpstreamKey) -> String {
+        self.upstreams
+            .get(key)
+            .map(|upstream| upstream.id.to_string())
+            .unwrap_or_default()
+    }
+
+    /// Returns how many requests are in progress at executors of an upstream.
+    #[must_use]
+    pub fn in_flight(&self, upstream: &UpstreamId) -> u32 {
+        self.upstream_names
+            .get(upstream)
+            .map_or(0, |key| self.upstreams[*key].in_flight)
+    }
+
+    /// Returns how many requests are in progress at all executors or wait.
+    #[must_use]
+    pub fn unfinished(&self) -> usize {
+        let sent: u32 = self.upstreams.values().map(|one| one.in_flight).sum();
+        sent as usize + self.waiting.len()
+    }
+
+    /// Returns where an upstream is in changing hands.
+    #[must_use]
+    pub fn phase(&self, upstream: &UpstreamId) -> Option<Phase> {
+        let key = self.upstream_names.get(upstream)?;
+        Some(self.upstreams[*key].phase)
+    }
+
+    /// Returns the upstreams that this daemon has left, for the report to the new owner's half:
+    /// none of their requests is sent any more.
+    #[must_use]
+    pub fn released(&self) -> Vec<UpstreamId> {
+        self.upstreams
+            .values()
+            .filter(|one| matches!(one.phase, Phase::Releasing | Phase::Released))
+            .map(|one| one.id.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/loans.rs
@@ -0,0 +1,244 @@
+//! Lending unused slots to the other daemons of the half, and borrowing theirs.
+
+use model::Mono;
+use model::id::DaemonId;
+
+use super::Router;
+use crate::key::ExecutorKey;
+use crate::key::UpstreamKey;
+use crate::report::Phase;
+use crate::slots::Ask;
+use crate::slots::Entry;
+use crate::slots::Loan;
+use crate::slots::SlotCount;
+
+/// Slots are asked for when fewer than this part of the own ones are free, in percent.
+const LOW_PERCENT: u32 = 15;
+/// A lender keeps this part of its slots free for itself, in percent.
+const RESERVE_PERCENT: u32 = 15;
+
+impl Router {
+    /// Returns what to ask of each peer of the half now; ask one peer once at a time, and hand its
+    /// answer to [`Router::borrow`] with the time before the question was sent.
+    ///
+    /// Borrowed slots that are idle are given back by this, since the peer counts only the busy ones
+    /// as lent once it has read the question.
+    pub fn asks(&mut self, now: Mono) -> Vec<(DaemonId, Ask)> {
+        let peers: Vec<DaemonId> = self
+            .members
+            .iter()
+            .filter(|member| member.half == self.cfg.half && member.id != self.cfg.daemon)
+            .filter(|member| member.place.region == self.cfg.place.region)
+            .map(|member| member.id.clone())
+            .collect();
+        let keys: Vec<UpstreamKey> = self.upstreams.keys().collect();
+        let mut asks = Vec::new();
+        for key in keys {
+            let wanted = self.wanted(key, peers.len());
+            for peer in &peers {
+                let busy = self.give_back_idle(peer, key);
+                if wanted > 0 || !busy.is_empty() {
+                    let ask = Ask {
+                        borrower: self.cfg.daemon.clone(),
+                        upstream: self.upstreams[key].id.clone(),
+                        wanted,
+                        busy,
+                    };
+                    asks.push((peer.clone(), ask));
+                }
+            }
+        }
+        if !asks.is_empty() {
+            self.expire_loans(now);
+        }
+        asks
+    }
+
+    /// Returns how many slots to ask of each peer.
+    fn wanted(&self, key: UpstreamKey, peers: usize) -> u16 {
+        let upstream = &self.upstreams[key];
+        if peers == 0 || upstream.phase != Phase::Owned {
+            return 0;
+        }
+        let free = upstream.near_slots.saturating_sub(upstream.in_flight);
+        let low = upstream.near_slots * LOW_PERCENT / 100;
+        if upstream.queue.is_empty() && free > low {
+            return 0;
+        }
+        let missing = upstream.queue.len() + (low.saturating_sub(free) + 1) as usize;
+        u16::try_from(missing.div_ceil(peers)).unwrap_or(u16::MAX)
+    }
+
+    fn give_back_idle(&mut self, lender: &DaemonId, key: UpstreamKey) -> Vec<SlotCount> {
+        let mut busy = Vec::new();
+        let mut changed = Vec::new();
+        for entry in &mut self.borrowed {
+            let executor = &mut self.executors[entry.executor];
+            if entry.peer != *lender || executor.upstream != key {
+                continue;
+            }
+            let own = executor.own.saturating_sub(executor.lent);
+            let used = executor.in_flight.saturating_sub(own).min(entry.count);
+            executor.borrowed -= entry.count - used;
+            entry.count = used;
+            changed.push(entry.executor);
+            if used > 0 {
+                busy.push(SlotCount {
+                    executor: executor.id.clone(),
+                    count: used,
+                });
+            }
+        }
+        self.borrowed.retain(|entry| entry.count > 0);
+        for executor in changed {
+            self.refresh(executor);
+        }
+        busy
+    }
+
+    /// Answers a peer's question: goes on lending what is busy there and lends unused slots.
+    pub fn lend(&mut self, ask: &Ask, now: Mono) -> Loan {
+        let lease = self.cfg.limits.loan_lease;
+        let mut loan = Loan {
+            lender: self.cfg.daemon.clone(),
+            upstream: ask.upstream.clone(),
+            lease_ms: model::time::millis(lease),
+            slots: Vec::new(),
+        };
+        let Some(key) = self.upstream_names.get(&ask.upstream).copied() else {
+            return loan;
+        };
+        self.forget_lent(&ask.borrower, key);
+        let until = now.after(lease);
+        for slot in &ask.busy {
+            if let Some(executor) = self.executor_names.get(&slot.executor).copied() {
+                self.add_lent(&ask.borrower, executor, slot.count, until);
+                loan.slots.push(slot.clone());
+            }
+        }
+        for executor in self.spare(key, ask.wanted) {
+            self.add_lent(&ask.borrower, executor, 1, until);
+            loan.slots.push(SlotCount {
+                executor: self.executors[executor].id.clone(),
+                count: 1,
+            });
+        }
+        loan
+    }
+
+    /// Returns executors with an unused slot, as many as this daemon can do without.
+    fn spare(&self, key: UpstreamKey, wanted: u16) -> Vec<ExecutorKey> {
+        let upstream = &self.upstreams[key];
+        if upstream.phase != Phase::Owned || !upstream.queue.is_empty() || self.draining {
+            return Vec::new();
+        }
+        let free = upstream.near_slots.saturating_sub(upstream.in_flight);
+        let reserve = (upstream.near_slots * RESERVE_PERCENT).div_ceil(100);
+        let most = free.saturating_sub(reserve).min(u32::from(wanted)) as usize;
+        upstream
+            .near
+            .iter()
+            .filter(|key| {
+                let executor = &self.executors[*key];
+                executor.own.saturating_sub(executor.lent) > executor.in_flight
+            })
+            .take(most)
+            .collect()
+    }
+
+    fn add_lent(&mut self, peer: &DaemonId, executor: ExecutorKey, count: u16, until: Mono) {
+        self.lent.push(Entry {
+            peer: peer.clone(),
+            executor,
+            count,
+            until,
+        });
+        self.executors[executor].lent += count;
+        self.refresh(executor);
+    }
+
+    fn forget_lent(&mut self, peer: &DaemonId, key: UpstreamKey) {
+        let executors = &mut self.executors;
+        let mut changed = Vec::new();
+        self.lent.retain(|entry| {
+            let executor = &mut executors[entry.executor];
+            let ended = entry.peer == *peer && executor.upstream == key;
+            if ended {
+                executor.lent -= entry.count;
+                changed.push(entry.executor);
+            }
+            !ended
+        });
+        for executor in changed {
+            self.refresh(executor);
+        }
+    }
+
+    /// Takes in a peer's answer; the lease runs from `asked`, before the question was sent.
+    pub fn borrow(&mut self, loan: &Loan, asked: Mono, now: Mono) {
+        let Some(key) = self.upstream_names.get(&loan.upstream).copied() else {
+            return;
+        };
+        let until = asked.after(std::time::Duration::from_millis(loan.lease_ms));
+        if until <= now || !self.members.iter().any(|member| member.id == loan.lender) {
+            return;
+        }
+        self.drop_borrowed(&loan.lender, key);
+        for slot in &loan.slots {
+            let Some(executor) = self.executor_names.get(&slot.executor).copied() else {
+                continue;
+            };
+            self.borrowed.push(Entry {
+                peer: loan.lender.clone(),
+                executor,
+                count: slot.count,
+                until,
+            });
+            self.executors[executor].borrowed += slot.count;
+            self.refresh(executor);
+        }
+        self.dispatch(key, now);
+    }
+
+    fn drop_borrowed(&mut self, lender: &DaemonId, key: UpstreamKey) {
+        let executors = &mut self.executors;
+        let mut changed = Vec::new();
+        self.borrowed.retain(|entry| {
+            let executor = &mut executors[entry.executor];
+            let ended = entry.peer == *lender && executor.upstream == key;
+            if ended {
+                executor.borrowed -= entry.count;
+                changed.push(entry.executor);
+            }
+            !ended
+        });
+        for executor in changed {
+            self.refresh(executor);
+        }
+    }
+
+    pub(super) fn expire_loans(&mut self, now: Mono) {
+        let executors = &mut self.executors;
+        let mut changed = Vec::new();
+        self.lent.retain(|entry| {
+            let ended = entry.until <= now;
+            if ended {
+                executors[entry.executor].lent -= entry.count;
+                changed.push(entry.executor);
+            }
+            !ended
+        });
+        self.borrowed.retain(|entry| {
+            let ended = entry.until <= now;
+            if ended {
+                executors[entry.executor].borrowed -= entry.count;
+                changed.push(entry.executor);
+            }
+            !ended
+        });
+        for executor in changed {
+            self.refresh(executor);
+            self.forget_if_gone(executor);
+        }
+    }
+}
