--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -4,14 +4,24 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use cadence::StatsdClient;
+use conf::accept::Bounds;
+use conf::accept::follower::Follower;
+use conf::accept::message::Digest;
+use conf::accept::message::Heard;
+use conf::doc::Document;
 use conf::settings::Settings;
 use lease::record::Owner;
 use lease::watch::Watch;
 use model::Clock;
+use model::Map;
 use model::Mono;
+use model::id::DaemonId;
 use model::id::DocVersion;
+use model::id::OpId;
+use model::id::RowVersion;
 use peer::gossip::Gossip;
 use peer::links::Links;
 use peer::members::Members;
@@ -20,8 +30,10 @@
 use plat::object::Objects;
 use plat::table::Table;
 use plat::worker::Workers;
+use route::Proxy;
 use tokio::sync::watch;
 
+use crate::shards::Shards;
 use crate::supervisor::StatusBoard;
 
 /// The outside interfaces of one daemon.
@@ -51,6 +63,21 @@
     Draining,
 }
 
+/// The document in force here.
+#[derive(Clone, Debug)]
+pub struct InForce {
+    /// Its version.
+    pub version: DocVersion,
+    /// The operator's text.
+    pub text: Arc<str>,
+    /// Who sent it.
+    pub by: String,
+    /// The operator's id of the change.
+    pub op: OpId,
+    /// What the text says.
+    pub document: Arc<Document>,
+}
+
 /// What this daemon sees of the others.
 pub struct View {
     /// Which daemons are alive, by gossip.
@@ -59,6 +86,10 @@
     pub gossip: Gossip,
     /// Whose heartbeat in the table stands still.
     pub watch: Watch,
+    /// The version of each daemon's heartbeat row, and when this daemon first saw it.
+    pub rows: Map<DaemonId, (RowVersion, Mono)>,
+    /// The digests of the daemons that asked this one for news, and when.
+    pub heard: Map<DaemonId, (Digest, Mono)>,
     /// When the newest call that the table answered was sent.
     pub store_at: Option<Mono>,
 }
@@ -81,16 +112,37 @@
     pub board: StatusBoard,
     /// How far this daemon is.
     pub stage: watch::Sender<Stage>,
+    /// The document in force.
+    pub doc: watch::Sender<Option<Arc<InForce>>>,
+    /// The data path of requests.
+    pub proxy: Proxy,
+    /// The part that owns shards.
+    pub shards: Shards,
     /// The newest list of hosts.
     pub hosts: watch::Sender<Arc<HostList>>,
     identity: Mutex<Owner>,
+    follower: Mutex<Follower>,
     view: Mutex<View>,
 }
 
+impl View {
+    /// Returns for how long this daemon has seen a heartbeat row at this version.
+    pub fn still_for(&mut self, daemon: &DaemonId, version: RowVersion, now: Mono) -> Duration {
+        let seen = self.rows.entry(daemon.clone()).or_insert((version, now));
+        if seen.0 != version {
+            *seen = (version, now);
+        }
+        now.since(seen.1)
+    }
+}
+
 impl Cx {
     /// Puts the shared state together.
     #[must_use]
-    #[expect(clippy::too_many_arguments, reason = "each part of the state is made elsewhere")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each part of the state is made elsewhere"
+    )]
     pub fn new(
         settings: Settings,
         clock: Clock,
@@ -100,9 +152,19 @@
         board: StatusBoard,
         identity: Owner,
         members: Members,
+        proxy: Proxy,
     ) -> Self {
+        let bounds = Bounds::default();
+        let follower = Follower::new(identity.daemon.clone(), identity.incarnation, bounds);
         let gossip = Gossip::new(identity.incarnation, seed);
-        let view = View { members, gossip, watch: Watch::default(), store_at: None };
+        let view = View {
+            members,
+            gossip,
+            watch: Watch::default(),
+            rows: Map::default(),
+            heard: Map::default(),
+            store_at: None,
+        };
         Self {
             settings,
             clock,
@@ -112,7 +174,11 @@
             metrics,
             board,
             stage: watch::Sender::new(Stage::Starting),
+            doc: watch::Sender::new(None),
+            proxy,
+            shards: Shards::default(),
             hosts: watch::Sender::new(Arc::default()),
+            follower: Mutex::new(follower),
             identity: Mutex::new(identity),
             view: Mutex::new(view),
         }
@@ -134,17 +200,28 @@
         lock(&self.view)
     }
 
+    /// Returns what this daemon has of the document, locked; hold it over no await.
+    pub fn follower(&self) -> MutexGuard<'_, Follower> {
+        lock(&self.follower)
+    }
+
+    /// Returns the daemons that have asked this one for news, each at its latest.
+    #[must_use]
+    pub fn heard(&self) -> Vec<Heard> {
+        let now = self.clock.now();
+        let view = self.view();
+        let heard = |(digest, at): &(Digest, Mono)| Heard {
+            digest: digest.clone(),
+            age: now.since(*at),
+        };
+        view.heard.values().map(heard).collect()
+    }
+
     /// Notes that the table answered a call that was sent at `sent`.
     pub fn store_answered(&self, sent: Mono) {
         let mut view = self.view();
         view.store_at = view.store_at.max(Some(sent));
     }
-
-    /// Returns the document version that a daemon was last heard to have in force.
-    #[must_use]
-    pub fn doc_of(&self, daemon: &model::id::DaemonId) -> DocVersion {
-        self.view().members.get(daemon).map_or(DocVersion(0), |member| member.doc)
-    }
 }
 
 /// Locks what a panicked holder may have left; every holder leaves it consistent at each step.
--- /dev/null
+++ b/crates/node/src/document/rows.rs
@@ -0,0 +1,97 @@
+//! Reads and writes the rows of the document.
+
+use std::time::Duration;
+
+use conf::accept::change::Written;
+use conf::accept::row::RowCheck;
+use conf::accept::row::RowWrite;
+use conf::accept::row::StagedRow;
+use conf::accept::row::View;
+use conf::accept::row::Write;
+use conf::accept::row::key;
+use model::id::OpId;
+use model::id::RowVersion;
+use plat::settle::Settled;
+use plat::settle::settle;
+use plat::table::Check;
+use plat::table::Row;
+use plat::table::Table;
+use plat::table::Txn;
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+
+use crate::cx::Cx;
+
+/// How long a write of the document's rows may stay unanswered.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Reads `doc/staged`, then `doc/current`; `None` if the table does not answer or a row cannot be
+/// read.
+pub async fn read(table: &Table) -> Option<View> {
+    let staged = (table.read)(key::STAGED.to_owned()).await.ok()?;
+    let current = (table.read)(key::CURRENT.to_owned()).await.ok()?;
+    Some(View {
+        ballot: version(staged.as_ref()),
+        staged: value::<StagedRow>(staged)?.and_then(|row| row.staged),
+        current_row: version(current.as_ref()),
+        current: value(current)?,
+    })
+}
+
+fn version(row: Option<&Row>) -> RowVersion {
+    row.map_or(RowVersion(0), |row| row.version)
+}
+
+/// Returns the value of a row: none of an absent one, nothing at all of an unreadable one.
+fn value<T: DeserializeOwned>(row: Option<Row>) -> Option<Option<T>> {
+    let Some(row) = row else {
+        return Some(None);
+    };
+    match serde_json::from_value(row.value) {
+        Ok(value) => Some(Some(value)),
+        Err(error) => {
+            log::error!(key = row.key.as_str(); "the row cannot be read: {error}");
+            None
+        }
+    }
+}
+
+/// Carries out a write of the protocol.
+pub async fn write(cx: &Cx, write: &Write) -> Written {
+    let Ok(writes) = write.writes() else {
+        return Written::Refused;
+    };
+    let check = |check: RowCheck| Check {
+        key: check.key,
+        version: check.version,
+    };
+    let row = |row: RowWrite| plat::table::Write {
+        key: row.key,
+        value: row.value,
+    };
+    let txn = Txn {
+        op: op(cx, write),
+        checks: write.checks().into_iter().map(check).collect(),
+        writes: writes.into_iter().map(row).collect(),
+    };
+    match settle(&cx.outside.table, txn, Instant::now() + WRITE_TIMEOUT).await {
+        Settled::Committed => Written::Done,
+        Settled::Conflict { .. } => Written::Conflict,
+        Settled::Refused(_) => Written::Refused,
+        Settled::Unknown => Written::Unknown,
+    }
+}
+
+/// An id that no other write of the protocol has: a ballot is staged, committed or cleared once.
+fn op(cx: &Cx, write: &Write) -> OpId {
+    let me = cx.identity();
+    let (step, ballot) = match write {
+        Write::Stage { ballot, .. } => ("stage", ballot),
+        Write::Commit { ballot, .. } => ("commit", ballot),
+        Write::Clear { ballot } => ("clear", ballot),
+    };
+    OpId::new(format!(
+        "doc/{}/{}/{step}/{ballot}",
+        me.daemon, me.incarnation
+    ))
+}
--- /dev/null
+++ b/crates/node/src/gossip.rs
@@ -0,0 +1,107 @@
+//! Exchanges heartbeats, summaries and news of the document with the other daemons.
+
+use std::sync::Arc;
+
+use conf::accept::follower::Event;
+use model::Mono;
+use model::id::DaemonId;
+use peer::gossip::ROUND;
+use peer::rpc::Answer;
+use peer::rpc::Question;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio_util::sync::CancellationToken;
+
+use crate::cx::Cx;
+use crate::cx::Stage;
+use crate::cx::View;
+use crate::document::follow;
+use crate::shards::calls::peer_address;
+use crate::supervisor::PartResult;
+
+/// Gossips until `token` asks for the end.
+///
+/// # Errors
+///
+/// None at present; the signature is that of a part.
+pub async fn run(cx: Arc<Cx>, token: CancellationToken) -> PartResult {
+    let mut rounds = interval(ROUND);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return Ok(()),
+            _ = rounds.tick() => {}
+        }
+        for target in begin_round(&cx) {
+            tokio::spawn(exchange(cx.clone(), target));
+        }
+    }
+}
+
+/// Advances the own heartbeat and picks the peers of this round.
+fn begin_round(cx: &Cx) -> Vec<DaemonId> {
+    let doc = cx.follower().version();
+    let draining = *cx.stage.borrow() >= Stage::Leaving;
+    let mut view = cx.view();
+    let View {
+        members, gossip, ..
+    } = &mut *view;
+    members.tick(doc, draining, cx.clock.now());
+    gossip.targets(members)
+}
+
+/// Turns to one peer.
+async fn exchange(cx: Arc<Cx>, to: DaemonId) {
+    let sent = cx.clock.now();
+    let digest = cx.follower().digest();
+    let (address, exchange) = {
+        let view = cx.view();
+        let address = view.members.get(&to).and_then(peer_address);
+        (address, view.gossip.compose(&view.members, &to, sent))
+    };
+    let Some(address) = address else {
+        return;
+    };
+    match cx
+        .links
+        .gossip(address, Question { exchange, digest })
+        .await
+    {
+        Ok(answer) => {
+            merge(&cx, answer.exchange);
+            follow(
+                &cx,
+                Event::Answered {
+                    sent,
+                    news: answer.news,
+                },
+            );
+        }
+        Err(error) => log::debug!(peer = to.as_str(); "{error}"),
+    }
+}
+
+/// Answers a peer.
+pub fn answer(cx: &Arc<Cx>, question: Question) -> Answer {
+    let now: Mono = cx.clock.now();
+    let asker = question.exchange.from.clone();
+    let news = cx.follower().news(&question.digest, now);
+    cx.view()
+        .heard
+        .insert(asker.clone(), (question.digest, now));
+    merge(cx, question.exchange);
+    let view = cx.view();
+    Answer {
+        exchange: view.gossip.compose(&view.members, &asker, now),
+        news,
+    }
+}
+
+fn merge(cx: &Cx, exchange: peer::gossip::Exchange) {
+    let now = cx.clock.now();
+    let mut view = cx.view();
+    let View {
+        members, gossip, ..
+    } = &mut *view;
+    gossip.merge(members, exchange, now);
+}
--- /dev/null
+++ b/crates/node/src/hosts.rs
@@ -0,0 +1,50 @@
+//! Follows the platform's list of hosts and executors.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use plat::hosts::Newest;
+use route::RouteUpdate;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio_util::sync::CancellationToken;
+
+use crate::cx::Cx;
+use crate::supervisor::PartResult;
+
+/// How often the list is asked for; an executor that leaves gets no new work within 3 s of the list
+/// saying so.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Follows the list until `token` asks for the end. While it does not answer, the last one holds.
+///
+/// # Errors
+///
+/// None at present; the signature is that of a part.
+pub async fn run(cx: Arc<Cx>, token: CancellationToken) -> PartResult {
+    let mut ticks = interval(POLL_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut newest = Newest::default();
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return Ok(()),
+            _ = ticks.tick() => {}
+        }
+        let list = match (cx.outside.hosts.list)(newest.revision()).await {
+            Ok(Some(list)) => list,
+            Ok(None) => continue,
+            Err(error) => {
+                log::debug!("the host list does not answer: {error}");
+                continue;
+            }
+        };
+        if newest.offer(list.clone()) {
+            let executors = Some(list.executors.clone());
+            cx.proxy.update(RouteUpdate {
+                executors,
+                ..RouteUpdate::default()
+            });
+            cx.hosts.send_replace(Arc::new(list));
+        }
+    }
+}
--- a/crates/node/src/join.rs
+++ b/crates/node/src/join.rs
@@ -54,11 +54,20 @@
     let member = member_row(settings, addresses, incarnation);
     let txn = Txn {
         op: OpId::new(format!("join/{}/{incarnation}/{seed:x}", settings.daemon)),
-        checks: vec![Check { key: row_key.clone(), version }],
-        writes: vec![Write { key: row_key, value: serde_json::to_value(member).ok() }],
+        checks: vec![Check {
+            key: row_key.clone(),
+            version,
+        }],
+        writes: vec![Write {
+            key: row_key,
+            value: serde_json::to_value(member).ok(),
+        }],
     };
     match settle(table, txn, Instant::now() + TRY_TIMEOUT).await {
-        Settled::Committed => Some(Owner { daemon: settings.daemon.clone(), incarnation }),
+        Settled::Committed => Some(Owner {
+            daemon: settings.daemon.clone(),
+            incarnation,
+        }),
         _ => None,
     }
 }
@@ -70,7 +79,11 @@
 
 /// The first heartbeat of a life.
 #[must_use]
-pub fn member_row(settings: &Settings, addresses: Addresses, incarnation: Incarnation) -> MemberRow {
+pub fn member_row(
+    settings: &Settings,
+    addresses: Addresses,
+    incarnation: Incarnation,
+) -> MemberRow {
     MemberRow {
         daemon: settings.daemon.clone(),
         incarnation,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,21 @@
 //! The supervisor tree that wires the other crates into one daemon.
 //!
-//! [`supervisor`] keeps the parts running, [`logs`] and [`metrics`] tell what they do.
+//! [`daemon`] starts a daemon and its parts, [`cx`] has what they share, [`supervisor`] keeps them
+//! running. The parts: [`heartbeat`] and [`gossip`] for who is there, [`hosts`] and [`document`] for
+//! what holds, [`shards`] for tasks, [`routing`] for requests, [`peers`] and [`operators`] for who
+//! asks. [`logs`] and [`metrics`] tell what they do.
 
+pub mod cx;
+pub mod daemon;
+pub mod document;
+pub mod gossip;
+pub mod heartbeat;
+pub mod hosts;
+pub mod join;
 pub mod logs;
 pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod routing;
+pub mod shards;
 pub mod supervisor;
--- /dev/null
+++ b/crates/node/src/operators/look.rs
@@ -0,0 +1,347 @@
+//! What operators look at: document, status, tasks, dump.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use conf::api::CheckReply;
+use conf::api::CheckRequest;
+use conf::api::DocumentView;
+use conf::api::HandoverView;
+use conf::api::MemberView;
+use conf::api::ShardView;
+use conf::api::StatusView;
+use conf::api::TaskPage;
+use conf::api::TaskQuery;
+use conf::api::TaskState;
+use conf::api::TaskView;
+use conf::api::UpstreamView;
+use conf::check;
+use conf::diff;
+use conf::doc::Document;
+use http::StatusCode;
+use lease::record::JobRow;
+use lease::record::Phase;
+use lease::record::TaskRow;
+use model::Mono;
+use model::id::DocVersion;
+use model::id::ShardId;
+use model::time::millis;
+use peer::members::MEMBER_TIMEOUT;
+use plat::table::Row;
+use plat::table::Scan;
+use route::report::Phase as RoutePhase;
+use serde_json::json;
+
+use crate::cx::Cx;
+use crate::cx::Stage;
+use crate::document::propose;
+use crate::operators::Answered;
+use crate::operators::Refused;
+use crate::operators::json;
+use crate::shards::input::ShardStatus;
+use crate::shards::input::Snapshot;
+
+/// The most tasks on one page.
+const MAX_PAGE: usize = 500;
+/// When to try again what needs the table, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1000;
+
+/// The document in force.
+pub(super) fn document(cx: &Cx) -> Answered {
+    let doc = cx.doc.borrow().clone();
+    let Some(doc) = doc else {
+        return Err(Refused::not_run(
+            StatusCode::NOT_FOUND,
+            "no document is in force yet",
+        ));
+    };
+    json(&DocumentView {
+        version: doc.version,
+        text: doc.text.to_string(),
+        by: doc.by.clone(),
+        op: doc.op.clone(),
+    })
+}
+
+/// What is wrong with a text and what it would change.
+pub(super) fn check(cx: &Cx, req: &CheckRequest) -> Answered {
+    let doc = cx.doc.borrow().clone();
+    let before = doc
+        .as_ref()
+        .map_or_else(Document::default, |doc| (*doc.document).clone());
+    let current = cx.follower().current.clone();
+    let changes = check::read(&req.text).map(|after| diff::changes(&before, &after));
+    json(&CheckReply {
+        base: doc.map_or(DocVersion(0), |doc| doc.version),
+        findings: propose::findings(cx, &req.text, current.as_ref()),
+        changes: changes.unwrap_or_default(),
+    })
+}
+
+/// What this daemon knows of itself and the others.
+pub(super) async fn status(cx: &Arc<Cx>) -> Answered {
+    let snapshot = cx.shards.snapshot().await;
+    let now = cx.clock.now();
+    let me = cx.identity();
+    let stage = *cx.stage.borrow();
+    let shards = snapshot
+        .as_ref()
+        .map(|shot| &shot.shards[..])
+        .unwrap_or_default();
+    let store_at = cx.view().store_at;
+    json(&StatusView {
+        daemon: me.daemon,
+        incarnation: me.incarnation,
+        ready: stage == Stage::Serving,
+        draining: stage > Stage::Serving,
+        version: cx.follower().version(),
+        store_silent_ms: store_at.map(|at| millis(now.since(at))),
+        members: members(cx, now),
+        upstreams: upstreams(cx, now),
+        shards: shards.iter().map(shard).collect(),
+        tasks: counts(shards),
+    })
+}
+
+fn members(cx: &Cx, now: Mono) -> Vec<MemberView> {
+    let view = cx.view();
+    let member = |(daemon, member): (&model::id::DaemonId, &peer::members::Member)| {
+        let profile = member.profile.as_ref()?;
+        let silent = now.since(member.advanced_at);
+        let state = match () {
+            () if member.draining => "leaving",
+            () if member.count == 0 => "gone",
+            () if silent < MEMBER_TIMEOUT => "live",
+            () => "silent",
+        };
+        Some(MemberView {
+            daemon: daemon.clone(),
+            half: profile.half.clone(),
+            place: profile.place.clone(),
+            state: state.to_owned(),
+            version: member.doc,
+            silent_ms: millis(silent),
+        })
+    };
+    view.members.all().filter_map(member).collect()
+}
+
+fn upstreams(cx: &Cx, now: Mono) -> Vec<UpstreamView> {
+    let Some(doc) = cx.doc.borrow().clone() else {
+        return Vec::new();
+    };
+    let report = cx.proxy.report();
+    let hosts = cx.hosts.borrow().clone();
+    let upstream = |(id, one): (&model::id::UpstreamId, &conf::doc::Upstream)| {
+        let told = report.upstreams.get(id);
+        let executors = hosts
+            .executors
+            .iter()
+            .filter(|entry| entry.upstream == *id)
+            .count();
+        UpstreamView {
+            upstream: id.clone(),
+            half: one.half.clone(),
+            handover: told.and_then(|told| handover(cx, id, &one.half, told.phase, now)),
+            executors: executors as u64,
+            slots: told.map_or(0, |told| told.slots.into()),
+            busy: told.map_or(0, |told| told.in_flight.into()),
+        }
+    };
+    doc.document.upstreams.iter().map(upstream).collect()
+}
+
+/// Where a handover stands, as far as this daemon takes part in it.
+fn handover(
+    cx: &Cx,
+    upstream: &model::id::UpstreamId,
+    to: &model::id::HalfId,
+    phase: RoutePhase,
+    now: Mono,
+) -> Option<HandoverView> {
+    let step = match phase {
+        RoutePhase::Releasing => "in-flight",
+        RoutePhase::Waiting => "releasing",
+        RoutePhase::Released => "taken",
+        RoutePhase::Owned | RoutePhase::Foreign => return None,
+    };
+    let view = cx.view();
+    let mut waiting_for = Vec::new();
+    let mut from = None;
+    for (daemon, member) in view.members.alive(now) {
+        let half = member.profile.as_ref().map(|profile| profile.half.clone());
+        if half.as_ref() == Some(to) {
+            continue;
+        }
+        from = from.or(half);
+        let mut told = view.gossip.summaries(&view.members, now);
+        let told = told.find(|(teller, _)| *teller == daemon);
+        let left = told.is_some_and(|(_, summary)| {
+            summary.released.iter().any(|one| one.upstream == *upstream)
+        });
+        if !left && phase == RoutePhase::Waiting {
+            waiting_for.push(daemon.clone());
+        }
+    }
+    let from = from.unwrap_or_else(|| cx.settings.half.clone());
+    Some(HandoverView {
+        from,
+        to: to.clone(),
+        step: step.to_owned(),
+        waiting_for,
+    })
+}
+
+fn shard(status: &ShardStatus) -> ShardView {
+    let assigned = status
+        .tasks
+        .iter()
+        .filter(|task| task.worker.is_some())
+        .count();
+    ShardView {
+        shard: status.shard.clone(),
+        owner: status.owner.clone(),
+        epoch: status.epoch,
+        workers: status.workers as u64,
+        queued: (status.tasks.len() - assigned) as u64,
+        assigned: assigned as u64,
+    }
+}
+
+fn counts(shards: &[ShardStatus]) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for task in shards.iter().flat_map(|shard| &shard.tasks) {
+        let state = if task.worker.is_some() {
+            TaskState::Assigned
+        } else {
+            TaskState::Queued
+        };
+        *counts.entry(state.word().to_owned()).or_default() += 1;
+    }
+    counts
+}
+
+/// One page of tasks: running and waiting ones from their rows, ended ones from the rows that keep
+/// their names.
+pub(super) async fn tasks(cx: &Cx, query: &TaskQuery) -> Answered {
+    let ended = matches!(
+        query.state,
+        Some(TaskState::Succeeded | TaskState::Failed | TaskState::Cancelled)
+    );
+    let prefix = if ended { "job/" } else { "task/" };
+    let limit = query
+        .limit
+        .map_or(MAX_PAGE, |limit| (limit as usize).clamp(1, MAX_PAGE));
+    let scan = Scan {
+        prefix: prefix.to_owned(),
+        after: query.after.clone(),
+        limit,
+    };
+    let rows = (cx.outside.table.scan)(scan).await.map_err(|error| {
+        Refused::later(
+            format!("the table does not answer: {error}"),
+            RETRY_AFTER_MS,
+        )
+    })?;
+    let next = (rows.len() == limit)
+        .then(|| rows.last().map(|row| row.key.clone()))
+        .flatten();
+    let read = |row: Row| {
+        if ended {
+            ended_task(row)
+        } else {
+            live_task(row)
+        }
+    };
+    let wanted = |task: &TaskView| {
+        query.state.is_none_or(|state| state == task.state)
+            && query.team.as_ref().is_none_or(|team| *team == task.team)
+            && query
+                .class
+                .as_ref()
+                .is_none_or(|class| *class == task.class)
+    };
+    let tasks = rows.into_iter().filter_map(read).filter(wanted).collect();
+    json(&TaskPage { tasks, next })
+}
+
+fn live_task(row: Row) -> Option<TaskView> {
+    let shard = ShardId::new(row.key.split('/').nth(1)?);
+    let task: TaskRow = serde_json::from_value(row.value).ok()?;
+    let worker = task.worker().cloned();
+    Some(TaskView {
+        state: state_of(&task.phase),
+        attempt: task.attempt,
+        shard,
+        worker,
+        evictions: task.evictions,
+        failures: task.failures,
+        reason: None,
+        task: task.spec.task,
+        team: task.spec.team,
+        class: task.spec.class,
+    })
+}
+
+fn ended_task(row: Row) -> Option<TaskView> {
+    let job: JobRow = serde_json::from_value(row.value).ok()?;
+    let end = job.end?;
+    let reason = match &end {
+        Phase::Failed { reason } => Some(reason.clone()),
+        _ => None,
+    };
+    Some(TaskView {
+        state: state_of(&end),
+        attempt: model::id::Attempt(0),
+        shard: job.shard,
+        worker: None,
+        evictions: 0,
+        failures: 0,
+        reason,
+        task: job.spec.task,
+        team: job.spec.team,
+        class: job.spec.class,
+    })
+}
+
+fn state_of(phase: &Phase) -> TaskState {
+    match phase {
+        Phase::Queued => TaskState::Queued,
+        Phase::Assigned { .. } => TaskState::Assigned,
+        Phase::Succeeded => TaskState::Succeeded,
+        Phase::Failed { .. } => TaskState::Failed,
+        Phase::Cancelled => TaskState::Cancelled,
+    }
+}
+
+/// The state of the process.
+pub(super) async fn dump(cx: &Arc<Cx>) -> Answered {
+    let snapshot: Option<Snapshot> = cx.shards.snapshot().await;
+    let (members, heard, store_at) = {
+        let view = cx.view();
+        let members = serde_json::to_value(&view.members).unwrap_or_default();
+        (members, view.heard.len(), view.store_at)
+    };
+    let follower = cx.follower().clone();
+    let now = cx.clock.now();
+    Ok(json!({
+        "daemon": cx.settings.daemon,
+        "incarnation": cx.identity().incarnation,
+        "uptime_ms": now.0,
+        "stage": *cx.stage.borrow(),
+        "store_silent_ms": store_at.map(|at| millis(now.since(at))),
+        "parts": cx.board.all(),
+        "members": members,
+        "heard_from": heard,
+        "document": {
+            "version": follower.version(),
+            "ballot": follower.ballot,
+            "staged": follower.staged.as_ref().map(|staged| staged.version),
+            "serve": format!("{:?}", follower.serve(now)),
+            "known_ago_ms": millis(now.since(follower.known_at)),
+            "contact_ago_ms": follower.contact_at.map(|at| millis(now.since(at))),
+        },
+        "requests": cx.proxy.report(),
+        "tasks": snapshot,
+    }))
+}
--- /dev/null
+++ b/crates/node/src/operators/mod.rs
@@ -0,0 +1,250 @@
+//! Answers operators: the API of [`conf::api`], readiness, dump.
+//!
+//! Every path but readiness asks for the token of the settings, compared in constant time. A body is
+//! read up to a bound, and whatever is wrong with a request is answered, never a reason to fail.
+
+pub mod act;
+pub mod look;
+
+use std::sync::Arc;
+
+use conf::api;
+use conf::api::Problem;
+use http::Method;
+use http::StatusCode;
+use http::header::AUTHORIZATION;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use http::header::WWW_AUTHENTICATE;
+use model::id::TaskId;
+use model::id::WorkerId;
+use model::outcome::Outcome;
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Request;
+use salvo::Response;
+use salvo::async_trait;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use subtle::ConstantTimeEq;
+use tokio_util::sync::CancellationToken;
+
+use crate::cx::Cx;
+use crate::cx::Stage;
+
+/// The largest body of an operator's request, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// The longest part of a path that names a task or a worker, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
+/// The operators' side of a daemon.
+#[derive(Clone)]
+pub struct Operators {
+    /// What the parts share.
+    pub cx: Arc<Cx>,
+    /// Cancelled when an operator asks the daemon to drain.
+    pub drain: CancellationToken,
+}
+
+/// An answer of the API.
+pub type Answered = Result<Value, Refused>;
+
+/// A status and what it is about.
+#[derive(Clone, Debug)]
+pub struct Refused {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub problem: Problem,
+}
+
+impl Refused {
+    /// A request that was certainly not carried out.
+    #[must_use]
+    pub fn not_run(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self::new(status, Outcome::NotRun, reason)
+    }
+
+    /// A request of which nobody knows whether it was carried out.
+    #[must_use]
+    pub fn unknown(reason: impl Into<String>) -> Self {
+        Self::new(StatusCode::BAD_GATEWAY, Outcome::Unknown, reason)
+    }
+
+    /// A request that was not carried out and may be sent again after a while.
+    #[must_use]
+    pub fn later(reason: impl Into<String>, retry_after_ms: u64) -> Self {
+        let mut refused = Self::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+        refused.problem.retry_after_ms = Some(retry_after_ms);
+        refused
+    }
+
+    fn new(status: StatusCode, outcome: Outcome, reason: impl Into<String>) -> Self {
+        let reason = reason.into();
+        let problem = Problem {
+            outcome,
+            reason,
+            retry_after_ms: None,
+            findings: Vec::new(),
+        };
+        Self { status, problem }
+    }
+}
+
+/// Puts an answer into JSON.
+///
+/// # Errors
+///
+/// Returns a refusal if the answer cannot be put into JSON, which no type of the API brings about.
+pub fn json<T: Serialize>(answer: &T) -> Answered {
+    serde_json::to_value(answer).map_err(|error| Refused::unknown(error.to_string()))
+}
+
+#[async_trait]
+impl Handler for Operators {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        if req.uri().path() == api::READY {
+            return self.ready(res);
+        }
+        let answered = match self.is_allowed(req) {
+            true => self.dispatch(req).await,
+            false => Err(Refused::not_run(
+                StatusCode::UNAUTHORIZED,
+                "the token is missing or wrong",
+            )),
+        };
+        write(res, answered);
+    }
+}
+
+impl Operators {
+    fn ready(&self, res: &mut Response) {
+        let ready = *self.cx.stage.borrow() == Stage::Serving;
+        let status = if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        res.status_code(status);
+        res.render(if ready { "ready\n" } else { "not ready\n" });
+    }
+
+    fn is_allowed(&self, req: &Request) -> bool {
+        let header = req
+            .headers()
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok());
+        let token = header.and_then(|value| value.strip_prefix("Bearer "));
+        let expected = self.cx.settings.operator_token.as_bytes();
+        token.is_some_and(|token| bool::from(token.as_bytes().ct_eq(expected)))
+    }
+
+    async fn dispatch(&self, req: &mut Request) -> Answered {
+        let method = req.method().clone();
+        let path = req.uri().path().to_owned();
+        let get = method == Method::GET;
+        let post = method == Method::POST;
+        match path.as_str() {
+            api::DOCUMENT if get => look::document(&self.cx),
+            api::STATUS if get => look::status(&self.cx).await,
+            api::DUMP if get => look::dump(&self.cx).await,
+            api::TASKS if get => look::tasks(&self.cx, &query(req)?).await,
+            api::CHECK if post => look::check(&self.cx, &body(req).await?),
+            api::APPLY if post => act::apply(&self.cx, body(req).await?).await,
+            api::TASKS if post => act::submit(&self.cx, body(req).await?).await,
+            api::DRAIN if post => {
+                let _: api::DrainRequest = body(req).await?;
+                self.drain.cancel();
+                json(&api::Done {
+                    message: "draining".into(),
+                })
+            }
+            path if post => self.named(path).await,
+            _ => Err(unknown_path(&method, &path)),
+        }
+    }
+
+    /// Paths that name a task or a worker.
+    async fn named(&self, path: &str) -> Answered {
+        let between = |start: &str, end: &str| {
+            let name = path.strip_prefix(start)?.strip_suffix(end)?;
+            let plain = !name.is_empty() && !name.contains('/') && name.len() <= MAX_NAME_BYTES;
+            plain.then(|| name.to_owned())
+        };
+        if let Some(task) = between("/v1/tasks/", "/cancel") {
+            return act::cancel(&self.cx, TaskId::from(task)).await;
+        }
+        if let Some(worker) = between("/v1/workers/", "/lost") {
+            return act::worker_lost(&self.cx, WorkerId::from(worker)).await;
+        }
+        Err(unknown_path(&Method::POST, path))
+    }
+}
+
+fn unknown_path(method: &Method, path: &str) -> Refused {
+    Refused::not_run(
+        StatusCode::NOT_FOUND,
+        format!("there is no {method} {path}"),
+    )
+}
+
+async fn body<T: DeserializeOwned>(req: &mut Request) -> Result<T, Refused> {
+    let bytes = req
+        .payload_with_max_size(MAX_BODY_BYTES)
+        .await
+        .map_err(|error| {
+            let reason =
+                format!("the body cannot be read, at most {MAX_BODY_BYTES} bytes: {error}");
+            Refused::not_run(StatusCode::BAD_REQUEST, reason)
+        })?;
+    let bytes: &[u8] = if bytes.is_empty() { b"{}" } else { bytes };
+    serde_json::from_slice(bytes).map_err(|error| {
+        Refused::not_run(
+            StatusCode::BAD_REQUEST,
+            format!("the body is not as expected: {error}"),
+        )
+    })
+}
+
+fn query<T: DeserializeOwned>(req: &mut Request) -> Result<T, Refused> {
+    req.parse_queries().map_err(|error| {
+        Refused::not_run(
+            StatusCode::BAD_REQUEST,
+            format!("the query is not as expected: {error}"),
+        )
+    })
+}
+
+fn write(res: &mut Response, answered: Answered) {
+    let (status, text) = match answered {
+        Ok(answer) => (StatusCode::OK, answer.to_string()),
+        Err(refused) => {
+            if refused.status == StatusCode::UNAUTHORIZED {
+                res.headers_mut()
+                    .insert(WWW_AUTHENTICATE, http::HeaderValue::from_static("Bearer"));
+            }
+            if let Some(ms) = refused.problem.retry_after_ms {
+                res.headers_mut()
+                    .insert(RETRY_AFTER, ms.div_ceil(1000).into());
+            }
+            (
+                refused.status,
+                serde_json::to_string(&refused.problem).unwrap_or_default(),
+            )
+        }
+    };
+    res.status_code(status);
+    res.headers_mut().insert(
+        CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    res.body(text);
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,94 @@
+//! Answers the other daemons.
+
+use std::sync::Arc;
+
+use conf::accept::message::Ack;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
+use lease::record::TaskSpec;
+use peer::rpc::Answer;
+use peer::rpc::DocCall;
+use peer::rpc::MAX_MESSAGE_BYTES;
+use peer::rpc::PeerServer;
+use peer::rpc::Question;
+use peer::rpc::ShardAnswer;
+use peer::rpc::ShardCall;
+use route::slots::Ask;
+use route::slots::Loan;
+use tokio::net::TcpListener;
+
+use crate::cx::Cx;
+use crate::document::propose;
+use crate::gossip;
+use crate::shards::input::Reply;
+use crate::shards::input::Request;
+
+/// The most connections of other daemons at a time.
+const MAX_CONNECTIONS: u32 = 256;
+
+/// Serves the other daemons on a listener that is already bound.
+///
+/// # Errors
+///
+/// Returns the error of the listener.
+pub fn serve(cx: Arc<Cx>, listener: TcpListener) -> std::io::Result<ServerHandle> {
+    let config = ServerConfig::builder()
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .max_connections(MAX_CONNECTIONS)
+        .http_only()
+        .build();
+    let server = jsonrpsee::server::Server::builder().set_config(config);
+    let server = server.build_from_tcp(listener.into_std()?)?;
+    Ok(server.start(Peers { cx }.into_rpc()))
+}
+
+struct Peers {
+    cx: Arc<Cx>,
+}
+
+#[async_trait]
+impl PeerServer for Peers {
+    async fn gossip(&self, question: Question) -> RpcResult<Answer> {
+        Ok(gossip::answer(&self.cx, question))
+    }
+
+    async fn document(&self, call: DocCall) -> RpcResult<Ack> {
+        Ok(propose::take_in(&self.cx, call))
+    }
+
+    async fn shard(&self, call: ShardCall) -> RpcResult<ShardAnswer> {
+        let Some(request) = request_of(call) else {
+            return Ok(ShardAnswer::Refused {
+                reason: "the task cannot be read".into(),
+            });
+        };
+        Ok(match self.cx.shards.ask(request).await {
+            Reply::Done => ShardAnswer::Done,
+            Reply::Refused(reason) => ShardAnswer::Refused { reason },
+            Reply::Elsewhere { .. } => ShardAnswer::NotOwner,
+            Reply::Unknown => ShardAnswer::Unknown,
+        })
+    }
+
+    async fn lend(&self, ask: Ask) -> RpcResult<Loan> {
+        Ok(self.cx.proxy.lend(&ask))
+    }
+}
+
+fn request_of(call: ShardCall) -> Option<Request> {
+    Some(match call {
+        ShardCall::Submit { shard, spec } => {
+            let spec: TaskSpec = serde_json::from_value(spec).ok()?;
+            Request::Submit {
+                shard: Some(shard),
+                spec,
+            }
+        }
+        ShardCall::Cancel { shard, task } => Request::Cancel { shard, task },
+        ShardCall::Rescan { shard } => Request::Rescan { shard },
+        ShardCall::WorkerLost { shard, worker } => Request::WorkerLost { shard, worker },
+    })
+}
--- a/crates/node/src/shards/calls.rs
+++ b/crates/node/src/shards/calls.rs
@@ -28,7 +28,11 @@
                 if here {
                     self.read_tasks(&shard, false);
                 }
-                let answer = if here { Reply::Done } else { self.elsewhere(&shard) };
+                let answer = if here {
+                    Reply::Done
+                } else {
+                    self.elsewhere(&shard)
+                };
                 let _ = reply.send(answer);
             }
             Request::WorkerLost { shard, worker } => {
@@ -37,12 +41,7 @@
         }
     }
 
-    fn submit(
-        &mut self,
-        shard: Option<ShardId>,
-        spec: TaskSpec,
-        reply: oneshot::Sender<Reply>,
-    ) {
+    fn submit(&mut self, shard: Option<ShardId>, spec: TaskSpec, reply: oneshot::Sender<Reply>) {
         let Some(shard) = shard.or_else(|| self.home(&spec)) else {
             let _ = reply.send(Reply::Refused("no shard is known yet".into()));
             return;
@@ -80,7 +79,10 @@
     }
 
     fn elsewhere(&self, shard: &ShardId) -> Reply {
-        Reply::Elsewhere { shard: shard.clone(), owner: self.owner_of(shard) }
+        Reply::Elsewhere {
+            shard: shard.clone(),
+            owner: self.owner_of(shard),
+        }
     }
 
     fn owner_of(&self, shard: &ShardId) -> Option<DaemonId> {
@@ -117,9 +119,14 @@
             }));
         }
         drop(view);
-        let known: model::Set<ShardId> =
-            candidates.iter().map(|candidate| candidate.shard.clone()).collect();
-        let unseen = self.views.iter().filter(|view| !known.contains(&view.shard));
+        let known: model::Set<ShardId> = candidates
+            .iter()
+            .map(|candidate| candidate.shard.clone())
+            .collect();
+        let unseen = self
+            .views
+            .iter()
+            .filter(|view| !known.contains(&view.shard));
         candidates.extend(unseen.map(|view| Candidate {
             shard: view.shard.clone(),
             place: view.place.clone(),
@@ -141,7 +148,9 @@
             return;
         };
         let links = self.cx.links.clone();
-        let call = ShardCall::Rescan { shard: shard.clone() };
+        let call = ShardCall::Rescan {
+            shard: shard.clone(),
+        };
         tokio::spawn(async move {
             let _ = links.shard(address, call).await;
         });
--- a/crates/node/src/shards/carry.rs
+++ b/crates/node/src/shards/carry.rs
@@ -44,7 +44,14 @@
             let op = txn.op.clone();
             let deadline = Instant::now() + COMMIT_TIMEOUT;
             let settled = settle(&cx.outside.table, txn, deadline).await;
-            let _ = tx.send(Input::Settled { shard, epoch, op, settled }).await;
+            let _ = tx
+                .send(Input::Settled {
+                    shard,
+                    epoch,
+                    op,
+                    settled,
+                })
+                .await;
         });
     }
 
@@ -59,9 +66,19 @@
             let sequence = message.sequence;
             let answer = match address {
                 Some(address) => (cx.outside.workers.send)(Addressed { address, message }).await,
-                None => Err(WorkerError::Call(CallError::Refused("the host list lacks it".into()))),
+                None => Err(WorkerError::Call(CallError::Refused(
+                    "the host list lacks it".into(),
+                ))),
             };
-            let _ = tx.send(Input::Answer { shard, epoch, worker, sequence, answer }).await;
+            let _ = tx
+                .send(Input::Answer {
+                    shard,
+                    epoch,
+                    worker,
+                    sequence,
+                    answer,
+                })
+                .await;
         });
     }
 }
--- a/crates/node/src/shards/claims.rs
+++ b/crates/node/src/shards/claims.rs
@@ -68,7 +68,11 @@
             let row = by_key.get(&key::shard(&shard)).cloned();
             self.drive(&shard, Event::ShardRow { row, sent }, now);
         }
-        self.views = self.racks().into_iter().map(|rack| view(rack, &mut by_key)).collect();
+        self.views = self
+            .racks()
+            .into_iter()
+            .map(|rack| view(rack, &mut by_key))
+            .collect();
         if !self.giving_back {
             self.claim(now);
         }
@@ -77,13 +81,19 @@
     /// The racks of the host list and where each stands.
     fn racks(&self) -> Vec<(ShardId, Place)> {
         let hosts = self.cx.hosts.borrow().clone();
-        let racks = hosts.workers.iter().map(|entry| (entry.rack.clone(), entry.place.clone()));
+        let racks = hosts
+            .workers
+            .iter()
+            .map(|entry| (entry.rack.clone(), entry.place.clone()));
         let racks: std::collections::BTreeMap<ShardId, Place> = racks.collect();
         racks.into_iter().collect()
     }
 
     fn claim(&mut self, now: Mono) {
-        let mut busy = self.running_shards().into_iter().collect::<model::Set<ShardId>>();
+        let mut busy = self
+            .running_shards()
+            .into_iter()
+            .collect::<model::Set<ShardId>>();
         busy.extend(self.claiming.iter().cloned());
         let decisions = {
             let view = self.cx.view();
@@ -107,7 +117,13 @@
             let deadline = Instant::now() + CLAIM_TIMEOUT;
             let settled = settle(&cx.outside.table, claim.txn, deadline).await;
             let committed = settled == Settled::Committed;
-            let _ = tx.send(Input::Claimed { claimed: claim.claimed, sent, committed }).await;
+            let _ = tx
+                .send(Input::Claimed {
+                    claimed: claim.claimed,
+                    sent,
+                    committed,
+                })
+                .await;
         });
     }
 
@@ -124,7 +140,13 @@
         let shard = claimed.shard.clone();
         log::info!(shard = shard.as_str(), epoch = claimed.epoch.0; "owns the shard");
         let owner = ShardOwner::new(claimed, Timing::default(), sent, now);
-        self.running.insert(shard.clone(), Running { owner, scanned_at: now });
+        self.running.insert(
+            shard.clone(),
+            Running {
+                owner,
+                scanned_at: now,
+            },
+        );
         self.list_workers(&shard, now);
         self.read_tasks(&shard, true);
     }
@@ -153,7 +175,14 @@
         let shard = shard.clone();
         tokio::spawn(async move {
             let rows = scan_all(&cx.outside.table, &key::tasks(&shard)).await.ok();
-            let _ = tx.send(Input::TaskRows { shard, epoch, rows, complete }).await;
+            let _ = tx
+                .send(Input::TaskRows {
+                    shard,
+                    epoch,
+                    rows,
+                    complete,
+                })
+                .await;
         });
     }
 
@@ -172,5 +201,10 @@
     let row = rows.remove(&key::shard(&shard));
     let version = row.as_ref().map_or(RowVersion(0), |row| row.version);
     let row: Option<ShardRow> = row.and_then(|row| serde_json::from_value(row.value).ok());
-    ShardView { shard, place, row, version }
+    ShardView {
+        shard,
+        place,
+        row,
+        version,
+    }
 }
--- a/crates/node/src/shards/driver.rs
+++ b/crates/node/src/shards/driver.rs
@@ -152,19 +152,47 @@
     fn take_in(&mut self, input: Input) {
         match input {
             Input::ShardRows { rows, sent } => self.shard_rows(rows, sent),
-            Input::Claimed { claimed, sent, committed } => self.claimed(claimed, sent, committed),
-            Input::TaskRows { shard, epoch, rows, complete } => {
+            Input::Claimed {
+                claimed,
+                sent,
+                committed,
+            } => self.claimed(claimed, sent, committed),
+            Input::TaskRows {
+                shard,
+                epoch,
+                rows,
+                complete,
+            } => {
                 let same = |running: &Running| running.owner.claimed().epoch == epoch;
                 if self.running.get(&shard).is_some_and(same) {
                     self.task_rows(&shard, rows, complete);
                 }
             }
-            Input::Settled { shard, epoch, op, settled } => {
+            Input::Settled {
+                shard,
+                epoch,
+                op,
+                settled,
+            } => {
                 self.drive_at(&shard, epoch, Event::Settled { op, settled });
             }
-            Input::Answer { shard, epoch, worker, sequence, answer } => {
+            Input::Answer {
+                shard,
+                epoch,
+                worker,
+                sequence,
+                answer,
+            } => {
                 self.worker_answered(&shard, &worker, &answer);
-                self.drive_at(&shard, epoch, Event::Answer { worker, sequence, answer });
+                self.drive_at(
+                    &shard,
+                    epoch,
+                    Event::Answer {
+                        worker,
+                        sequence,
+                        answer,
+                    },
+                );
             }
             Input::Asked { request, reply } => self.asked(request, reply),
             Input::GiveBack { done } => self.give_back(done),
@@ -187,7 +215,11 @@
                 continue;
             };
             let loaded = running.owner.is_loaded();
-            let due = if loaded { RESCAN_INTERVAL } else { READ_INTERVAL };
+            let due = if loaded {
+                RESCAN_INTERVAL
+            } else {
+                READ_INTERVAL
+            };
             if now.since(running.scanned_at) >= due {
                 self.read_tasks(&shard, !loaded);
             }
@@ -235,7 +267,11 @@
             let owner = view.row.as_ref().and_then(|row| row.owner.as_ref());
             let now = self.now();
             let hosts = self.cx.hosts.borrow();
-            let workers = hosts.workers.iter().filter(|entry| entry.rack == view.shard).count();
+            let workers = hosts
+                .workers
+                .iter()
+                .filter(|entry| entry.rack == view.shard)
+                .count();
             let here = running.is_some_and(|running| running.owner.may_act(now));
             ShardStatus {
                 shard: view.shard.clone(),
@@ -250,7 +286,11 @@
             shards: self.views.iter().map(status).collect(),
             store_reachable: self.store_reachable,
             sched: serde_json::to_value(self.sched.dump()).unwrap_or_default(),
-            recent: self.sched.recent().filter_map(|one| serde_json::to_value(one).ok()).collect(),
+            recent: self
+                .sched
+                .recent()
+                .filter_map(|one| serde_json::to_value(one).ok())
+                .collect(),
         }
     }
 }
--- a/crates/node/src/shards/facts.rs
+++ b/crates/node/src/shards/facts.rs
@@ -36,7 +36,10 @@
 
 /// What one round of decisions may set in motion; a round is 100 ms, and each start or eviction
 /// costs the store two or three transactions of a few rows.
-const BUDGET: Budget = Budget { starts: 6, evictions: 3 };
+const BUDGET: Budget = Budget {
+    starts: 6,
+    evictions: 3,
+};
 
 impl Driver {
     /// Takes in what an owner told.
@@ -53,7 +56,11 @@
             }
             Fact::Requeued { task, cause } => {
                 log::info!(task = task.as_str(), shard = shard.as_str(); "waits again: {cause}");
-                let end = if cause == Cause::Failed { End::Failed } else { End::Stopped };
+                let end = if cause == Cause::Failed {
+                    End::Failed
+                } else {
+                    End::Stopped
+                };
                 self.sched.ended(&task, end, now);
                 self.queued(shard, &task, now);
             }
@@ -81,8 +88,14 @@
         if let Some(planned) = self.planned.remove(task)
             && planned.shard == *shard
         {
-            let Planned { worker, reserved, .. } = planned;
-            let event = Event::Start { task: task.clone(), worker, reserved };
+            let Planned {
+                worker, reserved, ..
+            } = planned;
+            let event = Event::Start {
+                task: task.clone(),
+                worker,
+                reserved,
+            };
             return self.drive(shard, event, now);
         }
         let Some(row) = self.row(shard, task) else {
@@ -133,7 +146,10 @@
         let Some(running) = self.running.get(shard) else {
             return;
         };
-        let there = running.owner.tasks().filter(|row| row.worker() == Some(worker));
+        let there = running
+            .owner
+            .tasks()
+            .filter(|row| row.worker() == Some(worker));
         let tasks: Vec<TaskId> = there.map(|row| row.spec.task.clone()).collect();
         for task in tasks {
             self.drive(shard, Event::Evict(task), now);
@@ -157,21 +173,43 @@
     pub(super) fn decide(&mut self, now: Mono) {
         let budget = match self.store_reachable && !self.giving_back {
             true => BUDGET,
-            false => Budget { starts: 0, evictions: 0 },
+            false => Budget {
+                starts: 0,
+                evictions: 0,
+            },
         };
         for decision in self.sched.decide(now, budget) {
             match decision {
-                Decision::Start { task, worker, reserved, .. } => {
+                Decision::Start {
+                    task,
+                    worker,
+                    reserved,
+                    ..
+                } => {
                     self.start(&task, worker, reserved, now);
                 }
                 Decision::Throttle { task, permille, .. } => {
-                    self.drive_task(&task, Event::Throttle { task: task.clone(), permille }, now);
+                    self.drive_task(
+                        &task,
+                        Event::Throttle {
+                            task: task.clone(),
+                            permille,
+                        },
+                        now,
+                    );
                 }
                 Decision::Evict { task, .. } => {
                     self.drive_task(&task, Event::Evict(task.clone()), now);
                 }
                 Decision::HandOff { task, to_shard, .. } => {
-                    self.drive_task(&task, Event::HandOff { task: task.clone(), to: to_shard }, now);
+                    self.drive_task(
+                        &task,
+                        Event::HandOff {
+                            task: task.clone(),
+                            to: to_shard,
+                        },
+                        now,
+                    );
                 }
                 Decision::Unrunnable { task, reason } => {
                     log::warn!(task = task.as_str(); "cannot run: {reason}");
@@ -193,11 +231,25 @@
             return self.sched.abandoned(task, now);
         };
         if self.homes.get(task) == Some(&shard) {
-            let event = Event::Start { task: task.clone(), worker, reserved };
+            let event = Event::Start {
+                task: task.clone(),
+                worker,
+                reserved,
+            };
             return self.drive(&shard, event, now);
         }
-        let event = Event::HandOff { task: task.clone(), to: shard.clone() };
-        self.planned.insert(task.clone(), Planned { shard, worker, reserved });
+        let event = Event::HandOff {
+            task: task.clone(),
+            to: shard.clone(),
+        };
+        self.planned.insert(
+            task.clone(),
+            Planned {
+                shard,
+                worker,
+                reserved,
+            },
+        );
         self.drive_task(task, event, now);
     }
 
@@ -236,8 +288,10 @@
         let now = self.now();
         let owner = &running.owner;
         let open = |worker: &WorkerId| owner.free(worker, now) != Size::ZERO;
-        let workers: Vec<(WorkerId, bool)> =
-            owner.workers().map(|worker| (worker.clone(), open(worker))).collect();
+        let workers: Vec<(WorkerId, bool)> = owner
+            .workers()
+            .map(|worker| (worker.clone(), open(worker)))
+            .collect();
         for (worker, takes_tasks) in workers {
             self.offer_worker(&worker, takes_tasks);
         }
@@ -247,8 +301,11 @@
     pub(super) fn relist_workers(&mut self) {
         let hosts = self.cx.hosts.borrow().clone();
         let listed: model::Set<&WorkerId> = hosts.workers.iter().map(|entry| &entry.id).collect();
-        let known: Vec<WorkerId> =
-            self.running.values().flat_map(|running| running.owner.workers().cloned()).collect();
+        let known: Vec<WorkerId> = self
+            .running
+            .values()
+            .flat_map(|running| running.owner.workers().cloned())
+            .collect();
         for worker in known.iter().filter(|worker| !listed.contains(worker)) {
             self.sched.remove_worker(worker);
         }
@@ -266,7 +323,9 @@
             self.sched.cancelled(&row.spec.task);
             self.homes.remove(&row.spec.task);
             if let Some(replies) = self.asked.remove(&row.spec.task) {
-                replies.into_iter().for_each(|reply| drop(reply.send(Reply::Unknown)));
+                replies
+                    .into_iter()
+                    .for_each(|reply| drop(reply.send(Reply::Unknown)));
             }
         }
         for worker in running.owner.workers() {
@@ -287,13 +346,21 @@
         let own = self.cx.settings.daemon.clone();
         let summary = self.sched.summary(&own);
         let mut view = self.cx.view();
-        let crate::cx::View { members, gossip, .. } = &mut *view;
-        let peers: Vec<PeerSummary> =
-            gossip.summaries(members, now).map(|(daemon, told)| peer_facts(daemon, told)).collect();
+        let crate::cx::View {
+            members, gossip, ..
+        } = &mut *view;
+        let peers: Vec<PeerSummary> = gossip
+            .summaries(members, now)
+            .map(|(daemon, told)| peer_facts(daemon, told))
+            .collect();
         gossip.update(&own, |told| {
             told.capacity = summary.capacity;
             told.shards = summary.shards.into_iter().map(room).collect();
-            told.teams = summary.teams.into_iter().map(|(team, used)| TeamUse { team, used }).collect();
+            told.teams = summary
+                .teams
+                .into_iter()
+                .map(|(team, used)| TeamUse { team, used })
+                .collect();
         });
         drop(view);
         self.sched.set_peers(peers);
@@ -328,7 +395,10 @@
 }
 
 fn report_facts(report: &WorkerReport) -> ReportFacts {
-    let running = report.runs.iter().filter(|run| run.state == RunState::Running);
+    let running = report
+        .runs
+        .iter()
+        .filter(|run| run.state == RunState::Running);
     let facts = |run: &RunReport| RunFacts {
         task: run.task.clone(),
         usage: run.usage,
@@ -345,7 +415,12 @@
 }
 
 fn room(shard: PeerShard) -> ShardRoom {
-    ShardRoom { shard: shard.shard, place: shard.place, largest: shard.largest, free: shard.free }
+    ShardRoom {
+        shard: shard.shard,
+        place: shard.place,
+        largest: shard.largest,
+        free: shard.free,
+    }
 }
 
 fn peer_facts(daemon: &model::id::DaemonId, told: &peer::summary::Summary) -> PeerSummary {
@@ -357,7 +432,11 @@
     };
     PeerSummary {
         daemon: daemon.clone(),
-        teams: told.teams.iter().map(|one| (one.team.clone(), one.used)).collect(),
+        teams: told
+            .teams
+            .iter()
+            .map(|one| (one.team.clone(), one.used))
+            .collect(),
         capacity: told.capacity,
         shards: told.shards.iter().map(shard).collect(),
     }
--- a/crates/node/src/shards/home.rs
+++ b/crates/node/src/shards/home.rs
@@ -50,5 +50,8 @@
         );
         (suits, has_room, one.here, spread)
     };
-    candidates.iter().max_by_key(|one| rank(one)).map(|one| &one.shard)
+    candidates
+        .iter()
+        .max_by_key(|one| rank(one))
+        .map(|one| &one.shard)
 }
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -41,7 +41,10 @@
 impl Default for Shards {
     fn default() -> Self {
         let (tx, rx) = mpsc::channel(INBOX);
-        Self { tx, rx: Arc::new(Mutex::new(rx)) }
+        Self {
+            tx,
+            rx: Arc::new(Mutex::new(rx)),
+        }
     }
 }
 
@@ -60,7 +63,11 @@
     /// Asks something of a shard's owner here, and waits for what became of it.
     pub async fn ask(&self, request: Request) -> Reply {
         let (tx, rx) = oneshot::channel();
-        if self.tx.try_send(Input::Asked { request, reply: tx }).is_err() {
+        if self
+            .tx
+            .try_send(Input::Asked { request, reply: tx })
+            .is_err()
+        {
             return Reply::Refused("too many requests wait".into());
         }
         rx.await.unwrap_or(Reply::Unknown)
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -15,6 +15,8 @@
 use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::http_client::HttpClientBuilder;
 use model::Map;
+use route::slots::Ask;
+use route::slots::Loan;
 
 use crate::rpc::Answer;
 use crate::rpc::DocCall;
@@ -80,6 +82,16 @@
         self.bounded(to, SHARD_TIMEOUT, client.shard(call)).await
     }
 
+    /// Asks a peer to lend slots.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no answer came within [`GOSSIP_TIMEOUT`].
+    pub async fn lend(&self, to: SocketAddr, ask: Ask) -> Result<Loan, LinkError> {
+        let client = self.client(to)?;
+        self.bounded(to, GOSSIP_TIMEOUT, client.lend(ask)).await
+    }
+
     async fn bounded<T>(
         &self,
         to: SocketAddr,
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -8,6 +8,8 @@
 use model::id::RowVersion;
 use model::id::ShardId;
 use model::id::TaskId;
+use route::slots::Ask;
+use route::slots::Loan;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -119,4 +121,8 @@
     /// Hands on something for a shard.
     #[method(name = "shard")]
     async fn shard(&self, call: ShardCall) -> RpcResult<ShardAnswer>;
+
+    /// Lends slots of an upstream's executors.
+    #[method(name = "lend")]
+    async fn lend(&self, ask: Ask) -> RpcResult<Loan>;
 }
--- a/crates/peer/src/summary.rs
+++ b/crates/peer/src/summary.rs
@@ -1,8 +1,7 @@
-//! What a daemon tells the others about its load, so that they can lend, hand off and share.
+//! What a daemon tells the others about its load, so that they can hand off, share and hand over.
 
 use model::Size;
-use model::id::DaemonId;
-use model::id::ExecutorId;
+use model::id::DocVersion;
 use model::id::ShardId;
 use model::id::TeamId;
 use model::id::UpstreamId;
@@ -24,9 +23,6 @@
     /// What the tasks of each team hold on its shards.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub teams: Vec<TeamUse>,
-    /// Slots of executors that it does not need at present.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub loans: Vec<Loan>,
     /// Upstreams that it has stopped sending to, since another half owns them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub released: Vec<Released>,
@@ -54,24 +50,11 @@
     pub used: Size,
 }
 
-/// Slots of one executor that are lent to one daemon until the summary's loan time is over.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Loan {
-    /// The executor.
-    pub executor: ExecutorId,
-    /// Who may use them.
-    pub to: DaemonId,
-    /// How many.
-    pub slots: u16,
-}
-
 /// An upstream that is released, under the document that gave it away.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Released {
     /// The upstream.
     pub upstream: UpstreamId,
     /// The document that names another owner.
-    pub doc: model::id::DocVersion,
-    /// Requests that are still in progress.
-    pub in_flight: u32,
+    pub doc: DocVersion,
 }
--- a/crates/peer/tests/all/gossip.rs
+++ b/crates/peer/tests/all/gossip.rs
@@ -8,13 +8,17 @@
 use peer::gossip::ROUND;
 use peer::members::MEMBER_TIMEOUT;
 use peer::members::Members;
-use peer::summary::Loan;
+use peer::summary::Released;
 
 use crate::support::members;
 use crate::support::name;
 
 const SEED: u64 = 77;
 
+fn released() -> Released {
+    Released { upstream: "planning".into(), doc: DocVersion(2) }
+}
+
 struct Group {
     views: Vec<Members>,
     states: Vec<Gossip>,
@@ -116,19 +120,15 @@
 #[test]
 fn summaries_reach_all_and_are_not_sent_twice() {
     let mut group = Group::new(6);
-    let loan = Loan {
-        executor: "e".into(),
-        to: name(1),
-        slots: 2,
-    };
+    let told = released();
     (0..4).for_each(|_| group.round(|_, _| true));
-    group.states[0].update(&name(0), |told| told.loans = vec![loan]);
+    group.states[0].update(&name(0), |own| own.released = vec![told]);
     (0..8).for_each(|_| group.round(|_, _| true));
     for own in 1..6 {
         let known = group.states[own].summaries(&group.views[own], group.now);
         assert_eq!(
             known
-                .filter(|(daemon, known)| **daemon == name(0) && known.loans.len() == 1)
+                .filter(|(daemon, known)| **daemon == name(0) && known.released.len() == 1)
                 .count(),
             1
         );
@@ -148,17 +148,13 @@
     group.states[0].update(&name(0), |_| ());
     (0..4).for_each(|_| group.round(|_, _| true));
     let mut earlier = Gossip::new(Incarnation(1), SEED);
-    let loan = Loan {
-        executor: "e".into(),
-        to: name(1),
-        slots: 2,
-    };
-    earlier.update(&name(0), |told| told.loans = vec![loan]);
+    let told = released();
+    earlier.update(&name(0), |own| own.released = vec![told]);
     let late = earlier.compose(&group.views[0], &name(1), group.now);
     assert_eq!(late.summaries.len(), 1);
     group.states[1].merge(&mut group.views[1], late, group.now);
     let mut known = group.states[1].summaries(&group.views[1], group.now);
-    assert!(known.all(|(_, summary)| summary.loans.is_empty()));
+    assert!(known.all(|(_, summary)| summary.released.is_empty()));
 }
 
 #[test]
--- a/crates/peer/tests/all/links.rs
+++ b/crates/peer/tests/all/links.rs
@@ -19,6 +19,8 @@
 use peer::rpc::Question;
 use peer::rpc::ShardAnswer;
 use peer::rpc::ShardCall;
+use route::slots::Ask;
+use route::slots::Loan;
 use tokio::net::TcpListener;
 
 use crate::support::beat;
@@ -45,6 +47,10 @@
     async fn shard(&self, _: ShardCall) -> RpcResult<ShardAnswer> {
         Ok(ShardAnswer::NotOwner)
     }
+
+    async fn lend(&self, ask: Ask) -> RpcResult<Loan> {
+        Ok(Loan { lender: name(1), upstream: ask.upstream, lease_ms: 5, slots: ask.busy })
+    }
 }
 
 fn digest() -> Digest {
