--- /dev/null
+++ b/crates/plat/tests/all/client.rs
@@ -0,0 +1,258 @@
+//! What the shared client makes of answers that no library would send.
+
+use std::net::SocketAddr;
+
+use fake::table::FakeTable;
+use futures::future::join_all;
+use plat::client::Client;
+use plat::client::Endpoint;
+use plat::client::Post;
+use plat::table;
+use plat::table::TableError;
+use plat::table::http::READ_PATH;
+use plat::table::http::ReadRequest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::support::Concluded;
+use crate::support::Concluded::Answered;
+use crate::support::Concluded::Refused;
+use crate::support::Concluded::Unknown;
+use crate::support::LONG;
+use crate::support::LOOPBACK;
+use crate::support::MAX_BYTES;
+use crate::support::SHORT;
+use crate::support::client;
+use crate::support::concluded;
+
+/// How often a server writes its answer to one request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Then {
+    Closes,
+    Repeats,
+}
+
+/// Answers each request with the bytes that `answer` makes of it, and reports the requests.
+async fn raw(
+    answer: impl Fn(&str) -> String + Send + Clone + 'static,
+    then: Then,
+) -> (SocketAddr, UnboundedReceiver<String>) {
+    let listener = TcpListener::bind(LOOPBACK).await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let (tx, rx) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (answer, tx) = (answer.clone(), tx.clone());
+            tokio::spawn(async move {
+                while let Some(req) = request(&mut stream).await {
+                    let bytes = answer(&req);
+                    let _gone = tx.send(req);
+                    let copies = if then == Then::Repeats { 2 } else { 1 };
+                    if stream
+                        .write_all(bytes.repeat(copies).as_bytes())
+                        .await
+                        .is_err()
+                    {
+                        return;
+                    }
+                    if then == Then::Closes {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, rx)
+}
+
+/// Reads one request whose body ends with the brace that closes it.
+async fn request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = String::new();
+    let mut buf = [0; 1024];
+    while !(text.contains("\r\n\r\n") && text.ends_with('}')) {
+        let read = stream.read(&mut buf).await.ok().filter(|read| *read > 0)?;
+        text.push_str(&String::from_utf8_lossy(&buf[..read]));
+    }
+    Some(text)
+}
+
+fn header<'a>(req: &'a str, name: &str) -> &'a str {
+    let value = req.lines().find_map(|line| line.strip_prefix(name));
+    value.expect("the request has the header")
+}
+
+fn key(req: &str) -> ReadRequest {
+    let body = req
+        .split("\r\n\r\n")
+        .nth(1)
+        .expect("the request has a body");
+    serde_json::from_str(body).expect("the body is a read")
+}
+
+#[tokio::test]
+async fn an_answer_proves_no_more_than_the_contract_says() {
+    // `{id}` stands for the request's id.
+    let cases: Vec<(&str, &str, Concluded)> = vec![
+        (
+            "whole",
+            "200 OK|ff-request-id: {id}|content-length: 2||{}",
+            Answered,
+        ),
+        (
+            "chunked",
+            "200 OK|ff-request-id: {id}|transfer-encoding: chunked||2|{}|0||",
+            Answered,
+        ),
+        (
+            "refusal",
+            "503 Busy|ff-request-id: {id}|ff-refused: busy|content-length: 0||",
+            Refused,
+        ),
+        (
+            "bad request",
+            "400 Bad|ff-request-id: {id}|ff-refused: x|content-length: 0||",
+            Refused,
+        ),
+        ("somebody's 503", "503 Busy|content-length: 0||", Unknown),
+        (
+            "503 without reason",
+            "503 Busy|ff-request-id: {id}|content-length: 0||",
+            Unknown,
+        ),
+        (
+            "404 without reason",
+            "404 No|ff-request-id: {id}|content-length: 0||",
+            Unknown,
+        ),
+        (
+            "refusal of another",
+            "503 B|ff-request-id: x|ff-refused: b|content-length: 0||",
+            Unknown,
+        ),
+        (
+            "500 with reason",
+            "500 No|ff-request-id: {id}|ff-refused: x|content-length: 0||",
+            Unknown,
+        ),
+        ("no id", "200 OK|content-length: 2||{}", Unknown),
+        (
+            "id of another",
+            "200 OK|ff-request-id: test-7|content-length: 2||{}",
+            Unknown,
+        ),
+        (
+            "redirect",
+            "307 Go|ff-request-id: {id}|location: /x|content-length: 0||",
+            Unknown,
+        ),
+        ("not http", "hello|", Unknown),
+        ("nothing", "", Unknown),
+        (
+            "cut in the head",
+            "200 OK|ff-request-id: {id}|content-le",
+            Unknown,
+        ),
+        (
+            "cut in the body",
+            "200 OK|ff-request-id: {id}|content-length: 9||{}",
+            Unknown,
+        ),
+        (
+            "cut in a chunk",
+            "200 OK|ff-request-id: {id}|transfer-encoding: chunked||9|{}",
+            Unknown,
+        ),
+        (
+            "no last chunk",
+            "200 OK|ff-request-id: {id}|transfer-encoding: chunked||2|{}|",
+            Unknown,
+        ),
+        (
+            "garbage",
+            "200 OK|ff-request-id: {id}|content-length: 1||<",
+            Unknown,
+        ),
+    ];
+    for (name, text, expected) in cases {
+        let (outcome, sent) = post_to(text).await;
+        assert_eq!(outcome, expected, "{name}");
+        assert_eq!(sent, 1, "{name}");
+    }
+}
+
+/// Sends one request to a server that answers with `text`; returns what is concluded and how often
+/// it was sent.
+async fn post_to(text: &str) -> (Concluded, usize) {
+    let template = text.replace('|', "\r\n");
+    let answer = move |req: &str| {
+        let id = header(req, "ff-request-id: ");
+        let line = if template.starts_with(char::is_numeric) {
+            "HTTP/1.1 "
+        } else {
+            ""
+        };
+        format!("{line}{}", template.replace("{id}", id))
+    };
+    let (address, mut requests) = raw(answer, Then::Closes).await;
+    let to = Endpoint::new(address, LONG, MAX_BYTES);
+    let body = serde_json::json!({});
+    let answer = client().post(&to, Post::new("/v1/any", &body)).await;
+    let outcome = answer.and_then(|answer| match answer.is_ok() {
+        true => answer.json::<serde_json::Value>(),
+        false => Err(answer.failure()),
+    });
+    let mut sent = 0;
+    while requests.try_recv().is_ok() {
+        sent += 1;
+    }
+    (concluded(&outcome), sent)
+}
+
+#[tokio::test]
+async fn an_answer_that_comes_twice_is_never_taken_for_that_to_the_next_request() {
+    let answer = |req: &str| {
+        let id = header(req, "ff-request-id: ");
+        let row = serde_json::json!({ "row": {
+            "key": key(req).key, "value": id, "version": 1, "op": "op",
+        }});
+        let body = row.to_string();
+        let length = body.len();
+        format!("HTTP/1.1 200 OK\r\nff-request-id: {id}\r\ncontent-length: {length}\r\n\r\n{body}")
+    };
+    let (address, _requests) = raw(answer, Then::Repeats).await;
+    let table = table::http(&client(), Endpoint::new(address, LONG, MAX_BYTES));
+    let mut answered = 0;
+    for number in 0..50 {
+        let asked = format!("row-{number}");
+        match (table.read)(asked.clone()).await {
+            Ok(row) => {
+                assert_eq!(row.map(|row| row.key), Some(asked));
+                answered += 1;
+            }
+            Err(TableError::Call(_)) => {}
+            Err(conflict) => panic!("{conflict}"),
+        }
+    }
+    assert!(answered > 0, "no answer of {READ_PATH} was taken at all");
+}
+
+#[tokio::test]
+async fn one_call_at_most_is_lost_when_all_open_connections_go_silent() {
+    let fake = FakeTable::new();
+    let server = fake.serve(LOOPBACK).await.expect("a port is free");
+    let client = Client::to_service("test").expect("the HTTP client is made");
+    let long = table::http(&client, Endpoint::new(server.address(), LONG, MAX_BYTES));
+    let short = table::http(&client, Endpoint::new(server.address(), SHORT, MAX_BYTES));
+    let warm = join_all((0..6).map(|number| (long.read)(format!("row-{number}")))).await;
+    assert!(warm.iter().all(Result::is_ok));
+    let opened = fake.faults().connections();
+    assert!(opened > 1, "the calls ran at once on {opened} connections");
+    fake.faults().silence_open_connections();
+    assert!((short.read)("row".to_owned()).await.is_err());
+    assert_eq!((long.read)("row".to_owned()).await, Ok(None));
+    assert!(fake.faults().connections() > opened);
+}
--- /dev/null
+++ b/crates/plat/tests/all/pace.rs
@@ -0,0 +1,133 @@
+use std::time::Duration;
+
+use fake::table::FakeTable;
+use futures::future::join_all;
+use model::Mono;
+use plat::error::CallError;
+use plat::pace;
+use plat::pace::Bucket;
+use plat::pace::Limits;
+use plat::pace::Urgency;
+use plat::table::Table;
+use plat::table::TableError;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use tokio::time::Instant;
+use tokio::time::advance;
+
+use crate::support::txn;
+
+const SEED: u64 = 20_261_203;
+const GEN_SIZE: usize = 200;
+const RATE: u32 = 20;
+const BURST: u32 = 40;
+const RESERVE: u32 = 10;
+
+#[test]
+fn no_sequence_of_calls_exceeds_the_rate_and_waits_are_long_enough() {
+    fn property(calls: Vec<(u8, u8, bool)>) -> bool {
+        let mut bucket = Bucket::new(RATE, BURST, RESERVE, Mono::ZERO);
+        let mut now = Mono::ZERO;
+        let mut taken_milli = 0;
+        for (pause_ms, units, urgent) in calls {
+            now = now.after(Duration::from_millis(u64::from(pause_ms)));
+            let urgency = if urgent {
+                Urgency::Urgent
+            } else {
+                Urgency::Ordinary
+            };
+            // Within what the bucket gives in one piece, so that nothing is cut down.
+            let units = u32::from(units) % (BURST - RESERVE);
+            if let Err(wait) = bucket.clone().take(units, urgency, now) {
+                now = now.after(wait);
+            }
+            if bucket.take(units, urgency, now).is_err() {
+                return false;
+            }
+            taken_milli += u64::from(units) * 1000;
+            if taken_milli > u64::from(BURST) * 1000 + now.0 * u64::from(RATE) {
+                return false;
+            }
+        }
+        true
+    }
+    println!("seed {SEED}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(GEN_SIZE, SEED))
+        .quickcheck(property as fn(Vec<(u8, u8, bool)>) -> bool);
+}
+
+#[test]
+fn ordinary_work_leaves_the_reserve_and_a_clock_that_stands_still_gives_nothing() {
+    let mut bucket = Bucket::new(RATE, BURST, RESERVE, Mono(1000));
+    let ordinary = BURST - RESERVE;
+    assert_eq!(bucket.take(ordinary, Urgency::Ordinary, Mono(1000)), Ok(()));
+    let one_unit = Duration::from_millis(1000 / u64::from(RATE));
+    assert_eq!(bucket.take(1, Urgency::Ordinary, Mono(1000)), Err(one_unit));
+    assert_eq!(bucket.take(RESERVE, Urgency::Urgent, Mono(0)), Ok(()));
+    assert_eq!(bucket.take(1, Urgency::Urgent, Mono(1000)), Err(one_unit));
+    assert_eq!(bucket.take(1, Urgency::Urgent, Mono(1050)), Ok(()));
+}
+
+fn paced(fake: &FakeTable) -> Table {
+    let limits = Limits {
+        writes_per_s: 10,
+        reads_per_s: 10,
+        burst_s: 1,
+        reserve_percent: 20,
+        max_wait: Duration::from_secs(5),
+        urgent_prefixes: vec!["member/".to_owned()],
+    };
+    pace::table(fake.direct(), limits)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_backlog_is_written_at_the_rate_and_what_waits_too_long_is_refused_unsent() {
+    let fake = FakeTable::new();
+    let table = paced(&fake);
+    let keys: Vec<_> = (0..200).map(|number| format!("task/a/{number}")).collect();
+    let writes = keys.iter().map(|key| (table.commit)(txn(key, key, 0)));
+    let begun = Instant::now();
+    let outcomes = join_all(writes).await;
+    assert!(begun.elapsed() <= Duration::from_secs(5));
+    let written = outcomes.iter().filter(|outcome| outcome.is_ok()).count();
+    // The burst without its reserve, then five seconds at the rate.
+    assert_eq!(written, 8 + 50);
+    assert_eq!(fake.rows().commits(), 58);
+    let refused =
+        |outcome: &Result<_, _>| matches!(outcome, Err(TableError::Call(CallError::Refused(_))));
+    assert_eq!(
+        outcomes.iter().filter(|outcome| refused(outcome)).count(),
+        142
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_heartbeat_does_not_wait_behind_a_backlog() {
+    let fake = FakeTable::new();
+    let table = paced(&fake);
+    for number in 0..100 {
+        let key = format!("task/a/{number}");
+        tokio::spawn((table.commit)(txn(&key, &key, 0)));
+        tokio::spawn((table.read)(key));
+    }
+    advance(Duration::from_secs(2)).await;
+    let begun = Instant::now();
+    assert!(
+        (table.commit)(txn("op-1", "member/daemon-1", 0))
+            .await
+            .is_ok()
+    );
+    assert!((table.read)("member/daemon-2".to_owned()).await.is_ok());
+    assert_eq!(begun.elapsed(), Duration::ZERO);
+}
+
+#[test]
+fn the_shares_of_all_daemons_stay_within_what_the_platform_carries() {
+    for daemons in [1, 6, 9, 40] {
+        let share = Limits::share(daemons);
+        assert!(share.writes_per_s * daemons <= Limits::TOTAL_WRITES_PER_S);
+        assert!(share.reads_per_s * daemons <= Limits::TOTAL_READS_PER_S);
+        assert!(share.writes_per_s > 0 && share.reads_per_s > 0);
+    }
+}
--- /dev/null
+++ b/crates/plat/tests/all/scan.rs
@@ -0,0 +1,66 @@
+use fake::table::FakeTable;
+use model::id::OpId;
+use model::id::RowVersion;
+use plat::call::call;
+use plat::error::CallError;
+use plat::table;
+use plat::table::MAX_SCAN_ROWS;
+use plat::table::Row;
+use plat::table::Scan;
+use plat::table::Table;
+use plat::table::TableError;
+use plat::table::scan_all;
+
+use crate::support::LOOPBACK;
+use crate::support::client;
+use crate::support::endpoint;
+
+const BELOW: usize = 2 * MAX_SCAN_ROWS + 1;
+
+#[tokio::test]
+async fn a_scan_pages_through_all_rows_below_the_prefix_and_no_others() {
+    let fake = FakeTable::new();
+    for number in 0..BELOW {
+        fake.put(&format!("task/a/{number:06}"), number.into());
+    }
+    for key in ["task/", "task/a", "task/b/1", "task0"] {
+        fake.put(key, "other".into());
+    }
+    let server = fake.serve(LOOPBACK).await.expect("a port is free");
+    let table = table::http(
+        &client(),
+        endpoint(server.address(), None).max_answer_bytes(1 << 20),
+    );
+    let rows = scan_all(&table, "task/a/").await.expect("no fault is set");
+    let numbers: Vec<_> = rows.iter().filter_map(|row| row.value.as_u64()).collect();
+    assert_eq!(numbers, (0..BELOW as u64).collect::<Vec<_>>());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_page_that_was_not_asked_for_is_not_taken() {
+    let row = |key: &str| Row {
+        key: key.to_owned(),
+        value: key.into(),
+        version: RowVersion(1),
+        op: OpId::from("op"),
+    };
+    // Each would end in a loop, or in rows that are doubled or of somebody else.
+    let pages = [
+        ("the same page again and again", vec![row("a/1")]),
+        ("out of order", vec![row("a/2"), row("a/1")]),
+        ("below another prefix", vec![row("b/1")]),
+        ("a row twice", vec![row("a/1"), row("a/1")]),
+    ];
+    for (name, page) in pages {
+        let table = Table {
+            scan: call(move |_: Scan| {
+                let page = page.clone();
+                async move { Ok(page) }
+            }),
+            ..FakeTable::new().direct()
+        };
+        let scanned = scan_all(&table, "a/").await;
+        let unknown = matches!(scanned, Err(TableError::Call(CallError::Unknown(_))));
+        assert!(unknown, "{name}");
+    }
+}
--- /dev/null
+++ b/crates/plat/tests/all/support.rs
@@ -0,0 +1,116 @@
+//! What the tests of several interfaces share.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fake::faults::Fault;
+use model::id::OpId;
+use model::id::RowVersion;
+use plat::client::Client;
+use plat::client::Endpoint;
+use plat::error::CallError;
+use plat::table::Check;
+use plat::table::Txn;
+use plat::table::Write;
+use serde_json::Value;
+use serde_json::json;
+
+/// Longer than any call of a test takes.
+pub(crate) const LONG: Duration = Duration::from_secs(60);
+/// The deadline of calls that are never answered.
+pub(crate) const SHORT: Duration = Duration::from_millis(500);
+/// The largest answer that the tests read.
+pub(crate) const MAX_BYTES: usize = 64 << 10;
+
+/// Any free port of this host.
+pub(crate) const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// What a call may conclude.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Concluded {
+    Answered,
+    Refused,
+    Unknown,
+}
+
+/// Every fault of a call: what it may conclude and how often it was carried out.
+pub(crate) fn fault_cases() -> Vec<(Option<Fault>, Concluded, u32)> {
+    use Concluded::Answered;
+    use Concluded::Refused;
+    use Concluded::Unknown;
+    vec![
+        (None, Answered, 1),
+        (Some(Fault::Slow(Duration::from_millis(1))), Answered, 1),
+        (Some(Fault::Slow(LONG * 2)), Unknown, 1),
+        (Some(Fault::Refused), Refused, 0),
+        (Some(Fault::LostBefore), Unknown, 0),
+        (Some(Fault::LostAfter), Unknown, 1),
+        (Some(Fault::WrongId), Unknown, 1),
+        (Some(Fault::OutOfOrder), Unknown, 1),
+        (Some(Fault::CutShort), Unknown, 1),
+        (Some(Fault::CutAfterHead), Unknown, 1),
+        (Some(Fault::Silent), Unknown, 0),
+        (Some(Fault::Oversized(MAX_BYTES + 1)), Unknown, 1),
+        (Some(Fault::Garbage), Unknown, 1),
+        (Some(Fault::Failure), Unknown, 1),
+        (
+            Some(Fault::Redirect("/v1/elsewhere".to_owned())),
+            Unknown,
+            0,
+        ),
+    ]
+}
+
+/// Returns an endpoint whose deadline passes only where the fault keeps the answer back for good.
+pub(crate) fn endpoint(address: SocketAddr, fault: Option<&Fault>) -> Endpoint {
+    let deadline = match fault {
+        Some(Fault::Silent) => SHORT,
+        Some(Fault::Slow(by)) if *by > LONG => SHORT,
+        _ => LONG,
+    };
+    Endpoint::new(address, deadline, MAX_BYTES)
+}
+
+pub(crate) fn client() -> Client {
+    Client::to_service("test").expect("the HTTP client is made")
+}
+
+pub(crate) fn concluded<T>(answer: &Result<T, CallError>) -> Concluded {
+    match answer {
+        Ok(_) => Concluded::Answered,
+        Err(CallError::Refused(_)) => Concluded::Refused,
+        Err(CallError::Unknown(_)) => Concluded::Unknown,
+    }
+}
+
+pub(crate) fn check(key: &str, version: u64) -> Check {
+    Check {
+        key: key.to_owned(),
+        version: RowVersion(version),
+    }
+}
+
+pub(crate) fn write(key: &str, value: Value) -> Write {
+    Write {
+        key: key.to_owned(),
+        value: Some(value),
+    }
+}
+
+pub(crate) fn delete(key: &str) -> Write {
+    Write {
+        key: key.to_owned(),
+        value: None,
+    }
+}
+
+/// A transaction that writes `key` if it has `version`.
+pub(crate) fn txn(op: &str, key: &str, version: u64) -> Txn {
+    Txn {
+        op: OpId::from(op),
+        checks: vec![check(key, version)],
+        writes: vec![write(key, json!(op))],
+    }
+}
--- /dev/null
+++ b/crates/plat/tests/all/table.rs
@@ -0,0 +1,126 @@
+use fake::faults::Fault;
+use fake::table::FakeTable;
+use model::id::RowVersion;
+use plat::error::CallError;
+use plat::table;
+use plat::table::Table;
+use plat::table::TableError;
+
+use crate::support::Concluded;
+use crate::support::LOOPBACK;
+use crate::support::check;
+use crate::support::client;
+use crate::support::concluded;
+use crate::support::delete;
+use crate::support::endpoint;
+use crate::support::fault_cases;
+use crate::support::txn;
+use crate::support::write;
+
+fn call_error<T>(answer: Result<T, TableError>) -> Result<T, CallError> {
+    answer.map_err(|error| match error {
+        TableError::Call(error) => error,
+        TableError::Conflict { .. } => panic!("conflict where there is none"),
+    })
+}
+
+async fn commit_under(fault: Option<&Fault>, fake: &FakeTable, table: &Table) -> Concluded {
+    let warm_up = (table.read)("other".to_owned()).await;
+    assert_eq!(warm_up, Ok(None));
+    if let Some(fault) = fault {
+        fake.faults().next(fault.clone(), 1);
+    }
+    concluded(&call_error((table.commit)(txn("op-1", "row", 0)).await))
+}
+
+#[tokio::test]
+async fn a_commit_over_the_wire_concludes_no_more_than_each_fault_allows() {
+    for (fault, expected, carried_out) in fault_cases() {
+        let fake = FakeTable::new();
+        let server = fake.serve(LOOPBACK).await.expect("a port is free");
+        let to = endpoint(server.address(), fault.as_ref());
+        // The connection is warmed up under a deadline that cannot pass.
+        let calm = endpoint(server.address(), None);
+        let client = client();
+        let table = Table {
+            read: table::http(&client, calm).read,
+            ..table::http(&client, to)
+        };
+        let outcome = commit_under(fault.as_ref(), &fake, &table).await;
+        assert_eq!(outcome, expected, "{fault:?}");
+        assert_eq!(fake.rows().commits(), u64::from(carried_out), "{fault:?}");
+        assert_eq!(fake.faults().calls(), 2, "sent once under {fault:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_without_a_socket_concludes_the_same_as_over_the_wire() {
+    for (fault, expected, carried_out) in fault_cases() {
+        let fake = FakeTable::new();
+        let outcome = commit_under(fault.as_ref(), &fake, &fake.direct()).await;
+        assert_eq!(outcome, expected, "{fault:?}");
+        assert_eq!(fake.rows().commits(), u64::from(carried_out), "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_table_that_is_not_there_refuses() {
+    let fake = FakeTable::new();
+    let server = fake.serve(LOOPBACK).await.expect("a port is free");
+    let table = table::http(&client(), endpoint(server.address(), None));
+    server.stop().await;
+    let outcome = call_error((table.commit)(txn("op-1", "row", 0)).await);
+    assert_eq!(concluded(&outcome), Concluded::Refused);
+}
+
+#[tokio::test]
+async fn a_commit_delivered_twice_is_carried_out_once_and_reports_the_conflict() {
+    let fake = FakeTable::new();
+    let server = fake.serve(LOOPBACK).await.expect("a port is free");
+    let table = table::http(&client(), endpoint(server.address(), None));
+    fake.faults().next(Fault::Twice, 1);
+    let conflict = TableError::Conflict {
+        key: "row".to_owned(),
+        actual: RowVersion(1),
+    };
+    assert_eq!((table.commit)(txn("op-1", "row", 0)).await, Err(conflict));
+    assert_eq!(fake.rows().commits(), 1);
+}
+
+#[tokio::test]
+async fn a_conflict_names_the_first_row_that_fails_and_nothing_is_written() {
+    let fake = FakeTable::new();
+    fake.put("b", "other".into());
+    fake.put("c", "other".into());
+    let server = fake.serve(LOOPBACK).await.expect("a port is free");
+    let table = table::http(&client(), endpoint(server.address(), None));
+    let mut several = txn("op-1", "a", 0);
+    several.checks.extend([check("b", 7), check("c", 9)]);
+    several.writes.push(write("b", "ours".into()));
+    let conflict = TableError::Conflict {
+        key: "b".to_owned(),
+        actual: RowVersion(1),
+    };
+    assert_eq!((table.commit)(several).await, Err(conflict));
+    assert_eq!((table.read)("a".to_owned()).await, Ok(None));
+    let untouched = fake.rows().row("b").expect("the row is there");
+    assert_eq!(untouched.value, "other");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_row_deleted_and_written_again_goes_on_counting() {
+    let table = FakeTable::new().direct();
+    assert_eq!(
+        (table.commit)(txn("op-1", "row", 0)).await,
+        Ok(vec![RowVersion(1)])
+    );
+    let mut gone = txn("op-2", "row", 1);
+    gone.writes = vec![delete("row")];
+    assert_eq!((table.commit)(gone).await, Ok(vec![RowVersion(0)]));
+    assert_eq!(
+        (table.commit)(txn("op-3", "row", 0)).await,
+        Ok(vec![RowVersion(3)])
+    );
+    let late = (table.commit)(txn("op-4", "row", 1)).await;
+    assert!(matches!(late, Err(TableError::Conflict { .. })));
+}
