test(fake): the stand-ins keep to the contracts; leases after a slow first report

A message that follows no known report fetched one first, and the lease was then counted from that report, which is younger than the call: the worker could hold on for the length of a call longer than its sender counted with. The lease granted after such a report is now shorter by the time taken. A message refused as stale is sent once more after a new report.

--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -15,6 +15,7 @@
 use plat::error::CallError;
 use plat::worker::DEADLINE;
 use plat::worker::Following;
+use plat::worker::STALE;
 use plat::worker::WorkerError;
 use plat::worker::WorkerMessage;
 use plat::worker::WorkerReport;
@@ -52,9 +53,6 @@
 pub use self::program::Programs;
 pub use self::program::RunView;
 
-/// Why an agent refuses a message that follows no report that it knows.
-const STALE: &str = "stale";
-
 struct Shared {
     id: WorkerId,
     agent: Mutex<Agent>,
--- /dev/null
+++ b/crates/fake/tests/all/executor.rs
@@ -0,0 +1,167 @@
+//! Executors over the real wire, read byte by byte.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fake::executor::BUSY;
+use fake::executor::FakeExecutor;
+use fake::executor::LEAVING;
+use fake::executor::RunLedger;
+use fake::faults::Fault;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+
+/// How an answer with 8 bytes of filler ends.
+const WHOLE: &str = r#""filler":"xxxxxxxx"}"#;
+const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+async fn send(address: SocketAddr, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address)
+        .await
+        .expect("the executor is there");
+    let req = format!(
+        "POST /plan/visit?day=1 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         ff-request-id: {id}\r\ncontent-length: 3\r\n\r\nabc"
+    );
+    stream
+        .write_all(req.as_bytes())
+        .await
+        .expect("the request is sent");
+    stream
+}
+
+async fn receive(mut stream: TcpStream) -> String {
+    let mut text = Vec::new();
+    let _broken_off = stream.read_to_end(&mut text).await;
+    String::from_utf8(text).expect("answers are text")
+}
+
+async fn exchange(address: SocketAddr, id: &str) -> String {
+    receive(send(address, id).await).await
+}
+
+/// Waits until `so` holds; a test that waits for ever has failed.
+async fn until(so: impl Fn() -> bool) {
+    while !so() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[tokio::test]
+async fn each_fault_shows_on_the_wire_and_in_the_ledger() {
+    // The fault, what the answer holds, what it lacks, and how often the request ran.
+    let cases: Vec<(Option<Fault>, &[&str], &str, usize)> = vec![
+        (
+            None,
+            &[
+                "200 OK",
+                "ff-request-id: id-1",
+                "/plan/visit?day=1",
+                "\"received\":3",
+                WHOLE,
+            ],
+            "\0",
+            1,
+        ),
+        (Some(Fault::LostBefore), &[], "HTTP", 0),
+        (Some(Fault::LostAfter), &[], "HTTP", 1),
+        (Some(Fault::Down), &[], "HTTP", 0),
+        (Some(Fault::CutShort), &["200 OK", "\"executor\""], WHOLE, 1),
+        (Some(Fault::CutAfterHead), &["200 OK"], "\"executor\"", 1),
+        (
+            Some(Fault::WrongId),
+            &["200 OK", WHOLE],
+            "ff-request-id: id-1",
+            1,
+        ),
+        (Some(Fault::Refused), &["503 ", "ff-refused: "], "200 OK", 0),
+        (
+            Some(Fault::Failure),
+            &["500 ", "ff-request-id: id-1"],
+            "ff-refused",
+            1,
+        ),
+        (Some(Fault::Twice), &["200 OK", WHOLE], "\0", 2),
+        (
+            Some(Fault::Redirect("http://x/".to_owned())),
+            &["307 ", "location: http://x/"],
+            WHOLE,
+            0,
+        ),
+    ];
+    for (fault, holds, lacks, runs) in cases {
+        let ledger = RunLedger::new();
+        let executor = FakeExecutor::new("executor-1", 8, &ledger);
+        executor.set_filler(8);
+        if let Some(fault) = &fault {
+            executor.faults().next(fault.clone(), 1);
+        }
+        let server = executor.serve(LOOPBACK).await.expect("a port is free");
+        let text = exchange(server.address(), "id-1").await;
+        for part in holds {
+            assert!(text.contains(part), "{fault:?}: no {part} in {text}");
+        }
+        assert!(!text.contains(lacks), "{fault:?}: {lacks} in {text}");
+        assert_eq!(ledger.runs("id-1"), runs, "{fault:?}");
+        assert_eq!(ledger.doubled().len(), usize::from(runs > 1), "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_request_beyond_the_slots_is_refused_and_certainly_not_run() {
+    let ledger = RunLedger::new();
+    let executor = FakeExecutor::new("executor-1", 1, &ledger);
+    executor.set_delay(|_| Duration::from_secs(3600));
+    let server = executor.serve(LOOPBACK).await.expect("a port is free");
+    let _running = send(server.address(), "id-1").await;
+    until(|| executor.running() == 1).await;
+    let text = exchange(server.address(), "id-2").await;
+    assert!(
+        text.contains("503 ") && text.contains(&format!("ff-refused: {BUSY}")),
+        "{text}"
+    );
+    assert_eq!((ledger.runs("id-1"), ledger.runs("id-2")), (1, 0));
+    assert_eq!(executor.peak(), 1);
+}
+
+#[tokio::test]
+async fn a_leaving_executor_refuses_new_requests_and_finishes_those_in_progress() {
+    let ledger = RunLedger::new();
+    let executor = FakeExecutor::new("executor-1", 8, &ledger);
+    executor.set_delay(|_| Duration::from_millis(20));
+    let server = executor.serve(LOOPBACK).await.expect("a port is free");
+    let running = send(server.address(), "id-1").await;
+    until(|| executor.running() == 1).await;
+    executor.set_leaving(true);
+    let refused = exchange(server.address(), "id-2").await;
+    assert!(
+        refused.contains(&format!("ff-refused: {LEAVING}")),
+        "{refused}"
+    );
+    let answered = receive(running).await;
+    assert!(answered.contains("200 OK"), "{answered}");
+    assert_eq!(ledger.runs("id-2"), 0);
+}
+
+#[tokio::test]
+async fn a_run_goes_on_and_holds_its_slot_when_the_caller_has_gone() {
+    let ledger = RunLedger::new();
+    let executor = FakeExecutor::new("executor-1", 1, &ledger);
+    let (gate, waits) = (Arc::new(Semaphore::new(0)), Duration::from_millis(20));
+    let begun = gate.clone();
+    executor.set_delay(move |_| {
+        begun.add_permits(1);
+        waits
+    });
+    let server = executor.serve(LOOPBACK).await.expect("a port is free");
+    let caller = send(server.address(), "id-1").await;
+    let _begun = gate.acquire().await.expect("the gate is open");
+    drop(caller);
+    until(|| ledger.finished("id-1") == 1).await;
+    assert_eq!(ledger.runs("id-1"), 1);
+}
--- /dev/null
+++ b/crates/fake/tests/all/support.rs
@@ -0,0 +1,154 @@
+//! One or two workers on the paused clock.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fake::object::FakeObjects;
+use fake::worker::AgentConfig;
+use fake::worker::FakeWorker;
+use fake::worker::FakeWorkers;
+use fake::worker::Interference;
+use fake::worker::Ledger;
+use fake::worker::Program;
+use model::Clock;
+use model::Size;
+use model::id::Attempt;
+use model::id::CheckpointId;
+use model::id::ClassId;
+use model::id::Epoch;
+use model::id::TaskId;
+use plat::worker::Addressed;
+use plat::worker::Command;
+use plat::worker::RunReport;
+use plat::worker::RunState;
+use plat::worker::WorkerError;
+use plat::worker::WorkerMessage;
+use plat::worker::WorkerReport;
+use plat::worker::Workers;
+
+pub(crate) const LEASE: Duration = Duration::from_secs(15);
+pub(crate) const SIZE: Size = Size::new(1000, 1000, 0);
+pub(crate) const LAG: Duration = Duration::from_secs(4);
+pub(crate) const TASK: &str = "task-1";
+
+/// Workers with room for two tasks, and one daemon's calls to them.
+pub(crate) struct Bench {
+    pub(crate) ledger: Ledger,
+    pub(crate) objects: FakeObjects,
+    pub(crate) fakes: FakeWorkers,
+    pub(crate) workers: Workers,
+}
+
+impl Bench {
+    pub(crate) fn new(program: Program) -> Self {
+        Self::with(program, None)
+    }
+
+    pub(crate) fn with(program: Program, interference: Option<Interference>) -> Self {
+        let ledger = Ledger::new(Clock::start());
+        let objects = FakeObjects::new();
+        let fakes = FakeWorkers::new();
+        let cfg = AgentConfig {
+            capacity: SIZE + SIZE,
+            lag: LAG,
+            programs: Arc::new(move |_| program.clone()),
+            interference,
+        };
+        for number in [1, 2] {
+            let name = format!("worker-{number}");
+            let worker = FakeWorker::new(name, cfg.clone(), &ledger, &objects);
+            fakes.add(address(number), worker);
+        }
+        let workers = fakes.direct();
+        Self {
+            ledger,
+            objects,
+            fakes,
+            workers,
+        }
+    }
+
+    pub(crate) fn worker(&self, number: u16) -> FakeWorker {
+        self.fakes
+            .get(address(number))
+            .expect("the worker is there")
+    }
+
+    /// Sends commands under epoch 1 and grants a lease.
+    pub(crate) async fn send(
+        &self,
+        number: u16,
+        commands: Vec<Command>,
+    ) -> Result<WorkerReport, WorkerError> {
+        self.send_under(1, number, commands).await
+    }
+
+    pub(crate) async fn send_under(
+        &self,
+        epoch: u64,
+        number: u16,
+        commands: Vec<Command>,
+    ) -> Result<WorkerReport, WorkerError> {
+        let message = WorkerMessage {
+            epoch: Epoch(epoch),
+            lease_ms: model::time::millis(LEASE),
+            commands,
+        };
+        let address = address(number);
+        (self.workers.send)(Addressed { address, message }).await
+    }
+
+    /// Sends commands to worker 1 and returns what it reports of its first task.
+    pub(crate) async fn first(&self, commands: Vec<Command>) -> RunReport {
+        let report = self.send(1, commands).await.expect("no fault is set");
+        report.runs.first().cloned().expect("a task is listed")
+    }
+
+    pub(crate) async fn state(&self) -> RunState {
+        self.first(Vec::new()).await.state
+    }
+}
+
+pub(crate) const fn address(number: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), number)
+}
+
+pub(crate) fn start(task: &str, attempt: u32) -> Command {
+    start_from(task, attempt, None)
+}
+
+pub(crate) fn start_from(task: &str, attempt: u32, checkpoint: Option<CheckpointId>) -> Command {
+    Command::Start {
+        task: TaskId::from(task),
+        attempt: Attempt(attempt),
+        class: ClassId::from("ice-jam"),
+        size: SIZE,
+        checkpoint,
+    }
+}
+
+pub(crate) fn stop(attempt: u32, checkpoint: bool) -> Command {
+    Command::Stop {
+        task: TaskId::from(TASK),
+        attempt: Attempt(attempt),
+        checkpoint,
+    }
+}
+
+pub(crate) fn throttle(permille: u16) -> Command {
+    Command::Throttle {
+        task: TaskId::from(TASK),
+        attempt: Attempt(1),
+        permille,
+    }
+}
+
+pub(crate) fn release(attempt: u32) -> Command {
+    Command::Release {
+        task: TaskId::from(TASK),
+        attempt: Attempt(attempt),
+    }
+}
--- a/crates/plat/src/worker.rs
+++ b/crates/plat/src/worker.rs
@@ -32,6 +32,8 @@
 pub const DEADLINE: Duration = Duration::from_secs(2);
 /// The largest answer of a worker that is read, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 1 << 20;
+/// Why an agent refuses a message that follows no report that it goes by.
+pub const STALE: &str = "stale";
 
 /// How a task on a worker is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/plat/src/worker/follow.rs
+++ b/crates/plat/src/worker/follow.rs
@@ -7,13 +7,20 @@
 use std::sync::PoisonError;
 
 use model::Map;
+use model::time::millis;
+use tokio::time::Instant;
 
 use super::Addressed;
+use super::STALE;
 use super::WorkerError;
 use super::WorkerReport;
 use super::Workers;
 use crate::call::Call;
 use crate::call::call;
+use crate::error::CallError;
+
+/// How much a span in whole milliseconds may fall short of the true one.
+const CLOCK_STEP_MS: u64 = 1;
 
 /// A message and the report that it follows.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,8 +35,9 @@
 ///
 /// An agent counts the lease from when it sent the report that the message names. A message that
 /// was long under way, or lay unread while the agent was paused, thus never grants more than its
-/// sender counted with, although no clocks are compared. Where no report is known, a message that
-/// grants nothing fetches one first.
+/// sender counted with, although no clocks are compared. Where no report is known, or none that the
+/// agent still goes by, a message that grants nothing fetches one first; as that report is younger
+/// than the call, the lease granted then is shorter by the time that the call has taken already.
 #[must_use]
 pub fn follow(exchange: Call<Following, Result<WorkerReport, WorkerError>>) -> Workers {
     let reports = Reports::default();
@@ -44,12 +52,14 @@
     to: Addressed,
 ) -> Result<WorkerReport, WorkerError> {
     let address = to.address;
-    let after = match reports.last(address) {
-        Some(after) => after,
-        None => first_report(&exchange, &to).await?,
-    };
-    let after = Some(after);
-    let answer = exchange(Following { to, after }).await;
+    let begun = Instant::now();
+    let mut answer = Err(stale());
+    if let Some(after) = reports.last(address) {
+        answer = exchange(following(to.clone(), Some(after))).await;
+    }
+    if answer == Err(stale()) {
+        answer = send_after_first_report(&exchange, to, begun).await;
+    }
     match &answer {
         Ok(report) => reports.note(address, report.sequence),
         Err(_) => reports.forget(address),
@@ -57,19 +67,27 @@
     answer
 }
 
-async fn first_report(
+async fn send_after_first_report(
     exchange: &Call<Following, Result<WorkerReport, WorkerError>>,
-    to: &Addressed,
-) -> Result<u64, WorkerError> {
+    mut to: Addressed,
+    begun: Instant,
+) -> Result<WorkerReport, WorkerError> {
     let hello = Addressed {
         address: to.address,
         message: to.message.without_grant(),
     };
-    let report = exchange(Following {
-        to: hello,
-        after: None,
-    });
-    report.await.map(|report| report.sequence)
+    let report = exchange(following(hello, None)).await?;
+    let taken_ms = millis(begun.elapsed()) + CLOCK_STEP_MS;
+    to.message.lease_ms = to.message.lease_ms.saturating_sub(taken_ms);
+    exchange(following(to, Some(report.sequence))).await
+}
+
+const fn following(to: Addressed, after: Option<u64>) -> Following {
+    Following { to, after }
+}
+
+fn stale() -> WorkerError {
+    CallError::Refused(STALE.to_owned()).into()
 }
 
 /// The number of the last report of each worker.
