--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -13,14 +13,12 @@
 use model::id::WorkerId;
 use plat::call::call;
 use plat::error::CallError;
+use plat::worker::Addressed;
 use plat::worker::DEADLINE;
-use plat::worker::Following;
 use plat::worker::WorkerError;
 use plat::worker::WorkerMessage;
 use plat::worker::WorkerReport;
 use plat::worker::Workers;
-use plat::worker::follow;
-use plat::worker::http::AFTER_REPORT;
 use plat::worker::http::FencedAnswer;
 use plat::worker::http::MESSAGE_PATH;
 
@@ -39,7 +37,6 @@
 
 pub use self::agent::Agent;
 pub use self::agent::AgentConfig;
-pub use self::agent::Refusal;
 pub use self::ledger::Fact;
 pub use self::ledger::Interval;
 pub use self::ledger::Ledger;
@@ -52,9 +49,6 @@
 pub use self::program::Programs;
 pub use self::program::RunView;
 
-/// Why an agent refuses a message that follows no report that it knows.
-const STALE: &str = "stale";
-
 struct Shared {
     id: WorkerId,
     agent: Mutex<Agent>,
@@ -96,18 +90,14 @@
         &self.0.faults
     }
 
-    /// Handles a message that follows the report numbered `after`.
+    /// Handles a message.
     ///
     /// # Errors
     ///
-    /// Returns why nothing of it was done.
-    pub fn message(
-        &self,
-        message: &WorkerMessage,
-        after: Option<u64>,
-    ) -> Result<WorkerReport, Refusal> {
+    /// Returns [`WorkerError::Fenced`] where a higher epoch is obeyed; nothing of it was done then.
+    pub fn message(&self, message: &WorkerMessage) -> Result<WorkerReport, WorkerError> {
         let now = self.0.ledger.clock().now();
-        self.with(|agent| agent.message(message, after, now))
+        self.with(|agent| agent.message(message, now))
     }
 
     /// Returns the tasks that run now.
@@ -156,24 +146,16 @@
             Ok(message) => message,
             Err(error) => return Answer::refused(400, &error.to_string()),
         };
-        let after = req.headers.get(AFTER_REPORT);
-        let after = after.and_then(|after| after.to_str().ok()?.parse().ok());
-        match self.message(&message, after) {
+        match self.message(&message) {
             Ok(report) => Answer::json(200, &report),
-            Err(Refusal::Fenced(epoch)) => Answer::json(409, &FencedAnswer { epoch }),
-            Err(Refusal::Stale) => Answer::refused(412, STALE),
+            Err(WorkerError::Fenced { epoch }) => Answer::json(409, &FencedAnswer { epoch }),
+            Err(WorkerError::Call(error)) => Answer::refused(503, &error.to_string()),
         }
     }
 
-    async fn exchange(self, following: Following) -> Result<WorkerReport, WorkerError> {
+    async fn exchange(self, message: WorkerMessage) -> Result<WorkerReport, WorkerError> {
         let faults = self.0.faults.clone();
-        let apply = move || {
-            let report = self.message(&following.to.message, following.after);
-            report.map_err(|refusal| match refusal {
-                Refusal::Fenced(epoch) => WorkerError::Fenced { epoch },
-                Refusal::Stale => CallError::Refused(STALE.to_owned()).into(),
-            })
-        };
+        let apply = move || self.message(&message);
         inject(&faults, "message", DEADLINE, apply).await
     }
 
@@ -227,15 +209,17 @@
     #[must_use]
     pub fn direct(&self) -> Workers {
         let workers = self.clone();
-        follow(call(move |following: Following| {
-            let worker = workers.get(following.to.address);
-            async move {
-                match worker {
-                    Some(worker) => worker.exchange(following).await,
-                    None => Err(CallError::Refused("no connection".to_owned()).into()),
+        Workers {
+            send: call(move |to: Addressed| {
+                let worker = workers.get(to.address);
+                async move {
+                    match worker {
+                        Some(worker) => worker.exchange(to.message).await,
+                        None => Err(CallError::Refused("no connection".to_owned()).into()),
+                    }
                 }
-            }
-        }))
+            }),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Map<SocketAddr, FakeWorker>> {
--- a/crates/fake/src/worker/agent.rs
+++ b/crates/fake/src/worker/agent.rs
@@ -14,6 +14,7 @@
 use model::id::TaskId;
 use plat::worker::Command;
 use plat::worker::RunState;
+use plat::worker::WorkerError;
 use plat::worker::WorkerMessage;
 use plat::worker::WorkerReport;
 
@@ -31,8 +32,8 @@
 const INTERFERENCE_STEP: Duration = Duration::from_secs(1);
 /// How many of its last reports an agent knows the time of.
 const REPORTS_KNOWN: usize = 64;
-/// How far the numbers of reports move on when the host restarts.
-const RESTART_GAP: u64 = 1 << 20;
+/// The bits of a report's number below those that count the lives of the agent.
+const LIFE_SHIFT: u32 = 32;
 
 /// What a worker has and how it behaves.
 #[derive(Clone)]
@@ -47,15 +48,6 @@
     pub interference: Option<Interference>,
 }
 
-/// Why an agent did nothing of what a message asked for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refusal {
-    /// It obeys this higher epoch.
-    Fenced(Epoch),
-    /// The message follows no report that the agent knows, or its lease is over already.
-    Stale,
-}
-
 /// The agent of one worker.
 pub struct Agent {
     cfg: AgentConfig,
@@ -64,7 +56,7 @@
     sequence: u64,
     lease_until: Mono,
     sent: BTreeMap<u64, Mono>,
-    followed: u64,
+    message: u64,
     runs: BTreeMap<TaskId, Run>,
     attempts: Map<TaskId, Attempt>,
     fails_starts: bool,
@@ -80,10 +72,10 @@
             cfg,
             objects,
             epoch: Epoch::default(),
-            sequence: 0,
+            sequence: 1 << LIFE_SHIFT,
             lease_until: now,
             sent: BTreeMap::new(),
-            followed: 0,
+            message: 0,
             runs: BTreeMap::new(),
             attempts: Map::default(),
             fails_starts: false,
@@ -92,27 +84,33 @@
         }
     }
 
-    /// Handles a message that follows the report numbered `after`.
+    /// Handles a message. One whose sequence is not above the last one under its epoch is a late or
+    /// repeated copy: it is answered with a report and has no other effect.
     ///
     /// # Errors
     ///
-    /// Returns why nothing of it was done.
+    /// Returns [`WorkerError::Fenced`] where a higher epoch is obeyed; nothing was done then.
     pub fn message(
         &mut self,
         message: &WorkerMessage,
-        after: Option<u64>,
         now: Mono,
-    ) -> Result<WorkerReport, Refusal> {
+    ) -> Result<WorkerReport, WorkerError> {
         self.advance(now);
         if message.epoch < self.epoch {
-            return Err(Refusal::Fenced(self.epoch));
+            return Err(WorkerError::Fenced { epoch: self.epoch });
+        }
+        if message.epoch > self.epoch {
+            self.epoch = message.epoch;
+            self.message = 0;
         }
-        self.renew(message, after)?;
-        self.epoch = message.epoch;
-        for command in &message.commands {
-            self.obey(command);
+        if message.sequence > self.message {
+            self.message = message.sequence;
+            self.renew(message);
+            for command in &message.commands {
+                self.obey(command);
+            }
+            self.settle();
         }
-        self.settle();
         Ok(self.report())
     }
 
@@ -137,7 +135,8 @@
         self.facts.extend(ended);
         self.runs.clear();
         self.sent.clear();
-        self.sequence += RESTART_GAP;
+        self.sequence = ((self.sequence >> LIFE_SHIFT) + 1) << LIFE_SHIFT;
+        self.message = 0;
         self.lease_until = now;
     }
 
@@ -177,25 +176,14 @@
         std::mem::take(&mut self.facts)
     }
 
-    /// Counts the lease from when the report was sent that the message follows.
-    fn renew(&mut self, message: &WorkerMessage, after: Option<u64>) -> Result<(), Refusal> {
-        let Some(after) = after else {
-            let asks = message.lease_ms > 0 || !message.commands.is_empty();
-            return if asks { Err(Refusal::Stale) } else { Ok(()) };
-        };
-        if after < self.followed {
-            return Err(Refusal::Stale);
-        }
-        let sent = self.sent.get(&after).ok_or(Refusal::Stale)?;
-        let until = sent.after(Duration::from_millis(message.lease_ms));
-        if message.lease_ms > 0 && until <= self.now {
-            return Err(Refusal::Stale);
+    /// Counts the lease from when the report was made that the message answers.
+    fn renew(&mut self, message: &WorkerMessage) {
+        if let Some(made) = self.sent.get(&message.answers) {
+            let until = made.after(Duration::from_millis(message.lease_ms));
+            self.lease_until = self.lease_until.max(until);
+            let until = self.lease_until;
+            self.facts.push(Fact::Leased { until });
         }
-        self.followed = after;
-        self.lease_until = self.lease_until.max(until);
-        let until = self.lease_until;
-        self.facts.push(Fact::Leased { until });
-        Ok(())
     }
 
     fn obey(&mut self, command: &Command) {
--- a/crates/peer/tests/all/gossip.rs
+++ b/crates/peer/tests/all/gossip.rs
@@ -16,7 +16,10 @@
 const SEED: u64 = 77;
 
 fn released() -> Released {
-    Released { upstream: "planning".into(), doc: DocVersion(2) }
+    Released {
+        upstream: "planning".into(),
+        doc: DocVersion(2),
+    }
 }
 
 struct Group {
--- a/crates/peer/tests/all/links.rs
+++ b/crates/peer/tests/all/links.rs
@@ -49,7 +49,12 @@
     }
 
     async fn lend(&self, ask: Ask) -> RpcResult<Loan> {
-        Ok(Loan { lender: name(1), upstream: ask.upstream, lease_ms: 5, slots: ask.busy })
+        Ok(Loan {
+            lender: name(1),
+            upstream: ask.upstream,
+            lease_ms: 5,
+            slots: ask.busy,
+        })
     }
 }
 
