--- a/crates/fireflynotchd/src/main.rs
+++ b/crates/fireflynotchd/src/main.rs
@@ -1,3 +1,142 @@
-//! The daemon.
+//! The daemon that runs on each entry host.
+//!
+//! `fireflynotchd --settings FILE` checks the settings and reports everything that is wrong with them
+//! at once, with exit code 2, before anything is started. `SIGTERM` and `SIGINT` drain it; it ends with
+//! 0 after a drain and with 1 when a part failed too often. `docs/OPERATIONS.md` is the operators' page.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use conf::report::Report;
+use conf::settings::LogLevel;
+use conf::settings::Settings;
+use gumdrop::Options;
+use log::LevelFilter;
+use model::Clock;
+use model::hash::combine;
+use model::hash::stable;
+use node::daemon::Daemon;
+use node::daemon::connect;
+use node::logs::JsonLogger;
+use simplelog::CombinedLogger;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// The exit code for a command line or settings that cannot be used.
+const BAD_INPUT: u8 = 2;
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the file with the settings, JSON with comments", meta = "FILE")]
+    settings: Option<PathBuf>,
+    #[options(help = "check the settings and end", no_short)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let Some(path) = arguments.settings else {
+        eprintln!("fireflynotchd: --settings FILE is missing; see --help");
+        return ExitCode::from(BAD_INPUT);
+    };
+    let settings = match load(&path) {
+        Ok(settings) => settings,
+        Err(text) => {
+            eprintln!("{text}");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    if arguments.check {
+        println!("{}: no findings", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => return failed(&error.to_string()),
+    };
+    runtime.block_on(run(settings))
+}
+
+fn load(path: &std::path::Path) -> Result<Settings, String> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{name}: {error}"))?;
+    conf::settings::load(&text)
+        .map_err(|invalid| Report::new(&name, &text, &invalid.findings).render())
+}
+
+async fn run(settings: Settings) -> ExitCode {
+    let level = filter(settings.observe.log_level);
+    let name = settings.daemon.to_string();
+    let logger = JsonLogger::new(level, name.clone(), Clock::start(), std::io::stderr());
+    if CombinedLogger::init(vec![logger]).is_err() {
+        return failed("the logger was set up twice");
+    }
+    let seed = combine(stable(name.as_bytes()), unix_ms());
+    let outside = match connect(&settings) {
+        Ok(outside) => outside,
+        Err(error) => return failed(&error.to_string()),
+    };
+    let daemon = match Daemon::start(settings, outside, seed, unix_ms).await {
+        Ok(daemon) => daemon,
+        Err(error) => return failed(&error.to_string()),
+    };
+    log::info!(
+        callers = daemon.callers.to_string().as_str(),
+        operators = daemon.operators.to_string().as_str(),
+        peers = daemon.peers.to_string().as_str(),
+        started_unix_ms = unix_ms(),
+        seed;
+        "started"
+    );
+    let drain = daemon.drain_token();
+    tokio::spawn(async move {
+        if terminated().await.is_ok() {
+            drain.cancel();
+        }
+    });
+    match daemon.ended().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failed(&error.to_string()),
+    }
+}
+
+/// Waits until the process is asked to end.
+async fn terminated() -> std::io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+fn failed(reason: &str) -> ExitCode {
+    log::error!("{reason}");
+    eprintln!("fireflynotchd: {reason}");
+    ExitCode::FAILURE
+}
+
+const fn filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+    }
+}
+
+/// The milliseconds since 1970, for rows that are removed by age; decisions never see it.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/measure/examples/quickstart.rs
@@ -0,0 +1,349 @@
+//! The whole system in one process, on loopback: stand-ins, three daemons in two regions and two
+//! halves.
+//!
+//! It applies a document, sends requests, runs tasks, evicts and resumes some, hands an upstream over
+//! under load, stops one daemon as planned and drops another, and prints what became of everything.
+//! Its exit code tells whether the promises held. With `--stay` it goes on and prints the addresses,
+//! so that the client and the console can be tried against it.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use conf::api::ApplyReply;
+use conf::api::Priority;
+use conf::api::Submission;
+use conf::api::TaskState;
+use fake::worker::Beginning;
+use fake::worker::Program;
+use measure::system::DaemonPlan;
+use measure::system::ExecutorPlan;
+use measure::system::Platform;
+use measure::system::System;
+use measure::system::TOKEN;
+use measure::system::WorkerPlan;
+use measure::system::callers::Callers;
+use measure::system::callers::Counts;
+use measure::system::callers::Load;
+use measure::system::client;
+use measure::system::wait_until;
+use model::Size;
+use model::id::TaskId;
+use model::place::Place;
+use plat::hosts::HostState;
+use tokio::time::sleep;
+
+/// The seed of all random choices.
+const SEED: u64 = 20_261_203;
+/// The upstream that is handed over.
+const PARTS: &str = "parts";
+/// How many batch tasks are run.
+const TASKS: usize = 24;
+/// How long anything of the run may take to come about.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The document; `parts` belongs to the half named.
+fn document(parts_half: &str) -> String {
+    r#"{
+    // The two halves of the organisation.
+    "halves": { "noord": { "share_percent": 60 }, "zuid": { "share_percent": 40 } },
+    "regions": {
+        "vlaanderen": { "data_centres": ["limburg", "antwerpen"] },
+        "wallonie": { "data_centres": ["namur"] }
+    },
+    "upstreams": {
+        "planning": { "half": "noord", "routes": ["/plan"] },
+        "parts": { "half": "PARTS_HALF", "routes": ["/parts"] }
+    },
+    "teams": { "fleet": { "half": "noord", "quota": { "cpu_millis": 28000, "memory_mib": 57344 } } },
+    "classes": { "fleet-check": { "kind": "batch", "half": "noord" } },
+    "sharing": { "tail_weight": 6, "throughput_weight": 2, "evictions_weight": 2 }
+}
+"#
+    .replace("PARTS_HALF", parts_half)
+}
+
+fn daemons() -> Vec<DaemonPlan> {
+    let daemon = |id: &str, half: &str, region: &str, data_centre: &str| DaemonPlan {
+        id: id.into(),
+        half: half.into(),
+        place: Place::new(region, data_centre),
+    };
+    vec![
+        daemon("limburg-1", "noord", "vlaanderen", "limburg"),
+        daemon("antwerpen-1", "noord", "vlaanderen", "antwerpen"),
+        daemon("namur-1", "zuid", "wallonie", "namur"),
+    ]
+}
+
+fn workers() -> Vec<WorkerPlan> {
+    let racks = [
+        ("vlaanderen", "limburg"),
+        ("vlaanderen", "antwerpen"),
+        ("wallonie", "namur"),
+    ];
+    let worker = |(region, data_centre): (&str, &str), number: usize| WorkerPlan {
+        id: format!("{data_centre}-worker-{number}"),
+        place: Place::new(region, data_centre),
+        rack: format!("{data_centre}-rack-1"),
+        capacity: Size::new(8000, 16_384, 0),
+    };
+    racks
+        .into_iter()
+        .flat_map(|rack| [worker(rack, 1), worker(rack, 2)])
+        .collect()
+}
+
+fn executors() -> Vec<ExecutorPlan> {
+    let executor = |upstream: &str, data_centre: &str, number: usize| ExecutorPlan {
+        id: format!("{upstream}-{number}"),
+        upstream: upstream.into(),
+        place: Place::new("vlaanderen", data_centre),
+        slots: 8,
+    };
+    vec![
+        executor("planning", "limburg", 1),
+        executor("planning", "antwerpen", 2),
+        executor("planning", "limburg", 3),
+        executor(PARTS, "antwerpen", 1),
+        executor(PARTS, "limburg", 2),
+        executor(PARTS, "antwerpen", 3),
+    ]
+}
+
+fn submission(number: usize) -> Submission {
+    Submission {
+        task: TaskId::from(format!("check-{number}")),
+        team: "fleet".into(),
+        class: "fleet-check".into(),
+        priority: if number.is_multiple_of(8) {
+            Priority::Urgent
+        } else {
+            Priority::Normal
+        },
+        size: Size::new(1000, 1024, 0),
+        run_ms: Some(12_000),
+        max_failures: None,
+    }
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let stay = std::env::args().any(|argument| argument == "--stay");
+    if std::env::var_os("FIREFLYNOTCH_LOG").is_some() {
+        let logger = node::logs::JsonLogger::new(
+            log::LevelFilter::Info,
+            "quickstart".into(),
+            model::Clock::start(),
+            std::io::stderr(),
+        );
+        // A second logger would be a mistake of this example and shows as missing lines.
+        let _ = simplelog::CombinedLogger::init(vec![logger]);
+    }
+    match run(stay).await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("quickstart: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+type Error = Box<dyn std::error::Error>;
+
+async fn run(stay: bool) -> Result<bool, Error> {
+    println!("seed {SEED}");
+    let programs =
+        Arc::new(|_: &Beginning| Program::batch(Size::new(900, 900, 0), Duration::from_secs(12)));
+    let lag = Duration::from_millis(500);
+    let platform = Platform::start(&workers(), &executors(), &daemons(), programs, lag).await?;
+    println!("{} stand-ins listen on loopback", platform.listening());
+    for executor in &platform.executors {
+        executor.set_delay(|_| Duration::from_millis(5));
+    }
+    let mut system = System::start(platform, &daemons(), SEED).await?;
+    let operators = system.daemons[2].operators;
+    step(
+        "apply the document",
+        apply(operators, "first", "noord").await,
+    )?;
+
+    let targets = Arc::new(Mutex::new(system.callers()));
+    let load = |path: &str, seed: u64| Load {
+        callers: 8,
+        pause: Duration::from_millis(20),
+        path: path.into(),
+        once_percent: 20,
+        seed,
+    };
+    let plan = Callers::start(&load("/plan", SEED + 1), &targets);
+    let parts = Callers::start(&load("/parts", SEED + 2), &targets);
+    for number in 0..TASKS {
+        submit(operators, number).await?;
+    }
+    let ledger = system.platform.ledger.clone();
+    let begun = wait_until(PATIENCE, async || ledger.tally().begun >= TASKS).await;
+    step(
+        "start the tasks",
+        begun.then_some(()).ok_or("not all began".into()),
+    )?;
+
+    system
+        .platform
+        .hosts
+        .change(|list| list.workers[0].state = HostState::Leaving);
+    let first = system.platform.workers[0].clone();
+    let evicted = wait_until(PATIENCE, async || first.running().is_empty()).await;
+    step(
+        "empty a leaving worker",
+        evicted.then_some(()).ok_or("tasks stay".into()),
+    )?;
+
+    step(
+        "hand parts over to zuid",
+        apply(operators, "handover", "zuid").await,
+    )?;
+    sleep(Duration::from_secs(4)).await;
+
+    let stopped = system.take("antwerpen-1");
+    forget(&targets, stopped.callers);
+    step(
+        "stop antwerpen-1 as planned",
+        stopped.stop().await.map_err(Into::into),
+    )?;
+    let dropped = system.take("limburg-1");
+    let address = dropped.callers;
+    dropped.kill();
+    println!("dropped limburg-1");
+    sleep(Duration::from_millis(500)).await;
+    forget(&targets, address);
+
+    let ended = wait_until(PATIENCE * 2, async || {
+        let page = client::tasks(operators, TaskState::Succeeded).await;
+        page.is_ok_and(|page| page.tasks.len() == TASKS)
+    })
+    .await;
+    sleep(Duration::from_secs(2)).await;
+    let plan = plan.end().await;
+    let parts = parts.end().await;
+    let succeeded = client::tasks(operators, TaskState::Succeeded)
+        .await?
+        .tasks
+        .len();
+    let held = report(&system, &plan, &parts, succeeded) && ended;
+    println!(
+        "{}",
+        if held {
+            "all promises held"
+        } else {
+            "A PROMISE WAS BROKEN"
+        }
+    );
+    if stay {
+        for daemon in &system.daemons {
+            println!(
+                "{}: callers {}, operators {}",
+                daemon.id, daemon.callers, daemon.operators
+            );
+        }
+        println!("operators' token: {TOKEN}; interrupt to end");
+        tokio::signal::ctrl_c().await?;
+    }
+    Ok(held)
+}
+
+/// Submits a task, again under the same name while the shards have no owner yet.
+async fn submit(operators: std::net::SocketAddr, number: usize) -> Result<(), Error> {
+    let submission = submission(number);
+    let accepted = wait_until(PATIENCE, async || {
+        client::submit(operators, &submission).await.is_ok()
+    });
+    accepted
+        .await
+        .then_some(())
+        .ok_or_else(|| format!("{} was not accepted", submission.task).into())
+}
+
+async fn apply(operators: std::net::SocketAddr, op: &str, half: &str) -> Result<(), Error> {
+    match client::apply(operators, op, &document(half)).await? {
+        ApplyReply::Accepted { pending, .. } if pending.is_empty() => Ok(()),
+        other => Err(format!("{other:?}").into()),
+    }
+}
+
+fn step(what: &str, result: Result<(), Error>) -> Result<(), Error> {
+    match result {
+        Ok(()) => {
+            println!("done: {what}");
+            Ok(())
+        }
+        Err(error) => Err(format!("{what}: {error}").into()),
+    }
+}
+
+fn forget(targets: &Arc<Mutex<Vec<std::net::SocketAddr>>>, gone: std::net::SocketAddr) {
+    let mut targets = targets
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    targets.retain(|target| *target != gone);
+}
+
+/// Prints what became of everything; returns whether the promises held.
+fn report(system: &System, plan: &Counts, parts: &Counts, succeeded: usize) -> bool {
+    let runs = &system.platform.runs;
+    let mut held = true;
+    for (name, counts) in [("plan", plan), ("parts", parts)] {
+        let false_not_run = counts
+            .not_run_ids
+            .iter()
+            .filter(|id| runs.runs(id) > 0)
+            .count();
+        let twice = counts
+            .once_ids
+            .iter()
+            .filter(|id| runs.runs(id) > 1)
+            .count();
+        println!(
+            "{name}: sent {} answered {} not-run {} unknown {} wrong {} | said not run but was {} \
+             | once-only run twice {} | p50 {:.1} ms p99 {:.1} ms p99.9 {:.1} ms",
+            counts.sent,
+            counts.answered,
+            counts.not_run,
+            counts.unknown,
+            counts.wrong,
+            false_not_run,
+            twice,
+            quantile_ms(counts, 0.5),
+            quantile_ms(counts, 0.99),
+            quantile_ms(counts, 0.999),
+        );
+        for (reason, count) in &counts.reasons {
+            println!("  {count} x {reason}");
+        }
+        held &= false_not_run == 0 && twice == 0 && counts.wrong == 0 && counts.answered > 0;
+    }
+    let tally = system.platform.ledger.tally();
+    println!(
+        "tasks: submitted {TASKS} succeeded {succeeded} lost {} | runs begun {} resumed {} doubled {} \
+         overcommitted {} checkpoints missing {}",
+        TASKS - succeeded,
+        tally.begun,
+        tally.resumed,
+        tally.doubled,
+        tally.overcommits,
+        tally.checkpoints_missing,
+    );
+    held && succeeded == TASKS
+        && tally.resumed > 0
+        && tally.doubled + tally.overcommits + tally.checkpoints_missing == 0
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "latencies are far below 2^52 us"
+)]
+fn quantile_ms(counts: &Counts, quantile: f64) -> f64 {
+    counts.latency_us.value_at_quantile(quantile) as f64 / 1000.0
+}
--- /dev/null
+++ b/crates/measure/src/system/callers.rs
@@ -0,0 +1,236 @@
+//! Callers that send requests and count what became of them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use fake::executor::Echo;
+use hdrhistogram::Histogram;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// How long a caller waits for an answer.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What became of the requests of all callers.
+#[derive(Clone, Debug)]
+pub struct Counts {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers to the caller's own request.
+    pub answered: u64,
+    /// Refused, certainly not run.
+    pub not_run: u64,
+    /// Nobody can tell whether they were run.
+    pub unknown: u64,
+    /// Answers that were cut short, or belonged to another request.
+    pub wrong: u64,
+    /// The ids of requests said not to have been run.
+    pub not_run_ids: Vec<String>,
+    /// The ids of non-idempotent requests.
+    pub once_ids: Vec<String>,
+    /// Why requests were refused, by status and reason.
+    pub reasons: BTreeMap<String, u64>,
+    /// How long answered requests took, in microseconds.
+    pub latency_us: Histogram<u64>,
+}
+
+impl Counts {
+    fn new() -> Self {
+        let latency_us = Histogram::new_with_bounds(1, 60_000_000, 3);
+        Self {
+            sent: 0,
+            answered: 0,
+            not_run: 0,
+            unknown: 0,
+            wrong: 0,
+            not_run_ids: Vec::new(),
+            once_ids: Vec::new(),
+            reasons: BTreeMap::new(),
+            latency_us: latency_us.expect("the bounds are in order"),
+        }
+    }
+}
+
+/// The load of a group of callers.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// How many callers send, each one request at a time.
+    pub callers: usize,
+    /// The mean pause of a caller between two requests.
+    pub pause: Duration,
+    /// The path that is asked for; the number of the request is added.
+    pub path: String,
+    /// Which part of the requests is not idempotent, in percent.
+    pub once_percent: u32,
+    /// The seed of the callers' choices.
+    pub seed: u64,
+}
+
+/// A running group of callers.
+pub struct Callers {
+    counts: Arc<Mutex<Counts>>,
+    stop: CancellationToken,
+    runs: JoinSet<()>,
+}
+
+impl Callers {
+    /// Starts the callers. The balancer in front of them is played by `targets`, which changes as
+    /// daemons come and go.
+    #[must_use]
+    pub fn start(load: &Load, targets: &Arc<Mutex<Vec<SocketAddr>>>) -> Self {
+        let counts = Arc::new(Mutex::new(Counts::new()));
+        let stop = CancellationToken::new();
+        let mut runs = JoinSet::new();
+        for index in 0..load.callers {
+            let run = caller(
+                index,
+                load.clone(),
+                targets.clone(),
+                counts.clone(),
+                stop.clone(),
+            );
+            runs.spawn(run);
+        }
+        Self { counts, stop, runs }
+    }
+
+    /// Returns the counts so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.counts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Ends the callers once their last requests are answered, and returns the counts.
+    pub async fn end(mut self) -> Counts {
+        self.stop.cancel();
+        while self.runs.join_next().await.is_some() {}
+        self.counts()
+    }
+}
+
+async fn caller(
+    index: usize,
+    load: Load,
+    targets: Arc<Mutex<Vec<SocketAddr>>>,
+    counts: Arc<Mutex<Counts>>,
+    stop: CancellationToken,
+) {
+    let mut rng = SmallRng::seed_from_u64(load.seed + index as u64);
+    let http = reqwest::Client::builder()
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .timeout(CALLER_TIMEOUT)
+        .build()
+        .unwrap_or_default();
+    let mut number = 0_u64;
+    while !stop.is_cancelled() {
+        number += 1;
+        let target = {
+            let targets = targets.lock().unwrap_or_else(PoisonError::into_inner);
+            targets
+                .get(rng.random_range(0..targets.len().max(1)))
+                .copied()
+        };
+        if let Some(target) = target {
+            let id = format!("{}-{index}-{number}", load.seed);
+            let once = rng.random_range(0..100) < load.once_percent;
+            one(&http, target, &load.path, id, once, &counts).await;
+        }
+        let pause = load.pause.mul_f64(rng.random_range(0.5..1.5));
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = stop.cancelled() => {}
+        }
+    }
+}
+
+async fn one(
+    http: &reqwest::Client,
+    target: SocketAddr,
+    path: &str,
+    id: String,
+    once: bool,
+    counts: &Arc<Mutex<Counts>>,
+) {
+    let url = format!("http://{target}{path}/{id}");
+    let req = if once { http.post(url) } else { http.get(url) };
+    let req = req
+        .header("ff-request-id", &id)
+        .header("ff-caller", "quickstart");
+    let begun = Instant::now();
+    let result = outcome_of(req, &id).await;
+    let took = u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX);
+    let mut counts = counts.lock().unwrap_or_else(PoisonError::into_inner);
+    counts.sent += 1;
+    match result {
+        Ended::Answered => {
+            counts.answered += 1;
+            counts.latency_us.saturating_record(took);
+        }
+        Ended::NotRun(reason) => {
+            counts.not_run += 1;
+            counts.not_run_ids.push(id.clone());
+            *counts.reasons.entry(reason).or_default() += 1;
+        }
+        Ended::Unknown(reason) => {
+            counts.unknown += 1;
+            *counts.reasons.entry(reason).or_default() += 1;
+        }
+        Ended::Wrong => counts.wrong += 1,
+    }
+    if once {
+        counts.once_ids.push(id);
+    }
+}
+
+enum Ended {
+    Answered,
+    NotRun(String),
+    Unknown(String),
+    Wrong,
+}
+
+async fn outcome_of(req: reqwest::RequestBuilder, id: &str) -> Ended {
+    let res = match req.send().await {
+        Ok(res) => res,
+        Err(error) if error.is_connect() => return Ended::NotRun("no connection".into()),
+        Err(error) => return Ended::Unknown(error.to_string()),
+    };
+    let status = res.status();
+    let outcome = res
+        .headers()
+        .get("ff-outcome")
+        .and_then(|value| value.to_str().ok());
+    let outcome = outcome.unwrap_or("unknown").to_owned();
+    let body = res.bytes().await;
+    match (outcome.as_str(), body) {
+        ("answered", Ok(body)) => match serde_json::from_slice::<Echo>(&body) {
+            Ok(echo) if echo.id == id => Ended::Answered,
+            _ => Ended::Wrong,
+        },
+        ("answered", Err(error)) => Ended::Unknown(error.to_string()),
+        ("not-run", body) => Ended::NotRun(reason(status, body.ok())),
+        (_, body) => Ended::Unknown(reason(status, body.ok())),
+    }
+}
+
+fn reason(status: reqwest::StatusCode, body: Option<bytes::Bytes>) -> String {
+    let body = body.unwrap_or_default();
+    format!(
+        "{} {}",
+        status.as_u16(),
+        String::from_utf8_lossy(&body).trim()
+    )
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -201,6 +201,12 @@
         self.drain.cancel();
     }
 
+    /// Returns the token that asks the daemon to drain when it is cancelled.
+    #[must_use]
+    pub fn drain_token(&self) -> CancellationToken {
+        self.drain.clone()
+    }
+
     /// Waits until the daemon has ended, because it was drained or a part escalated.
     ///
     /// # Errors
