test(route): decisions by themselves and the data path over loopback sockets

Each test brings about its failure: cut, late, silent, foreign, refused and redirected answers, lost and absent stores, cancellations, handover, drain, lapsed loans and leases. Found and mended on the way: drained() woke itself up for ever, and HTTP/2 keepalive needs hyper's timer, without which each HTTP/2 connection of a caller panicked.

--- a/crates/route/src/proxy/exchange.rs
+++ b/crates/route/src/proxy/exchange.rs
@@ -62,6 +62,7 @@
             && let Some(grant) = grant.take()
         {
             inner.with(|router, now| router.finish(&grant, finish, now));
+            inner.ended.notify_waiters();
         }
     }
 }
--- a/crates/route/src/proxy/mod.rs
+++ b/crates/route/src/proxy/mod.rs
@@ -225,8 +225,6 @@
         let mut state = self.lock();
         let answer = event(&mut state.router, now);
         self.deliver(&mut state, now);
-        drop(state);
-        self.ended.notify_waiters();
         answer
     }
 
--- a/crates/route/src/proxy/server.rs
+++ b/crates/route/src/proxy/server.rs
@@ -5,6 +5,7 @@
 use salvo::Server;
 use salvo::conn::Acceptor;
 use salvo::fuse::FuseConfig;
+use salvo::rt::tokio::TokioTimer;
 
 /// How long a caller may take to send the head of a request, on a fresh or an idle connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -32,6 +33,7 @@
     server.http1_mut().max_buf_size(MAX_HEAD_BYTES);
     server
         .http2_mut()
+        .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT);
--- a/crates/route/src/proxy/wait.rs
+++ b/crates/route/src/proxy/wait.rs
@@ -58,5 +58,6 @@
             }
         });
         self.inner.lock().waiters.remove(&self.ticket);
+        self.inner.ended.notify_waiters();
     }
 }
--- a/crates/route/src/router/loans.rs
+++ b/crates/route/src/router/loans.rs
@@ -126,7 +126,8 @@
         loan
     }
 
-    /// Returns executors with an unused slot, as many as this daemon can do without.
+    /// Returns executors with an unused slot, one entry a slot, spread evenly and as many as this
+    /// daemon can do without.
     fn spare(&self, key: UpstreamKey, wanted: u16) -> Vec<ExecutorKey> {
         let upstream = &self.upstreams[key];
         if upstream.phase != Phase::Owned || !upstream.queue.is_empty() || self.draining {
@@ -135,13 +136,14 @@
         let free = upstream.near_slots.saturating_sub(upstream.in_flight);
         let reserve = (upstream.near_slots * RESERVE_PERCENT).div_ceil(100);
         let most = free.saturating_sub(reserve).min(u32::from(wanted)) as usize;
-        upstream
-            .near
-            .iter()
-            .filter(|key| {
-                let executor = &self.executors[*key];
-                executor.own.saturating_sub(executor.lent) > executor.in_flight
-            })
+        let unused = |key: &ExecutorKey| {
+            let executor = &self.executors[*key];
+            let own = executor.own.saturating_sub(executor.lent);
+            own.saturating_sub(executor.in_flight)
+        };
+        let rounds = upstream.near.iter().map(|key| unused(&key)).max();
+        (0..rounds.unwrap_or_default())
+            .flat_map(|round| upstream.near.iter().filter(move |key| unused(key) > round))
             .take(most)
             .collect()
     }
--- /dev/null
+++ b/crates/route/tests/all/callers.rs
@@ -0,0 +1,247 @@
+use std::time::Duration;
+
+use route::RouteUpdate;
+use route::proxy::Bounds;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::support::Act;
+use crate::support::Daemon;
+use crate::support::Executor;
+use crate::support::Store;
+use crate::support::caller;
+use crate::support::table;
+use crate::support::told;
+use crate::world::document;
+
+#[tokio::test]
+async fn malformed_and_oversized_requests_are_refused_as_not_run() {
+    let executor = Executor::start(&[Act::Echo]).await;
+    let daemon = Daemon::alone(&[&executor], table(Store::Up), Bounds::default()).await;
+    let large = "x".repeat(40_000);
+    let long = "x".repeat(200);
+    let cases: [(&str, &str, &str, u16); 9] = [
+        ("/plan", "ff-idempotent", "perhaps", 400),
+        ("/plan", "ff-deadline-ms", "soon", 400),
+        ("/plan", "ff-deadline-ms", "0", 400),
+        ("/plan", "ff-request-id", "a/b", 400),
+        ("/plan", "ff-request-id", &long, 400),
+        ("/plan", "ff-caller", "a b", 400),
+        ("/plan", "x-large", &large, 431),
+        ("/planner", "x-none", "", 404),
+        ("/", "x-none", "", 404),
+    ];
+    for (path, name, value, status) in cases {
+        let url = format!("http://{}{path}", daemon.address);
+        let request = caller().post(url).header(name, value);
+        let answer = request.send().await.expect("an answer");
+        assert_eq!(answer.status().as_u16(), status, "{name}: {value:.20}");
+        assert_eq!(told(&answer, "ff-outcome"), "not-run");
+        assert!(answer.text().await.expect("a body").contains("reason"));
+    }
+    assert_eq!(executor.seen(), 0);
+}
+
+#[tokio::test]
+async fn body_over_the_limit_is_refused_whether_its_length_is_told_or_not() {
+    let executor = Executor::start(&[Act::Echo]).await;
+    let bounds = Bounds {
+        max_body: 1_000,
+        max_replay: 100,
+        ..Bounds::default()
+    };
+    let daemon = Daemon::alone(&[&executor], table(Store::Up), bounds).await;
+    let told_length = caller().post(daemon.url()).body(vec![0; 1_001]);
+    let answer = told_length.send().await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 413);
+    assert_eq!(told(&answer, "ff-outcome"), "not-run");
+
+    let mut stream = TcpStream::connect(daemon.address).await.expect("a daemon");
+    let head = "POST /plan HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let chunk = format!("7d0\r\n{}\r\n0\r\n\r\n", "x".repeat(2_000));
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    stream.write_all(chunk.as_bytes()).await.expect("sent");
+    let mut answer = vec![0; 4_096];
+    let size = stream.read(&mut answer).await.expect("an answer");
+    let answer = String::from_utf8_lossy(&answer[..size]).into_owned();
+    assert!(answer.contains("ff-outcome: unknown"), "{answer}");
+    assert_eq!(executor.seen(), 0, "no whole request reached the executor");
+    daemon.idle().await;
+}
+
+#[tokio::test]
+async fn streamed_body_arrives_whole_over_both_protocols() {
+    let executor = Executor::start(&[Act::Echo]).await;
+    let daemon = Daemon::alone(&[&executor], table(Store::Up), Bounds::default()).await;
+    let http2 = reqwest::Client::builder()
+        .no_proxy()
+        .http2_prior_knowledge()
+        .build()
+        .expect("a client");
+    for client in [caller(), http2] {
+        let answer = client
+            .post(daemon.url())
+            .body(vec![7; 300_000])
+            .send()
+            .await;
+        let answer = answer.expect("an answer");
+        assert_eq!(told(&answer, "ff-outcome"), "answered");
+        let id = told(&answer, "ff-request-id").to_owned();
+        assert_eq!(answer.text().await.expect("a whole answer"), id);
+    }
+    assert_eq!(executor.seen(), 2);
+}
+
+#[tokio::test]
+async fn burst_of_cancellations_leaves_no_slot_taken_and_exceeds_none() {
+    let executor = Executor::start(&[Act::EchoAfter(Duration::from_millis(20))]).await;
+    let daemon = Daemon::alone(&[&executor], table(Store::Up), Bounds::default()).await;
+    let mut streams = Vec::new();
+    for _ in 0..100 {
+        let mut stream = TcpStream::connect(daemon.address).await.expect("a daemon");
+        let head = b"GET /plan HTTP/1.1\r\nhost: a\r\n\r\n";
+        stream.write_all(head).await.expect("sent");
+        streams.push(stream);
+    }
+    while daemon.proxy.in_flight(&"plan".into()) < 8 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    drop(streams);
+    daemon.idle().await;
+    assert!(executor.most() <= 8, "{} at once", executor.most());
+    let answer = caller().get(daemon.url()).send().await.expect("an answer");
+    assert_eq!(told(&answer, "ff-outcome"), "answered");
+}
+
+#[tokio::test]
+async fn overload_refuses_early_with_retry_after() {
+    let executor = Executor::start(&[Act::EchoAfter(Duration::from_millis(100))]).await;
+    let daemon = Daemon::alone(&[&executor], table(Store::Up), Bounds::default()).await;
+    let one = || async {
+        let request = caller().get(daemon.url()).header("ff-deadline-ms", "400");
+        let answer = request.send().await.expect("an answer");
+        let refused = !told(&answer, "retry-after").is_empty();
+        (told(&answer, "ff-outcome").to_owned(), refused)
+    };
+    for _ in 0..3 {
+        assert_eq!(one().await.0, "answered");
+    }
+    let all = futures::future::join_all((0..200).map(|_| one())).await;
+    let answered = all
+        .iter()
+        .filter(|(outcome, _)| outcome == "answered")
+        .count();
+    let refused = all
+        .iter()
+        .filter(|one| **one == ("not-run".to_owned(), true))
+        .count();
+    assert!(answered >= 8, "{answered}");
+    assert!(refused >= 100, "{refused}");
+    assert_eq!(answered + refused, 200, "nothing is left unknown");
+    assert!(executor.most() <= 8);
+}
+
+#[tokio::test]
+async fn request_for_the_other_half_is_passed_to_its_daemon() {
+    let executor = Executor::start(&[Act::Echo]).await;
+    let owner = Daemon::start("entry-1", "rsh", table(Store::Up), Bounds::default()).await;
+    let other = Daemon::start("entry-2", "aqse", table(Store::Up), Bounds::default()).await;
+    let members = [
+        ("entry-1", "rsh", owner.address),
+        ("entry-2", "aqse", other.address),
+    ];
+    owner.inform(&[&executor], &members);
+    other.inform(&[&executor], &members);
+    let answer = caller().post(other.url()).body("order").send().await;
+    let answer = answer.expect("an answer");
+    assert_eq!(told(&answer, "ff-outcome"), "answered");
+    assert_eq!(told(&answer, "ff-executor"), "plan-0");
+    let id = told(&answer, "ff-request-id").to_owned();
+    assert_eq!(answer.text().await.expect("a whole answer"), id);
+    other.idle().await;
+}
+
+#[tokio::test]
+async fn handover_refuses_no_request() {
+    let executor = Executor::start(&[Act::EchoAfter(Duration::from_millis(5))]).await;
+    let old = Daemon::start("entry-1", "rsh", table(Store::Up), Bounds::default()).await;
+    let new = Daemon::start("entry-2", "aqse", table(Store::Up), Bounds::default()).await;
+    let members = [
+        ("entry-1", "rsh", old.address),
+        ("entry-2", "aqse", new.address),
+    ];
+    old.inform(&[&executor], &members);
+    new.inform(&[&executor], &members);
+    let load = |daemon: &Daemon| {
+        let url = daemon.url();
+        tokio::spawn(async move {
+            let mut outcomes = Vec::new();
+            for _ in 0..60 {
+                let answer = caller().post(&url).send().await.expect("an answer");
+                outcomes.push(told(&answer, "ff-outcome").to_owned());
+            }
+            outcomes
+        })
+    };
+    let (first, second) = (load(&old), load(&new));
+    while executor.seen() < 20 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let change = |daemon: &Daemon, released| {
+        daemon.proxy.update(RouteUpdate {
+            document: Some(document(2, "aqse")),
+            released,
+            ..RouteUpdate::default()
+        });
+    };
+    change(&old, Vec::new());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    change(&new, Vec::new());
+    assert_eq!(old.proxy.released(), ["plan".into()]);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    change(&new, vec!["plan".into()]);
+    for outcomes in [first.await, second.await] {
+        let outcomes = outcomes.expect("no panic");
+        assert!(
+            outcomes.iter().all(|outcome| outcome == "answered"),
+            "{outcomes:?}"
+        );
+    }
+    assert_eq!(executor.seen(), 120);
+}
+
+#[tokio::test]
+async fn drained_daemon_finishes_its_work_and_passes_new_requests_on() {
+    let executor = Executor::start(&[Act::EchoAfter(Duration::from_millis(100))]).await;
+    let first = Daemon::start("entry-1", "rsh", table(Store::Up), Bounds::default()).await;
+    let second = Daemon::start("entry-2", "rsh", table(Store::Up), Bounds::default()).await;
+    let members = [
+        ("entry-1", "rsh", first.address),
+        ("entry-2", "rsh", second.address),
+    ];
+    first.inform(&[&executor], &members);
+    second.inform(&[&executor], &members);
+    let url = first.url();
+    let running = tokio::spawn(async move { caller().post(&url).send().await });
+    while first.proxy.in_flight(&"plan".into()) == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    first.proxy.drain();
+    let answer = caller().post(first.url()).send().await.expect("an answer");
+    assert_eq!(told(&answer, "ff-outcome"), "answered");
+    first.idle().await;
+    let answer = running.await.expect("no panic").expect("an answer");
+    assert_eq!(told(&answer, "ff-outcome"), "answered");
+}
+
+#[tokio::test]
+async fn isolated_daemon_refuses_as_not_run() {
+    let executor = Executor::start(&[Act::Echo]).await;
+    let daemon = Daemon::alone(&[&executor], table(Store::Up), Bounds::default()).await;
+    daemon.proxy.set_serving(false);
+    let answer = caller().get(daemon.url()).send().await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 503);
+    assert_eq!(told(&answer, "ff-outcome"), "not-run");
+    assert_eq!(executor.seen(), 0);
+}
--- /dev/null
+++ b/crates/route/tests/all/support.rs
@@ -0,0 +1,348 @@
+//! Executors on raw sockets, a table in memory, and daemons for tests of the data path.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use model::Clock;
+use model::id::RowVersion;
+use plat::call::call;
+use plat::error::CallError;
+use plat::table::Row;
+use plat::table::Table;
+use plat::table::TableError;
+use plat::table::Txn;
+use route::Proxy;
+use route::RouteUpdate;
+use route::proxy::Bounds;
+use route::proxy::ProxyConfig;
+use route::proxy::server::harden;
+use salvo::Server;
+use salvo::conn::TcpListener as SalvoListener;
+use salvo::prelude::Listener;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::world::SEED;
+use crate::world::at_once;
+use crate::world::config;
+use crate::world::document;
+use crate::world::executor;
+use crate::world::member;
+use crate::world::nowhere;
+
+/// What an executor does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Answers with the request's id as the body.
+    Echo,
+    /// Does the same after a while.
+    EchoAfter(Duration),
+    /// Tells a length of 100 bytes and closes after 10.
+    Cut,
+    /// Breaks a chunked answer off without its last chunk.
+    CutChunked,
+    /// Sends everything until it closes, without telling a length.
+    NoLength,
+    /// Answers 307.
+    Redirect,
+    /// Closes without a byte of an answer.
+    Close,
+    /// Closes within the head of the answer.
+    CloseInHead,
+    /// Answers with another request's id.
+    Foreign,
+    /// Refuses it and says that it was not run.
+    Refuse,
+    /// Never answers.
+    Silent,
+    /// Answers 500.
+    Error,
+}
+
+/// An executor that acts by a script, the last act of which repeats.
+pub struct Executor {
+    pub address: SocketAddr,
+    seen: Arc<AtomicUsize>,
+    most: Arc<AtomicUsize>,
+}
+
+impl Executor {
+    pub async fn start(script: &[Act]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (seen, most) = (Arc::default(), Arc::default());
+        let executor = Self {
+            address,
+            seen: Arc::clone(&seen),
+            most: Arc::clone(&most),
+        };
+        let script: Arc<[Act]> = script.into();
+        let now = Arc::new(AtomicUsize::new(0));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (script, seen) = (Arc::clone(&script), Arc::clone(&seen));
+                let (most, now) = (Arc::clone(&most), Arc::clone(&now));
+                tokio::spawn(async move {
+                    let _ = connection(stream, &script, &seen, &now, &most).await;
+                });
+            }
+        });
+        executor
+    }
+
+    /// Makes an executor of which only the address is used.
+    pub fn at(address: SocketAddr) -> Self {
+        Self {
+            address,
+            seen: Arc::default(),
+            most: Arc::default(),
+        }
+    }
+
+    /// Returns how many whole requests have arrived.
+    pub fn seen(&self) -> usize {
+        self.seen.load(Ordering::SeqCst)
+    }
+
+    /// Returns the most requests that were in progress at one time.
+    pub fn most(&self) -> usize {
+        self.most.load(Ordering::SeqCst)
+    }
+}
+
+async fn connection(
+    mut stream: TcpStream,
+    script: &[Act],
+    seen: &AtomicUsize,
+    now: &AtomicUsize,
+    most: &AtomicUsize,
+) -> std::io::Result<()> {
+    while let Some(head) = read_request(&mut stream).await? {
+        let at = seen.fetch_add(1, Ordering::SeqCst);
+        most.fetch_max(now.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
+        let act = script[at.min(script.len() - 1)];
+        let kept = perform(&mut stream, act, &head).await;
+        now.fetch_sub(1, Ordering::SeqCst);
+        if !kept? {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// Returns whether the connection stays open.
+async fn perform(stream: &mut TcpStream, act: Act, head: &str) -> std::io::Result<bool> {
+    let id = header(head, "ff-request-id").unwrap_or_default();
+    let echo = format!(
+        "HTTP/1.1 200 OK\r\nff-request-id: {id}\r\ncontent-length: {}\r\n\r\n{id}",
+        id.len()
+    );
+    let text = match act {
+        Act::Echo => echo,
+        Act::EchoAfter(span) => {
+            tokio::time::sleep(span).await;
+            echo
+        }
+        Act::Cut => "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n0123456789".to_owned(),
+        Act::CutChunked => {
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\na\r\n0123456789\r\n".to_owned()
+        }
+        Act::NoLength => "HTTP/1.1 200 OK\r\n\r\n0123456789".to_owned(),
+        Act::Redirect => {
+            "HTTP/1.1 307 Temporary Redirect\r\nlocation: /plan/other\r\ncontent-length: 0\r\n\r\n"
+                .to_owned()
+        }
+        Act::Close => String::new(),
+        Act::CloseInHead => "HTTP/1.1 200 OK\r\nconte".to_owned(),
+        Act::Foreign => {
+            "HTTP/1.1 200 OK\r\nff-request-id: other\r\ncontent-length: 6\r\n\r\nsecret".to_owned()
+        }
+        Act::Refuse => {
+            "HTTP/1.1 503 Busy\r\nff-outcome: not-run\r\ncontent-length: 0\r\n\r\n".to_owned()
+        }
+        Act::Silent => std::future::pending().await,
+        Act::Error => "HTTP/1.1 500 Error\r\ncontent-length: 0\r\n\r\n".to_owned(),
+    };
+    stream.write_all(text.as_bytes()).await?;
+    Ok(matches!(
+        act,
+        Act::Echo | Act::EchoAfter(_) | Act::Redirect | Act::Foreign | Act::Refuse | Act::Error
+    ))
+}
+
+/// Returns a header of a request as it was sent.
+pub fn header(head: &str, name: &str) -> Option<String> {
+    head.lines()
+        .filter_map(|line| line.split_once(": "))
+        .find(|(key, _)| key.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.trim().to_owned())
+}
+
+async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<String>> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        match stream.read_u8().await {
+            Ok(byte) => bytes.push(byte),
+            Err(_) => return Ok(None),
+        }
+    }
+    let head = String::from_utf8_lossy(&bytes).into_owned();
+    let length = header(&head, "content-length").and_then(|text| text.parse().ok());
+    let mut body = vec![0; length.unwrap_or_default()];
+    stream.read_exact(&mut body).await?;
+    Ok(Some(head))
+}
+
+/// How the table in memory behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Store {
+    /// It answers.
+    Up,
+    /// It refuses everything.
+    Refusing,
+    /// It never answers and carries nothing out.
+    Away,
+    /// It loses the answer of the first write after carrying it out.
+    LosesFirstAnswer,
+}
+
+/// Makes a table in memory.
+pub fn table(store: Store) -> Table {
+    let rows: Arc<Mutex<BTreeMap<String, Row>>> = Arc::default();
+    let lost = Arc::new(AtomicUsize::new(0));
+    let read = Arc::clone(&rows);
+    Table {
+        commit: call(move |txn: Txn| {
+            let (rows, lost) = (Arc::clone(&rows), Arc::clone(&lost));
+            async move {
+                match store {
+                    Store::Refusing => {
+                        return Err(TableError::Call(CallError::Refused("closed".to_owned())));
+                    }
+                    Store::Away => std::future::pending::<()>().await,
+                    Store::Up | Store::LosesFirstAnswer => {}
+                }
+                let versions = commit(&rows, &txn)?;
+                if store == Store::LosesFirstAnswer && lost.fetch_add(1, Ordering::SeqCst) == 0 {
+                    return Err(TableError::Call(CallError::Unknown("lost".to_owned())));
+                }
+                Ok(versions)
+            }
+        }),
+        read: call(move |key: String| {
+            let row = read.lock().expect("not poisoned").get(&key).cloned();
+            async move { Ok(row) }
+        }),
+        scan: call(|_| async { Ok(Vec::new()) }),
+    }
+}
+
+fn commit(rows: &Mutex<BTreeMap<String, Row>>, txn: &Txn) -> Result<Vec<RowVersion>, TableError> {
+    let mut rows = rows.lock().expect("not poisoned");
+    let version = |rows: &BTreeMap<String, Row>, key: &str| {
+        rows.get(key).map(|row| row.version).unwrap_or_default()
+    };
+    for check in &txn.checks {
+        let actual = version(&rows, &check.key);
+        if actual != check.version {
+            let key = check.key.clone();
+            return Err(TableError::Conflict { key, actual });
+        }
+    }
+    let mut versions = Vec::new();
+    for write in &txn.writes {
+        let next = version(&rows, &write.key).next();
+        versions.push(next);
+        match write.value.clone() {
+            Some(value) => {
+                let row = Row {
+                    key: write.key.clone(),
+                    value,
+                    version: next,
+                    op: txn.op.clone(),
+                };
+                rows.insert(write.key.clone(), row);
+            }
+            None => {
+                rows.remove(&write.key);
+            }
+        }
+    }
+    Ok(versions)
+}
+
+/// A daemon's data path on a loopback socket.
+pub struct Daemon {
+    pub proxy: Proxy,
+    pub address: SocketAddr,
+}
+
+impl Daemon {
+    /// Starts a daemon of a half; it knows nothing yet.
+    pub async fn start(name: &str, half: &str, table: Table, bounds: Bounds) -> Self {
+        let cfg = ProxyConfig::new(config(name, half, at_once()), || 0).bounds(bounds);
+        let proxy = Proxy::new(cfg, table, Clock::start(), SEED);
+        let acceptor = SalvoListener::new("127.0.0.1:0").bind().await;
+        let address = acceptor.inner().local_addr().expect("an address");
+        let server = harden(Server::new(acceptor));
+        tokio::spawn(server.serve(proxy.service()));
+        tokio::spawn(proxy.clone().run());
+        Self { proxy, address }
+    }
+
+    /// Starts the only daemon, with these executors.
+    pub async fn alone(executors: &[&Executor], table: Table, bounds: Bounds) -> Self {
+        let daemon = Self::start("entry-1", "rsh", table, bounds).await;
+        daemon.inform(executors, &[("entry-1", "rsh", nowhere())]);
+        daemon
+    }
+
+    /// Fills the tables of a daemon.
+    pub fn inform(&self, executors: &[&Executor], members: &[(&str, &str, SocketAddr)]) {
+        let entry = |(at, one): (usize, &&Executor)| executor(&format!("plan-{at}"), one.address);
+        self.proxy.update(RouteUpdate {
+            document: Some(document(1, "rsh")),
+            executors: Some(executors.iter().enumerate().map(entry).collect()),
+            members: Some(
+                members
+                    .iter()
+                    .map(|(name, half, address)| member(name, half, *address))
+                    .collect(),
+            ),
+            released: Vec::new(),
+        });
+    }
+
+    pub fn url(&self) -> String {
+        format!("http://{}/plan/visit", self.address)
+    }
+
+    /// Waits until all slots were given back.
+    pub async fn idle(&self) {
+        self.proxy.drained().await;
+        assert_eq!(self.proxy.in_flight(&"plan".into()), 0);
+    }
+}
+
+/// Makes a caller.
+pub fn caller() -> reqwest::Client {
+    reqwest::Client::builder()
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
+        .build()
+        .expect("a client")
+}
+
+/// Returns a header of an answer.
+pub fn told<'a>(answer: &'a reqwest::Response, name: &str) -> &'a str {
+    let value = answer.headers().get(name);
+    value.and_then(|value| value.to_str().ok()).unwrap_or("")
+}
--- /dev/null
+++ b/crates/route/tests/all/world.rs
@@ -0,0 +1,149 @@
+//! Tables for tests of the decisions.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use conf::doc::Document;
+use conf::doc::Upstream;
+use model::Mono;
+use model::id::DaemonId;
+use model::id::DocVersion;
+use model::id::HalfId;
+use model::id::UpstreamId;
+use model::place::Place;
+use plat::hosts::ExecutorEntry;
+use plat::hosts::HostState;
+use route::Router;
+use route::RouterConfig;
+use route::config::Limits;
+use route::verdict::Arrival;
+use route::verdict::Finish;
+use route::verdict::Grant;
+use route::verdict::Verdict;
+use route::view::InForce;
+use route::view::Member;
+use route::view::RouteUpdate;
+
+pub const SEED: u64 = 20_261_203;
+
+pub fn place() -> Place {
+    Place::new("vlaanderen", "limburg")
+}
+
+pub fn member(name: &str, half: &str, callers: SocketAddr) -> Member {
+    Member {
+        id: DaemonId::from(name),
+        half: HalfId::from(half),
+        place: place(),
+        callers,
+    }
+}
+
+pub fn nowhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
+pub fn members(names: &[&str]) -> Vec<Member> {
+    let one = |name: &&str| member(name, "rsh", nowhere());
+    names.iter().map(one).collect()
+}
+
+pub fn executor(name: &str, address: SocketAddr) -> ExecutorEntry {
+    ExecutorEntry {
+        id: name.into(),
+        upstream: UpstreamId::from("plan"),
+        address,
+        place: place(),
+        state: HostState::Live,
+    }
+}
+
+pub fn executors(count: usize) -> Vec<ExecutorEntry> {
+    let one = |at: usize| executor(&format!("plan-{at}"), nowhere());
+    (0..count).map(one).collect()
+}
+
+/// A document in which `half` owns the upstream `plan` below `/plan`.
+pub fn document(version: u64, half: &str) -> InForce {
+    let upstream = Upstream {
+        half: HalfId::from(half),
+        routes: vec!["/plan".to_owned()],
+        slots: 8,
+        connections: 64,
+        deadline_ms: 10_000,
+        weight: 1,
+    };
+    let mut document = Document::default();
+    document.upstreams.insert("plan".into(), upstream);
+    for (name, weight) in [("planner", 3), ("portal", 1)] {
+        let caller = conf::doc::Caller {
+            half: HalfId::from(half),
+            weight,
+        };
+        document.callers.insert(name.into(), caller);
+    }
+    InForce {
+        version: DocVersion(version),
+        document: Arc::new(document),
+    }
+}
+
+pub fn config(name: &str, half: &str, limits: Limits) -> RouterConfig {
+    RouterConfig::new(DaemonId::from(name), HalfId::from(half), place()).limits(limits)
+}
+
+/// Limits without the rest after a change of the members, for tests of other matters.
+pub fn at_once() -> Limits {
+    Limits {
+        settle: std::time::Duration::ZERO,
+        ..Limits::default()
+    }
+}
+
+/// A router of `name` that has taken in a document, `count` executors and the members at time 0.
+pub fn router(name: &str, count: usize, names: &[&str], limits: Limits) -> Router {
+    let mut router = Router::new(config(name, "rsh", limits), SEED);
+    let update = RouteUpdate {
+        document: Some(document(1, "rsh")),
+        executors: Some(executors(count)),
+        members: Some(members(names)),
+        released: Vec::new(),
+    };
+    router.update(update, Mono::ZERO);
+    router
+}
+
+pub fn arrival() -> Arrival {
+    Arrival {
+        path: "/plan/visit".to_owned(),
+        ..Arrival::default()
+    }
+}
+
+/// Takes as many slots as there are without waiting.
+pub fn fill(router: &mut Router, now: Mono) -> Vec<Grant> {
+    let mut grants = Vec::new();
+    loop {
+        match router.arrive(&arrival(), now) {
+            Verdict::Send(grant) => grants.push(grant),
+            Verdict::Wait(ticket) => {
+                router.cancel(ticket, now);
+                return grants;
+            }
+            _ => return grants,
+        }
+    }
+}
+
+/// Teaches the router a service time.
+pub fn teach(router: &mut Router, ms: u64, times: usize) -> Mono {
+    let mut now = Mono(1);
+    for _ in 0..times {
+        let Verdict::Send(grant) = router.arrive(&arrival(), now) else {
+            panic!("a slot is free");
+        };
+        now = Mono(now.0 + ms);
+        router.finish(&grant, Finish::Answered, now);
+    }
+    now
+}
