fix(route): waiting for the end of a drain does not wake itself

Cause: Proxy::drained asked through Inner::with, which notifies whoever waits for the end, itself. Before: a planned stop of a daemon with requests in progress spun for ever in one poll (quick start hung).

--- a/crates/route/src/proxy/mod.rs
+++ b/crates/route/src/proxy/mod.rs
@@ -152,7 +152,8 @@
     /// Returns how many requests are in progress, waiting ones included.
     #[must_use]
     pub fn unfinished(&self) -> usize {
-        let routed = self.inner.with(|router, _| router.unfinished());
+        // Not through `Inner::with`, which would wake `Proxy::drained` by its own question.
+        let routed = self.inner.lock().router.unfinished();
         routed + self.inner.passing.load(Ordering::Acquire)
     }
 
