test(plat,fake): bounds of an answer, closed connections, limit of connections

Trial mutations of the code, one at a time, showed two checks that no test held: the bound on an answer's size (the oversized answer of the stand-in was unreadable besides) and the order of a page (the test hung instead of failing). Both fail now. A Down set for the next calls is used up by connections, the reason of a refusal always fits a header, and an executor's server closes what exceeds its connections.

--- a/crates/fake/src/executor.rs
+++ b/crates/fake/src/executor.rs
@@ -57,6 +57,7 @@
     slots: usize,
     delay: Mutex<Delay>,
     filler_bytes: AtomicUsize,
+    max_connections: AtomicUsize,
     leaving: AtomicBool,
     running: AtomicUsize,
     peak: AtomicUsize,
@@ -77,6 +78,7 @@
             slots,
             delay: Mutex::new(Arc::new(|_| Duration::ZERO)),
             filler_bytes: AtomicUsize::new(0),
+            max_connections: AtomicUsize::new(usize::MAX),
             leaving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             peak: AtomicUsize::new(0),
@@ -101,6 +103,11 @@
         self.0.filler_bytes.store(bytes, Ordering::Relaxed);
     }
 
+    /// Sets how many connections a server takes that is started afterwards.
+    pub fn set_max_connections(&self, connections: usize) {
+        self.0.max_connections.store(connections, Ordering::Relaxed);
+    }
+
     /// Sets whether new requests are refused because the executor is leaving.
     pub fn set_leaving(&self, leaving: bool) {
         self.0.leaving.store(leaving, Ordering::Relaxed);
@@ -139,7 +146,8 @@
     ///
     /// Returns the error of binding the address.
     pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
-        wire::serve(address, self.0.faults.clone(), self.direct()).await
+        let connections = self.0.max_connections.load(Ordering::Relaxed);
+        wire::serve_up_to(connections, address, self.0.faults.clone(), self.direct()).await
     }
 
     async fn handle(self, req: Request) -> Answer {
--- a/crates/fake/src/faults.rs
+++ b/crates/fake/src/faults.rs
@@ -118,15 +118,7 @@
         let mut state = self.lock();
         state.calls += 1;
         let at = state.rules.iter().position(|rule| rule.matches(op))?;
-        let rule = &mut state.rules[at];
-        let fault = rule.fault.clone();
-        if let Some(left) = &mut rule.left {
-            *left -= 1;
-        }
-        if rule.left == Some(0) {
-            state.rules.remove(at);
-        }
-        Some(fault)
+        Some(state.use_up(at))
     }
 
     /// Counts a connection and returns its number.
@@ -140,10 +132,18 @@
         connection < self.lock().silent_below
     }
 
-    pub(crate) fn is_down(&self) -> bool {
-        let state = self.lock();
-        let first = state.rules.iter().find(|rule| rule.op.is_none());
-        first.is_some_and(|rule| rule.fault == Fault::Down)
+    /// Returns whether a connection that is being made meets [`Fault::Down`], which uses it up.
+    pub(crate) fn takes_connection(&self) -> bool {
+        let mut state = self.lock();
+        let mut rules = state.rules.iter();
+        let Some(at) = rules.position(|rule| rule.op.is_none()) else {
+            return false;
+        };
+        let is_down = state.rules[at].fault == Fault::Down;
+        if is_down {
+            state.use_up(at);
+        }
+        is_down
     }
 
     fn add(&self, op: Option<&str>, fault: Fault, left: Option<u32>) {
@@ -159,6 +159,21 @@
     }
 }
 
+impl State {
+    /// Returns the fault of a rule, which is removed once it was met as often as was set.
+    fn use_up(&mut self, at: usize) -> Fault {
+        let rule = &mut self.rules[at];
+        let fault = rule.fault.clone();
+        if let Some(left) = &mut rule.left {
+            *left -= 1;
+        }
+        if rule.left == Some(0) {
+            self.rules.remove(at);
+        }
+        fault
+    }
+}
+
 impl Rule {
     fn matches(&self, op: &str) -> bool {
         self.op.as_deref().is_none_or(|own| own == op)
--- a/crates/fake/src/wire.rs
+++ b/crates/fake/src/wire.rs
@@ -77,12 +77,15 @@
         }
     }
 
-    /// Makes an answer that vouches that the request was not carried out.
+    /// Makes an answer that vouches that the request was not carried out; what of the reason cannot
+    /// stand in a header is replaced.
     #[must_use]
     pub fn refused(status: u16, reason: &str) -> Self {
+        let printable = |c: char| if c.is_ascii_graphic() { c } else { ' ' };
+        let reason = reason.chars().map(printable).collect();
         Self {
             status,
-            headers: vec![(REFUSED, reason.to_owned())],
+            headers: vec![(REFUSED, reason)],
             body: Bytes::new(),
         }
     }
@@ -124,18 +127,35 @@
 ///
 /// Returns the error of binding the address.
 pub async fn serve(address: SocketAddr, faults: Faults, handler: Handler) -> io::Result<Server> {
+    serve_up_to(usize::MAX, address, faults, handler).await
+}
+
+/// Serves like [`serve`], and closes connections beyond `max_connections` when they are made.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub async fn serve_up_to(
+    max_connections: usize,
+    address: SocketAddr,
+    faults: Faults,
+    handler: Handler,
+) -> io::Result<Server> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    let task = tokio::spawn(accept(listener, Service::new(faults, handler)));
+    let service = Service::new(faults, handler);
+    let task = tokio::spawn(accept(listener, service, max_connections));
     Ok(Server { address, task })
 }
 
-async fn accept(listener: TcpListener, service: Service) {
+async fn accept(listener: TcpListener, service: Service, max_connections: usize) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
+                if let Ok((stream, _)) = accepted
+                    && connections.len() < max_connections
+                {
                     connections.spawn(service.clone().connection(stream));
                 }
             }
@@ -169,7 +189,7 @@
 
     async fn connection(self, stream: TcpStream) {
         let number = self.faults.connect();
-        if self.faults.is_down() {
+        if self.faults.takes_connection() {
             return;
         }
         let service = service_fn(move |req| self.clone().serve(number, req));
--- a/crates/fake/tests/all/executor.rs
+++ b/crates/fake/tests/all/executor.rs
@@ -129,6 +129,22 @@
     assert_eq!(executor.peak(), 1);
 }
 
+#[tokio::test]
+async fn a_connection_beyond_the_limit_is_closed_unanswered() {
+    let ledger = RunLedger::new();
+    let executor = FakeExecutor::new("executor-1", 8, &ledger);
+    executor.set_max_connections(1);
+    executor.set_delay(|_| Duration::from_secs(3600));
+    let server = executor.serve(LOOPBACK).await.expect("a port is free");
+    let _running = send(server.address(), "id-1").await;
+    until(|| executor.running() == 1).await;
+    let mut second = TcpStream::connect(server.address())
+        .await
+        .expect("it is accepted");
+    assert!(!matches!(second.read(&mut [0]).await, Ok(1..)));
+    assert_eq!(ledger.requests(), 1);
+}
+
 #[tokio::test]
 async fn a_leaving_executor_refuses_new_requests_and_finishes_those_in_progress() {
     let ledger = RunLedger::new();
--- a/crates/plat/tests/all/client.rs
+++ b/crates/plat/tests/all/client.rs
@@ -212,6 +212,15 @@
     (concluded(&outcome), sent)
 }
 
+#[tokio::test]
+async fn a_body_is_read_up_to_the_bound_and_no_further() {
+    for (bytes, expected) in [(MAX_BYTES, Answered), (MAX_BYTES + 1, Unknown)] {
+        let body = format!("\"{}\"", "x".repeat(bytes - 2));
+        let text = format!("200 OK|ff-request-id: {{id}}|content-length: {bytes}||{body}");
+        assert_eq!(post_to(&text).await, (expected, 1), "{bytes} bytes");
+    }
+}
+
 #[tokio::test]
 async fn an_answer_that_comes_twice_is_never_taken_for_that_to_the_next_request() {
     let answer = |req: &str| {
--- a/crates/plat/tests/all/scan.rs
+++ b/crates/plat/tests/all/scan.rs
@@ -1,3 +1,6 @@
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
 use fake::table::FakeTable;
 use model::id::OpId;
 use model::id::RowVersion;
@@ -52,9 +55,12 @@
         ("a row twice", vec![row("a/1"), row("a/1")]),
     ];
     for (name, page) in pages {
+        let asked = AtomicUsize::new(0);
         let table = Table {
             scan: call(move |_: Scan| {
-                let page = page.clone();
+                // Ends a loop, so that it shows as a scan that was taken.
+                let again = asked.fetch_add(1, Ordering::Relaxed) < 3;
+                let page = if again { page.clone() } else { Vec::new() };
                 async move { Ok(page) }
             }),
             ..FakeTable::new().direct()
--- a/crates/plat/tests/all/table.rs
+++ b/crates/plat/tests/all/table.rs
@@ -73,6 +73,19 @@
     assert_eq!(concluded(&outcome), Concluded::Refused);
 }
 
+#[tokio::test]
+async fn a_connection_closed_when_it_was_made_leaves_the_outcome_unknown() {
+    let fake = FakeTable::new();
+    let server = fake.serve(LOOPBACK).await.expect("a port is free");
+    let table = table::http(&client(), endpoint(server.address(), None));
+    fake.faults().next(Fault::Down, 1);
+    let closed = call_error((table.commit)(txn("op-1", "row", 0)).await);
+    assert_eq!(concluded(&closed), Concluded::Unknown);
+    assert_eq!(fake.rows().commits(), 0);
+    let again = call_error((table.commit)(txn("op-2", "row", 0)).await);
+    assert_eq!(concluded(&again), Concluded::Answered);
+}
+
 #[tokio::test]
 async fn a_commit_delivered_twice_is_carried_out_once_and_reports_the_conflict() {
     let fake = FakeTable::new();
