test(plat): answers that do not fit their question; transactions that could take effect twice

Trial mutations again: an answer of the right id but for another row, operation or check was refused by code that no test held, and is_repeatable was held only for a transaction without any check.

--- a/crates/fake/tests/all/executor.rs
+++ b/crates/fake/tests/all/executor.rs
@@ -134,13 +134,18 @@
     let ledger = RunLedger::new();
     let executor = FakeExecutor::new("executor-1", 8, &ledger);
     executor.set_max_connections(1);
-    executor.set_delay(|_| Duration::from_secs(3600));
+    executor.set_delay(|req| match req.id.as_str() {
+        "id-1" => Duration::from_secs(3600),
+        _ => Duration::ZERO,
+    });
     let server = executor.serve(LOOPBACK).await.expect("a port is free");
     let _running = send(server.address(), "id-1").await;
     until(|| executor.running() == 1).await;
     let mut second = TcpStream::connect(server.address())
         .await
         .expect("it is accepted");
+    let req = "GET / HTTP/1.1\r\nhost: x\r\nff-request-id: id-2\r\n\r\n";
+    let _closed_already = second.write_all(req.as_bytes()).await;
     assert!(!matches!(second.read(&mut [0]).await, Ok(1..)));
     assert_eq!(ledger.requests(), 1);
 }
--- a/crates/plat/tests/all/client.rs
+++ b/crates/plat/tests/all/client.rs
@@ -7,6 +7,7 @@
 use plat::client::Client;
 use plat::client::Endpoint;
 use plat::client::Post;
+use plat::error::CallError;
 use plat::table;
 use plat::table::TableError;
 use plat::table::http::READ_PATH;
@@ -28,6 +29,7 @@
 use crate::support::SHORT;
 use crate::support::client;
 use crate::support::concluded;
+use crate::support::txn;
 
 /// How often a server writes its answer to one request.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -212,6 +214,66 @@
     (concluded(&outcome), sent)
 }
 
+#[tokio::test]
+async fn an_answer_that_does_not_fit_its_question_is_not_taken() {
+    let row = r#"{"row":{"key":"other","value":1,"version":1,"op":"op"}}"#;
+    let conflict = |op, key| format!(r#"{{"op":"{op}","key":"{key}","actual":3}}"#);
+    // The status and body of an answer that carries the request's id, and whether it is taken.
+    let cases = [
+        ("another row", "200 OK", row.to_owned(), false),
+        ("no such row", "200 OK", r#"{"row":null}"#.to_owned(), true),
+        (
+            "committed",
+            "200 OK",
+            r#"{"op":"op-1","versions":[1]}"#.to_owned(),
+            true,
+        ),
+        (
+            "another op",
+            "200 OK",
+            r#"{"op":"op-2","versions":[1]}"#.to_owned(),
+            false,
+        ),
+        (
+            "too many versions",
+            "200 OK",
+            r#"{"op":"op-1","versions":[1,2]}"#.to_owned(),
+            false,
+        ),
+        ("conflict", "409 Conflict", conflict("op-1", "row"), true),
+        (
+            "conflict of another op",
+            "409 Conflict",
+            conflict("op-2", "row"),
+            false,
+        ),
+        (
+            "conflict of a row not checked",
+            "409 Conflict",
+            conflict("op-1", "other"),
+            false,
+        ),
+    ];
+    for (name, status, body, taken) in cases {
+        let answer = move |req: &str| {
+            let id = header(req, "ff-request-id: ");
+            let length = body.len();
+            format!(
+                "HTTP/1.1 {status}\r\nff-request-id: {id}\r\ncontent-length: {length}\r\n\r\n{body}"
+            )
+        };
+        let (address, _requests) = raw(answer, Then::Closes).await;
+        let table = table::http(&client(), Endpoint::new(address, LONG, MAX_BYTES));
+        let error = if name.ends_with("row") {
+            (table.read)("row".to_owned()).await.err()
+        } else {
+            (table.commit)(txn("op-1", "row", 0)).await.err()
+        };
+        let unknown = matches!(error, Some(TableError::Call(CallError::Unknown(_))));
+        assert_eq!(unknown, !taken, "{name}: {error:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_body_is_read_up_to_the_bound_and_no_further() {
     for (bytes, expected) in [(MAX_BYTES, Answered), (MAX_BYTES + 1, Unknown)] {
--- a/crates/plat/tests/all/settle.rs
+++ b/crates/plat/tests/all/settle.rs
@@ -175,12 +175,13 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_transaction_that_could_take_effect_twice_is_not_repeated() {
-    let fake = FakeTable::new();
-    let mut unchecked = txn("op-1", "row", 0);
-    unchecked.checks.clear();
-    assert_eq!(
-        settle_while(&fake, unchecked, |_| ()).await,
-        Settled::Unknown
-    );
-    assert_eq!(fake.rows().commits(), 1);
+    // The checks of a transaction that writes none of the rows that it checks.
+    for checks in [vec![], vec![check("other", 0)]] {
+        let fake = FakeTable::new();
+        let mut twice = txn("op-1", "row", 0);
+        twice.checks = checks;
+        let settled = settle_while(&fake, twice.clone(), |_| ()).await;
+        assert_eq!(settled, Settled::Unknown, "{twice:?}");
+        assert_eq!(fake.rows().commits(), 1, "{twice:?}");
+    }
 }
