fix(route): first documents and far executors

An upstream known from the host list before the first document stayed foreign; a half with no daemon near an upstream's executors queued every request until its deadline instead of sending far. After: both cases are tests; a document of the same version replaces what it said (needed to serve by what two documents have in common).

--- a/crates/route/src/router/admit.rs
+++ b/crates/route/src/router/admit.rs
@@ -148,7 +148,12 @@
     /// Returns how long it takes until `turns` requests have found a slot, in milliseconds.
     pub(super) fn turn_ms(&self, key: UpstreamKey, turns: usize) -> f64 {
         let upstream = &self.upstreams[key];
-        let slots = f64::from(upstream.near_slots.max(1));
+        let slots = if upstream.has_only_far() {
+            upstream.far_slots
+        } else {
+            upstream.near_slots
+        };
+        let slots = f64::from(slots.max(1));
         as_f64(turns) * upstream.service.mean_ms() / slots
     }
 
--- a/crates/route/src/router/pick.rs
+++ b/crates/route/src/router/pick.rs
@@ -14,7 +14,7 @@
     /// Gives the right to send to the best of a few executors with a free slot.
     ///
     /// The cost does not depend on the number of executors. `exclude` is avoided where there is
-    /// another choice.
+    /// another choice. Executors of other regions serve if `far` is set, and where no other is open.
     pub(super) fn pick(
         &mut self,
         key: UpstreamKey,
@@ -24,6 +24,7 @@
         now: Mono,
     ) -> Option<Grant> {
         let upstream = self.upstreams.get(key)?;
+        let far = far || upstream.has_only_far();
         let list = if far { &upstream.far } else { &upstream.near };
         let common = upstream.service.mean_ms();
         let mut best: Option<(f64, ExecutorKey)> = None;
--- a/crates/route/src/router/tables.rs
+++ b/crates/route/src/router/tables.rs
@@ -43,7 +43,7 @@
     pub fn update(&mut self, update: RouteUpdate, now: Mono) {
         let mut divide = false;
         if let Some(document) = update.document
-            && (document.version > self.version || self.document.is_none())
+            && (document.version >= self.version || self.document.is_none())
         {
             self.take_document(&document, now);
             divide = true;
@@ -92,12 +92,12 @@
     ) -> UpstreamKey {
         let permille = self.cfg.limits.retry_permille;
         let ours = entry.half == self.cfg.half;
-        let key = match self.upstream_names.get(id) {
-            Some(key) => *key,
+        let known = self.upstream_names.get(id).copied();
+        let is_new = known.is_none_or(|key| self.upstreams[key].half.is_empty());
+        let key = match known {
+            Some(key) => key,
             None => {
-                let mut upstream = new_upstream(id, permille);
-                upstream.phase = if ours { Phase::Owned } else { Phase::Foreign };
-                let key = self.upstreams.insert(upstream);
+                let key = self.upstreams.insert(new_upstream(id, permille));
                 self.upstream_names.insert(id.clone(), key);
                 key
             }
@@ -109,7 +109,10 @@
         upstream.deadline = Duration::from_millis(entry.deadline_ms);
         upstream.weight = entry.weight;
         upstream.present = true;
-        if !first {
+        if first || is_new {
+            // Executors may have been listed before any document named their upstream.
+            upstream.phase = if ours { Phase::Owned } else { Phase::Foreign };
+        } else {
             upstream.change_hands(ours, wait_until);
         }
         key
@@ -384,6 +387,12 @@
 }
 
 impl Upstream {
+    /// Returns whether all slots that this daemon may use now are in other regions, as after an
+    /// upstream has gone to a half that has no daemon near its executors.
+    pub(super) const fn has_only_far(&self) -> bool {
+        self.near_slots == 0 && self.far_slots > 0
+    }
+
     fn change_hands(&mut self, ours: bool, wait_until: Mono) {
         self.phase = match (self.phase, ours) {
             (Phase::Owned | Phase::Waiting, true) => self.phase,
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -14,7 +14,7 @@
 /// The document in force.
 #[derive(Clone, Debug)]
 pub struct InForce {
-    /// Its version; a lower one than known is ignored.
+    /// Its version; a lower one than known is ignored, the same one replaces what it said.
     pub version: DocVersion,
     /// The document.
     pub document: Arc<Document>,
--- a/crates/route/tests/all/handover.rs
+++ b/crates/route/tests/all/handover.rs
@@ -139,3 +139,39 @@
     assert_eq!(after.len(), 8);
     assert!(after.iter().all(|grant| grant.name != leaving));
 }
+
+#[test]
+fn an_upstream_whose_executors_were_listed_before_the_document_is_owned_at_once() {
+    let mut router = route::Router::new(config("old", "rsh", at_once()), SEED);
+    let early = RouteUpdate {
+        executors: Some(executors(2)),
+        members: Some(vec![member("old", "rsh", nowhere())]),
+        ..RouteUpdate::default()
+    };
+    router.update(early, Mono::ZERO);
+    router.update(change(1, "rsh"), Mono(1));
+    assert_eq!(phase(&router), Phase::Owned);
+    assert!(matches!(
+        router.arrive(&arrival(), Mono(2)),
+        Verdict::Send(_)
+    ));
+}
+
+#[test]
+fn a_half_without_a_daemon_near_the_executors_sends_to_them_at_once() {
+    let mut far = member("new", "aqse", nowhere());
+    far.place = model::place::Place::new("wallonie", "namur");
+    let mut cfg = config("new", "aqse", at_once());
+    cfg.place = far.place.clone();
+    let mut router = route::Router::new(cfg, SEED);
+    let update = RouteUpdate {
+        document: Some(document(1, "aqse")),
+        executors: Some(executors(2)),
+        members: Some(vec![member("old", "rsh", nowhere()), far]),
+        released: Vec::new(),
+    };
+    router.update(update, Mono::ZERO);
+    let grants = crate::world::fill(&mut router, Mono(1));
+    assert_eq!(grants.len(), 16, "all slots of both executors");
+    assert!(grants.iter().all(|grant| grant.far));
+}
