feat(route): a request without a free slot is passed to a peer once; estimates with less noise

The budget now earns with the first send instead of the arrival, and is not earned by requests that were refused while they waited.

--- /dev/null
+++ b/crates/measure/examples/measure.rs
@@ -0,0 +1,24 @@
+//! Runs one measurement, prints one line a figure and fails when a target is missed.
+
+use std::process::ExitCode;
+
+use measure::figure::Figure;
+
+fn main() -> ExitCode {
+    let name = std::env::args().nth(1).unwrap_or_default();
+    let figures: Vec<Figure> = match name.as_str() {
+        "routing" => measure::routing::run(),
+        _ => {
+            eprintln!("measure: name one of: routing");
+            return ExitCode::from(2);
+        }
+    };
+    for figure in &figures {
+        println!("{figure}");
+    }
+    if figures.iter().all(Figure::met) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -5,7 +5,7 @@
 use model::Mono;
 
 /// The weight of one new sample, as a fraction of [`WEIGHT_UNIT`].
-const EXECUTOR_WEIGHT: f64 = 0.2;
+const EXECUTOR_WEIGHT: f64 = 0.1;
 /// The weight of one new sample in the mean of a whole upstream.
 const UPSTREAM_WEIGHT: f64 = 0.03;
 /// After this time without samples an executor's estimate has mostly returned to the common one.
--- a/crates/route/src/proxy/head.rs
+++ b/crates/route/src/proxy/head.rs
@@ -31,6 +31,9 @@
 /// The version of the document at the daemon that passed a request on.
 pub const VERSION: HeaderName = HeaderName::from_static("ff-version");
 
+/// Told to a daemon that passed a request on: it had to wait for a slot.
+pub const WAITED: HeaderName = HeaderName::from_static("ff-waited");
+
 /// The most characters of a request id or a caller's name.
 const MAX_NAME: usize = 128;
 
--- a/crates/route/src/proxy/serve.rs
+++ b/crates/route/src/proxy/serve.rs
@@ -28,6 +28,7 @@
 use super::job::Job;
 use super::job::remaining;
 use super::reply::Reply;
+use super::wait::Asked;
 use crate::verdict::Finish;
 use crate::verdict::Grant;
 use crate::verdict::Peer;
@@ -70,19 +71,51 @@
             Ok(job) => job,
             Err(reply) => return *reply,
         };
-        let verdict = self
-            .ask(|router, now| Some(router.arrive(&job.intake.arrival, now)))
-            .await;
-        let mut reply = match verdict {
-            Some(Verdict::Send(grant)) => self.send(&mut job, grant).await,
-            Some(Verdict::Pass(peer)) => self.pass(&mut job, peer).await,
+        let mut reply = self.serve_job(&mut job).await;
+        head::set(&mut reply.headers, head::REQUEST_ID, &job.id);
+        reply
+    }
+
+    async fn serve_job(self: &Arc<Self>, job: &mut Job) -> Reply {
+        let hops = job.intake.arrival.hops;
+        let asked = self.arrive(job).await;
+        let mut reply = match asked.verdict {
+            Some(Verdict::Pass(peer)) => match self.pass(job, peer).await {
+                Some(reply) => reply,
+                None => self.serve_here(job).await,
+            },
+            verdict => self.serve_verdict(job, verdict).await,
+        };
+        if asked.waited && hops > 0 {
+            head::set(&mut reply.headers, head::WAITED, "true");
+        }
+        reply
+    }
+
+    async fn arrive(&self, job: &Job) -> Asked {
+        self.ask(|router, now| Some(router.arrive(&job.intake.arrival, now)))
+            .await
+    }
+
+    /// Serves a request by itself that no peer could be reached for.
+    async fn serve_here(self: &Arc<Self>, job: &mut Job) -> Reply {
+        job.intake.arrival.hops = job.intake.arrival.hops.max(1);
+        let asked = self.arrive(job).await;
+        self.serve_verdict(job, asked.verdict).await
+    }
+
+    async fn serve_verdict(self: &Arc<Self>, job: &mut Job, verdict: Option<Verdict>) -> Reply {
+        match verdict {
+            Some(Verdict::Send(grant)) => self.send(job, grant).await,
             Some(Verdict::Refuse(refusal)) => Reply::refused(&refusal),
+            Some(Verdict::Pass(_)) => {
+                let reason = "no daemon of the owning half could be reached";
+                Reply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).retry_after(RETRY_AFTER)
+            }
             Some(Verdict::Wait(_)) | None => {
                 Reply::not_run(StatusCode::SERVICE_UNAVAILABLE, "the daemon is stopping")
             }
-        };
-        head::set(&mut reply.headers, head::REQUEST_ID, &job.id);
-        reply
+        }
     }
 
     /// Sends a request to executors until it has an outcome.
@@ -155,7 +188,8 @@
     ) -> Option<Grant> {
         let verdict = self
             .ask(|router, now| router.again(last, tried, paid, true, now))
-            .await?;
+            .await
+            .verdict?;
         match verdict {
             Verdict::Send(grant) => Some(grant),
             _ => None,
@@ -290,8 +324,9 @@
         }
     }
 
-    /// Passes a request to another daemon, and to a further one if the first cannot be reached.
-    async fn pass(self: &Arc<Self>, job: &mut Job, first: Peer) -> Reply {
+    /// Passes a request to another daemon, and to a further one if the first cannot be reached;
+    /// returns `None` if none can and the request is still whole.
+    async fn pass(self: &Arc<Self>, job: &mut Job, first: Peer) -> Option<Reply> {
         let mut peer = first;
         for _ in 0..MAX_PEERS {
             match self.pass_once(job, &peer).await {
@@ -299,29 +334,29 @@
                     let (response, exchange) = headed;
                     if let Err(reason) = own_and_whole(job, &response) {
                         exchange.fail();
-                        return Reply::unknown(StatusCode::BAD_GATEWAY, reason);
+                        return Some(Reply::unknown(StatusCode::BAD_GATEWAY, reason));
+                    }
+                    if had_no_slot(&response) {
+                        self.with(|router, now| router.peer_busy(&peer.id, now));
                     }
-                    return self.stream(response, exchange, Finish::Answered);
+                    return Some(self.stream(response, exchange, Finish::Answered));
                 }
                 Err(Failure::NotRun { request, .. }) => job.recover(request),
                 Err(Failure::Lost(reason)) => {
-                    return Reply::unknown(StatusCode::BAD_GATEWAY, &reason);
+                    return Some(Reply::unknown(StatusCode::BAD_GATEWAY, &reason));
                 }
                 Err(Failure::Caller(reason)) => {
-                    return Reply::unknown(StatusCode::BAD_REQUEST, &reason);
+                    return Some(Reply::unknown(StatusCode::BAD_REQUEST, &reason));
                 }
             }
+            self.with(|router, now| router.peer_busy(&peer.id, now));
             let other = self.with(|router, _| router.other_peer(&peer));
             match other {
                 Some(other) if job.sendable() => peer = other,
                 _ => break,
             }
         }
-        Reply::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no daemon of the owning half could be reached",
-        )
-        .retry_after(RETRY_AFTER)
+        None
     }
 
     async fn pass_once(self: &Arc<Self>, job: &mut Job, peer: &Peer) -> Result<Headed, Failure> {
@@ -360,6 +395,11 @@
     Ok(())
 }
 
+/// Returns whether a daemon had no free slot for a request passed to it.
+fn had_no_slot(response: &Response<Incoming>) -> bool {
+    response.headers().contains_key(head::WAITED) || says_not_run(response)
+}
+
 fn says_not_run(response: &Response<Incoming>) -> bool {
     response
         .headers()
--- a/crates/route/src/proxy/wait.rs
+++ b/crates/route/src/proxy/wait.rs
@@ -17,12 +17,18 @@
     rx: oneshot::Receiver<Verdict>,
 }
 
+/// A final verdict, and whether the request had to wait for it.
+pub(super) struct Asked {
+    pub(super) verdict: Option<Verdict>,
+    pub(super) waited: bool,
+}
+
 impl Inner {
     /// Asks the router and waits until the verdict is final.
     pub(super) async fn ask(
         &self,
         question: impl FnOnce(&mut Router, Mono) -> Option<Verdict>,
-    ) -> Option<Verdict> {
+    ) -> Asked {
         let mut waiter = {
             let now = self.clock.now();
             let mut state = self.lock();
@@ -31,7 +37,10 @@
                 Some(Verdict::Wait(ticket)) => ticket,
                 known => {
                     self.deliver(&mut state, now);
-                    return known;
+                    return Asked {
+                        verdict: known,
+                        waited: false,
+                    };
                 }
             };
             let (tx, rx) = oneshot::channel();
@@ -43,7 +52,10 @@
                 rx,
             }
         };
-        (&mut waiter.rx).await.ok()
+        Asked {
+            verdict: (&mut waiter.rx).await.ok(),
+            waited: true,
+        }
     }
 }
 
--- a/crates/route/src/router/admit.rs
+++ b/crates/route/src/router/admit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use model::Mono;
+use model::id::DaemonId;
 use rand::RngExt;
 
 use super::MAX_HOPS;
@@ -18,11 +19,14 @@
 use crate::verdict::Peer;
 use crate::verdict::Reason;
 use crate::verdict::Verdict;
+use crate::view::Member;
 
 /// What a caller is told to wait before it tries again when nothing better is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// What a send to another region adds to the time of a request, in milliseconds.
 const FAR_MS: f64 = 40.0;
+/// How long no request is passed to a peer that had no free slot, unless it owns the upstream.
+const BUSY_PEER: Duration = Duration::from_millis(100);
 /// The fewest requests that may wait, so that slots stay busy.
 const MIN_WAITING: usize = 2;
 
@@ -107,6 +111,9 @@
                 return Ok(Verdict::Pass(peer));
             }
         }
+        if let Some(peer) = self.overflow_peer(key, req, deadline, now) {
+            return Ok(Verdict::Pass(peer));
+        }
         let caller = self.caller_of(req);
         let wait = self.predicted_wait(key, caller, now);
         if wait + self.upstreams[key].service.likely_ms() > remaining {
@@ -211,11 +218,9 @@
             deadline,
             give_up: deadline,
             reason: Reason::Deadline,
+            first: true,
         });
-        let upstream = &mut self.upstreams[key];
-        upstream.requests += 1;
-        upstream.budget.earn();
-        let place = upstream.queue.push(caller, weight, ticket, now);
+        let place = self.upstreams[key].queue.push(caller, weight, ticket, now);
         self.waiting[ticket].place = place;
         Some(Verdict::Wait(ticket))
     }
@@ -251,6 +256,7 @@
             deadline,
             give_up: deadline.min(now.after(self.cfg.limits.handover_wait)),
             reason,
+            first: true,
         });
         self.held.push(ticket);
         Verdict::Wait(ticket)
@@ -292,6 +298,7 @@
             deadline: grant.deadline,
             give_up: grant.deadline,
             reason: Reason::Deadline,
+            first: false,
         });
         self.waiting[ticket].place = self.upstreams[key].queue.push_front(ticket, now);
         Some(Verdict::Wait(ticket))
@@ -325,7 +332,11 @@
                 return;
             };
             self.upstreams[key].queue.pop(now);
-            self.resolve(ticket, Verdict::Send(grant));
+            let verdict = match self.waiting[ticket].first {
+                true => self.first_send(key, grant),
+                false => Verdict::Send(grant),
+            };
+            self.resolve(ticket, verdict);
         }
     }
 
@@ -359,6 +370,39 @@
         self.one_of(&holders, deadline)
     }
 
+    /// Returns a peer that may have a slot for a request that finds none here. A request is passed on
+    /// for this reason only once, and for a while not to peers that had none either.
+    fn overflow_peer(
+        &mut self,
+        key: UpstreamKey,
+        req: &Arrival,
+        deadline: Mono,
+        now: Mono,
+    ) -> Option<Peer> {
+        if req.hops > 0 || self.upstreams[key].phase != Phase::Owned {
+            return None;
+        }
+        let place = &self.cfg.place;
+        let fits = |member: &Member| {
+            member.half == self.cfg.half
+                && member.id != self.cfg.daemon
+                && member.place.region == place.region
+                && self
+                    .busy_peers
+                    .get(&member.id)
+                    .is_none_or(|until| *until <= now)
+        };
+        let all: Vec<usize> = (0..self.members.len())
+            .filter(|at| fits(&self.members[*at]))
+            .collect();
+        self.one_of(&all, deadline)
+    }
+
+    /// Notes that a peer had no free slot for a request passed to it.
+    pub fn peer_busy(&mut self, peer: &DaemonId, now: Mono) {
+        self.busy_peers.insert(peer.clone(), now.after(BUSY_PEER));
+    }
+
     fn one_of(&mut self, all: &[usize], deadline: Mono) -> Option<Peer> {
         let region = &self.cfg.place.region;
         let near: Vec<usize> = all
--- a/crates/route/src/router/loans.rs
+++ b/crates/route/src/router/loans.rs
@@ -1,5 +1,7 @@
 //! Lending unused slots to the other daemons of the half, and borrowing theirs.
 
+use std::time::Duration;
+
 use model::Mono;
 use model::id::DaemonId;
 
@@ -12,8 +14,10 @@
 use crate::slots::Loan;
 use crate::slots::SlotCount;
 
-/// Slots are asked for when fewer than this part of the own ones are free, in percent.
-const LOW_PERCENT: u32 = 15;
+/// Slots are asked for when fewer than this part of the present ones are free, in percent.
+const HEADROOM_PERCENT: u32 = 15;
+/// The most slots that one peer lends at a time, which bounds the messages.
+const MAX_LOAN: u16 = 32;
 /// A lender keeps this part of its slots free for itself, in percent.
 const RESERVE_PERCENT: u32 = 15;
 
@@ -33,11 +37,17 @@
             .collect();
         let keys: Vec<UpstreamKey> = self.upstreams.keys().collect();
         let mut asks = Vec::new();
+        self.expire_loans(now);
         for key in keys {
+            let busy: Vec<Vec<SlotCount>> = peers
+                .iter()
+                .map(|peer| self.give_back_idle(peer, key))
+                .collect();
             let wanted = self.wanted(key, peers.len());
-            for peer in &peers {
-                let busy = self.give_back_idle(peer, key);
-                if wanted > 0 || !busy.is_empty() {
+            for (peer, busy) in peers.iter().zip(busy) {
+                let held: u16 = busy.iter().map(|slot| slot.count).sum();
+                let wanted = wanted.min(MAX_LOAN.saturating_sub(held));
+                if wanted > 0 || held > 0 {
                     let ask = Ask {
                         borrower: self.cfg.daemon.clone(),
                         upstream: self.upstreams[key].id.clone(),
@@ -48,24 +58,19 @@
                 }
             }
         }
-        if !asks.is_empty() {
-            self.expire_loans(now);
-        }
         asks
     }
 
-    /// Returns how many slots to ask of each peer.
+    /// Returns how many slots to ask of each peer, after idle ones were given back.
     fn wanted(&self, key: UpstreamKey, peers: usize) -> u16 {
         let upstream = &self.upstreams[key];
         if peers == 0 || upstream.phase != Phase::Owned {
             return 0;
         }
-        let free = upstream.near_slots.saturating_sub(upstream.in_flight);
-        let low = upstream.near_slots * LOW_PERCENT / 100;
-        if upstream.queue.is_empty() && free > low {
-            return 0;
-        }
-        let missing = upstream.queue.len() + (low.saturating_sub(free) + 1) as usize;
+        let headroom = upstream.near_slots * HEADROOM_PERCENT / 100;
+        let needed =
+            upstream.in_flight + headroom + u32::try_from(upstream.queue.len()).unwrap_or(0);
+        let missing = needed.saturating_sub(upstream.near_slots) as usize;
         u16::try_from(missing.div_ceil(peers)).unwrap_or(u16::MAX)
     }
 
@@ -116,7 +121,8 @@
                 loan.slots.push(slot.clone());
             }
         }
-        for executor in self.spare(key, ask.wanted) {
+        let lent = self.spare_count(key).div_ceil(2).min(ask.wanted);
+        for executor in self.unused(key, lent) {
             self.add_lent(&ask.borrower, executor, 1, until);
             loan.slots.push(SlotCount {
                 executor: self.executors[executor].id.clone(),
@@ -126,16 +132,20 @@
         loan
     }
 
-    /// Returns executors with an unused slot, one entry a slot, spread evenly and as many as this
-    /// daemon can do without.
-    fn spare(&self, key: UpstreamKey, wanted: u16) -> Vec<ExecutorKey> {
+    /// Returns how many slots this daemon can do without.
+    fn spare_count(&self, key: UpstreamKey) -> u16 {
         let upstream = &self.upstreams[key];
         if upstream.phase != Phase::Owned || !upstream.queue.is_empty() || self.draining {
-            return Vec::new();
+            return 0;
         }
         let free = upstream.near_slots.saturating_sub(upstream.in_flight);
         let reserve = (upstream.near_slots * RESERVE_PERCENT).div_ceil(100);
-        let most = free.saturating_sub(reserve).min(u32::from(wanted)) as usize;
+        u16::try_from(free.saturating_sub(reserve)).unwrap_or(u16::MAX)
+    }
+
+    /// Returns executors with an unused slot, one entry a slot, spread evenly.
+    fn unused(&self, key: UpstreamKey, most: u16) -> Vec<ExecutorKey> {
+        let upstream = &self.upstreams[key];
         let unused = |key: &ExecutorKey| {
             let executor = &self.executors[*key];
             let own = executor.own.saturating_sub(executor.lent);
@@ -144,7 +154,7 @@
         let rounds = upstream.near.iter().map(|key| unused(&key)).max();
         (0..rounds.unwrap_or_default())
             .flat_map(|round| upstream.near.iter().filter(move |key| unused(key) > round))
-            .take(most)
+            .take(usize::from(most))
             .collect()
     }
 
@@ -181,7 +191,7 @@
         let Some(key) = self.upstream_names.get(&loan.upstream).copied() else {
             return;
         };
-        let until = asked.after(std::time::Duration::from_millis(loan.lease_ms));
+        let until = asked.after(Duration::from_millis(loan.lease_ms));
         if until <= now || !self.members.iter().any(|member| member.id == loan.lender) {
             return;
         }
--- a/crates/route/src/router/mod.rs
+++ b/crates/route/src/router/mod.rs
@@ -22,6 +22,7 @@
 use model::Map;
 use model::Mono;
 use model::id::CallerId;
+use model::id::DaemonId;
 use model::id::DocVersion;
 use model::id::ExecutorId;
 use model::id::UpstreamId;
@@ -58,7 +59,7 @@
 /// An executor this many times slower than its upstream's mean is a latency outlier.
 const SLOW_FACTOR: f64 = 3.0;
 /// Samples before an executor can be a latency outlier.
-const SLOW_SAMPLES: u32 = 8;
+const SLOW_SAMPLES: u32 = 16;
 
 #[derive(Debug)]
 struct Upstream {
@@ -138,6 +139,8 @@
     deadline: Mono,
     give_up: Mono,
     reason: Reason,
+    /// Whether it has not been sent yet.
+    first: bool,
 }
 
 /// The state machine of one daemon's routing.
@@ -162,6 +165,8 @@
     held: Vec<Ticket>,
     lent: Vec<Entry>,
     borrowed: Vec<Entry>,
+    /// Peers that had no free slot for a request passed to them, and until when none is passed.
+    busy_peers: Map<DaemonId, Mono>,
     serving: bool,
     draining: bool,
     refused: BTreeMap<String, u64>,
@@ -194,6 +199,7 @@
             held: Vec::new(),
             lent: Vec::new(),
             borrowed: Vec::new(),
+            busy_peers: Map::default(),
             serving: true,
             draining: false,
             refused: BTreeMap::new(),
--- a/crates/route/src/slots.rs
+++ b/crates/route/src/slots.rs
@@ -3,6 +3,8 @@
 //! Every daemon computes the same division from the same members, so that no coordinator is needed.
 //! `docs/ROUTING.md` states for how long two daemons with different views may count a slot twice.
 
+use derive_more::From;
+use derive_more::Into;
 use model::Mono;
 use model::hash::combine;
 use model::hash::stable;
@@ -80,8 +82,9 @@
     pub busy: Vec<SlotCount>,
 }
 
-/// Some slots of one executor.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Some slots of one executor; a pair in messages, because a loan names many.
+#[derive(Clone, Debug, PartialEq, Eq, From, Into, Serialize, Deserialize)]
+#[serde(from = "(ExecutorId, u16)", into = "(ExecutorId, u16)")]
 pub struct SlotCount {
     /// The executor.
     pub executor: ExecutorId,
