--- a/crates/measure/src/routing/bench.rs
+++ b/crates/measure/src/routing/bench.rs
@@ -1,6 +1,8 @@
 //! A seeded discrete loop that drives the product's routers, or a simpler policy, against executors
 //! that are only a number of slots and a service time.
 
+mod sends;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
@@ -14,7 +16,6 @@
 use route::Router;
 use route::key::Ticket;
 use route::verdict::Arrival;
-use route::verdict::Finish;
 use route::verdict::Grant;
 use route::verdict::Verdict;
 
@@ -28,8 +29,6 @@
 
 /// One way within a region, in microseconds.
 const NEAR_US: u64 = 1_000;
-/// One way between regions, in microseconds.
-const FAR_US: u64 = 20_000;
 const TICK_US: u64 = 20_000;
 /// How often daemons ask each other for slots.
 const LEND_US: u64 = 1_000_000;
@@ -38,7 +37,6 @@
 const MISSED_US: u64 = 1_000_000;
 /// How long its former peers let its slots rest.
 const SETTLE_US: u64 = 3_000_000;
-const MAX_SENDS: u8 = 3;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -369,167 +367,6 @@
         self.send(request, daemon, executor, Some(grant));
     }
 
-    fn send(&mut self, request: usize, daemon: usize, executor: usize, grant: Option<Grant>) {
-        let send = self.sends.len();
-        self.requests[request].sends += 1;
-        self.own[daemon][executor] += 1;
-        self.found.sends += 1;
-        self.found.admitted += u64::from(self.requests[request].sends == 1);
-        let way = self.way(daemon, executor);
-        self.found.far += u64::from(way == FAR_US);
-        if let (Policy::Routed(routed), Some(grant)) = (self.policy, &grant)
-            && routed.hedge
-            && self.requests[request].sends == 1
-        {
-            let delay = self.routers[daemon].hedge_after(grant, self.mono());
-            let delay = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
-            self.push(delay, Event::Hedge(send));
-        }
-        self.sends.push(Send {
-            request,
-            daemon,
-            executor,
-            broken: false,
-            refused: false,
-            grant,
-        });
-        self.push(way, Event::Reach(send));
-    }
-
-    const fn way(&self, daemon: usize, executor: usize) -> u64 {
-        if daemon % self.scenario.regions == executor % self.scenario.regions {
-            NEAR_US
-        } else {
-            FAR_US
-        }
-    }
-
-    fn reach(&mut self, send: usize) {
-        let executor = self.sends[send].executor;
-        if self.executors[executor].busy < self.scenario.slots {
-            return self.begin(send);
-        }
-        self.found.above_slots += 1;
-        if matches!(self.policy, Policy::TwoChoices) {
-            self.sends[send].refused = true;
-            let way = self.way(self.sends[send].daemon, executor);
-            self.push(way, Event::Back(send));
-        } else {
-            self.executors[executor].queue.push_back(send);
-        }
-    }
-
-    fn begin(&mut self, send: usize) {
-        let executor = self.sends[send].executor;
-        self.executors[executor].busy += 1;
-        let span = self.span(send);
-        self.sends[send].broken = self.rng.random_bool(self.scenario.broken);
-        self.push(span, Event::Served(send));
-    }
-
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        clippy::cast_precision_loss,
-        reason = "a positive number of microseconds"
-    )]
-    fn span(&mut self, send: usize) -> u64 {
-        let Send {
-            request, executor, ..
-        } = self.sends[send];
-        let mut span = self.requests[request].work as f64;
-        if executor < self.scenario.slow {
-            span *= self.scenario.slow_factor;
-        }
-        if self.rng.random_bool(self.scenario.hiccups) {
-            span *= self.scenario.hiccup_factor;
-        }
-        span as u64
-    }
-
-    fn served(&mut self, send: usize) {
-        let executor = self.sends[send].executor;
-        self.executors[executor].busy -= 1;
-        if let Some(next) = self.executors[executor].queue.pop_front() {
-            self.begin(next);
-        }
-        let way = self.way(self.sends[send].daemon, executor);
-        self.push(way, Event::Back(send));
-    }
-
-    fn back(&mut self, send: usize) {
-        let Send {
-            request,
-            daemon,
-            executor,
-            broken,
-            refused,
-            ..
-        } = self.sends[send];
-        self.own[daemon][executor] -= 1;
-        if Some(daemon) == self.lost {
-            self.requests[request].done = true;
-            self.found.requests -= 1;
-            return;
-        }
-        let grant = self.sends[send].grant.take();
-        let now = self.mono();
-        if let Some(grant) = &grant {
-            let finish = if broken {
-                Finish::Broken
-            } else {
-                Finish::Answered
-            };
-            self.routers[daemon].finish(grant, finish, now);
-            self.resolve(daemon);
-        }
-        if self.requests[request].done {
-            return;
-        }
-        if !broken && !refused {
-            self.requests[request].done = true;
-            self.found.answered += 1;
-            let span = self.now - self.requests[request].arrived;
-            self.found.latency.saturating_record(span);
-            return;
-        }
-        self.retry(request, daemon, grant);
-    }
-
-    fn retry(&mut self, request: usize, daemon: usize, grant: Option<Grant>) {
-        if self.requests[request].sends >= MAX_SENDS {
-            return self.refused(request);
-        }
-        let Some(grant) = grant else {
-            return self.choose(request, daemon);
-        };
-        let now = self.mono();
-        let exclude = [grant.executor];
-        match self.routers[daemon].again(&grant, &exclude, true, true, now) {
-            Some(Verdict::Send(grant)) => self.granted(request, daemon, grant),
-            Some(Verdict::Wait(ticket)) => {
-                self.waiting[daemon].insert(ticket, request);
-            }
-            _ => self.refused(request),
-        }
-    }
-
-    fn hedge(&mut self, send: usize) {
-        let (request, daemon) = (self.sends[send].request, self.sends[send].daemon);
-        if self.requests[request].done || Some(daemon) == self.lost {
-            return;
-        }
-        let Some(grant) = self.sends[send].grant.clone() else {
-            return;
-        };
-        let now = self.mono();
-        let exclude = [grant.executor];
-        let second = self.routers[daemon].again(&grant, &exclude, true, false, now);
-        if let Some(Verdict::Send(grant)) = second {
-            self.granted(request, daemon, grant);
-        }
-    }
-
     fn lend(&mut self) {
         for at in 0..self.routers.len() {
             self.lend_to(at);
--- a/crates/measure/src/routing/loopback.rs
+++ b/crates/measure/src/routing/loopback.rs
@@ -1,8 +1,220 @@
 //! What the data path adds to a request, on loopback.
 
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use conf::doc::Document;
+use conf::doc::Upstream;
+use hdrhistogram::Histogram;
+use model::Clock;
+use model::id::DocVersion;
+use plat::call::call;
+use plat::error::CallError;
+use plat::hosts::ExecutorEntry;
+use plat::hosts::HostState;
+use plat::table::Table;
+use plat::table::TableError;
+use route::Proxy;
+use route::RouteUpdate;
+use route::RouterConfig;
+use route::config::Limits;
+use route::proxy::ProxyConfig;
+use route::proxy::server::bind;
+use route::view::InForce;
+use route::view::Member;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::SEED;
+use super::policy::place;
 use crate::figure::Figure;
 
+/// What the daemon may add to the 99th and the 99.9th percentile, in milliseconds.
+const ADDED_P99_MS: f64 = 1.0;
+const ADDED_P999_MS: f64 = 3.0;
+const EXECUTORS: usize = 4;
+const CALLERS: usize = 4;
+const REQUESTS: usize = 10_000;
+const WARM_UP: usize = 500;
+const BODY: &[u8] = &[b'x'; 1_000];
+const LONGEST_US: u64 = 60_000_000;
+
 /// Returns the figures of the data path against a direct connection.
+///
+/// # Panics
+///
+/// Panics if the loopback interface cannot be used.
 pub(super) fn figures() -> Vec<Figure> {
-    Vec::new()
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let (direct, through) = runtime.block_on(both()).expect("loopback sockets");
+    let ms = |found: &Histogram<u64>, percentile| {
+        let us = u32::try_from(found.value_at_percentile(percentile)).unwrap_or(u32::MAX);
+        f64::from(us) / 1e3
+    };
+    let mut figures = Vec::new();
+    for (name, percentile, target) in [("p99", 99.0, ADDED_P99_MS), ("p99.9", 99.9, ADDED_P999_MS)]
+    {
+        let (direct, through) = (ms(&direct, percentile), ms(&through, percentile));
+        let name = format!("loopback-{name}");
+        figures.push(Figure::at_most(name, through, "ms", direct + target).baseline(direct));
+    }
+    figures
+}
+
+async fn both() -> io::Result<(Histogram<u64>, Histogram<u64>)> {
+    let mut executors = Vec::new();
+    for _ in 0..EXECUTORS {
+        executors.push(executor().await?);
+    }
+    let daemon = daemon(&executors).await?;
+    let direct = load(executors[0]).await?;
+    let through = load(daemon).await?;
+    Ok((direct, through))
+}
+
+/// Starts an executor that answers at once with 1,000 bytes.
+async fn executor() -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer(stream));
+        }
+    });
+    Ok(address)
+}
+
+async fn answer(mut stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut head =
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", BODY.len()).into_bytes();
+    head.extend_from_slice(BODY);
+    let mut bytes = Vec::new();
+    loop {
+        bytes.clear();
+        while !bytes.ends_with(b"\r\n\r\n") {
+            if stream.read_buf(&mut bytes).await? == 0 {
+                return Ok(());
+            }
+        }
+        stream.write_all(&head).await?;
+    }
+}
+
+async fn daemon(executors: &[SocketAddr]) -> io::Result<SocketAddr> {
+    let cfg = RouterConfig::new("entry-0".into(), "rsh".into(), place(0, 1)).limits(Limits {
+        settle: std::time::Duration::ZERO,
+        ..Limits::default()
+    });
+    let cfg = ProxyConfig::new(cfg, || 0);
+    let proxy = Proxy::new(cfg, no_table(), Clock::start(), SEED);
+    let (address, server) = bind(&proxy, ([127, 0, 0, 1], 0).into()).await?;
+    tokio::spawn(server);
+    tokio::spawn(proxy.clone().run());
+    let entry = |(at, address): (usize, &SocketAddr)| ExecutorEntry {
+        id: format!("plan-{at}").into(),
+        upstream: "plan".into(),
+        address: *address,
+        place: place(0, 1),
+        state: HostState::Live,
+    };
+    let executors: Vec<ExecutorEntry> = executors.iter().enumerate().map(entry).collect();
+    tokio::spawn(async move {
+        loop {
+            proxy.update(RouteUpdate {
+                document: Some(document()),
+                executors: Some(executors.clone()),
+                members: Some(vec![Member {
+                    id: "entry-0".into(),
+                    half: "rsh".into(),
+                    place: place(0, 1),
+                    callers: address,
+                }]),
+                released: Vec::new(),
+            });
+            tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+        }
+    });
+    Ok(address)
+}
+
+fn document() -> InForce {
+    let mut document = Document::default();
+    let upstream = Upstream {
+        half: "rsh".into(),
+        routes: vec!["/plan".to_owned()],
+        slots: 8,
+        connections: 64,
+        deadline_ms: 10_000,
+        weight: 1,
+    };
+    document.upstreams.insert("plan".into(), upstream);
+    InForce {
+        version: DocVersion(1),
+        document: Arc::new(document),
+    }
+}
+
+/// Makes a table that refuses everything, since idempotent requests need none.
+fn no_table() -> Table {
+    let refused = || TableError::Call(CallError::Refused("no table".to_owned()));
+    Table {
+        commit: call(move |_| async move { Err(refused()) }),
+        read: call(move |_| async move { Err(refused()) }),
+        scan: call(move |_| async move { Err(refused()) }),
+    }
+}
+
+/// Sends requests one after the other on several connections and returns their microseconds.
+async fn load(address: SocketAddr) -> io::Result<Histogram<u64>> {
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| tokio::spawn(one_caller(address)))
+        .collect();
+    let mut all = Histogram::new_with_bounds(1, LONGEST_US, 3).map_err(io::Error::other)?;
+    for caller in callers {
+        for us in caller.await.map_err(io::Error::other)?? {
+            all.saturating_record(us);
+        }
+    }
+    Ok(all)
+}
+
+async fn one_caller(address: SocketAddr) -> io::Result<Vec<u64>> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let mut times = Vec::with_capacity(REQUESTS);
+    let mut bytes = Vec::new();
+    for at in 0..WARM_UP + REQUESTS {
+        let started = Instant::now();
+        stream
+            .write_all(b"GET /plan HTTP/1.1\r\nhost: daemon\r\n\r\n")
+            .await?;
+        bytes.clear();
+        while !is_whole(&bytes) {
+            if stream.read_buf(&mut bytes).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        if !bytes.starts_with(b"HTTP/1.1 200") {
+            return Err(io::Error::other("a request was not answered"));
+        }
+        if at >= WARM_UP {
+            let us = started.elapsed().as_micros();
+            times.push(u64::try_from(us).unwrap_or(u64::MAX));
+        }
+    }
+    Ok(times)
+}
+
+fn is_whole(bytes: &[u8]) -> bool {
+    let end = bytes.windows(4).position(|window| window == b"\r\n\r\n");
+    end.is_some_and(|end| bytes.len() >= end + 4 + BODY.len())
 }
--- a/crates/route/src/proxy/server.rs
+++ b/crates/route/src/proxy/server.rs
@@ -1,12 +1,18 @@
 //! The server towards callers, with bounds on slow and broken ones.
 
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use salvo::Listener;
 use salvo::Server;
 use salvo::conn::Acceptor;
+use salvo::conn::TcpListener;
 use salvo::fuse::FuseConfig;
 use salvo::rt::tokio::TokioTimer;
 
+use super::Proxy;
+
 /// How long a caller may take to send the head of a request, on a fresh or an idle connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a caller may pause while it sends a body.
@@ -22,6 +28,24 @@
 /// How long a probe of an HTTP/2 connection may take.
 const PING_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Binds an address and returns it with the server to run there; port 0 takes a free one.
+///
+/// # Errors
+///
+/// Returns the error of the system if the address cannot be bound.
+pub async fn bind(
+    proxy: &Proxy,
+    address: SocketAddr,
+) -> io::Result<(SocketAddr, impl Future<Output = ()> + Send + use<>)> {
+    let acceptor = TcpListener::new(address)
+        .try_bind()
+        .await
+        .map_err(io::Error::other)?;
+    let bound = acceptor.inner().local_addr()?;
+    let server = harden(Server::new(acceptor));
+    Ok((bound, server.serve(proxy.service())))
+}
+
 /// Sets the bounds on slow, silent and oversized callers.
 #[must_use]
 pub fn harden<A: Acceptor + Send>(server: Server<A>) -> Server<A> {
--- a/crates/route/tests/all/support.rs
+++ b/crates/route/tests/all/support.rs
@@ -20,10 +20,7 @@
 use route::RouteUpdate;
 use route::proxy::Bounds;
 use route::proxy::ProxyConfig;
-use route::proxy::server::harden;
-use salvo::Server;
-use salvo::conn::TcpListener as SalvoListener;
-use salvo::prelude::Listener;
+use route::proxy::server::bind;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -289,10 +286,9 @@
     pub async fn start(name: &str, half: &str, table: Table, bounds: Bounds) -> Self {
         let cfg = ProxyConfig::new(config(name, half, at_once()), || 0).bounds(bounds);
         let proxy = Proxy::new(cfg, table, Clock::start(), SEED);
-        let acceptor = SalvoListener::new("127.0.0.1:0").bind().await;
-        let address = acceptor.inner().local_addr().expect("an address");
-        let server = harden(Server::new(acceptor));
-        tokio::spawn(server.serve(proxy.service()));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let (address, server) = bind(&proxy, any).await.expect("a free port");
+        tokio::spawn(server);
         tokio::spawn(proxy.clone().run());
         Self { proxy, address }
     }
