--- a/crates/measure/examples/quickstart.rs
+++ b/crates/measure/examples/quickstart.rs
@@ -219,6 +219,19 @@
     println!("dropped limburg-1");
     sleep(Duration::from_millis(500)).await;
     forget(&targets, address);
+    system.add(&daemons()[0], SEED + 10).await?;
+    println!("its host was replaced");
+    let ready = wait_until(PATIENCE, async || {
+        let new = system.daemons.last().map(|daemon| daemon.operators);
+        matches!(new, Some(at) if client::status(at).await.is_ok_and(|status| status.ready))
+    });
+    step(
+        "limburg-1 is ready again",
+        ready.await.then_some(()).ok_or("is not ready".into()),
+    )?;
+    *targets
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner) = system.callers();
 
     let ended = wait_until(PATIENCE * 2, async || {
         let page = client::tasks(operators, TaskState::Succeeded).await;
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -4,4 +4,5 @@
 //! `measure` prints them, the example `quickstart` shows the whole system at work.
 
 pub mod figure;
+pub mod routing;
 pub mod system;
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -31,6 +31,7 @@
 use plat::table::Table;
 use plat::worker::Workers;
 use route::Proxy;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::shards::Shards;
@@ -114,6 +115,8 @@
     pub stage: watch::Sender<Stage>,
     /// The document in force.
     pub doc: watch::Sender<Option<Arc<InForce>>>,
+    /// Told when another daemon's summary has changed.
+    pub news: Notify,
     /// The data path of requests.
     pub proxy: Proxy,
     /// The part that owns shards.
@@ -175,6 +178,7 @@
             board,
             stage: watch::Sender::new(Stage::Starting),
             doc: watch::Sender::new(None),
+            news: Notify::new(),
             proxy,
             shards: Shards::default(),
             hosts: watch::Sender::new(Arc::default()),
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -51,7 +51,7 @@
 }
 
 /// Turns to one peer.
-async fn exchange(cx: Arc<Cx>, to: DaemonId) {
+pub async fn exchange(cx: Arc<Cx>, to: DaemonId) {
     let sent = cx.clock.now();
     let digest = cx.follower().digest();
     let (address, exchange) = {
@@ -103,5 +103,9 @@
     let View {
         members, gossip, ..
     } = &mut *view;
+    let news = !exchange.summaries.is_empty();
     gossip.merge(members, exchange, now);
+    if news {
+        cx.news.notify_one();
+    }
 }
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -22,6 +22,7 @@
 use crate::cx::InForce;
 use crate::cx::View;
 use crate::cx::lock;
+use crate::gossip;
 use crate::shards::calls::peer_address;
 use crate::supervisor::PartResult;
 
@@ -37,31 +38,51 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let asking = Arc::new(std::sync::Mutex::new(Set::default()));
+    let mut doc = cx.doc.subscribe();
+    let mut told = Vec::new();
     loop {
         tokio::select! {
             () = token.cancelled() => return Ok(()),
             _ = ticks.tick() => {}
+            Ok(()) = doc.changed() => {}
+            () = cx.news.notified() => {}
         }
         let now = cx.clock.now();
-        tell(&cx, now);
+        let released = tell(&cx, now);
+        if released != told {
+            spread(&cx, now);
+            told = released;
+        }
         borrow(&cx, &asking);
     }
 }
 
-fn tell(cx: &Cx, now: Mono) {
+/// Tells the other halves at once what was released, instead of with the next rounds of gossip: their
+/// requests wait for it.
+fn spread(cx: &Arc<Cx>, now: Mono) {
+    let view = cx.view();
+    for daemon in foreign(&view, &cx.settings.half, now) {
+        tokio::spawn(gossip::exchange(cx.clone(), daemon.clone()));
+    }
+}
+
+/// Informs the data path; returns what it has released.
+fn tell(cx: &Cx, now: Mono) -> Vec<UpstreamId> {
     let doc = cx.doc.borrow().clone();
-    let released = cx.proxy.released();
+    let left = cx.proxy.released();
     let mut view = cx.view();
     let View {
-        members, gossip, ..
+        members,
+        gossip: summaries,
+        ..
     } = &mut *view;
     let version = doc.as_ref().map_or(DocVersion(0), |doc| doc.version);
-    gossip.update(members.own(), |own| {
+    summaries.update(members.own(), |own| {
         let told = |upstream: UpstreamId| Released {
             upstream,
             doc: version,
         };
-        own.released = released.into_iter().map(told).collect();
+        own.released = left.iter().cloned().map(told).collect();
     });
     let serving = view
         .members
@@ -85,6 +106,7 @@
         ..RouteUpdate::default()
     };
     cx.proxy.update(update);
+    left
 }
 
 /// The upstreams that this half waits for and that every living daemon of another half has left.
