test(conf): model check of acceptance

Passing over two silent daemons, committing what is not staged, never being in doubt and never clearing a staged document are each caught with a shortest trace.

--- /dev/null
+++ b/crates/conf/tests/all/accept.rs
@@ -0,0 +1,5 @@
+//! The acceptance of documents.
+
+mod check;
+mod machines;
+mod world;
--- /dev/null
+++ b/crates/conf/tests/all/accept/world.rs
@@ -0,0 +1,662 @@
+//! A small specification of everything around the machines: three daemons in two regions, the
+//! table, the links between them, and the faults. Every step is one that the real world may take.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::accept::Bounds;
+use conf::accept::change::Action;
+use conf::accept::change::Event;
+use conf::accept::change::Outcome;
+use conf::accept::change::Proposal;
+use conf::accept::change::Written;
+use conf::accept::follower;
+use conf::accept::follower::Follower;
+use conf::accept::follower::Serve;
+use conf::accept::message::Ack;
+use conf::accept::message::Digest;
+use conf::accept::message::Heard;
+use conf::accept::proposer::Proposer;
+use conf::accept::quorum::Member;
+use conf::accept::row::Current;
+use conf::accept::row::RowCheck;
+use conf::accept::row::Staged;
+use conf::accept::row::View;
+use conf::accept::row::Write;
+use model::Mono;
+use model::id::DaemonId;
+use model::id::DocVersion;
+use model::id::Incarnation;
+use model::id::RowVersion;
+
+/// Daemon 0 stands in the store's region, daemons 1 and 2 in the other.
+pub const DAEMONS: usize = 3;
+/// The operators' changes: change 0 goes through daemon 0, change 1 through daemon 1.
+pub const CHANGES: usize = 2;
+const TICK: Duration = Duration::from_secs(1);
+
+/// The bounds in ticks of a second, as small as their order allows.
+pub const BOUNDS: Bounds = Bounds {
+    isolation: Duration::from_secs(2),
+    margin: Duration::ZERO,
+    in_doubt: TICK,
+    stage_hold: Duration::from_secs(4),
+    collect: Duration::from_secs(3),
+    settle: TICK,
+    spread: TICK,
+    repeat: TICK,
+};
+
+/// A rule of the protocol that is broken on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Broken {
+    Nothing,
+    /// Any number of silent daemons is passed over.
+    PassOverTwo,
+    /// Daemons are taken to have staged what they have not.
+    CommitUnstaged,
+    /// A daemon trusts the document in force however long it has heard nothing.
+    NeverInDoubt,
+    /// A staged document whose proposer has died stands for ever.
+    NeverCleared,
+}
+
+/// How many faults of each kind may still come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Budget {
+    pub changes: u8,
+    pub ticks: u8,
+    pub losses: u8,
+    pub cuts: u8,
+    pub outages: u8,
+    pub crashes: u8,
+    pub lost_answers: u8,
+    pub pauses: u8,
+    pub early_polls: u8,
+}
+
+/// Which links are cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Cut {
+    Nothing,
+    Daemon2,
+    Region,
+}
+
+/// One operator's change.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Change {
+    pub proposer: Option<Proposer>,
+    pub write: Option<Write>,
+    pub messages: Vec<Action>,
+    pub outcome: Option<Outcome>,
+}
+
+/// One daemon and what the table has of it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Daemon {
+    pub follower: Option<Follower>,
+    pub incarnation: Incarnation,
+    pub row: RowVersion,
+    pub row_at: Mono,
+    pub heard: [Option<(Digest, Mono)>; DAEMONS],
+    pub paused: bool,
+}
+
+/// The whole state.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct World {
+    pub now: Mono,
+    pub broken: Broken,
+    pub budget: Budget,
+    pub cut: Cut,
+    pub outage: bool,
+    pub daemons: [Daemon; DAEMONS],
+    pub changes: [Change; CHANGES],
+    pub ballot: RowVersion,
+    pub staged: Option<Staged>,
+    pub current_row: RowVersion,
+    pub current: Current,
+    /// When the document in force came into force.
+    pub committed_at: Mono,
+    /// A write whose answer was lost before it took effect.
+    pub late: Option<Write>,
+    /// What went wrong on the way here.
+    pub fault: Option<&'static str>,
+}
+
+/// One step of the world.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Step {
+    Tick,
+    Begin(usize),
+    Write(usize, Fate),
+    LateWrite,
+    /// The first message of a change arrives; those of one change commute.
+    Deliver(usize),
+    /// The first message of a change is lost, and those behind it are not.
+    Lose(usize),
+    Poll(usize),
+    Cut(Cut),
+    Outage(bool),
+    Crash(usize),
+    Restart(usize),
+    Pause(usize, bool),
+}
+
+/// What becomes of a write and of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Fate {
+    Answered,
+    AnswerLost,
+    Late,
+}
+
+/// Longer than anything that the small world does.
+const FOREVER: Duration = Duration::from_secs(100);
+
+fn bounds(broken: Broken) -> Bounds {
+    let mut bounds = BOUNDS;
+    match broken {
+        Broken::NeverInDoubt => bounds.in_doubt = FOREVER,
+        Broken::NeverCleared => bounds.stage_hold = FOREVER,
+        Broken::Nothing | Broken::PassOverTwo | Broken::CommitUnstaged => {}
+    }
+    bounds
+}
+
+pub fn name(index: usize) -> DaemonId {
+    DaemonId::from(format!("d{index}"))
+}
+
+impl World {
+    pub fn new(broken: Broken, budget: Budget) -> Self {
+        let current = Current {
+            version: DocVersion(1),
+            text: Arc::from("first"),
+            by: String::new(),
+            op: "op-first".into(),
+            recent: Vec::new(),
+        };
+        let bounds = bounds(broken);
+        let daemon = |index| Daemon {
+            follower: Some(Follower::new(name(index), Incarnation(1), bounds)),
+            incarnation: Incarnation(1),
+            row: RowVersion(0),
+            row_at: Mono::ZERO,
+            heard: [None, None, None],
+            paused: false,
+        };
+        let change = || Change {
+            proposer: None,
+            write: None,
+            messages: Vec::new(),
+            outcome: None,
+        };
+        let mut world = Self {
+            now: Mono::ZERO,
+            broken,
+            budget,
+            cut: Cut::Nothing,
+            outage: false,
+            daemons: [daemon(0), daemon(1), daemon(2)],
+            changes: [change(), change()],
+            ballot: RowVersion(0),
+            staged: None,
+            current_row: RowVersion(1),
+            current,
+            committed_at: Mono::ZERO,
+            late: None,
+            fault: None,
+        };
+        (0..DAEMONS).for_each(|index| world.poll(index));
+        world
+    }
+
+    pub fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let budget = &self.budget;
+        for (index, change) in self.changes.iter().enumerate() {
+            let idle = change.proposer.is_none() && change.outcome.is_none();
+            if idle && self.alive(index) && budget.changes > 0 {
+                steps.push(Step::Begin(index));
+            }
+            if change.write.is_some() {
+                steps.push(Step::Write(index, Fate::Answered));
+                if budget.lost_answers > 0 && self.reaches_store(index) {
+                    steps.push(Step::Write(index, Fate::AnswerLost));
+                    if self.late.is_none() {
+                        steps.push(Step::Write(index, Fate::Late));
+                    }
+                }
+            }
+            if !change.messages.is_empty() {
+                steps.push(Step::Deliver(index));
+            }
+            if !change.messages.is_empty() && budget.losses > 0 {
+                steps.push(Step::Lose(index));
+            }
+        }
+        if self.late.is_some() {
+            steps.push(Step::LateWrite);
+        }
+        if budget.early_polls > 0 {
+            let able = (0..DAEMONS).filter(|index| self.reaches_store(*index));
+            steps.extend(able.map(Step::Poll));
+        }
+        match self.cut {
+            Cut::Nothing if budget.cuts > 0 => {
+                steps.extend([Step::Cut(Cut::Daemon2), Step::Cut(Cut::Region)]);
+            }
+            Cut::Nothing => {}
+            Cut::Daemon2 | Cut::Region => steps.push(Step::Cut(Cut::Nothing)),
+        }
+        if self.outage || budget.outages > 0 {
+            steps.push(Step::Outage(!self.outage));
+        }
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            match daemon.follower {
+                Some(_) if budget.crashes > 0 => steps.push(Step::Crash(index)),
+                Some(_) => {}
+                None => steps.push(Step::Restart(index)),
+            }
+            if daemon.paused || budget.pauses > 0 {
+                steps.push(Step::Pause(index, !daemon.paused));
+            }
+        }
+        if budget.ticks > 0 {
+            steps.push(Step::Tick);
+        }
+        steps
+    }
+
+    #[must_use]
+    pub fn after(&self, step: Step) -> Self {
+        let mut next = self.clone();
+        match step {
+            Step::Tick => next.tick(),
+            Step::Begin(index) => next.begin(index),
+            Step::Write(index, fate) => next.write(index, fate),
+            Step::LateWrite => {
+                if let Some(write) = next.late.take() {
+                    next.carry_out(&write);
+                }
+            }
+            Step::Deliver(index) => next.deliver(index),
+            Step::Lose(index) => {
+                next.budget.losses -= 1;
+                next.changes[index].messages.remove(0);
+            }
+            Step::Poll(index) => {
+                next.budget.early_polls -= 1;
+                next.poll(index);
+            }
+            Step::Cut(cut) => {
+                next.budget.cuts -= u8::from(cut != Cut::Nothing);
+                next.cut = cut;
+            }
+            Step::Outage(outage) => {
+                next.budget.outages -= u8::from(outage);
+                next.outage = outage;
+            }
+            Step::Crash(index) => next.crash(index),
+            Step::Restart(index) => next.restart(index),
+            Step::Pause(index, paused) => {
+                next.budget.pauses -= u8::from(paused);
+                next.daemons[index].paused = paused;
+            }
+        }
+        next.forget();
+        next
+    }
+
+    /// All faults end, and everything goes on in its order for some ticks.
+    #[must_use]
+    pub fn healed(&self, ticks: u8) -> Self {
+        let mut world = self.clone();
+        world.cut = Cut::Nothing;
+        world.outage = false;
+        for index in 0..DAEMONS {
+            world.daemons[index].paused = false;
+            if world.daemons[index].follower.is_none() {
+                world.restart(index);
+            }
+        }
+        for _ in 0..ticks {
+            if world.good() {
+                break;
+            }
+            world.budget.ticks = 1;
+            world.tick();
+            for index in 0..CHANGES {
+                while world.changes[index].write.is_some() {
+                    world.write(index, Fate::Answered);
+                }
+                while !world.changes[index].messages.is_empty() {
+                    world.deliver(index);
+                }
+            }
+        }
+        world
+    }
+
+    /// Returns whether every change has come to its end and every daemon serves by the document in
+    /// force, with nothing on its way.
+    pub fn good(&self) -> bool {
+        let settled = |daemon: &Daemon| {
+            daemon.follower.as_ref().is_some_and(|follower| {
+                let latest = follower.version() == self.current.version;
+                latest && follower.serve(self.now) == Serve::InForce && follower.staged.is_none()
+            })
+        };
+        let ended = |change: &Change| change.proposer.is_none();
+        self.daemons.iter().all(settled) && self.changes.iter().all(ended) && self.staged.is_none()
+    }
+
+    /// Drops what is too old to matter, so that equal states are recognized as such.
+    fn forget(&mut self) {
+        let old = |at: Mono, now: Mono| now.since(at) > BOUNDS.isolation;
+        for daemon in &mut self.daemons {
+            for heard in &mut daemon.heard {
+                heard.take_if(|(_, at)| old(*at, self.now));
+            }
+        }
+    }
+
+    fn alive(&self, index: usize) -> bool {
+        self.daemons[index].follower.is_some() && !self.daemons[index].paused
+    }
+
+    fn reaches_store(&self, index: usize) -> bool {
+        let cut = match self.cut {
+            Cut::Nothing => false,
+            Cut::Daemon2 => index == 2,
+            Cut::Region => index > 0,
+        };
+        self.alive(index) && !self.outage && !cut
+    }
+
+    fn connected(&self, left: usize, right: usize) -> bool {
+        let cut = match self.cut {
+            Cut::Nothing => false,
+            Cut::Daemon2 => left == 2 || right == 2,
+            Cut::Region => (left == 0) != (right == 0),
+        };
+        self.alive(left) && self.alive(right) && (left == right || !cut)
+    }
+
+    fn view(&self) -> View {
+        View {
+            ballot: self.ballot,
+            staged: self.staged.clone(),
+            current_row: self.current_row,
+            current: Some(self.current.clone()),
+        }
+    }
+
+    /// Time passes; what was under way is lost; whoever can, polls and talks to its peers.
+    fn tick(&mut self) {
+        self.budget.ticks -= 1;
+        self.now = self.now.after(TICK);
+        self.changes
+            .iter_mut()
+            .for_each(|change| change.messages.clear());
+        for index in 0..DAEMONS {
+            self.poll(index);
+        }
+        for index in 0..DAEMONS {
+            for peer in (0..DAEMONS).filter(|peer| *peer != index) {
+                self.exchange(index, peer);
+            }
+        }
+        for index in 0..CHANGES {
+            self.propose(index, Event::Tick);
+        }
+    }
+
+    fn tell(&mut self, index: usize, event: follower::Event) {
+        let now = self.now;
+        let Some(follower) = &mut self.daemons[index].follower else {
+            return;
+        };
+        let before = follower.version();
+        let actions = follower.handle(event, now);
+        if follower.version() < before {
+            self.fault = Some("a version went down");
+        }
+        for action in actions {
+            match action {
+                follower::Action::Apply(current) if current.version <= before => {
+                    self.fault = Some("an old document was applied");
+                }
+                follower::Action::Clear { ballot } if self.reaches_store(index) => {
+                    self.carry_out(&Write::Clear { ballot });
+                }
+                follower::Action::Apply(_) | follower::Action::Clear { .. } => {}
+            }
+        }
+    }
+
+    fn poll(&mut self, index: usize) {
+        if !self.reaches_store(index) {
+            return;
+        }
+        let (sent, view) = (self.now, self.view());
+        let daemon = &mut self.daemons[index];
+        daemon.row = daemon.row.next();
+        daemon.row_at = sent;
+        self.tell(index, follower::Event::Polled { sent, view });
+    }
+
+    fn exchange(&mut self, index: usize, peer: usize) {
+        if !self.connected(index, peer) {
+            return;
+        }
+        let now = self.now;
+        let digest = self.digest(index);
+        let Some(follower) = &self.daemons[peer].follower else {
+            return;
+        };
+        let news = follower.news(&digest, now);
+        self.daemons[peer].heard[index] = Some((digest, now));
+        self.tell(index, follower::Event::Answered { sent: now, news });
+    }
+
+    fn digest(&self, index: usize) -> Digest {
+        let follower = self.daemons[index].follower.as_ref();
+        follower.expect("the daemon is alive").digest()
+    }
+
+    fn crash(&mut self, index: usize) {
+        self.budget.crashes -= 1;
+        self.daemons[index].follower = None;
+        self.daemons[index].heard = [None, None, None];
+        if let Some(change) = self.changes.get_mut(index)
+            && change.proposer.take().is_some()
+        {
+            // A write that was under way may still take effect.
+            if self.late.is_none() {
+                self.late = change.write.take();
+            }
+            change.write = None;
+            change.messages.clear();
+            change.outcome = change.outcome.take().or(Some(Outcome::Unknown));
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let daemon = &mut self.daemons[index];
+        daemon.incarnation = daemon.incarnation.next();
+        let follower = Follower::new(name(index), daemon.incarnation, bounds(self.broken));
+        daemon.follower = Some(follower);
+    }
+
+    fn begin(&mut self, index: usize) {
+        self.budget.changes -= 1;
+        let proposal = Proposal {
+            op: format!("op-{index}").into(),
+            text: Arc::from(format!("text-{index}")),
+            by: String::new(),
+            base: None,
+            without: [].into(),
+        };
+        let (proposer, actions) =
+            Proposer::start(name(index), proposal, bounds(self.broken), self.now);
+        self.changes[index].proposer = Some(proposer);
+        self.act(index, actions);
+    }
+
+    fn propose(&mut self, index: usize, event: Event) {
+        let now = self.now;
+        if !self.alive(index) {
+            return;
+        }
+        if let Some(proposer) = &mut self.changes[index].proposer {
+            let actions = proposer.handle(event, now);
+            self.act(index, actions);
+        }
+    }
+
+    /// Reads are answered at once; writes and messages wait for a step of their own.
+    fn act(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Read => {
+                    let view = self.reaches_store(index).then(|| self.view());
+                    let sent = self.now;
+                    self.propose(index, Event::Read { sent, view });
+                }
+                Action::Validate(_) => self.propose(index, Event::Validated(Vec::new())),
+                Action::Write(write) => self.changes[index].write = Some(write),
+                Action::ReadMembers if self.reaches_store(index) => {
+                    let members = self.members();
+                    self.propose(index, Event::Members(members));
+                    self.acknowledge_for_all(index);
+                }
+                Action::ReadMembers | Action::Accepted { .. } => {}
+                Action::End(outcome) => {
+                    self.changes[index].proposer = None;
+                    self.changes[index].messages.clear();
+                    self.changes[index].outcome = Some(outcome);
+                }
+                message => {
+                    let messages = &mut self.changes[index].messages;
+                    if !messages.contains(&message) {
+                        messages.push(message);
+                    }
+                }
+            }
+        }
+    }
+
+    fn members(&self) -> Vec<Member> {
+        let member = |(index, daemon): (usize, &Daemon)| Member {
+            daemon: name(index),
+            incarnation: daemon.incarnation,
+            key: format!("member/{index}"),
+            row: daemon.row,
+            still_for: self.now.since(daemon.row_at),
+            listed: self.broken != Broken::PassOverTwo,
+        };
+        self.daemons.iter().enumerate().map(member).collect()
+    }
+
+    /// The broken rule: acknowledgements that nobody has given.
+    fn acknowledge_for_all(&mut self, index: usize) {
+        if self.broken != Broken::CommitUnstaged {
+            return;
+        }
+        for daemon in 0..DAEMONS {
+            let digest = Digest {
+                daemon: name(daemon),
+                incarnation: self.daemons[daemon].incarnation,
+                ballot: self.ballot,
+                version: self.current.version,
+            };
+            let heard = Vec::new();
+            self.propose(index, Event::Acked(Ack { digest, heard }));
+        }
+    }
+
+    fn deliver(&mut self, index: usize) {
+        let message = self.changes[index].messages.remove(0);
+        let (to, event) = match message {
+            Action::Push { to, news } => (to, follower::Event::Pushed { news }),
+            Action::Committed { to, ballot } => (to, follower::Event::Committed { ballot }),
+            Action::Abandoned { to, ballot } => (to, follower::Event::Abandoned { ballot }),
+            other => panic!("{other:?} is no message"),
+        };
+        let to = (0..DAEMONS).find(|index| name(*index) == to);
+        let to = to.expect("messages go to daemons");
+        if !self.connected(index, to) {
+            return;
+        }
+        self.tell(to, event);
+        let heard = self.daemons[to].heard.iter().flatten();
+        let heard = heard.map(|(digest, at)| Heard {
+            digest: digest.clone(),
+            age: self.now.since(*at),
+        });
+        let ack = Ack {
+            heard: heard.collect(),
+            digest: self.digest(to),
+        };
+        self.propose(index, Event::Acked(ack));
+    }
+
+    fn write(&mut self, index: usize, fate: Fate) {
+        let Some(write) = self.changes[index].write.take() else {
+            return;
+        };
+        let written = match fate {
+            Fate::Answered if !self.reaches_store(index) => Written::Unknown,
+            Fate::Answered if self.carry_out(&write) => Written::Done,
+            Fate::Answered => Written::Conflict,
+            Fate::AnswerLost => {
+                self.budget.lost_answers -= 1;
+                self.carry_out(&write);
+                Written::Unknown
+            }
+            Fate::Late => {
+                self.budget.lost_answers -= 1;
+                self.late = Some(write);
+                Written::Unknown
+            }
+        };
+        self.propose(index, Event::Written(written));
+    }
+
+    /// Carries a transaction out, if its checks hold.
+    fn carry_out(&mut self, write: &Write) -> bool {
+        if !write.checks().iter().all(|check| self.holds(check)) {
+            return false;
+        }
+        self.ballot = self.ballot.next();
+        match write {
+            Write::Stage { staged, .. } => self.staged = Some(staged.clone()),
+            Write::Clear { .. } => self.staged = None,
+            Write::Commit { current, .. } => {
+                if current.version != self.current.version.next() {
+                    self.fault = Some("versions do not follow each other");
+                }
+                self.staged = None;
+                self.current = current.clone();
+                self.current_row = self.current_row.next();
+                self.committed_at = self.now;
+            }
+        }
+        true
+    }
+
+    fn holds(&self, check: &RowCheck) -> bool {
+        let actual = match check.key.as_str() {
+            "doc/staged" => self.ballot,
+            "doc/current" => self.current_row,
+            key => {
+                let index = (0..DAEMONS).find(|index| key == format!("member/{index}"));
+                self.daemons[index.expect("only members are checked")].row
+            }
+        };
+        actual == check.version
+    }
+}
--- a/crates/conf/tests/all/main.rs
+++ b/crates/conf/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the settings, the document and its acceptance.
 
+mod accept;
 mod check;
 mod edit;
 mod schema;
