fix(node): goodbye, retried evictions, honest refusals

Cause (read-through): a daemon that had left blocked acceptance as soon as two had (its heartbeat row stayed); an eviction refused while the table was away was never asked for again; a refused start of a task answered whoever waited for its cancellation; after a restart of the shards' part the follower acked under an old life.

--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -9,6 +9,7 @@
 use cadence::StatsdClient;
 use conf::accept::Bounds;
 use conf::accept::follower::Follower;
+use conf::accept::follower::Serve;
 use conf::accept::message::Digest;
 use conf::accept::message::Heard;
 use conf::doc::Document;
@@ -196,6 +197,7 @@
 
     /// Starts a new life under the same name.
     pub fn set_identity(&self, identity: Owner) {
+        self.follower().incarnation = identity.incarnation;
         *lock(&self.identity) = identity;
     }
 
@@ -209,6 +211,13 @@
         lock(&self.follower)
     }
 
+    /// Returns whether the balancer may send requests here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let serves = self.follower().serve(self.clock.now()) != Serve::Nothing;
+        serves && *self.stage.borrow() == Stage::Serving
+    }
+
     /// Returns the daemons that have asked this one for news, each at its latest.
     #[must_use]
     pub fn heard(&self) -> Vec<Heard> {
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -219,7 +219,9 @@
         };
         drained.await;
         self.stop.cancel();
-        flatten((&mut self.tree).await)
+        let ended = flatten((&mut self.tree).await);
+        heartbeat::end(&self.cx).await;
+        ended
     }
 
     /// Drops the daemon as a crash does: nothing is given back or finished.
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -9,6 +9,7 @@
 use lease::record::key;
 use lease::timing::HEARTBEAT_INTERVAL;
 use model::Mono;
+use model::id::DaemonId;
 use model::id::OpId;
 use model::id::RowVersion;
 use peer::members::Profile;
@@ -31,6 +32,8 @@
 use crate::supervisor::PartResult;
 use crate::supervisor::failure;
 
+/// How long the heartbeat of a host that is no longer listed is kept.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
 /// How long one heartbeat may stay unanswered.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -153,6 +156,40 @@
     }
 }
 
+/// Deletes the own heartbeat row after the daemon has left in order, so that nobody waits for it.
+pub async fn end(cx: &Cx) {
+    let me = cx.identity();
+    let row_key = key::member(&me.daemon);
+    let Ok(Some(row)) = (cx.outside.table.read)(row_key.clone()).await else {
+        return;
+    };
+    let ours = serde_json::from_value::<MemberRow>(row.value.clone());
+    if ours.is_ok_and(|ours| ours.incarnation == me.incarnation) {
+        delete(cx, row).await;
+    }
+}
+
+/// Deletes a heartbeat row unless it has been written since it was read.
+async fn delete(cx: &Cx, row: Row) {
+    let me = cx.identity();
+    let txn = Txn {
+        op: OpId::new(format!(
+            "end/{}/{}/{}/{}",
+            me.daemon, me.incarnation, row.key, row.version
+        )),
+        checks: vec![Check {
+            key: row.key.clone(),
+            version: row.version,
+        }],
+        writes: vec![Write {
+            key: row.key,
+            value: None,
+        }],
+    };
+    // A row that stays for now is deleted by whoever sees it next.
+    settle(&cx.outside.table, txn, Instant::now() + WRITE_TIMEOUT).await;
+}
+
 /// Reads all heartbeats.
 async fn read(cx: &Arc<Cx>) {
     let sent = cx.clock.now();
@@ -161,7 +198,28 @@
     };
     let answered = cx.clock.now();
     cx.store_answered(sent);
+    let forgotten = forgotten(cx, &rows);
     take_in(cx, rows, sent, answered);
+    if let Some(row) = forgotten {
+        delete(cx, row).await;
+    }
+}
+
+/// Returns a heartbeat that has stood still for long and whose host the platform no longer lists.
+fn forgotten(cx: &Cx, rows: &[Row]) -> Option<Row> {
+    let hosts = cx.hosts.borrow().clone();
+    if hosts.daemons.is_empty() {
+        return None;
+    }
+    let view = cx.view();
+    let gone = |row: &&Row| {
+        let daemon = row.key.strip_prefix(key::MEMBERS).map(DaemonId::from);
+        daemon.is_some_and(|daemon| {
+            let listed = hosts.daemons.iter().any(|entry| entry.id == daemon);
+            !listed && view.watch.still(&daemon) >= FORGET_AFTER
+        })
+    };
+    rows.iter().find(gone).cloned()
 }
 
 fn take_in(cx: &Cx, rows: Vec<Row>, sent: Mono, answered: Mono) {
--- a/crates/node/src/join.rs
+++ b/crates/node/src/join.rs
@@ -1,7 +1,9 @@
 //! Begins a new life of a daemon under its name.
 //!
-//! The incarnation in the row `member/<daemon>` is raised by compare-and-set before the daemon does
-//! anything else, so that whatever an earlier life left behind can be told apart from this one's.
+//! The incarnation in the row `life/<daemon>` is raised by compare-and-set before the daemon does
+//! anything else, so that whatever an earlier life left behind can be told apart from this one's. That
+//! row stays for ever; the heartbeat row `member/<daemon>` is deleted by a daemon that leaves in order,
+//! so that nobody waits for it any more.
 
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use lease::record::MemberRow;
 use lease::record::Owner;
 use lease::record::key;
+use model::id::DaemonId;
 use model::id::DocVersion;
 use model::id::Incarnation;
 use model::id::OpId;
@@ -17,9 +20,13 @@
 use plat::settle::Settled;
 use plat::settle::settle;
 use plat::table::Check;
+use plat::table::Row;
 use plat::table::Table;
 use plat::table::Txn;
 use plat::table::Write;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -45,23 +52,27 @@
     addresses: Addresses,
     seed: u64,
 ) -> Option<Owner> {
-    let row_key = key::member(&settings.daemon);
-    let read = tokio::time::timeout(TRY_TIMEOUT, (table.read)(row_key.clone())).await;
-    let row = read.ok()?.ok()?;
-    let known = row.as_ref().and_then(|row| incarnation_of(&row.value));
-    let version = row.map_or(RowVersion(0), |row| row.version);
-    let incarnation = known.map_or(Incarnation(1), Incarnation::next);
-    let member = member_row(settings, addresses, incarnation);
+    let life_key = life_key(&settings.daemon);
+    let member_key = key::member(&settings.daemon);
+    let life = read(table, &life_key).await?;
+    let member = read(table, &member_key).await?;
+    let known = life
+        .as_ref()
+        .and_then(|row| serde_json::from_value::<Life>(row.value.clone()).ok());
+    let incarnation = known.map_or(Incarnation(1), |life| life.incarnation.next());
+    let row = member_row(settings, addresses, incarnation);
+    let check = |key: &str, row: Option<Row>| Check {
+        key: key.to_owned(),
+        version: row.map_or(RowVersion(0), |row| row.version),
+    };
+    let write = |key: String, value: Option<Value>| Write { key, value };
     let txn = Txn {
         op: OpId::new(format!("join/{}/{incarnation}/{seed:x}", settings.daemon)),
-        checks: vec![Check {
-            key: row_key.clone(),
-            version,
-        }],
-        writes: vec![Write {
-            key: row_key,
-            value: serde_json::to_value(member).ok(),
-        }],
+        checks: vec![check(&life_key, life), check(&member_key, member)],
+        writes: vec![
+            write(life_key, serde_json::to_value(Life { incarnation }).ok()),
+            write(member_key, serde_json::to_value(row).ok()),
+        ],
     };
     match settle(table, txn, Instant::now() + TRY_TIMEOUT).await {
         Settled::Committed => Some(Owner {
@@ -72,9 +83,23 @@
     }
 }
 
-/// Reads the incarnation alone, so that a row of another release still counts.
-fn incarnation_of(value: &serde_json::Value) -> Option<Incarnation> {
-    value.get("incarnation")?.as_u64().map(Incarnation)
+/// Reads a row; `None` if the table does not answer.
+async fn read(table: &Table, row_key: &str) -> Option<Option<Row>> {
+    let read = (table.read)(row_key.to_owned());
+    tokio::time::timeout(TRY_TIMEOUT, read).await.ok()?.ok()
+}
+
+/// Which life of a daemon was begun last; the row `life/<daemon>`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Life {
+    /// The life.
+    pub incarnation: Incarnation,
+}
+
+/// The key of the row that counts the lives of a daemon.
+#[must_use]
+pub fn life_key(daemon: &DaemonId) -> String {
+    format!("life/{daemon}")
 }
 
 /// The first heartbeat of a life.
--- a/crates/node/src/operators/act.rs
+++ b/crates/node/src/operators/act.rs
@@ -67,7 +67,6 @@
         ShardCall::Submit { shard, spec }
     })
     .await?;
-    let shard = shard.unwrap_or_else(|| ShardId::new(""));
     json(&view(&spec, &shard))
 }
 
@@ -149,18 +148,17 @@
     })
 }
 
-/// Has the owner of a shard do something, here or at another daemon; returns the shard if the
-/// request left its choice open and another daemon carried it out.
+/// Has the owner of a shard do something, here or at another daemon; returns the shard.
 async fn carry(
     cx: &Arc<Cx>,
     request: Request,
     call: impl FnOnce(ShardId) -> ShardCall,
-) -> Result<Option<ShardId>, Refused> {
+) -> Result<ShardId, Refused> {
     let reply = timeout(ASK_TIMEOUT, cx.shards.ask(request))
         .await
         .unwrap_or(Reply::Unknown);
     match reply {
-        Reply::Done => Ok(None),
+        Reply::Done(shard) => Ok(shard),
         Reply::Refused(reason) => Err(Refused::later(reason, RETRY_AFTER_MS)),
         Reply::Unknown => Err(Refused::unknown("ask again; the same name is used once")),
         Reply::Elsewhere { shard, owner } => {
@@ -168,7 +166,7 @@
                 Refused::later(format!("nobody owns shard {shard} now"), RETRY_AFTER_MS)
             })?;
             ask_owner(cx, &owner, call(shard.clone())).await?;
-            Ok(Some(shard))
+            Ok(shard)
         }
     }
 }
--- a/crates/node/src/operators/look.rs
+++ b/crates/node/src/operators/look.rs
@@ -92,7 +92,7 @@
     json(&StatusView {
         daemon: me.daemon,
         incarnation: me.incarnation,
-        ready: stage == Stage::Serving,
+        ready: cx.is_ready(),
         draining: stage > Stage::Serving,
         version: cx.follower().version(),
         store_silent_ms: store_at.map(|at| millis(now.since(at))),
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -32,7 +32,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::cx::Cx;
-use crate::cx::Stage;
 
 /// The largest body of an operator's request, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -127,7 +126,7 @@
 
 impl Operators {
     fn ready(&self, res: &mut Response) {
-        let ready = *self.cx.stage.borrow() == Stage::Serving;
+        let ready = self.cx.is_ready();
         let status = if ready {
             StatusCode::OK
         } else {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -66,7 +66,7 @@
             });
         };
         Ok(match self.cx.shards.ask(request).await {
-            Reply::Done => ShardAnswer::Done,
+            Reply::Done(_) => ShardAnswer::Done,
             Reply::Refused(reason) => ShardAnswer::Refused { reason },
             Reply::Elsewhere { .. } => ShardAnswer::NotOwner,
             Reply::Unknown => ShardAnswer::Unknown,
--- a/crates/node/src/shards/calls.rs
+++ b/crates/node/src/shards/calls.rs
@@ -1,6 +1,8 @@
 //! Answers submissions, cancellations and what other daemons ask of a shard's owner.
 
 use lease::owner::Event;
+use lease::owner::Fact;
+use lease::owner::Refusal;
 use lease::record::TaskSpec;
 use model::Size;
 use model::id::DaemonId;
@@ -29,7 +31,7 @@
                     self.read_tasks(&shard, false);
                 }
                 let answer = if here {
-                    Reply::Done
+                    Reply::Done(shard)
                 } else {
                     self.elsewhere(&shard)
                 };
@@ -63,12 +65,30 @@
             let _ = reply.send(self.elsewhere(shard));
             return;
         }
-        match task {
-            Some(task) => self.asked.entry(task).or_default().push(reply),
-            None => drop(reply.send(Reply::Done)),
-        }
         let now = self.now();
+        let told = self.facts.len();
         self.drive(shard, event, now);
+        let Some(task) = task else {
+            let _ = reply.send(Reply::Done(shard.clone()));
+            return;
+        };
+        match self.refused_since(told, &task) {
+            Some(why) => drop(reply.send(Reply::Refused(why.to_string()))),
+            None => self.asked.entry(task).or_default().push(reply),
+        }
+    }
+
+    /// Takes out the refusal of what was just asked. Refusals that come later may be of something
+    /// else that was wanted of the same task.
+    fn refused_since(&mut self, told: usize, task: &TaskId) -> Option<Refusal> {
+        let refusal = |fact: &Fact| match fact {
+            Fact::Refused { task: refused, why } if refused == task => Some(*why),
+            _ => None,
+        };
+        let mut since = self.facts.iter().enumerate().skip(told);
+        let (at, why) = since.find_map(|(at, (_, fact))| Some((at, refusal(fact)?)))?;
+        self.facts.remove(at);
+        Some(why)
     }
 
     /// Answers all who wait to hear of a task.
--- a/crates/node/src/shards/driver.rs
+++ b/crates/node/src/shards/driver.rs
@@ -209,6 +209,7 @@
             self.read_at = Some(now);
             self.read_shards();
             self.exchange_summaries(now);
+            self.empty_leaving(now);
         }
         for shard in self.running_shards() {
             let Some(running) = self.running.get(&shard) else {
--- a/crates/node/src/shards/facts.rs
+++ b/crates/node/src/shards/facts.rs
@@ -64,17 +64,17 @@
                 self.sched.ended(&task, end, now);
                 self.queued(shard, &task, now);
             }
-            Fact::Ended { task, phase } => self.ended(&task, &phase, now),
+            Fact::Ended { task, phase } => self.ended(shard, &task, &phase, now),
             Fact::Refused { task, why } => self.refused(shard, &task, why, now),
-            Fact::Submitted { task, result } => self.answer(&task, &submitted(result)),
-            Fact::Cancelling { task } => self.answer(&task, &Reply::Done),
+            Fact::Submitted { task, result } => self.answer(&task, &submitted(shard, result)),
+            Fact::Cancelling { task } => self.answer(&task, &Reply::Done(shard.clone())),
             Fact::HandedOff { task, to } => self.handed_off(&task, &to),
             Fact::Reached { worker } | Fact::Freed { worker } => self.offer_worker(&worker, true),
             Fact::WorkerLapsed { worker } => {
                 log::warn!(worker = worker.as_str(); "its last lease has lapsed");
                 self.offer_worker(&worker, false);
             }
-            Fact::Leaving { worker } => self.evict_from(shard, &worker, now),
+            Fact::Leaving { worker } => log::info!(worker = worker.as_str(); "is leaving"),
             Fact::Unreadable { key } => log::error!(key = key.as_str(); "a row cannot be read"),
         }
     }
@@ -105,7 +105,7 @@
         self.sched.enqueue(queued);
     }
 
-    fn ended(&mut self, task: &TaskId, phase: &Phase, now: Mono) {
+    fn ended(&mut self, shard: &ShardId, task: &TaskId, phase: &Phase, now: Mono) {
         match phase {
             Phase::Succeeded => self.sched.ended(task, End::Succeeded, now),
             Phase::Failed { reason } => {
@@ -116,13 +116,16 @@
         }
         self.homes.remove(task);
         self.planned.remove(task);
-        self.answer(task, &Reply::Done);
+        self.answer(task, &Reply::Done(shard.clone()));
     }
 
     fn refused(&mut self, shard: &ShardId, task: &TaskId, why: Refusal, now: Mono) {
         self.planned.remove(task);
         self.sched.abandoned(task, now);
-        self.answer(task, &Reply::Refused(why.to_string()));
+        if why == Refusal::ByTable {
+            // It may be the write of whoever asked, or another one on the same row.
+            self.answer(task, &Reply::Unknown);
+        }
         if why == Refusal::NoRoom {
             self.relist_shard(shard);
         }
@@ -142,17 +145,25 @@
         }
     }
 
-    fn evict_from(&mut self, shard: &ShardId, worker: &WorkerId, now: Mono) {
-        let Some(running) = self.running.get(shard) else {
-            return;
-        };
-        let there = running
-            .owner
-            .tasks()
-            .filter(|row| row.worker() == Some(worker));
-        let tasks: Vec<TaskId> = there.map(|row| row.spec.task.clone()).collect();
-        for task in tasks {
-            self.drive(shard, Event::Evict(task), now);
+    /// Takes the tasks off workers that are leaving, again and again until none is left: an eviction
+    /// may be refused while the table is away or a write of the row is under way.
+    pub(super) fn empty_leaving(&mut self, now: Mono) {
+        let hosts = self.cx.hosts.borrow().clone();
+        let leaving = hosts
+            .workers
+            .iter()
+            .filter(|entry| entry.state == HostState::Leaving);
+        for entry in leaving {
+            let Some(running) = self.running.get(&entry.rack) else {
+                continue;
+            };
+            let owner = &running.owner;
+            let there = owner.tasks().filter(|row| row.worker() == Some(&entry.id));
+            let settled = there.filter(|row| !owner.is_in_doubt(&row.spec.task));
+            let tasks: Vec<TaskId> = settled.map(|row| row.spec.task.clone()).collect();
+            for task in tasks {
+                self.drive(&entry.rack, Event::Evict(task), now);
+            }
         }
     }
 
@@ -367,9 +378,9 @@
     }
 }
 
-fn submitted(result: Submission) -> Reply {
+fn submitted(shard: &ShardId, result: Submission) -> Reply {
     match result {
-        Submission::Accepted | Submission::Repeated => Reply::Done,
+        Submission::Accepted | Submission::Repeated => Reply::Done(shard.clone()),
         Submission::Conflict => Reply::Refused(result.to_string()),
         Submission::NotAccepted(why) => Reply::Refused(why.to_string()),
     }
--- a/crates/node/src/shards/input.rs
+++ b/crates/node/src/shards/input.rs
@@ -125,8 +125,8 @@
 /// What became of a [`Request`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
-    /// It took effect.
-    Done,
+    /// It took effect at this shard.
+    Done(ShardId),
     /// It certainly did not take effect, and why.
     Refused(String),
     /// This daemon does not own the shard; the one that does, as far as is known.
