test(conf): slow reads in the model of acceptance; guards in the proposer

A proposer without its own heartbeat row in the list commits nothing, and a commit that conflicts without anyone passed over is told as overtaken.

--- a/crates/conf/src/accept/proposer.rs
+++ b/crates/conf/src/accept/proposer.rs
@@ -243,8 +243,13 @@
             // A daemon that was passed over may have come back, or another proposer has replaced
             // the staged row; clearing tells which.
             (Step::Committing(view), Written::Conflict) => {
-                let daemons = self.passed_over.keys().cloned().collect();
-                self.clear(view.ballot, Outcome::Unreachable(daemons), now, out);
+                let back: BTreeSet<DaemonId> = self.passed_over.keys().cloned().collect();
+                let outcome = if back.is_empty() {
+                    Outcome::NotRun("another change took its place")
+                } else {
+                    Outcome::Unreachable(back)
+                };
+                self.clear(view.ballot, outcome, now, out);
             }
             (Step::Committing(view), Written::Unknown) => {
                 let outcome = Outcome::NotRun("the table did not answer");
@@ -310,11 +315,13 @@
     }
 
     fn verdict(&self) -> Verdict {
-        let Some(members) = &self.members else {
+        let members = self.members.as_deref().unwrap_or_default();
+        // Without its own heartbeat row the list cannot be whole.
+        if !members.iter().any(|member| member.daemon == self.daemon) {
             return Verdict::Blocked {
-                daemons: BTreeSet::new(),
+                daemons: [self.daemon.clone()].into(),
             };
-        };
+        }
         let evidence = Evidence {
             members,
             staged: &self.staged,
--- a/crates/conf/src/accept/row.rs
+++ b/crates/conf/src/accept/row.rs
@@ -112,7 +112,37 @@
     pub current: Option<Current>,
 }
 
+/// A row of the table as it was read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RowRead {
+    /// The version of the row.
+    pub version: RowVersion,
+    /// Its value.
+    pub value: serde_json::Value,
+}
+
 impl View {
+    /// Makes the view from the rows `doc/staged` and `doc/current`, read in this order.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a row does not hold what this protocol writes.
+    pub fn from_rows(
+        staged: Option<RowRead>,
+        current: Option<RowRead>,
+    ) -> Result<Self, serde_json::Error> {
+        let mut view = Self::default();
+        if let Some(row) = staged {
+            view.ballot = row.version;
+            view.staged = serde_json::from_value::<StagedRow>(row.value)?.staged;
+        }
+        if let Some(row) = current {
+            view.current_row = row.version;
+            view.current = Some(serde_json::from_value(row.value)?);
+        }
+        Ok(view)
+    }
+
     /// Returns the version in force, 0 before the first document.
     #[must_use]
     pub fn version(&self) -> DocVersion {
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -20,6 +20,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use crate::check::names::is_name;
 use crate::doc::Class;
 use crate::doc::Document;
 use crate::finding::Code;
--- a/crates/conf/src/check/names.rs
+++ b/crates/conf/src/check/names.rs
@@ -13,7 +13,7 @@
 use crate::finding::Code;
 use crate::tree::escape;
 
-/// The longest name, in bytes; names are parts of the table's keys.
+/// The longest name, in bytes.
 const MAX_NAME_BYTES: usize = 64;
 /// The parts of the document whose keys are names.
 const NAMED: [&str; 6] = [
@@ -46,9 +46,16 @@
     }
 }
 
-fn check_name(name: &str, pointer: &str, found: &mut Found) {
+/// Returns whether a text can be used as a name: names are parts of paths and of the table's keys.
+#[must_use]
+pub fn is_name(text: &str) -> bool {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(allowed) {
+    let sound = text.chars().all(allowed) && text.chars().any(|c| c != '.');
+    sound && text.len() <= MAX_NAME_BYTES
+}
+
+fn check_name(name: &str, pointer: &str, found: &mut Found) {
+    if is_name(name) {
         return;
     }
     let message = format!("`{name}` cannot be used as a name");
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::check::Invalid;
+use crate::check::is_name;
 use crate::finding::Code;
 use crate::finding::Finding;
 use crate::finding::sort;
@@ -144,6 +145,8 @@
     }
 }
 
+/// The values that are names.
+const NAMES: [&str; 4] = ["/daemon", "/half", "/place/region", "/place/data_centre"];
 /// The addresses that may not be given twice, because one process or service listens on each.
 const ADDRESSES: [&str; 6] = [
     "/listen/callers",
@@ -173,6 +176,12 @@
     let mut found = |code: Code, message: String, pointer: &str| {
         findings.push(Finding::error(code, message, places.value(pointer)));
     };
+    for pointer in NAMES {
+        if let Some(name) = tree::text_at(root, pointer).filter(|name| !is_name(name)) {
+            let message = format!("`{name}` cannot be used as a name");
+            found(Code::OutOfRange, message, pointer);
+        }
+    }
     for (index, pointer) in ADDRESSES.iter().enumerate() {
         let Some(own) = address(pointer).filter(|own| own.port() != 0) else {
             continue;
--- a/crates/conf/tests/all/accept.rs
+++ b/crates/conf/tests/all/accept.rs
@@ -2,5 +2,6 @@
 
 mod carry;
 mod check;
+mod daemons;
 mod machines;
 mod world;
--- a/crates/conf/tests/all/accept/check.rs
+++ b/crates/conf/tests/all/accept/check.rs
@@ -23,7 +23,7 @@
     crashes: 0,
     lost_answers: 0,
     pauses: 0,
-    early_polls: 0,
+    slow_reads: 0,
 };
 
 /// How long everything may take to come to its end once all faults are over: an abandoned staged
@@ -172,6 +172,19 @@
     );
 }
 
+#[test]
+fn promises_hold_through_slow_reads_in_a_cut() {
+    assert_holds(
+        "slow reads in a cut",
+        Budget {
+            ticks: 2,
+            slow_reads: 1,
+            cuts: 1,
+            ..QUIET
+        },
+    );
+}
+
 #[test]
 fn promises_hold_through_a_pause() {
     assert_holds(
@@ -224,6 +237,15 @@
                 ..QUIET
             },
         ),
+        (
+            Broken::CurrentReadFirst,
+            Budget {
+                ticks: 2,
+                slow_reads: 1,
+                cuts: 1,
+                ..QUIET
+            },
+        ),
     ];
     for (broken, budget) in cases {
         let explored = explore(&World::new(broken, budget));
--- a/crates/conf/tests/all/accept/machines.rs
+++ b/crates/conf/tests/all/accept/machines.rs
@@ -186,7 +186,8 @@
         digest: follower("d2").digest(),
         age: Duration::from_secs(age_s),
     };
-    // Daemons d1 and d4 have staged; how d2 and d3 look; who vouches; what was heard of d2.
+    // Daemons d1 and d4 have staged, d4 by hearsay where it has not answered itself; how d2 and d3
+    // look; who vouches; what was heard of d2.
     let cases = [
         ("both staged", None, None, "", None, ""),
         ("one lapsed", Some((LAPSED, true)), None, "", None, ""),
@@ -246,6 +247,14 @@
             None,
             "d2",
         ),
+        (
+            "one lapsed, d4 by hearsay",
+            Some((LAPSED, true)),
+            None,
+            "",
+            None,
+            "d2",
+        ),
     ];
     for (case, second, third, without, heard_of_second, blocked) in cases {
         let mut members = vec![member("d1", 0, true), member("d4", 0, true)];
@@ -258,7 +267,7 @@
             let life = if silent.is_some() { 1 } else { 2 };
             staged.insert(name.into(), Incarnation(life));
         }
-        let heard = BTreeMap::from([
+        let mut heard = BTreeMap::from([
             (
                 "d1".into(),
                 heard_of_second.map(heard).into_iter().collect(),
@@ -267,6 +276,9 @@
             ("d3".into(), Vec::new()),
             ("d4".into(), Vec::new()),
         ]);
+        if case.contains("hearsay") {
+            heard.remove("d4");
+        }
         let names = |text: &str| -> BTreeSet<DaemonId> {
             text.split_whitespace().map(DaemonId::from).collect()
         };
--- a/crates/conf/tests/all/accept/world.rs
+++ b/crates/conf/tests/all/accept/world.rs
@@ -8,7 +8,6 @@
 use conf::accept::change::Action;
 use conf::accept::change::Event;
 use conf::accept::change::Outcome;
-use conf::accept::follower;
 use conf::accept::follower::Follower;
 use conf::accept::follower::Serve;
 use conf::accept::message::Digest;
@@ -51,6 +50,8 @@
     CommitUnstaged,
     /// A daemon trusts the document in force however long it has heard nothing.
     NeverInDoubt,
+    /// The table's rows are read in the wrong order.
+    CurrentReadFirst,
     /// A staged document whose proposer has died stands for ever.
     NeverCleared,
 }
@@ -66,7 +67,7 @@
     pub crashes: u8,
     pub lost_answers: u8,
     pub pauses: u8,
-    pub early_polls: u8,
+    pub slow_reads: u8,
 }
 
 /// Which links are cut.
@@ -97,6 +98,15 @@
     pub paused: bool,
 }
 
+/// A daemon has read one of the two rows.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct SlowRead {
+    pub daemon: usize,
+    pub sent: Mono,
+    /// What both rows were when it read the first one.
+    pub view: View,
+}
+
 /// The whole state.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct World {
@@ -115,6 +125,7 @@
     pub committed_at: Mono,
     /// A write whose answer was lost before it took effect.
     pub late: Option<Write>,
+    pub slow_read: Option<SlowRead>,
     /// What went wrong on the way here.
     pub fault: Option<&'static str>,
 }
@@ -130,7 +141,8 @@
     Deliver(usize),
     /// The first message of a change is lost, and those behind it are not.
     Lose(usize),
-    Poll(usize),
+    ReadFirst(usize),
+    ReadSecond,
     Cut(Cut),
     Outage(bool),
     Crash(usize),
@@ -154,7 +166,10 @@
     match broken {
         Broken::NeverInDoubt => bounds.in_doubt = FOREVER,
         Broken::NeverCleared => bounds.stage_hold = FOREVER,
-        Broken::Nothing | Broken::PassOverTwo | Broken::CommitUnstaged => {}
+        Broken::Nothing
+        | Broken::PassOverTwo
+        | Broken::CommitUnstaged
+        | Broken::CurrentReadFirst => {}
     }
     bounds
 }
@@ -201,6 +216,7 @@
             current,
             committed_at: Mono::ZERO,
             late: None,
+            slow_read: None,
             fault: None,
         };
         (0..DAEMONS).for_each(|index| world.poll(index));
@@ -234,9 +250,16 @@
         if self.late.is_some() {
             steps.push(Step::LateWrite);
         }
-        if budget.early_polls > 0 {
+        if budget.slow_reads > 0 && self.slow_read.is_none() {
             let able = (0..DAEMONS).filter(|index| self.reaches_store(*index));
-            steps.extend(able.map(Step::Poll));
+            steps.extend(able.map(Step::ReadFirst));
+        }
+        if self
+            .slow_read
+            .as_ref()
+            .is_some_and(|read| self.reaches_store(read.daemon))
+        {
+            steps.push(Step::ReadSecond);
         }
         match self.cut {
             Cut::Nothing if budget.cuts > 0 => {
@@ -281,10 +304,8 @@
                 next.budget.losses -= 1;
                 next.changes[index].messages.remove(0);
             }
-            Step::Poll(index) => {
-                next.budget.early_polls -= 1;
-                next.poll(index);
-            }
+            Step::ReadFirst(index) => next.read_first(index),
+            Step::ReadSecond => next.read_second(),
             Step::Cut(cut) => {
                 next.budget.cuts -= u8::from(cut != Cut::Nothing);
                 next.cut = cut;
@@ -408,54 +429,6 @@
         }
     }
 
-    pub fn tell(&mut self, index: usize, event: follower::Event) {
-        let now = self.now;
-        let Some(follower) = &mut self.daemons[index].follower else {
-            return;
-        };
-        let before = follower.version();
-        let actions = follower.handle(event, now);
-        if follower.version() < before {
-            self.fault = Some("a version went down");
-        }
-        for action in actions {
-            match action {
-                follower::Action::Apply(current) if current.version <= before => {
-                    self.fault = Some("an old document was applied");
-                }
-                follower::Action::Clear { ballot } if self.reaches_store(index) => {
-                    self.carry_out(&Write::Clear { ballot });
-                }
-                follower::Action::Apply(_) | follower::Action::Clear { .. } => {}
-            }
-        }
-    }
-
-    fn poll(&mut self, index: usize) {
-        if !self.reaches_store(index) {
-            return;
-        }
-        let (sent, view) = (self.now, self.view());
-        let daemon = &mut self.daemons[index];
-        daemon.row = daemon.row.next();
-        daemon.row_at = sent;
-        self.tell(index, follower::Event::Polled { sent, view });
-    }
-
-    fn exchange(&mut self, index: usize, peer: usize) {
-        if !self.connected(index, peer) {
-            return;
-        }
-        let now = self.now;
-        let digest = self.digest(index);
-        let Some(follower) = &self.daemons[peer].follower else {
-            return;
-        };
-        let news = follower.news(&digest, now);
-        self.daemons[peer].heard[index] = Some((digest, now));
-        self.tell(index, follower::Event::Answered { sent: now, news });
-    }
-
     pub fn digest(&self, index: usize) -> Digest {
         let follower = self.daemons[index].follower.as_ref();
         follower.expect("the daemon is alive").digest()
@@ -463,6 +436,7 @@
 
     fn crash(&mut self, index: usize) {
         self.budget.crashes -= 1;
+        self.slow_read.take_if(|read| read.daemon == index);
         self.daemons[index].follower = None;
         self.daemons[index].heard = [None, None, None];
         if let Some(change) = self.changes.get_mut(index)
--- a/crates/conf/tests/all/settings.rs
+++ b/crates/conf/tests/all/settings.rs
@@ -30,6 +30,7 @@
         ),
         (r#""daemon": "limburg-1", "#, "", Code::MissingKey, "{"),
         ("0123456789abcdef", "short", Code::OutOfRange, r#""short""#),
+        ("limburg-1", "limburg/1", Code::OutOfRange, r#""limburg/1""#),
         ("20000", "5", Code::OutOfRange, "5\n"),
         ("20000", "5.5", Code::WrongType, "5.5"),
         (
--- a/crates/fireflynotch/src/command.rs
+++ b/crates/fireflynotch/src/command.rs
@@ -16,6 +16,7 @@
 use conf::api::TaskView;
 use conf::check::Context;
 use conf::check::check;
+use conf::check::is_name;
 use conf::finding::Finding;
 use conf::finding::any_error;
 use conf::report::Report;
@@ -358,11 +359,8 @@
     })
 }
 
-/// Names are parts of paths and of the table's keys.
 fn checked_name(name: &str) -> Result<&str, Ran> {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    let sound = name.chars().all(allowed) && name.chars().any(|c| c != '.');
-    if sound {
+    if is_name(name) {
         return Ok(name);
     }
     let message = format!("`{name}` is no name: use letters of ASCII, digits, `-`, `_` or `.`");
