--- a/crates/conf/tests/all/accept.rs
+++ b/crates/conf/tests/all/accept.rs
@@ -1,5 +1,7 @@
 //! The acceptance of documents.
 
+mod carry;
 mod check;
+mod daemons;
 mod machines;
 mod world;
