fix(measure): the cost of queued decisions is that of queued ones again

Since requests without a slot are passed to a peer, the measurement had timed that instead of the queue.

--- a/crates/measure/src/routing/cost.rs
+++ b/crates/measure/src/routing/cost.rs
@@ -48,9 +48,11 @@
     ]
 }
 
-fn arrival() -> Arrival {
+/// Makes a request; one that was passed on before waits here instead of being passed on again.
+fn arrival(queued: bool) -> Arrival {
     Arrival {
         path: "/plan/visit".to_owned(),
+        hops: u8::from(queued),
         ..Arrival::default()
     }
 }
@@ -65,7 +67,7 @@
     let mut router = router(&scenario, 0, Limits::default());
     let mut open = Vec::new();
     let mut now = Mono(1);
-    while let Verdict::Send(grant) = router.arrive(&arrival(), now) {
+    while let Verdict::Send(grant) = router.arrive(&arrival(queued), now) {
         open.push(grant);
     }
     router.tick(now);
@@ -83,7 +85,7 @@
         let started = Instant::now();
         for at in 0..REQUESTS {
             now = Mono(now.0 + u64::from(at % 100 == 0));
-            one(&mut router, &mut open, at, now);
+            one(&mut router, &mut open, &arrival(queued), at, now);
         }
         #[expect(clippy::cast_precision_loss, reason = "a small constant")]
         let each = started.elapsed().as_secs_f64() * 1e6 / REQUESTS as f64;
@@ -102,8 +104,8 @@
     router.update(update, now);
 }
 
-fn one(router: &mut Router, open: &mut Vec<Grant>, at: usize, now: Mono) {
-    let verdict = router.arrive(black_box(&arrival()), now);
+fn one(router: &mut Router, open: &mut Vec<Grant>, req: &Arrival, at: usize, now: Mono) {
+    let verdict = router.arrive(black_box(req), now);
     if let Verdict::Send(grant) = verdict {
         open.push(grant);
     }
