--- a/crates/route/src/proxy/config.rs
+++ b/crates/route/src/proxy/config.rs
@@ -58,6 +58,8 @@
     pub max_body: u64,
     /// The largest body of a request that is kept so that it can be sent again, in bytes.
     pub max_replay: u64,
+    /// How long a body that is kept may take to arrive.
+    pub small_body: Duration,
     /// The most bytes that all headers of a request may have.
     pub max_head: usize,
     /// The longest deadline that a caller may ask for.
@@ -81,6 +83,7 @@
             tcp_keepalive: Duration::from_secs(5),
             max_body: 64 << 20,
             max_replay: 64 << 10,
+            small_body: Duration::from_secs(10),
             max_head: 32 << 10,
             max_deadline: Duration::from_secs(600),
             hedge: true,
--- a/crates/route/src/proxy/job.rs
+++ b/crates/route/src/proxy/job.rs
@@ -152,22 +152,28 @@
         return Ok(Source::Stream(Some(body), bounds.max_body));
     }
     let limit = usize::try_from(bounds.max_replay).unwrap_or(usize::MAX);
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(Source::Kept(whole.to_bytes())),
-        Err(error) => Err(Box::new(broken_body(error.as_ref()))),
+    let whole = Limited::new(body, limit).collect();
+    match tokio::time::timeout(bounds.small_body, whole).await {
+        Ok(Ok(whole)) => Ok(Source::Kept(whole.to_bytes())),
+        Ok(Err(error)) => Err(broken_body(is_timeout(error.as_ref()))),
+        Err(_) => Err(broken_body(true)),
     }
 }
 
-fn broken_body(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Reply {
-    let timed_out = error
+fn is_timeout(error: &(dyn std::error::Error + Send + Sync + 'static)) -> bool {
+    error
         .downcast_ref::<io::Error>()
-        .is_some_and(|error| error.kind() == io::ErrorKind::TimedOut);
+        .is_some_and(|error| error.kind() == io::ErrorKind::TimedOut)
+}
+
+fn broken_body(timed_out: bool) -> Box<Reply> {
     let status = if timed_out {
         StatusCode::REQUEST_TIMEOUT
     } else {
         StatusCode::BAD_REQUEST
     };
-    Reply::not_run(status, "the body did not arrive whole")
+    let reason = "the body did not arrive whole";
+    Box::new(Reply::not_run(status, reason))
 }
 
 /// Returns the time from `now` to a deadline.
--- a/crates/route/tests/all/callers.rs
+++ b/crates/route/tests/all/callers.rs
@@ -70,6 +70,50 @@
     daemon.idle().await;
 }
 
+#[tokio::test]
+async fn caller_that_sends_its_body_too_slowly_is_refused_and_holds_no_slot() {
+    let executor = Executor::start(&[Act::Echo]).await;
+    let bounds = Bounds {
+        small_body: Duration::from_millis(50),
+        ..Bounds::default()
+    };
+    let daemon = Daemon::alone(&[&executor], table(Store::Up), bounds).await;
+    let mut stream = TcpStream::connect(daemon.address).await.expect("a daemon");
+    let head = "POST /plan HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nslow";
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let mut answer = vec![0; 4_096];
+    let size = stream.read(&mut answer).await.expect("an answer");
+    let answer = String::from_utf8_lossy(&answer[..size]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("ff-outcome: not-run"), "{answer}");
+    assert_eq!(executor.seen(), 0);
+    daemon.idle().await;
+}
+
+#[tokio::test]
+async fn request_without_a_slot_goes_to_a_peer_or_waits_here_if_none_is_reached() {
+    let executor = Executor::start(&[Act::EchoAfter(Duration::from_millis(30))]).await;
+    let first = Daemon::start("entry-1", "rsh", table(Store::Up), Bounds::default()).await;
+    let second = Daemon::start("entry-2", "rsh", table(Store::Up), Bounds::default()).await;
+    for peer in [second.address, crate::world::nowhere()] {
+        let members = [("entry-1", "rsh", first.address), ("entry-2", "rsh", peer)];
+        first.inform(&[&executor], &members);
+        second.inform(&[&executor], &members);
+        let one = || async {
+            let answer = caller().post(first.url()).send().await.expect("an answer");
+            told(&answer, "ff-outcome").to_owned()
+        };
+        let all = futures::future::join_all((0..12).map(|_| one())).await;
+        assert!(all.iter().all(|outcome| outcome == "answered"), "{all:?}");
+        let passed = second.proxy.report().upstreams["plan"].sends;
+        assert!((1..=8).contains(&passed), "{passed} were passed on");
+        first.idle().await;
+        second.idle().await;
+    }
+    assert_eq!(executor.seen(), 24);
+    assert!(executor.most() <= 8, "{} at once", executor.most());
+}
+
 #[tokio::test]
 async fn streamed_body_arrives_whole_over_both_protocols() {
     let executor = Executor::start(&[Act::Echo]).await;
