--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -78,7 +78,7 @@
             max_waiting: 1024,
             max_waiting_total: 4096,
             max_ejected_percent: 20,
-            standing_delay_percent: 50,
+            standing_delay_percent: 25,
             standing_after: Duration::from_millis(200),
             eject_slow: true,
             retry_permille: 100,
