--- a/crates/route/src/router/pick.rs
+++ b/crates/route/src/router/pick.rs
@@ -11,10 +11,22 @@
 const SAMPLES: usize = 3;
 
 impl Router {
+    /// Gives the right to send within this region, or to another if there are no slots here at all.
+    pub(super) fn pick_home(
+        &mut self,
+        key: UpstreamKey,
+        exclude: &[ExecutorKey],
+        deadline: Mono,
+        now: Mono,
+    ) -> Option<Grant> {
+        let far = self.upstreams.get(key)?.near_slots == 0;
+        self.pick(key, far, exclude, deadline, now)
+    }
+
     /// Gives the right to send to the best of a few executors with a free slot.
     ///
     /// The cost does not depend on the number of executors. `exclude` is avoided where there is
-    /// another choice. Executors of other regions serve if `far` is set, and where no other is open.
+    /// another choice.
     pub(super) fn pick(
         &mut self,
         key: UpstreamKey,
@@ -24,7 +36,6 @@
         now: Mono,
     ) -> Option<Grant> {
         let upstream = self.upstreams.get(key)?;
-        let far = far || upstream.has_only_far();
         let list = if far { &upstream.far } else { &upstream.near };
         let common = upstream.service.mean_ms();
         let mut best: Option<(f64, ExecutorKey)> = None;
--- a/crates/route/src/router/tables.rs
+++ b/crates/route/src/router/tables.rs
@@ -65,15 +65,14 @@
     }
 
     fn take_document(&mut self, accepted: &InForce, now: Mono) {
-        let first = self.document.is_none();
         let document = Arc::clone(&accepted.document);
         self.version = accepted.version;
         self.routes.clear();
         for upstream in self.upstreams.values_mut() {
-            upstream.present = document.upstreams.contains_key(&upstream.id);
+            upstream.present &= document.upstreams.contains_key(&upstream.id);
         }
         for (id, entry) in &document.upstreams {
-            let key = self.take_upstream(id, entry, first, now);
+            let key = self.take_upstream(id, entry, now);
             for route in &entry.routes {
                 let route = route.trim_end_matches('/').to_owned();
                 self.routes.insert(route, key);
@@ -83,13 +82,7 @@
         self.document = Some(document);
     }
 
-    fn take_upstream(
-        &mut self,
-        id: &UpstreamId,
-        entry: &doc::Upstream,
-        first: bool,
-        now: Mono,
-    ) -> UpstreamKey {
+    fn take_upstream(&mut self, id: &UpstreamId, entry: &doc::Upstream, now: Mono) -> UpstreamKey {
         let permille = self.cfg.limits.retry_permille;
         let ours = entry.half == self.cfg.half;
         let known = self.upstream_names.get(id).copied();
@@ -109,7 +102,7 @@
         upstream.deadline = Duration::from_millis(entry.deadline_ms);
         upstream.weight = entry.weight;
         upstream.present = true;
-        if first || is_new {
+        if is_new {
             // Executors may have been listed before any document named their upstream.
             upstream.phase = if ours { Phase::Owned } else { Phase::Foreign };
         } else {
@@ -204,7 +197,8 @@
         for upstream in self.upstreams.values_mut() {
             upstream.executors = 0;
         }
-        for executor in self.executors.values().filter(|one| one.present) {
+        let stays = |one: &&Executor| one.present && !one.leaving;
+        for executor in self.executors.values().filter(stays) {
             self.upstreams[executor.upstream].executors += 1;
         }
     }
@@ -387,12 +381,6 @@
 }
 
 impl Upstream {
-    /// Returns whether all slots that this daemon may use now are in other regions, as after an
-    /// upstream has gone to a half that has no daemon near its executors.
-    pub(super) const fn has_only_far(&self) -> bool {
-        self.near_slots == 0 && self.far_slots > 0
-    }
-
     fn change_hands(&mut self, ours: bool, wait_until: Mono) {
         self.phase = match (self.phase, ours) {
             (Phase::Owned | Phase::Waiting, true) => self.phase,
