fix(conf): a daemon that comes back before the commit is asked to stage

Cause: a commit that conflicted because a passed-over daemon had written its heartbeat ended the change as unreachable. It now collects again.

--- a/crates/conf/src/accept/proposer.rs
+++ b/crates/conf/src/accept/proposer.rs
@@ -240,17 +240,16 @@
                 let outcome = Outcome::NotRun("the table refused the write");
                 self.clear(view.ballot, outcome, now, out);
             }
-            // A daemon that was passed over may have come back, or another proposer has replaced
-            // the staged row; clearing tells which.
-            (Step::Committing(view), Written::Conflict) => {
-                let back: BTreeSet<DaemonId> = self.passed_over.keys().cloned().collect();
-                let outcome = if back.is_empty() {
-                    Outcome::NotRun("another change took its place")
-                } else {
-                    Outcome::Unreachable(back)
-                };
+            (Step::Committing(view), Written::Conflict) if self.passed_over.is_empty() => {
+                let outcome = Outcome::NotRun("another change took its place");
                 self.clear(view.ballot, outcome, now, out);
             }
+            // A daemon that was passed over may have come back, and can stage the document now.
+            (Step::Committing(view), Written::Conflict) => {
+                self.passed_over.clear();
+                self.go(Step::Collecting(view), now);
+                out.push(Action::ReadMembers);
+            }
             (Step::Committing(view), Written::Unknown) => {
                 let outcome = Outcome::NotRun("the table did not answer");
                 self.clear(view.ballot, outcome, now, out);
--- a/crates/conf/tests/all/accept/machines.rs
+++ b/crates/conf/tests/all/accept/machines.rs
@@ -171,6 +171,24 @@
     }
 }
 
+#[test]
+fn a_peer_that_knows_the_change_was_abandoned_ends_the_doubt() {
+    let mut daemon = follower("d1");
+    daemon.handle(polled(0, 1, true), Mono::ZERO);
+    let mut peer = daemon.clone();
+    peer.handle(
+        follower::Event::Abandoned {
+            ballot: RowVersion(3),
+        },
+        Mono::ZERO,
+    );
+    let now = Mono(5 * SECOND);
+    assert_eq!(daemon.serve(now), Serve::Common);
+    let news = peer.news(&daemon.digest(), now);
+    daemon.handle(follower::Event::Answered { sent: now, news }, now);
+    assert_eq!(daemon.serve(now), Serve::InForce);
+}
+
 #[test]
 fn silent_daemons_are_passed_over_only_when_they_cannot_serve() {
     const LAPSED: u64 = 12;
--- a/crates/conf/tests/all/check.rs
+++ b/crates/conf/tests/all/check.rs
@@ -277,6 +277,17 @@
         .quickcheck(property as fn(usize, u8, String) -> bool);
 }
 
+#[test]
+fn deep_nesting_is_a_finding() {
+    const DEPTH: usize = 100_000;
+    let cases = [("[", "]"), ("{\"halves\":", "}"), ("[/*", "*/]")];
+    for (open, close) in cases {
+        let text = format!("{}{}", open.repeat(DEPTH), close.repeat(DEPTH));
+        let found = check(&text, &Context::default()).findings;
+        assert_eq!(found.len(), 1, "{open}");
+    }
+}
+
 #[test]
 fn changes_are_by_value_and_conflict_where_both_touch_a_place() {
     let read = |text: &str| check(text, &Context::default()).document.unwrap();
