fix(conf): a daemon that died just before a change is passed over in time

Cause: what a peer had heard of the dead daemon was kept at the age it had when the peer answered, and peers that have staged are not asked again, so the hearing never grew old and the change ended as unreachable. It now ages from when it arrived; whoever the peer has heard since knows of the staged document.

--- a/crates/conf/src/accept/message.rs
+++ b/crates/conf/src/accept/message.rs
@@ -34,6 +34,17 @@
     pub age: Duration,
 }
 
+impl Heard {
+    /// Returns the same hearing, told `later` afterwards.
+    #[must_use]
+    pub fn after(&self, later: Duration) -> Self {
+        Self {
+            digest: self.digest.clone(),
+            age: self.age + later,
+        }
+    }
+}
+
 /// The answer of a daemon to a pushed document.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Ack {
--- a/crates/conf/src/accept/proposer.rs
+++ b/crates/conf/src/accept/proposer.rs
@@ -36,6 +36,23 @@
 use crate::finding::Finding;
 use crate::finding::any_error;
 
+/// What a daemon had heard of others.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct HeardAt {
+    /// When its answer arrived.
+    pub at: Mono,
+    /// What it had heard by then.
+    pub heard: Vec<Heard>,
+}
+
+impl HeardAt {
+    /// Returns what it had heard, as old as it is by `now`.
+    fn by(&self, now: Mono) -> Vec<Heard> {
+        let later = now.since(self.at);
+        self.heard.iter().map(|heard| heard.after(later)).collect()
+    }
+}
+
 /// The state of a change.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Proposer {
@@ -57,8 +74,10 @@
     pub members: Option<Vec<Member>>,
     /// The lives that have staged it.
     pub staged: BTreeMap<DaemonId, Incarnation>,
-    /// What the daemons that answered have heard of others.
-    pub heard: BTreeMap<DaemonId, Vec<Heard>>,
+    /// What the daemons that answered had heard of others once they had staged it, and when they
+    /// said so. Whoever they have heard since knows of the staged document, so they are not asked
+    /// again.
+    pub heard: BTreeMap<DaemonId, HeardAt>,
     /// The version that each daemon was last known to have in force.
     pub versions: BTreeMap<DaemonId, DocVersion>,
     /// The daemons that were passed over.
@@ -290,7 +309,8 @@
         }
         let by = ack.digest.daemon;
         if ack.digest.ballot == view.ballot {
-            self.heard.insert(by, ack.heard);
+            let heard = ack.heard;
+            self.heard.insert(by, HeardAt { at: now, heard });
         } else {
             out.push(self.push_to(by, &view, now));
         }
@@ -299,7 +319,7 @@
 
     /// Commits as soon as no daemon that may be serving is missing.
     fn decide(&mut self, view: View, now: Mono, out: &mut Vec<Action>) {
-        let Verdict::Commit { passed_over } = self.verdict() else {
+        let Verdict::Commit { passed_over } = self.verdict(now) else {
             return;
         };
         let checks = passed_over.values().cloned().collect();
@@ -313,7 +333,7 @@
         self.go(Step::Committing(view), now);
     }
 
-    fn verdict(&self) -> Verdict {
+    fn verdict(&self, now: Mono) -> Verdict {
         let members = self.members.as_deref().unwrap_or_default();
         // Without its own heartbeat row the list cannot be whole.
         if !members.iter().any(|member| member.daemon == self.daemon) {
@@ -321,10 +341,12 @@
                 daemons: [self.daemon.clone()].into(),
             };
         }
+        let by_now = |(daemon, heard): (&DaemonId, &HeardAt)| (daemon.clone(), heard.by(now));
+        let heard = self.heard.iter().map(by_now).collect();
         let evidence = Evidence {
             members,
             staged: &self.staged,
-            heard: &self.heard,
+            heard: &heard,
             without: &self.proposal.without,
         };
         verdict(evidence, &self.bounds)
@@ -453,7 +475,7 @@
             out.push(Action::ReadMembers);
             return;
         }
-        let daemons = match self.verdict() {
+        let daemons = match self.verdict(now) {
             Verdict::Blocked { daemons } => daemons,
             Verdict::Commit { .. } => BTreeSet::new(),
         };
--- a/crates/conf/tests/all/accept/check.rs
+++ b/crates/conf/tests/all/accept/check.rs
@@ -12,7 +12,9 @@
 use super::world::Broken;
 use super::world::Budget;
 use super::world::DAEMONS;
+use super::world::Step;
 use super::world::World;
+use super::world::name;
 
 const QUIET: Budget = Budget {
     changes: 1,
@@ -340,3 +342,22 @@
     let path = path.expect("the change that waits for it never ends");
     println!("{}", trace(&path));
 }
+
+#[test]
+fn a_change_passes_over_a_daemon_that_died_just_before_it() {
+    let budget = Budget {
+        ticks: 1,
+        crashes: 1,
+        ..QUIET
+    };
+    let mut world = World::new(Broken::Nothing, budget);
+    for step in [Step::Tick, Step::Crash(2), Step::Begin(0)] {
+        world = world.after(step);
+    }
+    let end = world.settled(TICKS_TO_HEAL);
+    let passed_over = match &end.changes[0].outcome {
+        Some(Outcome::Accepted { passed_over, .. }) => passed_over.clone(),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(passed_over, [name(2)].into());
+}
--- a/crates/conf/tests/all/accept/world.rs
+++ b/crates/conf/tests/all/accept/world.rs
@@ -337,6 +337,13 @@
                 world.restart(index);
             }
         }
+        world.settled(ticks)
+    }
+
+    /// Everything goes on in its order for some ticks.
+    #[must_use]
+    pub fn settled(&self, ticks: u8) -> Self {
+        let mut world = self.clone();
         for _ in 0..ticks {
             if world.good() {
                 break;
--- a/crates/fireflynotch/src/args.rs
+++ b/crates/fireflynotch/src/args.rs
@@ -72,7 +72,7 @@
     Worker(Worker),
 }
 
-/// A command without options.
+/// Shows what the daemon that is asked knows.
 #[derive(Debug, Options)]
 pub struct Plain {
     /// Print help.
@@ -80,7 +80,7 @@
     pub help: bool,
 }
 
-/// Options of `check`.
+/// Shows what is wrong with a document and what it would change.
 #[derive(Debug, Options)]
 pub struct Check {
     /// Print help.
@@ -94,7 +94,7 @@
     pub offline: bool,
 }
 
-/// Options of `apply`.
+/// Puts a document into force on all daemons, or on none.
 #[derive(Debug, Options)]
 pub struct Apply {
     /// Print help.
@@ -128,7 +128,7 @@
     pub id: Option<String>,
 }
 
-/// Options of `submit`.
+/// Submits a task; submitted again under the same name it is queued at most once.
 #[derive(Debug, Options)]
 pub struct Submit {
     /// Print help.
@@ -175,7 +175,7 @@
     pub max_failures: Option<u32>,
 }
 
-/// A command with a name.
+/// Acts on the task or worker of a name.
 #[derive(Debug, Options)]
 pub struct Named {
     /// Print help.
@@ -186,7 +186,7 @@
     pub name: String,
 }
 
-/// Options of `tasks`.
+/// Lists tasks, one page at a time.
 #[derive(Debug, Options)]
 pub struct Tasks {
     /// Print help.
@@ -212,7 +212,7 @@
     pub after: Option<String>,
 }
 
-/// Options of `drain`.
+/// Stops the daemon that is asked: requests in progress finish, then it exits.
 #[derive(Debug, Options)]
 pub struct Drain {
     /// Print help.
@@ -223,7 +223,7 @@
     pub within_ms: Option<u64>,
 }
 
-/// Options of `worker`.
+/// Says what you know of a worker.
 #[derive(Debug, Options)]
 pub struct Worker {
     /// Print help.
