feat(conf): a daemon that reaches only the table holds up no change

Its heartbeat row can carry what it has staged, which the proposer takes as staged; it tells nothing of whom the daemon has heard, so it does not help to pass over another.

--- a/crates/conf/src/accept.rs
+++ b/crates/conf/src/accept.rs
@@ -14,6 +14,7 @@
 pub mod proposer;
 pub mod quorum;
 pub mod row;
+mod spread;
 
 use std::time::Duration;
 
--- a/crates/conf/src/accept/change.rs
+++ b/crates/conf/src/accept/change.rs
@@ -10,6 +10,7 @@
 use model::id::RowVersion;
 
 use crate::accept::message::Ack;
+use crate::accept::message::Digest;
 use crate::accept::message::News;
 use crate::accept::quorum::Member;
 use crate::accept::row::Current;
@@ -64,6 +65,9 @@
     Members(Vec<Member>),
     /// A daemon answered a push.
     Acked(Ack),
+    /// A daemon's heartbeat row showed what it has; so a daemon that reaches the table, but not the
+    /// proposer, holds up nothing.
+    Seen(Digest),
     /// Time has passed.
     Tick,
 }
--- a/crates/conf/src/accept/proposer.rs
+++ b/crates/conf/src/accept/proposer.rs
@@ -12,7 +12,6 @@
 use model::id::DaemonId;
 use model::id::DocVersion;
 use model::id::Incarnation;
-use model::id::RowVersion;
 
 use crate::accept::Bounds;
 use crate::accept::change::Action;
@@ -132,6 +131,7 @@
                 self.decide(view, now, &mut out);
             }
             (Event::Acked(ack), step) => self.acked(ack, step, now, &mut out),
+            (Event::Seen(digest), step) => self.seen(&digest, step, now, &mut out),
             (Event::Tick, step) => self.tick(step, now, &mut out),
             (Event::Validated(_) | Event::Members(_), _) => {}
         }
@@ -287,8 +287,7 @@
 
     fn acked(&mut self, ack: Ack, step: Step, now: Mono, out: &mut Vec<Action>) {
         for digest in digests(&ack) {
-            let version = self.versions.entry(digest.daemon.clone()).or_default();
-            *version = digest.version.max(*version);
+            self.note(digest, &step);
         }
         match step {
             Step::Collecting(view) => self.collect(ack, view, now, out),
@@ -297,16 +296,31 @@
         }
     }
 
+    fn seen(&mut self, digest: &Digest, step: Step, now: Mono, out: &mut Vec<Action>) {
+        self.note(digest, &step);
+        match step {
+            Step::Collecting(view) => self.decide(view, now, out),
+            Step::Spreading { version, .. } => self.spread_on(version, now, out),
+            _ => {}
+        }
+    }
+
+    /// Notes what a daemon has, whoever told it.
+    fn note(&mut self, digest: &Digest, step: &Step) {
+        let version = self.versions.entry(digest.daemon.clone()).or_default();
+        *version = digest.version.max(*version);
+        if matches!(step, Step::Collecting(view) if view.ballot == digest.ballot) {
+            let life = self.staged.entry(digest.daemon.clone()).or_default();
+            *life = digest.incarnation.max(*life);
+        }
+    }
+
     fn collect(&mut self, ack: Ack, view: View, now: Mono, out: &mut Vec<Action>) {
         if ack.digest.ballot > view.ballot {
             let outcome = Outcome::NotRun("another change took its place");
             self.read_back(view.ballot, outcome, now, out);
             return;
         }
-        for digest in digests(&ack).filter(|digest| digest.ballot == view.ballot) {
-            let seen = self.staged.entry(digest.daemon.clone()).or_default();
-            *seen = digest.incarnation.max(*seen);
-        }
         let by = ack.digest.daemon;
         if ack.digest.ballot == view.ballot {
             let heard = ack.heard;
@@ -378,54 +392,6 @@
         }
     }
 
-    pub(super) fn spread(
-        &mut self,
-        ballot: RowVersion,
-        version: DocVersion,
-        now: Mono,
-        out: &mut Vec<Action>,
-    ) {
-        out.push(Action::Accepted { version });
-        self.go(Step::Spreading { ballot, version }, now);
-        self.repeated_at = now;
-        self.tell_committed(ballot, version, out);
-        self.spread_on(version, now, out);
-    }
-
-    fn tell_committed(&self, ballot: RowVersion, version: DocVersion, out: &mut Vec<Action>) {
-        for daemon in self.pending(version) {
-            out.push(Action::Committed { to: daemon, ballot });
-        }
-    }
-
-    fn pending(&self, version: DocVersion) -> BTreeSet<DaemonId> {
-        let has = |daemon: &DaemonId| self.versions.get(daemon).is_some_and(|v| *v >= version);
-        self.members
-            .iter()
-            .flatten()
-            .map(|member| member.daemon.clone())
-            .filter(|daemon| !self.passed_over.contains_key(daemon) && !has(daemon))
-            .collect()
-    }
-
-    fn spread_on(&mut self, version: DocVersion, now: Mono, out: &mut Vec<Action>) {
-        let waited = now.since(self.step_at) > self.bounds.spread;
-        if self.pending(version).is_empty() || waited {
-            self.end(self.accepted(version), now, out);
-        }
-    }
-
-    fn accepted(&self, version: DocVersion) -> Outcome {
-        let at_least =
-            |(daemon, has): (&DaemonId, &DocVersion)| (*has >= version).then(|| daemon.clone());
-        Outcome::Accepted {
-            version,
-            in_force: self.versions.iter().filter_map(at_least).collect(),
-            pending: self.pending(version),
-            passed_over: self.passed_over.keys().cloned().collect(),
-        }
-    }
-
     fn tick(&mut self, step: Step, now: Mono, out: &mut Vec<Action>) {
         if now.since(self.repeated_at) < self.bounds.repeat {
             return;
--- /dev/null
+++ b/crates/conf/src/accept/spread.rs
@@ -0,0 +1,68 @@
+//! How an accepted change is made known, and who has it in force.
+
+use std::collections::BTreeSet;
+
+use model::Mono;
+use model::id::DaemonId;
+use model::id::DocVersion;
+use model::id::RowVersion;
+
+use crate::accept::change::Action;
+use crate::accept::change::Outcome;
+use crate::accept::change::Step;
+use crate::accept::proposer::Proposer;
+
+impl Proposer {
+    pub(super) fn spread(
+        &mut self,
+        ballot: RowVersion,
+        version: DocVersion,
+        now: Mono,
+        out: &mut Vec<Action>,
+    ) {
+        out.push(Action::Accepted { version });
+        self.go(Step::Spreading { ballot, version }, now);
+        self.repeated_at = now;
+        self.tell_committed(ballot, version, out);
+        self.spread_on(version, now, out);
+    }
+
+    pub(super) fn tell_committed(
+        &self,
+        ballot: RowVersion,
+        version: DocVersion,
+        out: &mut Vec<Action>,
+    ) {
+        for daemon in self.pending(version) {
+            out.push(Action::Committed { to: daemon, ballot });
+        }
+    }
+
+    pub(super) fn pending(&self, version: DocVersion) -> BTreeSet<DaemonId> {
+        let has = |daemon: &DaemonId| self.versions.get(daemon).is_some_and(|v| *v >= version);
+        self.members
+            .iter()
+            .flatten()
+            .map(|member| member.daemon.clone())
+            .filter(|daemon| !self.passed_over.contains_key(daemon) && !has(daemon))
+            .collect()
+    }
+
+    pub(super) fn spread_on(&mut self, version: DocVersion, now: Mono, out: &mut Vec<Action>) {
+        let waited = now.since(self.step_at) > self.bounds.spread;
+        if self.pending(version).is_empty() || waited {
+            self.end(self.accepted(version), now, out);
+        }
+    }
+
+    pub(super) fn accepted(&self, version: DocVersion) -> Outcome {
+        let at_least =
+            |(daemon, has): (&DaemonId, &DocVersion)| (*has >= version).then(|| daemon.clone());
+        Outcome::Accepted {
+            version,
+            in_force: self.versions.iter().filter_map(at_least).collect(),
+            pending: self.pending(version),
+            passed_over: self.passed_over.keys().cloned().collect(),
+        }
+    }
+}
--- a/crates/conf/tests/all/accept/machines.rs
+++ b/crates/conf/tests/all/accept/machines.rs
@@ -10,11 +10,13 @@
 use conf::accept::change::Event;
 use conf::accept::change::Outcome;
 use conf::accept::change::Proposal;
+use conf::accept::change::Written;
 use conf::accept::explain::Three;
 use conf::accept::explain::overtaken;
 use conf::accept::follower;
 use conf::accept::follower::Follower;
 use conf::accept::follower::Serve;
+use conf::accept::message::Ack;
 use conf::accept::message::Digest;
 use conf::accept::message::Heard;
 use conf::accept::proposer::Proposer;
@@ -26,6 +28,7 @@
 use conf::accept::row::Current;
 use conf::accept::row::Staged;
 use conf::accept::row::View;
+use conf::accept::row::Write;
 use conf::api::ApplyReply;
 use conf::doc::Document;
 use model::Mono;
@@ -315,6 +318,61 @@
     }
 }
 
+#[test]
+fn a_daemon_that_only_reaches_the_table_holds_up_nothing() {
+    let proposal = Proposal {
+        op: "op-2".into(),
+        text: Arc::from("{}"),
+        by: "an".to_owned(),
+        base: None,
+        without: BTreeSet::new(),
+    };
+    let (mut proposer, _) = Proposer::start("d1".into(), proposal, Bounds::default(), Mono::ZERO);
+    let digest = |name: &str, ballot: u64| Digest {
+        daemon: name.into(),
+        incarnation: Incarnation(1),
+        ballot: RowVersion(ballot),
+        version: DocVersion(1),
+    };
+    let member = |name: &str| Member {
+        daemon: name.into(),
+        incarnation: Incarnation(1),
+        key: format!("member/{name}"),
+        row: RowVersion(7),
+        still_for: Duration::ZERO,
+        listed: true,
+    };
+    let ack = Ack {
+        digest: digest("d1", 3),
+        heard: Vec::new(),
+    };
+    let read = Event::Read {
+        sent: Mono::ZERO,
+        view: Some(view(1, false)),
+    };
+    let commits = |actions: &[Action]| {
+        let commit = |action: &Action| matches!(action, Action::Write(Write::Commit { .. }));
+        actions.iter().any(commit)
+    };
+    let steps = [
+        (read, false),
+        (Event::Validated(Vec::new()), false),
+        (Event::Written(Written::Done), false),
+        (Event::Members(vec![member("d1"), member("d2")]), false),
+        (Event::Acked(ack), false),
+        (Event::Seen(digest("d2", 2)), false),
+        (Event::Seen(digest("d2", 3)), true),
+    ];
+    for (event, expected) in steps {
+        let case = format!("{event:?}");
+        assert_eq!(
+            commits(&proposer.handle(event, Mono(1))),
+            expected,
+            "{case}"
+        );
+    }
+}
+
 #[test]
 fn the_same_change_asked_again_is_found_accepted() {
     let proposal = Proposal {
