--- a/crates/conf/src/accept/proposer.rs
+++ b/crates/conf/src/accept/proposer.rs
@@ -12,7 +12,6 @@
 use model::id::DaemonId;
 use model::id::DocVersion;
 use model::id::Incarnation;
-use model::id::RowVersion;
 
 use crate::accept::Bounds;
 use crate::accept::change::Action;
@@ -36,6 +35,23 @@
 use crate::finding::Finding;
 use crate::finding::any_error;
 
+/// What a daemon had heard of others.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct HeardAt {
+    /// When its answer arrived.
+    pub at: Mono,
+    /// What it had heard by then.
+    pub heard: Vec<Heard>,
+}
+
+impl HeardAt {
+    /// Returns what it had heard, as old as it is by `now`.
+    fn by(&self, now: Mono) -> Vec<Heard> {
+        let later = now.since(self.at);
+        self.heard.iter().map(|heard| heard.after(later)).collect()
+    }
+}
+
 /// The state of a change.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Proposer {
@@ -57,8 +73,10 @@
     pub members: Option<Vec<Member>>,
     /// The lives that have staged it.
     pub staged: BTreeMap<DaemonId, Incarnation>,
-    /// What the daemons that answered have heard of others.
-    pub heard: BTreeMap<DaemonId, Vec<Heard>>,
+    /// What the daemons that answered had heard of others once they had staged it, and when they
+    /// said so. Whoever they have heard since knows of the staged document, so they are not asked
+    /// again.
+    pub heard: BTreeMap<DaemonId, HeardAt>,
     /// The version that each daemon was last known to have in force.
     pub versions: BTreeMap<DaemonId, DocVersion>,
     /// The daemons that were passed over.
@@ -113,6 +131,7 @@
                 self.decide(view, now, &mut out);
             }
             (Event::Acked(ack), step) => self.acked(ack, step, now, &mut out),
+            (Event::Seen(digest), step) => self.seen(&digest, step, now, &mut out),
             (Event::Tick, step) => self.tick(step, now, &mut out),
             (Event::Validated(_) | Event::Members(_), _) => {}
         }
@@ -240,17 +259,16 @@
                 let outcome = Outcome::NotRun("the table refused the write");
                 self.clear(view.ballot, outcome, now, out);
             }
-            // A daemon that was passed over may have come back, or another proposer has replaced
-            // the staged row; clearing tells which.
-            (Step::Committing(view), Written::Conflict) => {
-                let back: BTreeSet<DaemonId> = self.passed_over.keys().cloned().collect();
-                let outcome = if back.is_empty() {
-                    Outcome::NotRun("another change took its place")
-                } else {
-                    Outcome::Unreachable(back)
-                };
+            (Step::Committing(view), Written::Conflict) if self.passed_over.is_empty() => {
+                let outcome = Outcome::NotRun("another change took its place");
                 self.clear(view.ballot, outcome, now, out);
             }
+            // A daemon that was passed over may have come back, and can stage the document now.
+            (Step::Committing(view), Written::Conflict) => {
+                self.passed_over.clear();
+                self.go(Step::Collecting(view), now);
+                out.push(Action::ReadMembers);
+            }
             (Step::Committing(view), Written::Unknown) => {
                 let outcome = Outcome::NotRun("the table did not answer");
                 self.clear(view.ballot, outcome, now, out);
@@ -269,8 +287,7 @@
 
     fn acked(&mut self, ack: Ack, step: Step, now: Mono, out: &mut Vec<Action>) {
         for digest in digests(&ack) {
-            let version = self.versions.entry(digest.daemon.clone()).or_default();
-            *version = digest.version.max(*version);
+            self.note(digest, &step);
         }
         match step {
             Step::Collecting(view) => self.collect(ack, view, now, out),
@@ -279,19 +296,35 @@
         }
     }
 
+    fn seen(&mut self, digest: &Digest, step: Step, now: Mono, out: &mut Vec<Action>) {
+        self.note(digest, &step);
+        match step {
+            Step::Collecting(view) => self.decide(view, now, out),
+            Step::Spreading { version, .. } => self.spread_on(version, now, out),
+            _ => {}
+        }
+    }
+
+    /// Notes what a daemon has, whoever told it.
+    fn note(&mut self, digest: &Digest, step: &Step) {
+        let version = self.versions.entry(digest.daemon.clone()).or_default();
+        *version = digest.version.max(*version);
+        if matches!(step, Step::Collecting(view) if view.ballot == digest.ballot) {
+            let life = self.staged.entry(digest.daemon.clone()).or_default();
+            *life = digest.incarnation.max(*life);
+        }
+    }
+
     fn collect(&mut self, ack: Ack, view: View, now: Mono, out: &mut Vec<Action>) {
         if ack.digest.ballot > view.ballot {
             let outcome = Outcome::NotRun("another change took its place");
             self.read_back(view.ballot, outcome, now, out);
             return;
         }
-        for digest in digests(&ack).filter(|digest| digest.ballot == view.ballot) {
-            let seen = self.staged.entry(digest.daemon.clone()).or_default();
-            *seen = digest.incarnation.max(*seen);
-        }
         let by = ack.digest.daemon;
         if ack.digest.ballot == view.ballot {
-            self.heard.insert(by, ack.heard);
+            let heard = ack.heard;
+            self.heard.insert(by, HeardAt { at: now, heard });
         } else {
             out.push(self.push_to(by, &view, now));
         }
@@ -300,7 +333,7 @@
 
     /// Commits as soon as no daemon that may be serving is missing.
     fn decide(&mut self, view: View, now: Mono, out: &mut Vec<Action>) {
-        let Verdict::Commit { passed_over } = self.verdict() else {
+        let Verdict::Commit { passed_over } = self.verdict(now) else {
             return;
         };
         let checks = passed_over.values().cloned().collect();
@@ -314,7 +347,7 @@
         self.go(Step::Committing(view), now);
     }
 
-    fn verdict(&self) -> Verdict {
+    fn verdict(&self, now: Mono) -> Verdict {
         let members = self.members.as_deref().unwrap_or_default();
         // Without its own heartbeat row the list cannot be whole.
         if !members.iter().any(|member| member.daemon == self.daemon) {
@@ -322,10 +355,12 @@
                 daemons: [self.daemon.clone()].into(),
             };
         }
+        let by_now = |(daemon, heard): (&DaemonId, &HeardAt)| (daemon.clone(), heard.by(now));
+        let heard = self.heard.iter().map(by_now).collect();
         let evidence = Evidence {
             members,
             staged: &self.staged,
-            heard: &self.heard,
+            heard: &heard,
             without: &self.proposal.without,
         };
         verdict(evidence, &self.bounds)
@@ -357,54 +392,6 @@
         }
     }
 
-    pub(super) fn spread(
-        &mut self,
-        ballot: RowVersion,
-        version: DocVersion,
-        now: Mono,
-        out: &mut Vec<Action>,
-    ) {
-        out.push(Action::Accepted { version });
-        self.go(Step::Spreading { ballot, version }, now);
-        self.repeated_at = now;
-        self.tell_committed(ballot, version, out);
-        self.spread_on(version, now, out);
-    }
-
-    fn tell_committed(&self, ballot: RowVersion, version: DocVersion, out: &mut Vec<Action>) {
-        for daemon in self.pending(version) {
-            out.push(Action::Committed { to: daemon, ballot });
-        }
-    }
-
-    fn pending(&self, version: DocVersion) -> BTreeSet<DaemonId> {
-        let has = |daemon: &DaemonId| self.versions.get(daemon).is_some_and(|v| *v >= version);
-        self.members
-            .iter()
-            .flatten()
-            .map(|member| member.daemon.clone())
-            .filter(|daemon| !self.passed_over.contains_key(daemon) && !has(daemon))
-            .collect()
-    }
-
-    fn spread_on(&mut self, version: DocVersion, now: Mono, out: &mut Vec<Action>) {
-        let waited = now.since(self.step_at) > self.bounds.spread;
-        if self.pending(version).is_empty() || waited {
-            self.end(self.accepted(version), now, out);
-        }
-    }
-
-    fn accepted(&self, version: DocVersion) -> Outcome {
-        let at_least =
-            |(daemon, has): (&DaemonId, &DocVersion)| (*has >= version).then(|| daemon.clone());
-        Outcome::Accepted {
-            version,
-            in_force: self.versions.iter().filter_map(at_least).collect(),
-            pending: self.pending(version),
-            passed_over: self.passed_over.keys().cloned().collect(),
-        }
-    }
-
     fn tick(&mut self, step: Step, now: Mono, out: &mut Vec<Action>) {
         if now.since(self.repeated_at) < self.bounds.repeat {
             return;
@@ -454,7 +441,7 @@
             out.push(Action::ReadMembers);
             return;
         }
-        let daemons = match self.verdict() {
+        let daemons = match self.verdict(now) {
             Verdict::Blocked { daemons } => daemons,
             Verdict::Commit { .. } => BTreeSet::new(),
         };
