--- a/crates/route/src/proxy/exchange.rs
+++ b/crates/route/src/proxy/exchange.rs
@@ -1,15 +1,20 @@
 //! One request on one connection, from its sending to the end of its answer.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
 
+use futures::future::BoxFuture;
 use http::Request;
 use http::Response;
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::oneshot;
+use tokio::runtime::Handle;
 use tokio::time::Instant;
 
 use super::Inner;
@@ -126,7 +131,7 @@
 
     /// Reads the rest of an answer that nobody wants, within bounds, then gives back the slot.
     pub(super) fn drain(self, incoming: Incoming) {
-        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+        let Ok(runtime) = Handle::try_current() else {
             return;
         };
         runtime.spawn(async move {
@@ -157,24 +162,52 @@
 /// The head of an answer, and the exchange that its body belongs to.
 pub(super) type Headed = (Response<Incoming>, Exchange);
 
-/// Sends a request in a task of its own, which goes on when the receiver is dropped: the executor
-/// works on the request whether or not anybody waits, so its slot stays taken until the answer was
-/// read or the bounds are over.
+/// A request under way to its answer's head.
+///
+/// If it is dropped before, it goes on in a task of its own: the executor works on the request whether
+/// or not anybody waits, so its slot stays taken until the answer was read or the bounds are over.
+pub(super) struct Pending {
+    running: Option<BoxFuture<'static, Result<Headed, Failure>>>,
+}
+
+/// Begins to send a request.
 pub(super) fn launch(
     inner: &Arc<Inner>,
     target: Target,
     request: Request<Outgoing>,
     hold: Hold,
-) -> oneshot::Receiver<Result<Headed, Failure>> {
-    let (tx, rx) = oneshot::channel();
+) -> Pending {
     let inner = Arc::clone(inner);
-    tokio::spawn(async move {
-        let result = exchange(&inner, &target, request, hold).await;
-        if let Err(Ok((response, exchange))) = tx.send(result) {
-            exchange.drain(response.into_body());
-        }
-    });
-    rx
+    let running = async move { exchange(&inner, &target, request, hold).await };
+    Pending {
+        running: Some(Box::pin(running)),
+    }
+}
+
+impl Future for Pending {
+    type Output = Result<Headed, Failure>;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        let Some(running) = &mut self.running else {
+            return Poll::Pending;
+        };
+        let result = ready!(running.as_mut().poll(cx));
+        self.running = None;
+        Poll::Ready(result)
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        let (Some(running), Ok(runtime)) = (self.running.take(), Handle::try_current()) else {
+            return;
+        };
+        runtime.spawn(async move {
+            if let Ok((response, exchange)) = running.await {
+                exchange.drain(response.into_body());
+            }
+        });
+    }
 }
 
 async fn exchange(
--- a/crates/route/src/proxy/serve.rs
+++ b/crates/route/src/proxy/serve.rs
@@ -11,7 +11,6 @@
 use hyper::body::Incoming;
 use model::outcome::Outcome;
 use salvo::http::ResBody;
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::Inner;
@@ -20,6 +19,7 @@
 use super::exchange::Failure;
 use super::exchange::Headed;
 use super::exchange::Hold;
+use super::exchange::Pending;
 use super::exchange::Target;
 use super::exchange::has_length;
 use super::exchange::launch;
@@ -58,8 +58,6 @@
     Caller(String),
 }
 
-type Pending = oneshot::Receiver<Result<Headed, Failure>>;
-
 impl Inner {
     /// Serves one request of a caller.
     pub(super) async fn serve(self: &Arc<Self>, req: &mut salvo::Request) -> Reply {
@@ -235,10 +233,7 @@
         job: &mut Job,
         mut first: Pending,
         grant: Grant,
-    ) -> (
-        Result<Result<Headed, Failure>, oneshot::error::RecvError>,
-        Grant,
-    ) {
+    ) -> (Result<Headed, Failure>, Grant) {
         let delay = self.with(|router, now| router.hedge_after(&grant, now));
         if let Ok(result) = tokio::time::timeout(delay.max(MIN_HEDGE), &mut first).await {
             return (result, grant);
@@ -252,32 +247,26 @@
             return (first.await, grant);
         };
         match select(first, second).await {
-            Either::Left((Ok(Ok(headed)), _)) => (Ok(Ok(headed)), grant),
+            Either::Left((Ok(headed), _)) => (Ok(headed), grant),
             Either::Left((_, second)) => (second.await, other),
-            Either::Right((Ok(Ok(headed)), _)) => (Ok(Ok(headed)), other),
+            Either::Right((Ok(headed), _)) => (Ok(headed), other),
             Either::Right((_, first)) => (first.await, grant),
         }
     }
 
     /// Decides what an answer or its absence proves.
-    fn judge(
-        &self,
-        job: &mut Job,
-        result: Result<Result<Headed, Failure>, oneshot::error::RecvError>,
-        grant: Grant,
-    ) -> Attempt {
+    fn judge(&self, job: &mut Job, result: Result<Headed, Failure>, grant: Grant) -> Attempt {
         let (response, exchange) = match result {
-            Ok(Ok(headed)) => headed,
-            Ok(Err(Failure::NotRun { reason, request })) => {
+            Ok(headed) => headed,
+            Err(Failure::NotRun { reason, request }) => {
                 job.recover(request);
                 return Attempt::NotRun {
                     reason,
                     sent: false,
                 };
             }
-            Ok(Err(Failure::Lost(reason))) => return Attempt::Lost(reason),
-            Ok(Err(Failure::Caller(reason))) => return Attempt::Caller(reason),
-            Err(_) => return Attempt::Lost("the exchange ended".to_owned()),
+            Err(Failure::Lost(reason)) => return Attempt::Lost(reason),
+            Err(Failure::Caller(reason)) => return Attempt::Caller(reason),
         };
         if let Err(reason) = own_and_whole(job, &response) {
             exchange.fail();
@@ -376,8 +365,7 @@
         };
         let pending = launch(self, target, request, hold);
         match tokio::time::timeout_at(deadline, pending).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(_)) => Err(Failure::Lost("the exchange ended".to_owned())),
+            Ok(result) => result,
             Err(_) => Err(Failure::Lost("no answer before the deadline".to_owned())),
         }
     }
