fix(route): a request that cannot make its deadline here goes to a peer in another region

A daemon holds no slots of executors in a region that has daemons of its own, so such requests were refused.

--- a/crates/measure/src/routing/bench.rs
+++ b/crates/measure/src/routing/bench.rs
@@ -29,6 +29,8 @@
 
 /// One way within a region, in microseconds.
 const NEAR_US: u64 = 1_000;
+/// One way between regions, in microseconds.
+const FAR_US: u64 = 20_000;
 const TICK_US: u64 = 20_000;
 /// How often daemons ask each other for slots.
 const LEND_US: u64 = 1_000_000;
@@ -337,9 +339,13 @@
         if Some(peer) == self.lost {
             return self.refused(request);
         }
+        let regions = self.scenario.regions;
+        let far = self.requests[request].daemon % regions != peer % regions;
+        self.found.far += u64::from(far);
+        let way = if far { FAR_US } else { NEAR_US };
         // The way there and back is counted by an earlier arrival.
         let arrived = &mut self.requests[request].arrived;
-        *arrived = arrived.saturating_sub(2 * NEAR_US);
+        *arrived = arrived.saturating_sub(2 * way);
         self.route(request, peer, routed);
     }
 
--- a/crates/measure/src/routing/bench/sends.rs
+++ b/crates/measure/src/routing/bench/sends.rs
@@ -6,13 +6,12 @@
 use route::verdict::Verdict;
 
 use super::Event;
+use super::FAR_US;
 use super::Loop;
 use super::NEAR_US;
 use super::Send;
 use crate::routing::policy::Policy;
 
-/// One way between regions, in microseconds.
-const FAR_US: u64 = 20_000;
 const MAX_SENDS: u8 = 3;
 
 impl Loop<'_> {
--- a/crates/measure/src/routing/scenario.rs
+++ b/crates/measure/src/routing/scenario.rs
@@ -90,7 +90,7 @@
     pub passed: u64,
     /// Sends to executors.
     pub sends: u64,
-    /// Sends to executors of another region.
+    /// Sends to executors of another region, and requests passed to one of its daemons.
     pub far: u64,
     /// Sends that found all slots of their executor taken.
     pub above_slots: u64,
--- a/crates/route/src/router/admit.rs
+++ b/crates/route/src/router/admit.rs
@@ -3,8 +3,6 @@
 use std::time::Duration;
 
 use model::Mono;
-use model::id::DaemonId;
-use rand::RngExt;
 
 use super::MAX_HOPS;
 use super::Router;
@@ -16,17 +14,13 @@
 use crate::report::Phase;
 use crate::verdict::Arrival;
 use crate::verdict::Grant;
-use crate::verdict::Peer;
 use crate::verdict::Reason;
 use crate::verdict::Verdict;
-use crate::view::Member;
 
 /// What a caller is told to wait before it tries again when nothing better is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// What a send to another region adds to the time of a request, in milliseconds.
 const FAR_MS: f64 = 40.0;
-/// How long no request is passed to a peer that had no free slot, unless it owns the upstream.
-const BUSY_PEER: Duration = Duration::from_millis(100);
 /// The fewest requests that may wait, so that slots stay busy.
 const MIN_WAITING: usize = 2;
 
@@ -117,16 +111,15 @@
                 return Ok(Verdict::Pass(peer));
             }
         }
-        if let Some(peer) = self.overflow_peer(key, req, deadline, now) {
+        if let Some(peer) = self.overflow_peer(key, req, false, deadline, now) {
             return Ok(Verdict::Pass(peer));
         }
         let caller = self.caller_of(req);
         let wait = self.predicted_wait(key, caller, now);
         if wait + self.upstreams[key].service.likely_ms() > remaining {
-            return match self.send_far(key, deadline, remaining, now) {
-                Some(grant) => Ok(self.first_send(key, grant)),
-                None => Err((Reason::Deadline, after(wait))),
-            };
+            return self
+                .go_far(key, req, deadline, now)
+                .ok_or((Reason::Deadline, after(wait)));
         }
         self.enqueue(req, key, caller, deadline, now)
             .ok_or((Reason::Overload, after(wait)))
@@ -165,18 +158,24 @@
         as_f64(turns) * upstream.service.mean_ms() / slots
     }
 
-    fn send_far(
+    /// Sends or passes a request to another region that cannot make its deadline in this one.
+    fn go_far(
         &mut self,
         key: UpstreamKey,
+        req: &Arrival,
         deadline: Mono,
-        remaining: f64,
         now: Mono,
-    ) -> Option<Grant> {
+    ) -> Option<Verdict> {
         let likely = self.upstreams[key].service.likely_ms();
-        if likely + FAR_MS > remaining || self.upstreams[key].phase != Phase::Owned {
+        let owned = self.upstreams[key].phase == Phase::Owned;
+        if !owned || likely + FAR_MS > millis(deadline, now) {
             return None;
         }
-        self.pick(key, true, &[], deadline, now)
+        if let Some(grant) = self.pick(key, true, &[], deadline, now) {
+            return Some(self.first_send(key, grant));
+        }
+        self.overflow_peer(key, req, true, deadline, now)
+            .map(Verdict::Pass)
     }
 
     /// Returns how many requests may wait for an upstream now.
@@ -373,99 +372,6 @@
         }
         upstream.queue.first()
     }
-
-    /// Returns a daemon of a half, one of this region if there is any.
-    pub(super) fn peer_of(&mut self, half: &str, deadline: Mono) -> Option<Peer> {
-        let fits = |router: &Self, at: usize| {
-            let member = &router.members[at];
-            member.half.as_str() == half && member.id != router.cfg.daemon
-        };
-        let all: Vec<usize> = (0..self.members.len())
-            .filter(|at| fits(self, *at))
-            .collect();
-        self.one_of(&all, deadline)
-    }
-
-    /// Returns a daemon that holds slots of an upstream of which this one holds none.
-    fn holder_of(&mut self, key: UpstreamKey, req: &Arrival, deadline: Mono) -> Option<Peer> {
-        let upstream = &self.upstreams[key];
-        if req.hops >= MAX_HOPS || upstream.holders.is_empty() || upstream.home_slots() > 0 {
-            return None;
-        }
-        let holders = upstream.holders.clone();
-        self.one_of(&holders, deadline)
-    }
-
-    /// Returns a peer that may have a slot for a request that finds none here. A request is passed on
-    /// for this reason only once, and for a while not to peers that had none either.
-    fn overflow_peer(
-        &mut self,
-        key: UpstreamKey,
-        req: &Arrival,
-        deadline: Mono,
-        now: Mono,
-    ) -> Option<Peer> {
-        if req.hops > 0 || self.upstreams[key].phase != Phase::Owned {
-            return None;
-        }
-        let place = &self.cfg.place;
-        let fits = |member: &Member| {
-            member.half == self.cfg.half
-                && member.id != self.cfg.daemon
-                && member.place.region == place.region
-                && self
-                    .busy_peers
-                    .get(&member.id)
-                    .is_none_or(|until| *until <= now)
-        };
-        let all: Vec<usize> = (0..self.members.len())
-            .filter(|at| fits(&self.members[*at]))
-            .collect();
-        self.one_of(&all, deadline)
-    }
-
-    /// Notes that a peer had no free slot for a request passed to it.
-    pub fn peer_busy(&mut self, peer: &DaemonId, now: Mono) {
-        self.busy_peers.insert(peer.clone(), now.after(BUSY_PEER));
-    }
-
-    fn one_of(&mut self, all: &[usize], deadline: Mono) -> Option<Peer> {
-        let region = &self.cfg.place.region;
-        let near: Vec<usize> = all
-            .iter()
-            .copied()
-            .filter(|at| self.members[*at].place.region == *region)
-            .collect();
-        let from = if near.is_empty() { all } else { &near };
-        if from.is_empty() {
-            return None;
-        }
-        let member = &self.members[from[self.rng.random_range(..from.len())]];
-        Some(Peer {
-            id: member.id.clone(),
-            address: member.callers,
-            far: member.place.region != *region,
-            deadline,
-        })
-    }
-
-    /// Returns another daemon to pass a request to after `tried` could not be reached.
-    pub fn other_peer(&mut self, tried: &Peer) -> Option<Peer> {
-        let half = self
-            .members
-            .iter()
-            .find(|member| member.id == tried.id)
-            .map(|member| member.half.as_str().to_owned())?;
-        let all: Vec<usize> = (0..self.members.len())
-            .filter(|at| {
-                let member = &self.members[*at];
-                member.half.as_str() == half
-                    && member.id != self.cfg.daemon
-                    && member.id != tried.id
-            })
-            .collect();
-        self.one_of(&all, tried.deadline)
-    }
 }
 
 /// Returns the milliseconds from `now` to `at`.
--- a/crates/route/src/router/mod.rs
+++ b/crates/route/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod dump;
 mod loans;
+mod peers;
 mod pick;
 mod tables;
 mod tick;
--- a/crates/route/tests/all/slots.rs
+++ b/crates/route/tests/all/slots.rs
@@ -22,6 +22,7 @@
 use crate::world::fill;
 use crate::world::members;
 use crate::world::router;
+use crate::world::teach;
 
 const GEN_SIZE: usize = 64;
 
@@ -150,6 +151,36 @@
     ));
 }
 
+#[test]
+fn request_crosses_regions_only_if_its_deadline_can_be_met_only_there() {
+    let mut router = router("entry-1", 1, &["entry-1"], at_once());
+    let mut both = members(&["entry-1", "entry-2"]);
+    both[1].place = model::place::Place::new("wallonie", "namur");
+    let change = RouteUpdate {
+        members: Some(both),
+        ..RouteUpdate::default()
+    };
+    router.update(change, Mono::ZERO);
+    let now = teach(&mut router, 100, 30);
+    fill(&mut router, now);
+    let within = |ms| Arrival {
+        patience: Some(Duration::from_millis(ms)),
+        ..arrival()
+    };
+    assert!(matches!(
+        router.arrive(&within(5_000), now),
+        Verdict::Wait(_)
+    ));
+    assert!(matches!(
+        router.arrive(&within(110), now),
+        Verdict::Refuse(_)
+    ));
+    for _ in 0..3 {
+        router.arrive(&within(5_000), now);
+    }
+    assert!(matches!(router.arrive(&within(145), now), Verdict::Pass(peer) if peer.far));
+}
+
 #[test]
 fn upstream_without_executors_in_the_region_is_served_across_regions() {
     let mut router = route::Router::new(config("entry-1", "rsh", at_once()), SEED);
