--- /dev/null
+++ b/crates/measure/src/placement/fleet.rs
@@ -0,0 +1,195 @@
+//! A fleet, its document and tasks to put on it.
+
+use std::collections::BTreeMap;
+
+use conf::doc::Class;
+use conf::doc::Document;
+use conf::doc::Half;
+use conf::doc::Kind;
+use conf::doc::Region;
+use conf::doc::Team;
+use model::Mono;
+use model::Size;
+use model::id::ClassId;
+use model::id::HalfId;
+use model::id::ShardId;
+use model::id::TaskId;
+use model::id::TeamId;
+use model::id::WorkerId;
+use model::place::Place;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use sched::Budget;
+use sched::Config;
+use sched::Decision;
+use sched::Priority;
+use sched::Sched;
+use sched::facts::Queued;
+use sched::facts::WorkerFacts;
+
+/// The data centres of the target size, three regions of them.
+const DATA_CENTRES: [(&str, &str); 8] = [
+    ("r1", "d1"),
+    ("r1", "d2"),
+    ("r1", "d3"),
+    ("r2", "d4"),
+    ("r2", "d5"),
+    ("r2", "d6"),
+    ("r3", "d7"),
+    ("r3", "d8"),
+];
+const WORKERS_A_RACK: usize = 10;
+/// Each fourth worker but a few has four accelerators: 740 on 660 workers.
+const ACCELERATED_EVERY: usize = 4;
+const ACCELERATORS: u64 = 4;
+const ACCELERATORS_IN_ALL: u64 = 740;
+const TEAMS: usize = 100;
+const CLASSES_OF_EACH_KIND: usize = 40;
+/// The processor time and memory of a worker.
+pub const PLAIN: Size = Size::new(64_000, 256_000, 0);
+/// No limit that matters.
+pub const UNBOUNDED: Budget = Budget {
+    starts: usize::MAX,
+    evictions: usize::MAX,
+};
+
+fn id(prefix: &str, number: usize) -> String {
+    format!("{prefix}{number}")
+}
+
+/// Returns the document: two halves, 100 teams, 40 classes of each kind, some bound to a region.
+pub fn document() -> Document {
+    let half = || Half {
+        title: String::new(),
+        share_percent: 100,
+    };
+    let classes = (0..CLASSES_OF_EACH_KIND * 2).map(|number| {
+        let kind = if number % 2 == 0 {
+            Kind::Service
+        } else {
+            Kind::Batch
+        };
+        (ClassId::new(id("c", number)), class(kind, number))
+    });
+    let teams = (0..TEAMS).map(|number| (TeamId::new(id("t", number)), team(number)));
+    let mut regions: BTreeMap<_, Region> = BTreeMap::new();
+    for (region, data_centre) in DATA_CENTRES {
+        let region = regions.entry(region.into()).or_default();
+        region.data_centres.push(data_centre.into());
+    }
+    Document {
+        halves: BTreeMap::from([("h0".into(), half()), ("h1".into(), half())]),
+        regions,
+        teams: teams.collect(),
+        classes: classes.collect(),
+        ..Document::default()
+    }
+}
+
+fn class(kind: Kind, number: usize) -> Class {
+    let bound = number % 10 == 3;
+    Class {
+        kind,
+        half: HalfId::new(id("h", number % 2)),
+        regions: if bound { vec!["r1".into()] } else { Vec::new() },
+        data_centres: Vec::new(),
+        p99_target_us: (kind == Kind::Service).then_some(100_000),
+        max_per_rack: None,
+    }
+}
+
+fn team(number: usize) -> Team {
+    Team {
+        half: HalfId::new(id("h", number % 2)),
+        quota: Size::new(8_000_000, 32_000_000, 400),
+        weight: 1,
+    }
+}
+
+/// Returns a scheduler with `count` workers.
+pub fn sched(seed: u64, count: usize, cfg: Config) -> Sched {
+    let mut sched = Sched::new(seed, cfg);
+    for worker in workers(count) {
+        sched.upsert_worker(worker);
+    }
+    sched.set_document(&document());
+    sched
+}
+
+/// Returns `count` workers with their share of the accelerators.
+pub fn workers(count: usize) -> Vec<WorkerFacts> {
+    let mut left = ACCELERATORS_IN_ALL;
+    let worker = |number: usize| {
+        let accelerators = if number.is_multiple_of(ACCELERATED_EVERY) {
+            left.min(ACCELERATORS)
+        } else {
+            0
+        };
+        let accelerators = if number.is_multiple_of(ACCELERATED_EVERY * 8) {
+            left.min(ACCELERATORS * 2)
+        } else {
+            accelerators
+        };
+        left -= accelerators;
+        let rack = number / WORKERS_A_RACK;
+        let (region, data_centre) = DATA_CENTRES[rack % DATA_CENTRES.len()];
+        WorkerFacts {
+            id: WorkerId::new(id("w", number)),
+            place: Place::new(region, data_centre),
+            rack: ShardId::new(id("rack", rack)),
+            capacity: Size {
+                accelerators,
+                ..PLAIN
+            },
+            leaving: false,
+        }
+    };
+    (0..count).map(worker).collect()
+}
+
+/// Makes a task of a random team, class and size.
+pub fn task(rng: &mut SmallRng, number: usize, kind: Kind, now: Mono) -> Queued {
+    let odd = usize::from(kind == Kind::Batch);
+    let class = rng.random_range(0..CLASSES_OF_EACH_KIND) * 2 + odd;
+    let accelerated = kind == Kind::Batch && rng.random_range(0..12) == 0;
+    let declared = Size::new(
+        rng.random_range(1_000..7_000),
+        rng.random_range(4_000..24_000),
+        if accelerated {
+            rng.random_range(1..3)
+        } else {
+            0
+        },
+    );
+    Queued {
+        task: TaskId::new(id("task-", number)),
+        team: TeamId::new(id("t", rng.random_range(0..TEAMS))),
+        class: ClassId::new(id("c", class)),
+        priority: Priority::Normal,
+        declared,
+        run_ms: (kind == Kind::Batch).then_some(600_000),
+        checkpoint: None,
+        progress_ms: 0,
+        failures: 0,
+        evictions: 0,
+        submitted_at: now,
+    }
+}
+
+/// Confirms all starts and returns the tasks that started.
+pub fn confirm(sched: &mut Sched, decisions: &[Decision], now: Mono) -> Vec<TaskId> {
+    let mut started = Vec::new();
+    for decision in decisions {
+        if let Decision::Start {
+            task,
+            worker,
+            reserved,
+            ..
+        } = decision
+        {
+            sched.assigned(task, worker, *reserved, now);
+            started.push(task.clone());
+        }
+    }
+    started
+}
--- /dev/null
+++ b/crates/measure/src/policy/trial.rs
@@ -0,0 +1,348 @@
+//! One hour of one player in one scenario.
+
+use std::collections::BTreeMap;
+
+use conf::doc::Class;
+use conf::doc::Document;
+use conf::doc::Half;
+use conf::doc::Kind;
+use conf::doc::Region;
+use conf::doc::Team;
+use model::Mono;
+use model::Size;
+use model::id::ClassId;
+use model::id::HalfId;
+use model::id::ShardId;
+use model::id::TaskId;
+use model::id::WorkerId;
+use model::place::Place;
+use sched::Budget;
+use sched::Config;
+use sched::Decision;
+use sched::Priority;
+use sched::Sched;
+use sched::facts::End;
+use sched::facts::Queued;
+use sched::facts::ReportFacts;
+use sched::facts::RunFacts;
+use sched::facts::WorkerFacts;
+
+use crate::policy::SEEDS;
+use crate::policy::oracle;
+use crate::policy::tail::Tail;
+use crate::policy::world;
+use crate::policy::world::Job;
+use crate::policy::world::Line;
+use crate::policy::world::Report;
+use crate::policy::world::Running;
+use crate::policy::world::Scenario;
+use crate::policy::world::World;
+
+/// The seconds before measuring, in which the first batch is placed.
+const WARM_UP_S: u64 = 600;
+/// The seconds that are measured.
+const MEASURED_S: u64 = 3600;
+/// The jobs that always wait, so that throughput is limited by the policy and not by arrivals.
+const BACKLOG: usize = 60;
+/// How long a worker takes to store a checkpoint and stop, in seconds.
+const STOP_S: u64 = 3;
+/// The p99 that every service should keep to, in microseconds.
+const TARGET_US: u64 = 100_000;
+/// What the store's writes allow in one second.
+const BUDGET: Budget = Budget {
+    starts: 20,
+    evictions: 20,
+};
+
+/// Who decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Player {
+    /// The product as it is.
+    Policy,
+    /// The product with the prior for ever.
+    NoLearning,
+    /// The product without throttling.
+    EvictOnly,
+    /// One who knows everything.
+    Oracle,
+}
+
+/// What a player achieved.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcome {
+    /// The p99 of all answers over the target.
+    pub p99: f64,
+    /// The cores that did batch work that was not lost, on average.
+    pub cores: f64,
+    /// The evictions.
+    pub evictions: f64,
+    /// The changes of caps.
+    pub throttles: f64,
+}
+
+/// Returns the mean outcome over all seeds.
+pub fn mean(scenario: &Scenario, player: Player) -> Outcome {
+    let mut mean = Outcome::default();
+    let part = 1.0 / SEEDS.len() as f64;
+    for seed in SEEDS {
+        let one = run(scenario, player, seed);
+        mean.p99 += one.p99 * part;
+        mean.cores += one.cores * part;
+        mean.evictions += one.evictions * part;
+        mean.throttles += one.throttles * part;
+    }
+    mean
+}
+
+struct Trial {
+    world: World,
+    sched: Sched,
+    waiting: Vec<Job>,
+    outcome: Outcome,
+    tail: Tail,
+}
+
+fn run(scenario: &Scenario, player: Player, seed: u64) -> Outcome {
+    let cfg = Config {
+        learning: player != Player::NoLearning,
+        throttling: player != Player::EvictOnly,
+        ..Config::default()
+    };
+    let mut trial = Trial {
+        world: World::new(scenario, seed),
+        sched: sched(seed, cfg),
+        waiting: Vec::new(),
+        outcome: Outcome::default(),
+        tail: Tail::default(),
+    };
+    trial.place_services();
+    for now_s in 0..WARM_UP_S + MEASURED_S {
+        trial.second(player, now_s);
+    }
+    trial.outcome.p99 = trial.tail.p99();
+    trial.outcome.cores /= MEASURED_S as f64;
+    trial.outcome
+}
+
+impl Trial {
+    fn place_services(&mut self) {
+        for (number, host) in self.world.hosts.iter().enumerate() {
+            for (at, service) in host.services.iter().enumerate() {
+                let id = service_id(number, at);
+                self.sched.enqueue(Queued {
+                    class: ClassId::new(format!("s{}", service.class)),
+                    run_ms: None,
+                    ..queued(id.as_str(), world::SERVICE)
+                });
+                self.sched
+                    .assigned(&id, &worker_id(number), world::SERVICE, Mono::ZERO);
+            }
+        }
+    }
+
+    fn second(&mut self, player: Player, now_s: u64) {
+        let now = Mono(now_s * 1000);
+        let (ended, stopped) = self.world.advance(now_s);
+        if now_s >= WARM_UP_S {
+            self.measure(now_s);
+        }
+        if player == Player::Oracle {
+            while self.waiting.len() < BACKLOG {
+                let job = self.world.arrive(now_s);
+                self.waiting.push(job);
+            }
+            oracle::act(&mut self.world, &mut self.waiting, 70, now_s);
+            return;
+        }
+        for job in ended {
+            self.sched.ended(&job_id(job.number), End::Succeeded, now);
+        }
+        for mut job in stopped {
+            self.sched.ended(&job_id(job.number), End::Stopped, now);
+            job.evictions += 1;
+            self.enqueue(job, now);
+        }
+        for report in self.world.arrived(now_s) {
+            self.report(&report, now);
+        }
+        while self.waiting.len() < BACKLOG {
+            let job = self.world.arrive(now_s);
+            self.enqueue(job, now);
+        }
+        for decision in self.sched.decide(now, BUDGET) {
+            self.carry_out(&decision, now_s);
+        }
+    }
+
+    fn measure(&mut self, now_s: u64) {
+        for host in &self.world.hosts {
+            let parts = world::parts(host);
+            for service in &host.services {
+                let p99 = self.world.hidden.p99(service.class, service.load, &parts);
+                self.tail.add(p99, service.load);
+            }
+            let working = host.jobs.iter().filter(|running| running.ready_s <= now_s);
+            self.outcome.cores += working.map(Running::cpu).sum::<f64>() / 1000.0;
+        }
+    }
+
+    fn enqueue(&mut self, job: Job, now: Mono) {
+        self.sched.enqueue(Queued {
+            class: ClassId::new(format!("b{}", job.class)),
+            run_ms: Some((job.work_s * 1000.0) as u64),
+            progress_ms: (job.done_s * 1000.0) as u64,
+            evictions: job.evictions,
+            submitted_at: now,
+            ..queued(job_id(job.number).as_str(), job.declared)
+        });
+        self.waiting.push(job);
+    }
+
+    fn report(&mut self, report: &Report, now: Mono) {
+        let run = |line: &Line| RunFacts {
+            task: match line.id {
+                Ok(number) => job_id(number),
+                Err(at) => service_id(report.host, at),
+            },
+            usage: line.usage,
+            checkpoint: None,
+            progress_ms: line.progress_ms,
+            p99_us: line.p99.map(|p99| (p99 * TARGET_US as f64) as u64),
+            throttle_permille: line.permille,
+        };
+        let facts = ReportFacts {
+            sequence: report.sequence,
+            age_ms: now.0 - report.from_s * 1000,
+            runs: report.lines.iter().map(run).collect(),
+        };
+        self.sched.report(&worker_id(report.host), &facts, now);
+    }
+
+    fn carry_out(&mut self, decision: &Decision, now_s: u64) {
+        let measured = f64::from(u8::from(now_s >= WARM_UP_S));
+        match decision {
+            Decision::Start {
+                task,
+                worker,
+                reserved,
+                ..
+            } => {
+                self.sched
+                    .assigned(task, worker, *reserved, Mono(now_s * 1000));
+                let number = job_number(task);
+                let is_it = |job: &Job| Some(job.number) == number;
+                if let Some(at) = self.waiting.iter().position(is_it) {
+                    let job = self.waiting.swap_remove(at);
+                    let host = number_of(worker.as_str());
+                    let running = Running::new(job, *reserved, now_s);
+                    self.world.hosts[host].jobs.push(running);
+                }
+            }
+            Decision::Throttle { task, permille, .. } => {
+                self.outcome.throttles += measured;
+                if let Some(running) = self.running(task) {
+                    running.permille = f64::from(*permille);
+                }
+            }
+            Decision::Evict { task, .. } => {
+                self.outcome.evictions += measured;
+                if let Some(running) = self.running(task) {
+                    running.stops_s = Some(now_s + STOP_S);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn running(&mut self, task: &TaskId) -> Option<&mut Running> {
+        let number = job_number(task);
+        let mut jobs = self.world.hosts.iter_mut().flat_map(|host| &mut host.jobs);
+        jobs.find(|running| Some(running.job.number) == number)
+    }
+}
+
+fn queued(id: &str, declared: Size) -> Queued {
+    Queued {
+        task: TaskId::new(id),
+        team: "team".into(),
+        class: "".into(),
+        priority: Priority::Normal,
+        declared,
+        run_ms: None,
+        checkpoint: None,
+        progress_ms: 0,
+        failures: 0,
+        evictions: 0,
+        submitted_at: Mono::ZERO,
+    }
+}
+
+fn job_id(number: usize) -> TaskId {
+    TaskId::new(format!("job-{number}"))
+}
+
+fn job_number(task: &TaskId) -> Option<usize> {
+    task.as_str().strip_prefix("job-")?.parse().ok()
+}
+
+fn service_id(host: usize, at: usize) -> TaskId {
+    TaskId::new(format!("service-{host}-{at}"))
+}
+
+fn worker_id(number: usize) -> WorkerId {
+    WorkerId::new(format!("w{number}"))
+}
+
+fn number_of(worker: &str) -> usize {
+    worker[1..].parse().unwrap_or(0)
+}
+
+fn sched(seed: u64, cfg: Config) -> Sched {
+    let mut sched = Sched::new(seed, cfg);
+    for number in 0..world::HOSTS {
+        sched.upsert_worker(WorkerFacts {
+            id: worker_id(number),
+            place: Place::new("r", "d"),
+            rack: ShardId::new(format!("rack-{}", number / 10)),
+            capacity: world::CAPACITY,
+            leaving: false,
+        });
+    }
+    sched.set_document(&document());
+    sched
+}
+
+fn document() -> Document {
+    let class = |kind: Kind| Class {
+        kind,
+        half: HalfId::new("half"),
+        regions: Vec::new(),
+        data_centres: Vec::new(),
+        p99_target_us: (kind == Kind::Service).then_some(TARGET_US),
+        max_per_rack: None,
+    };
+    let services = (0..world::SERVICES).map(|at| (format!("s{at}"), Kind::Service));
+    let batches = (0..world::BATCHES).map(|at| (format!("b{at}"), Kind::Batch));
+    let classes = services.chain(batches);
+    let half = Half {
+        title: String::new(),
+        share_percent: 100,
+    };
+    let team = Team {
+        half: "half".into(),
+        quota: Size::new(10_000_000, 100_000_000, 1000),
+        weight: 1,
+    };
+    let region = Region {
+        data_centres: vec!["d".into()],
+    };
+    Document {
+        halves: BTreeMap::from([("half".into(), half)]),
+        regions: BTreeMap::from([("r".into(), region)]),
+        teams: BTreeMap::from([("team".into(), team)]),
+        classes: classes
+            .map(|(id, kind)| (ClassId::new(id), class(kind)))
+            .collect(),
+        ..Document::default()
+    }
+}
--- a/crates/sched/src/blocked.rs
+++ b/crates/sched/src/blocked.rs
@@ -27,6 +27,9 @@
 const EVICTION_HOLD: Duration = Duration::from_secs(10);
 /// How much longer than expected a worker is kept for a large task.
 const HOLD_GRACE: Duration = Duration::from_secs(60);
+/// The part of the largest worker from which a task is large; room for smaller ones comes by itself
+/// as others end.
+const LARGE: f64 = 0.25;
 /// How many workers of a hundred may be kept for large tasks at the same time.
 const HOLD_PERCENT: usize = 5;
 /// How many tasks of a blocked urgent lane are looked at in one round.
@@ -110,6 +113,10 @@
             return;
         }
         let reservation = self.book.reservation(key);
+        let largest = self.book.classes[self.book.tasks[key].class].largest;
+        if reservation.dominant_share(&largest) < LARGE {
+            return;
+        }
         let ask = start::ask(&self.book, &self.jobs, key, reservation);
         if let Some((worker, expected)) = room::soonest(&self.book, &ask, round.now) {
             let wait = expected.since(round.now);
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -28,7 +28,7 @@
         Self {
             learning: true,
             throttling: true,
-            candidates: 24,
+            candidates: 8,
             hold_after: Duration::from_secs(30),
             hand_off_after: Duration::from_secs(5),
             quarantine_percent: 10,
--- a/crates/sched/src/observe.rs
+++ b/crates/sched/src/observe.rs
@@ -43,7 +43,7 @@
             .filter_map(|facts| Some((self.runs_on(key, facts)?, facts)))
             .collect();
         for (task, facts) in &runs {
-            self.take_in(*task, facts, now);
+            self.take_in(*task, facts, figures_at, now);
         }
         self.book.recount_all(Some(key));
         if self.cfg.learning {
@@ -62,14 +62,14 @@
         (run.worker == key).then_some(task)
     }
 
-    fn take_in(&mut self, key: TaskKey, facts: &RunFacts, now: Mono) {
+    fn take_in(&mut self, key: TaskKey, facts: &RunFacts, figures_at: Mono, now: Mono) {
         let task = &mut self.book.tasks[key];
         let declared = task.declared;
         let class = task.class;
         let Some(run) = task.run_mut() else {
             return;
         };
-        update(run, facts);
+        update(run, facts, figures_at);
         let telling = now.since(run.since) >= TELLING_RUN && run.peak != Size::ZERO;
         if telling && !run.sampled && self.cfg.learning {
             run.sampled = true;
@@ -127,10 +127,12 @@
     }
 }
 
-fn update(run: &mut Run, facts: &RunFacts) {
+fn update(run: &mut Run, facts: &RunFacts, figures_at: Mono) {
     run.confirmed = true;
     run.usage = Some(facts.usage);
-    let unthrottled = facts.throttle_permille >= FULL_PERMILLE;
+    // A window that began before the run, or in which it was throttled, shows too little use.
+    let unthrottled = facts.throttle_permille >= FULL_PERMILLE && run.permille >= FULL_PERMILLE;
+    let unthrottled = unthrottled && figures_at >= run.since;
     let seen = Size::new(
         if unthrottled {
             facts.usage.cpu_millis
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -52,6 +52,8 @@
     pub(crate) urgent: bool,
     /// Whether it may try out a quarantined worker.
     pub(crate) may_probe: bool,
+    /// Whether it has to leave room for the free accelerators of a worker.
+    pub(crate) spares_accelerators: bool,
     /// Workers on which it has failed.
     pub(crate) avoid: &'a [WorkerKey],
 }
@@ -151,7 +153,7 @@
         && worker.health.admits(view.now, ask.may_probe)
         && class.rack_has_room(worker.rack)
         && batch_has_room(view.book, ask, class, worker)
-        && (ask.urgent || keeps_accelerators(ask, worker))
+        && keeps_accelerators(ask, worker)
         && hold_admits(view, ask, class, worker)
 }
 
@@ -170,10 +172,23 @@
     batch.cpu_millis <= most.cpu_millis && batch.memory_mib <= most.memory_mib
 }
 
+/// Returns whether a task has to leave room for free accelerators: it is not urgent, needs none, and
+/// some worker without any could hold it.
+pub(crate) fn spares_accelerators(book: &Book, class: &Class, ask: &Ask<'_>) -> bool {
+    let pools = class
+        .sites
+        .iter()
+        .map(|site| &book.pools[usize::from(site.0)]);
+    let mut plain = pools.flat_map(|pool| &pool.plain);
+    !ask.urgent
+        && ask.reservation.accelerators == 0
+        && plain.any(|key| ask.reservation.fits(&book.workers[*key].capacity))
+}
+
 /// Returns whether the free accelerators of a worker keep the processors and memory they need.
-fn keeps_accelerators(ask: &Ask<'_>, worker: &Worker) -> bool {
+pub(crate) fn keeps_accelerators(ask: &Ask<'_>, worker: &Worker) -> bool {
     let all = worker.capacity.accelerators;
-    if all == 0 || ask.reservation.accelerators > 0 {
+    if all == 0 || !ask.spares_accelerators {
         return true;
     }
     let free = worker.free();
--- a/crates/sched/src/room.rs
+++ b/crates/sched/src/room.rs
@@ -176,7 +176,8 @@
         let eligible = worker.is_open()
             && worker.hold.is_none()
             && worker.health.admits(now, false)
-            && class.rack_has_room(worker.rack);
+            && class.rack_has_room(worker.rack)
+            && (!ask.spares_accelerators || worker.capacity.accelerators == 0);
         let at = eligible
             .then(|| room_at(book, ask, worker, now))
             .flatten()?;
--- a/crates/sched/src/sched.rs
+++ b/crates/sched/src/sched.rs
@@ -1,10 +1,11 @@
 //! The scheduler's state and the events that change it.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use conf::doc::Document;
-use model::Map;
+
 use model::Mono;
 use model::Size;
 use model::id::DaemonId;
@@ -64,7 +65,7 @@
     pub(crate) quarantined: Vec<WorkerKey>,
     /// Tasks that no worker could ever hold, in the order in which they are looked at again.
     pub(crate) refused: VecDeque<TaskKey>,
-    pub(crate) peers: Map<DaemonId, PeerSummary>,
+    pub(crate) peers: BTreeMap<DaemonId, PeerSummary>,
     pub(crate) recent: VecDeque<Recent>,
 }
 
@@ -89,7 +90,7 @@
             suspects: Vec::new(),
             quarantined: Vec::new(),
             refused: VecDeque::new(),
-            peers: Map::default(),
+            peers: BTreeMap::new(),
             recent: VecDeque::with_capacity(cfg.recent),
         }
     }
--- a/crates/sched/src/sizes.rs
+++ b/crates/sched/src/sizes.rs
@@ -101,6 +101,10 @@
         }
     }
 
+    fn runs(&self) -> u64 {
+        self.absolute.current.len() + self.absolute.previous.len()
+    }
+
     fn learned(&self, quantile: f64) -> Learned {
         let absolute = self.absolute.all();
         let relative = self.relative.all();
@@ -155,14 +159,16 @@
         }
     }
 
-    /// Records the peaks of a run.
+    /// Records the peaks of a run; no processor use was seen where it was always throttled.
     pub(crate) fn record(&mut self, peak: &Peak) {
         let cpu = uncut(peak.usage.cpu_millis, peak.reserved.cpu_millis);
         let memory = uncut(peak.usage.memory_mib, peak.reserved.memory_mib);
-        self.cpu.record(cpu, peak.declared.cpu_millis);
+        if cpu > 0 {
+            self.cpu.record(cpu, peak.declared.cpu_millis);
+        }
         self.memory.record(memory, peak.declared.memory_mib);
         self.runs += 1;
-        if self.runs >= MIN_RUNS {
+        if self.cpu.runs() >= MIN_RUNS && self.runs >= MIN_RUNS {
             let cpu = self.cpu.learned(CPU_QUANTILE);
             let memory = self.memory.learned(MEMORY_QUANTILE);
             self.learned = Some((cpu, memory));
--- a/crates/sched/src/start.rs
+++ b/crates/sched/src/start.rs
@@ -24,6 +24,7 @@
 use crate::key::TaskKey;
 use crate::key::TeamKey;
 use crate::key::WorkerKey;
+use crate::place;
 use crate::place::Ask;
 use crate::place::View;
 use crate::sched::Sched;
@@ -331,13 +332,16 @@
     reservation: Size,
 ) -> Ask<'a> {
     let task = &book.tasks[key];
-    let is_service = book.classes[task.class].is_service();
-    Ask {
+    let class = &book.classes[task.class];
+    let mut ask = Ask {
         task: key,
         class: task.class,
         reservation,
         urgent: task.is_urgent(),
-        may_probe: !task.is_urgent() && !is_service && task.failures == 0,
+        may_probe: !task.is_urgent() && !class.is_service() && task.failures == 0,
+        spares_accelerators: false,
         avoid: jobs.workers(FailedJobs::hash(&task.id)),
-    }
+    };
+    ask.spares_accelerators = place::spares_accelerators(book, class, &ask);
+    ask
 }
--- /dev/null
+++ b/crates/sched/tests/all/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the scheduler through its public interface.
+
+mod fixture;
+mod health;
+mod interference;
+mod objectives;
+mod placement;
+mod property;
+mod queue;
+mod reports;
+mod sizes;
