fix(sched): histograms grow, cut off samples and batch processor time at the median

Samples were clamped to a histogram's first range, so that learned sizes shrank to the least reservation.

--- a/crates/sched/src/book.rs
+++ b/crates/sched/src/book.rs
@@ -93,6 +93,7 @@
         }
         for class in self.classes.values_mut() {
             class.rules = document.classes.get(&class.id).cloned();
+            class.sizes.is_service = class.is_service();
         }
         for (id, half) in &document.halves {
             let index = self.intern_half(id);
--- a/crates/sched/src/sizes.rs
+++ b/crates/sched/src/sizes.rs
@@ -10,19 +10,26 @@
 /// How many runs are needed before learned sizes replace declared ones.
 const MIN_RUNS: u64 = 8;
 /// How many runs one generation of histograms holds.
-const GENERATION_RUNS: u64 = 128;
+const GENERATION_RUNS: u64 = 32;
 /// The precision of the histograms in significant digits.
-const DIGITS: u8 = 1;
-/// The quantile of peak processor use that is reserved; more is only slower.
-const CPU_QUANTILE: f64 = 0.90;
+const DIGITS: u8 = 2;
+/// Larger samples are taken for this.
+const MAX_SAMPLE: u64 = 1 << 40;
+/// The quantile of peak processor use that is reserved for a service, which has to answer in time.
+const SERVICE_CPU_QUANTILE: f64 = 0.90;
+/// The quantile of peak processor use that is reserved for a batch task; one that needs more is only
+/// slower, and what is reserved in vain does no work.
+const BATCH_CPU_QUANTILE: f64 = 0.50;
 /// The quantile of peak memory use that is reserved; more ends the task.
 const MEMORY_QUANTILE: f64 = 0.99;
-/// What is reserved above the quantile, in percent of it.
-const MARGIN_PERCENT: u64 = 115;
+/// What of the quantile of processor use is reserved, in percent.
+const CPU_MARGIN_PERCENT: u64 = 103;
+/// What of the quantile of memory use is reserved, in percent.
+const MEMORY_MARGIN_PERCENT: u64 = 115;
 /// A use of this part of the reservation, in percent, was probably cut off by it.
-const CUT_OFF_PERCENT: u64 = 95;
+const CUT_OFF_PERCENT: u64 = 98;
 /// What a use that was cut off is taken for, in percent of it.
-const CUT_OFF_GROWTH_PERCENT: u64 = 150;
+const CUT_OFF_GROWTH_PERCENT: u64 = 130;
 /// The least that is ever reserved.
 const MIN_RESERVATION: Size = Size::new(100, 64, 0);
 
@@ -47,8 +54,8 @@
             std::mem::swap(&mut self.current, &mut self.previous);
             self.current.reset();
         }
-        // Recording fails only beyond the range, and the histogram resizes itself.
-        self.current.saturating_record(sample.max(1));
+        // The histogram resizes itself, so that a sample is only lost where it cannot grow further.
+        let _ = self.current.record(sample.clamp(1, MAX_SAMPLE));
     }
 
     fn all(&self) -> Histogram<u32> {
@@ -77,12 +84,12 @@
 }
 
 impl Learned {
-    fn of(self, declared: u64) -> u64 {
+    fn of(self, declared: u64, margin_percent: u64) -> u64 {
         let size = match self {
             Self::Absolute(size) => size,
             Self::Relative(permille) => declared.saturating_mul(permille) / 1000,
         };
-        size.saturating_mul(MARGIN_PERCENT) / 100
+        size.saturating_mul(margin_percent) / 100
     }
 }
 
@@ -142,6 +149,8 @@
     /// How many runs were recorded.
     pub(crate) runs: u64,
     learned: Option<(Learned, Learned)>,
+    /// Whether its tasks serve requests.
+    pub(crate) is_service: bool,
     /// The ninth decile of the run times in milliseconds.
     pub(crate) run_high_ms: Option<u64>,
 }
@@ -155,21 +164,30 @@
             run_ms: Quantiles::new(),
             runs: 0,
             learned: None,
+            is_service: false,
             run_high_ms: None,
         }
     }
 
     /// Records the peaks of a run; no processor use was seen where it was always throttled.
     pub(crate) fn record(&mut self, peak: &Peak) {
-        let cpu = uncut(peak.usage.cpu_millis, peak.reserved.cpu_millis);
-        let memory = uncut(peak.usage.memory_mib, peak.reserved.memory_mib);
-        if cpu > 0 {
+        let (now, _) = self.reservation(&peak.declared);
+        let (usage, reserved) = (&peak.usage, &peak.reserved);
+        let cpu = uncut(usage.cpu_millis, reserved.cpu_millis, now.cpu_millis);
+        if let Some(cpu) = cpu.filter(|cpu| *cpu > 0) {
             self.cpu.record(cpu, peak.declared.cpu_millis);
         }
-        self.memory.record(memory, peak.declared.memory_mib);
+        let memory = uncut(usage.memory_mib, reserved.memory_mib, now.memory_mib);
+        if let Some(memory) = memory {
+            self.memory.record(memory, peak.declared.memory_mib);
+        }
         self.runs += 1;
-        if self.cpu.runs() >= MIN_RUNS && self.runs >= MIN_RUNS {
-            let cpu = self.cpu.learned(CPU_QUANTILE);
+        if self.cpu.runs() >= MIN_RUNS && self.memory.runs() >= MIN_RUNS {
+            let cpu = self.cpu.learned(if self.is_service {
+                SERVICE_CPU_QUANTILE
+            } else {
+                BATCH_CPU_QUANTILE
+            });
             let memory = self.memory.learned(MEMORY_QUANTILE);
             self.learned = Some((cpu, memory));
         }
@@ -189,8 +207,8 @@
         match self.learned {
             None => (declared.max(&MIN_RESERVATION), false),
             Some((cpu, memory)) => {
-                let cpu = cpu.of(declared.cpu_millis);
-                let memory = memory.of(declared.memory_mib);
+                let cpu = cpu.of(declared.cpu_millis, CPU_MARGIN_PERCENT);
+                let memory = memory.of(declared.memory_mib, MEMORY_MARGIN_PERCENT);
                 let size = Size::new(cpu, memory, declared.accelerators);
                 (size.max(&MIN_RESERVATION), true)
             }
@@ -198,11 +216,15 @@
     }
 }
 
-/// Returns what a run would have used, had its reservation not cut it off.
-const fn uncut(usage: u64, reserved: u64) -> u64 {
-    if usage.saturating_mul(100) >= reserved.saturating_mul(CUT_OFF_PERCENT) && reserved > 0 {
-        usage.saturating_mul(CUT_OFF_GROWTH_PERCENT) / 100
-    } else {
-        usage
+/// Returns what a run would have used, had its reservation not cut it off; `None` if it was cut off
+/// and more is reserved by now, so that later runs tell better.
+const fn uncut(usage: u64, reserved: u64, reserved_by_now: u64) -> Option<u64> {
+    let is_cut = usage.saturating_mul(100) >= reserved.saturating_mul(CUT_OFF_PERCENT);
+    if !is_cut {
+        return Some(usage);
+    }
+    if reserved_by_now > reserved {
+        return None;
     }
+    Some(usage.saturating_mul(CUT_OFF_GROWTH_PERCENT) / 100)
 }
