--- a/crates/measure/src/policy.rs
+++ b/crates/measure/src/policy.rs
@@ -97,7 +97,12 @@
 
 fn print(scenario: &Scenario, player: &str, outcome: &Outcome) {
     println!(
-        "# {} {player}: p99 {:.3} of the target, {:.1} cores of batch, {:.1} evictions, {:.1} throttles",
-        scenario.name, outcome.p99, outcome.cores, outcome.evictions, outcome.throttles
+        "# {} {player}: p99 {:.3} of the target, {:.1} cores of batch, {:.1} evictions, {:.1} throttles, {:.1} failures",
+        scenario.name,
+        outcome.p99,
+        outcome.cores,
+        outcome.evictions,
+        outcome.throttles,
+        outcome.failures
     );
 }
--- a/crates/measure/src/policy/trial.rs
+++ b/crates/measure/src/policy/trial.rs
@@ -78,6 +78,8 @@
     pub evictions: f64,
     /// The changes of caps.
     pub throttles: f64,
+    /// The jobs that got too little memory.
+    pub failures: f64,
 }
 
 /// Returns the mean outcome over all seeds.
@@ -90,6 +92,7 @@
         mean.cores += one.cores * part;
         mean.evictions += one.evictions * part;
         mean.throttles += one.throttles * part;
+        mean.failures += one.failures * part;
     }
     mean
 }
@@ -142,7 +145,7 @@
 
     fn second(&mut self, player: Player, now_s: u64) {
         let now = Mono(now_s * 1000);
-        let (ended, stopped) = self.world.advance(now_s);
+        let ends = self.world.advance(now_s);
         if now_s >= WARM_UP_S {
             self.measure(now_s);
         }
@@ -154,10 +157,18 @@
             oracle::act(&mut self.world, &mut self.waiting, 70, now_s);
             return;
         }
-        for job in ended {
+        for job in ends.succeeded {
             self.sched.ended(&job_id(job.number), End::Succeeded, now);
         }
-        for mut job in stopped {
+        for mut job in ends.failed {
+            self.sched.ended(&job_id(job.number), End::Failed, now);
+            job.failures += 1;
+            self.outcome.failures += f64::from(u8::from(now_s >= WARM_UP_S));
+            self.outcome.cores -= lost_cores(&job, now_s);
+            job.done_s = 0.0;
+            self.enqueue(job, now);
+        }
+        for mut job in ends.stopped {
             self.sched.ended(&job_id(job.number), End::Stopped, now);
             job.evictions += 1;
             self.enqueue(job, now);
@@ -193,6 +204,7 @@
             run_ms: Some((job.work_s * 1000.0) as u64),
             progress_ms: (job.done_s * 1000.0) as u64,
             evictions: job.evictions,
+            failures: job.failures,
             submitted_at: now,
             ..queued(job_id(job.number).as_str(), job.declared)
         });
@@ -262,6 +274,14 @@
     }
 }
 
+/// Returns the work of a failed job, in cores for one second, that was counted in vain.
+fn lost_cores(job: &Job, now_s: u64) -> f64 {
+    if now_s < WARM_UP_S {
+        return 0.0;
+    }
+    job.done_s * job.demand.cpu_millis as f64 / 1000.0
+}
+
 fn queued(id: &str, declared: Size) -> Queued {
     Queued {
         task: TaskId::new(id),
--- a/crates/measure/src/policy/world.rs
+++ b/crates/measure/src/policy/world.rs
@@ -20,6 +20,8 @@
 const NOISY: usize = 3;
 /// The seconds of one report's window.
 pub const WINDOW_S: u64 = 5;
+/// The seconds after which a job that got too little memory is ended by the worker's guards.
+const SHORT_LIFE_S: u64 = 10;
 /// The seconds after which a restarted job makes progress again.
 pub const RESTART_S: u64 = 30;
 /// The spread of a reported p99 around the true one.
@@ -113,6 +115,8 @@
     pub done_s: f64,
     /// How often it was evicted.
     pub evictions: u32,
+    /// How often it failed for want of memory.
+    pub failures: u32,
 }
 
 /// A job on a worker.
@@ -204,6 +208,17 @@
     pub lines: Vec<Line>,
 }
 
+/// The jobs that ended in one second.
+#[derive(Clone, Debug, Default)]
+pub struct Ends {
+    /// They did their work.
+    pub succeeded: Vec<Job>,
+    /// They got too little memory.
+    pub failed: Vec<Job>,
+    /// They were evicted.
+    pub stopped: Vec<Job>,
+}
+
 /// The workers, what arrives and what is reported.
 #[derive(Clone, Debug)]
 pub struct World {
@@ -285,13 +300,13 @@
             work_s: rng.random_range(120.0..900.0),
             done_s: 0.0,
             evictions: 0,
+            failures: 0,
         }
     }
 
-    /// Lets a second pass: loads move, jobs progress and windows fill. Returns jobs that ended and
-    /// jobs that were stopped, each with its host.
-    pub fn advance(&mut self, now_s: u64) -> (Vec<Job>, Vec<Job>) {
-        let (mut ended, mut stopped) = (Vec::new(), Vec::new());
+    /// Lets a second pass: loads move, jobs progress and windows fill.
+    pub fn advance(&mut self, now_s: u64) -> Ends {
+        let mut ends = Ends::default();
         for host in &mut self.hosts {
             for service in &mut host.services {
                 move_load(service, &self.scenario, now_s, &mut self.loads);
@@ -311,18 +326,22 @@
             host.jobs.retain(|running| {
                 let is_done = running.job.done_s >= running.job.work_s;
                 let is_stopped = running.stops_s.is_some_and(|stops| stops <= now_s);
+                let is_short = running.job.demand.memory_mib > running.reserved.memory_mib;
+                let has_failed = is_short && now_s >= running.ready_s + SHORT_LIFE_S;
                 if is_done {
-                    ended.push(running.job.clone());
+                    ends.succeeded.push(running.job.clone());
+                } else if has_failed {
+                    ends.failed.push(running.job.clone());
                 } else if is_stopped {
-                    stopped.push(running.job.clone());
+                    ends.stopped.push(running.job.clone());
                 }
-                !is_done && !is_stopped
+                !is_done && !is_stopped && !has_failed
             });
         }
         if (now_s + 1).is_multiple_of(WINDOW_S) {
             self.close_windows(now_s);
         }
-        (ended, stopped)
+        ends
     }
 
     /// Returns the reports that arrive now, not always in the order in which they were made.
--- a/crates/sched/src/book.rs
+++ b/crates/sched/src/book.rs
@@ -30,6 +30,9 @@
 use crate::team::Team;
 use crate::worker::Worker;
 
+/// How often the memory of a task that fails is doubled.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// The workers of one site, by whether they have accelerators.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
@@ -366,16 +369,23 @@
         }
     }
 
-    /// Returns what to reserve for a task: learned if it was, otherwise declared. What is learned
-    /// stays within the largest worker, because a quantile with its margin may lie beyond it.
+    /// Returns what to reserve for a task: learned if it was, otherwise declared.
+    ///
+    /// A run that failed may have been short of memory, which no report tells in time, so each
+    /// further run gets more. What was not declared stays within the largest worker.
     pub(crate) fn reservation(&self, key: TaskKey) -> Size {
         let task = &self.tasks[key];
         let class = &self.classes[task.class];
         let (size, learned) = class.sizes.reservation(&task.declared);
-        if !learned {
-            return size;
-        }
-        let within = size.min(&class.largest);
-        Size::new(within.cpu_millis, within.memory_mib, size.accelerators)
+        let base = if learned {
+            size.min(&class.largest)
+        } else {
+            size
+        };
+        let doubled = base
+            .memory_mib
+            .saturating_mul(1 << task.failures.min(MAX_DOUBLINGS));
+        let memory = base.memory_mib.max(doubled.min(class.largest.memory_mib));
+        Size::new(base.cpu_millis, memory, size.accelerators)
     }
 }
--- a/crates/sched/src/sched.rs
+++ b/crates/sched/src/sched.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use conf::doc::Document;
-
 use model::Mono;
 use model::Size;
 use model::id::DaemonId;
--- a/crates/sched/src/sizes.rs
+++ b/crates/sched/src/sizes.rs
@@ -20,12 +20,13 @@
 /// The quantile of peak processor use that is reserved for a batch task; one that needs more is only
 /// slower, and what is reserved in vain does no work.
 const BATCH_CPU_QUANTILE: f64 = 0.50;
-/// The quantile of peak memory use that is reserved; more ends the task.
-const MEMORY_QUANTILE: f64 = 0.99;
+/// The quantile of peak memory use that is reserved; a task that needs more fails and gets more at
+/// its next run.
+const MEMORY_QUANTILE: f64 = 0.95;
 /// What of the quantile of processor use is reserved, in percent.
 const CPU_MARGIN_PERCENT: u64 = 103;
 /// What of the quantile of memory use is reserved, in percent.
-const MEMORY_MARGIN_PERCENT: u64 = 115;
+const MEMORY_MARGIN_PERCENT: u64 = 108;
 /// A use of this part of the reservation, in percent, was probably cut off by it.
 const CUT_OFF_PERCENT: u64 = 98;
 /// What a use that was cut off is taken for, in percent of it.
