--- a/crates/sched/src/sizes.rs
+++ b/crates/sched/src/sizes.rs
@@ -31,6 +31,9 @@
 const CUT_OFF_PERCENT: u64 = 98;
 /// What a use that was cut off is taken for, in percent of it.
 const CUT_OFF_GROWTH_PERCENT: u64 = 130;
+/// By which factor use in proportion to the declared size has to spread less than use itself to be
+/// preferred. What is reserved cuts use off and so makes either look narrower than it is.
+const RELATIVE_ADVANTAGE: f64 = 2.0;
 /// The least that is ever reserved.
 const MIN_RESERVATION: Size = Size::new(100, 64, 0);
 
@@ -117,7 +120,8 @@
         let absolute = self.absolute.all();
         let relative = self.relative.all();
         let high = absolute.value_at_quantile(quantile);
-        if relative.len() < absolute.len() || spread(&absolute) <= spread(&relative) {
+        let narrow = spread(&relative) * RELATIVE_ADVANTAGE <= spread(&absolute);
+        if relative.len() < absolute.len() || !narrow {
             return Learned::Absolute(high);
         }
         Learned::Relative(relative.value_at_quantile(quantile))
