--- a/crates/sched/src/control.rs
+++ b/crates/sched/src/control.rs
@@ -19,7 +19,7 @@
 use crate::view;
 
 /// How long an action takes to have its effect on a worker.
-const SETTLE: Duration = Duration::from_secs(1);
+pub(crate) const SETTLE: Duration = Duration::from_secs(1);
 /// How far a service may be over its limit before something is done.
 const HOT: f64 = 1.08;
 /// How far it has to be over its limit for one report to be enough.
@@ -290,6 +290,7 @@
             let id = task.id.clone();
             if let Some(run) = task.run_mut() {
                 run.permille = change.wanted;
+                run.unthrottled_since = (change.wanted >= FULL_PERMILLE).then_some(self.now);
                 acted = true;
                 out.push(Decision::Throttle {
                     task: id,
--- a/crates/sched/src/observe.rs
+++ b/crates/sched/src/observe.rs
@@ -6,6 +6,7 @@
 use model::Size;
 use model::id::WorkerId;
 
+use crate::control::SETTLE;
 use crate::facts::ReportFacts;
 use crate::facts::RunFacts;
 use crate::interfere::Pressure;
@@ -131,8 +132,10 @@
     run.confirmed = true;
     run.usage = Some(facts.usage);
     // A window that began before the run, or in which it was throttled, shows too little use.
-    let unthrottled = facts.throttle_permille >= FULL_PERMILLE && run.permille >= FULL_PERMILLE;
-    let unthrottled = unthrottled && figures_at >= run.since;
+    let unthrottled = run
+        .unthrottled_since
+        .is_some_and(|since| figures_at >= since.after(SETTLE))
+        && facts.throttle_permille >= FULL_PERMILLE;
     let seen = Size::new(
         if unthrottled {
             facts.usage.cpu_millis
--- a/crates/sched/src/sizes.rs
+++ b/crates/sched/src/sizes.rs
@@ -32,7 +32,7 @@
 /// What a use that was cut off is taken for, in percent of it.
 const CUT_OFF_GROWTH_PERCENT: u64 = 130;
 /// By which factor use in proportion to the declared size has to spread less than use itself to be
-/// preferred. What is reserved cuts use off and so makes either look narrower than it is.
+/// preferred.
 const RELATIVE_ADVANTAGE: f64 = 2.0;
 /// The least that is ever reserved.
 const MIN_RESERVATION: Size = Size::new(100, 64, 0);
@@ -71,13 +71,24 @@
     }
 }
 
-/// One dimension: peaks, and peaks in thousandths of what was declared.
+/// One dimension: all peaks, those that nothing cut off, and the latter in thousandths of what was
+/// declared.
 #[derive(Debug)]
 struct Dimension {
     absolute: Quantiles,
+    uncut: Quantiles,
     relative: Quantiles,
 }
 
+/// What was seen of a run in one dimension.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    /// What it used, or more where its reservation cut it off.
+    at_least: u64,
+    /// Whether its reservation cut it off.
+    is_cut: bool,
+}
+
 /// What a dimension's quantile is taken from.
 #[derive(Clone, Copy, Debug)]
 enum Learned {
@@ -101,13 +112,17 @@
     fn new() -> Self {
         Self {
             absolute: Quantiles::new(),
+            uncut: Quantiles::new(),
             relative: Quantiles::new(),
         }
     }
 
-    fn record(&mut self, peak: u64, declared: u64) {
-        self.absolute.record(peak);
-        if let Some(permille) = peak.saturating_mul(1000).checked_div(declared) {
+    /// Records a peak; only one that nothing cut off says how it relates to the declared size.
+    fn record(&mut self, peak: Seen, declared: u64) {
+        self.absolute.record(peak.at_least);
+        let permille = peak.at_least.saturating_mul(1000).checked_div(declared);
+        if let Some(permille) = permille.filter(|_| !peak.is_cut) {
+            self.uncut.record(peak.at_least);
             self.relative.record(permille);
         }
     }
@@ -120,8 +135,8 @@
         let absolute = self.absolute.all();
         let relative = self.relative.all();
         let high = absolute.value_at_quantile(quantile);
-        let narrow = spread(&relative) * RELATIVE_ADVANTAGE <= spread(&absolute);
-        if relative.len() < absolute.len() || !narrow {
+        let narrow = spread(&relative) * RELATIVE_ADVANTAGE <= spread(&self.uncut.all());
+        if relative.len() < MIN_RUNS || !narrow {
             return Learned::Absolute(high);
         }
         Learned::Relative(relative.value_at_quantile(quantile))
@@ -179,7 +194,7 @@
         let (now, _) = self.reservation(&peak.declared);
         let (usage, reserved) = (&peak.usage, &peak.reserved);
         let cpu = uncut(usage.cpu_millis, reserved.cpu_millis, now.cpu_millis);
-        if let Some(cpu) = cpu.filter(|cpu| *cpu > 0) {
+        if let Some(cpu) = cpu.filter(|cpu| cpu.at_least > 0) {
             self.cpu.record(cpu, peak.declared.cpu_millis);
         }
         let memory = uncut(usage.memory_mib, reserved.memory_mib, now.memory_mib);
@@ -223,13 +238,19 @@
 
 /// Returns what a run would have used, had its reservation not cut it off; `None` if it was cut off
 /// and more is reserved by now, so that later runs tell better.
-const fn uncut(usage: u64, reserved: u64, reserved_by_now: u64) -> Option<u64> {
+const fn uncut(usage: u64, reserved: u64, reserved_by_now: u64) -> Option<Seen> {
     let is_cut = usage.saturating_mul(100) >= reserved.saturating_mul(CUT_OFF_PERCENT);
     if !is_cut {
-        return Some(usage);
+        return Some(Seen {
+            at_least: usage,
+            is_cut,
+        });
     }
     if reserved_by_now > reserved {
         return None;
     }
-    Some(usage.saturating_mul(CUT_OFF_GROWTH_PERCENT) / 100)
+    Some(Seen {
+        at_least: usage.saturating_mul(CUT_OFF_GROWTH_PERCENT) / 100,
+        is_cut,
+    })
 }
--- a/crates/sched/src/task.rs
+++ b/crates/sched/src/task.rs
@@ -90,6 +90,8 @@
     pub(crate) checkpoint: Option<CheckpointId>,
     /// The cap that was decided last.
     pub(crate) permille: u16,
+    /// Since when it has not been throttled, if it is not.
+    pub(crate) unthrottled_since: Option<Mono>,
     /// Whether its peaks were recorded already.
     pub(crate) sampled: bool,
 }
@@ -134,6 +136,7 @@
             saved_ms: task.progress_ms,
             checkpoint: task.checkpoint.clone(),
             permille: FULL_PERMILLE,
+            unthrottled_since: Some(since),
             sampled: false,
         }
     }
