--- a/crates/measure/examples/measure.rs
+++ b/crates/measure/examples/measure.rs
@@ -1,4 +1,4 @@
-//! Runs one measurement, prints one line a figure and fails when a target is missed.
+//! Runs one measurement, prints one line a figure and exits with 1 when a target is missed.
 
 use std::process::ExitCode;
 
@@ -8,8 +8,12 @@
     let name = std::env::args().nth(1).unwrap_or_default();
     let figures: Vec<Figure> = match name.as_str() {
         "routing" => measure::routing::run(),
+        "placement" => measure::placement::run(),
+        "policy" => measure::policy::run(),
+        "configuration" => measure::configuration::run(),
+        "capacity" => measure::capacity::run(),
         _ => {
-            eprintln!("measure: name one of: routing");
+            eprintln!("measure: name one of: routing, placement, policy, configuration, capacity");
             return ExitCode::from(2);
         }
     };
--- /dev/null
+++ b/crates/measure/src/configuration.rs
@@ -0,0 +1,198 @@
+//! How long a document takes to be in force everywhere, and what a handover costs requests.
+//!
+//! Targets are the users': in force everywhere within 4 s; no request refused during a handover and
+//! a tail at most 1.5 times that of a quiet run.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use conf::api::ApplyReply;
+use fake::faults::Fault;
+use model::id::DocVersion;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::figure::Figure;
+use crate::system::System;
+use crate::system::callers::Callers;
+use crate::system::callers::Counts;
+use crate::system::callers::Load;
+use crate::system::client;
+use crate::system::plan;
+use crate::system::plan::Sizes;
+use crate::system::wait_until;
+
+/// The users' bound on a change being in force everywhere, in seconds.
+const IN_FORCE_S: f64 = 4.0;
+/// How much longer the tail may be during a handover.
+const TAIL_RATIO: f64 = 1.5;
+/// How often each case is repeated; the slowest counts.
+const REPEATS: usize = 3;
+/// How long any change may take at all.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// How slow a slow store answers.
+const SLOW: Duration = Duration::from_millis(150);
+/// How long requests are sent in a quiet run and in one with handovers.
+const LOAD_TIME: Duration = Duration::from_secs(12);
+
+/// Runs the measurement.
+///
+/// # Panics
+///
+/// Panics if the system cannot be started or a document is never accepted.
+#[must_use]
+pub fn run() -> Vec<Figure> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    runtime.expect("threads can be started").block_on(all())
+}
+
+async fn all() -> Vec<Figure> {
+    println!("seed {}", plan::SEED);
+    let mut figures = Vec::new();
+    for daemons in [3, 6, 9] {
+        let mut system = plan::start(&Sizes {
+            daemons,
+            ..Sizes::default()
+        })
+        .await;
+        let seconds = slowest_change(&system, daemons).await;
+        figures.push(in_force(format!("in-force-{daemons}-daemons"), seconds));
+        system.platform.table.faults().set(Fault::Slow(SLOW));
+        let seconds = slowest_change(&system, daemons).await;
+        figures.push(in_force(
+            format!("in-force-{daemons}-daemons-slow-store"),
+            seconds,
+        ));
+        system.platform.table.faults().clear();
+        let dead = system.daemons.pop().expect("at least one runs");
+        dead.kill();
+        let seconds = change(&system, "after-death").await;
+        figures.push(Figure::reported(
+            format!("in-force-{daemons}-daemons-first-change-after-one-died"),
+            seconds,
+            "s",
+        ));
+        let seconds = slowest_change(&system, daemons - 1).await;
+        figures.push(in_force(
+            format!("in-force-{daemons}-daemons-one-dead"),
+            seconds,
+        ));
+    }
+    figures.extend(handover().await);
+    figures
+}
+
+fn in_force(name: String, seconds: f64) -> Figure {
+    Figure::at_most(name, seconds, "s", IN_FORCE_S)
+}
+
+async fn slowest_change(system: &System, round: usize) -> f64 {
+    let mut slowest: f64 = 0.0;
+    for repeat in 0..REPEATS {
+        let op = format!("change-{round}-{repeat}-{}", system.daemons.len());
+        slowest = slowest.max(change(system, &op).await);
+    }
+    slowest
+}
+
+/// Applies one document and returns the seconds until every daemon has it in force.
+async fn change(system: &System, op: &str) -> f64 {
+    let before = version(system, 0).await;
+    let begun = Instant::now();
+    let text =
+        plan::document("noord").replace("\"weight\": 1", &format!("\"weight\": {}", before.0 + 2));
+    let accepted = wait_until(PATIENCE, async || {
+        let reply = client::apply(system.daemons[0].operators, op, &text).await;
+        matches!(reply, Ok(ApplyReply::Accepted { .. }))
+    });
+    assert!(accepted.await, "{op} was not accepted");
+    for at in 0..system.daemons.len() {
+        let newer = async || version(system, at).await > before;
+        assert!(
+            wait_until(PATIENCE, newer).await,
+            "{op} is not in force everywhere"
+        );
+    }
+    begun.elapsed().as_secs_f64()
+}
+
+async fn version(system: &System, at: usize) -> DocVersion {
+    system.daemons[at].cx.follower().version()
+}
+
+/// Compares the tail of requests to an upstream that changes hands with that of a quiet run.
+async fn handover() -> Vec<Figure> {
+    let system = plan::start(&Sizes {
+        daemons: 6,
+        ..Sizes::default()
+    })
+    .await;
+    let quiet = load(&system, 1, 0).await;
+    let busy = load(&system, 2, 3).await;
+    let quiet_p99 = p99_ms(&quiet);
+    let busy_p99 = p99_ms(&busy);
+    vec![
+        Figure::at_most("handover-refused", as_f64(busy.not_run), "1", 0.0)
+            .baseline(as_f64(quiet.not_run)),
+        Figure::at_most("handover-unknown", as_f64(busy.unknown), "1", 0.0)
+            .baseline(as_f64(quiet.unknown)),
+        Figure::reported("handover-answered", as_f64(busy.answered), "1")
+            .baseline(as_f64(quiet.answered)),
+        Figure::at_most("handover-p99", busy_p99, "ms", quiet_p99 * TAIL_RATIO).baseline(quiet_p99),
+        Figure::reported("handover-p99.9", quantile_ms(&busy, 0.999), "ms")
+            .baseline(quantile_ms(&quiet, 0.999)),
+    ]
+}
+
+async fn load(system: &System, seed: u64, handovers: usize) -> Counts {
+    let targets = Arc::new(Mutex::new(system.callers()));
+    let load = Load {
+        callers: 24,
+        pause: Duration::from_millis(20),
+        path: "/parts".into(),
+        once_percent: 0,
+        seed: plan::SEED + seed,
+    };
+    let callers = Callers::start(&load, &targets);
+    let parts = u32::try_from(handovers + 1).unwrap_or(u32::MAX);
+    sleep(LOAD_TIME / parts).await;
+    for number in 0..handovers {
+        let half = if number.is_multiple_of(2) {
+            "zuid"
+        } else {
+            "noord"
+        };
+        let op = format!("handover-{number}");
+        let text = plan::document(half);
+        let reply = client::apply(system.daemons[0].operators, &op, &text).await;
+        assert!(
+            matches!(reply, Ok(ApplyReply::Accepted { .. })),
+            "{reply:?}"
+        );
+        sleep(LOAD_TIME / parts).await;
+    }
+    let counts = callers.end().await;
+    for (reason, count) in &counts.reasons {
+        println!("# {count} x {reason}");
+    }
+    counts
+}
+
+fn p99_ms(counts: &Counts) -> f64 {
+    quantile_ms(counts, 0.99)
+}
+
+fn quantile_ms(counts: &Counts, quantile: f64) -> f64 {
+    as_f64(counts.latency_us.value_at_quantile(quantile)) / 1000.0
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts and latencies are far below 2^52"
+)]
+const fn as_f64(value: u64) -> f64 {
+    value as f64
+}
--- a/crates/measure/src/system/mod.rs
+++ b/crates/measure/src/system/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod client;
+pub mod plan;
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -256,8 +257,10 @@
     async fn start(platform: &Platform, plan: &DaemonPlan, seed: u64) -> Result<Self, StartError> {
         let settings = platform.settings(plan);
         let broken = |error: std::io::Error| StartError::Platform(error.to_string());
-        let runtime = Builder::new_multi_thread()
+        let mut builder = Builder::new_multi_thread();
+        let runtime = builder
             .worker_threads(2)
+            .thread_name(&plan.id)
             .enable_all()
             .build();
         let runtime = Background(Some(runtime.map_err(broken)?));
--- a/crates/sched/src/observe.rs
+++ b/crates/sched/src/observe.rs
@@ -6,6 +6,7 @@
 use model::Size;
 use model::id::WorkerId;
 
+use crate::control::SETTLE;
 use crate::facts::ReportFacts;
 use crate::facts::RunFacts;
 use crate::interfere::Pressure;
@@ -43,7 +44,7 @@
             .filter_map(|facts| Some((self.runs_on(key, facts)?, facts)))
             .collect();
         for (task, facts) in &runs {
-            self.take_in(*task, facts, now);
+            self.take_in(*task, facts, figures_at, now);
         }
         self.book.recount_all(Some(key));
         if self.cfg.learning {
@@ -62,14 +63,14 @@
         (run.worker == key).then_some(task)
     }
 
-    fn take_in(&mut self, key: TaskKey, facts: &RunFacts, now: Mono) {
+    fn take_in(&mut self, key: TaskKey, facts: &RunFacts, figures_at: Mono, now: Mono) {
         let task = &mut self.book.tasks[key];
         let declared = task.declared;
         let class = task.class;
         let Some(run) = task.run_mut() else {
             return;
         };
-        update(run, facts);
+        update(run, facts, figures_at);
         let telling = now.since(run.since) >= TELLING_RUN && run.peak != Size::ZERO;
         if telling && !run.sampled && self.cfg.learning {
             run.sampled = true;
@@ -127,10 +128,14 @@
     }
 }
 
-fn update(run: &mut Run, facts: &RunFacts) {
+fn update(run: &mut Run, facts: &RunFacts, figures_at: Mono) {
     run.confirmed = true;
     run.usage = Some(facts.usage);
-    let unthrottled = facts.throttle_permille >= FULL_PERMILLE;
+    // A window that began before the run, or in which it was throttled, shows too little use.
+    let unthrottled = run
+        .unthrottled_since
+        .is_some_and(|since| figures_at >= since.after(SETTLE))
+        && facts.throttle_permille >= FULL_PERMILLE;
     let seen = Size::new(
         if unthrottled {
             facts.usage.cpu_millis
--- a/crates/sched/src/sizes.rs
+++ b/crates/sched/src/sizes.rs
@@ -10,19 +10,30 @@
 /// How many runs are needed before learned sizes replace declared ones.
 const MIN_RUNS: u64 = 8;
 /// How many runs one generation of histograms holds.
-const GENERATION_RUNS: u64 = 128;
+const GENERATION_RUNS: u64 = 32;
 /// The precision of the histograms in significant digits.
-const DIGITS: u8 = 1;
-/// The quantile of peak processor use that is reserved; more is only slower.
-const CPU_QUANTILE: f64 = 0.90;
-/// The quantile of peak memory use that is reserved; more ends the task.
-const MEMORY_QUANTILE: f64 = 0.99;
-/// What is reserved above the quantile, in percent of it.
-const MARGIN_PERCENT: u64 = 115;
+const DIGITS: u8 = 2;
+/// Larger samples are taken for this.
+const MAX_SAMPLE: u64 = 1 << 40;
+/// The quantile of peak processor use that is reserved for a service, which has to answer in time.
+const SERVICE_CPU_QUANTILE: f64 = 0.90;
+/// The quantile of peak processor use that is reserved for a batch task; one that needs more is only
+/// slower, and what is reserved in vain does no work.
+const BATCH_CPU_QUANTILE: f64 = 0.50;
+/// The quantile of peak memory use that is reserved; a task that needs more fails and gets more at
+/// its next run.
+const MEMORY_QUANTILE: f64 = 0.95;
+/// What of the quantile of processor use is reserved, in percent.
+const CPU_MARGIN_PERCENT: u64 = 103;
+/// What of the quantile of memory use is reserved, in percent.
+const MEMORY_MARGIN_PERCENT: u64 = 108;
 /// A use of this part of the reservation, in percent, was probably cut off by it.
-const CUT_OFF_PERCENT: u64 = 95;
+const CUT_OFF_PERCENT: u64 = 98;
 /// What a use that was cut off is taken for, in percent of it.
-const CUT_OFF_GROWTH_PERCENT: u64 = 150;
+const CUT_OFF_GROWTH_PERCENT: u64 = 130;
+/// By which factor use in proportion to the declared size has to spread less than use itself to be
+/// preferred.
+const RELATIVE_ADVANTAGE: f64 = 2.0;
 /// The least that is ever reserved.
 const MIN_RESERVATION: Size = Size::new(100, 64, 0);
 
@@ -47,8 +58,8 @@
             std::mem::swap(&mut self.current, &mut self.previous);
             self.current.reset();
         }
-        // Recording fails only beyond the range, and the histogram resizes itself.
-        self.current.saturating_record(sample.max(1));
+        // The histogram resizes itself, so that a sample is only lost where it cannot grow further.
+        let _ = self.current.record(sample.clamp(1, MAX_SAMPLE));
     }
 
     fn all(&self) -> Histogram<u32> {
@@ -60,13 +71,24 @@
     }
 }
 
-/// One dimension: peaks, and peaks in thousandths of what was declared.
+/// One dimension: all peaks, those that nothing cut off, and the latter in thousandths of what was
+/// declared.
 #[derive(Debug)]
 struct Dimension {
     absolute: Quantiles,
+    uncut: Quantiles,
     relative: Quantiles,
 }
 
+/// What was seen of a run in one dimension.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    /// What it used, or more where its reservation cut it off.
+    at_least: u64,
+    /// Whether its reservation cut it off.
+    is_cut: bool,
+}
+
 /// What a dimension's quantile is taken from.
 #[derive(Clone, Copy, Debug)]
 enum Learned {
@@ -77,12 +99,12 @@
 }
 
 impl Learned {
-    fn of(self, declared: u64) -> u64 {
+    fn of(self, declared: u64, margin_percent: u64) -> u64 {
         let size = match self {
             Self::Absolute(size) => size,
             Self::Relative(permille) => declared.saturating_mul(permille) / 1000,
         };
-        size.saturating_mul(MARGIN_PERCENT) / 100
+        size.saturating_mul(margin_percent) / 100
     }
 }
 
@@ -90,22 +112,31 @@
     fn new() -> Self {
         Self {
             absolute: Quantiles::new(),
+            uncut: Quantiles::new(),
             relative: Quantiles::new(),
         }
     }
 
-    fn record(&mut self, peak: u64, declared: u64) {
-        self.absolute.record(peak);
-        if let Some(permille) = peak.saturating_mul(1000).checked_div(declared) {
+    /// Records a peak; only one that nothing cut off says how it relates to the declared size.
+    fn record(&mut self, peak: Seen, declared: u64) {
+        self.absolute.record(peak.at_least);
+        let permille = peak.at_least.saturating_mul(1000).checked_div(declared);
+        if let Some(permille) = permille.filter(|_| !peak.is_cut) {
+            self.uncut.record(peak.at_least);
             self.relative.record(permille);
         }
     }
 
+    fn runs(&self) -> u64 {
+        self.absolute.current.len() + self.absolute.previous.len()
+    }
+
     fn learned(&self, quantile: f64) -> Learned {
         let absolute = self.absolute.all();
         let relative = self.relative.all();
         let high = absolute.value_at_quantile(quantile);
-        if relative.len() < absolute.len() || spread(&absolute) <= spread(&relative) {
+        let narrow = spread(&relative) * RELATIVE_ADVANTAGE <= spread(&self.uncut.all());
+        if relative.len() < MIN_RUNS || !narrow {
             return Learned::Absolute(high);
         }
         Learned::Relative(relative.value_at_quantile(quantile))
@@ -138,6 +169,8 @@
     /// How many runs were recorded.
     pub(crate) runs: u64,
     learned: Option<(Learned, Learned)>,
+    /// Whether its tasks serve requests.
+    pub(crate) is_service: bool,
     /// The ninth decile of the run times in milliseconds.
     pub(crate) run_high_ms: Option<u64>,
 }
@@ -151,19 +184,30 @@
             run_ms: Quantiles::new(),
             runs: 0,
             learned: None,
+            is_service: false,
             run_high_ms: None,
         }
     }
 
-    /// Records the peaks of a run.
+    /// Records the peaks of a run; no processor use was seen where it was always throttled.
     pub(crate) fn record(&mut self, peak: &Peak) {
-        let cpu = uncut(peak.usage.cpu_millis, peak.reserved.cpu_millis);
-        let memory = uncut(peak.usage.memory_mib, peak.reserved.memory_mib);
-        self.cpu.record(cpu, peak.declared.cpu_millis);
-        self.memory.record(memory, peak.declared.memory_mib);
+        let (now, _) = self.reservation(&peak.declared);
+        let (usage, reserved) = (&peak.usage, &peak.reserved);
+        let cpu = uncut(usage.cpu_millis, reserved.cpu_millis, now.cpu_millis);
+        if let Some(cpu) = cpu.filter(|cpu| cpu.at_least > 0) {
+            self.cpu.record(cpu, peak.declared.cpu_millis);
+        }
+        let memory = uncut(usage.memory_mib, reserved.memory_mib, now.memory_mib);
+        if let Some(memory) = memory {
+            self.memory.record(memory, peak.declared.memory_mib);
+        }
         self.runs += 1;
-        if self.runs >= MIN_RUNS {
-            let cpu = self.cpu.learned(CPU_QUANTILE);
+        if self.cpu.runs() >= MIN_RUNS && self.memory.runs() >= MIN_RUNS {
+            let cpu = self.cpu.learned(if self.is_service {
+                SERVICE_CPU_QUANTILE
+            } else {
+                BATCH_CPU_QUANTILE
+            });
             let memory = self.memory.learned(MEMORY_QUANTILE);
             self.learned = Some((cpu, memory));
         }
@@ -183,8 +227,8 @@
         match self.learned {
             None => (declared.max(&MIN_RESERVATION), false),
             Some((cpu, memory)) => {
-                let cpu = cpu.of(declared.cpu_millis);
-                let memory = memory.of(declared.memory_mib);
+                let cpu = cpu.of(declared.cpu_millis, CPU_MARGIN_PERCENT);
+                let memory = memory.of(declared.memory_mib, MEMORY_MARGIN_PERCENT);
                 let size = Size::new(cpu, memory, declared.accelerators);
                 (size.max(&MIN_RESERVATION), true)
             }
@@ -192,11 +236,21 @@
     }
 }
 
-/// Returns what a run would have used, had its reservation not cut it off.
-const fn uncut(usage: u64, reserved: u64) -> u64 {
-    if usage.saturating_mul(100) >= reserved.saturating_mul(CUT_OFF_PERCENT) && reserved > 0 {
-        usage.saturating_mul(CUT_OFF_GROWTH_PERCENT) / 100
-    } else {
-        usage
+/// Returns what a run would have used, had its reservation not cut it off; `None` if it was cut off
+/// and more is reserved by now, so that later runs tell better.
+const fn uncut(usage: u64, reserved: u64, reserved_by_now: u64) -> Option<Seen> {
+    let is_cut = usage.saturating_mul(100) >= reserved.saturating_mul(CUT_OFF_PERCENT);
+    if !is_cut {
+        return Some(Seen {
+            at_least: usage,
+            is_cut,
+        });
+    }
+    if reserved_by_now > reserved {
+        return None;
     }
+    Some(Seen {
+        at_least: usage.saturating_mul(CUT_OFF_GROWTH_PERCENT) / 100,
+        is_cut,
+    })
 }
