feat(conf): answers to operators, handovers, token kept out of dumps

The proposer's outcome becomes the API's answer in one place; the upstreams that change hands are listed; a daemon in doubt also holds back classes and teams that differ.

--- a/crates/conf/src/accept/explain.rs
+++ b/crates/conf/src/accept/explain.rs
@@ -1,11 +1,20 @@
-//! Tells the operator who came second what changed under them.
+//! Tells the operator what became of a change, and who came second what changed under them.
 
+use model::id::DocVersion;
+use model::outcome;
+
+use crate::accept::change::Outcome;
 use crate::accept::row::Current;
+use crate::accept::row::version_of;
 use crate::api::ApplyReply;
+use crate::api::Problem;
 use crate::diff;
 use crate::doc::Document;
 
-/// The documents that an overtaken change is explained by.
+/// When an operator may ask again after a change that was not run, in milliseconds.
+const RETRY_AFTER_MS: u64 = 2_000;
+
+/// The documents that a change is explained by.
 #[derive(Clone, Copy, Debug)]
 pub struct Three<'a> {
     /// What the operator started from.
@@ -16,16 +25,59 @@
     pub theirs: &'a Document,
 }
 
+/// Returns the answer to an operator.
+///
+/// # Errors
+///
+/// Returns the problem if the change was not run for a reason of the system's, or if it is not known
+/// whether it was.
+pub fn reply(outcome: Outcome, documents: Three<'_>) -> Result<ApplyReply, Problem> {
+    match outcome {
+        Outcome::Accepted {
+            version,
+            in_force,
+            pending,
+            passed_over,
+        } => Ok(ApplyReply::Accepted {
+            version,
+            changes: diff::changes(documents.base, documents.ours),
+            in_force: in_force.into_iter().collect(),
+            pending: pending.into_iter().collect(),
+            passed_over: passed_over.into_iter().collect(),
+        }),
+        Outcome::Invalid(findings) => Ok(ApplyReply::Invalid { findings }),
+        Outcome::Overtaken(current) => Ok(overtaken(current.as_ref(), documents)),
+        Outcome::Unreachable(daemons) => Ok(ApplyReply::Unreachable {
+            daemons: daemons.into_iter().collect(),
+        }),
+        Outcome::NotRun(reason) => Err(problem(outcome::Outcome::NotRun, reason)),
+        Outcome::Unknown => Err(problem(
+            outcome::Outcome::Unknown,
+            "the table did not tell in time whether the change was accepted",
+        )),
+    }
+}
+
 /// Returns the answer to a change that another one has overtaken.
 #[must_use]
-pub fn overtaken(current: &Current, documents: Three<'_>) -> ApplyReply {
+pub fn overtaken(current: Option<&Current>, documents: Three<'_>) -> ApplyReply {
     let ours = diff::changes(documents.base, documents.ours);
     let theirs = diff::changes(documents.base, documents.theirs);
     let conflicts = diff::conflicts(&ours, &theirs);
+    let version: DocVersion = version_of(current);
     ApplyReply::Overtaken {
-        version: current.version,
-        by: current.by.clone(),
+        version,
+        by: current.map_or_else(String::new, |current| current.by.clone()),
         theirs,
         conflicts,
     }
 }
+
+fn problem(outcome: outcome::Outcome, reason: &str) -> Problem {
+    Problem {
+        outcome,
+        reason: reason.to_owned(),
+        retry_after_ms: Some(RETRY_AFTER_MS),
+        findings: Vec::new(),
+    }
+}
--- a/crates/conf/src/diff.rs
+++ b/crates/conf/src/diff.rs
@@ -4,12 +4,15 @@
 
 use std::collections::BTreeSet;
 
+use model::id::HalfId;
+use model::id::UpstreamId;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
 
 use crate::doc::Document;
+use crate::doc::Upstream;
 use crate::tree::escape;
 
 /// Whether a place was added, removed or set to another value.
@@ -81,13 +84,44 @@
     found
 }
 
+/// An upstream that changes hands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Handover {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The half that gives it away.
+    pub from: HalfId,
+    /// The half that takes it.
+    pub to: HalfId,
+}
+
+/// Returns the upstreams that change hands from `before` to `after`, by name.
+#[must_use]
+pub fn handovers(before: &Document, after: &Document) -> Vec<Handover> {
+    let moved = |(name, new): (&UpstreamId, &Upstream)| {
+        let old = before.upstreams.get(name)?;
+        (old.half != new.half).then(|| Handover {
+            upstream: name.clone(),
+            from: old.half.clone(),
+            to: new.half.clone(),
+        })
+    };
+    after.upstreams.iter().filter_map(moved).collect()
+}
+
 /// Returns the part of `in_force` that a daemon may serve while it cannot know whether `staged` has
-/// come into force: the upstreams that both treat alike. See `docs/CONFIGURATION.md`.
+/// come into force: the upstreams, classes and teams that both treat alike.
+///
+/// What is left out gets no new work; what already runs goes on. See `docs/CONFIGURATION.md`.
 #[must_use]
 pub fn common(in_force: &Document, staged: &Document) -> Document {
     let mut kept = in_force.clone();
     kept.upstreams
         .retain(|name, upstream| staged.upstreams.get(name) == Some(upstream));
+    kept.classes
+        .retain(|name, class| staged.classes.get(name) == Some(class));
+    kept.teams
+        .retain(|name, team| staged.teams.get(name) == Some(team));
     kept
 }
 
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -1,5 +1,6 @@
 //! What one daemon needs to know to start.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use jsonc_parser::ast::Value;
@@ -22,7 +23,7 @@
 use crate::tree::Places;
 
 /// The settings of one daemon, read from a file at its start.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The name of the daemon, unique among all of both halves.
@@ -50,6 +51,22 @@
     pub drain_ms: u64,
 }
 
+/// Leaves the token out, so that no log or dump shows it.
+impl fmt::Debug for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Settings")
+            .field("daemon", &self.daemon)
+            .field("half", &self.half)
+            .field("place", &self.place)
+            .field("listen", &self.listen)
+            .field("advertise", &self.advertise)
+            .field("platform", &self.platform)
+            .field("observe", &self.observe)
+            .field("drain_ms", &self.drain_ms)
+            .finish_non_exhaustive()
+    }
+}
+
 /// The addresses the daemon listens on; port 0 takes a free one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/crates/conf/tests/all/accept/machines.rs
+++ b/crates/conf/tests/all/accept/machines.rs
@@ -12,7 +12,7 @@
 use conf::accept::change::Proposal;
 use conf::accept::change::Written;
 use conf::accept::explain::Three;
-use conf::accept::explain::overtaken;
+use conf::accept::explain::reply;
 use conf::accept::follower;
 use conf::accept::follower::Follower;
 use conf::accept::follower::Serve;
@@ -397,7 +397,7 @@
 }
 
 #[test]
-fn who_comes_second_is_told_what_changed_and_where_it_conflicts() {
+fn each_end_of_a_change_is_told_as_what_it_is() {
     let document = |percent: u8, tail: u32| {
         let mut document = Document::default();
         document.sharing.batch_percent = percent;
@@ -405,24 +405,34 @@
         document
     };
     let (base, ours, theirs) = (document(70, 1), document(60, 2), document(50, 1));
-    let three = Three {
-        base: &base,
-        ours: &ours,
-        theirs: &theirs,
+    let told = |outcome: Outcome| {
+        let three = Three {
+            base: &base,
+            ours: &ours,
+            theirs: &theirs,
+        };
+        reply(outcome, three).map_err(|problem| problem.outcome)
     };
-    let ApplyReply::Overtaken {
+    assert_eq!(
+        told(Outcome::NotRun("late")),
+        Err(model::outcome::Outcome::NotRun)
+    );
+    assert_eq!(
+        told(Outcome::Unknown),
+        Err(model::outcome::Outcome::Unknown)
+    );
+    let reply = told(Outcome::Overtaken(Some(current(2))));
+    let Ok(ApplyReply::Overtaken {
+        version,
         by,
         theirs,
         conflicts,
-        ..
-    } = overtaken(&current(2), three)
+    }) = reply
     else {
-        panic!("the change was overtaken");
+        panic!("{reply:?}");
     };
-    let pointers: Vec<&str> = conflicts.iter().map(|c| c.pointer.as_str()).collect();
-    assert_eq!(
-        (by.as_str(), pointers),
-        ("an", vec!["/sharing/batch_percent"])
-    );
+    assert_eq!((version, by.as_str()), (DocVersion(2), "an"));
     assert_eq!(theirs[0].summary, "sharing batch_percent: 70 becomes 50");
+    let pointers: Vec<&str> = conflicts.iter().map(|c| c.pointer.as_str()).collect();
+    assert_eq!(pointers, ["/sharing/batch_percent"]);
 }
--- a/crates/conf/tests/all/check.rs
+++ b/crates/conf/tests/all/check.rs
@@ -288,6 +288,30 @@
     }
 }
 
+#[test]
+fn doubt_between_two_documents_leaves_what_both_treat_alike() {
+    let read = |text: &str| check(text, &Context::default()).document.unwrap();
+    let (before, after) = (
+        read(SOUND),
+        read(
+            &SOUND
+                .replace(r#""half": "west", "r"#, r#""half": "east", "r"#)
+                .replace(r#"["r1"]"#, "[]"),
+        ),
+    );
+    let moved = diff::handovers(&before, &after);
+    assert_eq!(moved.len(), 1);
+    assert_eq!(
+        (moved[0].upstream.as_str(), moved[0].to.as_str()),
+        ("parts", "east")
+    );
+    for common in [diff::common(&before, &after), diff::common(&after, &before)] {
+        let left: Vec<&str> = common.upstreams.keys().map(|name| name.as_str()).collect();
+        assert_eq!(left, ["planning"]);
+        assert_eq!((common.classes.len(), common.teams.len()), (0, 1));
+    }
+}
+
 #[test]
 fn changes_are_by_value_and_conflict_where_both_touch_a_place() {
     let read = |text: &str| check(text, &Context::default()).document.unwrap();
--- a/crates/conf/tests/all/settings.rs
+++ b/crates/conf/tests/all/settings.rs
@@ -16,6 +16,7 @@
     let settings = load(SOUND).unwrap();
     assert_eq!(settings.daemon.as_str(), "limburg-1");
     assert_eq!(settings.drain_ms, 20_000);
+    assert!(!format!("{settings:?}").contains("0123456789abcdef"));
 }
 
 #[test]
