test(conf): a write that took effect and is told as a conflict

After a lost answer and another's write the table reports a conflict for a write that took effect. The proposer reads back before it concludes: 8892 states to depth 14 without a violation, and each of them can come to a good end.

--- a/crates/conf/src/accept/change.rs
+++ b/crates/conf/src/accept/change.rs
@@ -39,7 +39,9 @@
 pub enum Written {
     /// It took effect.
     Done,
-    /// It did not take effect and never will, because a row has moved on.
+    /// It will not take effect any more, because a row has moved on. It may have taken effect before
+    /// that, if an earlier answer was lost and the row has been written again since; the proposer
+    /// reads back before it concludes.
     Conflict,
     /// It did not take effect and never will, because the table refused it.
     Refused,
--- a/crates/conf/tests/all/accept/carry.rs
+++ b/crates/conf/tests/all/accept/carry.rs
@@ -150,6 +150,11 @@
                 self.carry_out(&write);
                 Written::Unknown
             }
+            Fate::Misreported => {
+                self.budget.lost_answers -= 1;
+                self.carry_out(&write);
+                Written::Conflict
+            }
             Fate::Late => {
                 self.budget.lost_answers -= 1;
                 self.late = Some(write);
--- a/crates/conf/tests/all/accept/world.rs
+++ b/crates/conf/tests/all/accept/world.rs
@@ -155,6 +155,8 @@
 pub enum Fate {
     Answered,
     AnswerLost,
+    /// It takes effect, but is told as a conflict, as after a lost answer and another's write.
+    Misreported,
     Late,
 }
 
@@ -235,6 +237,7 @@
                 steps.push(Step::Write(index, Fate::Answered));
                 if budget.lost_answers > 0 && self.reaches_store(index) {
                     steps.push(Step::Write(index, Fate::AnswerLost));
+                    steps.push(Step::Write(index, Fate::Misreported));
                     if self.late.is_none() {
                         steps.push(Step::Write(index, Fate::Late));
                     }
