fix(route): ids made up by a daemon are not taken for the caller's by the next one

A request without an id that was passed on got an intent row at the other daemon, and was refused there while the store was away.

--- a/crates/route/src/proxy/head.rs
+++ b/crates/route/src/proxy/head.rs
@@ -31,6 +31,8 @@
 /// The version of the document at the daemon that passed a request on.
 pub const VERSION: HeaderName = HeaderName::from_static("ff-version");
 
+/// Told by a daemon that passes a request on: its id was made up by a daemon, not by the caller.
+pub const ASSIGNED: HeaderName = HeaderName::from_static("ff-assigned-id");
 /// Told to a daemon that passed a request on: it had to wait for a slot.
 pub const WAITED: HeaderName = HeaderName::from_static("ff-waited");
 
@@ -54,6 +56,8 @@
 pub struct Intake {
     /// The id, if it gave one.
     pub id: Option<String>,
+    /// The id that another daemon made up for it.
+    pub assigned: Option<String>,
     /// Whether it may be run more than once.
     pub idempotent: bool,
     /// What the router needs to know.
@@ -96,8 +100,15 @@
             return Err(bad("ff-deadline-ms is not above 0"));
         }
         let hops = number(headers, &HOPS)?.unwrap_or_default();
+        let id = name(headers, &REQUEST_ID)?;
+        let (id, assigned) = if headers.contains_key(ASSIGNED) {
+            (None, id)
+        } else {
+            (id, None)
+        };
         Ok(Self {
-            id: name(headers, &REQUEST_ID)?,
+            id,
+            assigned,
             idempotent: idempotent(method, headers)?,
             arrival: Arrival {
                 path: path.to_owned(),
--- a/crates/route/src/proxy/job.rs
+++ b/crates/route/src/proxy/job.rs
@@ -60,7 +60,8 @@
         {
             head::set(&mut headers, header::HOST, authority.as_str());
         }
-        let id = intake.id.clone().unwrap_or_else(fresh_id);
+        let given = intake.id.clone().or_else(|| intake.assigned.clone());
+        let id = given.unwrap_or_else(fresh_id);
         head::set(&mut headers, head::REQUEST_ID, &id);
         let source = source(req.take_body(), intake.length, bounds).await?;
         Ok(Self {
@@ -83,6 +84,7 @@
         self.build(remaining, |headers| {
             headers.remove(head::HOPS);
             headers.remove(head::VERSION);
+            headers.remove(head::ASSIGNED);
         })
     }
 
@@ -94,9 +96,13 @@
     ) -> Option<Request<Outgoing>> {
         let hops = self.intake.arrival.hops.saturating_add(1);
         let version = version.max(self.intake.arrival.version);
+        let assigned = self.intake.id.is_none();
         self.build(remaining, |headers| {
             headers.insert(head::HOPS, u64::from(hops).into());
             headers.insert(head::VERSION, version.0.into());
+            if assigned {
+                head::set(headers, head::ASSIGNED, "true");
+            }
         })
     }
 
--- a/crates/route/src/proxy/mod.rs
+++ b/crates/route/src/proxy/mod.rs
@@ -206,6 +206,7 @@
     #[must_use]
     pub fn report(&self) -> Report {
         let mut report = self.inner.with(|router, _| router.report());
+        report.passing = self.inner.passing.load(Ordering::Acquire);
         report.far_bytes = self.inner.far_bytes.load(Ordering::Relaxed);
         report
     }
--- a/crates/route/src/report.rs
+++ b/crates/route/src/report.rs
@@ -70,6 +70,8 @@
     pub upstreams: BTreeMap<UpstreamId, UpstreamReport>,
     /// Requests that wait for a change of the tables.
     pub held: usize,
+    /// Requests that are being passed to another daemon.
+    pub passing: usize,
     /// Refusals by reason.
     pub refused: BTreeMap<String, u64>,
     /// Bytes of requests and answers that crossed between regions, as far as the data path counted.
