--- a/crates/route/tests/all/callers.rs
+++ b/crates/route/tests/all/callers.rs
@@ -11,6 +11,7 @@
 use crate::support::Executor;
 use crate::support::Store;
 use crate::support::caller;
+use crate::support::header;
 use crate::support::table;
 use crate::support::told;
 use crate::world::document;
@@ -114,6 +115,41 @@
     assert!(executor.most() <= 8, "{} at once", executor.most());
 }
 
+#[tokio::test]
+async fn headers_of_one_connection_are_not_handed_on_and_the_others_are() {
+    let executor = Executor::start(&[Act::Reflect]).await;
+    let daemon = Daemon::alone(&[&executor], table(Store::Up), Bounds::default()).await;
+    let answer = caller()
+        .put(daemon.url())
+        .header("connection", "x-secret, keep-alive")
+        .header("x-secret", "1")
+        .header("te", "trailers")
+        .header("expect", "100-continue")
+        .header("x-kept", "2")
+        .header("host", "plan.example")
+        .header("ff-request-id", "visit-1")
+        .header("ff-deadline-ms", "5000")
+        .header("ff-hops", "1")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(told(&answer, "keep-alive"), "");
+    assert_eq!(told(&answer, "ff-request-id"), "visit-1");
+    let head = answer.text().await.expect("a whole answer");
+    for absent in ["connection", "x-secret", "te", "expect", "ff-hops"] {
+        assert_eq!(header(&head, absent), None, "{absent}");
+    }
+    for (name, value) in [
+        ("x-kept", "2"),
+        ("host", "plan.example"),
+        ("ff-request-id", "visit-1"),
+    ] {
+        assert_eq!(header(&head, name).as_deref(), Some(value), "{name}");
+    }
+    let left = header(&head, "ff-deadline-ms").and_then(|ms| ms.parse().ok());
+    assert!(matches!(left, Some(1..=5_000)), "{left:?}");
+}
+
 #[tokio::test]
 async fn streamed_body_arrives_whole_over_both_protocols() {
     let executor = Executor::start(&[Act::Echo]).await;
@@ -158,6 +194,24 @@
     assert_eq!(told(&answer, "ff-outcome"), "answered");
 }
 
+#[tokio::test]
+async fn caller_that_hangs_up_within_its_body_leaves_no_slot_taken() {
+    let executor = Executor::start(&[Act::Echo]).await;
+    let daemon = Daemon::alone(&[&executor], table(Store::Up), Bounds::default()).await;
+    for _ in 0..10 {
+        let mut stream = TcpStream::connect(daemon.address).await.expect("a daemon");
+        let head = b"POST /plan HTTP/1.1\r\nhost: a\r\ncontent-length: 200000\r\n\r\npart";
+        stream.write_all(head).await.expect("sent");
+        while daemon.proxy.in_flight(&"plan".into()) == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        drop(stream);
+        daemon.idle().await;
+    }
+    assert_eq!(executor.seen(), 0, "no whole request arrived");
+    assert!(daemon.proxy.report().upstreams["plan"].ejected.is_empty());
+}
+
 #[tokio::test]
 async fn overload_refuses_early_with_retry_after() {
     let executor = Executor::start(&[Act::EchoAfter(Duration::from_millis(100))]).await;
--- a/crates/route/tests/all/support.rs
+++ b/crates/route/tests/all/support.rs
@@ -39,7 +39,9 @@
 pub enum Act {
     /// Answers with the request's id as the body.
     Echo,
-    /// Does the same after a while.
+    /// Answers with the head of the request as the body, and a header for this connection only.
+    Reflect,
+    /// Does the same as [`Act::Echo`] after a while.
     EchoAfter(Duration),
     /// Tells a length of 100 bytes and closes after 10.
     Cut,
@@ -143,6 +145,10 @@
     );
     let text = match act {
         Act::Echo => echo,
+        Act::Reflect => format!(
+            "HTTP/1.1 200 OK\r\nkeep-alive: timeout=5\r\ncontent-length: {}\r\n\r\n{head}",
+            head.len()
+        ),
         Act::EchoAfter(span) => {
             tokio::time::sleep(span).await;
             echo
@@ -170,7 +176,13 @@
     stream.write_all(text.as_bytes()).await?;
     Ok(matches!(
         act,
-        Act::Echo | Act::EchoAfter(_) | Act::Redirect | Act::Foreign | Act::Refuse | Act::Error
+        Act::Echo
+            | Act::Reflect
+            | Act::EchoAfter(_)
+            | Act::Redirect
+            | Act::Foreign
+            | Act::Refuse
+            | Act::Error
     ))
 }
 
