--- a/crates/measure/src/routing/cost.rs
+++ b/crates/measure/src/routing/cost.rs
@@ -5,6 +5,7 @@
 use model::Mono;
 use route::Router;
 use route::config::Limits;
+use route::router::TICK;
 use route::verdict::Arrival;
 use route::verdict::Finish;
 use route::verdict::Grant;
@@ -20,7 +21,11 @@
 const TARGET: usize = 660;
 /// The cost of the decisions about one request that issue 4 asks for, in microseconds.
 const TARGET_US: f64 = 2.0;
+/// The part of a core that the router's timer may take: a tenth of what a node may spend on control.
+const TARGET_TICK_CORE: f64 = 0.003;
 const ROUNDS: usize = 7;
+const TICKS: u32 = 2_000;
+const CHANGES: u32 = 50;
 const REQUESTS: usize = 200_000;
 
 /// Returns the cost per request, from arrival to the end of its send.
@@ -45,9 +50,50 @@
             TARGET_US,
         )
         .baseline(today_waiting),
+        Figure::at_most("timer-660-executors", timer(), "core", TARGET_TICK_CORE),
+        Figure::reported("member-change-660-executors", member_change(), "us"),
     ]
 }
 
+/// Returns the part of a core that the router's timer takes with a queue that is not empty.
+fn timer() -> f64 {
+    let scenario = Scenario {
+        executors: TARGET,
+        ..Scenario::usual()
+    };
+    let mut router = router(&scenario, 0, Limits::default());
+    let now = Mono(1);
+    while let Verdict::Send(_) = router.arrive(&arrival(true), now) {}
+    for _ in 0..100 {
+        router.arrive(&arrival(true), now);
+    }
+    let started = Instant::now();
+    for _ in 0..TICKS {
+        router.tick(black_box(now));
+    }
+    started.elapsed().as_secs_f64() / f64::from(TICKS) / TICK.as_secs_f64()
+}
+
+/// Returns what it takes to divide all slots anew, in microseconds.
+fn member_change() -> f64 {
+    let scenario = Scenario {
+        executors: TARGET,
+        daemons: 9,
+        ..Scenario::usual()
+    };
+    let mut router = router(&scenario, 0, Limits::default());
+    let started = Instant::now();
+    for change in 0..CHANGES {
+        let lost = (change % 2 == 0).then_some(8);
+        let update = route::RouteUpdate {
+            members: Some(super::policy::members(&scenario, lost)),
+            ..route::RouteUpdate::default()
+        };
+        router.update(update, Mono(u64::from(change)));
+    }
+    started.elapsed().as_secs_f64() * 1e6 / f64::from(CHANGES)
+}
+
 /// Makes a request; one that was passed on before waits here instead of being passed on again.
 fn arrival(queued: bool) -> Arrival {
     Arrival {
