fix(route): a planned stop waits until the outcomes of its requests are recorded

A daemon that stopped right after an answer left the row of its request at sending. drained() now counts the writes under way; the tests of repeated ids wait for it instead of polling, so that they would fail if a record came late.

--- a/crates/route/src/proxy/intent.rs
+++ b/crates/route/src/proxy/intent.rs
@@ -99,7 +99,12 @@
             return;
         };
         let inner = Arc::clone(&self.inner);
-        runtime.spawn(async move { inner.replace(&intent, state).await });
+        inner.recording.fetch_add(1, Ordering::AcqRel);
+        runtime.spawn(async move {
+            inner.replace(&intent, state).await;
+            inner.recording.fetch_sub(1, Ordering::AcqRel);
+            inner.ended.notify_waiters();
+        });
     }
 }
 
--- a/crates/route/src/proxy/mod.rs
+++ b/crates/route/src/proxy/mod.rs
@@ -71,6 +71,8 @@
     store_rest: AtomicU64,
     /// Requests that are being passed to another daemon.
     passing: AtomicUsize,
+    /// Outcomes that are being recorded in the table.
+    recording: AtomicUsize,
     /// Bytes that crossed between regions, both ways.
     far_bytes: Arc<AtomicU64>,
     /// Tells whoever waits for the end of a drain that a request has ended.
@@ -103,6 +105,7 @@
                 sequence: AtomicU64::new(0),
                 store_rest: AtomicU64::new(0),
                 passing: AtomicUsize::new(0),
+                recording: AtomicUsize::new(0),
                 far_bytes: Arc::new(AtomicU64::new(0)),
                 ended: Notify::new(),
             }),
@@ -147,7 +150,7 @@
         self.inner.with(|router, _| router.drain());
     }
 
-    /// Waits until no request is in progress.
+    /// Waits until no request is in progress and the outcomes of all are recorded.
     pub async fn drained(&self) {
         loop {
             let ended = self.inner.ended.notified();
@@ -158,11 +161,13 @@
         }
     }
 
-    /// Returns how many requests are in progress, waiting ones included.
+    /// Returns how many requests are in progress, waiting ones and those whose outcome is being
+    /// recorded included.
     #[must_use]
     pub fn unfinished(&self) -> usize {
         let routed = self.inner.with(|router, _| router.unfinished());
-        routed + self.inner.passing.load(Ordering::Acquire)
+        let passing = self.inner.passing.load(Ordering::Acquire);
+        routed + passing + self.inner.recording.load(Ordering::Acquire)
     }
 
     /// Returns how many requests are in progress at executors of an upstream.
--- a/crates/route/tests/all/at_most_once.rs
+++ b/crates/route/tests/all/at_most_once.rs
@@ -62,13 +62,9 @@
         let daemon = Daemon::alone(&[&executor], table(Store::Up), Bounds::default()).await;
         let told = order(&daemon, "order-1").await;
         assert_eq!((told.0, told.1.as_str()), first);
-        let mut again = order(&daemon, "order-1").await;
-        while again.1 != recorded {
-            assert_eq!(again, (409, "unknown".to_owned()), "not recorded yet");
-            tokio::time::sleep(Duration::from_millis(5)).await;
-            again = order(&daemon, "order-1").await;
-        }
-        assert_eq!(again.0, 409);
+        daemon.idle().await;
+        let again = order(&daemon, "order-1").await;
+        assert_eq!(again, (409, recorded.to_owned()));
         assert_eq!(executor.seen(), 1);
     }
 }
@@ -116,11 +112,8 @@
     let daemon = Daemon::alone(&[&refusing], table(Store::Up), Bounds::default()).await;
     let told = order(&daemon, "order-1").await;
     assert_eq!(told, (503, "not-run".to_owned()));
-    let mut again = order(&daemon, "order-1").await;
-    while again.0 == 409 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-        again = order(&daemon, "order-1").await;
-    }
+    daemon.idle().await;
+    let again = order(&daemon, "order-1").await;
     assert_eq!(again, (200, "answered".to_owned()));
     assert_eq!(refusing.seen(), 4);
 }
