--- a/crates/route/tests/all/handover.rs
+++ b/crates/route/tests/all/handover.rs
@@ -3,6 +3,7 @@
 use route::report::Phase;
 use route::verdict::Arrival;
 use route::verdict::Finish;
+use route::verdict::Reason;
 use route::verdict::Verdict;
 use route::view::RouteUpdate;
 
@@ -128,7 +129,7 @@
     list[0].state = plat::hosts::HostState::Leaving;
     let leaving = list[0].id.clone();
     let update = RouteUpdate {
-        executors: Some(list),
+        executors: Some(list.clone()),
         ..RouteUpdate::default()
     };
     router.update(update, Mono(2));
@@ -138,4 +139,14 @@
     let after = crate::world::fill(&mut router, Mono(4));
     assert_eq!(after.len(), 8);
     assert!(after.iter().all(|grant| grant.name != leaving));
+    list[1].state = plat::hosts::HostState::Leaving;
+    let all = RouteUpdate {
+        executors: Some(list),
+        ..RouteUpdate::default()
+    };
+    router.update(all, Mono(5));
+    assert!(
+        matches!(router.arrive(&arrival(), Mono(6)), Verdict::Refuse(refusal)
+        if refusal.reason == Reason::NoExecutor)
+    );
 }
