--- a/crates/route/src/router/tables.rs
+++ b/crates/route/src/router/tables.rs
@@ -323,12 +323,12 @@
     }
 
     /// Decides anew about the requests that wait: those held for a change of the tables, and those
-    /// in the queues of upstreams that this daemon no longer serves.
+    /// in the queues of upstreams that this daemon no longer serves, or nobody does.
     fn reconsider(&mut self, now: Mono) {
         let mut again: Vec<Ticket> = std::mem::take(&mut self.held);
         for upstream in self.upstreams.values_mut() {
             let serves = matches!(upstream.phase, Phase::Owned | Phase::Waiting);
-            if !serves || !upstream.present {
+            if !serves || !upstream.present || upstream.executors == 0 {
                 while let Some(ticket) = upstream.queue.pop(now) {
                     again.push(ticket);
                 }
