--- a/crates/route/src/proxy/mod.rs
+++ b/crates/route/src/proxy/mod.rs
@@ -71,6 +71,8 @@
     store_rest: AtomicU64,
     /// Requests that are being passed to another daemon.
     passing: AtomicUsize,
+    /// Outcomes that are being recorded in the table.
+    recording: AtomicUsize,
     /// Bytes that crossed between regions, both ways.
     far_bytes: Arc<AtomicU64>,
     /// Tells whoever waits for the end of a drain that a request has ended.
@@ -103,6 +105,7 @@
                 sequence: AtomicU64::new(0),
                 store_rest: AtomicU64::new(0),
                 passing: AtomicUsize::new(0),
+                recording: AtomicUsize::new(0),
                 far_bytes: Arc::new(AtomicU64::new(0)),
                 ended: Notify::new(),
             }),
@@ -147,7 +150,7 @@
         self.inner.with(|router, _| router.drain());
     }
 
-    /// Waits until no request is in progress.
+    /// Waits until no request is in progress and the outcomes of all are recorded.
     pub async fn drained(&self) {
         loop {
             let ended = self.inner.ended.notified();
@@ -158,12 +161,14 @@
         }
     }
 
-    /// Returns how many requests are in progress, waiting ones included.
+    /// Returns how many requests are in progress, waiting ones and those whose outcome is being
+    /// recorded included.
     #[must_use]
     pub fn unfinished(&self) -> usize {
         // Not through `Inner::with`, which would wake `Proxy::drained` by its own question.
         let routed = self.inner.lock().router.unfinished();
-        routed + self.inner.passing.load(Ordering::Acquire)
+        let passing = self.inner.passing.load(Ordering::Acquire);
+        routed + passing + self.inner.recording.load(Ordering::Acquire)
     }
 
     /// Returns how many requests are in progress at executors of an upstream.
@@ -207,6 +212,7 @@
     #[must_use]
     pub fn report(&self) -> Report {
         let mut report = self.inner.with(|router, _| router.report());
+        report.passing = self.inner.passing.load(Ordering::Acquire);
         report.far_bytes = self.inner.far_bytes.load(Ordering::Relaxed);
         report
     }
--- a/crates/route/src/proxy/serve.rs
+++ b/crates/route/src/proxy/serve.rs
@@ -388,9 +388,10 @@
     response.headers().contains_key(head::WAITED) || says_not_run(response)
 }
 
+/// Whether a daemon's outcome or an executor's refusal says that the request was not run; see
+/// `docs/PLATFORM.md`.
 fn says_not_run(response: &Response<Incoming>) -> bool {
-    response
-        .headers()
-        .get(head::OUTCOME)
-        .is_some_and(|value| value == "not-run")
+    let headers = response.headers();
+    let outcome = headers.get(head::OUTCOME);
+    outcome.is_some_and(|value| value == "not-run") || headers.contains_key(plat::client::REFUSED)
 }
