test(lease): model check of the task protocol by breadth-first search

Two daemons, two workers, two tasks and a table run the product's own machines. Found on the way: an eviction whose worker forgets the run counted as resumed from the checkpoint; it now counts as stopped. A paused or partitioned owner, late and repeated calls, lost answers, crashes and restarts violate no rule in the scenarios explored; five deliberately broken rules are each noticed.

--- a/crates/lease/src/agent.rs
+++ b/crates/lease/src/agent.rs
@@ -269,6 +269,24 @@
         &self.runs
     }
 
+    /// Returns the epoch that it obeys.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns the sequence of the last message that it carried out under its epoch.
+    #[must_use]
+    pub const fn last_message(&self) -> u64 {
+        self.message
+    }
+
+    /// Returns the sequence of the last report that it made.
+    #[must_use]
+    pub const fn last_report(&self) -> u64 {
+        self.report
+    }
+
     /// Returns when the lease lapses.
     #[must_use]
     pub const fn lease_until(&self) -> Mono {
--- a/crates/lease/src/owner/task.rs
+++ b/crates/lease/src/owner/task.rs
@@ -15,8 +15,10 @@
 pub(super) enum End {
     Succeeded,
     Failed,
-    /// Stopped by its worker, or certain never to start there.
+    /// Reported as stopped by its worker.
     Stopped,
+    /// No longer known to its worker, or certain never to start there.
+    Gone,
     /// The last lease of its worker has certainly lapsed.
     WorkerLost,
 }
@@ -66,13 +68,19 @@
         }
     }
 
+    /// Whether it was stopped for an eviction. A run that its worker has forgotten goes on from an
+    /// older checkpoint instead.
+    pub fn was_evicted(&self) -> bool {
+        self.evict && self.end == Some(End::Stopped)
+    }
+
     /// Takes in what a report of the agent's `life`, made in answer to message `sequence`, says.
     pub fn observe(&mut self, report: Option<&RunReport>, life: u32, sequence: u64) {
         let Some(report) = report else {
             let other_life = self.life.is_some_and(|granted| granted != life);
             let passed = self.barrier.is_some_and(|barrier| sequence >= barrier);
             if self.end.is_none() && (self.seen || other_life || passed) {
-                self.end = Some(End::Stopped);
+                self.end = Some(End::Gone);
             }
             return;
         };
@@ -147,7 +155,7 @@
         match self.run.as_ref() {
             Some(run) if run.end == Some(End::Failed) => Cause::Failed,
             Some(run) if run.end == Some(End::WorkerLost) => Cause::WorkerLost,
-            Some(run) if run.evict => Cause::Evicted,
+            Some(run) if run.was_evicted() => Cause::Evicted,
             _ => Cause::Stopped,
         }
     }
@@ -157,7 +165,7 @@
             End::Succeeded => self.with_phase(Phase::Succeeded),
             _ if self.cancel => self.with_phase(Phase::Cancelled),
             End::Failed => self.failed(),
-            End::Stopped | End::WorkerLost => self.requeued(),
+            End::Stopped | End::Gone | End::WorkerLost => self.requeued(),
         }
     }
 
@@ -177,7 +185,7 @@
         let mut row = self.with_phase(Phase::Queued);
         if let Some(run) = &self.run {
             row.checkpoint = run.checkpoint.clone().or(row.checkpoint);
-            row.evictions += u32::from(run.evict && run.end == Some(End::Stopped));
+            row.evictions += u32::from(run.was_evicted());
         }
         row
     }
--- /dev/null
+++ b/crates/lease/tests/all/model_check.rs
@@ -0,0 +1,199 @@
+use crate::spec::explore::Report;
+use crate::spec::explore::explore;
+use crate::spec::step::Fault;
+use crate::spec::step::Step;
+use crate::spec::world::Broken;
+use crate::spec::world::Budget;
+use crate::spec::world::World;
+
+const NONE: Budget = Budget {
+    all: 0,
+    network: 0,
+    takeovers: 0,
+    crashes: 0,
+    pauses: 0,
+    outages: 0,
+    cuts: 0,
+    restarts: 0,
+    evictions: 0,
+    cancellations: 0,
+    waits: 0,
+};
+const ANY: Budget = Budget {
+    all: 1,
+    network: 1,
+    takeovers: 1,
+    crashes: 1,
+    pauses: 1,
+    outages: 1,
+    cuts: 1,
+    restarts: 1,
+    evictions: 1,
+    cancellations: 1,
+    waits: 2,
+};
+/// A late, lost or repeated call.
+const NETWORK: Budget = Budget {
+    all: 1,
+    network: 1,
+    ..NONE
+};
+
+/// Both tasks are granted and run, `crest` on worker 0.
+const RUNNING: [Step; 4] = [
+    Step::Commit(0),
+    Step::Commit(0),
+    Step::Message(0, 0),
+    Step::Message(0, 1),
+];
+
+/// Daemon 0 and worker 0 lose daemon 1, worker 1 and the store, and daemon 1 takes the shard.
+const PARTITION: [Step; 4] = [
+    Step::StoreAway(0),
+    Step::Cut(0, 1),
+    Step::Cut(1, 0),
+    Step::TakeOver(1),
+];
+
+fn check(name: &str, steps: &[Step], budget: Budget, broken: Broken) -> Report {
+    let start = World::new(budget, broken).after(steps, broken);
+    let report = explore(start, broken);
+    println!(
+        "{name}: {} states, depth {}, {} good ends, {} run on, {} stuck",
+        report.states, report.depth, report.good_ends, report.run_on, report.stuck
+    );
+    if let Some((rule, steps)) = &report.violation {
+        println!("  {rule}: {steps:?}");
+    } else if let Some(steps) = &report.stuck_after {
+        println!("  no good end after: {steps:?}");
+    }
+    report
+}
+
+fn holds(name: &str, steps: &[Step], budget: Budget) {
+    let report = check(name, steps, budget, Broken::Nothing);
+    assert_eq!(report.violation, None);
+    assert_eq!(report.stuck, 0);
+    assert!(report.good_ends > 0);
+}
+
+/// The broken rule is noticed, and the same states without it are sound.
+fn is_caught(steps: &[Step], budget: Budget, broken: Broken, rule: &str) {
+    let report = check(&format!("{broken:?}"), steps, budget, broken);
+    let (violated, _) = report.violation.expect("the broken rule goes unnoticed");
+    assert!(violated.contains(rule), "{violated}");
+    holds("  the same, unbroken", steps, budget);
+}
+
+#[test]
+fn any_two_disturbances_of_one_owner() {
+    let budget = Budget {
+        all: 2,
+        network: 2,
+        takeovers: 0,
+        ..ANY
+    };
+    holds("any two, one owner", &[], budget);
+}
+
+#[test]
+fn any_disturbance_with_a_takeover() {
+    holds("any one, takeover", &[], ANY);
+}
+
+#[test]
+fn any_disturbance_of_running_tasks_with_a_takeover() {
+    holds("any one, tasks run", &RUNNING, Budget { waits: 3, ..ANY });
+}
+
+#[test]
+fn a_takeover_from_an_owner_that_goes_on() {
+    let steps = [RUNNING.as_slice(), PARTITION.as_slice()].concat();
+    holds("owner goes on", &steps, Budget { waits: 6, ..NONE });
+}
+
+#[test]
+fn a_paused_owner_that_acts_after_its_lease() {
+    let paused = [Step::Evict(0, "crest"), Step::Pause(0), Step::TakeOver(1)];
+    let steps = [RUNNING.as_slice(), paused.as_slice()].concat();
+    holds(
+        "paused owner",
+        &steps,
+        Budget {
+            waits: 3,
+            ..NETWORK
+        },
+    );
+}
+
+#[test]
+fn a_crash_in_the_middle_of_an_eviction() {
+    let crash = [Step::Evict(0, "crest"), Step::Crash(0), Step::TakeOver(1)];
+    let steps = [RUNNING.as_slice(), crash.as_slice()].concat();
+    holds(
+        "crash while evicting",
+        &steps,
+        Budget {
+            waits: 2,
+            ..NETWORK
+        },
+    );
+}
+
+#[test]
+fn broken_epochs_are_caught() {
+    let steps = [
+        Step::Commit(0),
+        Step::Commit(0),
+        Step::Pause(0),
+        Step::TakeOver(1),
+    ];
+    is_caught(
+        &steps,
+        Budget { waits: 1, ..NONE },
+        Broken::EpochUnchecked,
+        "twice",
+    );
+}
+
+#[test]
+fn a_takeover_without_waiting_is_caught() {
+    let steps = [RUNNING.as_slice(), PARTITION.as_slice()].concat();
+    let budget = Budget { waits: 4, ..NONE };
+    is_caught(
+        &steps,
+        budget,
+        Broken::TakeoverWithoutWaiting,
+        "twice at once",
+    );
+}
+
+#[test]
+fn a_lease_counted_from_receipt_is_caught() {
+    let late = Step::MessageFault(0, 0, Fault::Late);
+    let steps = [Step::Commit(0), Step::Commit(0), late, Step::Cut(0, 0)];
+    let budget = Budget { waits: 3, ..NONE };
+    is_caught(&steps, budget, Broken::LeaseFromReceipt, "twice");
+}
+
+#[test]
+fn unordered_messages_are_caught() {
+    let budget = Budget {
+        all: 2,
+        evictions: 1,
+        waits: 1,
+        ..NETWORK
+    };
+    is_caught(&[], budget, Broken::MessagesUnordered, "twice");
+}
+
+#[test]
+fn unchecked_rows_are_caught() {
+    let budget = Budget {
+        all: 2,
+        evictions: 1,
+        waits: 2,
+        ..NETWORK
+    };
+    is_caught(&[], budget, Broken::RowsUnchecked, "went back");
+}
--- /dev/null
+++ b/crates/lease/tests/all/spec/store.rs
@@ -0,0 +1,57 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use model::id::RowVersion;
+use plat::settle::Settled;
+use plat::table::Row;
+use plat::table::Txn;
+
+/// The platform's table.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Store {
+    rows: BTreeMap<String, Arc<Row>>,
+    versions: BTreeMap<String, RowVersion>,
+}
+
+impl Store {
+    pub fn commit(&mut self, txn: &Txn) -> Settled {
+        for check in &txn.checks {
+            let row = self.rows.get(&check.key);
+            if row.map_or(RowVersion(0), |row| row.version) != check.version {
+                let (key, row) = (check.key.clone(), row.map(|row| Row::clone(row)));
+                return Settled::Conflict { key, row };
+            }
+        }
+        for write in &txn.writes {
+            let version = self.versions.entry(write.key.clone()).or_default();
+            *version = version.next();
+            let row = write.value.clone().map(|value| Row {
+                key: write.key.clone(),
+                value,
+                version: *version,
+                op: txn.op.clone(),
+            });
+            match row {
+                Some(row) => self.rows.insert(write.key.clone(), Arc::new(row)),
+                None => self.rows.remove(&write.key),
+            };
+        }
+        Settled::Committed
+    }
+
+    pub fn read(&self, key: &str) -> Option<&Row> {
+        self.rows.get(key).map(Arc::as_ref)
+    }
+
+    pub fn scan(&self, prefix: &str) -> Vec<Row> {
+        let rows = self.rows.values();
+        rows.filter(|row| row.key.starts_with(prefix))
+            .map(|row| Row::clone(row))
+            .collect()
+    }
+
+    pub fn parsed<T: serde::de::DeserializeOwned>(&self, key: &str) -> Option<T> {
+        let row = self.read(key)?;
+        Some(serde_json::from_value(row.value.clone()).expect("rows of this crate parse"))
+    }
+}
