--- /dev/null
+++ b/crates/lease/tests/all/ownership.rs
@@ -0,0 +1,187 @@
+use std::time::Duration;
+
+use lease::claim::Claimer;
+use lease::claim::Decision;
+use lease::claim::ShardView;
+use lease::record::Addresses;
+use lease::record::MemberRow;
+use lease::record::Owner;
+use lease::record::ShardRow;
+use lease::watch::Watch;
+use model::Mono;
+use model::Set;
+use model::id::DocVersion;
+use model::id::Epoch;
+use model::id::Incarnation;
+use model::id::RowVersion;
+use model::place::Place;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+const SEED: u64 = 20_261_203;
+
+fn member(daemon: &str, place: (&str, &str), beat: u64, draining: bool) -> MemberRow {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    MemberRow {
+        daemon: daemon.into(),
+        incarnation: Incarnation(1),
+        beat,
+        half: "rsh".into(),
+        place: Place::new(place.0, place.1),
+        addresses: Addresses {
+            callers: address,
+            peers: address,
+        },
+        draining,
+        staged: DocVersion(0),
+        in_force: DocVersion(0),
+    }
+}
+
+fn owner(daemon: &str) -> Owner {
+    Owner {
+        daemon: daemon.into(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn shard(name: &str, place: (&str, &str), holder: Option<&str>) -> ShardView {
+    let row = holder.map(|daemon| ShardRow {
+        owner: Some(owner(daemon)),
+        epoch: Epoch(1),
+        settled: false,
+    });
+    ShardView {
+        shard: name.into(),
+        place: Place::new(place.0, place.1),
+        version: RowVersion(u64::from(row.is_some())),
+        row,
+    }
+}
+
+#[test]
+fn a_heartbeat_lapses_over_successful_reads_only() {
+    // Seconds at which the rows were read, and whether a heartbeat that stood still has lapsed.
+    let cases: [(&[u64], bool); 5] = [
+        (&[0, 2, 4], false),
+        (&[0, 2, 4, 6], true),
+        (&[0, 60], false),
+        (&[0, 2, 62, 64], false),
+        (&[0, 2, 62, 64, 66], true),
+    ];
+    for (reads, expected) in cases {
+        let mut watch = Watch::default();
+        for at in reads {
+            let at = Mono(at * 1000);
+            watch.observe([member("d0", ("limburg", "genk"), 7, false)], at, at);
+        }
+        assert_eq!(watch.has_lapsed(&owner("d0")), expected, "{reads:?}");
+        assert_eq!(watch.live().count(), usize::from(!expected), "{reads:?}");
+    }
+}
+
+#[test]
+fn a_slow_read_counts_from_its_answer_to_the_next_sending() {
+    let mut watch = Watch::default();
+    for sent in [0, 4, 8, 12] {
+        let row = member("d0", ("limburg", "genk"), 7, false);
+        watch.observe([row], Mono(sent * 1000), Mono(sent * 1000 + 3000));
+    }
+    assert_eq!(watch.still(&"d0".into()), Duration::from_secs(3));
+}
+
+#[test]
+fn an_earlier_life_of_a_daemon_has_lapsed() {
+    let mut watch = Watch::default();
+    let mut row = member("d0", ("limburg", "genk"), 0, false);
+    row.incarnation = Incarnation(2);
+    watch.observe([row], Mono(0), Mono(0));
+    assert!(watch.has_lapsed(&owner("d0")));
+}
+
+fn taken(claimer: &mut Claimer, watch: &Watch, shards: &[ShardView], now: Mono) -> Vec<String> {
+    let decisions = claimer.decide(watch, shards, &Set::default(), now);
+    let claims = decisions.into_iter().filter_map(|decision| match decision {
+        Decision::Take(claim) => Some(claim.claimed.shard.to_string()),
+        _ => None,
+    });
+    claims.collect()
+}
+
+#[test]
+fn the_owner_stands_in_the_region_but_in_another_data_centre() {
+    let near = ("vlaanderen", "limburg");
+    let cases: [(&[(&str, (&str, &str))], &str); 3] = [
+        (&[("a", near), ("b", ("vlaanderen", "antwerpen"))], "b"),
+        (&[("a", near), ("c", ("wallonie", "namur"))], "a"),
+        (&[("c", ("wallonie", "namur"))], "c"),
+    ];
+    for (daemons, expected) in cases {
+        let mut watch = Watch::default();
+        let rows = daemons
+            .iter()
+            .map(|(name, place)| member(name, *place, 0, false));
+        watch.observe(rows, Mono(0), Mono(0));
+        for (name, _) in daemons {
+            let mut claimer = Claimer::new(owner(name));
+            let got = taken(&mut claimer, &watch, &[shard("rack", near, None)], Mono(0));
+            assert_eq!(got.len(), usize::from(*name == expected), "{daemons:?}");
+        }
+    }
+}
+
+#[test]
+fn another_daemon_steps_in_where_the_first_does_not_claim() {
+    let place = ("vlaanderen", "limburg");
+    let mut watch = Watch::default();
+    let names = ["a", "b"];
+    watch.observe(
+        names.map(|name| member(name, place, 0, false)),
+        Mono(0),
+        Mono(0),
+    );
+    let shards = [shard("rack", place, None)];
+    for name in names {
+        let mut claimer = Claimer::new(owner(name));
+        taken(&mut claimer, &watch, &shards, Mono(0));
+        let later = taken(&mut claimer, &watch, &shards, Mono(5000));
+        assert_eq!(later, ["rack"], "{name}");
+    }
+}
+
+#[test]
+fn a_draining_daemon_gives_its_shards_back() {
+    let place = ("vlaanderen", "limburg");
+    let mut watch = Watch::default();
+    let rows = [member("a", place, 0, true), member("b", place, 0, false)];
+    watch.observe(rows, Mono(0), Mono(0));
+    let shards = [shard("r0", place, Some("a")), shard("r1", place, Some("b"))];
+    let running = shards.iter().map(|view| view.shard.clone()).collect();
+    let given = Claimer::new(owner("a")).decide(&watch, &shards, &running, Mono(0));
+    assert_eq!(given, [Decision::GiveBack("r0".into())]);
+}
+
+#[test]
+fn every_free_shard_is_claimed_by_exactly_one_daemon_and_evenly() {
+    fn property(daemons: u8, shards: u8) -> bool {
+        let (daemons, shards) = (usize::from(daemons % 9) + 1, usize::from(shards));
+        let place = ("vlaanderen", "limburg");
+        let names: Vec<String> = (0..daemons).map(|number| format!("d{number}")).collect();
+        let mut watch = Watch::default();
+        let rows = names.iter().map(|name| member(name, place, 0, false));
+        watch.observe(rows, Mono(0), Mono(0));
+        let views: Vec<ShardView> = (0..shards)
+            .map(|number| shard(&format!("r{number}"), place, None))
+            .collect();
+        let counts: Vec<usize> = names
+            .iter()
+            .map(|name| taken(&mut Claimer::new(owner(name)), &watch, &views, Mono(0)).len())
+            .collect();
+        let even = shards.div_ceil(daemons);
+        counts.iter().sum::<usize>() == shards && counts.iter().all(|count| *count <= even)
+    }
+    println!("seed {SEED}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, SEED))
+        .quickcheck(property as fn(u8, u8) -> bool);
+}
