fix(lease): a grant settled after its worker was lost is requeued

A worker whose lease had lapsed was not looked at again, so that a grant whose lost answer was settled later, or a row read after an operator had declared the worker lost, stayed assigned for ever. Found by reading; four focused tests added.

--- a/crates/lease/src/owner/commit.rs
+++ b/crates/lease/src/owner/commit.rs
@@ -81,7 +81,10 @@
                 actions.push(Action::Commit(op.txn.clone()));
             }
         }
-        if !self.loaded || !self.store_reachable || now < self.hold_until {
+        if self.hold_until.is_some_and(|at| at <= now) {
+            self.hold_until = None;
+        }
+        if !self.loaded || !self.store_reachable || self.hold_until.is_some() {
             return;
         }
         if self.giving_back {
@@ -149,7 +152,7 @@
             }
             Settled::Conflict { key, row } => self.conflicted(op, &key, row, actions),
             Settled::Refused(_) if !doubted => {
-                self.hold_until = now.after(DOUBT_RETRY);
+                self.hold_until = Some(now.after(DOUBT_RETRY));
                 self.unlock(&op.kind);
                 give_up(&op.kind, Refusal::ByTable, actions);
             }
@@ -227,7 +230,10 @@
                 }
             }
             Kind::HandOff { task, to } => {
-                self.tasks.remove(&task);
+                // A cancellation that came meanwhile has to go to the other shard's owner.
+                if self.tasks.remove(&task).is_some_and(|left| left.cancel) {
+                    refuse(&task, Refusal::UnknownTask, actions);
+                }
                 actions.push(Action::Notify(Fact::HandedOff { task, to }));
             }
             Kind::GiveBack => self.stop(Reason::GivenBack, actions),
--- a/crates/lease/src/owner/messages.rs
+++ b/crates/lease/src/owner/messages.rs
@@ -81,13 +81,20 @@
     }
 
     /// Requeues what a worker ran whose last lease has certainly lapsed.
+    ///
+    /// A grant whose write was in doubt when that happened can come about later; it is ended here
+    /// before anything of it is sent.
     pub(super) fn lapse_workers(&mut self, now: Mono, actions: &mut Vec<Action>) {
         let (since, prior) = (self.since, self.claimed.prior);
-        let lapsed: Vec<WorkerId> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| !worker.lapsed)
-            .filter(|(_, worker)| now >= worker.grants_lapse(since, prior, &self.timing))
+        let due = |name: &WorkerId, worker: &Worker| {
+            if worker.lapsed {
+                return self.has_runs(name);
+            }
+            now >= worker.grants_lapse(since, prior, &self.timing)
+        };
+        let workers = self.workers.iter();
+        let lapsed: Vec<WorkerId> = workers
+            .filter(|(name, worker)| due(name, worker))
             .map(|(name, _)| name.clone())
             .collect();
         for name in lapsed {
@@ -100,7 +107,11 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        worker.lapse();
+        if !worker.lapsed {
+            worker.lapse();
+            let worker = name.clone();
+            actions.push(Action::Notify(Fact::WorkerLapsed { worker }));
+        }
         for task in self.tasks.values_mut() {
             if task.row.worker() == Some(name)
                 && let Some(run) = &mut task.run
@@ -108,8 +119,6 @@
                 run.end.get_or_insert(End::WorkerLost);
             }
         }
-        let worker = name.clone();
-        actions.push(Action::Notify(Fact::WorkerLapsed { worker }));
     }
 
     /// Sends every message that is due.
--- a/crates/lease/src/owner/mod.rs
+++ b/crates/lease/src/owner/mod.rs
@@ -63,8 +63,8 @@
     ops: BTreeMap<u64, Op>,
     /// Counts the transactions, for their ids.
     last_op: u64,
-    /// No new transaction before then, after one was refused.
-    hold_until: Mono,
+    /// When the next transaction may be begun, after one was refused.
+    hold_until: Option<Mono>,
 }
 
 impl ShardOwner {
@@ -84,7 +84,7 @@
             workers: BTreeMap::new(),
             ops: BTreeMap::new(),
             last_op: 0,
-            hold_until: Mono::ZERO,
+            hold_until: None,
         }
     }
 
@@ -121,7 +121,10 @@
                 answer,
             } => self.answered(&worker, sequence, answer, now, actions),
             Event::Listed(list) => self.list(list, actions),
-            Event::Lost(worker) => self.lose(&worker, actions),
+            Event::Lost(worker) => {
+                self.workers.entry(worker.clone()).or_default();
+                self.lose(&worker, actions);
+            }
             Event::Store { reachable } => self.store_reachable = reachable,
             Event::Submit(spec) => self.submit(spec, actions),
             Event::Cancel(task) => self.cancel(&task, actions),
@@ -314,7 +317,8 @@
             .filter(|(name, worker)| !worker.lapsed && self.has_runs(name))
             .map(|(_, worker)| worker.grants_lapse(self.since, self.claimed.prior, &self.timing));
         let retries = self.ops.values().filter_map(|op| op.retry_at);
-        let earliest = sends.chain(lapses).chain(retries).min();
+        let timers = sends.chain(lapses).chain(retries);
+        let earliest = timers.chain(self.hold_until).min();
         earliest.map_or(limit, |at| at.min(limit))
     }
 
--- a/crates/lease/tests/all/fixture.rs
+++ b/crates/lease/tests/all/fixture.rs
@@ -97,12 +97,17 @@
 
     /// Replaces the owner by a successor; what the earlier one had under way is lost.
     pub fn take_over(&mut self) {
+        self.take_over_unread();
+        self.begin();
+    }
+
+    /// The same, before the successor has read the rows.
+    pub fn take_over_unread(&mut self) {
         self.lives += 1;
         self.owner = claim(&mut self.store, self.lives, self.now);
         self.commits.clear();
         self.messages.clear();
         self.facts.clear();
-        self.begin();
     }
 
     fn begin(&mut self) {
--- a/crates/lease/tests/all/owner.rs
+++ b/crates/lease/tests/all/owner.rs
@@ -256,6 +256,61 @@
     assert_eq!(runs[0].1.checkpoint, Some("crest-1".into()));
 }
 
+#[test]
+fn a_worker_that_dies_while_a_grant_is_in_doubt_loses_the_task() {
+    let mut fixture = Fixture::new();
+    fixture.submit(TASK);
+    fixture.start(TASK);
+    fixture.commit_unanswered();
+    fixture.tell(Event::Lost(WORKER.into()));
+    fixture.pass(DOUBT_RETRY);
+    fixture.commit();
+    assert_eq!(starts(&fixture), 0);
+    fixture.commit();
+    assert_eq!(fixture.row().map(|row| row.phase), Some(Phase::Queued));
+}
+
+#[test]
+fn a_worker_declared_lost_before_the_rows_are_read_loses_its_tasks() {
+    let mut fixture = Fixture::running();
+    let rows = fixture.store.scan("task/rack/");
+    fixture.take_over_unread();
+    fixture.tell(Event::Lost(WORKER.into()));
+    fixture.tell(Event::Loaded(rows));
+    fixture.commit();
+    assert_eq!(fixture.row().map(|row| row.phase), Some(Phase::Queued));
+}
+
+#[test]
+fn a_cancellation_during_a_hand_off_is_refused_rather_than_forgotten() {
+    let mut fixture = Fixture::new();
+    fixture.submit(TASK);
+    let to = "other".into();
+    fixture.tell(Event::HandOff { task: task(), to });
+    fixture.tell(Event::Cancel(task()));
+    fixture.commit();
+    assert_eq!(fixture.count(|fact| refused(fact, Refusal::UnknownTask)), 1);
+}
+
+#[test]
+fn a_refused_write_is_tried_again_later() {
+    let mut fixture = Fixture::running();
+    fixture.end_run(true);
+    fixture.pass(RENEW_INTERVAL);
+    fixture.deliver_all();
+    let op = fixture.commits.remove(0).op;
+    let settled = Settled::Refused("busy".to_owned());
+    fixture.tell(Event::Settled { op, settled });
+    assert!(fixture.commits.is_empty());
+    assert!(fixture.owner.next_wake() <= fixture.now.after(DOUBT_RETRY));
+    fixture.pass(DOUBT_RETRY);
+    fixture.commit();
+    assert_eq!(
+        fixture.job().and_then(|job| job.end),
+        Some(Phase::Succeeded)
+    );
+}
+
 #[test]
 fn a_task_cancelled_while_its_grant_is_in_doubt_never_starts() {
     let mut fixture = Fixture::new();
