--- a/crates/lease/src/spec/budget.rs
+++ b/crates/lease/src/spec/budget.rs
@@ -36,6 +36,8 @@
     pub cuts: u8,
     /// Workers whose host is started again.
     pub restarts: u8,
+    /// Workers whose host dies for good.
+    pub deaths: u8,
     /// Evictions.
     pub evictions: u8,
     /// Cancellations.
--- a/crates/lease/src/spec/step.rs
+++ b/crates/lease/src/spec/step.rs
@@ -64,6 +64,8 @@
     Heal,
     /// A worker's host is started again.
     Restart(usize),
+    /// A worker's host dies for good.
+    Die(usize),
     /// The scheduler of a daemon evicts a task.
     Evict(usize, &'static str),
     /// Somebody cancels a task at a daemon.
@@ -105,8 +107,10 @@
                 steps.push(Step::Finish(worker, task.clone(), *attempt));
             }
         }
-        if world.budget.restarts > 0 && world.budget.all > 0 {
-            steps.push(Step::Restart(worker));
+        if world.budget.all > 0 && world.dead.is_none() {
+            let restart = (world.budget.restarts > 0).then_some(Step::Restart(worker));
+            let die = (world.budget.deaths > 0).then_some(Step::Die(worker));
+            steps.extend(restart.into_iter().chain(die));
         }
     }
     if !world.cuts.is_empty() {
@@ -157,7 +161,7 @@
     }
     if let Some((worker, _)) = known.messages.first() {
         steps.push(Step::Message(daemon, *worker));
-        if faulty && !world.cuts.contains(&(daemon, *worker)) {
+        if faulty && world.reaches(daemon, *worker) {
             let faults = MESSAGE_FAULTS.map(|fault| Step::MessageFault(daemon, *worker, fault));
             steps.extend(faults);
         }
@@ -217,7 +221,9 @@
         }
         Step::LateMessage(index) => {
             let (worker, message) = world.late_messages.remove(index);
-            let _ = world.receive(worker, &message, broken);
+            if world.dead != Some(worker) {
+                let _ = world.receive(worker, &message, broken);
+            }
         }
         Step::LateCommit(index) => {
             let txn = world.late_commits.remove(index);
@@ -242,6 +248,7 @@
         }
         Step::Heal => world.cuts.clear(),
         Step::Restart(worker) => world.restart(worker),
+        Step::Die(worker) => world.die(worker),
         Step::Evict(daemon, task) => world.evict(daemon, task),
         Step::Cancel(daemon, task) => world.tell(daemon, Event::Cancel(TaskId::from(task))),
         Step::GiveBack(daemon) => world.tell(daemon, Event::GiveBack),
@@ -264,6 +271,7 @@
         Step::StoreAway(_) => &mut budget.outages,
         Step::Cut(..) => &mut budget.cuts,
         Step::Restart(_) => &mut budget.restarts,
+        Step::Die(_) => &mut budget.deaths,
         Step::Evict(..) => &mut budget.evictions,
         Step::Cancel(..) => &mut budget.cancellations,
         Step::Wait => {
@@ -304,7 +312,7 @@
 }
 
 fn message(world: &mut World, daemon: usize, worker: usize, broken: Broken) {
-    if !world.cuts.contains(&(daemon, worker)) {
+    if world.reaches(daemon, worker) {
         return world.deliver_message(daemon, worker, broken);
     }
     let sequence = world.take_message(daemon, worker).sequence;
--- a/crates/lease/src/spec/world.rs
+++ b/crates/lease/src/spec/world.rs
@@ -86,6 +86,8 @@
     pub(super) late_commits: Vec<Txn>,
     /// Daemons and workers that cannot reach each other.
     pub(super) cuts: BTreeSet<(usize, usize)>,
+    /// A worker whose host has died for good.
+    pub(super) dead: Option<usize>,
     pub(super) budget: Budget,
     pub(super) started: BTreeMap<(TaskId, Attempt), u8>,
     pub(super) saved: BTreeMap<TaskId, CheckpointId>,
@@ -130,6 +132,7 @@
             late_messages: Vec::new(),
             late_commits: Vec::new(),
             cuts: BTreeSet::new(),
+            dead: None,
             budget,
             started: BTreeMap::new(),
             saved: BTreeMap::new(),
@@ -391,6 +394,17 @@
         self.agents[worker] = Arc::new(Agent::new(self.lives[worker]));
     }
 
+    /// The host of a worker dies for good; the other one stays.
+    pub(super) fn die(&mut self, worker: usize) {
+        self.restart(worker);
+        self.dead = Some(worker);
+    }
+
+    /// Whether a daemon's messages reach a worker.
+    pub(super) fn reaches(&self, daemon: usize, worker: usize) -> bool {
+        self.dead != Some(worker) && !self.cuts.contains(&(daemon, worker))
+    }
+
     /// Time passes; each daemon that can reads the shard's row.
     pub(super) fn wait(&mut self) {
         self.now = self.now.after(WAIT);
--- a/crates/lease/tests/all/fixture.rs
+++ b/crates/lease/tests/all/fixture.rs
@@ -10,6 +10,7 @@
 use lease::claim::take;
 use lease::owner::ListedWorker;
 use lease::owner::Reason;
+use lease::owner::Refusal;
 use lease::record::JobRow;
 use lease::record::Owner;
 use lease::record::TaskRow;
@@ -51,6 +52,27 @@
     }
 }
 
+/// The task of most tests.
+pub fn task() -> TaskId {
+    TaskId::from(TASK)
+}
+
+/// Whether something was refused for this reason.
+pub fn refused(fact: &Fact, expected: Refusal) -> bool {
+    matches!(fact, Fact::Refused { why, .. } if *why == expected)
+}
+
+/// How many commands to start a run are under way.
+pub fn starts(fixture: &Fixture) -> usize {
+    let commands = fixture
+        .messages
+        .iter()
+        .flat_map(|message| &message.commands);
+    commands
+        .filter(|command| matches!(command, Command::Start { .. }))
+        .count()
+}
+
 /// An owner, its table and one worker, whose calls are answered only when a test says so.
 pub struct Fixture {
     pub now: Mono,
--- a/crates/lease/tests/all/main.rs
+++ b/crates/lease/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod model_check;
 mod owner;
 mod ownership;
+mod requests;
--- a/crates/lease/tests/all/model_check.rs
+++ b/crates/lease/tests/all/model_check.rs
@@ -14,6 +14,7 @@
     outages: 0,
     cuts: 0,
     restarts: 0,
+    deaths: 0,
     evictions: 0,
     cancellations: 0,
     waits: 0,
@@ -27,6 +28,7 @@
     outages: 1,
     cuts: 1,
     restarts: 1,
+    deaths: 1,
     evictions: 1,
     cancellations: 1,
     waits: 2,
@@ -110,6 +112,17 @@
     holds("owner goes on", &steps, Budget { waits: 6, ..NONE });
 }
 
+#[test]
+fn a_worker_that_dies_for_good_while_tasks_start() {
+    let budget = Budget {
+        all: 2,
+        deaths: 1,
+        waits: 4,
+        ..NETWORK
+    };
+    holds("worker dies", &[], budget);
+}
+
 #[test]
 fn a_paused_owner_that_acts_after_its_lease() {
     let paused = [Step::Evict(0, "crest"), Step::Pause(0), Step::TakeOver(1)];
--- a/crates/lease/tests/all/owner.rs
+++ b/crates/lease/tests/all/owner.rs
@@ -5,48 +5,25 @@
 use lease::owner::Cause;
 use lease::owner::Reason;
 use lease::owner::Refusal;
-use lease::owner::Submission;
 use lease::record::Phase;
 use lease::timing::COMMAND_RETRY;
 use lease::timing::DOUBT_RETRY;
-use lease::timing::MAX_ROWS;
 use lease::timing::OWNER_WITHOUT_STORE;
 use lease::timing::RENEW_INTERVAL;
 use lease::timing::WORKER_LEASE;
-use model::Size;
 use model::id::Attempt;
 use model::id::Epoch;
-use model::id::TaskId;
-use plat::hosts::HostState;
 use plat::settle::Settled;
-use plat::worker::Command;
 use plat::worker::RunState;
 use plat::worker::WorkerError;
 
 use crate::fixture::Fixture;
-use crate::fixture::ROOM;
 use crate::fixture::SIZE;
 use crate::fixture::TASK;
 use crate::fixture::WORKER;
-use crate::fixture::spec;
-
-fn task() -> TaskId {
-    TaskId::from(TASK)
-}
-
-fn refused(fact: &Fact, expected: Refusal) -> bool {
-    matches!(fact, Fact::Refused { why, .. } if *why == expected)
-}
-
-fn starts(fixture: &Fixture) -> usize {
-    let commands = fixture
-        .messages
-        .iter()
-        .flat_map(|message| &message.commands);
-    commands
-        .filter(|command| matches!(command, Command::Start { .. }))
-        .count()
-}
+use crate::fixture::refused;
+use crate::fixture::starts;
+use crate::fixture::task;
 
 #[test]
 fn a_start_whose_answer_is_lost_waits_until_the_row_is_known() {
@@ -188,6 +165,21 @@
     assert_eq!(fixture.count(|fact| matches!(fact, Fact::Ended { .. })), 1);
 }
 
+#[test]
+fn a_late_report_from_before_the_start_does_not_end_the_run() {
+    let mut fixture = Fixture::new();
+    fixture.pass(RENEW_INTERVAL);
+    let message = fixture.messages[0].clone();
+    let (before, _) = fixture.agent.handle(&message, fixture.now);
+    fixture.deliver();
+    fixture.submit(TASK);
+    fixture.start(TASK);
+    fixture.commit();
+    fixture.deliver_all();
+    fixture.answer(message.sequence, before);
+    assert!(fixture.commits.is_empty());
+}
+
 #[test]
 fn an_eviction_whose_requeue_answer_is_lost_resumes_once() {
     let mut fixture = Fixture::running();
@@ -281,17 +273,6 @@
     assert_eq!(fixture.row().map(|row| row.phase), Some(Phase::Queued));
 }
 
-#[test]
-fn a_cancellation_during_a_hand_off_is_refused_rather_than_forgotten() {
-    let mut fixture = Fixture::new();
-    fixture.submit(TASK);
-    let to = "other".into();
-    fixture.tell(Event::HandOff { task: task(), to });
-    fixture.tell(Event::Cancel(task()));
-    fixture.commit();
-    assert_eq!(fixture.count(|fact| refused(fact, Refusal::UnknownTask)), 1);
-}
-
 #[test]
 fn a_refused_write_is_tried_again_later() {
     let mut fixture = Fixture::running();
@@ -311,75 +292,6 @@
     );
 }
 
-#[test]
-fn a_task_cancelled_while_its_grant_is_in_doubt_never_starts() {
-    let mut fixture = Fixture::new();
-    fixture.submit(TASK);
-    fixture.start(TASK);
-    fixture.commit_unanswered();
-    fixture.tell(Event::Cancel(task()));
-    fixture.pass(DOUBT_RETRY);
-    while !fixture.commits.is_empty() || !fixture.messages.is_empty() {
-        assert_eq!(starts(&fixture), 0);
-        match fixture.commits.is_empty() {
-            true => fixture.deliver(),
-            false => fixture.commit(),
-        }
-    }
-    assert_eq!(
-        fixture.job().and_then(|job| job.end),
-        Some(Phase::Cancelled)
-    );
-    assert!(fixture.agent.runs().is_empty());
-}
-
-#[test]
-fn a_leaving_worker_takes_nothing_new_and_gives_up_what_it_has() {
-    let mut fixture = Fixture::running();
-    fixture.submit("ice");
-    fixture.list(HostState::Leaving);
-    assert_eq!(
-        fixture.count(|fact| matches!(fact, Fact::Leaving { .. })),
-        1
-    );
-    fixture.start("ice");
-    assert_eq!(fixture.count(|fact| refused(fact, Refusal::NoRoom)), 1);
-    fixture.tell(Event::Evict(task()));
-    fixture.deliver_all();
-    fixture.commit();
-    assert_eq!(fixture.row().map(|row| row.phase), Some(Phase::Queued));
-}
-
-#[test]
-fn reservations_stay_within_the_worker_in_each_dimension() {
-    let too_large = [
-        Size::new(4001, 1, 0),
-        Size::new(1, 4097, 0),
-        Size::new(1, 1, 3),
-        Size::ZERO,
-    ];
-    for size in too_large {
-        let mut fixture = Fixture::new();
-        fixture.submit(TASK);
-        fixture.start_with(TASK, size);
-        assert_eq!(
-            fixture.count(|fact| refused(fact, Refusal::NoRoom)),
-            1,
-            "{size}"
-        );
-    }
-    let mut fixture = Fixture::new();
-    fixture.submit(TASK);
-    fixture.submit("ice");
-    fixture.start_with(TASK, ROOM);
-    fixture.start_with("ice", Size::new(1, 0, 0));
-    assert_eq!(
-        fixture.count(|fact| refused(fact, Refusal::NoRoom)),
-        1,
-        "grant under way"
-    );
-}
-
 #[test]
 fn a_task_that_keeps_failing_is_given_up_with_the_reason() {
     let mut fixture = Fixture::running();
@@ -403,79 +315,6 @@
     assert!(fixture.row().is_none());
 }
 
-#[test]
-fn a_burst_of_cancellations_takes_few_transactions() {
-    let count = 3 * MAX_ROWS;
-    let mut fixture = Fixture::new();
-    for number in 0..count {
-        fixture.submit(&format!("task-{number}"));
-    }
-    for number in 0..count {
-        fixture.tell(Event::Cancel(TaskId::from(format!("task-{number}"))));
-    }
-    let mut transactions = 0;
-    while !fixture.commits.is_empty() {
-        fixture.commit();
-        transactions += 1;
-    }
-    assert_eq!(
-        fixture.count(|fact| matches!(fact, Fact::Ended { .. })),
-        count
-    );
-    // The first two go out at once with what is there, the rest share full transactions.
-    assert!(
-        transactions <= 2 + count.div_ceil(MAX_ROWS),
-        "{transactions}"
-    );
-}
-
-#[test]
-fn a_second_submission_is_the_same_task_or_a_conflict() {
-    let mut other = spec(TASK);
-    other.size = Size::new(1, 1, 0);
-    for ended in [false, true] {
-        let mut fixture = Fixture::running();
-        if ended {
-            fixture.end_run(true);
-            fixture.pass(RENEW_INTERVAL);
-            fixture.deliver_all();
-            fixture.commit();
-        }
-        for (spec, expected) in [
-            (spec(TASK), Submission::Repeated),
-            (other.clone(), Submission::Conflict),
-        ] {
-            fixture.facts.clear();
-            fixture.tell(Event::Submit(spec));
-            while !fixture.commits.is_empty() {
-                fixture.commit();
-            }
-            let told = Fact::Submitted {
-                task: task(),
-                result: expected,
-            };
-            assert_eq!(fixture.facts, [told], "ended: {ended}");
-        }
-    }
-}
-
-#[test]
-fn a_hand_off_moves_the_row_once_though_its_answer_is_lost() {
-    let mut fixture = Fixture::new();
-    fixture.submit(TASK);
-    let to = "other".into();
-    fixture.tell(Event::HandOff { task: task(), to });
-    fixture.commit_unanswered();
-    fixture.pass(DOUBT_RETRY);
-    fixture.commit();
-    assert!(fixture.row().is_none() && fixture.owner.task(&task()).is_none());
-    assert_eq!(fixture.store.scan("task/other/").len(), 1);
-    assert_eq!(
-        fixture.count(|fact| matches!(fact, Fact::HandedOff { .. })),
-        1
-    );
-}
-
 #[test]
 fn a_refusal_after_an_unknown_outcome_settles_nothing() {
     let mut fixture = Fixture::new();
