--- a/crates/lease/tests/all/ownership.rs
+++ b/crates/lease/tests/all/ownership.rs
@@ -2,6 +2,7 @@
 
 use lease::claim::Claimer;
 use lease::claim::Decision;
+use lease::claim::Prior;
 use lease::claim::ShardView;
 use lease::record::Addresses;
 use lease::record::MemberRow;
@@ -152,6 +153,59 @@
     }
 }
 
+#[test]
+fn a_lapsed_shard_is_taken_under_the_next_epoch() {
+    let place = ("vlaanderen", "limburg");
+    let mut watch = Watch::default();
+    for second in 0..4 {
+        let at = Mono(second * 2000);
+        let dead = member("a", place, 7, false);
+        watch.observe([dead, member("b", place, second, false)], at, at);
+    }
+    let shards = [shard("rack", place, Some("a"))];
+    let decisions = Claimer::new(owner("b")).decide(&watch, &shards, &Set::default(), Mono(6000));
+    let [Decision::Take(claim)] = decisions.as_slice() else {
+        panic!("{decisions:?}");
+    };
+    assert_eq!(claim.claimed.epoch, Epoch(2));
+    assert_eq!(claim.claimed.prior, Prior::MayAct);
+    assert_eq!(claim.txn.checks[0].version, RowVersion(1));
+}
+
+#[test]
+fn a_claim_whose_answer_was_lost_is_resumed_once_its_row_is_read() {
+    let place = ("vlaanderen", "limburg");
+    let mut watch = Watch::default();
+    watch.observe([member("a", place, 0, false)], Mono(0), Mono(0));
+    let shards = [shard("rack", place, Some("a"))];
+    let decide =
+        |running: &Set<_>| Claimer::new(owner("a")).decide(&watch, &shards, running, Mono(0));
+    let decisions = decide(&Set::default());
+    let [Decision::Resume(claimed)] = decisions.as_slice() else {
+        panic!("{decisions:?}");
+    };
+    assert_eq!((claimed.epoch, claimed.version), (Epoch(1), RowVersion(1)));
+    assert_eq!(claimed.prior, Prior::MayAct);
+    assert_eq!(decide(&std::iter::once("rack".into()).collect()), []);
+}
+
+#[test]
+fn one_shard_a_minute_moves_to_a_daemon_that_has_less() {
+    let place = ("vlaanderen", "limburg");
+    let mut watch = Watch::default();
+    let rows = ["a", "b"].map(|name| member(name, place, 0, false));
+    watch.observe(rows, Mono(0), Mono(0));
+    let shards: Vec<ShardView> = (0..6)
+        .map(|number| shard(&format!("r{number}"), place, Some("a")))
+        .collect();
+    let running = shards.iter().map(|view| view.shard.clone()).collect();
+    let mut claimer = Claimer::new(owner("a"));
+    for (second, expected) in [(0, 1), (59, 0), (60, 1)] {
+        let given = claimer.decide(&watch, &shards, &running, Mono(second * 1000));
+        assert_eq!(given.len(), expected, "after {second} s: {given:?}");
+    }
+}
+
 #[test]
 fn a_draining_daemon_gives_its_shards_back() {
     let place = ("vlaanderen", "limburg");
