--- a/crates/lease/src/owner/mod.rs
+++ b/crates/lease/src/owner/mod.rs
@@ -46,6 +46,8 @@
 use crate::timing::Timing;
 
 /// The owner of one shard.
+///
+/// Its maps are ordered, so that the same events lead to the same actions in every run.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ShardOwner {
     claimed: Claimed,
--- a/crates/lease/tests/all/model_check.rs
+++ b/crates/lease/tests/all/model_check.rs
@@ -106,6 +106,16 @@
     holds("any one, tasks run", &RUNNING, Budget { waits: 3, ..ANY });
 }
 
+#[test]
+fn any_two_disturbances_of_running_tasks_with_a_takeover_at_once() {
+    let budget = Budget {
+        all: 2,
+        waits: 0,
+        ..ANY
+    };
+    holds("any two, takeover", &RUNNING, budget);
+}
+
 #[test]
 fn a_takeover_from_an_owner_that_goes_on() {
     let steps = [RUNNING.as_slice(), PARTITION.as_slice()].concat();
