feat(node): console of forms, and metrics at a steady interval

The operators' side had an API and no page. Below /console the daemon serves plain HTML forms for halves, regions, upstreams, callers, teams, classes and sharing. The draft is kept per session and edited by conf::edit, checked as the API checks a text, and sent through the same propose path under an id that stays until the draft changes. The look functions return their types, so that pages and API show the same.

conf::edit::read gives a text's plain values for the forms.

--- a/crates/conf/src/edit.rs
+++ b/crates/conf/src/edit.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 
 use crate::tree::DIALECT;
+use crate::tree::parse as parse_tree;
 use crate::tree::unescape;
 
 /// Why a text was not edited.
@@ -62,6 +63,19 @@
     Ok(root.to_string())
 }
 
+/// Reads a text as plain values, for forms that show them; of a key that is written twice the last
+/// one counts.
+///
+/// # Errors
+///
+/// Returns an error if the text is not JSON with comments.
+pub fn read(text: &str) -> Result<Value, EditError> {
+    // The tree is bounded in depth, which the conversion by itself is not.
+    parse_tree(text).map_err(|finding| EditError::Syntax(finding.message))?;
+    let value = jsonc_parser::parse_to_serde_value(text, &DIALECT);
+    value.map_err(|error| EditError::Syntax(error.to_string()))
+}
+
 fn parse(text: &str) -> Result<CstRootNode, EditError> {
     CstRootNode::parse(text, &DIALECT).map_err(|error| EditError::Syntax(error.to_string()))
 }
--- /dev/null
+++ b/crates/node/src/console/look.rs
@@ -0,0 +1,363 @@
+//! Pages that show the state, from what the API's status tells.
+
+use conf::api::HandoverView;
+use conf::api::MemberView;
+use conf::api::ShardView;
+use conf::api::StatusView;
+use conf::api::TaskQuery;
+use conf::api::TaskState;
+use conf::api::TaskView;
+use conf::api::UpstreamView;
+use http::StatusCode;
+use model::Size;
+use model::place::Place;
+use plat::hosts::HostState;
+
+use crate::console::Fault;
+use crate::console::Visit;
+use crate::console::form::Form;
+use crate::console::html::Element;
+use crate::console::html::el;
+use crate::console::html::link;
+use crate::console::page::Page;
+use crate::console::page::button;
+use crate::console::page::table;
+use crate::console::path;
+use crate::cx::Cx;
+use crate::operators::Refused;
+use crate::operators::look;
+
+/// How many tasks a page shows.
+const PAGE: u32 = 100;
+/// The states that tasks are listed by.
+const STATES: [TaskState; 5] = [
+    TaskState::Queued,
+    TaskState::Assigned,
+    TaskState::Succeeded,
+    TaskState::Failed,
+    TaskState::Cancelled,
+];
+
+impl From<Refused> for Fault {
+    fn from(refused: Refused) -> Self {
+        Self {
+            status: refused.status,
+            reason: refused.problem.reason,
+        }
+    }
+}
+
+/// The first page: how this daemon is, and whatever is under way.
+pub(super) async fn overview(visit: &Visit<'_>) -> Page {
+    let status = look::status(visit.cx).await;
+    let state = match (status.ready, status.draining) {
+        (true, _) => "takes requests",
+        (false, true) => "is leaving",
+        (false, false) => "is starting: no document is in force here yet",
+    };
+    let store = match status.store_silent_ms {
+        Some(ms) => format!("last answered {ms} ms ago"),
+        None => "has not answered yet".into(),
+    };
+    let by = look::document(visit.cx).map_or_else(|_| String::new(), |doc| doc.by);
+    let facts = [
+        ("Daemon", format!("{} {state}", status.daemon)),
+        (
+            "Document in force",
+            format!("version {} {by}", status.version),
+        ),
+        ("Platform's table", store),
+        ("Tasks of the shards owned here", counts(&status)),
+    ];
+    let facts = facts
+        .into_iter()
+        .flat_map(|(term, text)| [el("dt").text(term), el("dd").text(text)]);
+    let content = [
+        el("dl").children(facts),
+        el("h2").text("Handovers"),
+        handovers(&status),
+        el("h2").text("Daemons"),
+        members(&status.members),
+    ];
+    Page::new(&visit.session, "Overview", content)
+}
+
+/// One of the pages that show the state.
+pub(super) async fn show(visit: &Visit<'_>, what: &str, query: &Form) -> Result<Page, Fault> {
+    let (title, content) = match what {
+        "members" => {
+            let status = look::status(visit.cx).await;
+            ("Members", vec![members(&status.members)])
+        }
+        "upstreams" => {
+            let status = look::status(visit.cx).await;
+            let content = vec![
+                upstreams(&status.upstreams),
+                el("h2").text("Handovers"),
+                handovers(&status),
+            ];
+            ("Upstreams in service", content)
+        }
+        "shards" => {
+            let status = look::status(visit.cx).await;
+            ("Shards", vec![shards(&status.shards)])
+        }
+        "hosts" => ("Hosts", hosts(visit.cx)),
+        "tasks" => ("Tasks", tasks(visit.cx, query).await?),
+        "parts" => ("Parts", vec![parts(visit.cx)]),
+        _ => {
+            return Err(Fault {
+                status: StatusCode::NOT_FOUND,
+                reason: "there is no such page".into(),
+            });
+        }
+    };
+    Ok(Page::new(&visit.session, title, content))
+}
+
+fn counts(status: &StatusView) -> String {
+    let counts = status.tasks.iter();
+    let counts: Vec<String> = counts
+        .map(|(state, count)| format!("{count} {state}"))
+        .collect();
+    match counts.is_empty() {
+        true => "none".into(),
+        false => counts.join(", "),
+    }
+}
+
+fn place(place: &Place) -> String {
+    format!("{}, {}", place.region, place.data_centre)
+}
+
+fn members(members: &[MemberView]) -> Element {
+    let row = |member: &MemberView| {
+        vec![
+            member.daemon.to_string(),
+            member.half.to_string(),
+            place(&member.place),
+            member.state.clone(),
+            member.version.to_string(),
+            member.silent_ms.to_string(),
+        ]
+    };
+    table(
+        "Daemons as this one sees them",
+        &[
+            "Daemon",
+            "Half",
+            "Place",
+            "State",
+            "Version",
+            "Silent for ms",
+        ],
+        members.iter().map(row).collect(),
+    )
+}
+
+fn upstreams(upstreams: &[UpstreamView]) -> Element {
+    let row = |one: &UpstreamView| {
+        vec![
+            one.upstream.to_string(),
+            one.half.to_string(),
+            one.executors.to_string(),
+            one.slots.to_string(),
+            one.busy.to_string(),
+            one.handover
+                .as_ref()
+                .map_or("none", |handover| &handover.step)
+                .to_owned(),
+        ]
+    };
+    table(
+        "Upstreams; slots are those that this daemon may use",
+        &["Upstream", "Half", "Executors", "Slots", "Busy", "Handover"],
+        upstreams.iter().map(row).collect(),
+    )
+}
+
+fn handovers(status: &StatusView) -> Element {
+    let row = |(one, handover): (&UpstreamView, &HandoverView)| {
+        let waiting: Vec<&str> = handover
+            .waiting_for
+            .iter()
+            .map(|one| one.as_str())
+            .collect();
+        vec![
+            one.upstream.to_string(),
+            handover.from.to_string(),
+            handover.to.to_string(),
+            handover.step.clone(),
+            waiting.join(", "),
+        ]
+    };
+    let under_way = |one: &'_ UpstreamView| one.handover.is_some();
+    let rows = status.upstreams.iter().filter(|one| under_way(one));
+    let rows = rows.filter_map(|one| Some(row((one, one.handover.as_ref()?))));
+    table(
+        "Handovers in progress",
+        &["Upstream", "From", "To", "Step", "Waits for"],
+        rows.collect(),
+    )
+}
+
+fn shards(shards: &[ShardView]) -> Element {
+    let row = |shard: &ShardView| {
+        vec![
+            shard.shard.to_string(),
+            shard
+                .owner
+                .as_ref()
+                .map_or_else(|| "nobody".into(), ToString::to_string),
+            shard.epoch.to_string(),
+            shard.workers.to_string(),
+            shard.queued.to_string(),
+            shard.assigned.to_string(),
+        ]
+    };
+    table(
+        "Shards; queues and tasks are counted at the owner",
+        &["Shard", "Owner", "Epoch", "Workers", "Queued", "Assigned"],
+        shards.iter().map(row).collect(),
+    )
+}
+
+fn hosts(cx: &Cx) -> Vec<Element> {
+    let list = cx.hosts.borrow().clone();
+    let state = |state: HostState| match state {
+        HostState::Live => "live".to_owned(),
+        HostState::Leaving => "leaving".to_owned(),
+    };
+    let whole: Size = list.workers.iter().map(|worker| worker.capacity).sum();
+    let workers = list.workers.iter().map(|worker| {
+        vec![
+            worker.id.to_string(),
+            place(&worker.place),
+            worker.rack.to_string(),
+            worker.capacity.to_string(),
+            state(worker.state),
+        ]
+    });
+    let executors = list.executors.iter().map(|executor| {
+        vec![
+            executor.id.to_string(),
+            executor.upstream.to_string(),
+            place(&executor.place),
+            state(executor.state),
+        ]
+    });
+    let entries = list.daemons.iter();
+    let entries = entries.map(|entry| vec![entry.id.to_string(), state(entry.state)]);
+    vec![
+        el("p").text(format!(
+            "Revision {} of the platform's list, which lags. All workers together: {whole}.",
+            list.revision
+        )),
+        table(
+            "Workers",
+            &["Worker", "Place", "Rack", "Capacity", "State"],
+            workers.collect(),
+        ),
+        table(
+            "Executors",
+            &["Executor", "Upstream", "Place", "State"],
+            executors.collect(),
+        ),
+        table("Entry hosts", &["Daemon", "State"], entries.collect()),
+    ]
+}
+
+async fn tasks(cx: &Cx, query: &Form) -> Result<Vec<Element>, Fault> {
+    let asked = query.get("state").unwrap_or_default();
+    let state = STATES.into_iter().find(|state| state.word() == asked);
+    let after = query.get("after").ok().filter(|after| !after.is_empty());
+    let query = TaskQuery {
+        state,
+        after: after.map(str::to_owned),
+        limit: Some(PAGE),
+        ..TaskQuery::default()
+    };
+    let page = look::tasks(cx, &query).await?;
+    let more = page.next.as_ref().map(|next| {
+        let next: String = form_urlencoded::byte_serialize(next.as_bytes()).collect();
+        let word = state.map_or("", TaskState::word);
+        let to = path(&format!("look/tasks?state={word}&after={next}"));
+        el("p").child(link(to, "Further tasks"))
+    });
+    let list = table(
+        "Tasks",
+        &[
+            "Task",
+            "State",
+            "Team",
+            "Class",
+            "Attempt",
+            "Shard",
+            "Worker",
+            "Evictions",
+            "Failures",
+            "Reason",
+        ],
+        page.tasks.iter().map(task).collect(),
+    );
+    let content = [state_form(state), list];
+    Ok(content.into_iter().chain(more).collect())
+}
+
+fn task(task: &TaskView) -> Vec<String> {
+    vec![
+        task.task.to_string(),
+        task.state.word().to_owned(),
+        task.team.to_string(),
+        task.class.to_string(),
+        task.attempt.to_string(),
+        task.shard.to_string(),
+        task.worker
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        task.evictions.to_string(),
+        task.failures.to_string(),
+        task.reason.clone().unwrap_or_default(),
+    ]
+}
+
+/// The form that narrows the list of tasks; it changes nothing and is therefore a plain get.
+fn state_form(chosen: Option<TaskState>) -> Element {
+    let option = |word: &str, text: &str, selected: bool| {
+        el("option")
+            .attr("value", word)
+            .flag("selected", selected)
+            .text(text)
+    };
+    let all = option("", "queued and assigned", chosen.is_none());
+    let states = STATES.map(|state| option(state.word(), state.word(), chosen == Some(state)));
+    el("form")
+        .attr("method", "get")
+        .attr("action", path("look/tasks"))
+        .child(el("label").attr("for", "f-state").text("State"))
+        .child(
+            el("select")
+                .attr("id", "f-state")
+                .attr("name", "state")
+                .child(all)
+                .children(states),
+        )
+        .child(button("Show"))
+}
+
+fn parts(cx: &Cx) -> Element {
+    let rows = cx.board.all().into_iter().map(|part| {
+        vec![
+            part.part,
+            format!("{:?}", part.state).to_lowercase(),
+            part.restarts.to_string(),
+            part.last_error.unwrap_or_default(),
+        ]
+    });
+    table(
+        "Parts of this daemon",
+        &["Part", "State", "Restarts", "Last error"],
+        rows.collect(),
+    )
+}
--- /dev/null
+++ b/crates/node/src/console/page.rs
@@ -0,0 +1,232 @@
+//! The frame of all pages: heading, navigation, skip link, style.
+
+use std::fmt;
+
+use crate::console::Fault;
+use crate::console::PATH;
+use crate::console::html::Element;
+use crate::console::html::el;
+use crate::console::html::link;
+use crate::console::path;
+use crate::console::section::SECTIONS;
+use crate::console::session::Session;
+
+/// The style sheet: focus stays visible, and no meaning is told by colour alone.
+pub const STYLE: &str = "\
+body { font-family: sans-serif; line-height: 1.4; margin: 0 auto; max-width: 64rem; padding: 0 1rem; }
+a:focus-visible, button:focus-visible, input:focus-visible, select:focus-visible,
+textarea:focus-visible { outline: 3px solid #1a4fa3; outline-offset: 2px; }
+.skip { position: absolute; left: -100rem; }
+.skip:focus { left: 1rem; }
+nav ul { display: flex; flex-wrap: wrap; gap: .25rem 1rem; list-style: none; padding: 0; }
+table { border-collapse: collapse; width: 100%; }
+caption { text-align: left; padding: .5rem 0; }
+th, td { border: 1px solid #767676; padding: .25rem .5rem; text-align: left; vertical-align: top; }
+fieldset { border: 1px solid #767676; margin: 1rem 0; }
+label { display: block; font-weight: bold; margin-top: .75rem; }
+label.inline { display: inline; font-weight: normal; }
+input, select, textarea { font: inherit; max-width: 100%; border: 1px solid #595959; }
+textarea { width: 100%; }
+textarea.text, pre { font-family: monospace; }
+pre { white-space: pre-wrap; overflow-wrap: anywhere; }
+.hint { margin: .1rem 0; color: #4a4a4a; }
+.finding { border-left: .4rem solid #a1260d; padding-left: .5rem; }
+.warning { border-left-style: double; }
+.notice { border: 2px solid #595959; padding: 0 1rem; }
+";
+
+/// A whole page.
+#[derive(Clone, Debug)]
+pub struct Page {
+    html: Element,
+}
+
+impl Page {
+    /// Makes a page of an operator that is logged in.
+    #[must_use]
+    pub fn new(session: &Session, title: &str, content: impl IntoIterator<Item = Element>) -> Self {
+        Self::frame(title, Some(session), content)
+    }
+
+    fn frame(
+        title: &str,
+        session: Option<&Session>,
+        content: impl IntoIterator<Item = Element>,
+    ) -> Self {
+        let head = el("head")
+            .child(el("meta").attr("charset", "utf-8"))
+            .child(
+                el("meta")
+                    .attr("name", "viewport")
+                    .attr("content", "width=device-width"),
+            )
+            .child(el("title").text(format!("{title} - fireflynotch")))
+            .child(
+                el("link")
+                    .attr("rel", "stylesheet")
+                    .attr("href", path("style.css")),
+            );
+        let skip = link("#content", "Skip to the content").attr("class", "skip");
+        let main = el("main")
+            .attr("id", "content")
+            .attr("tabindex", "-1")
+            .child(el("h1").text(title))
+            .children(content);
+        let body = el("body")
+            .child(skip)
+            .children(session.map(navigation))
+            .child(main);
+        Self {
+            html: el("html").attr("lang", "en").child(head).child(body),
+        }
+    }
+}
+
+impl fmt::Display for Page {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "<!DOCTYPE html>{}", self.html)
+    }
+}
+
+fn navigation(session: &Session) -> Element {
+    let looks = [
+        ("upstreams", "Upstreams in service"),
+        ("hosts", "Hosts"),
+        ("shards", "Shards"),
+        ("tasks", "Tasks"),
+        ("members", "Members"),
+        ("parts", "Parts"),
+    ];
+    let looks = looks.map(|(what, title)| link(path(&format!("look/{what}")), title));
+    let forms = SECTIONS
+        .iter()
+        .map(|section| link(path(&format!("edit/{}", section.key)), section.title));
+    let draft = [
+        link(path("draft"), "Draft: check and send"),
+        link(path("text"), "Draft as text"),
+    ];
+    let list =
+        |links: Vec<Element>| el("ul").children(links.into_iter().map(|link| el("li").child(link)));
+    let logout = form(session, "logout")
+        .child(el("p").text(format!("Logged in as {}. ", session.by)))
+        .child(button("Log out"));
+    el("header")
+        .child(el("nav").attr("aria-label", "What there is").child(list(
+            [link(PATH, "Overview")].into_iter().chain(looks).collect(),
+        )))
+        .child(
+            el("nav")
+                .attr("aria-label", "The document")
+                .child(list(draft.into_iter().chain(forms).collect())),
+        )
+        .child(logout)
+}
+
+/// Makes a form that posts to a path of the console, with what keeps other sites and older forms
+/// from being carried out.
+#[must_use]
+pub fn form(session: &Session, to: &str) -> Element {
+    el("form")
+        .attr("method", "post")
+        .attr("action", path(to))
+        .child(hidden("anti_forgery", &session.anti_forgery))
+        .child(hidden("revision", &session.revision.to_string()))
+}
+
+/// Makes a field that is not shown.
+#[must_use]
+pub fn hidden(name: &str, value: &str) -> Element {
+    el("input")
+        .attr("type", "hidden")
+        .attr("name", name)
+        .attr("value", value)
+}
+
+/// Makes the button that posts a form.
+#[must_use]
+pub fn button(text: &str) -> Element {
+    el("button").attr("type", "submit").text(text)
+}
+
+/// Makes a table; the first cell of each row names it.
+#[must_use]
+pub fn table(caption: &str, heads: &[&str], rows: Vec<Vec<String>>) -> Element {
+    if rows.is_empty() {
+        return el("p").text(format!("{caption}: none."));
+    }
+    let head = heads
+        .iter()
+        .map(|head| el("th").attr("scope", "col").text(head));
+    let row = |cells: Vec<String>| {
+        let cells = cells.into_iter().enumerate().map(|(index, text)| {
+            let cell = match index {
+                0 => el("th").attr("scope", "row"),
+                _ => el("td"),
+            };
+            cell.text(text)
+        });
+        el("tr").children(cells)
+    };
+    el("table")
+        .child(el("caption").text(caption))
+        .child(el("thead").child(el("tr").children(head)))
+        .child(el("tbody").children(rows.into_iter().map(row)))
+}
+
+/// The page by which an operator logs in.
+#[must_use]
+pub fn login(refused: Option<&str>) -> Page {
+    let refused = refused.map(|reason| {
+        el("p")
+            .attr("class", "finding")
+            .attr("role", "alert")
+            .text(format!("Not logged in: {reason}."))
+    });
+    let field = |id: &'static str, label: &str, kind: &str, autocomplete: &str| {
+        [
+            el("label").attr("for", id).text(label),
+            el("input")
+                .attr("id", id)
+                .attr("name", id)
+                .attr("type", kind)
+                .attr("autocomplete", autocomplete)
+                .flag("required", true),
+        ]
+    };
+    let form = el("form")
+        .attr("method", "post")
+        .attr("action", path("login"))
+        .child(
+            el("fieldset")
+                .child(el("legend").text("Log in"))
+                .children(field(
+                    "by",
+                    "Your name, told to other operators with each change",
+                    "text",
+                    "username",
+                ))
+                .children(field(
+                    "token",
+                    "The operators' token of the daemon's settings",
+                    "password",
+                    "current-password",
+                ))
+                .child(el("p").child(button("Log in"))),
+        );
+    Page::frame("Log in", None, refused.into_iter().chain([form]))
+}
+
+/// The page that tells why a request was not carried out.
+#[must_use]
+pub fn fault(fault: &Fault) -> Page {
+    let content = [
+        el("p")
+            .attr("class", "finding")
+            .attr("role", "alert")
+            .text(format!("Nothing was done: {}.", fault.reason)),
+        el("p").child(link(PATH, "Overview")),
+        el("p").child(link(path("draft"), "The draft")),
+        el("p").child(link(path("login"), "Log in")),
+    ];
+    Page::frame("Not carried out", None, content)
+}
--- /dev/null
+++ b/crates/node/src/console/section.rs
@@ -0,0 +1,313 @@
+//! What the forms ask for: the parts of the document and the fields of each.
+
+use model::id::HalfId;
+use serde_json::Value;
+use serde_json::json;
+
+/// A part of the document that has a form.
+#[derive(Clone, Copy, Debug)]
+pub struct Section {
+    /// Its key in the document.
+    pub key: &'static str,
+    /// Its heading.
+    pub title: &'static str,
+    /// What one entry is called; `None` if the part has no entries and is one form.
+    pub entry: Option<&'static str>,
+    /// What an operator decides here.
+    pub intro: &'static str,
+    /// The fields of the form.
+    pub fields: &'static [Field],
+}
+
+/// One field of a form.
+#[derive(Clone, Copy, Debug)]
+pub struct Field {
+    /// Its JSON pointer below the entry, without the first slash.
+    pub key: &'static str,
+    /// Its label.
+    pub label: &'static str,
+    /// What to enter.
+    pub hint: &'static str,
+    /// How it is entered.
+    pub kind: Kind,
+}
+
+/// How a field is entered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// One line of text.
+    Text,
+    /// A whole number.
+    Number,
+    /// One of the halves.
+    Half,
+    /// One of these words.
+    Word(&'static [&'static str]),
+    /// Names or paths, one a line.
+    Lines,
+}
+
+const fn field(key: &'static str, label: &'static str, hint: &'static str, kind: Kind) -> Field {
+    Field {
+        key,
+        label,
+        hint,
+        kind,
+    }
+}
+
+const HALF: Field = field("half", "Half", "The half that it belongs to.", Kind::Half);
+const WEIGHT: Field = field(
+    "weight",
+    "Weight",
+    "1 to 1000; empty means 1. A weight of 2 gets twice the share of a weight of 1.",
+    Kind::Number,
+);
+
+/// All parts that have a form, in the order of the navigation.
+pub const SECTIONS: [Section; 7] = [
+    Section {
+        key: "halves",
+        title: "Halves",
+        entry: Some("half"),
+        intro: "The halves of the organisation and the part of the workers that each may take.",
+        fields: &[
+            field("title", "Title", "A title for people.", Kind::Text),
+            field(
+                "share_percent",
+                "Share of the workers in percent",
+                "0 to 100; empty means 100. All halves together may have at most 100.",
+                Kind::Number,
+            ),
+        ],
+    },
+    Section {
+        key: "regions",
+        title: "Regions",
+        entry: Some("region"),
+        intro: "The regions and their data centres, which work may be tied to.",
+        fields: &[field(
+            "data_centres",
+            "Data centres",
+            "One name a line.",
+            Kind::Lines,
+        )],
+    },
+    Section {
+        key: "upstreams",
+        title: "Upstreams",
+        entry: Some("upstream"),
+        intro: "Which half owns each upstream, and how its requests are served. Another half here \
+                hands the upstream over.",
+        fields: &[
+            HALF,
+            field(
+                "routes",
+                "Routes",
+                "Path prefixes such as /visits, one a line.",
+                Kind::Lines,
+            ),
+            field(
+                "slots",
+                "Slots",
+                "How many requests one executor serves at a time, 1 to 4096; empty means 8.",
+                Kind::Number,
+            ),
+            field(
+                "connections",
+                "Connections",
+                "How many connections one executor takes, 1 to 16384; empty means 64.",
+                Kind::Number,
+            ),
+            field(
+                "deadline_ms",
+                "Deadline in milliseconds",
+                "For requests that name none, 1 to 3600000; empty means 10000.",
+                Kind::Number,
+            ),
+            WEIGHT,
+        ],
+    },
+    Section {
+        key: "callers",
+        title: "Callers",
+        entry: Some("caller"),
+        intro: "The callers and their weights when slots are scarce.",
+        fields: &[HALF, WEIGHT],
+    },
+    Section {
+        key: "teams",
+        title: "Teams",
+        entry: Some("team"),
+        intro: "The teams that submit tasks, and the most that the running tasks of each may hold.",
+        fields: &[
+            HALF,
+            field(
+                "quota/cpu_millis",
+                "Quota of processors in thousandths",
+                "1000 is one processor.",
+                Kind::Number,
+            ),
+            field(
+                "quota/memory_mib",
+                "Quota of memory in MiB",
+                "A whole number.",
+                Kind::Number,
+            ),
+            field(
+                "quota/accelerators",
+                "Quota of accelerators",
+                "A whole number.",
+                Kind::Number,
+            ),
+            WEIGHT,
+        ],
+    },
+    Section {
+        key: "classes",
+        title: "Classes, and where work may run",
+        entry: Some("class"),
+        intro: "The classes of tasks, and the regions and data centres that each may run in.",
+        fields: &[
+            field(
+                "kind",
+                "Kind",
+                "A service is latency-critical; a batch task may be throttled and evicted.",
+                Kind::Word(&["service", "batch"]),
+            ),
+            HALF,
+            field(
+                "regions",
+                "Regions it may run in",
+                "One name a line; empty means all.",
+                Kind::Lines,
+            ),
+            field(
+                "data_centres",
+                "Data centres it may run in",
+                "One name a line; empty means all of its regions.",
+                Kind::Lines,
+            ),
+            field(
+                "p99_target_us",
+                "Target of the 99th percentile in microseconds",
+                "For services only; empty means none.",
+                Kind::Number,
+            ),
+            field(
+                "max_per_rack",
+                "Most tasks on one rack",
+                "Empty means no bound.",
+                Kind::Number,
+            ),
+        ],
+    },
+    Section {
+        key: "sharing",
+        title: "Sharing between services and batch",
+        entry: None,
+        intro: "How services and batch share the workers, and what is weighed against what.",
+        fields: &[
+            field(
+                "batch_percent",
+                "Most of a worker for batch, in percent, while services run there",
+                "0 to 100; empty means 70.",
+                Kind::Number,
+            ),
+            field(
+                "tail_weight",
+                "Weight of the tail latency of services",
+                "0 to 1000; empty means 1.",
+                Kind::Number,
+            ),
+            field(
+                "throughput_weight",
+                "Weight of batch throughput",
+                "0 to 1000; empty means 1.",
+                Kind::Number,
+            ),
+            field(
+                "evictions_weight",
+                "Weight of an eviction less",
+                "0 to 1000; empty means 1.",
+                Kind::Number,
+            ),
+        ],
+    },
+];
+
+/// Returns the part with this key.
+#[must_use]
+pub fn find(key: &str) -> Option<&'static Section> {
+    SECTIONS.iter().find(|section| section.key == key)
+}
+
+impl Section {
+    /// Returns the JSON pointer of an entry, or of the part itself if it has none.
+    #[must_use]
+    pub fn pointer(&self, name: Option<&str>) -> String {
+        match name {
+            Some(name) => format!("/{}/{}", self.key, conf::tree::escape(name)),
+            None => format!("/{}", self.key),
+        }
+    }
+
+    /// Returns what an entry starts as; what it cannot do without is there to be filled in.
+    #[must_use]
+    pub fn start(&self, half: Option<&HalfId>) -> Value {
+        let half = half.map(HalfId::as_str).unwrap_or_default();
+        match self.key {
+            "regions" => json!({ "data_centres": [] }),
+            "upstreams" => json!({ "half": half, "routes": [] }),
+            "callers" => json!({ "half": half }),
+            "teams" => json!({ "half": half, "quota": { "cpu_millis": 0, "memory_mib": 0 } }),
+            "classes" => json!({ "kind": "batch", "half": half }),
+            _ => json!({}),
+        }
+    }
+}
+
+impl Field {
+    /// Returns the id of its control.
+    #[must_use]
+    pub fn id(&self) -> String {
+        format!("f-{}", self.key.replace('/', "-"))
+    }
+
+    /// Returns a value as the control shows it.
+    #[must_use]
+    pub fn shown(&self, value: Option<&Value>) -> String {
+        let one = |value: &Value| match value {
+            Value::String(text) => text.clone(),
+            other => other.to_string(),
+        };
+        match value {
+            None | Some(Value::Null) => String::new(),
+            Some(Value::Array(lines)) => lines.iter().map(one).collect::<Vec<_>>().join("\n"),
+            Some(value) => one(value),
+        }
+    }
+
+    /// Returns the value that was entered; `None` leaves the key out. What is no number stays text,
+    /// so that the check of the document names the fault at its field.
+    #[must_use]
+    pub fn read(&self, entered: &str, was_there: bool) -> Option<Value> {
+        let entered = entered.trim();
+        if entered.is_empty() && !(was_there && self.kind == Kind::Lines) {
+            return None;
+        }
+        Some(match self.kind {
+            Kind::Lines => {
+                let lines = entered.lines().map(str::trim);
+                lines
+                    .filter(|line| !line.is_empty())
+                    .map(Value::from)
+                    .collect()
+            }
+            Kind::Number => entered
+                .parse::<u64>()
+                .map_or_else(|_| Value::from(entered), Value::from),
+            Kind::Text | Kind::Half | Kind::Word(_) => Value::from(entered),
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/console/sheet.rs
@@ -0,0 +1,200 @@
+//! A draft with what the check says of it, and where each finding is shown.
+
+use conf::diff::Change;
+use conf::edit;
+use conf::finding::Finding;
+use conf::finding::Severity;
+use conf::tree::unescape;
+use model::id::DocVersion;
+use serde_json::Value;
+
+use crate::console::html::Element;
+use crate::console::html::el;
+use crate::console::html::link;
+use crate::console::path;
+use crate::console::section;
+use crate::console::section::Field;
+use crate::console::section::Section;
+use crate::console::session::Draft;
+use crate::console::write::entry_path;
+use crate::cx::Cx;
+use crate::operators::look;
+
+/// The most changes or findings that a page lists.
+const MAX_LISTED: usize = 200;
+
+/// A checked draft.
+#[derive(Clone, Debug)]
+pub struct Sheet {
+    /// The draft.
+    pub draft: Draft,
+    /// Its values; `None` if its text cannot be read.
+    pub values: Option<Value>,
+    /// What is wrong with it, in the order of the text.
+    pub findings: Vec<Finding>,
+    /// What it changes against the document in force.
+    pub changes: Vec<Change>,
+    /// The version in force.
+    pub in_force: DocVersion,
+}
+
+impl Sheet {
+    /// Checks a draft as the API checks a text.
+    #[must_use]
+    pub fn new(cx: &Cx, draft: Draft) -> Self {
+        let reply = look::check(cx, &draft.text);
+        Self {
+            values: edit::read(&draft.text).ok(),
+            findings: reply.findings,
+            changes: reply.changes,
+            in_force: reply.base,
+            draft,
+        }
+    }
+
+    /// Returns the names of a part's entries.
+    #[must_use]
+    pub fn names(&self, section: &str) -> Vec<String> {
+        let part = self.values.as_ref().and_then(|values| values.get(section));
+        let entries = part.and_then(Value::as_object);
+        entries.map_or_else(Vec::new, |entries| entries.keys().cloned().collect())
+    }
+
+    /// Returns the findings that belong to one field of an entry.
+    pub fn at_field<'a>(
+        &'a self,
+        section: &'a Section,
+        entry: &'a str,
+        field: &'a Field,
+    ) -> impl Iterator<Item = &'a Finding> {
+        self.findings.iter().filter(move |finding| {
+            let pointer = finding.place.pointer.as_str();
+            owner(section, entry, pointer).is_some_and(|owner| owner.key == field.key)
+        })
+    }
+
+    /// Returns the findings that belong to an entry, but to none of its fields.
+    pub fn at_entry<'a>(
+        &'a self,
+        section: &'a Section,
+        entry: &'a str,
+    ) -> impl Iterator<Item = &'a Finding> {
+        self.findings.iter().filter(move |finding| {
+            let pointer = finding.place.pointer.as_str();
+            below(pointer, entry) && owner(section, entry, pointer).is_none()
+        })
+    }
+
+    /// Makes the list of all findings, each a link to its field; nothing if there are none.
+    #[must_use]
+    pub fn summary(&self) -> Option<Element> {
+        if self.findings.is_empty() {
+            return None;
+        }
+        let items = self.findings.iter().take(MAX_LISTED).map(|finding| {
+            let to = self.place_of(&finding.place.pointer);
+            el("li").child(link(to, told(finding))).text(format!(
+                " (line {}, column {}, {})",
+                finding.place.line, finding.place.column, finding.code
+            ))
+        });
+        Some(
+            el("section")
+                .attr("class", "notice")
+                .attr("id", "findings")
+                .attr("role", "alert")
+                .child(el("h2").text(format!("Findings: {}", self.findings.len())))
+                .child(el("ol").children(items)),
+        )
+    }
+
+    /// Makes the note on a document that came into force since the draft was started.
+    #[must_use]
+    pub fn overtaken(&self) -> Option<Element> {
+        let overtaken = self.draft.is_changed() && self.draft.base != self.in_force;
+        overtaken.then(|| {
+            el("p").attr("class", "notice").text(format!(
+                "The draft was started from version {}; version {} is in force since. Sending it \
+                 will be refused until it is moved, which the page of the draft offers.",
+                self.draft.base, self.in_force
+            ))
+        })
+    }
+
+    /// Returns the path of the form, and the control there, that a JSON pointer lies at.
+    fn place_of(&self, pointer: &str) -> String {
+        let segments: Vec<String> = pointer.split('/').skip(1).map(unescape).collect();
+        let section = segments.first().and_then(|key| section::find(key));
+        let Some(section) = section else {
+            return path("text#f-text");
+        };
+        let name = segments.get(1).filter(|_| section.entry.is_some());
+        let to = entry_path(section, name.map(String::as_str));
+        if name.is_none() && section.entry.is_some() {
+            return to;
+        }
+        let entry = section.pointer(name.map(String::as_str));
+        match owner(section, &entry, pointer) {
+            Some(field) => format!("{to}#{}", field.id()),
+            None => format!("{to}#entry"),
+        }
+    }
+}
+
+/// Returns the field of an entry that a JSON pointer belongs to: the one that it names or lies
+/// below, else the first one that lies below it.
+fn owner(section: &Section, entry: &str, pointer: &str) -> Option<&'static Field> {
+    if pointer == entry {
+        return None;
+    }
+    let place = |field: &&Field| format!("{entry}/{}", field.key);
+    let fields = section.fields;
+    let named = fields.iter().find(|field| below(pointer, &place(field)));
+    named.or_else(|| {
+        let inner = below(pointer, entry);
+        fields
+            .iter()
+            .find(|field| inner && below(&place(field), pointer))
+    })
+}
+
+fn below(pointer: &str, around: &str) -> bool {
+    pointer
+        .strip_prefix(around)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// Returns a finding as one sentence that begins with how severe it is.
+#[must_use]
+pub fn told(finding: &Finding) -> String {
+    let help = finding.help.as_ref();
+    let help = help.map_or_else(String::new, |help| format!("; {help}"));
+    let severity = match finding.severity {
+        Severity::Error => "Error",
+        Severity::Warning => "Warning",
+    };
+    format!("{severity}: {}{help}", finding.message)
+}
+
+/// Makes the paragraph of a finding at its field.
+#[must_use]
+pub fn shown(finding: &Finding) -> Element {
+    let class = match finding.severity {
+        Severity::Error => "finding",
+        Severity::Warning => "finding warning",
+    };
+    el("p").attr("class", class).text(told(finding))
+}
+
+/// Makes the list of changes.
+#[must_use]
+pub fn changes(changes: &[Change]) -> Element {
+    if changes.is_empty() {
+        return el("p").text("No differences.");
+    }
+    let items = changes.iter().take(MAX_LISTED);
+    let items = items.map(|change| el("li").text(&change.summary));
+    let more = changes.len().saturating_sub(MAX_LISTED);
+    let more = (more > 0).then(|| el("li").text(format!("and {more} more")));
+    el("ul").children(items).children(more)
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -36,6 +36,7 @@
 use crate::hosts;
 use crate::join::join;
 use crate::metrics;
+use crate::observe;
 use crate::operators::Operators;
 use crate::peers;
 use crate::routing;
@@ -279,10 +280,7 @@
 ) -> PartResult {
     let clock = cx.clock;
     let board = cx.board.clone();
-    let operators = Operators {
-        cx: cx.clone(),
-        drain,
-    };
+    let operators = Operators::new(cx.clone(), drain);
     let requests = Router::with_path("{**path}").goal(operators);
     let callers = cx.proxy.service();
     let listeners = Arc::new(listeners);
@@ -293,6 +291,7 @@
             request_parts(cx.clone(), callers, listeners.clone()),
         )
         .part("shards", shards(cx.clone(), addresses))
+        .part("observe", with(&cx, observe::run))
         .part(
             "operators",
             serve(listeners.clone(), requests, |all| &all.operators),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,8 +3,9 @@
 //! [`daemon`] starts a daemon and its parts, [`cx`] has what they share, [`supervisor`] keeps them
 //! running. The parts: [`heartbeat`] and [`gossip`] for who is there, [`hosts`] and [`document`] for
 //! what holds, [`shards`] for tasks, [`routing`] for requests, [`peers`] and [`operators`] for who
-//! asks. [`logs`] and [`metrics`] tell what they do.
+//! asks, with the [`console`] of forms. [`logs`], [`metrics`] and [`observe`] tell what they do.
 
+pub mod console;
 pub mod cx;
 pub mod daemon;
 pub mod document;
@@ -14,6 +15,7 @@
 pub mod join;
 pub mod logs;
 pub mod metrics;
+pub mod observe;
 pub mod operators;
 pub mod peers;
 pub mod routing;
--- a/crates/node/src/operators/look.rs
+++ b/crates/node/src/operators/look.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use conf::api::CheckReply;
-use conf::api::CheckRequest;
 use conf::api::DocumentView;
 use conf::api::HandoverView;
 use conf::api::MemberView;
@@ -37,7 +36,6 @@
 use crate::document::propose;
 use crate::operators::Answered;
 use crate::operators::Refused;
-use crate::operators::json;
 use crate::shards::input::ShardStatus;
 use crate::shards::input::Snapshot;
 
@@ -47,7 +45,11 @@
 const RETRY_AFTER_MS: u64 = 1000;
 
 /// The document in force.
-pub(super) fn document(cx: &Cx) -> Answered {
+///
+/// # Errors
+///
+/// Returns a refusal before the first document.
+pub fn document(cx: &Cx) -> Result<DocumentView, Refused> {
     let doc = cx.doc.borrow().clone();
     let Some(doc) = doc else {
         return Err(Refused::not_run(
@@ -55,7 +57,7 @@
             "no document is in force yet",
         ));
     };
-    json(&DocumentView {
+    Ok(DocumentView {
         version: doc.version,
         text: doc.text.to_string(),
         by: doc.by.clone(),
@@ -64,22 +66,23 @@
 }
 
 /// What is wrong with a text and what it would change.
-pub(super) fn check(cx: &Cx, req: &CheckRequest) -> Answered {
+#[must_use]
+pub fn check(cx: &Cx, text: &str) -> CheckReply {
     let doc = cx.doc.borrow().clone();
     let before = doc
         .as_ref()
         .map_or_else(Document::default, |doc| (*doc.document).clone());
     let current = cx.follower().current.clone();
-    let changes = check::read(&req.text).map(|after| diff::changes(&before, &after));
-    json(&CheckReply {
+    let changes = check::read(text).map(|after| diff::changes(&before, &after));
+    CheckReply {
         base: doc.map_or(DocVersion(0), |doc| doc.version),
-        findings: propose::findings(cx, &req.text, current.as_ref()),
+        findings: propose::findings(cx, text, current.as_ref()),
         changes: changes.unwrap_or_default(),
-    })
+    }
 }
 
 /// What this daemon knows of itself and the others.
-pub(super) async fn status(cx: &Arc<Cx>) -> Answered {
+pub async fn status(cx: &Arc<Cx>) -> StatusView {
     let snapshot = cx.shards.snapshot().await;
     let now = cx.clock.now();
     let me = cx.identity();
@@ -89,7 +92,7 @@
         .map(|shot| &shot.shards[..])
         .unwrap_or_default();
     let store_at = cx.view().store_at;
-    json(&StatusView {
+    StatusView {
         daemon: me.daemon,
         incarnation: me.incarnation,
         ready: stage == Stage::Serving,
@@ -100,7 +103,7 @@
         upstreams: upstreams(cx, now),
         shards: shards.iter().map(shard).collect(),
         tasks: counts(shards),
-    })
+    }
 }
 
 fn members(cx: &Cx, now: Mono) -> Vec<MemberView> {
@@ -223,7 +226,11 @@
 
 /// One page of tasks: running and waiting ones from their rows, ended ones from the rows that keep
 /// their names.
-pub(super) async fn tasks(cx: &Cx, query: &TaskQuery) -> Answered {
+///
+/// # Errors
+///
+/// Returns a refusal while the table does not answer.
+pub async fn tasks(cx: &Cx, query: &TaskQuery) -> Result<TaskPage, Refused> {
     let ended = matches!(
         query.state,
         Some(TaskState::Succeeded | TaskState::Failed | TaskState::Cancelled)
@@ -262,7 +269,7 @@
                 .is_none_or(|class| *class == task.class)
     };
     let tasks = rows.into_iter().filter_map(read).filter(wanted).collect();
-    json(&TaskPage { tasks, next })
+    Ok(TaskPage { tasks, next })
 }
 
 fn live_task(row: Row) -> Option<TaskView> {
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -31,6 +31,8 @@
 use subtle::ConstantTimeEq;
 use tokio_util::sync::CancellationToken;
 
+use crate::console;
+use crate::console::Console;
 use crate::cx::Cx;
 use crate::cx::Stage;
 
@@ -46,6 +48,7 @@
     pub cx: Arc<Cx>,
     /// Cancelled when an operator asks the daemon to drain.
     pub drain: CancellationToken,
+    console: Console,
 }
 
 /// An answer of the API.
@@ -114,6 +117,9 @@
         if req.uri().path() == api::READY {
             return self.ready(res);
         }
+        if console::is_below(req.uri().path()) {
+            return self.console.handle(req, res).await;
+        }
         let answered = match self.is_allowed(req) {
             true => self.dispatch(req).await,
             false => Err(Refused::not_run(
@@ -126,6 +132,13 @@
 }
 
 impl Operators {
+    /// Makes the operators' side, with nobody logged in at the console.
+    #[must_use]
+    pub fn new(cx: Arc<Cx>, drain: CancellationToken) -> Self {
+        let console = Console::new(cx.clone());
+        Self { cx, drain, console }
+    }
+
     fn ready(&self, res: &mut Response) {
         let ready = *self.cx.stage.borrow() == Stage::Serving;
         let status = if ready {
@@ -143,8 +156,7 @@
             .get(AUTHORIZATION)
             .and_then(|value| value.to_str().ok());
         let token = header.and_then(|value| value.strip_prefix("Bearer "));
-        let expected = self.cx.settings.operator_token.as_bytes();
-        token.is_some_and(|token| bool::from(token.as_bytes().ct_eq(expected)))
+        token.is_some_and(|token| is_operator(&self.cx, token))
     }
 
     async fn dispatch(&self, req: &mut Request) -> Answered {
@@ -153,11 +165,14 @@
         let get = method == Method::GET;
         let post = method == Method::POST;
         match path.as_str() {
-            api::DOCUMENT if get => look::document(&self.cx),
-            api::STATUS if get => look::status(&self.cx).await,
+            api::DOCUMENT if get => json(&look::document(&self.cx)?),
+            api::STATUS if get => json(&look::status(&self.cx).await),
             api::DUMP if get => look::dump(&self.cx).await,
-            api::TASKS if get => look::tasks(&self.cx, &query(req)?).await,
-            api::CHECK if post => look::check(&self.cx, &body(req).await?),
+            api::TASKS if get => json(&look::tasks(&self.cx, &query(req)?).await?),
+            api::CHECK if post => {
+                let req: api::CheckRequest = body(req).await?;
+                json(&look::check(&self.cx, &req.text))
+            }
             api::APPLY if post => act::apply(&self.cx, body(req).await?).await,
             api::TASKS if post => act::submit(&self.cx, body(req).await?).await,
             api::DRAIN if post => {
@@ -189,6 +204,13 @@
     }
 }
 
+/// Returns whether this is the operators' token, in a time that does not tell how much of it is.
+#[must_use]
+pub fn is_operator(cx: &Cx, token: &str) -> bool {
+    let expected = cx.settings.operator_token.as_bytes();
+    bool::from(token.as_bytes().ct_eq(expected))
+}
+
 fn unknown_path(method: &Method, path: &str) -> Refused {
     Refused::not_run(
         StatusCode::NOT_FOUND,
