feat(node): the dump on a page, metrics of workers and of bytes between regions

The console shows the dump and a handover in progress; a task that has ended no longer shows an attempt of 0, which its row does not keep. observe also tells workers known, quarantined and leaving, tasks that can run nowhere, and bytes between regions. Tags carry no blanks.

--- a/crates/node/src/console/look.rs
+++ b/crates/node/src/console/look.rs
@@ -1,5 +1,7 @@
 //! Pages that show the state, from what the API's status tells.
 
+use std::sync::Arc;
+
 use conf::api::HandoverView;
 use conf::api::MemberView;
 use conf::api::ShardView;
@@ -105,6 +107,7 @@
         "hosts" => ("Hosts", hosts(visit.cx)),
         "tasks" => ("Tasks", tasks(visit.cx, query).await?),
         "parts" => ("Parts", vec![parts(visit.cx)]),
+        "dump" => ("Dump of the state", dump(visit.cx).await?),
         _ => {
             return Err(Fault {
                 status: StatusCode::NOT_FOUND,
@@ -304,24 +307,38 @@
     Ok(content.into_iter().chain(more).collect())
 }
 
+/// The row of a task; of one that has ended, its last run is no longer known.
 fn task(task: &TaskView) -> Vec<String> {
+    let lives = matches!(task.state, TaskState::Queued | TaskState::Assigned);
+    let count = |count: u32| match lives {
+        true => count.to_string(),
+        false => String::new(),
+    };
+    let worker = task.worker.as_ref();
     vec![
         task.task.to_string(),
         task.state.word().to_owned(),
         task.team.to_string(),
         task.class.to_string(),
-        task.attempt.to_string(),
+        count(task.attempt.0),
         task.shard.to_string(),
-        task.worker
-            .as_ref()
-            .map(ToString::to_string)
-            .unwrap_or_default(),
-        task.evictions.to_string(),
-        task.failures.to_string(),
+        worker.map(ToString::to_string).unwrap_or_default(),
+        count(task.evictions),
+        count(task.failures),
         task.reason.clone().unwrap_or_default(),
     ]
 }
 
+/// The dump as the API gives it, for reading.
+async fn dump(cx: &Arc<Cx>) -> Result<Vec<Element>, Fault> {
+    let dump = look::dump(cx).await?;
+    let text = serde_json::to_string_pretty(&dump).unwrap_or_default();
+    Ok(vec![
+        el("p").text("Times are milliseconds since this daemon was started."),
+        el("pre").attr("tabindex", "0").text(text),
+    ])
+}
+
 /// The form that narrows the list of tasks; it changes nothing and is therefore a plain get.
 fn state_form(chosen: Option<TaskState>) -> Element {
     let option = |word: &str, text: &str, selected: bool| {
--- a/crates/node/src/console/page.rs
+++ b/crates/node/src/console/page.rs
@@ -96,6 +96,7 @@
         ("tasks", "Tasks"),
         ("members", "Members"),
         ("parts", "Parts"),
+        ("dump", "Dump"),
     ];
     let looks = looks.map(|(what, title)| link(path(&format!("look/{what}")), title));
     let forms = SECTIONS
--- a/crates/node/src/observe.rs
+++ b/crates/node/src/observe.rs
@@ -14,6 +14,7 @@
 use model::Map;
 use model::time::millis;
 use route::report::Report;
+use serde_json::Value;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
@@ -79,6 +80,8 @@
 /// Upstreams and refusals.
 fn tell_requests(metrics: &StatsdClient, report: &Report, counters: &mut Counters) {
     gauge(metrics, "requests.held", report.held as u64);
+    let far = ("link", "between-regions");
+    counters.tell(metrics, "requests.far_bytes", far, report.far_bytes);
     for (upstream, told) in &report.upstreams {
         let tagged = |name: &str, value: u64| {
             metrics
@@ -102,7 +105,8 @@
         counters.tell(metrics, "upstream.sends", ("upstream", name), told.sends);
     }
     for (reason, count) in &report.refused {
-        counters.tell(metrics, "requests.refused", ("reason", reason), *count);
+        let reason = reason.replace(' ', "-");
+        counters.tell(metrics, "requests.refused", ("reason", &reason), *count);
     }
 }
 
@@ -126,6 +130,22 @@
         "tasks.in_doubt",
         tasks().filter(|task| task.in_doubt).count() as u64,
     );
+    tell_scheduler(metrics, &snapshot.sched);
+}
+
+/// What the scheduler thinks of its workers and tasks; it dumps itself as JSON.
+fn tell_scheduler(metrics: &StatsdClient, sched: &Value) {
+    let workers = sched.get("workers").and_then(Value::as_array);
+    let workers = || workers.into_iter().flatten();
+    let with = |flag: &str| {
+        let set = |worker: &&Value| worker.get(flag).and_then(Value::as_bool) == Some(true);
+        workers().filter(set).count() as u64
+    };
+    gauge(metrics, "workers.known", workers().count() as u64);
+    gauge(metrics, "workers.quarantined", with("quarantined"));
+    gauge(metrics, "workers.leaving", with("leaving"));
+    let unrunnable = sched.get("unrunnable").and_then(Value::as_u64);
+    gauge(metrics, "tasks.unrunnable", unrunnable.unwrap_or_default());
 }
 
 /// Restarts of the parts.
--- a/crates/node/src/operators/look.rs
+++ b/crates/node/src/operators/look.rs
@@ -322,7 +322,11 @@
 }
 
 /// The state of the process.
-pub(super) async fn dump(cx: &Arc<Cx>) -> Answered {
+///
+/// # Errors
+///
+/// None at present; the signature is that of an answer.
+pub async fn dump(cx: &Arc<Cx>) -> Answered {
     let snapshot: Option<Snapshot> = cx.shards.snapshot().await;
     let (members, heard, store_at) = {
         let view = cx.view();
--- a/crates/node/tests/all/console/pages.rs
+++ b/crates/node/tests/all/console/pages.rs
@@ -2,9 +2,10 @@
 
 use super::browser::Browser;
 use super::browser::Shown;
+use crate::world::DOCUMENT;
 use crate::world::World;
 
-const PATHS: [&str; 20] = [
+const PATHS: [&str; 21] = [
     "/console/login",
     "/console",
     "/console/look/members",
@@ -13,6 +14,7 @@
     "/console/look/shards",
     "/console/look/tasks?state=failed",
     "/console/look/parts",
+    "/console/look/dump",
     "/console/draft",
     "/console/text",
     "/console/edit/halves",
@@ -131,6 +133,16 @@
     for (path, text) in cases {
         browser.get(path).await.has(text);
     }
+    let handed_over = DOCUMENT.replacen("{ \"half\": \"noord\" /*", "{ \"half\": \"zuid\" /*", 1);
+    world.apply(&handed_over).await;
+    let row = "<th scope=\"row\">planning</th><td>noord</td><td>zuid</td><td>taken</td>";
+    for path in ["/console", "/console/look/upstreams"] {
+        browser
+            .get(path)
+            .await
+            .has("Handovers in progress")
+            .has(row);
+    }
     world
         .table
         .faults()
--- a/crates/node/tests/all/observe.rs
+++ b/crates/node/tests/all/observe.rs
@@ -31,6 +31,10 @@
         "tasks.assigned:0|g|#daemon:d1",
         "tasks.queued:0|g|#daemon:d1",
         "tasks.in_doubt:0|g|#daemon:d1",
+        "tasks.unrunnable:0|g|#daemon:d1",
+        "workers.known:0|g|#daemon:d1",
+        "workers.quarantined:0|g|#daemon:d1",
+        "workers.leaving:0|g|#daemon:d1",
     ]);
     let mut buf = [0; 512];
     for _ in 0..MAX_LINES {
@@ -44,3 +48,30 @@
     }
     panic!("never arrived: {wanted:?}");
 }
+
+#[tokio::test]
+async fn a_counter_tells_what_was_added_and_no_more() {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let world = World::start(Some(socket.local_addr().unwrap()), |table| table).await;
+    let http = reqwest::Client::builder().no_proxy().build().unwrap();
+    let url = format!("http://{}/nowhere", world.daemon.callers);
+    for _ in 0..2 {
+        let refused = http.get(&url).send().await.unwrap();
+        assert!(!refused.status().is_success());
+    }
+    // From here on nothing but timers is left, which need not be waited for.
+    tokio::time::pause();
+    let refusals = "fireflynotch.requests.refused:2|c|#daemon:d1,reason:no-route";
+    let (mut seen, mut rounds) = (0, 0);
+    let mut buf = [0; 512];
+    while rounds < 4 {
+        let (len, _) = socket.recv_from(&mut buf).await.unwrap();
+        let line = std::str::from_utf8(&buf[..len]).unwrap();
+        rounds += usize::from(line.starts_with("fireflynotch.stage:"));
+        if line.starts_with("fireflynotch.requests.refused:") {
+            assert_eq!(line, refusals);
+            seen += 1;
+        }
+    }
+    assert_eq!(seen, 1);
+}
