--- a/crates/node/src/console/look.rs
+++ b/crates/node/src/console/look.rs
@@ -14,6 +14,7 @@
 use model::Size;
 use model::place::Place;
 use plat::hosts::HostState;
+use serde_json::Value;
 
 use crate::console::Fault;
 use crate::console::form::Form;
@@ -102,7 +103,9 @@
         }
         "shards" => {
             let status = look::status(visit.cx).await;
-            ("Shards", vec![shards(&status.shards)])
+            let mut content = vec![shards(&status.shards), el("h2").text("Queues")];
+            content.extend(queues(visit.cx).await);
+            ("Shards and queues", content)
         }
         "hosts" => ("Hosts", hosts(visit.cx)),
         "tasks" => ("Tasks", tasks(visit.cx, query).await?),
@@ -225,6 +228,50 @@
     )
 }
 
+/// The queues of the scheduler, which dumps itself as JSON.
+async fn queues(cx: &Cx) -> Vec<Element> {
+    let Some(snapshot) = cx.shards.snapshot().await else {
+        return vec![el("p").text("The part that owns the shards does not answer.")];
+    };
+    let list = |name: &str| {
+        let list = snapshot.sched.get(name).and_then(Value::as_array);
+        list.cloned().unwrap_or_default()
+    };
+    let team = |team: Value| {
+        let size = |name: &str| {
+            let size = team.get(name).cloned().unwrap_or_default();
+            serde_json::from_value(size).unwrap_or(Size::ZERO)
+        };
+        let used = size("used") + size("used_elsewhere");
+        vec![word(&team, "id"), word(&team, "queued"), used.to_string()]
+    };
+    let refused = |refused: Value| {
+        let task = refused.get(0).and_then(Value::as_str).unwrap_or_default();
+        let reason = refused.get(1).unwrap_or(&Value::Null);
+        vec![task.to_owned(), word(reason, "reason")]
+    };
+    vec![
+        table(
+            "Teams with tasks at this daemon; use is that of all daemons",
+            &["Team", "Queued", "Use"],
+            list("teams").into_iter().map(team).collect(),
+        ),
+        table(
+            "Tasks that no worker could hold",
+            &["Task", "Reason"],
+            list("refused").into_iter().map(refused).collect(),
+        ),
+    ]
+}
+
+fn word(value: &Value, key: &str) -> String {
+    match value.get(key) {
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+        None => String::new(),
+    }
+}
+
 fn hosts(cx: &Cx) -> Vec<Element> {
     let list = cx.hosts.borrow().clone();
     let state = |state: HostState| match state {
--- a/crates/node/src/console/page.rs
+++ b/crates/node/src/console/page.rs
@@ -92,7 +92,7 @@
     let looks = [
         ("upstreams", "Upstreams in service"),
         ("hosts", "Hosts"),
-        ("shards", "Shards"),
+        ("shards", "Shards and queues"),
         ("tasks", "Tasks"),
         ("members", "Members"),
         ("parts", "Parts"),
--- a/crates/node/tests/all/console/hostile.rs
+++ b/crates/node/tests/all/console/hostile.rs
@@ -1,4 +1,7 @@
+use std::time::Duration;
+
 use http::Method;
+use model::Size;
 use node::console::Console;
 use node::console::form::MAX_FORM_BYTES;
 use node::console::session::MAX_DRAFT_BYTES;
@@ -54,6 +57,29 @@
     draft.has("No differences.").has("// agreed in March");
 }
 
+#[tokio::test(start_paused = true)]
+async fn names_of_tasks_cannot_break_out_of_the_page() {
+    let world = World::start(None, |table| table).await;
+    let console = Console::new(world.cx().clone());
+    let mut browser = Browser::logged_in(&console, "ann").await;
+    world.submit("<script>1&", Size::new(100, 64, 0)).await;
+    world.submit("<script>2&", Size::new(500, 999, 0)).await;
+    // The row of the shard is read again, and the scheduler has its turn.
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let tasks = browser.get("/console/look/tasks").await;
+    tasks.lacks("<script").has("&lt;script&gt;1");
+    let queues = browser.get("/console/look/shards").await;
+    queues
+        .lacks("<script")
+        .has("<th scope=\"row\">r1</th><td>d1</td>");
+    queues.has("<th scope=\"row\">fleet</th><td>0</td>");
+    // The only worker does not answer, so that nowhere is a place for the first one.
+    queues.has("&lt;script&gt;1&amp;</th><td>no-place</td>");
+    queues.has("&lt;script&gt;2&amp;</th><td>over-quota</td>");
+    let dump = browser.get("/console/look/dump").await;
+    dump.lacks("<script").has("&lt;script&gt;2");
+}
+
 #[tokio::test(start_paused = true)]
 async fn oversized_and_malformed_requests_are_told_and_change_nothing() {
     const FORM: &str = "application/x-www-form-urlencoded";
--- a/crates/node/tests/all/observe.rs
+++ b/crates/node/tests/all/observe.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeSet;
 
 use fake::faults::Fault;
+use model::Size;
 use tokio::net::UdpSocket;
 
 use crate::world::World;
@@ -12,6 +13,7 @@
 async fn every_listed_metric_arrives() {
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let world = World::start(Some(socket.local_addr().unwrap()), |table| table).await;
+    world.submit("crest", Size::new(100, 64, 0)).await;
     world.table.faults().set_of("read", Fault::Refused);
     let mut wanted = BTreeSet::from([
         "members.alive:1|g|#daemon:d1",
@@ -26,12 +28,12 @@
         "upstream.borrowed:0|g|#daemon:d1,upstream:planning",
         "upstream.lent:0|g|#daemon:d1,upstream:planning",
         "upstream.ejected:0|g|#daemon:d1,upstream:planning",
-        "shards.owned:0|g|#daemon:d1",
+        "shards.owned:1|g|#daemon:d1",
         "shards.ownerless:0|g|#daemon:d1",
         "tasks.assigned:0|g|#daemon:d1",
-        "tasks.queued:0|g|#daemon:d1",
+        "tasks.queued:1|g|#daemon:d1",
         "tasks.in_doubt:0|g|#daemon:d1",
-        "tasks.unrunnable:0|g|#daemon:d1",
+        "tasks.unrunnable:1|g|#daemon:d1",
         "workers.known:0|g|#daemon:d1",
         "workers.quarantined:0|g|#daemon:d1",
         "workers.leaving:0|g|#daemon:d1",
--- a/crates/node/tests/all/world.rs
+++ b/crates/node/tests/all/world.rs
@@ -10,17 +10,24 @@
 use fake::hosts::FakeHosts;
 use fake::object::FakeObjects;
 use fake::table::FakeTable;
+use lease::record::Priority;
+use lease::record::TaskSpec;
+use model::Size;
 use model::id::DaemonId;
 use model::id::OpId;
+use model::place::Place;
 use node::cx::Cx;
 use node::cx::Outside;
 use node::daemon::Daemon;
 use node::document::propose::propose;
+use node::shards::input::Reply;
+use node::shards::input::Request;
 use plat::call::call;
 use plat::error::CallError;
 use plat::hosts::DaemonEntry;
 use plat::hosts::HostList;
 use plat::hosts::HostState;
+use plat::hosts::WorkerEntry;
 use plat::table::Table;
 use plat::worker::Addressed;
 use plat::worker::WorkerError;
@@ -61,8 +68,17 @@
             id: id.into(),
             state: HostState::Live,
         };
+        let worker = WorkerEntry {
+            id: "w1".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            place: Place::new("vlaanderen", "limburg"),
+            rack: "r1".into(),
+            capacity: Size::new(8000, 16_384, 0),
+            state: HostState::Live,
+        };
         let list = HostList {
             revision: 1,
+            workers: vec![worker],
             daemons: ["d1", "d2", "d3"].map(entry).into(),
             ..HostList::default()
         };
@@ -105,6 +121,23 @@
         propose(self.cx(), req).await.unwrap()
     }
 
+    /// Has a task queued, once the daemon owns the shard of its worker.
+    pub async fn submit(&self, task: &str, size: Size) {
+        let spec = TaskSpec {
+            task: task.into(),
+            team: "fleet".into(),
+            class: "check".into(),
+            priority: Priority::Normal,
+            size,
+            run_ms: None,
+            max_failures: 3,
+        };
+        let request = Request::Submit { shard: None, spec };
+        while self.cx().shards.ask(request.clone()).await != Reply::Done {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    }
+
     /// Writes the heartbeat of a daemon that does not answer.
     pub fn add_silent_daemon(&self, id: &str) {
         let port = 1;
