test(node): the form of each part changes what was entered and nothing else

Also conf::edit::read: comments are left out, and a text nested too deeply is refused instead of overflowing the stack.

--- a/crates/conf/tests/all/edit.rs
+++ b/crates/conf/tests/all/edit.rs
@@ -1,4 +1,5 @@
 use conf::edit::EditError;
+use conf::edit::read;
 use conf::edit::remove;
 use conf::edit::set;
 use serde_json::json;
@@ -56,3 +57,15 @@
         Err(EditError::Syntax(_))
     ));
 }
+
+#[test]
+fn reading_leaves_comments_out_and_refuses_what_is_too_deep() {
+    let values = read(TEXT).unwrap();
+    assert_eq!(values["upstreams"]["planning"]["half"], "east");
+    for text in ["{", "[1 2]", &"[".repeat(100_000)] {
+        assert!(
+            matches!(read(text), Err(EditError::Syntax(_))),
+            "{text:.10}"
+        );
+    }
+}
--- a/crates/node/tests/all/console/drafts.rs
+++ b/crates/node/tests/all/console/drafts.rs
@@ -54,6 +54,66 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_form_of_each_part_changes_what_was_entered_and_nothing_else() {
+    let world = World::start(None, |table| table).await;
+    let console = Console::new(world.cx().clone());
+    let cases = [
+        (
+            "halves",
+            "name=zuid&title=&share_percent=30",
+            "halves zuid share_percent: 40 becomes 30",
+        ),
+        (
+            "regions",
+            "name=vlaanderen&data_centres=limburg%0D%0A%0D%0A+namur+",
+            "regions vlaanderen data_centres: [&quot;limburg&quot;] becomes \
+             [&quot;limburg&quot;,&quot;namur&quot;]",
+        ),
+        (
+            "teams",
+            "name=fleet&half=noord&quota/cpu_millis=2000&quota/memory_mib=64\
+             &quota/accelerators=&weight=",
+            "teams fleet quota cpu_millis: 1000 becomes 2000",
+        ),
+        (
+            "classes",
+            "name=check&kind=batch&half=noord&regions=&data_centres=&p99_target_us=&max_per_rack=4",
+            "classes check max_per_rack: null becomes 4",
+        ),
+        (
+            "sharing",
+            "batch_percent=70&tail_weight=&throughput_weight=&evictions_weight=3",
+            "sharing evictions_weight: 1 becomes 3",
+        ),
+    ];
+    for (section, entered, change) in cases {
+        let mut browser = Browser::logged_in(&console, "ann").await;
+        let to = format!("/console/edit/{section}");
+        browser.get(&to).await;
+        let fields: Vec<(String, String)> = form_urlencoded::parse(entered.as_bytes())
+            .into_owned()
+            .collect();
+        let fields: Vec<(&str, &str)> = fields.iter().map(|(k, v)| (&**k, &**v)).collect();
+        let saved = browser.post(&to, &fields).await;
+        assert_eq!(saved.status, 303, "{section}");
+        let draft = browser.get("/console/draft").await;
+        draft.has(&format!("<li>{change}")).lacks("Findings");
+        let changes = draft.html.matches("<li>").count() - draft.html.matches("<li><a ").count();
+        assert_eq!(changes, 1, "{section}");
+        let text = browser.get("/console/text").await.area("f-text");
+        let comments = [
+            "// The two halves.",
+            "/* until May */",
+            "// agreed in March",
+        ];
+        assert!(
+            comments.iter().all(|comment| text.contains(comment)),
+            "{text}"
+        );
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn each_finding_stands_at_its_field_and_in_the_summary() {
     let world = World::start(None, |table| table).await;
