--- a/crates/node/tests/all/observe.rs
+++ b/crates/node/tests/all/observe.rs
@@ -1,6 +1,5 @@
 use std::collections::BTreeSet;
 
-use fake::faults::Fault;
 use model::Size;
 use tokio::net::UdpSocket;
 
@@ -14,7 +13,6 @@
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let world = World::start(Some(socket.local_addr().unwrap()), |table| table).await;
     world.submit("crest", Size::new(100, 64, 0)).await;
-    world.table.faults().set_of("read", Fault::Refused);
     let mut wanted = BTreeSet::from([
         "members.alive:1|g|#daemon:d1",
         "document.version:1|g|#daemon:d1",
