--- a/crates/measure/src/system/plan.rs
+++ b/crates/measure/src/system/plan.rs
@@ -50,7 +50,7 @@
 #[must_use]
 pub fn document(parts_half: &str) -> String {
     r#"{
-    "halves": { "noord": { "share_percent": 100 }, "zuid": { "share_percent": 100 } },
+    "halves": { "noord": { "share_percent": 90 }, "zuid": { "share_percent": 10 } },
     "regions": {
         "vlaanderen": { "data_centres": ["limburg", "antwerpen"] },
         "wallonie": { "data_centres": ["namur"] }
@@ -144,11 +144,16 @@
         .await
         .expect("daemons start");
     let first = document("noord");
+    let mut last = String::new();
     let accepted = wait_until(PATIENCE, async || {
         let reply = client::apply(system.daemons[0].operators, "first", &first).await;
+        last = format!("{reply:?}");
         matches!(reply, Ok(ApplyReply::Accepted { .. }))
     });
-    assert!(accepted.await, "the first document was not accepted");
+    assert!(
+        accepted.await,
+        "the first document was not accepted: {last}"
+    );
     for daemon in &system.daemons {
         let ready = async || {
             client::status(daemon.operators)
--- a/crates/node/tests/all/world.rs
+++ b/crates/node/tests/all/world.rs
@@ -28,6 +28,8 @@
 use plat::hosts::HostList;
 use plat::hosts::HostState;
 use plat::hosts::WorkerEntry;
+use plat::pace::Limits;
+use plat::pace::Pace;
 use plat::table::Table;
 use plat::worker::Addressed;
 use plat::worker::WorkerError;
@@ -84,6 +86,7 @@
         };
         let outside = Outside {
             table: wrap(table.direct()),
+            pace: Pace::new(Limits::share(1)),
             objects: FakeObjects::new().direct(),
             hosts: FakeHosts::new(list, Duration::ZERO).direct(),
             workers: Workers {
@@ -133,7 +136,7 @@
             max_failures: 3,
         };
         let request = Request::Submit { shard: None, spec };
-        while self.cx().shards.ask(request.clone()).await != Reply::Done {
+        while !matches!(self.cx().shards.ask(request.clone()).await, Reply::Done(_)) {
             tokio::time::sleep(Duration::from_secs(1)).await;
         }
     }
