feat(sched): shares kept for large tasks, faster growth of sizes that were cut off, tests

A large task of a half at its share starved behind small ones of the same half, and tasks on lost workers used up the share of theirs; both are tested.

--- a/crates/sched/src/blocked.rs
+++ b/crates/sched/src/blocked.rs
@@ -27,7 +27,7 @@
 const EVICTION_HOLD: Duration = Duration::from_secs(10);
 /// How much longer than expected a worker is kept for a large task.
 const HOLD_GRACE: Duration = Duration::from_secs(60);
-/// The part of the largest worker from which a task is large; room for smaller ones comes by itself
+/// The part of the largest worker above which a task is large; room for smaller ones comes by itself
 /// as others end.
 const LARGE: f64 = 0.25;
 /// How many workers of a hundred may be kept for large tasks at the same time.
@@ -48,7 +48,8 @@
             Attempt::NoRoom if preempts => self.make_room(lane, false, round),
             Attempt::Share if preempts => self.make_room(lane, true, round),
             Attempt::NoRoom => self.wait_for_room(head, round),
-            Attempt::Started | Attempt::Refused | Attempt::Quota | Attempt::Share => {}
+            Attempt::Share => self.wait_for_share(head, round.now),
+            Attempt::Started | Attempt::Refused | Attempt::Quota => {}
         }
     }
 
@@ -114,7 +115,7 @@
         }
         let reservation = self.book.reservation(key);
         let largest = self.book.classes[self.book.tasks[key].class].largest;
-        if reservation.dominant_share(&largest) < LARGE {
+        if reservation.dominant_share(&largest) <= LARGE {
             return;
         }
         let ask = start::ask(&self.book, &self.jobs, key, reservation);
@@ -125,6 +126,21 @@
         }
     }
 
+    /// Keeps a part of its half's share free for a task that has waited, so that smaller ones of the
+    /// same half do not take it up for ever.
+    fn wait_for_share(&mut self, key: TaskKey, now: Mono) {
+        let task = &self.book.tasks[key];
+        if now.since(task.submitted_at) < self.cfg.hold_after {
+            return;
+        }
+        let reservation = self.book.reservation(key);
+        let half = self.book.teams[task.team].half;
+        let kept = &mut self.book.halves[usize::from(half.0)].kept;
+        if kept.is_none() {
+            *kept = Some((key, reservation));
+        }
+    }
+
     fn hold(&mut self, task: TaskKey, worker: WorkerKey, expected: Mono, expires: Mono) {
         self.book.tasks[task].held = Some(worker);
         self.book.workers[worker].hold = Some(Hold {
@@ -137,6 +153,12 @@
 
     /// Keeps no worker for a task any longer.
     pub(crate) fn drop_hold(&mut self, key: TaskKey) {
+        for half in &mut self.book.halves {
+            if half.kept.is_some_and(|(task, _)| task == key) {
+                half.kept = None;
+                self.book.room += 1;
+            }
+        }
         let Some(worker) = self.book.tasks[key].held.take() else {
             return;
         };
--- a/crates/sched/src/book.rs
+++ b/crates/sched/src/book.rs
@@ -60,6 +60,9 @@
     pub(crate) capacity: Size,
     /// The capacity of the workers of other daemons.
     pub(crate) capacity_elsewhere: Size,
+    /// What is reserved on workers that the list of hosts no longer names. It counts as capacity, so
+    /// that tasks on a lost worker do not use up the share of their half.
+    pub(crate) unlisted: Size,
     /// Counts the changes that may have made room for a task that waits.
     pub(crate) room: u64,
     half_names: Names<HalfId>,
@@ -82,7 +85,7 @@
 
     /// Returns the capacity that is known, here and at other daemons.
     pub(crate) fn whole(&self) -> Size {
-        self.capacity + self.capacity_elsewhere
+        self.capacity + self.capacity_elsewhere + self.unlisted
     }
 
     /// Takes over the rules of a document.
@@ -231,8 +234,10 @@
         self.pools
             .resize_with(self.sites.iter().count(), Pool::default);
         self.capacity = Size::ZERO;
+        self.unlisted = Size::ZERO;
         for (key, worker) in &self.workers {
             if !worker.listed {
+                self.unlisted += worker.reserved;
                 continue;
             }
             let pool = &mut self.pools[usize::from(worker.site.0)];
@@ -300,6 +305,9 @@
         let team = &mut self.teams[task.team];
         let worker = &mut self.workers[worker_key];
         worker.reserved += reserved;
+        if !worker.listed {
+            self.unlisted += reserved;
+        }
         if class.is_service() {
             worker.services += 1;
         } else {
@@ -326,6 +334,9 @@
         half.used = half.used.saturating_sub(&run.reserved);
         let worker = &mut self.workers[run.worker];
         worker.reserved = worker.reserved.saturating_sub(&run.reserved);
+        if !worker.listed {
+            self.unlisted = self.unlisted.saturating_sub(&run.reserved);
+        }
         worker.tasks.retain(|task| *task != key);
         if let Some(count) = class.racks.get_mut(&worker.rack) {
             *count = count.saturating_sub(1);
--- a/crates/sched/src/sizes.rs
+++ b/crates/sched/src/sizes.rs
@@ -30,10 +30,14 @@
 /// A use of this part of the reservation, in percent, was probably cut off by it.
 const CUT_OFF_PERCENT: u64 = 98;
 /// What a use that was cut off is taken for, in percent of it.
-const CUT_OFF_GROWTH_PERCENT: u64 = 130;
+const CUT_OFF_GROWTH_PERCENT: u64 = 200;
 /// By which factor use in proportion to the declared size has to spread less than use itself to be
 /// preferred.
 const RELATIVE_ADVANTAGE: f64 = 2.0;
+/// After so many runs in a row that were cut off, older ones no longer count.
+const CUT_OFF_RUNS: u32 = 8;
+/// The least that is reserved while nothing is known but the claim.
+const SAFE_START: Size = Size::new(500, 512, 0);
 /// The least that is ever reserved.
 const MIN_RESERVATION: Size = Size::new(100, 64, 0);
 
@@ -78,6 +82,7 @@
     absolute: Quantiles,
     uncut: Quantiles,
     relative: Quantiles,
+    cut_in_a_row: u32,
 }
 
 /// What was seen of a run in one dimension.
@@ -114,11 +119,21 @@
             absolute: Quantiles::new(),
             uncut: Quantiles::new(),
             relative: Quantiles::new(),
+            cut_in_a_row: 0,
         }
     }
 
     /// Records a peak; only one that nothing cut off says how it relates to the declared size.
     fn record(&mut self, peak: Seen, declared: u64) {
+        self.cut_in_a_row = if peak.is_cut {
+            self.cut_in_a_row + 1
+        } else {
+            0
+        };
+        if self.cut_in_a_row == CUT_OFF_RUNS {
+            self.cut_in_a_row = 0;
+            self.absolute = Quantiles::new();
+        }
         self.absolute.record(peak.at_least);
         let permille = peak.at_least.saturating_mul(1000).checked_div(declared);
         if let Some(permille) = permille.filter(|_| !peak.is_cut) {
@@ -190,6 +205,9 @@
     }
 
     /// Records the peaks of a run; no processor use was seen where it was always throttled.
+    ///
+    /// Processor use may have been cut off by the reservation. Memory use was not, because a task
+    /// that wants more than it gets fails.
     pub(crate) fn record(&mut self, peak: &Peak) {
         let (now, _) = self.reservation(&peak.declared);
         let (usage, reserved) = (&peak.usage, &peak.reserved);
@@ -197,12 +215,14 @@
         if let Some(cpu) = cpu.filter(|cpu| cpu.at_least > 0) {
             self.cpu.record(cpu, peak.declared.cpu_millis);
         }
-        let memory = uncut(usage.memory_mib, reserved.memory_mib, now.memory_mib);
-        if let Some(memory) = memory {
-            self.memory.record(memory, peak.declared.memory_mib);
-        }
+        let memory = Seen {
+            at_least: usage.memory_mib,
+            is_cut: false,
+        };
+        self.memory.record(memory, peak.declared.memory_mib);
         self.runs += 1;
-        if self.cpu.runs() >= MIN_RUNS && self.memory.runs() >= MIN_RUNS {
+        let enough = self.cpu.runs() >= MIN_RUNS && self.memory.runs() >= MIN_RUNS;
+        if enough || self.learned.is_some() {
             let cpu = self.cpu.learned(if self.is_service {
                 SERVICE_CPU_QUANTILE
             } else {
@@ -225,7 +245,7 @@
     /// Returns what to reserve for a task, and whether it was learned.
     pub(crate) fn reservation(&self, declared: &Size) -> (Size, bool) {
         match self.learned {
-            None => (declared.max(&MIN_RESERVATION), false),
+            None => (declared.max(&SAFE_START), false),
             Some((cpu, memory)) => {
                 let cpu = cpu.of(declared.cpu_millis, CPU_MARGIN_PERCENT);
                 let memory = memory.of(declared.memory_mib, MEMORY_MARGIN_PERCENT);
--- a/crates/sched/src/start.rs
+++ b/crates/sched/src/start.rs
@@ -218,7 +218,7 @@
         if !self.within_quota(task.team, &reservation) {
             return Attempt::Quota;
         }
-        if !self.within_share(task.team, &reservation) {
+        if !self.within_share(key, &reservation) {
             return Attempt::Share;
         }
         let like = (task.class, reservation, task.priority);
@@ -283,10 +283,16 @@
         quota.is_some_and(|quota| (team.held() + *reservation).fits(&quota))
     }
 
-    fn within_share(&self, team: TeamKey, reservation: &Size) -> bool {
+    fn within_share(&self, key: TaskKey, reservation: &Size) -> bool {
+        let team = self.book.tasks[key].team;
         let half = &self.book.halves[usize::from(self.book.teams[team].half.0)];
+        if half.percent >= 100 {
+            return true;
+        }
+        let kept = half.kept.filter(|(task, _)| *task != key);
+        let kept = kept.map_or(Size::ZERO, |(_, size)| size);
         let share = team::percent(&self.book.whole(), half.percent);
-        (half.used + half.elsewhere + *reservation).fits(&share)
+        (half.used + half.elsewhere + kept + *reservation).fits(&share)
     }
 
     fn refuse(&mut self, key: TaskKey, reason: Unrunnable, round: &mut Round) {
--- a/crates/sched/src/team.rs
+++ b/crates/sched/src/team.rs
@@ -6,6 +6,7 @@
 
 use crate::key::Index;
 use crate::key::LaneKey;
+use crate::key::TaskKey;
 
 /// Weighted shares are compared in billionths.
 const SHARE_UNITS: f64 = 1e9;
@@ -61,6 +62,8 @@
     pub(crate) used: Size,
     /// What its tasks hold at other daemons.
     pub(crate) elsewhere: Size,
+    /// A task for which a part of the share is kept free, and what it needs.
+    pub(crate) kept: Option<(TaskKey, Size)>,
 }
 
 /// Returns a part of a size in percent, rounded down.
--- a/crates/sched/tests/all/fixture.rs
+++ b/crates/sched/tests/all/fixture.rs
@@ -118,7 +118,12 @@
 
 /// A scheduler with `document` and `count` equal workers `w0`, `w1`, ... in rack `r`.
 pub fn fleet(document: &Document, count: usize, capacity: Size) -> Sched {
-    let mut sched = Sched::new(SEED, Config::default());
+    fleet_with(Config::default(), document, count, capacity)
+}
+
+/// The same with other settings.
+pub fn fleet_with(cfg: Config, document: &Document, count: usize, capacity: Size) -> Sched {
+    let mut sched = Sched::new(SEED, cfg);
     sched.set_document(document);
     for number in 0..count {
         sched.upsert_worker(worker(&format!("w{number}"), "r", capacity));
--- a/crates/sched/tests/all/health.rs
+++ b/crates/sched/tests/all/health.rs
@@ -1,1 +1,225 @@
-//! To come.
+//! Bad workers are quarantined, bad jobs are not blamed on them, and the fleet is never taken.
+
+use model::Mono;
+use model::Size;
+use sched::Decision;
+use sched::Sched;
+use sched::decision::Why;
+use sched::facts::End;
+
+use crate::fixture;
+use crate::fixture::WORKER;
+
+const UNIT: Size = Size::new(1000, 1000, 0);
+
+/// Runs a job of a class on a worker to its end.
+fn run(sched: &mut Sched, id: &str, class: &str, worker: usize, end: End, now: Mono) {
+    fixture::run(
+        sched,
+        fixture::task(id, class, UNIT),
+        &format!("w{worker}"),
+        now,
+    );
+    fixture::end(sched, id, end, now);
+}
+
+fn quarantined(decisions: &[Decision]) -> Vec<String> {
+    let names = decisions.iter().filter_map(|decision| match decision {
+        Decision::Quarantine { worker, .. } => Some(worker.to_string()),
+        _ => None,
+    });
+    names.collect()
+}
+
+fn readmitted(decisions: &[Decision]) -> Vec<Why> {
+    let reasons = decisions.iter().filter_map(|decision| match decision {
+        Decision::Readmit { why, .. } => Some(*why),
+        _ => None,
+    });
+    reasons.collect()
+}
+
+/// A fleet on which each class has succeeded on several workers.
+fn healthy(count: usize) -> Sched {
+    let mut sched = fixture::fleet(&fixture::document(), count, WORKER);
+    for (number, class) in ["study", "check", "quiet"]
+        .into_iter()
+        .cycle()
+        .take(24)
+        .enumerate()
+    {
+        run(
+            &mut sched,
+            &format!("good{number}"),
+            class,
+            2 + number % (count - 2),
+            End::Succeeded,
+            Mono(0),
+        );
+    }
+    sched
+}
+
+#[test]
+fn distinct_jobs_that_fail_on_one_worker_quarantine_it() {
+    let mut sched = healthy(10);
+    for number in 0..2 {
+        run(
+            &mut sched,
+            &format!("bad{number}"),
+            "study",
+            0,
+            End::Failed,
+            Mono(1000),
+        );
+    }
+    assert!(
+        quarantined(&fixture::settle(&mut sched, Mono(1001))).is_empty(),
+        "two may be chance"
+    );
+    run(&mut sched, "bad2", "check", 0, End::Failed, Mono(1002));
+    assert_eq!(
+        quarantined(&fixture::settle(&mut sched, Mono(1003))),
+        ["w0"]
+    );
+    for number in 0..100 {
+        sched.enqueue(fixture::task(&format!("more{number}"), "quiet", UNIT));
+    }
+    let starts = fixture::starts(&fixture::settle(&mut sched, Mono(1004)));
+    assert_eq!(starts.len(), 100);
+    assert!(starts.iter().all(|(_, worker, _)| worker.as_str() != "w0"));
+}
+
+#[test]
+fn one_job_that_fails_everywhere_blames_no_worker() {
+    let mut sched = healthy(10);
+    for number in 0..30 {
+        run(
+            &mut sched,
+            "bad",
+            "study",
+            number % 10,
+            End::Failed,
+            Mono(number as u64 * 1000),
+        );
+        let decisions = fixture::settle(&mut sched, Mono(number as u64 * 1000 + 1));
+        assert!(quarantined(&decisions).is_empty());
+    }
+}
+
+#[test]
+fn a_wave_of_bad_jobs_never_takes_the_fleet() {
+    for (name, distinct_workers) in [("spread", 20), ("on three workers first", 3)] {
+        let mut sched = healthy(20);
+        let mut worst = 0;
+        for number in 0..400_usize {
+            let worker = if number < 60 {
+                number % distinct_workers
+            } else {
+                number % 20
+            };
+            let now = Mono(1000 + number as u64);
+            run(
+                &mut sched,
+                &format!("bad{number}"),
+                "study",
+                worker,
+                End::Failed,
+                now,
+            );
+            fixture::settle(&mut sched, now);
+            let dump = sched.dump();
+            worst = worst.max(
+                dump.workers
+                    .iter()
+                    .filter(|worker| worker.quarantined)
+                    .count(),
+            );
+        }
+        assert!(worst <= 2, "{name}: {worst} of 20, the cap is a tenth");
+        let dump = sched.dump();
+        let left = dump
+            .workers
+            .iter()
+            .filter(|worker| worker.quarantined)
+            .count();
+        assert_eq!(left, 0, "{name}: the class was found to be bad");
+    }
+}
+
+#[test]
+fn a_probe_decides_whether_a_worker_is_used_again() {
+    for (end, is_readmitted) in [(End::Succeeded, true), (End::Failed, false)] {
+        let mut sched = healthy(10);
+        for number in 0..5 {
+            run(
+                &mut sched,
+                &format!("bad{number}"),
+                "study",
+                0,
+                End::Failed,
+                Mono(1000),
+            );
+        }
+        assert_eq!(
+            quarantined(&fixture::settle(&mut sched, Mono(1001))),
+            ["w0"]
+        );
+        let due = Mono(302_000);
+        for number in 0..10 {
+            sched.enqueue(fixture::task(&format!("next{number}"), "check", UNIT));
+        }
+        let decisions = fixture::settle(&mut sched, due);
+        let probes = decisions.iter().filter_map(|decision| match decision {
+            Decision::Start {
+                task,
+                worker,
+                why: Why::Probe,
+                ..
+            } => Some((task.clone(), worker.clone())),
+            _ => None,
+        });
+        let probes: Vec<_> = probes.collect();
+        assert_eq!(probes.len(), 1, "one probe at a time");
+        assert_eq!(probes[0].1.as_str(), "w0");
+        sched.ended(&probes[0].0, end, Mono(due.0 + 5000));
+        let decisions = fixture::settle(&mut sched, Mono(due.0 + 5001));
+        assert_eq!(
+            readmitted(&decisions).contains(&Why::ProbePassed),
+            is_readmitted,
+            "{end:?}"
+        );
+        sched.enqueue(fixture::task("after", "check", UNIT));
+        let again = fixture::settle(&mut sched, Mono(due.0 + 310_000));
+        let probes = again.iter().filter(|decision| {
+            matches!(
+                decision,
+                Decision::Start {
+                    why: Why::Probe,
+                    ..
+                }
+            )
+        });
+        assert_eq!(
+            probes.count(),
+            0,
+            "after a failed probe the wait is twice as long"
+        );
+    }
+}
+
+#[test]
+fn the_only_worker_is_never_quarantined() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+    for number in 0..20 {
+        run(
+            &mut sched,
+            &format!("bad{number}"),
+            "study",
+            0,
+            End::Failed,
+            Mono(number),
+        );
+        assert!(quarantined(&fixture::settle(&mut sched, Mono(number))).is_empty());
+    }
+}
--- a/crates/sched/tests/all/placement.rs
+++ b/crates/sched/tests/all/placement.rs
@@ -1,1 +1,372 @@
-//! To come.
+//! Which worker a task starts on, and which it never starts on.
+
+use std::time::Duration;
+
+use model::Mono;
+use model::Size;
+use model::id::ShardId;
+use model::id::WorkerId;
+use model::place::Place;
+use sched::Config;
+use sched::Decision;
+use sched::Priority;
+use sched::Sched;
+use sched::decision::Unrunnable;
+use sched::decision::Why;
+use sched::facts::End;
+use sched::facts::PeerShard;
+use sched::facts::PeerSummary;
+use sched::facts::Queued;
+
+use crate::fixture;
+use crate::fixture::WORKER;
+
+const HALF: Size = Size::new(32_000, 128_000, 0);
+const QUARTER: Size = Size::new(16_000, 64_000, 0);
+const ACCELERATED: Size = Size::new(64_000, 256_000, 4);
+
+#[test]
+fn a_job_that_no_worker_could_hold_is_reported_and_blocks_nobody() {
+    let mut document = fixture::document();
+    let nowhere = vec!["nowhere".into()];
+    let class = document.classes.get_mut("check").expect("a class");
+    class.regions = nowhere;
+    let team = document.teams.get_mut("b").expect("a team");
+    team.quota = QUARTER;
+    type Matches = fn(&Unrunnable) -> bool;
+    let cases: [(&str, &str, Size, &str, Matches); 7] = [
+        (
+            "processors",
+            "study",
+            Size::new(64_001, 1, 0),
+            "a",
+            |reason| matches!(reason, Unrunnable::TooLarge { .. }),
+        ),
+        ("memory", "study", Size::new(1, 256_001, 0), "a", |reason| {
+            matches!(reason, Unrunnable::TooLarge { .. })
+        }),
+        ("accelerators", "study", Size::new(1, 1, 1), "a", |reason| {
+            matches!(reason, Unrunnable::TooLarge { .. })
+        }),
+        ("place", "check", QUARTER, "a", |reason| {
+            *reason == Unrunnable::NoPlace
+        }),
+        ("class", "strange", QUARTER, "a", |reason| {
+            *reason == Unrunnable::UnknownClass
+        }),
+        ("team", "study", QUARTER, "strange", |reason| {
+            *reason == Unrunnable::UnknownTeam
+        }),
+        ("quota", "study", HALF, "b", |reason| {
+            matches!(reason, Unrunnable::OverQuota { .. })
+        }),
+    ];
+    for (name, class, declared, team, is_expected) in cases {
+        let mut sched = fixture::fleet(&document, 2, WORKER);
+        sched.enqueue(Queued {
+            team: team.into(),
+            ..fixture::task("impossible", class, declared)
+        });
+        sched.enqueue(fixture::task("possible", "study", QUARTER));
+        let decisions = fixture::settle(&mut sched, Mono(1));
+        let reasons = decisions.iter().filter_map(|decision| match decision {
+            Decision::Unrunnable { reason, .. } => Some(reason),
+            _ => None,
+        });
+        assert!(
+            reasons.clone().count() == 1 && reasons.clone().all(is_expected),
+            "{name}: {decisions:?}"
+        );
+        assert_eq!(fixture::starts(&decisions).len(), 1, "{name}");
+    }
+}
+
+#[test]
+fn a_reported_job_runs_once_a_worker_can_hold_it() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, HALF);
+    sched.enqueue(fixture::task("large", "study", WORKER));
+    assert!(matches!(
+        fixture::settle(&mut sched, Mono(1))[..],
+        [Decision::Unrunnable { .. }]
+    ));
+    assert!(
+        fixture::settle(&mut sched, Mono(2)).is_empty(),
+        "it is reported once"
+    );
+    sched.upsert_worker(fixture::worker("w9", "r", WORKER));
+    let decisions = fixture::settle(&mut sched, Mono(3));
+    assert!(
+        decisions
+            .iter()
+            .any(|decision| matches!(decision, Decision::Runnable { .. }))
+    );
+    assert_eq!(
+        fixture::starts(&fixture::settle(&mut sched, Mono(4))).len(),
+        1
+    );
+}
+
+#[test]
+fn tasks_stay_where_the_document_allows_them() {
+    let mut document = fixture::document();
+    let class = document.classes.get_mut("study").expect("a class");
+    class.data_centres = vec!["east-2".into()];
+    let mut sched = fixture::fleet(&document, 5, WORKER);
+    let mut allowed = fixture::worker("allowed", "r2", WORKER);
+    allowed.place = Place::new("east", "east-2");
+    sched.upsert_worker(allowed);
+    for number in 0..8 {
+        sched.enqueue(fixture::task(&format!("t{number}"), "study", QUARTER));
+    }
+    let starts = fixture::starts(&fixture::settle(&mut sched, Mono(1)));
+    assert_eq!(starts.len(), 4);
+    assert!(
+        starts
+            .iter()
+            .all(|(_, worker, _)| worker.as_str() == "allowed")
+    );
+}
+
+#[test]
+fn a_service_is_spread_over_racks_as_far_as_the_document_says() {
+    let mut document = fixture::document();
+    let class = document.classes.get_mut("plan").expect("a class");
+    class.max_per_rack = Some(2);
+    let mut sched = fixture::fleet(&document, 0, WORKER);
+    for number in 0..9 {
+        let rack = format!("r{}", number % 3);
+        sched.upsert_worker(fixture::worker(&format!("w{number}"), &rack, WORKER));
+    }
+    for number in 0..9 {
+        sched.enqueue(fixture::task(&format!("t{number}"), "plan", QUARTER));
+    }
+    let starts = fixture::starts(&fixture::settle(&mut sched, Mono(1)));
+    let racks: Vec<usize> = (0..3)
+        .map(|rack| {
+            let on_rack = |worker: &WorkerId| {
+                worker.as_str()[1..]
+                    .parse::<usize>()
+                    .is_ok_and(|number| number % 3 == rack)
+            };
+            starts
+                .iter()
+                .filter(|(_, worker, _)| on_rack(worker))
+                .count()
+        })
+        .collect();
+    assert_eq!(racks, [2, 2, 2]);
+}
+
+#[test]
+fn batch_keeps_to_its_part_of_a_worker_with_services() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+    fixture::run(
+        &mut sched,
+        fixture::task("service", "plan", Size::new(1000, 1000, 0)),
+        "w0",
+        Mono(0),
+    );
+    for number in 0..40 {
+        sched.enqueue(fixture::urgent(
+            &format!("t{number}"),
+            "study",
+            Size::new(4000, 1000, 0),
+        ));
+    }
+    let starts = fixture::starts(&fixture::settle(&mut sched, Mono(1)));
+    assert_eq!(
+        starts.len(),
+        11,
+        "70% of 64 cores hold eleven tasks of four cores"
+    );
+}
+
+#[test]
+fn plain_tasks_leave_accelerators_what_they_need() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, ACCELERATED);
+    sched.upsert_worker(fixture::worker("plain", "r", WORKER));
+    for number in 0..20 {
+        sched.enqueue(fixture::task(
+            &format!("t{number}"),
+            "study",
+            Size::new(8000, 32_000, 0),
+        ));
+    }
+    let starts = fixture::starts(&fixture::settle(&mut sched, Mono(1)));
+    let beside = starts
+        .iter()
+        .filter(|(_, worker, _)| worker.as_str() == "w0");
+    assert_eq!((starts.len(), beside.count()), (12, 4));
+    for number in 0..4 {
+        let size = Size::new(8000, 32_000, 1);
+        sched.enqueue(fixture::task(
+            &format!("accelerated{number}"),
+            "check",
+            size,
+        ));
+    }
+    assert_eq!(
+        fixture::starts(&fixture::settle(&mut sched, Mono(2))).len(),
+        4
+    );
+}
+
+#[test]
+fn a_leaving_worker_gets_nothing_new() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+    let mut leaving = fixture::worker("w0", "r", WORKER);
+    leaving.leaving = true;
+    sched.upsert_worker(leaving);
+    sched.enqueue(fixture::urgent("t", "study", QUARTER));
+    assert!(fixture::starts(&fixture::settle(&mut sched, Mono(1))).is_empty());
+}
+
+#[test]
+fn an_urgent_task_evicts_the_batch_that_loses_least() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+    let cases = [("lost-much", 900_000, 0), ("lost-little", 900_000, 895_000)];
+    for (id, _, _) in cases {
+        fixture::run(&mut sched, fixture::task(id, "study", HALF), "w0", Mono(0));
+    }
+    let runs = |sequence: u64| {
+        let facts = cases.map(|(id, progress_ms, saved_ms)| {
+            let mut facts = fixture::usage(id, QUARTER);
+            facts.progress_ms = if sequence == 1 { saved_ms } else { progress_ms };
+            facts.checkpoint = (sequence == 2 && saved_ms > 0).then(|| "saved".into());
+            facts
+        });
+        facts.to_vec()
+    };
+    for sequence in 1..=2 {
+        fixture::report(
+            &mut sched,
+            sequence,
+            0,
+            runs(sequence),
+            Mono(1_000_000 * sequence),
+        );
+    }
+    sched.enqueue(fixture::urgent("urgent", "check", QUARTER));
+    let now = Mono(2_000_001);
+    let decisions = fixture::settle(&mut sched, now);
+    assert_eq!(fixture::evicted(&decisions), ["lost-little"]);
+    assert!(
+        fixture::settle(&mut sched, Mono(now.0 + 250)).is_empty(),
+        "one eviction is enough"
+    );
+    sched.enqueue(fixture::task("small", "check", Size::new(1000, 1000, 0)));
+    fixture::end(&mut sched, "lost-little", End::Stopped, Mono(now.0 + 1000));
+    let starts = fixture::starts(&fixture::settle(&mut sched, Mono(now.0 + 1250)));
+    assert_eq!(starts[0].0.as_str(), "urgent", "the room is kept for it");
+}
+
+#[test]
+fn urgent_tasks_and_services_are_never_evicted_for_urgent_ones() {
+    for (class, priority) in [("plan", Priority::Normal), ("study", Priority::Urgent)] {
+        let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+        let running = Queued {
+            priority,
+            ..fixture::task("running", class, WORKER)
+        };
+        fixture::run(&mut sched, running, "w0", Mono(0));
+        sched.enqueue(fixture::urgent("urgent", "check", QUARTER));
+        assert!(fixture::settle(&mut sched, Mono(1)).is_empty(), "{class}");
+    }
+}
+
+/// Small tasks keep a worker busy; returns when the large one starts.
+fn large_start(sched: &mut Sched) -> Option<u64> {
+    let small = Size::new(16_000, 1000, 0);
+    let mut running: Vec<(u64, String)> = Vec::new();
+    let mut number = 0;
+    for second in 0..600_u64 {
+        let now = Mono(second * 1000);
+        running.retain(|(until, id)| {
+            if *until <= second {
+                fixture::end(sched, id, End::Succeeded, now);
+            }
+            *until > second
+        });
+        while sched.dump().queued < 6 {
+            let id = format!("small{number}");
+            let queued = Queued {
+                run_ms: Some(20_000),
+                submitted_at: now,
+                ..fixture::task(&id, "study", small)
+            };
+            sched.enqueue(queued);
+            number += 1;
+        }
+        if second == 5 {
+            let large = fixture::task("large", "check", WORKER);
+            sched.enqueue(Queued {
+                submitted_at: now,
+                ..large
+            });
+        }
+        for (task, _, _) in fixture::starts(&fixture::settle(sched, now)) {
+            if task.as_str() == "large" {
+                return Some(second);
+            }
+            running.push((second + 20 + running.len() as u64 * 3, task.to_string()));
+        }
+    }
+    None
+}
+
+#[test]
+fn a_large_task_is_not_starved_by_small_ones() {
+    let mut sched = fixture::fleet(&fixture::document(), 2, WORKER);
+    let start = large_start(&mut sched);
+    assert!(start.is_some(), "it starts while small tasks keep coming");
+    let never = Config {
+        hold_after: Duration::MAX,
+        ..Config::default()
+    };
+    let mut sched = fixture::fleet_with(never, &fixture::document(), 2, WORKER);
+    assert_eq!(
+        large_start(&mut sched),
+        None,
+        "without a hold it would starve"
+    );
+}
+
+#[test]
+fn what_no_own_worker_can_take_goes_to_a_shard_with_room() {
+    let peer = |free: Size| PeerSummary {
+        daemon: "other".into(),
+        teams: Vec::new(),
+        capacity: WORKER,
+        shards: vec![PeerShard {
+            shard: ShardId::new("far"),
+            place: Place::new("east", "east-2"),
+            largest: WORKER,
+            free,
+        }],
+    };
+    for (free, expected) in [(Size::ZERO, 0), (QUARTER, 1), (HALF, 2)] {
+        let mut sched = fixture::fleet(&fixture::document(), 1, Size::new(1000, 1000, 0));
+        sched.set_peers(vec![peer(free)]);
+        fixture::run(
+            &mut sched,
+            fixture::task("full", "plan", Size::new(1000, 1000, 0)),
+            "w0",
+            Mono(0),
+        );
+        for number in 0..4 {
+            sched.enqueue(fixture::urgent(
+                &format!("t{number}"),
+                "study",
+                Size::new(500, 500, 0),
+            ));
+        }
+        sched.enqueue(fixture::urgent("large", "check", QUARTER));
+        let decisions = fixture::settle(&mut sched, Mono(1));
+        let moved = decisions.iter().filter(|decision| {
+            matches!(decision, Decision::HandOff { to_shard, why: Why::RoomElsewhere, .. } if to_shard.as_str() == "far")
+        });
+        let moved = moved.count();
+        assert!(moved >= expected, "{free}: {decisions:?}");
+        assert!(moved <= 5);
+    }
+}
--- a/crates/sched/tests/all/sizes.rs
+++ b/crates/sched/tests/all/sizes.rs
@@ -1,1 +1,137 @@
-//! To come.
+//! Declared sizes are claims, and what runs use moves what is reserved.
+
+use model::Mono;
+use model::Size;
+use sched::Config;
+use sched::Sched;
+use sched::facts::End;
+use sched::facts::Queued;
+
+use crate::fixture;
+use crate::fixture::WORKER;
+
+const RUNS: u64 = 40;
+
+/// Lets tasks run that declare and use these sizes, and returns what is then reserved for one more.
+fn reserved_after(sched: &mut Sched, sizes: impl Fn(u64) -> (Size, Size), declared: Size) -> Size {
+    for number in 0..RUNS {
+        let (declared, used) = sizes(number);
+        let id = format!("t{number}");
+        let at = |offset: u64| Mono(number * 100_000 + offset);
+        sched.enqueue(fixture::task(&id, "study", declared));
+        let starts = fixture::starts(&fixture::settle(sched, at(0)));
+        let reserved = starts.first().map_or(declared, |start| start.2);
+        let cpu_millis = used.cpu_millis.min(reserved.cpu_millis);
+        let facts = fixture::usage(&id, Size { cpu_millis, ..used });
+        fixture::report(sched, number + 1, 1000, vec![facts], at(10_000));
+        fixture::end(sched, &id, End::Succeeded, at(60_000));
+    }
+    sched.enqueue(fixture::task("next", "study", declared));
+    let now = Mono(RUNS * 100_000);
+    let starts = fixture::starts(&fixture::settle(sched, now));
+    starts.first().map_or(Size::ZERO, |start| start.2)
+}
+
+#[test]
+fn reservations_follow_what_runs_use() {
+    let true_size = Size::new(4000, 8000, 0);
+    // What is declared, and the least and most that may then be reserved for a true 4 cores, 8 GB.
+    let cases = [
+        ("exact", Size::new(4000, 8000, 0)),
+        ("ten times too much", Size::new(40_000, 80_000, 0)),
+        ("a quarter of it", Size::new(1000, 2000, 0)),
+        ("nothing at all", Size::ZERO),
+    ];
+    for (name, declared) in cases {
+        let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+        let reserved = reserved_after(&mut sched, |_| (declared, true_size), declared);
+        assert!(true_size.fits(&reserved), "{name}: {reserved}");
+        assert!(
+            reserved.fits(&Size::new(6000, 12_000, 0)),
+            "{name}: {reserved}"
+        );
+    }
+}
+
+#[test]
+fn a_class_whose_claims_are_in_proportion_keeps_small_tasks_small() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+    let sizes = |number: u64| {
+        let scale = 1 + number % 10;
+        let used = Size::new(1000 * scale, 2000 * scale, 0);
+        (used + used, used)
+    };
+    let reserved = reserved_after(&mut sched, sizes, Size::new(2000, 4000, 0));
+    assert!(
+        reserved.fits(&Size::new(1200, 2400, 0)),
+        "half of what is declared: {reserved}"
+    );
+}
+
+#[test]
+fn without_learning_the_claim_stands() {
+    let cfg = Config {
+        learning: false,
+        ..Config::default()
+    };
+    let declared = Size::new(10_000, 10_000, 0);
+    let mut sched = fixture::fleet_with(cfg, &fixture::document(), 1, WORKER);
+    let used = Size::new(1000, 1000, 0);
+    assert_eq!(
+        reserved_after(&mut sched, |_| (declared, used), declared),
+        declared
+    );
+}
+
+#[test]
+fn a_learned_class_runs_although_it_declares_more_than_any_worker() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+    let used = Size::new(4000, 8000, 0);
+    let absurd = Size::new(1_000_000, 1_000_000, 0);
+    let sizes = |number: u64| (Size::new(4000 + 1000 * (number % 20), 64_000, 0), used);
+    let reserved = reserved_after(&mut sched, sizes, absurd);
+    assert!(used.fits(&reserved) && reserved.fits(&WORKER), "{reserved}");
+}
+
+#[test]
+fn a_task_that_failed_gets_more_memory_but_never_more_than_a_worker_has() {
+    let declared = Size::new(1000, 100_000, 0);
+    for (failures, memory_mib) in [(0, 100_000), (1, 200_000), (2, 256_000), (9, 256_000)] {
+        let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+        sched.enqueue(Queued {
+            failures,
+            ..fixture::task("t", "study", declared)
+        });
+        let starts = fixture::starts(&fixture::settle(&mut sched, Mono(100_000)));
+        assert_eq!(
+            starts[0].2.memory_mib, memory_mib,
+            "after {failures} failures"
+        );
+    }
+}
+
+#[test]
+fn tasks_that_use_nearly_all_memory_lose_the_cheapest_batch() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+    for id in ["long", "short"] {
+        fixture::run(
+            &mut sched,
+            fixture::task(id, "study", Size::new(1000, 1000, 0)),
+            "w0",
+            Mono(0),
+        );
+    }
+    let facts = [("long", 600_000), ("short", 1000)].map(|(id, progress_ms)| {
+        let mut facts = fixture::usage(id, Size::new(1000, 125_000, 0));
+        facts.progress_ms = progress_ms;
+        facts
+    });
+    fixture::report(&mut sched, 1, 0, facts.to_vec(), Mono(10_000));
+    sched.enqueue(fixture::task("more", "check", Size::new(1000, 10_000, 0)));
+    let decisions = fixture::settle(&mut sched, Mono(10_001));
+    assert_eq!(fixture::evicted(&decisions), ["short"]);
+    assert!(
+        fixture::starts(&decisions).is_empty(),
+        "what is used is not given away"
+    );
+}
