fix(sched): count cut off runs at the present reservation only

Before something is learned, exact claims cut off every run, and the large ones among them pushed the median up.

--- a/crates/sched/src/sizes.rs
+++ b/crates/sched/src/sizes.rs
@@ -30,10 +30,14 @@
 /// A use of this part of the reservation, in percent, was probably cut off by it.
 const CUT_OFF_PERCENT: u64 = 98;
 /// What a use that was cut off is taken for, in percent of it.
-const CUT_OFF_GROWTH_PERCENT: u64 = 200;
+const CUT_OFF_GROWTH_PERCENT: u64 = 125;
+/// The same once [`CUT_OFF_RUNS`] in a row were cut off again.
+const CUT_OFF_AGAIN_GROWTH_PERCENT: u64 = 200;
 /// By which factor use in proportion to the declared size has to spread less than use itself to be
 /// preferred.
 const RELATIVE_ADVANTAGE: f64 = 2.0;
+/// By how much a reservation may differ from the present one to count if it cut use off, in percent.
+const OUTDATED_PERCENT: u64 = 10;
 /// After so many runs in a row that were cut off, older ones no longer count.
 const CUT_OFF_RUNS: u32 = 8;
 /// The least that is reserved while nothing is known but the claim.
@@ -88,7 +92,7 @@
 /// What was seen of a run in one dimension.
 #[derive(Clone, Copy, Debug)]
 struct Seen {
-    /// What it used, or more where its reservation cut it off.
+    /// What it used.
     at_least: u64,
     /// Whether its reservation cut it off.
     is_cut: bool,
@@ -124,17 +128,25 @@
     }
 
     /// Records a peak; only one that nothing cut off says how it relates to the declared size.
-    fn record(&mut self, peak: Seen, declared: u64) {
-        self.cut_in_a_row = if peak.is_cut {
-            self.cut_in_a_row + 1
-        } else {
-            0
+    ///
+    /// Runs in a row that were cut off count only once something was learned: before, a claim that
+    /// is exact cuts off every run.
+    fn record(&mut self, peak: Seen, declared: u64, has_learned: bool) {
+        self.cut_in_a_row = match (peak.is_cut, has_learned) {
+            (false, _) => 0,
+            (true, false) => 1,
+            (true, true) => self.cut_in_a_row + 1,
         };
-        if self.cut_in_a_row == CUT_OFF_RUNS {
-            self.cut_in_a_row = 0;
+        if self.cut_in_a_row % CUT_OFF_RUNS == CUT_OFF_RUNS - 1 {
             self.absolute = Quantiles::new();
         }
-        self.absolute.record(peak.at_least);
+        let growth = match self.cut_in_a_row {
+            0 => 100,
+            1..CUT_OFF_RUNS => CUT_OFF_GROWTH_PERCENT,
+            _ => CUT_OFF_AGAIN_GROWTH_PERCENT,
+        };
+        let grown = peak.at_least.saturating_mul(growth) / 100;
+        self.absolute.record(grown);
         let permille = peak.at_least.saturating_mul(1000).checked_div(declared);
         if let Some(permille) = permille.filter(|_| !peak.is_cut) {
             self.uncut.record(peak.at_least);
@@ -209,17 +221,18 @@
     /// Processor use may have been cut off by the reservation. Memory use was not, because a task
     /// that wants more than it gets fails.
     pub(crate) fn record(&mut self, peak: &Peak) {
-        let (now, _) = self.reservation(&peak.declared);
+        let (now, has_learned) = self.reservation(&peak.declared);
         let (usage, reserved) = (&peak.usage, &peak.reserved);
-        let cpu = uncut(usage.cpu_millis, reserved.cpu_millis, now.cpu_millis);
+        let cpu = seen(usage.cpu_millis, reserved.cpu_millis, now.cpu_millis);
         if let Some(cpu) = cpu.filter(|cpu| cpu.at_least > 0) {
-            self.cpu.record(cpu, peak.declared.cpu_millis);
+            self.cpu.record(cpu, peak.declared.cpu_millis, has_learned);
         }
         let memory = Seen {
             at_least: usage.memory_mib,
             is_cut: false,
         };
-        self.memory.record(memory, peak.declared.memory_mib);
+        self.memory
+            .record(memory, peak.declared.memory_mib, has_learned);
         self.runs += 1;
         let enough = self.cpu.runs() >= MIN_RUNS && self.memory.runs() >= MIN_RUNS;
         if enough || self.learned.is_some() {
@@ -256,21 +269,16 @@
     }
 }
 
-/// Returns what a run would have used, had its reservation not cut it off; `None` if it was cut off
-/// and more is reserved by now, so that later runs tell better.
-const fn uncut(usage: u64, reserved: u64, reserved_by_now: u64) -> Option<Seen> {
+/// Returns what a run used and whether its reservation cut that off; `None` if it did and another
+/// size is reserved by now, because counting only some of the old sizes would lead astray.
+const fn seen(usage: u64, reserved: u64, reserved_by_now: u64) -> Option<Seen> {
     let is_cut = usage.saturating_mul(100) >= reserved.saturating_mul(CUT_OFF_PERCENT);
-    if !is_cut {
-        return Some(Seen {
-            at_least: usage,
-            is_cut,
-        });
-    }
-    if reserved_by_now > reserved {
+    let differs = reserved.abs_diff(reserved_by_now) * 100 > reserved * OUTDATED_PERCENT;
+    if is_cut && differs {
         return None;
     }
     Some(Seen {
-        at_least: usage.saturating_mul(CUT_OFF_GROWTH_PERCENT) / 100,
+        at_least: usage,
         is_cut,
     })
 }
