--- a/crates/sched/src/control.rs
+++ b/crates/sched/src/control.rs
@@ -21,13 +21,13 @@
 /// How long an action takes to have its effect on a worker.
 pub(crate) const SETTLE: Duration = Duration::from_secs(1);
 /// How far a service may be over its limit before something is done.
-const HOT: f64 = 1.08;
+const HOT: f64 = 1.12;
 /// How far it has to be over its limit for one report to be enough.
 const VERY_HOT: f64 = 1.3;
 /// The part of the limit below which throttled tasks are given back processor time.
-const CALM: f64 = 0.95;
+const CALM: f64 = 0.98;
 /// The part of the limit that is aimed at.
-const AIM: f64 = 1.0;
+const AIM: f64 = 1.04;
 /// How many fresh reports are averaged before throttles are lifted.
 const CALM_REPORTS: u32 = 2;
 /// The lowest cap; below it a task holds its memory for nearly nothing.
@@ -37,7 +37,7 @@
 /// How far processor time may be given back at once, as a factor.
 const MAX_LIFT: f64 = 2.5;
 /// How many fresh reports at the lowest caps are needed before a task is evicted.
-const EVICT_REPORTS: u32 = 5;
+const EVICT_REPORTS: u32 = 8;
 /// The part of a worker's memory above which its tasks use too much, in percent.
 const MEMORY_PRESSURE_PERCENT: u64 = 95;
 
--- a/crates/sched/src/policy.rs
+++ b/crates/sched/src/policy.rs
@@ -27,8 +27,8 @@
         let leaning = balance(tail, throughput);
         Self {
             limit: 1.0 - 0.15 * leaning,
-            foresight: 0.5 + 0.5 * leaning,
-            caution: 0.5 + 0.5 * leaning,
+            foresight: 0.3 + 0.3 * leaning,
+            caution: 0.4 + 0.4 * leaning,
             tail: 1.0 + leaning,
             evict_excess: 0.25 * (1.0 - balance(tail, evictions)),
         }
