--- a/crates/sched/src/blocked.rs
+++ b/crates/sched/src/blocked.rs
@@ -95,7 +95,15 @@
             self.evict(*victim, why, &mut round.out);
         }
         let expected = round.now.after(EVICTION_HOLD);
-        self.hold(key, victims.worker, expected, expected);
+        self.hold(
+            victims.worker,
+            Hold {
+                task: key,
+                evicting: true,
+                expected,
+                expires: expected,
+            },
+        );
         true
     }
 
@@ -122,7 +130,15 @@
         if let Some((worker, expected)) = room::soonest(&self.book, &ask, round.now) {
             let wait = expected.since(round.now);
             let expires = expected.after(wait + HOLD_GRACE);
-            self.hold(key, worker, expected, expires);
+            self.hold(
+                worker,
+                Hold {
+                    task: key,
+                    evicting: false,
+                    expected,
+                    expires,
+                },
+            );
         }
     }
 
@@ -141,13 +157,13 @@
         }
     }
 
-    fn hold(&mut self, task: TaskKey, worker: WorkerKey, expected: Mono, expires: Mono) {
-        self.book.tasks[task].held = Some(worker);
-        self.book.workers[worker].hold = Some(Hold {
-            task,
-            expected,
-            expires,
-        });
+    /// Keeps a worker for a task, and no longer for the one that it was kept for before.
+    fn hold(&mut self, worker: WorkerKey, hold: Hold) {
+        if let Some(former) = self.book.workers[worker].hold {
+            self.drop_hold(former.task);
+        }
+        self.book.tasks[hold.task].held = Some(worker);
+        self.book.workers[worker].hold = Some(hold);
         self.holds.push(worker);
     }
 
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -203,7 +203,7 @@
     let Some(hold) = &worker.hold else {
         return true;
     };
-    if hold.task == ask.task {
+    if hold.yields_to(ask.task, ask.urgent) {
         return true;
     }
     let left = hold.expected.since(view.now);
--- a/crates/sched/src/room.rs
+++ b/crates/sched/src/room.rs
@@ -61,7 +61,9 @@
         for key in pool.plain.iter().chain(&pool.accelerated) {
             let worker = &book.workers[*key];
             let eligible = worker.is_open()
-                && worker.hold.is_none_or(|hold| hold.task == ask.task)
+                && worker
+                    .hold
+                    .is_none_or(|hold| hold.yields_to(ask.task, ask.urgent))
                 && worker.health.admits(now, false)
                 && class.rack_has_room(worker.rack)
                 && ask.reservation.fits(&worker.capacity);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -51,6 +51,8 @@
 pub(crate) struct Hold {
     /// The task.
     pub(crate) task: TaskKey,
+    /// Whether others are being evicted for it; an urgent task takes any other worker.
+    pub(crate) evicting: bool,
     /// When there should be room.
     pub(crate) expected: Mono,
     /// When it is given up, so that another worker can be chosen.
@@ -110,6 +112,13 @@
     }
 }
 
+impl Hold {
+    /// Returns whether a task may use the worker although it is kept.
+    pub(crate) fn yields_to(&self, task: TaskKey, urgent: bool) -> bool {
+        self.task == task || (urgent && !self.evicting)
+    }
+}
+
 impl Meter {
     /// Takes in the number of a report and returns whether the report is a newer one.
     pub(crate) fn accept(&mut self, sequence: u64, figures_at: Mono) -> bool {
--- a/crates/sched/tests/all/placement.rs
+++ b/crates/sched/tests/all/placement.rs
@@ -370,3 +370,24 @@
         assert!(moved <= 5);
     }
 }
+
+#[test]
+fn an_urgent_task_takes_a_worker_that_is_kept_for_a_large_one() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+    fixture::run(
+        &mut sched,
+        fixture::task("half", "study", HALF),
+        "w0",
+        Mono(0),
+    );
+    sched.enqueue(fixture::task("large", "check", WORKER));
+    fixture::settle(&mut sched, Mono(40_000));
+    sched.enqueue(fixture::task("small", "quiet", QUARTER));
+    assert!(
+        fixture::settle(&mut sched, Mono(41_000)).is_empty(),
+        "the worker is kept"
+    );
+    sched.enqueue(fixture::urgent("urgent", "quiet", QUARTER));
+    let starts = fixture::starts(&fixture::settle(&mut sched, Mono(42_000)));
+    assert_eq!(starts[0].0.as_str(), "urgent");
+}
