--- /dev/null
+++ b/crates/sched/tests/all/faults.rs
@@ -0,0 +1,134 @@
+//! Several faults at once: workers lost, evictions that fail, cancellations, a store that returns.
+
+use model::Mono;
+use model::Size;
+use model::id::TaskId;
+use model::id::WorkerId;
+use sched::Budget;
+use sched::Decision;
+use sched::Sched;
+use sched::facts::End;
+
+use crate::fixture;
+use crate::fixture::WORKER;
+
+const HALF: Size = Size::new(32_000, 128_000, 0);
+
+/// Two full workers, an urgent task for which a batch task is being evicted, and the latter's name.
+fn evicting() -> (Sched, String) {
+    let mut sched = fixture::fleet(&fixture::document(), 2, WORKER);
+    for number in 0..4 {
+        let task = fixture::task(&format!("batch{number}"), "study", HALF);
+        fixture::run(&mut sched, task, &format!("w{}", number % 2), Mono(0));
+    }
+    sched.enqueue(fixture::urgent("urgent", "check", HALF));
+    let decisions = fixture::settle(&mut sched, Mono(1000));
+    let evicted = fixture::evicted(&decisions);
+    assert_eq!(evicted.len(), 1);
+    (sched, evicted[0].to_string())
+}
+
+fn worker_of(batch: &str) -> WorkerId {
+    let number: usize = batch["batch".len()..].parse().expect("a number");
+    WorkerId::new(format!("w{}", number % 2))
+}
+
+#[test]
+fn a_worker_lost_during_an_eviction_is_replaced_by_another() {
+    let (mut sched, victim) = evicting();
+    sched.remove_worker(&worker_of(&victim));
+    let decisions = fixture::settle(&mut sched, Mono(1250));
+    let evicted = fixture::evicted(&decisions);
+    assert_eq!(evicted.len(), 1);
+    assert_ne!(worker_of(evicted[0]), worker_of(&victim));
+    let second = evicted[0].to_string();
+    fixture::end(&mut sched, &second, End::Stopped, Mono(2000));
+    let starts = fixture::starts(&fixture::settle(&mut sched, Mono(2250)));
+    assert_eq!(starts[0].0.as_str(), "urgent");
+}
+
+#[test]
+fn an_eviction_that_could_not_be_carried_out_is_tried_again() {
+    let (mut sched, victim) = evicting();
+    sched.abandoned(&TaskId::new(&victim), Mono(1500));
+    let again = (2..20).find(|second| {
+        let decisions = fixture::settle(&mut sched, Mono(second * 1000));
+        !fixture::evicted(&decisions).is_empty()
+    });
+    assert!(again.is_some());
+}
+
+#[test]
+fn an_urgent_task_cancelled_during_the_eviction_leaves_the_room_to_others() {
+    let (mut sched, victim) = evicting();
+    sched.cancelled(&TaskId::new("urgent"));
+    fixture::end(&mut sched, &victim, End::Stopped, Mono(2000));
+    let mut again = fixture::task(&victim, "study", HALF);
+    again.evictions = 1;
+    sched.enqueue(again);
+    let starts = fixture::starts(&fixture::settle(&mut sched, Mono(2001)));
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0.as_str(), victim, "it resumes");
+    assert!(
+        fixture::settle(&mut sched, Mono(2002)).is_empty(),
+        "exactly once"
+    );
+}
+
+#[test]
+fn a_lost_rack_and_a_store_that_returns_start_each_task_once_and_paced() {
+    let mut sched = fixture::fleet(&fixture::document(), 2, WORKER);
+    for number in 0..4 {
+        let task = fixture::task(&format!("batch{number}"), "study", HALF);
+        fixture::run(&mut sched, task, &format!("w{}", number % 2), Mono(0));
+    }
+    for worker in ["w0", "w1"] {
+        sched.remove_worker(&WorkerId::new(worker));
+    }
+    for number in 0..10 {
+        sched.upsert_worker(fixture::worker(&format!("new{number}"), "r2", WORKER));
+    }
+    let away = Budget {
+        starts: 0,
+        evictions: 0,
+    };
+    for number in 0..4 {
+        let id = format!("batch{number}");
+        fixture::end(&mut sched, &id, End::Stopped, Mono(1000));
+        sched.enqueue(fixture::task(&id, "study", HALF));
+        sched.enqueue(fixture::task(&format!("next{number}"), "study", HALF));
+        assert!(sched.decide(Mono(1000 + number), away).is_empty());
+    }
+    let paced = Budget {
+        starts: 3,
+        evictions: 1,
+    };
+    let mut started = Vec::new();
+    for round in 0..6 {
+        let decisions = sched.decide(Mono(60_000 + round * 250), paced);
+        let starts = fixture::starts(&decisions);
+        assert!(starts.len() <= paced.starts);
+        started.extend(starts.into_iter().map(|start| start.0));
+    }
+    started.sort();
+    started.dedup();
+    assert_eq!(started.len(), 8);
+    assert_eq!(sched.dump().running, 8);
+}
+
+#[test]
+fn events_about_unknown_tasks_and_workers_change_nothing() {
+    let (mut sched, _) = evicting();
+    let nobody = TaskId::new("nobody");
+    sched.assigned(&nobody, &WorkerId::new("w0"), WORKER, Mono(1));
+    sched.ended(&nobody, End::Failed, Mono(1));
+    sched.abandoned(&nobody, Mono(1));
+    sched.cancelled(&nobody);
+    sched.remove_worker(&WorkerId::new("stranger"));
+    assert!(sched.decide(Mono(1250), fixture::BUDGET).is_empty());
+    assert_eq!(sched.dump().running, 4);
+    let evictions = sched
+        .recent()
+        .filter(|recent| matches!(recent.decision, Decision::Evict { .. }));
+    assert_eq!(evictions.count(), 1, "the dump tells what was decided");
+}
--- a/crates/sched/tests/all/main.rs
+++ b/crates/sched/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler through its public interface.
 
+mod faults;
 mod fixture;
 mod health;
 mod interference;
