fix(sched): headroom above a service's learned peak, hopeless urgent lanes rest

A service that reserved only its learned peak would have run at a load of 97% there. Lanes of urgent tasks that no eviction helps were searched in every round.

--- a/crates/sched/src/blocked.rs
+++ b/crates/sched/src/blocked.rs
@@ -38,12 +38,15 @@
 impl Sched {
     /// Sees to a lane whose oldest task cannot start.
     pub(crate) fn blocked(&mut self, lane: LaneKey, attempt: Attempt, round: &mut Round) {
-        self.rest(lane, round.now);
         let Some(head) = self.head(lane) else {
             return;
         };
         let task = &self.book.tasks[head];
-        let preempts = task.is_urgent() || self.book.classes[task.class].is_service();
+        let is_urgent = task.is_urgent();
+        let preempts = is_urgent || self.book.classes[task.class].is_service();
+        if !is_urgent {
+            self.rest(lane, round.now);
+        }
         match attempt {
             Attempt::NoRoom if preempts => self.make_room(lane, false, round),
             Attempt::Share if preempts => self.make_room(lane, true, round),
@@ -66,8 +69,13 @@
             if self.book.tasks[key].held.is_some() {
                 continue;
             }
-            if !self.preempt(key, in_half, round) && !in_half {
-                self.hand_off(key, round);
+            if self.preempt(key, in_half, round) {
+                continue;
+            }
+            if in_half || !self.hand_off(key, round) {
+                // Nothing helps this one, so nothing helps its like.
+                self.rest(lane, round.now);
+                return;
             }
         }
     }
--- a/crates/sched/src/observe.rs
+++ b/crates/sched/src/observe.rs
@@ -25,6 +25,8 @@
 const MEAN_WEIGHT: f64 = 0.5;
 /// A run of this age has shown its peaks and teaches sizes without having ended.
 const TELLING_RUN: Duration = Duration::from_secs(300);
+/// How often the peaks of a service are recorded again, because its load follows the day.
+const SERVICE_RESAMPLED: Duration = Duration::from_secs(1800);
 
 impl Sched {
     /// Takes in a worker's report; one that is older than a former one is dropped.
@@ -67,13 +69,17 @@
         let task = &mut self.book.tasks[key];
         let declared = task.declared;
         let class = task.class;
+        let is_service = self.book.classes[class].is_service();
         let Some(run) = task.run_mut() else {
             return;
         };
         update(run, facts, figures_at);
-        let telling = now.since(run.since) >= TELLING_RUN && run.peak != Size::ZERO;
-        if telling && !run.sampled && self.cfg.learning {
-            run.sampled = true;
+        let is_due = match run.sampled_at {
+            None => now.since(run.since) >= TELLING_RUN,
+            Some(at) => is_service && now.since(at) >= SERVICE_RESAMPLED,
+        };
+        if is_due && run.peak != Size::ZERO && self.cfg.learning {
+            run.sampled_at = Some(now);
             let peak = Peak {
                 usage: run.peak,
                 declared,
--- a/crates/sched/src/sched.rs
+++ b/crates/sched/src/sched.rs
@@ -219,7 +219,7 @@
         }
         let task = &self.book.tasks[key];
         let sizes = &mut self.book.classes[task.class].sizes;
-        if !run.sampled && run.peak != Size::ZERO && end != End::Failed {
+        if run.sampled_at.is_none() && run.peak != Size::ZERO && end != End::Failed {
             sizes.record(&Peak {
                 usage: run.peak,
                 declared: task.declared,
--- a/crates/sched/src/sizes.rs
+++ b/crates/sched/src/sizes.rs
@@ -23,8 +23,11 @@
 /// The quantile of peak memory use that is reserved; a task that needs more fails and gets more at
 /// its next run.
 const MEMORY_QUANTILE: f64 = 0.95;
-/// What of the quantile of processor use is reserved, in percent.
-const CPU_MARGIN_PERCENT: u64 = 103;
+/// What of the quantile of a batch task's processor use is reserved, in percent.
+const BATCH_CPU_MARGIN_PERCENT: u64 = 103;
+/// What of the quantile of a service's processor use is reserved, in percent; at its peak it then
+/// runs at a load of 70%, as its tail grows steeply beyond.
+const SERVICE_CPU_MARGIN_PERCENT: u64 = 143;
 /// What of the quantile of memory use is reserved, in percent.
 const MEMORY_MARGIN_PERCENT: u64 = 108;
 /// A use of this part of the reservation, in percent, was probably cut off by it.
@@ -260,7 +263,12 @@
         match self.learned {
             None => (declared.max(&SAFE_START), false),
             Some((cpu, memory)) => {
-                let cpu = cpu.of(declared.cpu_millis, CPU_MARGIN_PERCENT);
+                let margin_percent = if self.is_service {
+                    SERVICE_CPU_MARGIN_PERCENT
+                } else {
+                    BATCH_CPU_MARGIN_PERCENT
+                };
+                let cpu = cpu.of(declared.cpu_millis, margin_percent);
                 let memory = memory.of(declared.memory_mib, MEMORY_MARGIN_PERCENT);
                 let size = Size::new(cpu, memory, declared.accelerators);
                 (size.max(&MIN_RESERVATION), true)
--- a/crates/sched/src/start.rs
+++ b/crates/sched/src/start.rs
@@ -116,7 +116,9 @@
 
     fn start_urgent(&mut self, round: &mut Round) {
         for lane in self.by_age(self.queue.urgent.clone()) {
-            self.start_lane(lane, round);
+            if !self.rests(lane, round.now) {
+                self.start_lane(lane, round);
+            }
         }
     }
 
@@ -179,11 +181,14 @@
     }
 
     fn is_worth_a_try(&self, lane: LaneKey, now: Mono) -> bool {
-        let Some(lane) = self.queue.lanes.get(lane) else {
-            return false;
-        };
-        let rests = |(room, until): (u64, Mono)| room == self.book.room && now < until;
-        lane.id.priority == Priority::Normal && !lane.blocked.is_some_and(rests)
+        let id = self.queue.lanes.get(lane).map(|lane| lane.id);
+        id.is_some_and(|id| id.priority == Priority::Normal) && !self.rests(lane, now)
+    }
+
+    /// Returns whether a lane found no room and nothing has made any since.
+    fn rests(&self, lane: LaneKey, now: Mono) -> bool {
+        let blocked = self.queue.lanes.get(lane).and_then(|lane| lane.blocked);
+        blocked.is_some_and(|(room, until)| room == self.book.room && now < until)
     }
 
     /// Orders lanes by services first, then by the age of their oldest task.
--- a/crates/sched/src/task.rs
+++ b/crates/sched/src/task.rs
@@ -92,8 +92,8 @@
     pub(crate) permille: u16,
     /// Since when it has not been throttled, if it is not.
     pub(crate) unthrottled_since: Option<Mono>,
-    /// Whether its peaks were recorded already.
-    pub(crate) sampled: bool,
+    /// When its peaks were recorded last.
+    pub(crate) sampled_at: Option<Mono>,
 }
 
 impl Task {
@@ -137,7 +137,7 @@
             checkpoint: task.checkpoint.clone(),
             permille: FULL_PERMILLE,
             unthrottled_since: Some(since),
-            sampled: false,
+            sampled_at: None,
         }
     }
 
--- a/crates/sched/tests/all/sizes.rs
+++ b/crates/sched/tests/all/sizes.rs
@@ -13,12 +13,17 @@
 const RUNS: u64 = 40;
 
 /// Lets tasks run that declare and use these sizes, and returns what is then reserved for one more.
-fn reserved_after(sched: &mut Sched, sizes: impl Fn(u64) -> (Size, Size), declared: Size) -> Size {
+fn reserved_after(
+    sched: &mut Sched,
+    class: &str,
+    sizes: impl Fn(u64) -> (Size, Size),
+    declared: Size,
+) -> Size {
     for number in 0..RUNS {
         let (declared, used) = sizes(number);
         let id = format!("t{number}");
         let at = |offset: u64| Mono(number * 100_000 + offset);
-        sched.enqueue(fixture::task(&id, "study", declared));
+        sched.enqueue(fixture::task(&id, class, declared));
         let starts = fixture::starts(&fixture::settle(sched, at(0)));
         let reserved = starts.first().map_or(declared, |start| start.2);
         let cpu_millis = used.cpu_millis.min(reserved.cpu_millis);
@@ -26,7 +31,7 @@
         fixture::report(sched, number + 1, 1000, vec![facts], at(10_000));
         fixture::end(sched, &id, End::Succeeded, at(60_000));
     }
-    sched.enqueue(fixture::task("next", "study", declared));
+    sched.enqueue(fixture::task("next", class, declared));
     let now = Mono(RUNS * 100_000);
     let starts = fixture::starts(&fixture::settle(sched, now));
     starts.first().map_or(Size::ZERO, |start| start.2)
@@ -44,7 +49,7 @@
     ];
     for (name, declared) in cases {
         let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
-        let reserved = reserved_after(&mut sched, |_| (declared, true_size), declared);
+        let reserved = reserved_after(&mut sched, "study", |_| (declared, true_size), declared);
         assert!(true_size.fits(&reserved), "{name}: {reserved}");
         assert!(
             reserved.fits(&Size::new(6000, 12_000, 0)),
@@ -61,7 +66,7 @@
         let used = Size::new(1000 * scale, 2000 * scale, 0);
         (used + used, used)
     };
-    let reserved = reserved_after(&mut sched, sizes, Size::new(2000, 4000, 0));
+    let reserved = reserved_after(&mut sched, "study", sizes, Size::new(2000, 4000, 0));
     assert!(
         reserved.fits(&Size::new(1200, 2400, 0)),
         "half of what is declared: {reserved}"
@@ -78,7 +83,7 @@
     let mut sched = fixture::fleet_with(cfg, &fixture::document(), 1, WORKER);
     let used = Size::new(1000, 1000, 0);
     assert_eq!(
-        reserved_after(&mut sched, |_| (declared, used), declared),
+        reserved_after(&mut sched, "study", |_| (declared, used), declared),
         declared
     );
 }
@@ -89,7 +94,7 @@
     let used = Size::new(4000, 8000, 0);
     let absurd = Size::new(1_000_000, 1_000_000, 0);
     let sizes = |number: u64| (Size::new(4000 + 1000 * (number % 20), 64_000, 0), used);
-    let reserved = reserved_after(&mut sched, sizes, absurd);
+    let reserved = reserved_after(&mut sched, "study", sizes, absurd);
     assert!(used.fits(&reserved) && reserved.fits(&WORKER), "{reserved}");
 }
 
@@ -135,3 +140,17 @@
         "what is used is not given away"
     );
 }
+
+#[test]
+fn a_service_keeps_headroom_above_its_peak_whatever_it_declared() {
+    let used = Size::new(7000, 8000, 0);
+    for declared in [Size::new(40_000, 80_000, 0), Size::new(2000, 4000, 0)] {
+        let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+        let reserved = reserved_after(&mut sched, "plan", |_| (declared, used), declared);
+        assert!(
+            reserved.cpu_millis >= 10_000,
+            "a load of 70% at most: {reserved}"
+        );
+        assert!(reserved.cpu_millis <= 20_000, "{reserved}");
+    }
+}
