--- a/crates/sched/src/sched.rs
+++ b/crates/sched/src/sched.rs
@@ -120,12 +120,16 @@
 
     /// Adds a task that waits, or puts one that ran or was taken over back into the queue.
     ///
-    /// A task that is known to wait already keeps its place.
+    /// A task that is known to wait already keeps its place. One whose start is under way keeps its
+    /// room there, because the start may yet take effect; [`Self::abandoned`] says that it has not.
     pub fn enqueue(&mut self, queued: Queued) {
         if let Some(key) = self.book.task_key(&queued.task) {
             let known = &self.book.tasks[key];
             let waits = known.run().is_none() && !matches!(known.phase, Phase::Moving);
-            if waits && known.declared == queued.declared && known.failures == queued.failures {
+            let is_starting = known.run().is_some_and(|run| !run.confirmed);
+            if is_starting
+                || waits && known.declared == queued.declared && known.failures == queued.failures
+            {
                 return;
             }
             self.forget(key);
@@ -231,7 +235,7 @@
         }
     }
 
-    /// Forgets a task that was cancelled or moved away, whether it waited or ran.
+    /// Forgets a task that was cancelled or moved away and certainly runs nowhere any more.
     pub fn cancelled(&mut self, task: &TaskId) {
         if let Some(key) = self.book.task_key(task) {
             self.forget(key);
--- a/crates/sched/tests/all/queue.rs
+++ b/crates/sched/tests/all/queue.rs
@@ -166,6 +166,13 @@
         sched.decide(Mono(2), fixture::BUDGET).is_empty(),
         "it is not started twice"
     );
+    sched.enqueue(fixture::task("t", "study", WORKER));
+    sched.enqueue(fixture::task("other", "study", WORKER));
+    assert!(
+        sched.decide(Mono(2), fixture::BUDGET).is_empty(),
+        "its room is kept"
+    );
+    sched.cancelled(&TaskId::new("other"));
     sched.abandoned(&TaskId::new("t"), Mono(3));
     assert_eq!(sched.dump().workers[0].reserved, Size::ZERO);
     assert_eq!(
