--- a/crates/sched/src/blocked.rs
+++ b/crates/sched/src/blocked.rs
@@ -27,7 +27,7 @@
 const EVICTION_HOLD: Duration = Duration::from_secs(10);
 /// How much longer than expected a worker is kept for a large task.
 const HOLD_GRACE: Duration = Duration::from_secs(60);
-/// The part of the largest worker from which a task is large; room for smaller ones comes by itself
+/// The part of the largest worker above which a task is large; room for smaller ones comes by itself
 /// as others end.
 const LARGE: f64 = 0.25;
 /// How many workers of a hundred may be kept for large tasks at the same time.
@@ -38,17 +38,21 @@
 impl Sched {
     /// Sees to a lane whose oldest task cannot start.
     pub(crate) fn blocked(&mut self, lane: LaneKey, attempt: Attempt, round: &mut Round) {
-        self.rest(lane, round.now);
         let Some(head) = self.head(lane) else {
             return;
         };
         let task = &self.book.tasks[head];
-        let preempts = task.is_urgent() || self.book.classes[task.class].is_service();
+        let is_urgent = task.is_urgent();
+        let preempts = is_urgent || self.book.classes[task.class].is_service();
+        if !is_urgent {
+            self.rest(lane, round.now);
+        }
         match attempt {
             Attempt::NoRoom if preempts => self.make_room(lane, false, round),
             Attempt::Share if preempts => self.make_room(lane, true, round),
             Attempt::NoRoom => self.wait_for_room(head, round),
-            Attempt::Started | Attempt::Refused | Attempt::Quota | Attempt::Share => {}
+            Attempt::Share => self.wait_for_share(head, round.now),
+            Attempt::Started | Attempt::Refused | Attempt::Quota => {}
         }
     }
 
@@ -65,8 +69,13 @@
             if self.book.tasks[key].held.is_some() {
                 continue;
             }
-            if !self.preempt(key, in_half, round) && !in_half {
-                self.hand_off(key, round);
+            if self.preempt(key, in_half, round) {
+                continue;
+            }
+            if in_half || !self.hand_off(key, round) {
+                // Nothing helps this one, so nothing helps its like.
+                self.rest(lane, round.now);
+                return;
             }
         }
     }
@@ -94,7 +103,15 @@
             self.evict(*victim, why, &mut round.out);
         }
         let expected = round.now.after(EVICTION_HOLD);
-        self.hold(key, victims.worker, expected, expected);
+        self.hold(
+            victims.worker,
+            Hold {
+                task: key,
+                evicting: true,
+                expected,
+                expires: expected,
+            },
+        );
         true
     }
 
@@ -114,29 +131,58 @@
         }
         let reservation = self.book.reservation(key);
         let largest = self.book.classes[self.book.tasks[key].class].largest;
-        if reservation.dominant_share(&largest) < LARGE {
+        if reservation.dominant_share(&largest) <= LARGE {
             return;
         }
         let ask = start::ask(&self.book, &self.jobs, key, reservation);
         if let Some((worker, expected)) = room::soonest(&self.book, &ask, round.now) {
             let wait = expected.since(round.now);
             let expires = expected.after(wait + HOLD_GRACE);
-            self.hold(key, worker, expected, expires);
+            self.hold(
+                worker,
+                Hold {
+                    task: key,
+                    evicting: false,
+                    expected,
+                    expires,
+                },
+            );
         }
     }
 
-    fn hold(&mut self, task: TaskKey, worker: WorkerKey, expected: Mono, expires: Mono) {
-        self.book.tasks[task].held = Some(worker);
-        self.book.workers[worker].hold = Some(Hold {
-            task,
-            expected,
-            expires,
-        });
+    /// Keeps a part of its half's share free for a task that has waited, so that smaller ones of the
+    /// same half do not take it up for ever.
+    fn wait_for_share(&mut self, key: TaskKey, now: Mono) {
+        let task = &self.book.tasks[key];
+        if now.since(task.submitted_at) < self.cfg.hold_after {
+            return;
+        }
+        let reservation = self.book.reservation(key);
+        let half = self.book.teams[task.team].half;
+        let kept = &mut self.book.halves[usize::from(half.0)].kept;
+        if kept.is_none() {
+            *kept = Some((key, reservation));
+        }
+    }
+
+    /// Keeps a worker for a task, and no longer for the one that it was kept for before.
+    fn hold(&mut self, worker: WorkerKey, hold: Hold) {
+        if let Some(former) = self.book.workers[worker].hold {
+            self.drop_hold(former.task);
+        }
+        self.book.tasks[hold.task].held = Some(worker);
+        self.book.workers[worker].hold = Some(hold);
         self.holds.push(worker);
     }
 
     /// Keeps no worker for a task any longer.
     pub(crate) fn drop_hold(&mut self, key: TaskKey) {
+        for half in &mut self.book.halves {
+            if half.kept.is_some_and(|(task, _)| task == key) {
+                half.kept = None;
+                self.book.room += 1;
+            }
+        }
         let Some(worker) = self.book.tasks[key].held.take() else {
             return;
         };
--- a/crates/sched/src/sizes.rs
+++ b/crates/sched/src/sizes.rs
@@ -23,17 +23,28 @@
 /// The quantile of peak memory use that is reserved; a task that needs more fails and gets more at
 /// its next run.
 const MEMORY_QUANTILE: f64 = 0.95;
-/// What of the quantile of processor use is reserved, in percent.
-const CPU_MARGIN_PERCENT: u64 = 103;
+/// What of the quantile of a batch task's processor use is reserved, in percent.
+const BATCH_CPU_MARGIN_PERCENT: u64 = 103;
+/// What of the quantile of a service's processor use is reserved, in percent; at its peak it then
+/// runs at a load of 70%, as its tail grows steeply beyond.
+const SERVICE_CPU_MARGIN_PERCENT: u64 = 143;
 /// What of the quantile of memory use is reserved, in percent.
 const MEMORY_MARGIN_PERCENT: u64 = 108;
 /// A use of this part of the reservation, in percent, was probably cut off by it.
 const CUT_OFF_PERCENT: u64 = 98;
 /// What a use that was cut off is taken for, in percent of it.
-const CUT_OFF_GROWTH_PERCENT: u64 = 130;
+const CUT_OFF_GROWTH_PERCENT: u64 = 125;
+/// The same once [`CUT_OFF_RUNS`] in a row were cut off again.
+const CUT_OFF_AGAIN_GROWTH_PERCENT: u64 = 200;
 /// By which factor use in proportion to the declared size has to spread less than use itself to be
 /// preferred.
 const RELATIVE_ADVANTAGE: f64 = 2.0;
+/// By how much a reservation may differ from the present one to count if it cut use off, in percent.
+const OUTDATED_PERCENT: u64 = 10;
+/// After so many runs in a row that were cut off, older ones no longer count.
+const CUT_OFF_RUNS: u32 = 8;
+/// The least that is reserved while nothing is known but the claim.
+const SAFE_START: Size = Size::new(500, 512, 0);
 /// The least that is ever reserved.
 const MIN_RESERVATION: Size = Size::new(100, 64, 0);
 
@@ -78,12 +89,13 @@
     absolute: Quantiles,
     uncut: Quantiles,
     relative: Quantiles,
+    cut_in_a_row: u32,
 }
 
 /// What was seen of a run in one dimension.
 #[derive(Clone, Copy, Debug)]
 struct Seen {
-    /// What it used, or more where its reservation cut it off.
+    /// What it used.
     at_least: u64,
     /// Whether its reservation cut it off.
     is_cut: bool,
@@ -114,12 +126,30 @@
             absolute: Quantiles::new(),
             uncut: Quantiles::new(),
             relative: Quantiles::new(),
+            cut_in_a_row: 0,
         }
     }
 
     /// Records a peak; only one that nothing cut off says how it relates to the declared size.
-    fn record(&mut self, peak: Seen, declared: u64) {
-        self.absolute.record(peak.at_least);
+    ///
+    /// Runs in a row that were cut off count only once something was learned: before, a claim that
+    /// is exact cuts off every run.
+    fn record(&mut self, peak: Seen, declared: u64, has_learned: bool) {
+        self.cut_in_a_row = match (peak.is_cut, has_learned) {
+            (false, _) => 0,
+            (true, false) => 1,
+            (true, true) => self.cut_in_a_row + 1,
+        };
+        if self.cut_in_a_row % CUT_OFF_RUNS == CUT_OFF_RUNS - 1 {
+            self.absolute = Quantiles::new();
+        }
+        let growth = match self.cut_in_a_row {
+            0 => 100,
+            1..CUT_OFF_RUNS => CUT_OFF_GROWTH_PERCENT,
+            _ => CUT_OFF_AGAIN_GROWTH_PERCENT,
+        };
+        let grown = peak.at_least.saturating_mul(growth) / 100;
+        self.absolute.record(grown);
         let permille = peak.at_least.saturating_mul(1000).checked_div(declared);
         if let Some(permille) = permille.filter(|_| !peak.is_cut) {
             self.uncut.record(peak.at_least);
@@ -190,19 +220,25 @@
     }
 
     /// Records the peaks of a run; no processor use was seen where it was always throttled.
+    ///
+    /// Processor use may have been cut off by the reservation. Memory use was not, because a task
+    /// that wants more than it gets fails.
     pub(crate) fn record(&mut self, peak: &Peak) {
-        let (now, _) = self.reservation(&peak.declared);
+        let (now, has_learned) = self.reservation(&peak.declared);
         let (usage, reserved) = (&peak.usage, &peak.reserved);
-        let cpu = uncut(usage.cpu_millis, reserved.cpu_millis, now.cpu_millis);
+        let cpu = seen(usage.cpu_millis, reserved.cpu_millis, now.cpu_millis);
         if let Some(cpu) = cpu.filter(|cpu| cpu.at_least > 0) {
-            self.cpu.record(cpu, peak.declared.cpu_millis);
-        }
-        let memory = uncut(usage.memory_mib, reserved.memory_mib, now.memory_mib);
-        if let Some(memory) = memory {
-            self.memory.record(memory, peak.declared.memory_mib);
+            self.cpu.record(cpu, peak.declared.cpu_millis, has_learned);
         }
+        let memory = Seen {
+            at_least: usage.memory_mib,
+            is_cut: false,
+        };
+        self.memory
+            .record(memory, peak.declared.memory_mib, has_learned);
         self.runs += 1;
-        if self.cpu.runs() >= MIN_RUNS && self.memory.runs() >= MIN_RUNS {
+        let enough = self.cpu.runs() >= MIN_RUNS && self.memory.runs() >= MIN_RUNS;
+        if enough || self.learned.is_some() {
             let cpu = self.cpu.learned(if self.is_service {
                 SERVICE_CPU_QUANTILE
             } else {
@@ -225,9 +261,14 @@
     /// Returns what to reserve for a task, and whether it was learned.
     pub(crate) fn reservation(&self, declared: &Size) -> (Size, bool) {
         match self.learned {
-            None => (declared.max(&MIN_RESERVATION), false),
+            None => (declared.max(&SAFE_START), false),
             Some((cpu, memory)) => {
-                let cpu = cpu.of(declared.cpu_millis, CPU_MARGIN_PERCENT);
+                let margin_percent = if self.is_service {
+                    SERVICE_CPU_MARGIN_PERCENT
+                } else {
+                    BATCH_CPU_MARGIN_PERCENT
+                };
+                let cpu = cpu.of(declared.cpu_millis, margin_percent);
                 let memory = memory.of(declared.memory_mib, MEMORY_MARGIN_PERCENT);
                 let size = Size::new(cpu, memory, declared.accelerators);
                 (size.max(&MIN_RESERVATION), true)
@@ -236,21 +277,16 @@
     }
 }
 
-/// Returns what a run would have used, had its reservation not cut it off; `None` if it was cut off
-/// and more is reserved by now, so that later runs tell better.
-const fn uncut(usage: u64, reserved: u64, reserved_by_now: u64) -> Option<Seen> {
+/// Returns what a run used and whether its reservation cut that off; `None` if it did and another
+/// size is reserved by now, because counting only some of the old sizes would lead astray.
+const fn seen(usage: u64, reserved: u64, reserved_by_now: u64) -> Option<Seen> {
     let is_cut = usage.saturating_mul(100) >= reserved.saturating_mul(CUT_OFF_PERCENT);
-    if !is_cut {
-        return Some(Seen {
-            at_least: usage,
-            is_cut,
-        });
-    }
-    if reserved_by_now > reserved {
+    let differs = reserved.abs_diff(reserved_by_now) * 100 > reserved * OUTDATED_PERCENT;
+    if is_cut && differs {
         return None;
     }
     Some(Seen {
-        at_least: usage.saturating_mul(CUT_OFF_GROWTH_PERCENT) / 100,
+        at_least: usage,
         is_cut,
     })
 }
