--- a/crates/lease/src/record.rs
+++ b/crates/lease/src/record.rs
@@ -14,6 +14,7 @@
 use model::id::Epoch;
 use model::id::HalfId;
 use model::id::Incarnation;
+use model::id::RowVersion;
 use model::id::ShardId;
 use model::id::TaskId;
 use model::id::TeamId;
@@ -206,9 +207,9 @@
     /// Whether it is being stopped and takes no more shards.
     #[serde(default)]
     pub draining: bool,
-    /// The newest document that it has staged.
+    /// The newest attempt to change the document that it has seen.
     #[serde(default)]
-    pub staged: DocVersion,
+    pub ballot: RowVersion,
     /// The document that it obeys.
     #[serde(default)]
     pub in_force: DocVersion,
--- a/crates/lease/tests/all/ownership.rs
+++ b/crates/lease/tests/all/ownership.rs
@@ -37,7 +37,7 @@
             peers: address,
         },
         draining,
-        staged: DocVersion(0),
+        ballot: RowVersion(0),
         in_force: DocVersion(0),
     }
 }
--- a/crates/node/src/document/propose.rs
+++ b/crates/node/src/document/propose.rs
@@ -1,6 +1,7 @@
 //! Carries one operator's change through, on behalf of the daemon that received it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use conf::accept::change::Proposal;
 use conf::accept::explain;
 use conf::accept::message::Ack;
+use conf::accept::message::Digest;
 use conf::accept::proposer::Proposer;
 use conf::accept::quorum::Member;
 use conf::accept::row::Current;
@@ -20,7 +22,6 @@
 use conf::check;
 use conf::check::Context;
 use conf::check::Inventory;
-use conf::diff;
 use conf::doc::Document;
 use conf::finding::Finding;
 use lease::record::MemberRow;
@@ -75,7 +76,7 @@
                 Action::End(outcome) => return conclude(cx, &req, outcome, &before).await,
                 Action::Accepted { version } if !req.wait => {
                     spread(cx.clone(), proposer, queue, tx, rx);
-                    return Ok(accepted(&req, version, &before));
+                    return accepted(&req, version, &before);
                 }
                 Action::Validate(in_force) => {
                     let found = findings(cx, &req.text, in_force.as_ref());
@@ -120,29 +121,28 @@
     let cx = cx.clone();
     let tx = tx.clone();
     tokio::spawn(async move {
-        if let Some(event) = perform(&cx, action).await {
+        for event in perform(&cx, action).await {
             // The change may have ended meanwhile.
             let _ = tx.send(event);
         }
     });
 }
 
-async fn perform(cx: &Arc<Cx>, action: Action) -> Option<Event> {
-    match action {
+async fn perform(cx: &Arc<Cx>, action: Action) -> Vec<Event> {
+    let answer = match action {
         Action::Read => {
             let sent = cx.clock.now();
-            Some(Event::Read {
-                sent,
-                view: rows::read(&cx.outside.table).await,
-            })
+            let view = rows::read(&cx.outside.table).await;
+            Some(Event::Read { sent, view })
         }
-        Action::Validate(_) | Action::Accepted { .. } | Action::End(_) => None,
+        Action::ReadMembers => return members(cx).await,
         Action::Write(write) => Some(Event::Written(rows::write(cx, &write).await)),
-        Action::ReadMembers => members(cx).await.map(Event::Members),
         Action::Push { to, news } => tell(cx, &to, DocCall::Push { news }).await,
         Action::Committed { to, ballot } => tell(cx, &to, DocCall::Committed { ballot }).await,
         Action::Abandoned { to, ballot } => tell(cx, &to, DocCall::Abandoned { ballot }).await,
-    }
+        Action::Validate(_) | Action::Accepted { .. } | Action::End(_) => None,
+    };
+    answer.into_iter().collect()
 }
 
 async fn tell(cx: &Arc<Cx>, to: &DaemonId, call: DocCall) -> Option<Event> {
@@ -174,27 +174,40 @@
     }
 }
 
-/// Reads the heartbeat rows, with how long each has stood still before this daemon's eyes.
-async fn members(cx: &Arc<Cx>) -> Option<Vec<Member>> {
-    let rows = scan_all(&cx.outside.table, lease_key::MEMBERS).await.ok()?;
+/// Reads the heartbeat rows, with how long each has stood still before this daemon's eyes, and what
+/// each daemon says there of the document: one that reaches the table alone acknowledges that way.
+async fn members(cx: &Arc<Cx>) -> Vec<Event> {
+    let Ok(rows) = scan_all(&cx.outside.table, lease_key::MEMBERS).await else {
+        return Vec::new();
+    };
     let now = cx.clock.now();
     let hosts = cx.hosts.borrow().clone();
     let listed: model::Set<&DaemonId> = hosts.daemons.iter().map(|entry| &entry.id).collect();
-    let lists_daemons = !hosts.daemons.is_empty();
     let mut view = cx.view();
-    let member = |row: plat::table::Row| {
-        let member: MemberRow = serde_json::from_value(row.value).ok()?;
-        let still_for = view.still_for(&member.daemon, row.version, now);
-        Some(Member {
-            listed: !lists_daemons || listed.contains(&member.daemon),
-            daemon: member.daemon,
-            incarnation: member.incarnation,
+    let mut members = Vec::new();
+    let mut seen = Vec::new();
+    for row in rows {
+        let Ok(told) = serde_json::from_value::<MemberRow>(row.value) else {
+            continue;
+        };
+        seen.push(Event::Seen(Digest {
+            daemon: told.daemon.clone(),
+            incarnation: told.incarnation,
+            ballot: told.ballot,
+            version: told.in_force,
+        }));
+        members.push(Member {
+            listed: listed.is_empty() || listed.contains(&told.daemon),
+            still_for: view.still_for(&told.daemon, row.version, now),
+            daemon: told.daemon,
+            incarnation: told.incarnation,
             key: row.key,
             row: row.version,
-            still_for,
-        })
-    };
-    Some(rows.into_iter().filter_map(member).collect())
+        });
+    }
+    let mut events = vec![Event::Members(members)];
+    events.append(&mut seen);
+    events
 }
 
 fn document_of(cx: &Cx) -> Document {
@@ -228,15 +241,19 @@
     (!capacity.is_empty()).then_some(Inventory { capacity })
 }
 
-fn accepted(req: &ApplyRequest, version: DocVersion, before: &Document) -> ApplyReply {
-    let after = check::read(&req.text).unwrap_or_default();
-    ApplyReply::Accepted {
+/// The answer to an operator who does not wait for all daemons.
+fn accepted(
+    req: &ApplyRequest,
+    version: DocVersion,
+    before: &Document,
+) -> Result<ApplyReply, Unanswered> {
+    let outcome = Outcome::Accepted {
         version,
-        changes: diff::changes(before, &after),
-        in_force: Vec::new(),
-        pending: Vec::new(),
-        passed_over: Vec::new(),
-    }
+        in_force: BTreeSet::new(),
+        pending: BTreeSet::new(),
+        passed_over: BTreeSet::new(),
+    };
+    explained(outcome, before, req, None)
 }
 
 async fn conclude(
@@ -245,43 +262,34 @@
     outcome: Outcome,
     before: &Document,
 ) -> Result<ApplyReply, Unanswered> {
-    match outcome {
-        Outcome::Accepted {
-            version,
-            in_force,
-            pending,
-            passed_over,
-        } => {
-            let after = check::read(&req.text).unwrap_or_default();
-            Ok(ApplyReply::Accepted {
-                version,
-                changes: diff::changes(before, &after),
-                in_force: in_force.into_iter().collect(),
-                pending: pending.into_iter().collect(),
-                passed_over: passed_over.into_iter().collect(),
-            })
-        }
-        Outcome::Invalid(findings) => Ok(ApplyReply::Invalid { findings }),
-        Outcome::Overtaken(Some(current)) => {
-            let base = base_document(cx, req.base)
-                .await
-                .unwrap_or_else(|| before.clone());
-            let ours = check::read(&req.text).unwrap_or_default();
-            let theirs = check::read(&current.text).unwrap_or_default();
-            let three = explain::Three {
-                base: &base,
-                ours: &ours,
-                theirs: &theirs,
-            };
-            Ok(explain::overtaken(Some(&current), three))
-        }
-        Outcome::Overtaken(None) => Err(Unanswered::NotRun("another change came first".into())),
-        Outcome::Unreachable(daemons) => Ok(ApplyReply::Unreachable {
-            daemons: daemons.into_iter().collect(),
-        }),
-        Outcome::NotRun(reason) => Err(Unanswered::NotRun(reason.to_owned())),
-        Outcome::Unknown => Err(Unanswered::Unknown),
-    }
+    let Outcome::Overtaken(current) = &outcome else {
+        return explained(outcome, before, req, None);
+    };
+    let theirs = current
+        .as_ref()
+        .and_then(|current| check::read(&current.text).ok());
+    let base = base_document(cx, req.base).await;
+    explained(outcome, base.as_ref().unwrap_or(before), req, theirs)
+}
+
+/// Explains an outcome by the document that the operator started from and the one in force.
+fn explained(
+    outcome: Outcome,
+    base: &Document,
+    req: &ApplyRequest,
+    theirs: Option<Document>,
+) -> Result<ApplyReply, Unanswered> {
+    let ours = check::read(&req.text).unwrap_or_default();
+    let theirs = theirs.unwrap_or_default();
+    let three = explain::Three {
+        base,
+        ours: &ours,
+        theirs: &theirs,
+    };
+    explain::reply(outcome, three).map_err(|problem| match problem.outcome {
+        model::outcome::Outcome::Unknown => Unanswered::Unknown,
+        _ => Unanswered::NotRun(problem.reason),
+    })
 }
 
 /// Reads the document that an operator started from, if the table still has it.
--- a/crates/node/src/document/rows.rs
+++ b/crates/node/src/document/rows.rs
@@ -4,20 +4,18 @@
 
 use conf::accept::change::Written;
 use conf::accept::row::RowCheck;
+use conf::accept::row::RowRead;
 use conf::accept::row::RowWrite;
-use conf::accept::row::StagedRow;
 use conf::accept::row::View;
 use conf::accept::row::Write;
 use conf::accept::row::key;
 use model::id::OpId;
-use model::id::RowVersion;
 use plat::settle::Settled;
 use plat::settle::settle;
 use plat::table::Check;
 use plat::table::Row;
 use plat::table::Table;
 use plat::table::Txn;
-use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
 use crate::cx::Cx;
@@ -30,29 +28,15 @@
 pub async fn read(table: &Table) -> Option<View> {
     let staged = (table.read)(key::STAGED.to_owned()).await.ok()?;
     let current = (table.read)(key::CURRENT.to_owned()).await.ok()?;
-    Some(View {
-        ballot: version(staged.as_ref()),
-        staged: value::<StagedRow>(staged)?.and_then(|row| row.staged),
-        current_row: version(current.as_ref()),
-        current: value(current)?,
-    })
+    let view = View::from_rows(staged.map(row_read), current.map(row_read));
+    view.inspect_err(|error| log::error!("a row of the document cannot be read: {error}"))
+        .ok()
 }
 
-fn version(row: Option<&Row>) -> RowVersion {
-    row.map_or(RowVersion(0), |row| row.version)
-}
-
-/// Returns the value of a row: none of an absent one, nothing at all of an unreadable one.
-fn value<T: DeserializeOwned>(row: Option<Row>) -> Option<Option<T>> {
-    let Some(row) = row else {
-        return Some(None);
-    };
-    match serde_json::from_value(row.value) {
-        Ok(value) => Some(Some(value)),
-        Err(error) => {
-            log::error!(key = row.key.as_str(); "the row cannot be read: {error}");
-            None
-        }
+fn row_read(row: Row) -> RowRead {
+    RowRead {
+        version: row.version,
+        value: row.value,
     }
 }
 
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -85,11 +85,12 @@
         },
     };
     beat.count += 1;
+    let digest = cx.follower().digest();
     let row = MemberRow {
         beat: beat.count,
         draining: *cx.stage.borrow() >= Stage::Draining,
-        staged: staged(cx),
-        in_force: cx.follower().version(),
+        ballot: digest.ballot,
+        in_force: digest.version,
         ..member_row(&cx.settings, addresses, me.incarnation)
     };
     let txn = Txn {
@@ -122,14 +123,6 @@
     }
 }
 
-fn staged(cx: &Cx) -> model::id::DocVersion {
-    let follower = cx.follower();
-    follower
-        .staged
-        .as_ref()
-        .map_or(follower.version(), |staged| staged.version)
-}
-
 /// Reads the version of the own row; `None` if the table does not answer.
 async fn own_row(
     cx: &Cx,
--- a/crates/node/src/join.rs
+++ b/crates/node/src/join.rs
@@ -117,7 +117,7 @@
         place: settings.place.clone(),
         addresses,
         draining: false,
-        staged: DocVersion(0),
+        ballot: RowVersion(0),
         in_force: DocVersion(0),
     }
 }
