--- a/crates/measure/examples/quickstart.rs
+++ b/crates/measure/examples/quickstart.rs
@@ -22,11 +22,12 @@
 use measure::system::Platform;
 use measure::system::System;
 use measure::system::TOKEN;
-use measure::system::WorkerPlan;
 use measure::system::callers::Callers;
 use measure::system::callers::Counts;
 use measure::system::callers::Load;
 use measure::system::client;
+use measure::system::racks;
+use measure::system::three_daemons;
 use measure::system::wait_until;
 use model::Size;
 use model::id::TaskId;
@@ -38,6 +39,8 @@
 const SEED: u64 = 20_261_203;
 /// The upstream that is handed over.
 const PARTS: &str = "parts";
+/// What each worker has.
+const WORKER: Size = Size::new(8000, 16_384, 0);
 /// How many batch tasks are run.
 const TASKS: usize = 24;
 /// How long anything of the run may take to come about.
@@ -65,42 +68,16 @@
 }
 
 fn daemons() -> Vec<DaemonPlan> {
-    let daemon = |id: &str, half: &str, region: &str, data_centre: &str| DaemonPlan {
-        id: id.into(),
-        half: half.into(),
-        place: Place::new(region, data_centre),
-    };
-    vec![
-        daemon("limburg-1", "noord", "vlaanderen", "limburg"),
-        daemon("antwerpen-1", "noord", "vlaanderen", "antwerpen"),
-        daemon("namur-1", "zuid", "wallonie", "namur"),
-    ]
-}
-
-fn workers() -> Vec<WorkerPlan> {
-    let racks = [
-        ("vlaanderen", "limburg"),
-        ("vlaanderen", "antwerpen"),
-        ("wallonie", "namur"),
-    ];
-    let worker = |(region, data_centre): (&str, &str), number: usize| WorkerPlan {
-        id: format!("{data_centre}-worker-{number}"),
-        place: Place::new(region, data_centre),
-        rack: format!("{data_centre}-rack-1"),
-        capacity: Size::new(8000, 16_384, 0),
-    };
-    racks
-        .into_iter()
-        .flat_map(|rack| [worker(rack, 1), worker(rack, 2)])
-        .collect()
+    three_daemons(["noord", "zuid"])
 }
 
 fn executors() -> Vec<ExecutorPlan> {
-    let executor = |upstream: &str, data_centre: &str, number: usize| ExecutorPlan {
-        id: format!("{upstream}-{number}"),
-        upstream: upstream.into(),
-        place: Place::new("vlaanderen", data_centre),
-        slots: 8,
+    let executor = |upstream: &str, data_centre: &str, number: usize| {
+        ExecutorPlan::new(
+            &format!("{upstream}-{number}"),
+            upstream,
+            Place::new("vlaanderen", data_centre),
+        )
     };
     vec![
         executor("planning", "limburg", 1),
@@ -158,7 +135,8 @@
     let programs =
         Arc::new(|_: &Beginning| Program::batch(Size::new(900, 900, 0), Duration::from_secs(12)));
     let lag = Duration::from_millis(500);
-    let platform = Platform::start(&workers(), &executors(), &daemons(), programs, lag).await?;
+    let platform =
+        Platform::start(&racks(2, WORKER), &executors(), &daemons(), programs, lag).await?;
     println!("{} stand-ins listen on loopback", platform.listening());
     for executor in &platform.executors {
         executor.set_delay(|_| Duration::from_millis(5));
--- a/crates/measure/examples/stand_ins.rs
+++ b/crates/measure/examples/stand_ins.rs
@@ -13,62 +13,31 @@
 use conf::settings::Listen;
 use fake::worker::Beginning;
 use fake::worker::Program;
-use measure::system::DaemonPlan;
 use measure::system::ExecutorPlan;
 use measure::system::Platform;
-use measure::system::WorkerPlan;
+use measure::system::racks;
+use measure::system::three_daemons;
 use model::Size;
 use model::place::Place;
 
 /// The first port of the daemons; each has ten.
 const FIRST_PORT: u16 = 7100;
+/// How many workers stand in the one rack of each data centre.
+const PER_RACK: usize = 22;
+/// What each worker has.
+const WORKER: Size = Size::new(64_000, 256_000, 1);
 /// How long each task runs.
 const RUN: Duration = Duration::from_secs(20);
 
-fn daemons() -> Vec<DaemonPlan> {
-    let daemon = |id: &str, half: &str, region: &str, data_centre: &str| DaemonPlan {
-        id: id.into(),
-        half: half.into(),
-        place: Place::new(region, data_centre),
-    };
-    vec![
-        daemon("limburg-1", "vlaanderen", "vlaanderen", "limburg"),
-        daemon("antwerpen-1", "vlaanderen", "vlaanderen", "antwerpen"),
-        daemon("namur-1", "wallonie", "wallonie", "namur"),
-    ]
-}
-
-fn workers() -> Vec<WorkerPlan> {
-    let racks = [
-        ("vlaanderen", "limburg"),
-        ("vlaanderen", "antwerpen"),
-        ("wallonie", "namur"),
-    ];
-    let worker = |(region, data_centre): (&str, &str), number: usize| WorkerPlan {
-        id: format!("{data_centre}-worker-{number}"),
-        place: Place::new(region, data_centre),
-        rack: format!("{data_centre}-rack-1"),
-        capacity: Size::new(64_000, 256_000, 1),
-    };
-    racks
-        .into_iter()
-        .flat_map(|rack| (1..=22).map(move |number| worker(rack, number)))
-        .collect()
-}
-
 fn executors() -> Vec<ExecutorPlan> {
-    let executor = |number: usize| ExecutorPlan {
-        id: format!("planning-{number}"),
-        upstream: "planning".into(),
-        place: Place::new(
-            "vlaanderen",
-            if number.is_multiple_of(2) {
-                "limburg"
-            } else {
-                "antwerpen"
-            },
-        ),
-        slots: 8,
+    let executor = |number: usize| {
+        let data_centre = if number.is_multiple_of(2) {
+            "limburg"
+        } else {
+            "antwerpen"
+        };
+        let place = Place::new("vlaanderen", data_centre);
+        ExecutorPlan::new(&format!("planning-{number}"), "planning", place)
     };
     (1..=6).map(executor).collect()
 }
@@ -77,13 +46,21 @@
 async fn main() -> Result<(), Box<dyn std::error::Error>> {
     let directory = std::env::args().nth(1).map(PathBuf::from);
     let directory = directory.ok_or("name the directory for the settings files")?;
+    let daemons = three_daemons(["vlaanderen", "wallonie"]);
     let programs = Arc::new(|_: &Beginning| Program::batch(Size::new(1000, 1000, 0), RUN));
     let lag = Duration::from_secs(1);
-    let platform = Platform::start(&workers(), &executors(), &daemons(), programs, lag).await?;
+    let platform = Platform::start(
+        &racks(PER_RACK, WORKER),
+        &executors(),
+        &daemons,
+        programs,
+        lag,
+    )
+    .await?;
     for executor in &platform.executors {
         executor.set_delay(|_| Duration::from_millis(5));
     }
-    for (index, plan) in (0_u16..).zip(daemons()) {
+    for (index, plan) in (0_u16..).zip(daemons) {
         let port =
             |offset: u16| SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + index * 10 + offset));
         let mut settings = platform.settings(&plan);
--- a/crates/measure/src/system/mod.rs
+++ b/crates/measure/src/system/mod.rs
@@ -106,6 +106,77 @@
     addresses: [SocketAddr; 3],
 }
 
+impl WorkerPlan {
+    /// Plans a worker.
+    #[must_use]
+    pub fn new(id: &str, place: Place, rack: &str, capacity: Size) -> Self {
+        Self {
+            id: id.to_owned(),
+            place,
+            rack: rack.to_owned(),
+            capacity,
+        }
+    }
+}
+
+impl ExecutorPlan {
+    /// Plans an executor with 8 slots.
+    #[must_use]
+    pub fn new(id: &str, upstream: &str, place: Place) -> Self {
+        Self {
+            id: id.to_owned(),
+            upstream: upstream.to_owned(),
+            place,
+            slots: 8,
+        }
+    }
+}
+
+impl DaemonPlan {
+    /// Plans a daemon.
+    #[must_use]
+    pub fn new(id: &str, half: &str, place: Place) -> Self {
+        Self {
+            id: id.to_owned(),
+            half: half.to_owned(),
+            place,
+        }
+    }
+}
+
+/// Three daemons in two regions, two of one half and one of the other.
+#[must_use]
+pub fn three_daemons(halves: [&str; 2]) -> Vec<DaemonPlan> {
+    vec![
+        DaemonPlan::new("limburg-1", halves[0], Place::new("vlaanderen", "limburg")),
+        DaemonPlan::new(
+            "antwerpen-1",
+            halves[0],
+            Place::new("vlaanderen", "antwerpen"),
+        ),
+        DaemonPlan::new("namur-1", halves[1], Place::new("wallonie", "namur")),
+    ]
+}
+
+/// Workers of one size, so many in one rack of each data centre.
+#[must_use]
+pub fn racks(per_rack: usize, capacity: Size) -> Vec<WorkerPlan> {
+    let racks = [
+        ("vlaanderen", "limburg"),
+        ("vlaanderen", "antwerpen"),
+        ("wallonie", "namur"),
+    ];
+    let worker = |(region, data_centre): (&str, &str), number: usize| {
+        let id = format!("{data_centre}-worker-{number}");
+        let rack = format!("{data_centre}-rack-1");
+        WorkerPlan::new(&id, Place::new(region, data_centre), &rack, capacity)
+    };
+    racks
+        .into_iter()
+        .flat_map(|rack| (1..=per_rack).map(move |number| worker(rack, number)))
+        .collect()
+}
+
 impl Platform {
     /// Starts the stand-ins; `lag` is how far the host list lags behind.
     ///
--- a/crates/measure/src/system/plan.rs
+++ b/crates/measure/src/system/plan.rs
@@ -77,27 +77,25 @@
 
 fn daemon(index: usize) -> DaemonPlan {
     let place = place(index);
-    DaemonPlan {
-        id: format!("{}-{}", place.data_centre, index / 3 + 1),
-        half: if (index / 3 + index).is_multiple_of(2) {
-            "noord"
-        } else {
-            "zuid"
-        }
-        .into(),
-        place,
-    }
+    let id = format!("{}-{}", place.data_centre, index / 3 + 1);
+    let half = if (index / 3 + index).is_multiple_of(2) {
+        "noord"
+    } else {
+        "zuid"
+    };
+    DaemonPlan::new(&id, half, place)
 }
 
 fn worker(index: usize) -> WorkerPlan {
     let rack = index / PER_RACK;
     let place = place(rack);
-    WorkerPlan {
-        id: format!("worker-{index}"),
-        rack: format!("{}-rack-{rack}", place.data_centre),
+    let rack = format!("{}-rack-{rack}", place.data_centre);
+    WorkerPlan::new(
+        &format!("worker-{index}"),
         place,
-        capacity: Size::new(64_000, 256_000, 0),
-    }
+        &rack,
+        Size::new(64_000, 256_000, 0),
+    )
 }
 
 fn executor(index: usize) -> ExecutorPlan {
@@ -106,19 +104,13 @@
     } else {
         "parts"
     };
-    ExecutorPlan {
-        id: format!("{upstream}-{index}"),
-        upstream: upstream.into(),
-        place: Place::new(
-            "vlaanderen",
-            if index % 4 < 2 {
-                "limburg"
-            } else {
-                "antwerpen"
-            },
-        ),
-        slots: 8,
-    }
+    let data_centre = if index % 4 < 2 {
+        "limburg"
+    } else {
+        "antwerpen"
+    };
+    let place = Place::new("vlaanderen", data_centre);
+    ExecutorPlan::new(&format!("{upstream}-{index}"), upstream, place)
 }
 
 /// Starts a system of these sizes, with tasks that run until they are stopped, and puts the first
--- a/crates/measure/tests/all/stage.rs
+++ b/crates/measure/tests/all/stage.rs
@@ -11,13 +11,16 @@
 use measure::system::ExecutorPlan;
 use measure::system::Platform;
 use measure::system::System;
-use measure::system::WorkerPlan;
 use measure::system::client;
+use measure::system::racks;
+use measure::system::three_daemons;
 use measure::system::wait_until;
 use model::Size;
 use model::id::TaskId;
 use model::place::Place;
 
+/// What each worker has.
+const WORKER: Size = Size::new(8000, 8192, 0);
 pub const SEED: u64 = 20_261_203;
 /// Far above what anything waited for takes, so that a slow machine changes no verdict.
 pub const PATIENCE: Duration = Duration::from_secs(90);
@@ -45,44 +48,14 @@
     )
 }
 
-pub fn daemon(id: &str, half: &str, region: &str, data_centre: &str) -> DaemonPlan {
-    let place = Place::new(region, data_centre);
-    DaemonPlan {
-        id: id.into(),
-        half: half.into(),
-        place,
-    }
-}
-
-/// Two daemons of one half and one of the other.
 pub fn daemons() -> Vec<DaemonPlan> {
-    vec![
-        daemon("limburg-1", "noord", "vlaanderen", "limburg"),
-        daemon("antwerpen-1", "noord", "vlaanderen", "antwerpen"),
-        daemon("namur-1", "zuid", "wallonie", "namur"),
-    ]
-}
-
-fn workers() -> Vec<WorkerPlan> {
-    let worker = |region: &str, data_centre: &str| WorkerPlan {
-        id: format!("{data_centre}-worker"),
-        place: Place::new(region, data_centre),
-        rack: format!("{data_centre}-rack"),
-        capacity: Size::new(8000, 8192, 0),
-    };
-    vec![
-        worker("vlaanderen", "limburg"),
-        worker("vlaanderen", "antwerpen"),
-        worker("wallonie", "namur"),
-    ]
+    three_daemons(["noord", "zuid"])
 }
 
 fn executors() -> Vec<ExecutorPlan> {
-    let executor = |upstream: &str, number: usize| ExecutorPlan {
-        id: format!("{upstream}-{number}"),
-        upstream: upstream.into(),
-        place: Place::new("vlaanderen", "limburg"),
-        slots: 8,
+    let executor = |upstream: &str, number: usize| {
+        let place = Place::new("vlaanderen", "limburg");
+        ExecutorPlan::new(&format!("{upstream}-{number}"), upstream, place)
     };
     ["planning", "parts"]
         .into_iter()
@@ -95,7 +68,8 @@
     println!("seed {SEED}");
     let programs = Arc::new(move |_: &Beginning| Program::batch(Size::new(900, 900, 0), run));
     let lag = Duration::from_millis(100);
-    let platform = Platform::start(&workers(), &executors(), &daemons(), programs, lag).await;
+    let platform =
+        Platform::start(&racks(1, WORKER), &executors(), &daemons(), programs, lag).await;
     let platform = platform.expect("loopback has free ports");
     let system = System::start(platform, &daemons(), SEED)
         .await
