fix(node): the answer to an overtaken change is built as conf has it now

Merging conf left node calling explain::overtaken with a reference where it takes an Option since; the workspace did not compile (E0308). It compiles again.

--- a/crates/node/src/document/propose.rs
+++ b/crates/node/src/document/propose.rs
@@ -273,7 +273,7 @@
                 ours: &ours,
                 theirs: &theirs,
             };
-            Ok(explain::overtaken(&current, three))
+            Ok(explain::overtaken(Some(&current), three))
         }
         Outcome::Overtaken(None) => Err(Unanswered::NotRun("another change came first".into())),
         Outcome::Unreachable(daemons) => Ok(ApplyReply::Unreachable {
