fix(node): each of two who ask about one task hears of its own request

Cause: what an owner tells at once of a submission or a cancellation answered everybody who waited for that task. An operator whose submission was being written was told that the name belongs to another task, and so that nothing was run, when a second one sent another specification under the same name meanwhile, and then the task ran. A repeated submission told a waiting cancellation that it was kept before it was.

Before: each_of_two_concurrent_submissions_hears_of_its_own and a_repeated_submission_answers_no_cancellation_that_is_not_kept_yet fail; after: both pass. What is told at once goes to the asker alone; what is told later goes to those who wait.

--- a/crates/node/src/shards/calls.rs
+++ b/crates/node/src/shards/calls.rs
@@ -2,7 +2,6 @@
 
 use lease::owner::Event;
 use lease::owner::Fact;
-use lease::owner::Refusal;
 use lease::record::TaskSpec;
 use model::Size;
 use model::id::DaemonId;
@@ -12,6 +11,7 @@
 use tokio::sync::oneshot;
 
 use crate::shards::driver::Driver;
+use crate::shards::facts::submitted;
 use crate::shards::home;
 use crate::shards::home::Candidate;
 use crate::shards::input::Reply;
@@ -72,23 +72,30 @@
             let _ = reply.send(Reply::Done(shard.clone()));
             return;
         };
-        match self.refused_since(told, &task) {
-            Some(why) => drop(reply.send(Reply::Refused(why.to_string()))),
+        match self.told_since(told, shard, &task) {
+            Some(answer) => drop(reply.send(answer)),
             None => self.asked.entry(task).or_default().push(reply),
         }
     }
 
-    /// Takes out the refusal of what was just asked. Refusals that come later may be of something
-    /// else that was wanted of the same task.
-    fn refused_since(&mut self, told: usize, task: &TaskId) -> Option<Refusal> {
-        let refusal = |fact: &Fact| match fact {
-            Fact::Refused { task: refused, why } if refused == task => Some(*why),
+    /// Takes out what an owner told at once of what was just asked of it. It is for the asker alone:
+    /// others may wait for another write of the same task, and what is told later is for them.
+    fn told_since(&mut self, told: usize, shard: &ShardId, task: &TaskId) -> Option<Reply> {
+        let answer = |fact: &Fact| match fact {
+            Fact::Refused { task: about, why } if about == task => {
+                Some(Reply::Refused(why.to_string()))
+            }
+            Fact::Submitted {
+                task: about,
+                result,
+            } if about == task => Some(submitted(shard, *result)),
+            Fact::Cancelling { task: about } if about == task => Some(Reply::Done(shard.clone())),
             _ => None,
         };
         let mut since = self.facts.iter().enumerate().skip(told);
-        let (at, why) = since.find_map(|(at, (_, fact))| Some((at, refusal(fact)?)))?;
+        let (at, answer) = since.find_map(|(at, (_, fact))| Some((at, answer(fact)?)))?;
         self.facts.remove(at);
-        Some(why)
+        Some(answer)
     }
 
     /// Answers all who wait to hear of a task.
--- a/crates/node/src/shards/facts.rs
+++ b/crates/node/src/shards/facts.rs
@@ -378,7 +378,8 @@
     }
 }
 
-fn submitted(shard: &ShardId, result: Submission) -> Reply {
+/// Words what became of a submission.
+pub(super) fn submitted(shard: &ShardId, result: Submission) -> Reply {
     match result {
         Submission::Accepted | Submission::Repeated => Reply::Done(shard.clone()),
         Submission::Conflict => Reply::Refused(result.to_string()),
