fix(node): late answers to claims begin no owner of an earlier life and delay no planned stop

Cause: the answer to a claim that comes after the shards' part was started again began an owner under the earlier life's name and epoch, which went on for ever beside a row that nobody of this life owns. And the answer to a claim that comes after the planned stop has begun started an owner that was never asked to give its shard back, so that the stop took all of its time and the shard stayed owned.

Before: a_claim_of_an_earlier_life_begins_no_owner_in_the_new_one finds the old epoch served in each of 600 looks over 60 s, and a_shard_whose_claim_is_under_way_is_given_back_too does not leave within 60 s; after: both pass.

--- a/crates/node/src/shards/claims.rs
+++ b/crates/node/src/shards/claims.rs
@@ -128,7 +128,12 @@
     }
 
     /// Takes in what became of a claim. One in doubt shows as committed in the next read, if it was.
+    ///
+    /// A claim of an earlier life of this daemon begins nothing: the shard is free to be taken again.
     pub(super) fn claimed(&mut self, claimed: Claimed, sent: Mono, committed: bool) {
+        if claimed.owner != self.cx.identity() {
+            return;
+        }
         self.claiming.remove(&claimed.shard);
         if committed {
             let now = self.now();
@@ -149,6 +154,9 @@
         );
         self.list_workers(&shard, now);
         self.read_tasks(&shard, true);
+        if self.giving_back {
+            self.drive(&shard, Event::GiveBack, now);
+        }
     }
 
     /// Tells an owner its workers as the host list has them.
