feat(node): a part that removes the rows of old requests

The rows request/ of non-idempotent requests were never removed. Checkpoints are left: the end of a task does not name its last one, and the store does not list them.

--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -107,6 +107,8 @@
     pub clock: Clock,
     /// The seed of all random choices.
     pub seed: u64,
+    /// The wall clock in milliseconds since 1970, for the age of rows only.
+    pub unix_ms: fn() -> u64,
     /// The outside.
     pub outside: Outside,
     /// The connections to other daemons.
@@ -176,6 +178,7 @@
             settings,
             clock,
             seed,
+            unix_ms: || 0,
             outside,
             links: Links::default(),
             metrics,
@@ -192,6 +195,13 @@
         }
     }
 
+    /// Sets the wall clock; without one every row counts as young.
+    #[must_use]
+    pub fn with_unix_ms(mut self, unix_ms: fn() -> u64) -> Self {
+        self.unix_ms = unix_ms;
+        self
+    }
+
     /// Returns the name and the life of this daemon.
     #[must_use]
     pub fn identity(&self) -> Owner {
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -34,6 +34,7 @@
 use crate::gossip;
 use crate::heartbeat;
 use crate::hosts;
+use crate::janitor;
 use crate::join::join;
 use crate::metrics;
 use crate::operators::Operators;
@@ -177,7 +178,7 @@
         let cx = Cx::new(
             settings, clock, seed, outside, metrics, board, identity, members, proxy,
         );
-        let cx = Arc::new(cx);
+        let cx = Arc::new(cx.with_unix_ms(unix_ms));
         let drain = CancellationToken::new();
         let stop = CancellationToken::new();
         let tree = tokio::spawn(tree(
@@ -318,7 +319,8 @@
             )
             .part("gossip", with(&cx, gossip::run))
             .part("hosts", with(&cx, hosts::run))
-            .part("document", with(&cx, document::run));
+            .part("document", with(&cx, document::run))
+            .part("janitor", with(&cx, janitor::run));
         Box::pin(supervisor.run(token))
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`daemon`] starts a daemon and its parts, [`cx`] has what they share, [`supervisor`] keeps them
 //! running. The parts: [`heartbeat`] and [`gossip`] for who is there, [`hosts`] and [`document`] for
 //! what holds, [`shards`] for tasks, [`routing`] for requests, [`peers`] and [`operators`] for who
-//! asks. [`logs`] and [`metrics`] tell what they do.
+//! asks. [`janitor`] removes old rows. [`logs`] and [`metrics`] tell what they do.
 
 pub mod cx;
 pub mod daemon;
@@ -11,6 +11,7 @@
 pub mod gossip;
 pub mod heartbeat;
 pub mod hosts;
+pub mod janitor;
 pub mod join;
 pub mod logs;
 pub mod metrics;
