--- a/crates/node/src/shards/claims.rs
+++ b/crates/node/src/shards/claims.rs
@@ -150,6 +150,7 @@
             Running {
                 owner,
                 scanned_at: now,
+                scan_failed: false,
             },
         );
         self.list_workers(&shard, now);
@@ -177,6 +178,7 @@
             return;
         };
         running.scanned_at = self.cx.clock.now();
+        running.scan_failed = false;
         let epoch = running.owner.claimed().epoch;
         let cx = self.cx.clone();
         let tx = self.tx.clone();
@@ -194,13 +196,17 @@
         });
     }
 
-    /// Takes in the rows below a shard; a first read that failed is repeated with the next round.
+    /// Takes in the rows below a shard; a read that failed is repeated with the next round.
     pub(super) fn task_rows(&mut self, shard: &ShardId, rows: Option<Vec<Row>>, complete: bool) {
         let now = self.now();
         match rows {
             Some(rows) if complete => self.drive(shard, Event::Loaded(rows), now),
             Some(rows) => self.drive(shard, Event::Rows(rows), now),
-            None => {}
+            None => {
+                if let Some(running) = self.running.get_mut(shard) {
+                    running.scan_failed = true;
+                }
+            }
         }
     }
 }
--- a/crates/node/src/shards/driver.rs
+++ b/crates/node/src/shards/driver.rs
@@ -44,6 +44,9 @@
     pub owner: ShardOwner,
     /// When the rows below it were last asked for.
     pub scanned_at: Mono,
+    /// Whether that read failed, so that it is repeated soon: it may have been to find a task whose
+    /// start was decided.
+    pub scan_failed: bool,
 }
 
 /// A start that waits until its task has been moved to the shard of its worker.
@@ -216,7 +219,7 @@
                 continue;
             };
             let loaded = running.owner.is_loaded();
-            let due = if loaded {
+            let due = if loaded && !running.scan_failed {
                 RESCAN_INTERVAL
             } else {
                 READ_INTERVAL
--- a/crates/node/tests/all/shards_owners.rs
+++ b/crates/node/tests/all/shards_owners.rs
@@ -10,6 +10,8 @@
 use model::id::TaskId;
 use node::join::join;
 use node::shards::input::Reply;
+use plat::worker::WorkerError;
+use plat::worker::WorkerMessage;
 use tokio::time::sleep;
 
 use crate::drive::Node;
@@ -27,6 +29,9 @@
 /// Within this, our users want urgent tasks to start.
 const URGENT_START: Duration = Duration::from_millis(2500);
 
+/// Two reads of the shards' rows and a start, well below the 30 s between two rescans.
+const SOON: Duration = Duration::from_secs(8);
+
 /// A task that takes a whole worker.
 fn whole(name: &str) -> TaskSpec {
     TaskSpec {
@@ -73,6 +78,20 @@
     sleep(PATIENCE).await;
     world.assert_kept();
     assert_eq!(world.ledger.tally().begun, 6, "all go on where they are");
+    let late = WorkerMessage {
+        epoch: before.epoch,
+        sequence: u64::MAX,
+        answers: 0,
+        lease_ms: 0,
+        commands: Vec::new(),
+    };
+    let fenced = world.fleet[0].message(&late);
+    let epoch = world.shard_row("r1").expect("it is owned").epoch;
+    assert_eq!(
+        fenced,
+        Err(WorkerError::Fenced { epoch }),
+        "nothing of it is done"
+    );
     submitted(&node, &spec("after")).await;
     assert!(within(PATIENCE, async || world.begun("after") == 1).await);
 }
@@ -159,39 +178,74 @@
     world.table.rows().commit(&txn).expect("nothing is checked");
 }
 
+async fn submit_whole_at(node: &Node, shard: &str, name: &str) {
+    let accepted = async || {
+        let reply = node.submit_at(Some(shard), &whole(name)).await;
+        reply == Reply::Done(shard.into())
+    };
+    assert!(within(PATIENCE, accepted).await, "{name}");
+}
+
+/// Starts a daemon with two shards of one worker, fills one of them, and returns its name and that
+/// of the other one.
+async fn one_of_two_full() -> (World, Node, &'static str, &'static str) {
+    let world = World::new(&["r1", "r2"], FOREVER);
+    let node = world.node("d1").await;
+    let both = async || node.serves("r1").await && node.serves("r2").await;
+    assert!(within(PATIENCE, both).await);
+    submit_whole_at(&node, "r1", "first").await;
+    assert!(within(PATIENCE, async || world.begun("first") == 1).await);
+    let first_is_full = !world.fleet[0].running().is_empty();
+    let (full, free) = if first_is_full {
+        ("r1", "r2")
+    } else {
+        ("r2", "r1")
+    };
+    (world, node, full, free)
+}
+
 /// The scheduler picks a worker of another shard of the same daemon.
 #[tokio::test(start_paused = true)]
 async fn a_start_on_another_own_shard_moves_the_task_first_and_starts_it_once() {
     for fault in [None, Some(Fault::LostAfter), Some(Fault::LostBefore)] {
-        let world = World::new(&["r1", "r2"], FOREVER);
-        let node = world.node("d1").await;
-        let both = async || node.serves("r1").await && node.serves("r2").await;
-        assert!(within(PATIENCE, both).await);
-        let submit = async |name: &str| {
-            let done = Reply::Done("r1".into());
-            let accepted = async || node.submit_at(Some("r1"), &whole(name)).await == done;
-            assert!(within(PATIENCE, accepted).await, "{name}");
-        };
-        submit("first").await;
-        assert!(within(PATIENCE, async || world.begun("first") == 1).await);
-        submit("second").await;
+        let (world, node, full, free) = one_of_two_full().await;
+        submit_whole_at(&node, full, "second").await;
         if let Some(fault) = &fault {
             world.table.faults().next_of("commit", fault.clone(), 2);
         }
-        assert!(
-            within(PATIENCE, async || world.begun("second") == 1).await,
-            "{fault:?}"
-        );
+        let begun = async || world.begun("second") == 1;
+        assert!(within(PATIENCE, begun).await, "{fault:?}");
         sleep(PATIENCE).await;
         world.assert_kept();
         assert_eq!(world.ledger.tally().begun, 2, "{fault:?}");
         let homes: Vec<String> = world.tasks().into_iter().map(|(key, _)| key).collect();
         assert_eq!(homes.len(), 2, "{homes:?}");
+        assert!(homes.contains(&format!("task/{free}/second")), "{homes:?}");
         let job = world.job("second").expect("it is kept");
-        assert!(homes.contains(&format!("task/{}/second", job.shard)));
+        assert_eq!(job.shard.as_str(), free, "{fault:?}");
     }
 }
 
+/// The read that finds a moved task below its new shard fails.
+#[tokio::test(start_paused = true)]
+async fn a_moved_task_starts_soon_after_the_table_is_back() {
+    let (world, node, full, free) = one_of_two_full().await;
+    world.table.faults().set_of("scan", Fault::Down);
+    submit_whole_at(&node, full, "second").await;
+    let moved = async || {
+        let tasks = world.tasks();
+        let key = format!("task/{free}/second");
+        tasks.iter().any(|(found, _)| *found == key)
+    };
+    assert!(within(PATIENCE, moved).await, "the start needs a move");
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(world.begun("second"), 0, "nobody has found it yet");
+    world.table.faults().clear();
+    let begun = async || world.begun("second") == 1;
+    assert!(within(SOON, begun).await, "it does not wait for the rescan");
+    world.assert_kept();
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_urgent_task_starts_in_time_on_a_full_fleet_and_the_evicted_one_resumes() {
     let world = World::new(&["r1"], Duration::from_secs(100));
