--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! running. The parts: [`heartbeat`] and [`gossip`] for who is there, [`hosts`] and [`document`] for
 //! what holds, [`shards`] for tasks, [`routing`] for requests, [`peers`] and [`operators`] for who
 //! asks, with the [`console`] of forms. [`logs`], [`metrics`] and [`observe`] tell what they do.
+//! [`janitor`] removes old rows.
 
 pub mod console;
 pub mod cx;
@@ -12,6 +13,7 @@
 pub mod gossip;
 pub mod heartbeat;
 pub mod hosts;
+pub mod janitor;
 pub mod join;
 pub mod logs;
 pub mod metrics;
--- a/crates/node/src/shards/claims.rs
+++ b/crates/node/src/shards/claims.rs
@@ -128,7 +128,12 @@
     }
 
     /// Takes in what became of a claim. One in doubt shows as committed in the next read, if it was.
+    ///
+    /// A claim of an earlier life of this daemon begins nothing: the shard is free to be taken again.
     pub(super) fn claimed(&mut self, claimed: Claimed, sent: Mono, committed: bool) {
+        if claimed.owner != self.cx.identity() {
+            return;
+        }
         self.claiming.remove(&claimed.shard);
         if committed {
             let now = self.now();
@@ -145,10 +150,14 @@
             Running {
                 owner,
                 scanned_at: now,
+                scan_failed: false,
             },
         );
         self.list_workers(&shard, now);
         self.read_tasks(&shard, true);
+        if self.giving_back {
+            self.drive(&shard, Event::GiveBack, now);
+        }
     }
 
     /// Tells an owner its workers as the host list has them.
@@ -169,6 +178,7 @@
             return;
         };
         running.scanned_at = self.cx.clock.now();
+        running.scan_failed = false;
         let epoch = running.owner.claimed().epoch;
         let cx = self.cx.clone();
         let tx = self.tx.clone();
@@ -186,13 +196,20 @@
         });
     }
 
-    /// Takes in the rows below a shard; a first read that failed is repeated with the next round.
+    /// Takes in the rows below a shard; a read that failed is repeated with the next round.
     pub(super) fn task_rows(&mut self, shard: &ShardId, rows: Option<Vec<Row>>, complete: bool) {
         let now = self.now();
         match rows {
-            Some(rows) if complete => self.drive(shard, Event::Loaded(rows), now),
+            Some(rows) if complete => {
+                self.drive(shard, Event::Loaded(rows), now);
+                self.adopt_granted(shard, now);
+            }
             Some(rows) => self.drive(shard, Event::Rows(rows), now),
-            None => {}
+            None => {
+                if let Some(running) = self.running.get_mut(shard) {
+                    running.scan_failed = true;
+                }
+            }
         }
     }
 }
--- a/crates/node/src/shards/facts.rs
+++ b/crates/node/src/shards/facts.rs
@@ -105,6 +105,21 @@
         self.sched.enqueue(queued);
     }
 
+    /// Tells the scheduler of the tasks that an earlier owner of the shard has granted, so that their
+    /// room is not given out again and counts for their teams.
+    pub(super) fn adopt_granted(&mut self, shard: &ShardId, now: Mono) {
+        let Some(running) = self.running.get(shard) else {
+            return;
+        };
+        for row in running.owner.tasks() {
+            if let Phase::Assigned { worker, reserved } = &row.phase {
+                self.homes.insert(row.spec.task.clone(), shard.clone());
+                self.sched.enqueue(queued_facts(row, now));
+                self.sched.assigned(&row.spec.task, worker, *reserved, now);
+            }
+        }
+    }
+
     fn ended(&mut self, shard: &ShardId, task: &TaskId, phase: &Phase, now: Mono) {
         match phase {
             Phase::Succeeded => self.sched.ended(task, End::Succeeded, now),
@@ -378,7 +393,8 @@
     }
 }
 
-fn submitted(shard: &ShardId, result: Submission) -> Reply {
+/// Words what became of a submission.
+pub(super) fn submitted(shard: &ShardId, result: Submission) -> Reply {
     match result {
         Submission::Accepted | Submission::Repeated => Reply::Done(shard.clone()),
         Submission::Conflict => Reply::Refused(result.to_string()),
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -1,8 +1,14 @@
 //! Tests of the daemon's wiring.
 
 mod console;
+mod drive;
+mod janitor;
+mod join;
 mod logs;
 mod metrics;
 mod observe;
+mod operators;
+mod shards_owners;
+mod shards_requests;
 mod supervisor;
 mod world;
--- a/crates/sched/src/book.rs
+++ b/crates/sched/src/book.rs
@@ -388,10 +388,15 @@
         let task = &self.tasks[key];
         let class = &self.classes[task.class];
         let (size, learned) = class.sizes.reservation(&task.declared);
+        let quota = self.teams[task.team]
+            .rules
+            .as_ref()
+            .map(|rules| rules.quota);
         let base = if learned {
             size.min(&class.largest)
         } else {
-            size
+            // A safe start beyond the claim must not keep a team from using the whole of its quota.
+            quota.map_or(size, |quota| size.min(&quota.max(&task.declared)))
         };
         let doubled = base
             .memory_mib
--- a/crates/sched/tests/all/placement.rs
+++ b/crates/sched/tests/all/placement.rs
@@ -81,6 +81,17 @@
     }
 }
 
+#[test]
+fn the_room_that_is_added_to_a_small_claim_stays_within_the_quota() {
+    let small = Size::new(10, 10, 0);
+    let mut document = fixture::document();
+    document.teams.get_mut("a").expect("a team").quota = small;
+    let mut sched = fixture::fleet(&document, 2, WORKER);
+    sched.enqueue(fixture::task("whole-quota", "study", small));
+    let decisions = fixture::settle(&mut sched, Mono(1));
+    assert_eq!(fixture::starts(&decisions).len(), 1, "{decisions:?}");
+}
+
 #[test]
 fn a_reported_job_runs_once_a_worker_can_hold_it() {
     let mut sched = fixture::fleet(&fixture::document(), 1, HALF);
