--- a/crates/node/tests/all/shards_owners.rs
+++ b/crates/node/tests/all/shards_owners.rs
@@ -5,6 +5,7 @@
 use fake::faults::Fault;
 use lease::record::Phase;
 use lease::record::TaskSpec;
+use lease::timing::Timing;
 use model::Size;
 use model::id::Epoch;
 use model::id::TaskId;
@@ -317,6 +318,29 @@
     running.first().map(ToString::to_string).unwrap_or_default()
 }
 
+/// The worker of a task dies between a planned stop and the successor's first word to it.
+#[tokio::test(start_paused = true)]
+async fn after_a_planned_stop_a_lost_worker_is_waited_for_no_longer_than_its_lease() {
+    let world = World::new(&["r1", "r1"], FOREVER);
+    let first = world.node("d1").await;
+    submitted(&first, &spec("study")).await;
+    assert!(within(PATIENCE, async || world.begun("study") == 1).await);
+    sleep(Duration::from_secs(10)).await;
+    first.leave().await;
+    let runs = async || world.begun("study");
+    let at = world
+        .fleet
+        .iter()
+        .position(|worker| !worker.running().is_empty())
+        .expect("it runs");
+    world.fleet[at].crash();
+    let second = world.node("d2").await;
+    assert!(within(PATIENCE, async || second.serves("r1").await).await);
+    let lapse = Timing::default().lease_lapse();
+    assert!(within(lapse + SOON, async || runs().await == 2).await);
+    world.assert_kept();
+}
+
 /// The stop comes while the claim of a shard is under way.
 #[tokio::test(start_paused = true)]
 async fn a_shard_whose_claim_is_under_way_is_given_back_too() {
