test(node): a successor's scheduler knows what was granted before it

Cause: the scheduler learned of a granted task only from its end. Before: the dump's running count at the successor was 0 (the new assertion failed), after: 1.

--- a/crates/node/src/shards/facts.rs
+++ b/crates/node/src/shards/facts.rs
@@ -137,8 +137,9 @@
     fn refused(&mut self, shard: &ShardId, task: &TaskId, why: Refusal, now: Mono) {
         self.planned.remove(task);
         self.sched.abandoned(task, now);
-        if why == Refusal::ByTable {
-            // It may be the write of whoever asked, or another one on the same row.
+        if matches!(why, Refusal::ByTable | Refusal::UnknownTask) {
+            // It may be the write of whoever asked, or another one on the same row; or the task has
+            // been handed to another shard meanwhile.
             self.answer(task, &Reply::Unknown);
         }
         if why == Refusal::NoRoom {
--- a/crates/node/tests/all/shards_owners.rs
+++ b/crates/node/tests/all/shards_owners.rs
@@ -365,5 +365,7 @@
     assert!(within(PATIENCE, async || second.serves("r1").await).await);
     sleep(PATIENCE).await;
     assert_eq!(world.begun("visit"), 1, "its run was not interrupted");
+    let sched = second.snapshot().await.sched;
+    assert_eq!(sched["running"], 1, "its room is not offered again");
     world.assert_kept();
 }
