--- a/crates/node/src/operators/look.rs
+++ b/crates/node/src/operators/look.rs
@@ -321,6 +321,14 @@
     }
 }
 
+/// The resident memory of the process in MB, where the system tells it.
+fn memory_mb() -> Option<u64> {
+    let text = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kilobytes: u64 = line.split_whitespace().next()?.parse().ok()?;
+    Some(kilobytes / 1000)
+}
+
 /// The state of the process.
 ///
 /// # Errors
@@ -339,6 +347,7 @@
         "daemon": cx.settings.daemon,
         "incarnation": cx.identity().incarnation,
         "uptime_ms": now.0,
+        "memory_mb": memory_mb(),
         "stage": *cx.stage.borrow(),
         "store_silent_ms": store_at.map(|at| millis(now.since(at))),
         "parts": cx.board.all(),
