--- /dev/null
+++ b/crates/node/src/shards/decisions.rs
@@ -0,0 +1,142 @@
+//! Carries the decisions of the scheduler to the owners of the shards.
+
+use lease::owner::Event;
+use model::Mono;
+use model::Size;
+use model::id::ShardId;
+use model::id::TaskId;
+use model::id::WorkerId;
+use plat::hosts::HostState;
+use sched::Budget;
+use sched::Decision;
+
+use crate::shards::driver::Driver;
+use crate::shards::driver::Planned;
+
+/// What one round of decisions may set in motion; a round is 100 ms, and each start or eviction
+/// costs the store two or three transactions of a few rows.
+const BUDGET: Budget = Budget {
+    starts: 6,
+    evictions: 3,
+};
+
+impl Driver {
+    /// Takes the tasks off workers that are leaving, again and again until none is left: an eviction
+    /// may be refused while the table is away or a write of the row is under way.
+    pub(super) fn empty_leaving(&mut self, now: Mono) {
+        let hosts = self.cx.hosts.borrow().clone();
+        let leaving = hosts
+            .workers
+            .iter()
+            .filter(|entry| entry.state == HostState::Leaving);
+        for entry in leaving {
+            let Some(running) = self.running.get(&entry.rack) else {
+                continue;
+            };
+            let owner = &running.owner;
+            let there = owner.tasks().filter(|row| row.worker() == Some(&entry.id));
+            let settled = there.filter(|row| !owner.is_in_doubt(&row.spec.task));
+            let tasks: Vec<TaskId> = settled.map(|row| row.spec.task.clone()).collect();
+            for task in tasks {
+                self.drive(&entry.rack, Event::Evict(task), now);
+            }
+        }
+    }
+
+    /// Lets the scheduler decide and carries its decisions to the owners.
+    pub(super) fn decide(&mut self, now: Mono) {
+        let budget = match self.store_reachable && !self.giving_back {
+            true => BUDGET,
+            false => Budget {
+                starts: 0,
+                evictions: 0,
+            },
+        };
+        for decision in self.sched.decide(now, budget) {
+            match decision {
+                Decision::Start {
+                    task,
+                    worker,
+                    reserved,
+                    ..
+                } => {
+                    self.start(&task, worker, reserved, now);
+                }
+                Decision::Throttle { task, permille, .. } => {
+                    self.drive_task(
+                        &task,
+                        Event::Throttle {
+                            task: task.clone(),
+                            permille,
+                        },
+                        now,
+                    );
+                }
+                Decision::Evict { task, .. } => {
+                    self.drive_task(&task, Event::Evict(task.clone()), now);
+                }
+                Decision::HandOff { task, to_shard, .. } => {
+                    self.drive_task(
+                        &task,
+                        Event::HandOff {
+                            task: task.clone(),
+                            to: to_shard,
+                        },
+                        now,
+                    );
+                }
+                Decision::Unrunnable { task, reason } => {
+                    log::warn!(task = task.as_str(); "cannot run: {reason}");
+                }
+                Decision::Quarantine { worker, why } => {
+                    log::warn!(worker = worker.as_str(); "quarantined: {why}");
+                }
+                Decision::Readmit { worker, why } => {
+                    log::info!(worker = worker.as_str(); "used again: {why}");
+                }
+                Decision::Runnable { .. } => {}
+            }
+        }
+    }
+
+    /// Starts a task; one that waits at another shard than its worker's is moved there first.
+    fn start(&mut self, task: &TaskId, worker: WorkerId, reserved: Size, now: Mono) {
+        let Some(shard) = self.shard_of(&worker) else {
+            return self.sched.abandoned(task, now);
+        };
+        if self.homes.get(task) == Some(&shard) {
+            let event = Event::Start {
+                task: task.clone(),
+                worker,
+                reserved,
+            };
+            return self.drive(&shard, event, now);
+        }
+        let event = Event::HandOff {
+            task: task.clone(),
+            to: shard.clone(),
+        };
+        self.planned.insert(
+            task.clone(),
+            Planned {
+                shard,
+                worker,
+                reserved,
+            },
+        );
+        self.drive_task(task, event, now);
+    }
+
+    fn drive_task(&mut self, task: &TaskId, event: Event, now: Mono) {
+        match self.homes.get(task).cloned() {
+            Some(shard) => self.drive(&shard, event, now),
+            None => self.sched.abandoned(task, now),
+        }
+    }
+
+    fn shard_of(&self, worker: &WorkerId) -> Option<ShardId> {
+        let hosts = self.cx.hosts.borrow();
+        let entry = hosts.workers.iter().find(|entry| entry.id == *worker)?;
+        Some(entry.rack.clone()).filter(|shard| self.running.contains_key(shard))
+    }
+}
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -2,16 +2,20 @@
 //!
 //! One task holds all state ([`driver::Driver`]); everything that takes time is spawned and comes
 //! back as an [`input::Input`]. [`claims`] takes and gives back shards, [`carry`] carries out what an
-//! owner wants done, [`facts`] keeps the scheduler's picture, [`calls`] answers submissions and
+//! owner wants done, [`facts`] and [`workers`] keep the scheduler's picture, [`decisions`] carries out
+//! what it decides, [`summaries`] tells the other daemons, [`calls`] answers submissions and
 //! cancellations. See `docs/TASKS.md`.
 
 pub mod calls;
 pub mod carry;
 pub mod claims;
+pub mod decisions;
 pub mod driver;
 pub mod facts;
 pub mod home;
 pub mod input;
+pub mod summaries;
+pub mod workers;
 
 use std::sync::Arc;
 
