fix(node): the document in force and what is served by it go in one order

Cause (read-through): two tasks could put versions into force in the wrong order, as the follower's lock is left before; a document that came into force while the next one was in doubt was served whole until that doubt ended; digests of daemons that are gone were kept.

--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -83,6 +83,17 @@
     pub document: Arc<Document>,
 }
 
+/// By what the data path was last told to serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Served {
+    /// Whether and by what.
+    pub serve: Serve,
+    /// The version of the document in force.
+    pub version: DocVersion,
+    /// The newest attempt to change it.
+    pub ballot: RowVersion,
+}
+
 /// What this daemon sees of the others.
 pub struct View {
     /// Which daemons are alive, by gossip.
@@ -131,6 +142,7 @@
     pub hosts: watch::Sender<Arc<HostList>>,
     identity: Mutex<Owner>,
     follower: Mutex<Follower>,
+    published: Mutex<Option<Served>>,
     view: Mutex<View>,
 }
 
@@ -190,6 +202,7 @@
             shards: Shards::default(),
             hosts: watch::Sender::new(Arc::default()),
             follower: Mutex::new(follower),
+            published: Mutex::new(None),
             identity: Mutex::new(identity),
             view: Mutex::new(view),
         }
@@ -224,6 +237,11 @@
         lock(&self.follower)
     }
 
+    /// Returns by what the data path serves, locked, so that it is told in one order.
+    pub(crate) fn published(&self) -> MutexGuard<'_, Option<Served>> {
+        lock(&self.published)
+    }
+
     /// Returns whether the balancer may send requests here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/node/src/document/mod.rs
+++ b/crates/node/src/document/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::cx::Cx;
 use crate::cx::InForce;
+use crate::cx::Served;
 use crate::cx::Stage;
 use crate::supervisor::PartResult;
 
@@ -38,14 +39,13 @@
 /// None at present; the signature is that of a part.
 pub async fn run(cx: Arc<Cx>, token: CancellationToken) -> PartResult {
     let mut ticks = interval(TICK);
-    let mut published = Published::default();
     loop {
         tokio::select! {
             () = token.cancelled() => return Ok(()),
             _ = ticks.tick() => {}
         }
         follow(&cx, Event::Tick);
-        publish(&cx, &mut published);
+        publish(&cx);
     }
 }
 
@@ -88,15 +88,20 @@
         text: current.text.clone(),
         by: current.by.clone(),
         op: current.op.clone(),
-        document: document.clone(),
+        document,
     };
-    log::info!(version = version.0, by = current.by.as_str(); "the document is in force");
-    cx.doc.send_replace(Some(Arc::new(in_force)));
-    let document = route::view::InForce { version, document };
-    cx.proxy.update(RouteUpdate {
-        document: Some(document),
-        ..RouteUpdate::default()
+    // Another task may have put a later document into force since the follower decided.
+    let newer = cx.doc.send_if_modified(|doc| {
+        let newer = doc.as_ref().is_none_or(|doc| doc.version < version);
+        if newer {
+            *doc = Some(Arc::new(in_force));
+        }
+        newer
     });
+    if newer {
+        log::info!(version = version.0, by = current.by.as_str(); "the document is in force");
+    }
+    publish(cx);
     cx.stage.send_if_modified(|stage| {
         let first = *stage == Stage::Starting;
         if first {
@@ -106,26 +111,29 @@
     });
 }
 
-/// What the data path was last told.
-#[derive(Default)]
-struct Published {
-    serve: Option<Serve>,
-}
-
-/// Tells the data path whether this daemon may serve, and by what.
-fn publish(cx: &Arc<Cx>, published: &mut Published) {
-    let (serve, staged) = {
+/// Tells the data path whether this daemon may serve, and by what, if that has changed.
+fn publish(cx: &Arc<Cx>) {
+    let mut published = cx.published();
+    let (serve, staged, ballot) = {
         let follower = cx.follower();
-        (follower.serve(cx.clock.now()), follower.staged.clone())
+        (
+            follower.serve(cx.clock.now()),
+            follower.staged.clone(),
+            follower.ballot,
+        )
     };
-    if published.serve == Some(serve) {
-        return;
-    }
     let doc = cx.doc.borrow().clone();
     let Some(doc) = doc else {
         return;
     };
-    log::info!(version = doc.version.0; "serves by {serve:?}");
+    let served = Served {
+        serve,
+        version: doc.version,
+        ballot,
+    };
+    if *published == Some(served) {
+        return;
+    }
     let document = match serve {
         Serve::Common => Arc::new(common(&doc.document, staged.as_ref())),
         _ => doc.document.clone(),
@@ -139,7 +147,10 @@
         ..RouteUpdate::default()
     });
     cx.proxy.set_serving(serve != Serve::Nothing);
-    published.serve = Some(serve);
+    if published.is_none_or(|before| before.serve != serve) {
+        log::info!(version = doc.version.0; "serves by {serve:?}");
+    }
+    *published = Some(served);
 }
 
 /// What the document in force and the staged one have in common; a staged text that cannot be read
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -232,6 +232,7 @@
     view.members
         .retain(|daemon| named.contains(daemon), answered);
     view.rows.retain(|daemon, _| named.contains(daemon));
+    view.heard.retain(|daemon, _| named.contains(daemon));
     view.watch.observe(members, sent, answered);
 }
 
