--- /dev/null
+++ b/crates/node/tests/all/document.rs
@@ -0,0 +1,184 @@
+//! What a daemon serves by while a change of the document is on its way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::accept::follower::Event;
+use conf::accept::message::News;
+use conf::accept::row::Current;
+use conf::accept::row::Staged;
+use conf::accept::row::View;
+use model::id::DocVersion;
+use model::id::RowVersion;
+use model::place::Place;
+use node::cx::Cx;
+use node::document;
+use node::document::follow;
+use plat::hosts::ExecutorEntry;
+use plat::hosts::HostState;
+use route::RouteUpdate;
+use route::view::Member;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::drive::World;
+
+/// Above the time for which gained slots rest.
+const SETTLED: Duration = Duration::from_secs(30);
+/// Above the time after which a staged document may be in force elsewhere, below that of isolation.
+const IN_DOUBT: Duration = Duration::from_secs(5);
+/// Above the interval at which the permission to serve is looked at.
+const LOOKED_AT: Duration = Duration::from_millis(600);
+
+fn text(half: &str) -> Arc<str> {
+    format!(
+        r#"{{
+            "halves": {{ "noord": {{ "share_percent": 50 }}, "zuid": {{ "share_percent": 50 }} }},
+            "regions": {{ "vlaanderen": {{ "data_centres": ["limburg"] }} }},
+            "upstreams": {{ "planning": {{ "half": "{half}", "routes": ["/plan"] }} }}
+        }}"#
+    )
+    .into()
+}
+
+fn current(version: u64, half: &str) -> Current {
+    Current {
+        version: DocVersion(version),
+        text: text(half),
+        by: "ann".into(),
+        op: "op".into(),
+        recent: Vec::new(),
+    }
+}
+
+/// The rows with a document in force and nothing on its way.
+fn polled(cx: &Cx, ballot: u64, version: u64, half: &str) -> Event {
+    let view = View {
+        ballot: RowVersion(ballot),
+        staged: None,
+        current_row: RowVersion(version),
+        current: Some(current(version, half)),
+    };
+    Event::Polled {
+        sent: cx.clock.now(),
+        view,
+    }
+}
+
+fn pushed(ballot: u64, version: u64, half: &str) -> Event {
+    let staged = Staged {
+        version: DocVersion(version),
+        text: text(half),
+        by: "bram".into(),
+        op: "other".into(),
+        proposer: "d2".into(),
+    };
+    let news = News {
+        ballot: RowVersion(ballot),
+        pending: true,
+        staged: Some(staged),
+        version: DocVersion(version - 1),
+        current: None,
+        age: Duration::ZERO,
+        serving: true,
+    };
+    Event::Pushed { news }
+}
+
+fn slots(cx: &Cx) -> u32 {
+    cx.proxy
+        .report()
+        .upstreams
+        .get("planning")
+        .map_or(0, |upstream| upstream.slots)
+}
+
+async fn start() -> Arc<Cx> {
+    let world = World::new(&[], Duration::ZERO);
+    let cx = world.cx("d1").await;
+    let place = Place::new("vlaanderen", "limburg");
+    let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    let executor = ExecutorEntry {
+        id: "planning-1".into(),
+        upstream: "planning".into(),
+        address: nowhere,
+        place: place.clone(),
+        state: HostState::Live,
+    };
+    let half = cx.settings.half.clone();
+    let me = Member {
+        id: "d1".into(),
+        half,
+        place,
+        callers: nowhere,
+    };
+    cx.proxy.update(RouteUpdate {
+        executors: Some(vec![executor]),
+        members: Some(vec![me]),
+        ..RouteUpdate::default()
+    });
+    sleep(SETTLED).await;
+    tokio::spawn(document::run(cx.clone(), CancellationToken::new()));
+    cx
+}
+
+#[tokio::test(start_paused = true)]
+async fn while_it_is_in_doubt_which_document_is_in_force_what_both_say_is_served() {
+    let cx = start().await;
+    let own = cx.settings.half.to_string();
+    follow(&cx, polled(&cx, 8, 5, &own));
+    assert_eq!(slots(&cx), 8);
+    follow(&cx, pushed(9, 6, "zuid"));
+    sleep(LOOKED_AT).await;
+    assert_eq!(slots(&cx), 8, "the staged one cannot be in force yet");
+    sleep(IN_DOUBT).await;
+    assert_eq!(slots(&cx), 0, "the other half may own it by now");
+    follow(
+        &cx,
+        Event::Abandoned {
+            ballot: RowVersion(9),
+        },
+    );
+    sleep(LOOKED_AT).await;
+    assert_eq!(slots(&cx), 8);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_document_that_comes_into_force_while_the_next_is_in_doubt_is_not_served_whole() {
+    let cx = start().await;
+    let own = cx.settings.half.to_string();
+    follow(&cx, polled(&cx, 8, 5, "zuid"));
+    assert_eq!(slots(&cx), 0);
+    follow(&cx, pushed(9, 6, &own));
+    sleep(IN_DOUBT + LOOKED_AT).await;
+    follow(
+        &cx,
+        Event::Committed {
+            ballot: RowVersion(9),
+        },
+    );
+    assert_eq!(
+        cx.doc.borrow().as_ref().map(|doc| doc.version),
+        Some(DocVersion(6))
+    );
+    follow(&cx, pushed(11, 7, "zuid"));
+    sleep(LOOKED_AT).await;
+    assert_eq!(
+        slots(&cx),
+        0,
+        "nobody has said for long that version 6 is the latest"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lower_version_never_replaces_a_higher_one() {
+    let cx = start().await;
+    let own = cx.settings.half.to_string();
+    follow(&cx, polled(&cx, 8, 5, &own));
+    follow(&cx, polled(&cx, 6, 4, "zuid"));
+    assert_eq!(
+        cx.doc.borrow().as_ref().map(|doc| doc.version),
+        Some(DocVersion(5))
+    );
+    assert_eq!(slots(&cx), 8);
+}
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the daemon's wiring.
 
 mod console;
+mod document;
 mod drive;
 mod janitor;
 mod join;
