fix(node): ready means that the data path serves; peers hear of a drain before it begins

A daemon said ready up to 250 ms before its data path was told that it may serve: 9 requests refused as isolated. A peer that had not heard of a drain passed a request on an idle connection of a daemon that was just ending: 1 request unknown in a planned stop.

--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -242,11 +242,14 @@
         lock(&self.published)
     }
 
-    /// Returns whether the balancer may send requests here.
+    /// Returns whether the balancer may send requests here: the data path was told that it serves, and
+    /// it still may.
     #[must_use]
     pub fn is_ready(&self) -> bool {
+        let told = *self.published();
+        let told = told.is_some_and(|told| told.serve != Serve::Nothing);
         let serves = self.follower().serve(self.clock.now()) != Serve::Nothing;
-        serves && *self.stage.borrow() == Stage::Serving
+        told && serves && *self.stage.borrow() == Stage::Serving
     }
 
     /// Returns the daemons that have asked this one for news, each at its latest.
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -48,6 +48,8 @@
 
 /// How long a leaving daemon still takes requests, so that the balancer can notice it.
 pub const BALANCER_GRACE: Duration = Duration::from_secs(3);
+/// How long a draining daemon still serves, so that the others' data paths can take in that it drains.
+const PEERS_GRACE: Duration = Duration::from_secs(1);
 /// How many daemons are taken to share what the table carries, before it is known.
 const DAEMONS: u32 = 9;
 
@@ -240,6 +242,8 @@
         cx.stage.send_replace(Stage::Leaving);
         sleep(BALANCER_GRACE).await;
         cx.stage.send_replace(Stage::Draining);
+        gossip::announce(cx).await;
+        sleep(PEERS_GRACE).await;
         cx.proxy.drain();
         let bound = Duration::from_millis(cx.settings.drain_ms);
         let finished = async { tokio::join!(cx.proxy.drained(), cx.shards.give_back()) };
--- a/crates/node/src/document/mod.rs
+++ b/crates/node/src/document/mod.rs
@@ -45,7 +45,6 @@
             _ = ticks.tick() => {}
         }
         follow(&cx, Event::Tick);
-        publish(&cx);
     }
 }
 
@@ -57,7 +56,7 @@
     }
 }
 
-/// Gives an event to the follower and carries out what it wants.
+/// Gives an event to the follower, carries out what it wants and tells the data path what follows.
 pub fn follow(cx: &Arc<Cx>, event: Event) {
     let actions = cx.follower().handle(event, cx.clock.now());
     for action in actions {
@@ -71,6 +70,7 @@
             }
         }
     }
+    publish(cx);
 }
 
 fn apply(cx: &Arc<Cx>, current: &Current) {
@@ -101,7 +101,6 @@
     if newer {
         log::info!(version = version.0, by = current.by.as_str(); "the document is in force");
     }
-    publish(cx);
     cx.stage.send_if_modified(|stage| {
         let first = *stage == Stage::Starting;
         if first {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -50,6 +50,23 @@
     gossip.targets(members)
 }
 
+/// Tells every living daemon at once that this one drains, instead of with the next rounds: whoever
+/// has not heard of it goes on passing requests here.
+pub async fn announce(cx: &Arc<Cx>) {
+    begin_round(cx);
+    let now = cx.clock.now();
+    let others: Vec<DaemonId> = {
+        let view = cx.view();
+        let own = view.members.own().clone();
+        let alive = view.members.alive(now).map(|(daemon, _)| daemon.clone());
+        alive.filter(|daemon| *daemon != own).collect()
+    };
+    let told = others
+        .into_iter()
+        .map(|daemon| exchange(cx.clone(), daemon));
+    futures::future::join_all(told).await;
+}
+
 /// Turns to one peer.
 pub async fn exchange(cx: Arc<Cx>, to: DaemonId) {
     let sent = cx.clock.now();
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -84,10 +84,11 @@
         };
         own.released = left.iter().cloned().map(told).collect();
     });
-    let serving = view
-        .members
-        .alive(now)
-        .filter(|(_, member)| !member.draining);
+    // A draining daemon keeps its own slots until its data path drains; the others give them out later.
+    let own = view.members.own();
+    let serves =
+        |(daemon, member): &(&DaemonId, &peer::members::Member)| !member.draining || *daemon == own;
+    let serving = view.members.alive(now).filter(serves);
     let members = serving.filter_map(|(daemon, member)| {
         let profile = member.profile.as_ref()?;
         Some(Member {
