fix(node): every write of the document has an id of its own

Cause (read-through): the id named daemon, life, step and ballot. Two operators at one daemon stage under the same ballot; if the second one's answer was lost, the row showed its id and it took the other's document for its own: two documents could have come into force under one version. Before: the new test saw Done for the write that had lost; after: Conflict. A heartbeat part that is started again no longer uses its first ids a second time either. Ruled out: claims and joins, whose ids name what is unique to one content.

--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -4,6 +4,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cadence::StatsdClient;
@@ -143,6 +145,7 @@
     identity: Mutex<Owner>,
     follower: Mutex<Follower>,
     published: Mutex<Option<Served>>,
+    writes: AtomicU64,
     view: Mutex<View>,
 }
 
@@ -203,6 +206,7 @@
             hosts: watch::Sender::new(Arc::default()),
             follower: Mutex::new(follower),
             published: Mutex::new(None),
+            writes: AtomicU64::new(0),
             identity: Mutex::new(identity),
             view: Mutex::new(view),
         }
@@ -237,6 +241,12 @@
         lock(&self.follower)
     }
 
+    /// Returns a number that no other write of this process's life has, for its id.
+    #[must_use]
+    pub fn next_write(&self) -> u64 {
+        self.writes.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Returns by what the data path serves, locked, so that it is told in one order.
     pub(crate) fn published(&self) -> MutexGuard<'_, Option<Served>> {
         lock(&self.published)
--- a/crates/node/src/document/rows.rs
+++ b/crates/node/src/document/rows.rs
@@ -66,7 +66,8 @@
     }
 }
 
-/// An id that no other write of the protocol has: a ballot is staged, committed or cleared once.
+/// An id that no other write has: two operators may have this daemon stage under one ballot, and the
+/// one whose write failed must not take the other's for its own.
 fn op(cx: &Cx, write: &Write) -> OpId {
     let me = cx.identity();
     let (step, ballot) = match write {
@@ -75,7 +76,9 @@
         Write::Clear { ballot } => ("clear", ballot),
     };
     OpId::new(format!(
-        "doc/{}/{}/{step}/{ballot}",
-        me.daemon, me.incarnation
+        "doc/{}/{}/{step}/{ballot}/{}",
+        me.daemon,
+        me.incarnation,
+        cx.next_write()
     ))
 }
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -96,7 +96,9 @@
     let txn = Txn {
         op: OpId::new(format!(
             "beat/{}/{}/{}",
-            me.daemon, me.incarnation, beat.count
+            me.daemon,
+            me.incarnation,
+            cx.next_write()
         )),
         checks: vec![Check {
             key: row_key.clone(),
--- a/crates/node/tests/all/document.rs
+++ b/crates/node/tests/all/document.rs
@@ -3,17 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use conf::accept::change::Written;
 use conf::accept::follower::Event;
 use conf::accept::message::News;
 use conf::accept::row::Current;
 use conf::accept::row::Staged;
 use conf::accept::row::View;
+use conf::accept::row::Write;
+use fake::faults::Fault;
 use model::id::DocVersion;
 use model::id::RowVersion;
 use model::place::Place;
 use node::cx::Cx;
 use node::document;
 use node::document::follow;
+use node::document::rows;
 use plat::hosts::ExecutorEntry;
 use plat::hosts::HostState;
 use route::RouteUpdate;
@@ -182,3 +186,23 @@
     );
     assert_eq!(slots(&cx), 8);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_not_taken_for_staged_because_another_one_of_this_daemon_was() {
+    let world = World::new(&[], Duration::ZERO);
+    let cx = world.cx("d1").await;
+    let stage = |by: &str| Write::Stage {
+        ballot: RowVersion(0),
+        current_row: RowVersion(0),
+        staged: Staged {
+            version: DocVersion(1),
+            text: text("noord"),
+            by: by.to_owned(),
+            op: by.into(),
+            proposer: "d1".into(),
+        },
+    };
+    assert_eq!(rows::write(&cx, &stage("ann")).await, Written::Done);
+    world.table.faults().next_of("commit", Fault::LostBefore, 1);
+    assert_eq!(rows::write(&cx, &stage("bram")).await, Written::Conflict);
+}
