fix(node): an owner that had to stop comes back under a higher epoch

Cause (read-through): after 90 min without the store an owner stops; when the store returned, its row still named this daemon and a new owner began under the same epoch. Its messages were counted from 1 again, so that workers took them for late copies, and a start of the old owner that was still under way would not have been refused: a task could have run twice. Before: the new test saw the same epoch; after: a higher one, and a new task starts. Ruled out: a restart of the shards' part, which begins a new life anyway.

--- a/crates/node/src/shards/claims.rs
+++ b/crates/node/src/shards/claims.rs
@@ -102,12 +102,25 @@
         for decision in decisions {
             match decision {
                 Decision::Take(claim) => self.take(claim),
-                Decision::Resume(claimed) => self.begin(claimed, now, now),
+                Decision::Resume(claimed) => self.resume(claimed, now),
                 Decision::GiveBack(shard) => self.drive(&shard, Event::GiveBack, now),
             }
         }
     }
 
+    /// Begins the owner of a shard whose claim was committed although its answer was lost. Where an
+    /// owner has already acted under that epoch, its last messages may still arrive, so that the
+    /// shard is taken anew under a higher one.
+    fn resume(&mut self, claimed: Claimed, now: Mono) {
+        if self.begun.get(&claimed.shard) != Some(&claimed.epoch) {
+            return self.begin(claimed, now, now);
+        }
+        let view = self.views.iter().find(|view| view.shard == claimed.shard);
+        if let Some(claim) = view.map(|view| lease::claim::take(view, &claimed.owner)) {
+            self.take(claim);
+        }
+    }
+
     fn take(&mut self, claim: Claim) {
         self.claiming.insert(claim.claimed.shard.clone());
         let cx = self.cx.clone();
@@ -144,6 +157,7 @@
     fn begin(&mut self, claimed: Claimed, sent: Mono, now: Mono) {
         let shard = claimed.shard.clone();
         log::info!(shard = shard.as_str(), epoch = claimed.epoch.0; "owns the shard");
+        self.begun.insert(shard.clone(), claimed.epoch);
         let owner = ShardOwner::new(claimed, Timing::default(), sent, now);
         self.running.insert(
             shard.clone(),
--- a/crates/node/src/shards/driver.rs
+++ b/crates/node/src/shards/driver.rs
@@ -64,6 +64,8 @@
     pub(super) claimer: Claimer,
     pub(super) running: Map<ShardId, Running>,
     pub(super) claiming: Set<ShardId>,
+    /// The epoch of the last owner that was begun here for each shard.
+    pub(super) begun: Map<ShardId, Epoch>,
     pub(super) views: Vec<ShardView>,
     pub(super) facts: VecDeque<(ShardId, Fact)>,
     pub(super) stopped: Vec<ShardId>,
@@ -90,6 +92,7 @@
             claimer,
             running: Map::default(),
             claiming: Set::default(),
+            begun: Map::default(),
             views: Vec::new(),
             facts: VecDeque::new(),
             stopped: Vec::new(),
--- a/crates/node/tests/all/shards_owners.rs
+++ b/crates/node/tests/all/shards_owners.rs
@@ -5,6 +5,7 @@
 use fake::faults::Fault;
 use lease::record::Phase;
 use lease::record::TaskSpec;
+use lease::timing::OWNER_WITHOUT_STORE;
 use lease::timing::Timing;
 use model::Size;
 use model::id::Epoch;
@@ -369,3 +370,22 @@
     assert_eq!(sched["running"], 1, "its room is not offered again");
     world.assert_kept();
 }
+
+/// The store is away for longer than an owner may act without it, and returns.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_had_to_stop_comes_back_under_a_higher_epoch() {
+    let world = World::new(&["r1"], FOREVER);
+    let node = world.node("d1").await;
+    submitted(&node, &spec("visit")).await;
+    assert!(within(PATIENCE, async || world.begun("visit") == 1).await);
+    let before = world.shard_row("r1").expect("it is owned").epoch;
+    world.table.faults().set(Fault::Down);
+    sleep(OWNER_WITHOUT_STORE + PATIENCE).await;
+    assert!(!node.serves("r1").await, "it may not act any more");
+    world.table.faults().clear();
+    assert!(within(PATIENCE, async || node.serves("r1").await).await);
+    assert!(world.shard_row("r1").expect("it is owned").epoch > before);
+    submitted(&node, &spec("after")).await;
+    assert!(within(PATIENCE, async || world.begun("after") == 1).await);
+    world.assert_kept();
+}
