--- /dev/null
+++ b/crates/dispatch/src/events.rs
@@ -0,0 +1,59 @@
+//! What is logged: one line for each decision that touches a job or changes what the process
+//! believes. `docs/OPERATIONS.md` shows how to get from a job's name to its cause.
+
+use job::id::JobId;
+
+/// Logs that a job was accepted.
+pub fn accepted(id: JobId, queue: &str, took_ms: u64) {
+    log::info!(event = "accepted", job = id.as_str(), queue, took_ms; "");
+}
+
+/// Logs that a job was refused, and whether it can have been stored.
+pub fn refused(id: JobId, queue: &str, reason: &str, status: u16, took_ms: u64) {
+    log::info!(event = "refused", job = id.as_str(), queue, reason, status, took_ms; "");
+}
+
+/// Logs that a caller cancelled a job.
+pub fn cancelled(id: JobId, outcome: &str) {
+    log::info!(event = "cancelled", job = id.as_str(), outcome; "");
+}
+
+/// Logs that a dependency was lost or is back.
+pub fn dependency(name: &str, available: bool, detail: &str) {
+    log::info!(event = "dependency", name, available, detail; "");
+}
+
+/// Logs which document is in force.
+pub fn plan(version: u64, queues: usize) {
+    log::info!(event = "document", version, queues; "");
+}
+
+/// Logs a takeover and what was found.
+pub fn takeover(epoch: u64, earlier: &str, jobs: usize, inherited: usize, took_ms: u64) {
+    log::info!(event = "takeover", epoch, earlier, jobs, inherited, took_ms; "");
+}
+
+/// Logs that this host no longer owns the executors.
+pub fn owner_ended(epoch: u64, reason: &str) {
+    log::info!(event = "owner_ended", epoch, reason; "");
+}
+
+/// Logs how an executor answered an order to start.
+pub fn start(task: &str, run: u64, executor: &str, answer: &str) {
+    log::debug!(event = "start", task, run, executor, answer; "");
+}
+
+/// Logs that a job has ended and is stored as such.
+pub fn job_ended(id: JobId, state: &str, after_ms: u64, objective_ms: u64) {
+    log::info!(event = "job_ended", job = id.as_str(), state, after_ms, objective_ms; "");
+}
+
+/// Logs that an executor stopped answering or answers again.
+pub fn executor(id: &str, reachable: bool, tasks: usize) {
+    log::info!(event = "executor", id, reachable, tasks; "");
+}
+
+/// Logs a row that cannot be read; it is passed over.
+pub fn unreadable(table: &str, key: &str, error: &str) {
+    log::warn!(event = "unreadable_row", table, key, error; "");
+}
--- /dev/null
+++ b/crates/dispatch/src/node.rs
@@ -0,0 +1,147 @@
+//! One host's process.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use job::plan::Plan;
+use link::client::Client;
+use model::Clock;
+use model::Map;
+use model::Mono;
+use tokio_util::sync::CancellationToken;
+
+use crate::outside::Outside;
+use crate::owner::Owner;
+use crate::rows::OwnerRecord;
+
+/// Who this process is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The host's name.
+    pub host: String,
+    /// Which life of the process; another figure is another life.
+    pub life: u64,
+    /// Where other hosts reach it.
+    pub peer_address: String,
+}
+
+/// Spans that hosts have to agree on or that the platform sets.
+#[derive(Clone, Copy, Debug)]
+pub struct Spans {
+    /// The lease that each call to an executor grants.
+    pub lease: Duration,
+    /// How long an executor may take to stop a task.
+    pub stop: Duration,
+    /// How long this process may take to end after it was told to.
+    pub grace: Duration,
+}
+
+/// One host's process: what it knows and whom it can ask.
+pub struct Node {
+    /// Who it is.
+    pub identity: Identity,
+    /// What lies outside.
+    pub outside: Outside,
+    /// Spans that it goes by.
+    pub spans: Spans,
+    /// Its monotonic clock.
+    pub clock: Clock,
+    /// The time of day in milliseconds since 1970.
+    pub unix_ms: fn() -> u64,
+    /// The client for calls to other hosts.
+    pub client: Client,
+    /// The document in force, once it is known.
+    pub plan: RefCell<Option<Arc<Plan>>>,
+    /// The owner, while this host is it.
+    pub owner: RefCell<Option<Rc<Owner>>>,
+    /// Who owns the executors as far as is known.
+    pub known_owner: RefCell<Option<OwnerRecord>>,
+    /// The highest epoch that this host has heard of.
+    pub highest_epoch: Cell<u64>,
+    /// Since when no call to the store was answered.
+    pub store_failing_since: Cell<Option<Mono>>,
+    /// The final states of jobs that callers asked for, which never change.
+    pub final_states: RefCell<Map<job::id::JobId, job::book::JobState>>,
+    /// Cancelled when the process is told to end.
+    pub draining: CancellationToken,
+}
+
+impl Node {
+    /// Makes a node that knows nothing yet.
+    #[must_use]
+    pub fn new(identity: Identity, outside: Outside, spans: Spans, unix_ms: fn() -> u64) -> Rc<Self> {
+        Rc::new(Self {
+            identity,
+            outside,
+            spans,
+            clock: Clock::start(),
+            unix_ms,
+            client: Client::new(),
+            plan: RefCell::new(None),
+            owner: RefCell::new(None),
+            known_owner: RefCell::new(None),
+            highest_epoch: Cell::new(0),
+            store_failing_since: Cell::new(None),
+            final_states: RefCell::new(Map::default()),
+            draining: CancellationToken::new(),
+        })
+    }
+
+    /// Returns the time on this host's monotonic clock.
+    #[must_use]
+    pub fn now(&self) -> Mono {
+        self.clock.now()
+    }
+
+    /// Returns the document in force.
+    #[must_use]
+    pub fn plan(&self) -> Option<Arc<Plan>> {
+        self.plan.borrow().clone()
+    }
+
+    /// Returns the owner, while this host is it.
+    #[must_use]
+    pub fn owner(&self) -> Option<Rc<Owner>> {
+        self.owner.borrow().clone()
+    }
+
+    /// Returns whether callers should be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.draining.is_cancelled() && self.plan.borrow().is_some()
+    }
+
+    /// Notes whether the store answered a call.
+    pub fn store_answered(&self, answered: bool) {
+        let since = self.store_failing_since.get();
+        match (answered, since) {
+            (true, Some(since)) => {
+                self.store_failing_since.set(None);
+                let lost = format!("after {} ms", self.now().since(since).as_millis());
+                crate::events::dependency("store", true, &lost);
+            }
+            (false, None) => {
+                self.store_failing_since.set(Some(self.now()));
+                crate::events::dependency("store", false, "");
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts the parts that run for as long as the process does.
+    pub fn start(self: &Rc<Self>) {
+        tokio::task::spawn_local(crate::plans::follow(self.clone()));
+        tokio::task::spawn_local(crate::watch::watch(self.clone()));
+    }
+
+    /// Ends in order: callers are sent elsewhere, and the executors are given up.
+    pub async fn drain(self: &Rc<Self>) {
+        self.draining.cancel();
+        if let Some(owner) = self.owner() {
+            owner.release().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/outside.rs
@@ -0,0 +1,251 @@
+//! What lies outside, as structs of closures, so that whatever the platform speaks is translated in
+//! one place and tests put fakes here.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use futures::future::LocalBoxFuture;
+use job::book::Report;
+use job::book::StartAnswer;
+use job::fleet::Listing;
+use job::id::TaskId;
+use job::plan::Plan;
+use job::task::Run;
+
+/// What a call returns.
+pub type Pending<T> = LocalBoxFuture<'static, T>;
+/// A call.
+pub type Call<A, T> = Box<dyn Fn(A) -> Pending<T>>;
+
+/// Everything that lies outside.
+pub struct Outside {
+    /// The store.
+    pub store: Store,
+    /// The operators' document.
+    pub operators: Operators,
+    /// The list of executors.
+    pub list: ListExecutors,
+    /// The executors.
+    pub executors: Executors,
+}
+
+/// The store of rows, in which all that has to last is kept.
+pub struct Store {
+    /// Carries out a transaction whole or not at all; returns a version that is at least that of
+    /// the rows written.
+    pub commit: Call<Transaction, Result<u64, StoreError>>,
+    /// Reads rows of one part of a table in the order of their keys.
+    pub read: Call<Range, Result<Page, StoreError>>,
+    /// Waits for rows of a table that changed after a version.
+    pub follow: Call<Follow, Result<Page, StoreError>>,
+}
+
+/// Where a row lies.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Place {
+    /// The table.
+    pub table: &'static str,
+    /// The part of the table; a transaction keeps to one part.
+    pub part: &'static str,
+    /// The key.
+    pub key: String,
+}
+
+/// Several writes that take effect together or not at all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// Rows that must have these versions, 0 for an absent row.
+    pub expect: Vec<(Place, u64)>,
+    /// Rows that are written.
+    pub puts: Vec<(Place, Vec<u8>)>,
+    /// Rows that are removed.
+    pub removes: Vec<Place>,
+}
+
+/// A range of keys in one part of a table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Range {
+    /// The table.
+    pub table: &'static str,
+    /// The part.
+    pub part: &'static str,
+    /// The first key.
+    pub from: String,
+    /// The key before which the range ends, to the end of the part without one.
+    pub to: Option<String>,
+}
+
+/// A wait for changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Follow {
+    /// The table.
+    pub table: &'static str,
+    /// Changes after this version.
+    pub after: u64,
+    /// How long the store may wait for one.
+    pub wait: Duration,
+}
+
+/// Rows that were read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The rows; those that were removed have no value.
+    pub rows: Vec<Row>,
+    /// Whether the range has more rows after these.
+    pub has_more: bool,
+    /// The newest version when they were read.
+    pub version: u64,
+}
+
+/// One row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// The key.
+    pub key: String,
+    /// The value, unless the row was removed.
+    pub value: Option<Vec<u8>>,
+    /// The version.
+    pub version: u64,
+}
+
+/// Why the store did not do what it was asked.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum StoreError {
+    /// A row has another version than expected; nothing was written.
+    #[display("a row has another version")]
+    Conflict {
+        /// The expected rows as they are.
+        rows: Vec<Row>,
+    },
+    /// Nothing was done: the store could not be reached or turned the call away.
+    #[display("the store turned the call away")]
+    Refused,
+    /// No answer; a write may have been carried out, or may be later.
+    #[display("the store did not answer")]
+    Unanswered,
+    /// The changes asked for are no longer kept.
+    #[display("the store no longer keeps these changes")]
+    HistoryGone,
+    /// The answer cannot be read, or the store takes the call for wrong.
+    #[display("the store and this host do not understand each other")]
+    Misunderstood,
+}
+
+/// The operators' document.
+pub struct Operators {
+    /// Reads the document and the version of the store that it was read at.
+    pub read: Call<(), Result<(Option<Plan>, u64), StoreError>>,
+    /// Waits until the document may have changed after a version of the store; returns the document
+    /// if it has, and the version to go on from.
+    pub follow: Call<(u64, Duration), Result<(Option<Plan>, u64), StoreError>>,
+}
+
+/// The list of executors, each with what its clock showed.
+pub struct ListExecutors {
+    /// Reads the whole list.
+    pub read: Call<(), Result<Vec<(Listing, u64)>, StoreError>>,
+}
+
+/// The executors.
+pub struct Executors {
+    /// Starts a run.
+    pub start: Call<StartCall, Reply<StartAnswer>>,
+    /// Stops a run.
+    pub stop: Call<RunCall, Reply<bool>>,
+    /// Sets the share of its processor time that a run may use, in percent.
+    pub pace: Call<(RunCall, u32), Reply<bool>>,
+    /// Extends the leases of all runs and asks what runs and what has ended.
+    pub look: Call<LookCall, Result<Report, LookError>>,
+}
+
+/// Which executor a call is for, and by whose right.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Where it answers.
+    pub address: Arc<str>,
+    /// Its name; an executor of another name refuses the call.
+    pub id: Arc<str>,
+    /// The epoch of the owner; an executor that has seen a higher one does nothing.
+    pub epoch: u64,
+}
+
+/// An order to start a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartCall {
+    /// The executor.
+    pub target: Target,
+    /// The task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub run: Run,
+    /// What is run.
+    pub payload: Arc<str>,
+    /// When the lease ends, on the executor's clock.
+    pub deadline_ms: u64,
+    /// From which checkpoint it goes on.
+    pub checkpoint: Option<Arc<str>>,
+}
+
+/// A call about one run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunCall {
+    /// The executor.
+    pub target: Target,
+    /// The task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub run: Run,
+}
+
+/// A look at all runs of an executor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LookCall {
+    /// The executor.
+    pub target: Target,
+    /// When the leases end, on the executor's clock.
+    pub deadline_ms: u64,
+    /// Ends up to this number are stored and may be forgotten.
+    pub acknowledged: u64,
+    /// How long the executor may wait for an end.
+    pub wait: Duration,
+}
+
+/// What an executor answered to an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply<T> {
+    /// The outcome.
+    pub outcome: Outcome<T>,
+    /// Which life answered, in milliseconds since 1970, and what its clock showed.
+    pub clock: Option<(Option<u64>, u64)>,
+}
+
+/// How an order went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome<T> {
+    /// The executor decided.
+    Answered(T),
+    /// The executor has seen a higher epoch; nothing was done.
+    Fenced,
+    /// Another executor answers at the address; nothing was done.
+    Elsewhere,
+    /// Nothing was sent.
+    NotSent,
+    /// No answer; the order may have been carried out, or may be later.
+    Unanswered,
+}
+
+/// Why a look has no report.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum LookError {
+    /// The executor has seen a higher epoch.
+    #[display("the executor obeys a higher epoch")]
+    Fenced,
+    /// Another executor answers at the address.
+    #[display("another executor answers there")]
+    Elsewhere,
+    /// No answer that can be used.
+    #[display("the executor did not answer")]
+    Failed,
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/calls.rs
@@ -0,0 +1,220 @@
+//! Carries out orders to executors.
+//!
+//! An order without an answer may still be carried out, seconds later. It is settled by sending it
+//! again, by a look that shows the run, by a stop that the executor remembers, or by the end of the
+//! lease, and by nothing else.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use job::book::Order;
+use job::book::StartAnswer;
+use job::book::TaskKey;
+use job::fleet::ExecutorKey;
+use job::id::TaskId;
+use job::task::Run;
+use tokio::sync::Semaphore;
+
+use super::Owner;
+use crate::outside::Outcome;
+use crate::outside::Reply;
+use crate::outside::RunCall;
+use crate::outside::StartCall;
+
+/// How many orders may be under way to one executor.
+const ORDERS_AT_ONCE: usize = 2;
+/// The pause before an order is sent again.
+const RETRY: Duration = Duration::from_millis(150);
+/// How often a start that cannot be sent at all is tried before another executor is.
+const START_TRIES: usize = 3;
+/// How often a stop of a run that the book does not know is tried; the next look shows whether it
+/// is still there.
+const STRAY_STOP_TRIES: usize = 2;
+
+/// Sends all orders that wait.
+pub fn carry_out(owner: &Rc<Owner>) {
+    if owner.stop.is_cancelled() {
+        return;
+    }
+    let orders = owner.book.borrow_mut().take_orders();
+    for order in orders {
+        tokio::task::spawn_local(send(owner.clone(), order));
+    }
+}
+
+async fn send(owner: Rc<Owner>, order: Order) {
+    let gate = owner.gate(order.executor());
+    let Ok(_permit) = gate.acquire().await else {
+        return;
+    };
+    match order {
+        Order::Start {
+            key,
+            task,
+            run,
+            executor,
+            payload,
+            checkpoint,
+        } => {
+            let start = Start {
+                key,
+                task,
+                run,
+                executor,
+                payload,
+                checkpoint,
+            };
+            owner.start(start).await;
+        }
+        Order::Stop {
+            key,
+            task,
+            run,
+            executor,
+        } => owner.stop_run(key, task, run, executor).await,
+        Order::Pace {
+            task,
+            run,
+            executor,
+            percent,
+        } => owner.pace_run(task, run, executor, percent).await,
+    }
+    owner.after_event();
+}
+
+/// An order to start.
+struct Start {
+    key: TaskKey,
+    task: TaskId,
+    run: Run,
+    executor: ExecutorKey,
+    payload: Arc<str>,
+    checkpoint: Option<Arc<str>>,
+}
+
+impl Owner {
+    fn gate(&self, executor: ExecutorKey) -> Rc<Semaphore> {
+        self.gates
+            .borrow_mut()
+            .entry(executor)
+            .or_insert_with(|| Rc::new(Semaphore::new(ORDERS_AT_ONCE)))
+            .clone()
+    }
+
+    /// Takes in what an executor said about its clock; ends the owner when it obeys another.
+    fn note<T: Copy>(&self, executor: ExecutorKey, reply: &Reply<T>) -> Outcome<T> {
+        if let Some((born, clock_ms)) = reply.clock {
+            let now = self.now();
+            self.book
+                .borrow_mut()
+                .answered(executor, born, clock_ms, now);
+        }
+        if matches!(reply.outcome, Outcome::Fenced) {
+            self.end("an executor obeys a higher epoch");
+        }
+        reply.outcome
+    }
+
+    async fn start(&self, start: Start) {
+        let mut unsent = 0;
+        while !self.stop.is_cancelled() {
+            if !self.book.borrow().wants_start(start.key, start.run) {
+                let now = self.now();
+                self.book
+                    .borrow_mut()
+                    .start_withdrawn(start.key, start.run, now);
+                return;
+            }
+            let outcome = self.try_start(&start).await;
+            let answer = match outcome {
+                Outcome::Answered(answer) => answer,
+                Outcome::Fenced => return,
+                Outcome::NotSent | Outcome::Elsewhere => {
+                    unsent += 1;
+                    if unsent < START_TRIES {
+                        tokio::time::sleep(RETRY).await;
+                        continue;
+                    }
+                    StartAnswer::Unhealthy
+                }
+                Outcome::Unanswered => StartAnswer::Unanswered,
+            };
+            let now = self.now();
+            self.book
+                .borrow_mut()
+                .start_answered(start.key, start.run, answer, now);
+            if answer != StartAnswer::Unanswered {
+                return;
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
+    async fn try_start(&self, start: &Start) -> Outcome<StartAnswer> {
+        let Some(target) = self.target(start.executor) else {
+            return Outcome::NotSent;
+        };
+        let now = self.now();
+        let deadline_ms = self.book.borrow_mut().grant(start.executor, now);
+        let Some(deadline_ms) = deadline_ms else {
+            return Outcome::NotSent;
+        };
+        let call = StartCall {
+            target,
+            task: start.task,
+            run: start.run,
+            payload: start.payload.clone(),
+            deadline_ms,
+            checkpoint: start.checkpoint.clone(),
+        };
+        let reply = (self.node.outside.executors.start)(call).await;
+        self.note(start.executor, &reply)
+    }
+
+    async fn stop_run(&self, key: Option<TaskKey>, task: TaskId, run: Run, executor: ExecutorKey) {
+        let mut tries = 0;
+        while !self.stop.is_cancelled() {
+            if key.is_some_and(|key| !self.is_assigned(key, run)) {
+                return;
+            }
+            if let Some(target) = self.target(executor) {
+                let call = RunCall { target, task, run };
+                let reply = (self.node.outside.executors.stop)(call).await;
+                match self.note(executor, &reply) {
+                    Outcome::Answered(_) => {
+                        let now = self.now();
+                        if let Some(key) = key {
+                            self.book.borrow_mut().stop_confirmed(key, run, now);
+                        }
+                        return;
+                    }
+                    Outcome::Fenced => return,
+                    Outcome::Elsewhere | Outcome::NotSent | Outcome::Unanswered => {}
+                }
+            }
+            tries += 1;
+            if key.is_none() && tries >= STRAY_STOP_TRIES {
+                return;
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
+    fn is_assigned(&self, key: TaskKey, run: Run) -> bool {
+        self.book
+            .borrow()
+            .task(key)
+            .is_some_and(|task| task.run == run && task.assignment().is_some())
+    }
+
+    async fn pace_run(&self, task: TaskId, run: Run, executor: ExecutorKey, percent: u32) {
+        let Some(target) = self.target(executor) else {
+            return;
+        };
+        let call = RunCall { target, task, run };
+        // An order that is lost is given again after the next report, which shows the share.
+        let reply = (self.node.outside.executors.pace)((call, percent)).await;
+        self.note(executor, &reply);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/feeds.rs
@@ -0,0 +1,97 @@
+//! How the owner hears of jobs, cancellations and executors.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Owner;
+use super::begin;
+use crate::events;
+use crate::outside::Follow;
+use crate::outside::Row;
+use crate::outside::StoreError;
+use crate::rows;
+use crate::rows::JobsKey;
+
+/// How long one wait for new jobs takes at most.
+const JOBS_WAIT: Duration = Duration::from_millis(2_000);
+/// How often the list of executors is read.
+const LIST_INTERVAL: Duration = Duration::from_millis(900);
+/// The pause after the store did not answer.
+const RETRY: Duration = Duration::from_millis(120);
+
+/// Takes in jobs and cancellations as hosts store them.
+pub async fn follow_jobs(owner: Rc<Owner>, version: u64) {
+    let mut after = Some(version);
+    while !owner.stop.is_cancelled() {
+        let result = match after {
+            Some(after) => {
+                let follow = Follow {
+                    table: rows::JOBS_TABLE,
+                    after,
+                    wait: JOBS_WAIT,
+                };
+                (owner.node.outside.store.follow)(follow)
+                    .await
+                    .map(|page| (page.rows, page.version))
+            }
+            None => begin::read_all(&owner.node, rows::JOBS_TABLE, rows::JOBS_PART).await,
+        };
+        if owner.stop.is_cancelled() {
+            return;
+        }
+        owner.node.store_answered(result.is_ok());
+        match result {
+            Ok((rows, version)) => {
+                after = Some(version);
+                owner.take_in(&rows);
+            }
+            Err(StoreError::HistoryGone) => after = None,
+            Err(_) => tokio::time::sleep(RETRY).await,
+        }
+    }
+}
+
+impl Owner {
+    fn take_in(self: &Rc<Self>, rows: &[Row]) {
+        if rows.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut cancelled = Vec::new();
+        {
+            let mut book = self.book.borrow_mut();
+            for row in rows {
+                match JobsKey::parse(&row.key) {
+                    Some(JobsKey::Job(id)) => {
+                        if let Some(submission) = begin::submission(&self.node, id, row) {
+                            book.submit(submission, now);
+                        }
+                    }
+                    Some(JobsKey::Cancel(id)) => cancelled.push(id),
+                    None => events::unreadable(rows::JOBS_TABLE, &row.key, "no job's name"),
+                }
+            }
+            for id in cancelled {
+                book.cancel(id);
+            }
+        }
+        self.after_event();
+    }
+}
+
+/// Takes in the list of executors.
+pub async fn follow_executors(owner: Rc<Owner>) {
+    while !owner.stop.is_cancelled() {
+        let result = (owner.node.outside.list.read)(()).await;
+        owner.node.store_answered(result.is_ok());
+        match result {
+            Ok(list) => {
+                let now = owner.now();
+                owner.book.borrow_mut().list_executors(list, now);
+                owner.after_event();
+                tokio::time::sleep(LIST_INTERVAL).await;
+            }
+            Err(_) => tokio::time::sleep(RETRY).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/rows.rs
@@ -0,0 +1,110 @@
+//! The rows that fireflynotch keeps in the store.
+//!
+//! | table | part | key | holds | written by |
+//! |---|---|---|---|---|
+//! | `owner` | `owned` | `owner` | who owns the executors, epoch, number of the last transaction | the owner, with each transaction |
+//! | `runs` | `owned` | job | what is stored of a job, `job::record::JobRecord` | the owner |
+//! | `jobs` | `jobs` | job | the job as it was accepted | the host that accepted it |
+//! | `jobs` | `jobs` | job + `-cancel` | that its caller cancelled it | the host that was told |
+//!
+//! The owner's row changes with each of its transactions, which expects the version before. So a
+//! copy of a transaction that is late changes nothing, and a successor that saw the row change knows
+//! that the owner lives.
+
+use job::id::JobId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::outside::Place;
+
+/// The table with the owner's row.
+pub const OWNER_TABLE: &str = "owner";
+/// The table with what is stored of jobs.
+pub const RUNS_TABLE: &str = "runs";
+/// The part of both.
+pub const OWNED_PART: &str = "owned";
+/// The key of the owner's row.
+pub const OWNER_KEY: &str = "owner";
+/// The table with accepted jobs and cancellations.
+pub const JOBS_TABLE: &str = "jobs";
+/// Its part.
+pub const JOBS_PART: &str = "jobs";
+/// What the key of a cancellation ends with.
+const CANCEL_SUFFIX: &str = "-cancel";
+
+/// Who owns the executors.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRecord {
+    /// Rises with each owner; executors refuse lower ones.
+    pub epoch: u64,
+    /// The name of the host.
+    pub host: String,
+    /// Which life of its process.
+    pub life: u64,
+    /// Where it listens for other hosts.
+    pub address: String,
+    /// The number of the transaction that wrote this row.
+    pub transaction: u64,
+    /// Whether the owner has given the executors up and grants no leases any more.
+    pub released: bool,
+}
+
+/// Returns where the owner's row lies.
+#[must_use]
+pub fn owner_place() -> Place {
+    Place {
+        table: OWNER_TABLE,
+        part: OWNED_PART,
+        key: OWNER_KEY.to_owned(),
+    }
+}
+
+/// Returns where the record of a job lies.
+#[must_use]
+pub fn run_place(id: JobId) -> Place {
+    Place {
+        table: RUNS_TABLE,
+        part: OWNED_PART,
+        key: id.to_string(),
+    }
+}
+
+/// Returns where an accepted job lies.
+#[must_use]
+pub fn job_place(id: JobId) -> Place {
+    Place {
+        table: JOBS_TABLE,
+        part: JOBS_PART,
+        key: id.to_string(),
+    }
+}
+
+/// Returns where the cancellation of a job lies.
+#[must_use]
+pub fn cancel_place(id: JobId) -> Place {
+    Place {
+        table: JOBS_TABLE,
+        part: JOBS_PART,
+        key: format!("{id}{CANCEL_SUFFIX}"),
+    }
+}
+
+/// What a key of the table of jobs names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobsKey {
+    /// An accepted job.
+    Job(JobId),
+    /// A cancellation.
+    Cancel(JobId),
+}
+
+impl JobsKey {
+    /// Reads a key.
+    #[must_use]
+    pub fn parse(key: &str) -> Option<Self> {
+        match key.strip_suffix(CANCEL_SUFFIX) {
+            Some(id) => JobId::parse(id).ok().map(Self::Cancel),
+            None => JobId::parse(key).ok().map(Self::Job),
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/src/book/gang.rs
@@ -0,0 +1,78 @@
+//! Tasks that only work together.
+
+use super::Book;
+use super::TaskKey;
+use crate::task::Phase;
+
+impl Book {
+    /// Returns the tasks of the step that a task belongs to.
+    pub(super) fn members(&self, key: TaskKey) -> Vec<TaskKey> {
+        let Some(job) = self.job(key.job) else {
+            return Vec::new();
+        };
+        let Some((occurrence, step, _)) = job.locate(key.slot) else {
+            return Vec::new();
+        };
+        let first = job.first_slot(occurrence, step);
+        let count = job.spec.steps[step as usize].count;
+        (first..first + count)
+            .map(|slot| TaskKey { job: key.job, slot })
+            .collect()
+    }
+
+    /// Notes that one member has ended well, which stands for all of them.
+    pub(super) fn gang_done(&mut self, key: TaskKey) {
+        for member in self.members(key) {
+            if self
+                .task(member)
+                .is_some_and(|task| task.assignment().is_some())
+            {
+                self.finish(member);
+            }
+        }
+    }
+
+    /// Returns how often a task has failed, or all members of its gang together.
+    pub(super) fn failures(&self, key: TaskKey) -> u32 {
+        if !self.step(key).is_some_and(|step| step.gang) {
+            return self.task(key).map_or(0, |task| task.failures);
+        }
+        self.members(key)
+            .into_iter()
+            .filter_map(|member| self.task(member))
+            .map(|task| task.failures)
+            .sum()
+    }
+
+    /// Returns whether all members of a gang wait, so that they can start together.
+    #[must_use]
+    pub fn gang_waits(&self, key: TaskKey) -> bool {
+        self.members(key).into_iter().all(|member| {
+            self.task(member)
+                .is_some_and(|task| task.phase == Phase::Waiting)
+        })
+    }
+
+    /// Assigns all members of a gang under one run number.
+    pub fn assign_gang(
+        &mut self,
+        places: &[(TaskKey, crate::fleet::ExecutorKey)],
+        now: model::Mono,
+    ) {
+        let newest = places
+            .iter()
+            .filter_map(|(key, _)| self.task(*key))
+            .map(|task| task.run)
+            .max()
+            .unwrap_or(0);
+        let checkpoint = places
+            .iter()
+            .find_map(|(key, _)| self.task(*key)?.checkpoint.clone());
+        for (key, executor) in places {
+            if let Some(task) = self.task_mut(*key) {
+                task.checkpoint.clone_from(&checkpoint);
+            }
+            self.assign_run(*key, *executor, newest + 1, 100, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/src/book/mod.rs
@@ -0,0 +1,492 @@
+//! The owner's picture of all jobs, and what follows from each event.
+//!
+//! A [`Book`] is told what happened ([`Book::submit`], [`Book::cancel`], [`Book::report`], ...) and
+//! collects what has to be done: orders to executors ([`Book::take_orders`]) and rows to be stored
+//! ([`Book::take_batch`]). An order to start a task is released only once the row with its
+//! assignment is stored, and an executor's list of ends is acknowledged only once the rows that
+//! the ends changed are; see `docs/JOBS.md`.
+
+mod executors;
+mod gang;
+mod orders;
+mod report;
+mod restore;
+mod store;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use model::Map;
+use model::Mono;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+pub use self::orders::Order;
+pub use self::orders::StartAnswer;
+pub use self::report::End;
+pub use self::report::EndKind;
+pub use self::report::Report;
+pub use self::report::Running;
+pub use self::restore::Submission;
+pub use self::store::Batch;
+pub use self::store::EndedJob;
+use crate::fleet::ExecutorKey;
+use crate::fleet::Fleet;
+use crate::id::JobId;
+use crate::id::TaskId;
+use crate::plan::Plan;
+use crate::sizes::Durations;
+use crate::spec::JobSpec;
+use crate::spec::StepSpec;
+use crate::task::Phase;
+use crate::task::Progress;
+use crate::task::Task;
+
+new_key_type! {
+    /// One job in the arena of the [`Book`].
+    pub struct JobKey;
+}
+
+/// One task in the book.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskKey {
+    /// The job.
+    pub job: JobKey,
+    /// The task's place among all tasks of the job.
+    pub slot: u32,
+}
+
+/// How a job stands.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum JobState {
+    /// No task has started.
+    #[display("queued")]
+    Queued,
+    /// A task has started.
+    #[display("running")]
+    Running,
+    /// All tasks have ended well.
+    #[display("succeeded")]
+    Succeeded,
+    /// A task has failed as often as it may.
+    #[display("failed")]
+    Failed,
+    /// Its caller cancelled it.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+impl JobState {
+    /// Returns whether nothing more will happen.
+    #[must_use]
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Succeeded | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// One job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its name.
+    pub id: JobId,
+    /// The name of its queue.
+    pub queue: Arc<str>,
+    /// What it consists of.
+    pub spec: Arc<JobSpec>,
+    /// When it arrived, by this owner's clock.
+    pub arrived: Mono,
+    /// How it stands.
+    pub state: JobState,
+    /// How it stands according to the store, which is what callers are told of a final state.
+    pub stored: JobState,
+    /// Its tasks, occurrence by occurrence and step by step.
+    pub tasks: Vec<Task>,
+    /// How many tasks of each occurrence and step have not ended well.
+    left: Vec<u32>,
+    /// Tasks that wait.
+    waiting: u32,
+    /// Whether its row has to be written.
+    dirty: bool,
+}
+
+/// The steps of one occurrence that can start tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadyStep {
+    /// The job.
+    pub job: JobKey,
+    /// The occurrence.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u32,
+    /// The slot of its first task.
+    pub first_slot: u32,
+}
+
+/// Spans that the book goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spans {
+    /// The lease that each call to an executor grants to what runs there.
+    pub lease: Duration,
+    /// How long an executor may take to stop a task.
+    pub stop: Duration,
+}
+
+/// The picture of all jobs.
+#[derive(Debug)]
+pub struct Book {
+    /// The executors.
+    pub fleet: Fleet,
+    /// The operators' document in force.
+    pub plan: Arc<Plan>,
+    /// What has been learned about how long tasks run.
+    pub durations: Durations,
+    /// Spans that it goes by.
+    pub spans: Spans,
+    jobs: SlotMap<JobKey, Job>,
+    by_id: Map<JobId, JobKey>,
+    open: Vec<JobKey>,
+    dirty: Vec<JobKey>,
+    orders: Vec<Order>,
+}
+
+impl Book {
+    /// Makes a book without jobs.
+    #[must_use]
+    pub fn new(plan: Arc<Plan>, spans: Spans) -> Self {
+        Self {
+            fleet: Fleet::default(),
+            plan,
+            durations: Durations::default(),
+            spans,
+            jobs: SlotMap::with_key(),
+            by_id: Map::default(),
+            open: Vec::new(),
+            dirty: Vec::new(),
+            orders: Vec::new(),
+        }
+    }
+
+    /// Takes in a job whose row is stored. The same job again changes nothing.
+    pub fn submit(&mut self, submission: Submission, now: Mono) -> JobKey {
+        if let Some(key) = self.by_id.get(&submission.id) {
+            return *key;
+        }
+        let spec = submission.spec;
+        let mut left = Vec::with_capacity(spec.steps.len() * spec.occurrences() as usize);
+        for _ in 0..spec.occurrences() {
+            left.extend(spec.steps.iter().map(|step| step.count));
+        }
+        let tasks = vec![Task::default(); spec.tasks()];
+        let job = Job {
+            id: submission.id,
+            queue: submission.queue,
+            arrived: Mono(now.0.saturating_sub(submission.age_ms)),
+            state: JobState::Queued,
+            stored: JobState::Queued,
+            waiting: u32::try_from(tasks.len()).unwrap_or(u32::MAX),
+            tasks,
+            left,
+            spec,
+            dirty: false,
+        };
+        let id = job.id;
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        self.open.push(key);
+        key
+    }
+
+    /// Ends a job because its caller asked for it. Returns whether the job is known.
+    pub fn cancel(&mut self, id: JobId) -> bool {
+        let Some(key) = self.by_id.get(&id).copied() else {
+            return false;
+        };
+        if self.jobs.get(key).is_some_and(|job| !job.state.is_final()) {
+            self.end_job(key, JobState::Cancelled);
+        }
+        true
+    }
+
+    /// Returns what a caller is told: a final state only once it is stored.
+    #[must_use]
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        let job = self.jobs.get(*self.by_id.get(&id)?)?;
+        if !job.state.is_final() || job.stored == job.state || job.state == JobState::Cancelled {
+            return Some(job.state);
+        }
+        Some(JobState::Running)
+    }
+
+    /// Returns how many jobs of each queue have not started.
+    #[must_use]
+    pub fn pending(&self) -> Map<Arc<str>, usize> {
+        let mut pending = Map::default();
+        for key in &self.open {
+            if let Some(job) = self.jobs.get(*key)
+                && job.state == JobState::Queued
+            {
+                *pending.entry(job.queue.clone()).or_default() += 1;
+            }
+        }
+        pending
+    }
+
+    /// Returns a job.
+    #[must_use]
+    pub fn job(&self, key: JobKey) -> Option<&Job> {
+        self.jobs.get(key)
+    }
+
+    /// Returns the job of this name.
+    #[must_use]
+    pub fn find(&self, id: JobId) -> Option<JobKey> {
+        self.by_id.get(&id).copied()
+    }
+
+    /// Returns the jobs that have not ended, in the order of their arrival here.
+    pub fn open_jobs(&self) -> impl Iterator<Item = (JobKey, &Job)> {
+        self.open
+            .iter()
+            .filter_map(|key| Some((*key, self.jobs.get(*key)?)))
+    }
+
+    /// Returns a task's name.
+    #[must_use]
+    pub fn task_id(&self, key: TaskKey) -> Option<TaskId> {
+        let job = self.jobs.get(key.job)?;
+        let (occurrence, step, index) = job.locate(key.slot)?;
+        Some(TaskId {
+            job: job.id,
+            occurrence,
+            step,
+            index,
+        })
+    }
+
+    /// Returns the task of this name.
+    #[must_use]
+    pub fn task_key(&self, id: TaskId) -> Option<TaskKey> {
+        let key = *self.by_id.get(&id.job)?;
+        let job = self.jobs.get(key)?;
+        let spec = job.spec.steps.get(id.step as usize)?;
+        if id.index >= spec.count || id.occurrence >= job.spec.occurrences() {
+            return None;
+        }
+        let slot = job.first_slot(id.occurrence, id.step) + id.index;
+        Some(TaskKey { job: key, slot })
+    }
+
+    /// Returns a task.
+    #[must_use]
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.jobs.get(key.job)?.tasks.get(key.slot as usize)
+    }
+
+    /// Returns the step that a task belongs to.
+    #[must_use]
+    pub fn step(&self, key: TaskKey) -> Option<&StepSpec> {
+        let job = self.jobs.get(key.job)?;
+        let (_, step, _) = job.locate(key.slot)?;
+        job.spec.steps.get(step as usize)
+    }
+
+    /// Returns whether a task was assigned by an earlier owner and not yet seen by this one.
+    #[must_use]
+    pub fn is_inherited(&self, key: TaskKey) -> bool {
+        self.task(key)
+            .and_then(Task::assignment)
+            .is_some_and(|at| at.progress == Progress::Inherited)
+    }
+
+    fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        self.jobs.get_mut(key.job)?.tasks.get_mut(key.slot as usize)
+    }
+
+    /// Returns the steps whose turn has come and that have tasks waiting.
+    #[must_use]
+    pub fn ready_steps(&self, unix_ms: u64) -> Vec<ReadyStep> {
+        let mut ready = Vec::new();
+        for (key, job) in self.open_jobs() {
+            if job.waiting > 0 && !job.state.is_final() {
+                job.ready_steps(key, unix_ms, &mut ready);
+            }
+        }
+        ready
+    }
+
+    /// Reserves room and notes the assignment; the order goes out once the row is stored.
+    pub fn assign(&mut self, key: TaskKey, executor: ExecutorKey, percent: u32, now: Mono) {
+        let run = self.task(key).map_or(1, |task| task.run + 1);
+        self.assign_run(key, executor, run, percent, now);
+    }
+
+    fn assign_run(
+        &mut self,
+        key: TaskKey,
+        executor: ExecutorKey,
+        run: crate::task::Run,
+        percent: u32,
+        now: Mono,
+    ) {
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        task.run = run;
+        task.phase = Phase::Assigned(crate::task::Assignment {
+            executor,
+            progress: Progress::Storing,
+            since: now,
+            stopping: false,
+            unanswered: false,
+            percent,
+            seen: None,
+        });
+        self.reserve(key, executor);
+        if let Some(job) = self.jobs.get_mut(key.job) {
+            job.waiting = job.waiting.saturating_sub(1);
+        }
+        self.mark_dirty(key.job);
+    }
+
+    /// Takes a task off its executor; it waits for another start unless its job has ended.
+    fn release(&mut self, key: TaskKey, not_before: Mono) {
+        let Some(executor) = self.task(key).and_then(Task::assignment).map(|at| at.executor) else {
+            return;
+        };
+        self.unreserve(key, executor);
+        if let Some(task) = self.task_mut(key) {
+            task.phase = Phase::Waiting;
+            task.not_before = not_before;
+        }
+        if let Some(job) = self.jobs.get_mut(key.job) {
+            job.waiting += 1;
+        }
+        self.mark_dirty(key.job);
+    }
+
+    /// Notes that a task has ended well, and the job if it was the last one.
+    fn finish(&mut self, key: TaskKey) {
+        let Some(executor) = self.task(key).and_then(Task::assignment).map(|at| at.executor) else {
+            return;
+        };
+        self.unreserve(key, executor);
+        if let Some(task) = self.task_mut(key) {
+            task.phase = Phase::Done;
+            task.checkpoint = None;
+        }
+        self.mark_dirty(key.job);
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        if let Some((occurrence, step, _)) = job.locate(key.slot) {
+            let group = job.group(occurrence, step);
+            job.left[group] = job.left[group].saturating_sub(1);
+        }
+        if !job.state.is_final() && job.left.iter().all(|left| *left == 0) {
+            self.end_job(key.job, JobState::Succeeded);
+        }
+    }
+
+    fn end_job(&mut self, key: JobKey, state: JobState) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.state = state;
+        let assigned: Vec<u32> = (0_u32..)
+            .zip(&job.tasks)
+            .filter(|(_, task)| task.assignment().is_some())
+            .map(|(slot, _)| slot)
+            .collect();
+        self.mark_dirty(key);
+        for slot in assigned {
+            self.stop(TaskKey { job: key, slot });
+        }
+    }
+
+    fn mark_dirty(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(key)
+            && !job.dirty
+        {
+            job.dirty = true;
+            self.dirty.push(key);
+        }
+    }
+}
+
+impl Job {
+    /// Returns the place of a step's count among those of all occurrences.
+    fn group(&self, occurrence: u32, step: u32) -> usize {
+        occurrence as usize * self.spec.steps.len() + step as usize
+    }
+
+    /// Returns the slot of the first task of a step.
+    #[must_use]
+    pub fn first_slot(&self, occurrence: u32, step: u32) -> u32 {
+        let before: u32 = self.spec.steps[..step as usize]
+            .iter()
+            .map(|step| step.count)
+            .sum();
+        let each = u32::try_from(self.spec.tasks_each()).unwrap_or(u32::MAX);
+        occurrence * each + before
+    }
+
+    /// Returns occurrence, step and index of a task.
+    #[must_use]
+    pub fn locate(&self, slot: u32) -> Option<(u32, u32, u32)> {
+        let each = u32::try_from(self.spec.tasks_each()).ok()?;
+        let occurrence = slot.checked_div(each)?;
+        let mut index = slot % each;
+        for (step, spec) in (0_u32..).zip(&self.spec.steps) {
+            if index < spec.count {
+                return Some((occurrence, step, index));
+            }
+            index -= spec.count;
+        }
+        None
+    }
+
+    fn ready_steps(&self, job: JobKey, unix_ms: u64, ready: &mut Vec<ReadyStep>) {
+        for occurrence in 0..self.spec.occurrences() {
+            if !self.is_due(occurrence, unix_ms) {
+                return;
+            }
+            for (step, spec) in (0_u32..).zip(&self.spec.steps) {
+                let open = self.left[self.group(occurrence, step)] > 0;
+                let waits = spec
+                    .after
+                    .iter()
+                    .any(|after| self.left[self.group(occurrence, *after)] > 0);
+                if open && !waits {
+                    ready.push(ReadyStep {
+                        job,
+                        occurrence,
+                        step,
+                        first_slot: self.first_slot(occurrence, step),
+                    });
+                }
+            }
+        }
+    }
+
+    fn is_due(&self, occurrence: u32, unix_ms: u64) -> bool {
+        self.spec.repeat.is_none_or(|repeat| {
+            let due = repeat.first_due_unix_ms + u64::from(occurrence) * repeat.interval_ms;
+            unix_ms >= due
+        })
+    }
+
+    /// Returns the estimated time of work from the start of this step on, in milliseconds.
+    #[must_use]
+    pub fn chain_from(&self, step: u32) -> u64 {
+        let mut longest = vec![0_u64; self.spec.steps.len()];
+        for (at, spec) in self.spec.steps.iter().enumerate().rev() {
+            longest[at] += spec.estimate_ms;
+            for after in &spec.after {
+                let before = *after as usize;
+                longest[before] = longest[before].max(longest[at]);
+            }
+        }
+        longest.get(step as usize).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/job/src/book/orders.rs
@@ -0,0 +1,271 @@
+//! Orders to executors, and what follows from their answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::Mono;
+
+use super::Book;
+use super::JobState;
+use super::TaskKey;
+use crate::fleet::ExecutorKey;
+use crate::id::TaskId;
+use crate::task::Progress;
+use crate::task::Run;
+
+/// How long nothing more is placed on an executor that said it was full or unhealthy.
+const REFUSED_PAUSE: Duration = Duration::from_millis(400);
+/// How long a task waits after an executor refused its start.
+const START_RETRY: Duration = Duration::from_millis(50);
+
+/// Something an executor is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Start a task.
+    Start {
+        /// Which, in the book.
+        key: TaskKey,
+        /// Which, by name.
+        task: TaskId,
+        /// The number of the start.
+        run: Run,
+        /// Where.
+        executor: ExecutorKey,
+        /// What the caller wants to be run.
+        payload: Arc<str>,
+        /// From which checkpoint it goes on.
+        checkpoint: Option<Arc<str>>,
+    },
+    /// Stop a run.
+    Stop {
+        /// Which, in the book; a run that the book does not know has none.
+        key: Option<TaskKey>,
+        /// Which, by name.
+        task: TaskId,
+        /// The number of the start.
+        run: Run,
+        /// Where.
+        executor: ExecutorKey,
+    },
+    /// Let a run work with a share of its processor time.
+    Pace {
+        /// Which, by name.
+        task: TaskId,
+        /// The number of the start.
+        run: Run,
+        /// Where.
+        executor: ExecutorKey,
+        /// The share in percent.
+        percent: u32,
+    },
+}
+
+impl Order {
+    /// Returns the executor that it is for.
+    #[must_use]
+    pub const fn executor(&self) -> ExecutorKey {
+        match self {
+            Self::Start { executor, .. }
+            | Self::Stop { executor, .. }
+            | Self::Pace { executor, .. } => *executor,
+        }
+    }
+}
+
+/// What an executor answered to an order to start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// The run is there.
+    Started,
+    /// It has not started and will not: there is no room.
+    NoRoom,
+    /// It has not started and will not: the deadline had passed on the executor's clock.
+    TooLate,
+    /// It has not started and will not: the run was stopped or has ended there before.
+    Superseded,
+    /// It has not started and will not: the executor is unhealthy or busy.
+    Unhealthy,
+    /// It has not started and will not: the executor takes the order for wrong.
+    Invalid,
+    /// No answer; it may still start.
+    Unanswered,
+}
+
+impl Book {
+    /// Returns what executors are to be told now.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Releases the order to start a task whose assignment is stored.
+    pub(super) fn order_start(&mut self, key: TaskKey) {
+        let Some(task_id) = self.task_id(key) else {
+            return;
+        };
+        let Some(payload) = self.job(key.job).map(|job| job.spec.payload.clone()) else {
+            return;
+        };
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let run = task.run;
+        let checkpoint = task.checkpoint.clone();
+        let Some(assignment) = task.assignment_mut() else {
+            return;
+        };
+        assignment.progress = Progress::Ordered;
+        let executor = assignment.executor;
+        self.orders.push(Order::Start {
+            key,
+            task: task_id,
+            run,
+            executor,
+            payload,
+            checkpoint,
+        });
+    }
+
+    /// Returns whether an order to start is still wanted.
+    #[must_use]
+    pub fn wants_start(&self, key: TaskKey, run: Run) -> bool {
+        self.task(key).is_some_and(|task| {
+            task.run == run
+                && task
+                    .assignment()
+                    .is_some_and(|at| at.progress == Progress::Ordered && !at.stopping)
+        })
+    }
+
+    /// Drops an order to start that was never sent, as the task was to stop meanwhile.
+    pub fn start_withdrawn(&mut self, key: TaskKey, run: Run, now: Mono) {
+        let unsent = self.task(key).is_some_and(|task| {
+            task.run == run
+                && task
+                    .assignment()
+                    .is_some_and(|at| at.progress == Progress::Ordered && !at.unanswered)
+        });
+        if unsent {
+            self.release(key, now);
+        }
+    }
+
+    /// Takes in what an executor answered to an order to start.
+    pub fn start_answered(&mut self, key: TaskKey, run: Run, answer: StartAnswer, now: Mono) {
+        let current = self.task(key).is_some_and(|task| task.run == run);
+        let Some(executor) = self.task(key).and_then(|task| Some(task.assignment()?.executor))
+        else {
+            return;
+        };
+        if !current {
+            return;
+        }
+        match answer {
+            StartAnswer::Started => self.start_confirmed(key, now),
+            StartAnswer::Unanswered => {
+                if let Some(at) = self.task_mut(key).and_then(|task| task.assignment_mut()) {
+                    at.unanswered = true;
+                }
+            }
+            StartAnswer::NoRoom | StartAnswer::Unhealthy => {
+                if let Some(executor) = self.fleet.get_mut(executor) {
+                    executor.not_before = now.after(REFUSED_PAUSE);
+                }
+                self.refused(key, now);
+            }
+            StartAnswer::TooLate | StartAnswer::Superseded | StartAnswer::Invalid => {
+                self.refused(key, now);
+            }
+        }
+    }
+
+    /// Takes back an assignment whose start was refused, unless an earlier copy of the order may
+    /// still be carried out; then the run is stopped first, which the executor remembers.
+    fn refused(&mut self, key: TaskKey, now: Mono) {
+        let unanswered = self
+            .task(key)
+            .and_then(|task| task.assignment())
+            .is_some_and(|at| at.unanswered);
+        if unanswered {
+            self.stop(key);
+        } else {
+            self.release(key, now.after(START_RETRY));
+        }
+    }
+
+    fn start_confirmed(&mut self, key: TaskKey, now: Mono) {
+        if let Some(at) = self.task_mut(key).and_then(|task| task.assignment_mut())
+            && matches!(at.progress, Progress::Ordered)
+        {
+            at.progress = Progress::Confirmed(now);
+        }
+        if let Some(job) = self.jobs.get_mut(key.job)
+            && job.state == JobState::Queued
+        {
+            job.state = JobState::Running;
+        }
+    }
+
+    /// Has a task stopped; it is released once its executor says that it is gone.
+    pub fn stop(&mut self, key: TaskKey) {
+        let Some(task_id) = self.task_id(key) else {
+            return;
+        };
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let run = task.run;
+        let Some(at) = task.assignment_mut() else {
+            return;
+        };
+        at.stopping = true;
+        let executor = at.executor;
+        if at.progress == Progress::Storing {
+            return;
+        }
+        self.orders.push(Order::Stop {
+            key: Some(key),
+            task: task_id,
+            run,
+            executor,
+        });
+    }
+
+    /// Takes in that an executor confirmed a stop: the run ends, or can no longer start there.
+    pub fn stop_confirmed(&mut self, key: TaskKey, run: Run, now: Mono) {
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        if task.run != run {
+            return;
+        }
+        if let Some(at) = task.assignment_mut() {
+            at.unanswered = false;
+            at.progress = Progress::Confirmed(now);
+        }
+    }
+
+    /// Lets a run work with this share of its processor time.
+    pub fn pace(&mut self, key: TaskKey, percent: u32) {
+        let Some(task_id) = self.task_id(key) else {
+            return;
+        };
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let run = task.run;
+        let Some(at) = task.assignment_mut() else {
+            return;
+        };
+        at.percent = percent;
+        if !matches!(at.progress, Progress::Confirmed(_)) {
+            return;
+        }
+        let executor = at.executor;
+        self.orders.push(Order::Pace {
+            task: task_id,
+            run,
+            executor,
+            percent,
+        });
+    }
+}
--- /dev/null
+++ b/crates/job/src/book/restore.rs
@@ -0,0 +1,124 @@
+//! How a successor takes up what an earlier owner stored.
+
+use std::sync::Arc;
+
+use model::Mono;
+
+use super::Book;
+use super::JobKey;
+use super::JobState;
+use super::TaskKey;
+use crate::id::JobId;
+use crate::record::JobRecord;
+use crate::record::TaskRecord;
+use crate::spec::JobSpec;
+use crate::task::Assignment;
+use crate::task::Phase;
+use crate::task::Progress;
+
+/// A job as it was accepted.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Its name.
+    pub id: JobId,
+    /// The name of the queue.
+    pub queue: Arc<str>,
+    /// How long ago it arrived, in milliseconds.
+    pub age_ms: u64,
+    /// What it consists of.
+    pub spec: Arc<JobSpec>,
+}
+
+impl Book {
+    /// Takes in a job with what an earlier owner stored about it.
+    pub fn restore(&mut self, submission: Submission, record: &JobRecord, now: Mono) {
+        if self.find(submission.id).is_some() {
+            return;
+        }
+        let key = self.submit(submission, now);
+        for slot in &record.done {
+            self.restore_done(TaskKey { job: key, slot: *slot });
+        }
+        for task in &record.tasks {
+            self.restore_task(key, task, now);
+        }
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.state = record.state();
+            job.stored = job.state;
+            job.waiting = u32::try_from(
+                job.tasks
+                    .iter()
+                    .filter(|task| task.phase == Phase::Waiting)
+                    .count(),
+            )
+            .unwrap_or(u32::MAX);
+        }
+        self.stop_leftovers(key);
+    }
+
+    fn restore_done(&mut self, key: TaskKey) {
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        let Some((occurrence, step, _)) = job.locate(key.slot) else {
+            return;
+        };
+        let group = job.group(occurrence, step);
+        job.left[group] = job.left[group].saturating_sub(1);
+        job.tasks[key.slot as usize].phase = Phase::Done;
+    }
+
+    fn restore_task(&mut self, job: JobKey, record: &TaskRecord, now: Mono) {
+        let key = TaskKey {
+            job,
+            slot: record.slot,
+        };
+        let executor = record.executor.as_ref().map(|id| self.fleet.intern(id));
+        if let (Some(executor), Some(born)) = (executor, record.born_unix_ms)
+            && let Some(executor) = self.fleet.get_mut(executor)
+            && executor.listing.born_unix_ms == 0
+        {
+            executor.listing.born_unix_ms = born;
+        }
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        task.run = record.run;
+        task.failures = record.failures;
+        task.checkpoint.clone_from(&record.checkpoint);
+        let Some(executor) = executor else {
+            return;
+        };
+        task.phase = Phase::Assigned(Assignment {
+            executor,
+            progress: Progress::Inherited,
+            since: now,
+            stopping: false,
+            unanswered: true,
+            percent: 100,
+            seen: None,
+        });
+        self.reserve(key, executor);
+    }
+
+    /// Has tasks stopped that an ended job left behind.
+    fn stop_leftovers(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        if !job.state.is_final() {
+            return;
+        }
+        if job.state == JobState::Succeeded {
+            self.open.retain(|open| *open != key);
+        }
+        let slots: Vec<u32> = (0_u32..)
+            .zip(&job.tasks)
+            .filter(|(_, task)| task.assignment().is_some())
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in slots {
+            self.stop(TaskKey { job: key, slot });
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/src/fleet.rs
@@ -0,0 +1,191 @@
+//! The executors: what they have, what is reserved on them, and until when their leases run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::Map;
+use model::Mono;
+use model::Set;
+use model::Size;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::book::TaskKey;
+
+new_key_type! {
+    /// One executor in the arena of the [`Fleet`]; it stays the same over the lives of the executor.
+    pub struct ExecutorKey;
+}
+
+/// What an executor says of itself in the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Its name.
+    pub id: Arc<str>,
+    /// Where it answers.
+    pub address: Arc<str>,
+    /// The service that it works for.
+    pub service: Arc<str>,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Its labels, among them its rack.
+    pub labels: Vec<Arc<str>>,
+    /// What it has.
+    pub capacity: Size,
+    /// When its process started, in milliseconds since 1970; another figure is another life.
+    pub born_unix_ms: u64,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// While it drains, the least time that is left.
+    pub drain_remaining: Option<Duration>,
+}
+
+/// One executor.
+#[derive(Clone, Debug, Default)]
+pub struct Executor {
+    /// What it said of itself last.
+    pub listing: Listing,
+    /// Whether the list still has it.
+    pub listed: bool,
+    /// Whether calls to it are answered.
+    pub reachable: bool,
+    /// When calls to it began to fail.
+    pub failing_since: Option<Mono>,
+    /// No task is placed before this time.
+    pub not_before: Mono,
+    /// What is reserved on it.
+    pub used: Size,
+    /// Processors in thousandths that timed tasks asked for, those that fill included.
+    pub wanted_cpu: u64,
+    /// Processors in thousandths reserved by tasks that last.
+    pub lasting_cpu: u64,
+    /// Processors in thousandths asked for by tasks that fill.
+    pub filling_cpu: u64,
+    /// The tasks that are assigned to it.
+    pub tasks: Set<TaskKey>,
+    /// What it answered last about its clock.
+    pub clock: Option<ClockReading>,
+    /// When the longest lease that was granted by this owner has certainly lapsed.
+    pub lapses: Mono,
+    /// When it began to leave.
+    pub draining_since: Option<Mono>,
+    /// Ends listed up to here are stored.
+    pub acknowledged: u64,
+    /// Ends listed up to here have been taken into the book.
+    pub heard: u64,
+    /// How tasks that fill are slowed down here.
+    pub pacing: crate::pace::Pacing,
+    /// Distinct jobs that failed here one after another, with none that succeeded between.
+    pub failed_jobs: Vec<crate::book::JobKey>,
+}
+
+/// A reading of an executor's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockReading {
+    /// What the executor's clock showed, in milliseconds.
+    pub theirs_ms: u64,
+    /// When the answer arrived here.
+    pub at: Mono,
+}
+
+/// How much slower than true time an executor's clock may run, as one part in so many.
+const CLOCK_DRIFT_PARTS: u64 = 50;
+/// What is added to the end of a lease for timers that fire late.
+const LAPSE_MARGIN: Duration = Duration::from_millis(150);
+
+impl ClockReading {
+    /// Returns the time on the executor's clock that lies `lease` after `now`.
+    #[must_use]
+    pub fn deadline(&self, now: Mono, lease: Duration) -> u64 {
+        self.theirs_ms + model::time::millis(now.since(self.at)) + model::time::millis(lease)
+    }
+
+    /// Returns when the executor's clock has certainly passed `deadline_ms`, however slow it runs.
+    #[must_use]
+    pub fn passed(&self, deadline_ms: u64) -> Mono {
+        let left = deadline_ms.saturating_sub(self.theirs_ms);
+        let slow = left + left / (CLOCK_DRIFT_PARTS - 1) + 1;
+        self.at
+            .after(Duration::from_millis(slow))
+            .after(LAPSE_MARGIN)
+    }
+}
+
+impl Executor {
+    /// Returns what is free.
+    #[must_use]
+    pub const fn free(&self) -> Size {
+        self.listing.capacity.saturating_sub(&self.used)
+    }
+
+    /// Returns whether new tasks may be placed here.
+    #[must_use]
+    pub fn takes_tasks(&self, now: Mono) -> bool {
+        self.listed && self.reachable && !self.listing.draining && now >= self.not_before
+    }
+
+    /// Returns whether the executor has this label.
+    #[must_use]
+    pub fn has_label(&self, label: &str) -> bool {
+        self.listing.labels.iter().any(|own| &**own == label)
+    }
+}
+
+/// All executors that are known.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    executors: SlotMap<ExecutorKey, Executor>,
+    by_id: Map<Arc<str>, ExecutorKey>,
+}
+
+impl Fleet {
+    /// Returns an executor. Keys are never removed, so it is always there.
+    #[must_use]
+    pub fn get(&self, key: ExecutorKey) -> Option<&Executor> {
+        self.executors.get(key)
+    }
+
+    /// Returns an executor, to be changed.
+    pub fn get_mut(&mut self, key: ExecutorKey) -> Option<&mut Executor> {
+        self.executors.get_mut(key)
+    }
+
+    /// Returns the executor with this name.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<ExecutorKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns the executor with this name and makes room for it if it was not known.
+    pub fn intern(&mut self, id: &Arc<str>) -> ExecutorKey {
+        if let Some(key) = self.by_id.get(id) {
+            return *key;
+        }
+        let key = self.executors.insert(Executor {
+            listing: Listing {
+                id: id.clone(),
+                ..Listing::default()
+            },
+            ..Executor::default()
+        });
+        self.by_id.insert(id.clone(), key);
+        key
+    }
+
+    /// Returns all executors.
+    pub fn iter(&self) -> impl Iterator<Item = (ExecutorKey, &Executor)> {
+        self.executors.iter()
+    }
+
+    /// Returns all executors, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (ExecutorKey, &mut Executor)> {
+        self.executors.iter_mut()
+    }
+
+    /// Removes executors that the list no longer has and on which nothing can run any more.
+    pub fn forget(&mut self, key: ExecutorKey) {
+        if let Some(executor) = self.executors.remove(key) {
+            self.by_id.remove(&executor.listing.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/src/id.rs
@@ -0,0 +1,72 @@
+//! Names of jobs and their tasks.
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The name of a job, 16 hexadecimal digits chosen by its caller.
+#[derive(Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{}", self.as_str())]
+#[serde(try_from = "String", into = "String")]
+pub struct JobId([u8; 16]);
+
+/// A text that is no job's name.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("a job's name is 16 hexadecimal digits")]
+pub struct InvalidJobId;
+
+impl JobId {
+    /// Reads a name.
+    ///
+    /// # Errors
+    ///
+    /// When `text` is not 16 hexadecimal digits.
+    pub fn parse(text: &str) -> Result<Self, InvalidJobId> {
+        let digits: [u8; 16] = text.as_bytes().try_into().map_err(|_| InvalidJobId)?;
+        if digits.iter().all(u8::is_ascii_hexdigit) {
+            Ok(Self(digits))
+        } else {
+            Err(InvalidJobId)
+        }
+    }
+
+    /// Returns the digits as the caller wrote them.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or_default()
+    }
+}
+
+impl std::fmt::Debug for JobId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl TryFrom<String> for JobId {
+    type Error = InvalidJobId;
+
+    fn try_from(text: String) -> Result<Self, InvalidJobId> {
+        Self::parse(&text)
+    }
+}
+
+impl From<JobId> for String {
+    fn from(id: JobId) -> Self {
+        id.as_str().to_owned()
+    }
+}
+
+/// One task: a job, an occurrence of it, a step, and the task's place within the step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// Which occurrence of a repeated job, 0 for a job that runs once.
+    pub occurrence: u32,
+    /// The step within the job.
+    pub step: u32,
+    /// The task within the step.
+    pub index: u32,
+}
--- /dev/null
+++ b/crates/logs/src/queue.rs
@@ -0,0 +1,69 @@
+//! A writer that never blocks.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+
+/// The most lines that wait to be written.
+const MOST_LINES: usize = 2_000;
+
+/// Hands lines to a thread that writes them. A line that finds the queue full is dropped and counted;
+/// the count is written as a line of its own as soon as there is room.
+#[derive(Clone, Debug)]
+pub struct QueueWriter {
+    lines: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl QueueWriter {
+    /// Starts the thread.
+    #[must_use]
+    pub fn start<W: Write + Send + 'static>(writer: W) -> Self {
+        let (tx, rx) = sync_channel(MOST_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = dropped.clone();
+        std::thread::spawn(move || write_lines(&rx, writer, &counter));
+        Self { lines: tx, dropped }
+    }
+
+    /// Returns how many lines were dropped and not yet told of.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+impl Write for QueueWriter {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.lines.try_send(line.to_vec()).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_lines<W: Write>(rx: &Receiver<Vec<u8>>, mut writer: W, dropped: &AtomicU64) {
+    while let Ok(mut lines) = rx.recv() {
+        while let Ok(more) = rx.try_recv() {
+            lines.extend(more);
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            lines.extend(
+                format!("{{\"event\":\"log_lines_dropped\",\"lines\":{lost}}}\n").into_bytes(),
+            );
+        }
+        // There is nowhere left to report a failing log to.
+        let _ = writer.write_all(&lines);
+        let _ = writer.flush();
+    }
+}
--- a/crates/node/tests/all/logs.rs
+++ b/crates/logs/tests/all/json.rs
@@ -6,7 +6,7 @@
 use log::Log;
 use log::Record;
 use model::Clock;
-use node::logs::JsonLogger;
+use logs::JsonLogger;
 use serde_json::Value;
 
 #[derive(Clone, Default)]
--- /dev/null
+++ b/crates/logs/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the log lines.
+
+mod json;
+mod queue;
--- a/crates/measure/examples/quickstart.rs
+++ b/crates/measure/examples/quickstart.rs
@@ -109,7 +109,7 @@
 async fn main() -> ExitCode {
     let stay = std::env::args().any(|argument| argument == "--stay");
     if std::env::var_os("FIREFLYNOTCH_LOG").is_some() {
-        let logger = node::logs::JsonLogger::new(
+        let logger = logs::JsonLogger::new(
             log::LevelFilter::Info,
             "quickstart".into(),
             model::Clock::start(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`daemon`] starts a daemon and its parts, [`cx`] has what they share, [`supervisor`] keeps them
 //! running. The parts: [`heartbeat`] and [`gossip`] for who is there, [`hosts`] and [`document`] for
 //! what holds, [`shards`] for tasks, [`routing`] for requests, [`peers`] and [`operators`] for who
-//! asks, with the [`console`] of forms. [`logs`], [`metrics`] and [`observe`] tell what they do.
+//! asks, with the [`console`] of forms. [`metrics`] and [`observe`] tell what they do.
 //! [`janitor`] removes old rows.
 
 pub mod console;
@@ -15,7 +15,6 @@
 pub mod hosts;
 pub mod janitor;
 pub mod join;
-pub mod logs;
 pub mod metrics;
 pub mod observe;
 pub mod operators;
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -5,7 +5,6 @@
 mod drive;
 mod janitor;
 mod join;
-mod logs;
 mod metrics;
 mod observe;
 mod operators;
