feat(job): interference is learned by pair of images, and tasks are placed and paced by it

Cause: the fourth entry of a running row is the progress of the work; it was taken for the pace in force, so that 23,738 orders on pace were sent and nearly all tasks that fill stood at a few percent. Ruled out: the processor of the owner (0.04 cores at most), room (half of the processors were idle). Change: weights are learned from differences of reports that follow each other; tasks that fill go where they disturb nothing, serving tasks go to their like, and only what disturbs is slowed down.

--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -110,6 +110,7 @@
                 .get(key)
                 .is_some_and(|executor| executor.reachable);
             book.report(key, &report, sent, now);
+            book.learn_interference(key, now);
             book.pace_after_report(key, now);
             if !was_reachable {
                 log_executor(&book, key);
--- a/crates/job/src/book/gang.rs
+++ b/crates/job/src/book/gang.rs
@@ -72,7 +72,7 @@
             if let Some(task) = self.task_mut(*key) {
                 task.checkpoint.clone_from(&checkpoint);
             }
-            self.assign_run(*key, *executor, newest + 1, 100, now);
+            self.assign_run(*key, *executor, newest + 1, now);
         }
     }
 }
--- a/crates/job/src/book/mod.rs
+++ b/crates/job/src/book/mod.rs
@@ -35,6 +35,7 @@
 use crate::fleet::Fleet;
 use crate::id::JobId;
 use crate::id::TaskId;
+use crate::interference::Interference;
 use crate::plan::Plan;
 use crate::sizes::Durations;
 use crate::spec::JobSpec;
@@ -141,6 +142,8 @@
     pub plan: Arc<Plan>,
     /// What has been learned about how long tasks run.
     pub durations: Durations,
+    /// What has been learned about tasks that disturb each other.
+    pub interference: Interference,
     /// Spans that it goes by.
     pub spans: Spans,
     jobs: SlotMap<JobKey, Job>,
@@ -158,6 +161,7 @@
             fleet: Fleet::default(),
             plan,
             durations: Durations::default(),
+            interference: Interference::default(),
             spans,
             jobs: SlotMap::with_key(),
             by_id: Map::default(),
@@ -316,9 +320,9 @@
     }
 
     /// Reserves room and notes the assignment; the order goes out once the row is stored.
-    pub fn assign(&mut self, key: TaskKey, executor: ExecutorKey, percent: u32, now: Mono) {
+    pub fn assign(&mut self, key: TaskKey, executor: ExecutorKey, now: Mono) {
         let run = self.task(key).map_or(1, |task| task.run + 1);
-        self.assign_run(key, executor, run, percent, now);
+        self.assign_run(key, executor, run, now);
     }
 
     fn assign_run(
@@ -326,7 +330,6 @@
         key: TaskKey,
         executor: ExecutorKey,
         run: crate::task::Run,
-        percent: u32,
         now: Mono,
     ) {
         let Some(task) = self.task_mut(key) else {
@@ -339,7 +342,7 @@
             since: now,
             stopping: false,
             unanswered: false,
-            percent,
+            percent: 100,
             seen: None,
         });
         self.reserve(key, executor);
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -73,8 +73,12 @@
     pub acknowledged: u64,
     /// Ends listed up to here have been taken into the book.
     pub heard: u64,
-    /// How tasks that fill are slowed down here.
-    pub pacing: crate::pace::Pacing,
+    /// When the pace of tasks that fill was changed last.
+    pub paced: Mono,
+    /// Since when a tail has been over its target.
+    pub over_since: Option<Mono>,
+    /// What it showed when interference was last learned from it.
+    pub baseline: crate::interference::Baseline,
     /// Distinct jobs that failed here one after another, with none that succeeded between.
     pub failed_jobs: Vec<crate::book::JobKey>,
 }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod book;
 pub mod fleet;
 pub mod id;
+pub mod interference;
 pub mod order;
 pub mod pace;
 pub mod place;
--- a/crates/job/src/pace.rs
+++ b/crates/job/src/pace.rs
@@ -2,7 +2,8 @@
 //!
 //! The load pattern that this answers: tasks that fill lengthen the response times of services on
 //! the same executor, by amounts that differ by image and change within seconds. Slowing down acts
-//! at once and loses no work, so it comes before stopping. See "Tasks that fill" in `docs/JOBS.md`.
+//! at once and loses no work, so it comes before stopping; and only those are slowed down whose
+//! image is known to lengthen the tail in question. See "Tasks that fill" in `docs/JOBS.md`.
 
 use std::time::Duration;
 
@@ -12,116 +13,166 @@
 use crate::book::TaskKey;
 use crate::fleet::ExecutorKey;
 
-/// Above this part of its target, in percent, a tail is brought down.
-const HOT_PERCENT: u64 = 85;
-/// Below this part of its target, in percent, there is room for more work beside it.
-const CALM_PERCENT: u64 = 60;
+/// Above this part of its target a tail is brought down to it.
+const AIM: f64 = 0.80;
+/// The part of a tail's logarithm that a task has to cause before it is slowed down for it.
+const LEAST_PART: f64 = 0.03;
+/// Smaller changes of a share are not worth an order, in percent, but for full speed and standstill.
+const LEAST_CHANGE: u32 = 8;
 /// The time after a change until a report can show its whole effect: the change itself and a
 /// report's window.
 const SETTLE: Duration = Duration::from_millis(700);
-/// What is added to the share of tasks that fill when all tails are calm, in percent.
-const STEP_UP: u32 = 20;
-/// How long a tail may stay above its target before the tasks that fill stand still.
-const STAND_STILL_AFTER: Duration = Duration::from_millis(1_800);
+/// How long a tail may stay above its target before everything that fills beside it stands still,
+/// whatever is known of its image.
+const STAND_STILL_AFTER: Duration = Duration::from_millis(2_200);
 
-/// How the tasks that fill on one executor are slowed down.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pacing {
-    /// The share of their processor time that they use, in percent.
-    pub percent: u32,
-    /// When it was changed last.
-    pub changed: Mono,
-    /// Since when a tail has been above its target.
-    pub over_since: Option<Mono>,
+/// A tail on an executor.
+struct Tail {
+    key: TaskKey,
+    /// The logarithm of the tail over the part of its target that is aimed at.
+    excess: f64,
 }
 
-impl Default for Pacing {
-    fn default() -> Self {
-        Self {
-            percent: 100,
-            changed: Mono::ZERO,
-            over_since: None,
-        }
-    }
+/// What one task that fills does.
+struct Filler {
+    key: TaskKey,
+    percent: u32,
+    /// Its use of the executor at full speed, as a part.
+    full_use: f64,
 }
 
-impl Pacing {
-    /// Returns the pacing after a report whose worst tail is at `tail_percent` of its target.
-    #[must_use]
-    pub fn after_report(self, tail_percent: u64, now: Mono) -> Self {
-        let over_since = if tail_percent > 100 {
-            self.over_since.or(Some(now))
-        } else {
-            None
+impl Book {
+    /// Slows down or speeds up the tasks that fill on an executor, after a report from it.
+    pub fn pace_after_report(&mut self, at: ExecutorKey, now: Mono) {
+        let Some(executor) = self.fleet.get(at) else {
+            return;
         };
-        let next = Self { over_since, ..self };
-        let stands = over_since.is_some_and(|since| now.since(since) >= STAND_STILL_AFTER);
-        if stands {
-            return next.set(0, now);
-        }
-        if now.since(self.changed) < SETTLE && self.changed != Mono::ZERO {
-            return next;
+        if executor.filling_cpu == 0 {
+            return;
         }
-        if tail_percent > HOT_PERCENT {
-            return next.set(self.percent / 2, now);
+        let keys: Vec<TaskKey> = executor.tasks.iter().copied().collect();
+        let settled = now.since(executor.paced) >= SETTLE;
+        let tails = self.tails(&keys);
+        let over = tails.iter().any(|tail| tail.excess > -AIM.ln());
+        let stands = self.over_for(at, over, now) >= STAND_STILL_AFTER;
+        if !settled && !stands {
+            return;
         }
-        if tail_percent < CALM_PERCENT && self.percent < 100 {
-            return next.set((self.percent + STEP_UP).min(100), now);
+        let fillers = self.fillers(at, &keys);
+        let mut changed = false;
+        for filler in &fillers {
+            let percent = if stands {
+                0
+            } else {
+                self.percent_for(filler, &fillers, &tails)
+            };
+            changed |= self.bring_to(filler, percent);
         }
-        next
-    }
-
-    const fn set(self, percent: u32, now: Mono) -> Self {
-        Self {
-            percent,
-            changed: now,
-            ..self
+        if changed && let Some(executor) = self.fleet.get_mut(at) {
+            executor.paced = now;
         }
     }
-}
 
-impl Book {
-    /// Slows down or speeds up the tasks that fill on an executor, after a report from it.
-    pub fn pace_after_report(&mut self, at: ExecutorKey, now: Mono) {
-        let Some(executor) = self.fleet.get(at) else {
-            return;
-        };
-        let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
-        let worst = tasks
-            .iter()
-            .filter_map(|key| self.tail_percent(*key))
-            .max()
-            .unwrap_or(0);
+    /// Notes whether any tail is over its target and returns for how long one has been.
+    fn over_for(&mut self, at: ExecutorKey, over: bool, now: Mono) -> Duration {
         let Some(executor) = self.fleet.get_mut(at) else {
-            return;
+            return Duration::ZERO;
         };
-        executor.pacing = executor.pacing.after_report(worst, now);
-        let percent = executor.pacing.percent;
-        for key in tasks {
-            self.bring_to(key, percent);
+        if !over {
+            executor.over_since = None;
+            return Duration::ZERO;
         }
+        now.since(*executor.over_since.get_or_insert(now))
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "figures are far below 2^52")]
+    fn tails(&self, keys: &[TaskKey]) -> Vec<Tail> {
+        keys.iter()
+            .filter_map(|key| {
+                let step = self.step(*key)?;
+                let seen = self.task(*key)?.assignment()?.seen?;
+                if !step.serves() || seen.figure == 0 {
+                    return None;
+                }
+                let aimed = step.tail_target_ms as f64 * AIM;
+                Some(Tail {
+                    key: *key,
+                    excess: (seen.figure as f64 / aimed).ln(),
+                })
+            })
+            .collect()
     }
 
-    fn tail_percent(&self, key: TaskKey) -> Option<u64> {
-        let step = self.step(key)?;
-        if !step.serves() {
-            return None;
+    #[expect(clippy::cast_precision_loss, reason = "figures are far below 2^52")]
+    fn fillers(&self, at: ExecutorKey, keys: &[TaskKey]) -> Vec<Filler> {
+        let capacity = self
+            .fleet
+            .get(at)
+            .map_or(1, |executor| executor.listing.capacity.cpu_millis.max(1));
+        keys.iter()
+            .filter_map(|key| {
+                let step = self.step(*key)?;
+                let at = self.task(*key)?.assignment()?;
+                step.fills.then(|| Filler {
+                    key: *key,
+                    percent: at.percent,
+                    full_use: step.size.cpu_millis as f64 / capacity as f64,
+                })
+            })
+            .collect()
+    }
+
+    /// Returns the weight of a pair of tasks.
+    fn pair_weight(&self, serving: TaskKey, filling: TaskKey) -> f64 {
+        let image = |key| self.step(key).and_then(|step| step.image.as_ref());
+        match (image(serving), image(filling)) {
+            (Some(serving), Some(filling)) => self.interference.weight(serving, filling),
+            _ => 0.0,
         }
-        let seen = self.task(key)?.assignment()?.seen?;
-        Some(seen.figure * 100 / step.tail_target_ms)
     }
 
-    /// Tells a task that fills its share, unless its executor already shows it.
-    fn bring_to(&mut self, key: TaskKey, percent: u32) {
-        if !self.step(key).is_some_and(|step| step.fills) {
-            return;
+    /// Returns the share at which a task leaves all tails where they are aimed at, if all tasks that
+    /// lengthen them change by the same factor.
+    fn percent_for(&self, filler: &Filler, all: &[Filler], tails: &[Tail]) -> u32 {
+        let mut percent = 100.0_f64;
+        for tail in tails {
+            if self.pair_weight(tail.key, filler.key) * filler.full_use < LEAST_PART {
+                continue;
+            }
+            let caused: f64 = all
+                .iter()
+                .map(|other| {
+                    self.pair_weight(tail.key, other.key) * other.full_use
+                        * f64::from(other.percent)
+                        / 100.0
+                })
+                .sum();
+            let full: f64 = all
+                .iter()
+                .map(|other| self.pair_weight(tail.key, other.key) * other.full_use)
+                .sum();
+            let allowed = (caused - tail.excess) / full.max(f64::EPSILON);
+            percent = percent.min(allowed * 100.0);
         }
-        let differs = self
-            .task(key)
-            .and_then(|task| task.assignment())
-            .is_some_and(|at| at.seen.is_some_and(|seen| seen.percent != percent));
-        if differs {
-            self.pace(key, percent);
+        rounded(percent)
+    }
+
+    /// Tells a task its share. Returns whether that changes anything.
+    fn bring_to(&mut self, filler: &Filler, percent: u32) -> bool {
+        let changes = percent.abs_diff(filler.percent) >= LEAST_CHANGE
+            || (percent != filler.percent && (percent == 100 || percent == 0));
+        if changes {
+            self.pace(filler.key, percent);
         }
+        changes
     }
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped before"
+)]
+fn rounded(percent: f64) -> u32 {
+    percent.clamp(0.0, 100.0).round() as u32
+}
--- a/crates/job/src/place.rs
+++ b/crates/job/src/place.rs
@@ -1,5 +1,7 @@
 //! Which waiting tasks start now, and where.
 
+use std::cmp::Ordering;
+
 use model::Mono;
 
 use crate::book::Book;
@@ -15,7 +17,11 @@
 
 /// The part of its reserved processors that a task that serves uses, in percent, as long as nothing
 /// is known of it.
-const SERVING_LOAD_PERCENT: u64 = 50;
+const SERVING_LOAD_PERCENT: u64 = 55;
+/// The most by which a task that fills may lengthen the logarithm of a tail where it is placed.
+const MOST_CAUSED: f64 = 0.12;
+/// How much spare room outweighs a lengthened tail.
+const CAUSED_COST: f64 = 4.0;
 /// The most tasks that one round assigns, so that a round stays short.
 const MOST_A_ROUND: usize = 200;
 
@@ -59,11 +65,7 @@
             let Some(executor) = self.best_executor(key, step, now) else {
                 break;
             };
-            let percent = self
-                .fleet
-                .get(executor)
-                .map_or(100, |executor| executor.pacing.percent);
-            self.assign(key, executor, if step.fills { percent } else { 100 }, now);
+            self.assign(key, executor, now);
             placed += 1;
         }
         placed
@@ -111,16 +113,67 @@
             .filter(|(_, executor)| executor.listing.service == *service)
             .filter(|(_, executor)| executor.takes_tasks(now))
             .filter(|(at, executor)| self.can_take(*at, executor, job, key, step))
-            .max_by_key(|(at, executor)| {
-                (
-                    Some(*at) != failed_on,
-                    near_data(executor, step),
-                    score(executor, step),
-                )
+            .filter_map(|(at, executor)| {
+                let score = self.score(executor, step)?;
+                let preference = (Some(at) != failed_on, near_data(executor, step), score);
+                Some((at, preference))
             })
+            .max_by(|(_, left), (_, right)| left.partial_cmp(right).unwrap_or(Ordering::Equal))
             .map(|(at, _)| at)
     }
 
+    /// Returns how well a task fits an executor, more being better; none if it had to wait there.
+    fn score(&self, executor: &Executor, step: &StepSpec) -> Option<f64> {
+        if step.fills {
+            self.filling_score(executor, step)
+        } else if step.serves() {
+            Some(self.serving_score(executor, step))
+        } else {
+            Some(spare_part(executor))
+        }
+    }
+
+    /// Tasks that fill go where the processors are that others leave, and where they lengthen no
+    /// tail beyond what it can bear.
+    #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
+    fn filling_score(&self, executor: &Executor, step: &StepSpec) -> Option<f64> {
+        let image = step.image.as_ref()?;
+        let part = step.size.cpu_millis as f64 / executor.listing.capacity.cpu_millis.max(1) as f64;
+        let mut caused: f64 = 0.0;
+        for key in &executor.tasks {
+            let Some(serving) = self.step(*key).filter(|step| step.serves()) else {
+                continue;
+            };
+            let Some(serving_image) = serving.image.as_ref() else {
+                continue;
+            };
+            caused = caused.max(self.interference.weight(serving_image, image) * part);
+        }
+        if caused > MOST_CAUSED {
+            return None;
+        }
+        Some(spare_part(executor) - caused * CAUSED_COST)
+    }
+
+    /// Tasks that serve go where others of their image are, so that each image that fills finds
+    /// executors where it disturbs nothing, and are packed, so that some executors serve nothing.
+    #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
+    fn serving_score(&self, executor: &Executor, step: &StepSpec) -> f64 {
+        let mut alike = 0_u64;
+        let mut others = 0_u64;
+        for key in &executor.tasks {
+            if let Some(serving) = self.step(*key).filter(|step| step.serves()) {
+                if serving.image == step.image {
+                    alike += serving.size.cpu_millis;
+                } else {
+                    others += serving.size.cpu_millis;
+                }
+            }
+        }
+        let capacity = executor.listing.capacity.cpu_millis.max(1) as f64;
+        (alike as f64 - others as f64) / capacity
+    }
+
     fn can_take(
         &self,
         at: ExecutorKey,
@@ -167,23 +220,18 @@
 /// Returns the processors in thousandths that tasks which fill can have beside the others.
 fn spare_cpu(executor: &Executor) -> u64 {
     let serving = executor.lasting_cpu * SERVING_LOAD_PERCENT / 100;
-    let left = executor
+    executor
         .listing
         .capacity
         .cpu_millis
-        .saturating_sub(executor.wanted_cpu + serving);
-    (left * u64::from(executor.pacing.percent) / 100).saturating_sub(executor.filling_cpu)
+        .saturating_sub(executor.wanted_cpu + serving + executor.filling_cpu)
 }
 
-fn has_spare(executor: &Executor, step: &StepSpec) -> bool {
-    spare_cpu(executor) >= step.size.cpu_millis
+#[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
+fn spare_part(executor: &Executor) -> f64 {
+    spare_cpu(executor) as f64 / executor.listing.capacity.cpu_millis.max(1) as f64
 }
 
-/// Returns how well a task fits; larger is better. Tasks are spread by the processors that are left.
-fn score(executor: &Executor, step: &StepSpec) -> u64 {
-    if step.fills {
-        spare_cpu(executor)
-    } else {
-        executor.free().cpu_millis.min(spare_cpu(executor))
-    }
+fn has_spare(executor: &Executor, step: &StepSpec) -> bool {
+    spare_cpu(executor) >= step.size.cpu_millis
 }
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -73,8 +73,8 @@
 /// What a report said of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Seen {
-    /// The share of processor time that is in force, in percent.
-    pub percent: u32,
+    /// How far the work has come, in percent; a task that lasts is at work at 100.
+    pub progress: u32,
     /// The tail of its response times in milliseconds for a task that serves, otherwise its use of
     /// processors in thousandths.
     pub figure: u64,
