--- a/crates/dispatch/src/outside.rs
+++ b/crates/dispatch/src/outside.rs
@@ -204,8 +204,8 @@
 pub struct LookCall {
     /// The executor.
     pub target: Target,
-    /// When the leases end, on the executor's clock.
-    pub deadline_ms: u64,
+    /// When the leases end, on the executor's clock; without it they are left as they are.
+    pub deadline_ms: Option<u64>,
     /// Ends up to this number are stored and may be forgotten.
     pub acknowledged: u64,
     /// How long the executor may wait for an end.
--- a/crates/dispatch/src/owner/calls.rs
+++ b/crates/dispatch/src/owner/calls.rs
@@ -158,6 +158,7 @@
         let now = self.now();
         let deadline_ms = self.book.borrow_mut().grant(start.executor, now);
         let Some(deadline_ms) = deadline_ms else {
+            // It does not answer; whether earlier copies arrived shows when it does, or lapses.
             return Outcome::NotSent;
         };
         let call = StartCall {
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -92,7 +92,7 @@
         let sent = self.now();
         let call = {
             let mut book = self.book.borrow_mut();
-            let deadline_ms = book.grant(key, sent).ok_or(LookError::Failed)?;
+            let deadline_ms = book.grant(key, sent);
             let executor = book.fleet.get(key).ok_or(LookError::Failed)?;
             LookCall {
                 target,
--- a/crates/job/src/book/executors.rs
+++ b/crates/job/src/book/executors.rs
@@ -102,9 +102,15 @@
     }
 
     /// Returns the deadline, on the executor's clock, of the lease that a call sent now grants.
+    ///
+    /// An executor that does not answer is granted nothing: each try would extend the lease that has
+    /// to lapse before its tasks may start elsewhere.
     pub fn grant(&mut self, key: ExecutorKey, now: Mono) -> Option<u64> {
         let lease = self.spans.lease;
         let executor = self.fleet.get_mut(key)?;
+        if !executor.reachable {
+            return None;
+        }
         let clock = executor.clock?;
         let deadline = clock.deadline(now, lease);
         executor.lapses = executor.lapses.max(clock.passed(deadline));
--- /dev/null
+++ b/crates/job/tests/all/fixture.rs
@@ -0,0 +1,245 @@
+//! A small fleet, and an owner whose store and executors answer as a test wants.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use job::book::Book;
+use job::book::End;
+use job::book::EndKind;
+use job::book::Order;
+use job::book::Report;
+use job::book::Running;
+use job::book::Spans;
+use job::book::StartAnswer;
+use job::book::Submission;
+use job::book::TaskKey;
+use job::fleet::ExecutorKey;
+use job::fleet::Listing;
+use job::id::JobId;
+use job::plan::Plan;
+use job::plan::Queue;
+use job::plan::Service;
+use job::spec::JobSpec;
+use job::spec::StepSpec;
+use job::task::Seen;
+use model::Map;
+use model::Mono;
+use model::Size;
+
+/// The lease of the tests.
+pub const LEASE: Duration = Duration::from_secs(5);
+/// The name of the only queue.
+pub const QUEUE: &str = "queue";
+
+/// A book and the time.
+pub struct World {
+    pub book: Book,
+    pub now: Mono,
+}
+
+/// Returns a plan with one queue and one service.
+pub fn plan(attempts: u32) -> Arc<Plan> {
+    let queue = Queue {
+        name: QUEUE.into(),
+        host: "host".into(),
+        path_prefix: "/queue/".into(),
+        service: "service".into(),
+        priority: 0,
+        attempts,
+        stretch: 2.0,
+        target: Duration::from_secs(1),
+        advised: false,
+    };
+    let mut services = Map::default();
+    services.insert("service".into(), Service::default());
+    Arc::new(Plan {
+        version: 1,
+        queues: vec![queue],
+        services,
+        ..Plan::default()
+    })
+}
+
+/// Returns what an executor of 64 cores says of itself.
+pub fn listing(number: usize) -> Listing {
+    Listing {
+        id: format!("e{number}").into(),
+        address: format!("10.0.0.{number}:80").into(),
+        service: "service".into(),
+        data_centre: "dc".into(),
+        labels: vec!["r1".into()],
+        capacity: Size::new(64_000, 256_000, 0),
+        born_unix_ms: 1_000,
+        draining: false,
+        drain_remaining: None,
+    }
+}
+
+/// Returns a step of plain tasks.
+pub fn step(count: u32, cores: u64, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        count,
+        size: Size::new(cores * 1_000, 1_000, 0),
+        estimate_ms,
+        ..StepSpec::default()
+    }
+}
+
+/// Returns a step of tasks that serve.
+pub fn serving(count: u32, cores: u64, image: &str) -> StepSpec {
+    StepSpec {
+        lasting: true,
+        image: Some(image.into()),
+        tail_target_ms: 50,
+        ..step(count, cores, 0)
+    }
+}
+
+/// Returns a step of tasks that fill.
+pub fn filling(count: u32, cores: u64, image: &str) -> StepSpec {
+    StepSpec {
+        fills: true,
+        image: Some(image.into()),
+        ..step(count, cores, 2_000)
+    }
+}
+
+impl World {
+    /// Makes a world with so many executors.
+    pub fn new(executors: usize) -> Self {
+        let spans = Spans {
+            lease: LEASE,
+            stop: Duration::from_millis(900),
+        };
+        let mut world = Self {
+            book: Book::new(plan(2), spans),
+            now: Mono(10_000),
+        };
+        world.list((1..=executors).map(listing).collect());
+        world
+    }
+
+    /// Has the list of executors read.
+    pub fn list(&mut self, listings: Vec<Listing>) {
+        let listings = listings.into_iter().map(|listing| (listing, 500)).collect();
+        self.book.list_executors(listings, self.now);
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, ms: u64) {
+        self.now = Mono(self.now.0 + ms);
+    }
+
+    /// Submits a job of these steps.
+    pub fn submit(&mut self, number: u64, steps: Vec<StepSpec>) -> JobId {
+        let id = JobId::parse(&format!("{number:016x}")).expect("a name");
+        let submission = Submission {
+            id,
+            queue: QUEUE.into(),
+            age_ms: 0,
+            spec: Arc::new(JobSpec {
+                payload: "payload".into(),
+                steps,
+                repeat: None,
+            }),
+        };
+        self.book.submit(submission, self.now);
+        id
+    }
+
+    /// Places what can be placed.
+    pub fn place(&mut self) -> usize {
+        self.book.place(self.now, 0)
+    }
+
+    /// Stores everything that waits to be stored.
+    pub fn store(&mut self) {
+        let batch = self.book.take_batch(100);
+        self.book.stored(batch, self.now);
+    }
+
+    /// Places, stores and confirms all starts; returns the orders to start.
+    pub fn start_all(&mut self) -> Vec<Order> {
+        self.place();
+        self.store();
+        let orders = self.book.take_orders();
+        for order in &orders {
+            if let Order::Start { key, run, .. } = order {
+                self.book
+                    .start_answered(*key, *run, StartAnswer::Started, self.now);
+            }
+        }
+        orders
+    }
+
+    /// Returns an executor.
+    pub fn executor(&self, number: usize) -> ExecutorKey {
+        self.book
+            .fleet
+            .find(&format!("e{number}"))
+            .expect("a listed executor")
+    }
+
+    /// Returns the tasks on an executor in the order of their names.
+    pub fn tasks_on(&self, number: usize) -> Vec<TaskKey> {
+        let executor = self.executor(number);
+        let mut tasks: Vec<TaskKey> = self
+            .book
+            .fleet
+            .get(executor)
+            .expect("a listed executor")
+            .tasks
+            .iter()
+            .copied()
+            .collect();
+        tasks.sort();
+        tasks
+    }
+
+    /// Returns a row of a report for a task of the book.
+    pub fn running(&self, key: TaskKey, progress: u32, figure: u64) -> Running {
+        Running {
+            task: self.book.task_id(key),
+            run: self.book.task(key).expect("a task").run,
+            checkpoint: None,
+            seen: Seen { progress, figure },
+        }
+    }
+
+    /// Returns a row of a report for the end of a task of the book.
+    pub fn end(&self, number: u64, key: TaskKey, kind: EndKind) -> End {
+        End {
+            number,
+            task: self.book.task_id(key),
+            run: self.book.task(key).expect("a task").run,
+            kind,
+            checkpoint: None,
+        }
+    }
+
+    /// Has an executor report everything that it is assigned as running, and these ends.
+    pub fn report(&mut self, number: usize, ended: Vec<End>) {
+        let running = self
+            .tasks_on(number)
+            .into_iter()
+            .filter(|key| {
+                let id = self.book.task_id(*key);
+                !ended.iter().any(|end| end.task == id)
+            })
+            .map(|key| self.running(key, 50, 0))
+            .collect();
+        self.report_rows(number, running, ended);
+    }
+
+    /// Has an executor report these rows.
+    pub fn report_rows(&mut self, number: usize, running: Vec<Running>, ended: Vec<End>) {
+        let executor = self.executor(number);
+        let report = Report {
+            born_unix_ms: Some(1_000),
+            clock_ms: self.now.0,
+            running,
+            ended,
+        };
+        self.book.report(executor, &report, self.now, self.now);
+    }
+}
--- /dev/null
+++ b/crates/job/tests/all/interference.rs
@@ -0,0 +1,134 @@
+//! Learning which images disturb each other, and slowing down those that do.
+
+use std::sync::Arc;
+
+use job::book::Order;
+use job::book::TaskKey;
+
+use crate::fixture::World;
+use crate::fixture::filling;
+use crate::fixture::serving;
+
+fn is_filling(world: &World, key: TaskKey) -> bool {
+    world.book.step(key).is_some_and(|step| step.fills)
+}
+
+/// Has executor 1 report a tail for all tasks that serve and, for those that fill, what they use.
+fn report(world: &mut World, tail_ms: u64, use_millis: u64) {
+    let rows = world
+        .tasks_on(1)
+        .into_iter()
+        .map(|key| {
+            if is_filling(world, key) {
+                world.running(key, 30, use_millis)
+            } else {
+                world.running(key, 100, tail_ms)
+            }
+        })
+        .collect();
+    world.report_rows(1, rows, vec![]);
+    let executor = world.executor(1);
+    world.book.learn_interference(executor, world.now);
+    world.book.pace_after_report(executor, world.now);
+}
+
+fn shares(world: &mut World) -> Vec<u32> {
+    world
+        .book
+        .take_orders()
+        .iter()
+        .filter_map(|order| match order {
+            Order::Pace { percent, .. } => Some(*percent),
+            _ => None,
+        })
+        .collect()
+}
+
+fn weight(world: &World, serving: &str, filling: &str) -> f64 {
+    let (serving, filling): (Arc<str>, Arc<str>) = (serving.into(), filling.into());
+    world.book.interference.weight(&serving, &filling)
+}
+
+fn world() -> World {
+    let mut world = World::new(1);
+    world.submit(1, vec![serving(3, 12, "web")]);
+    world.start_all();
+    world.submit(2, vec![filling(4, 4, "batch")]);
+    world.start_all();
+    world.book.take_orders();
+    world
+}
+
+#[test]
+fn a_pair_that_disturbs_is_told_from_one_that_does_not_within_a_few_reports() {
+    for (disturbs, low_tail, high_tail) in [(true, 20, 55), (false, 20, 20)] {
+        let mut world = world();
+        for round in 0..6 {
+            world.pass(500);
+            let busy = round % 2 == 1;
+            let tail = if busy { high_tail } else { low_tail };
+            report(&mut world, tail, if busy { 4_000 } else { 0 });
+        }
+        let weight = weight(&world, "web", "batch");
+        // All four tasks use a quarter of the executor: ln(55 / 20) / 0.25 is about 4.
+        if disturbs {
+            assert!((3.0..5.0).contains(&weight), "weight {weight}");
+        } else {
+            assert!(weight < 0.2, "weight {weight}");
+        }
+    }
+}
+
+#[test]
+fn what_disturbs_is_slowed_down_before_the_tail_is_over_its_target() {
+    let mut world = world();
+    for round in 0..6 {
+        world.pass(500);
+        let busy = round % 2 == 1;
+        report(&mut world, if busy { 40 } else { 20 }, if busy { 4_000 } else { 0 });
+    }
+    world.book.take_orders();
+    world.pass(1_000);
+    report(&mut world, 48, 4_000);
+    let shares = shares(&mut world);
+    assert!(!shares.is_empty(), "a tail at 48 of 50 ms is brought down");
+    assert!(shares.iter().all(|share| *share < 95), "{shares:?}");
+}
+
+#[test]
+fn what_does_not_disturb_works_on_when_a_service_is_busy_by_itself() {
+    let mut world = world();
+    for round in 0..6 {
+        world.pass(500);
+        report(&mut world, 20, if round % 2 == 1 { 4_000 } else { 0 });
+    }
+    world.book.take_orders();
+    world.pass(1_000);
+    report(&mut world, 48, 4_000);
+    assert_eq!(shares(&mut world), Vec::<u32>::new());
+}
+
+#[test]
+fn everything_that_fills_stands_still_when_a_tail_stays_over_its_target_all_the_same() {
+    let mut world = world();
+    for _ in 0..6 {
+        world.pass(500);
+        report(&mut world, 60, 4_000);
+    }
+    let shares = shares(&mut world);
+    assert!(shares.contains(&0), "{shares:?}");
+}
+
+#[test]
+fn what_was_slowed_down_works_at_full_speed_again_when_tails_are_calm() {
+    let mut world = world();
+    for _ in 0..6 {
+        world.pass(500);
+        report(&mut world, 60, 4_000);
+    }
+    for _ in 0..4 {
+        world.pass(800);
+        report(&mut world, 10, 0);
+    }
+    assert_eq!(shares(&mut world).last(), Some(&100));
+}
--- /dev/null
+++ b/crates/job/tests/all/main.rs
@@ -0,0 +1,8 @@
+//! Tests of jobs, through the public interface.
+
+mod fixture;
+mod interference;
+mod leases;
+mod life;
+mod placement;
+mod record;
--- /dev/null
+++ b/crates/job/tests/all/placement.rs
@@ -0,0 +1,139 @@
+//! Which tasks start, and where.
+
+use std::collections::BTreeSet;
+
+use job::book::Order;
+use model::Size;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::fixture::World;
+use crate::fixture::filling;
+use crate::fixture::listing;
+use crate::fixture::serving;
+use crate::fixture::step;
+
+#[test]
+fn no_executor_is_ever_committed_beyond_its_capacity() {
+    let seed = 20_261_204;
+    println!("seed {seed}");
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut world = World::new(5);
+    for number in 0..60 {
+        let step = step(
+            rng.random_range(1..30),
+            rng.random_range(1..40),
+            rng.random_range(100..5_000),
+        );
+        world.submit(number, vec![step]);
+        world.start_all();
+    }
+    for number in 1..=5 {
+        let used: Size = world
+            .tasks_on(number)
+            .into_iter()
+            .filter_map(|key| world.book.step(key).map(|step| step.size))
+            .sum();
+        assert!(used.fits(&listing(number).capacity), "{used}");
+        assert!(used.cpu_millis > 32_000, "{used}");
+    }
+}
+
+#[test]
+fn nothing_is_placed_on_an_executor_that_is_about_to_leave() {
+    let mut world = World::new(2);
+    let mut leaving = listing(1);
+    leaving.draining = true;
+    world.list(vec![leaving, listing(2)]);
+    world.submit(1, vec![step(3, 4, 1_000)]);
+    world.start_all();
+    assert_eq!(world.tasks_on(1).len(), 0);
+    assert_eq!(world.tasks_on(2).len(), 3);
+}
+
+#[test]
+fn a_label_and_the_limit_an_executor_are_kept_to() {
+    let mut world = World::new(0);
+    let mut labelled = listing(1);
+    labelled.labels.push("special".into());
+    world.list(vec![labelled, listing(2)]);
+    let mut wanted = step(4, 4, 1_000);
+    wanted.label = Some("special".into());
+    wanted.most_per_executor = 2;
+    world.submit(1, vec![wanted]);
+    world.start_all();
+    assert_eq!(world.tasks_on(1).len(), 2);
+    assert_eq!(world.tasks_on(2).len(), 0);
+}
+
+#[test]
+fn a_gang_starts_whole_under_one_number_or_not_at_all() {
+    let mut world = World::new(2);
+    let mut gang = step(5, 30, 1_000);
+    gang.gang = true;
+    world.submit(1, vec![gang.clone()]);
+    assert!(world.start_all().is_empty(), "five do not fit");
+    world.list((1..=3).map(listing).collect());
+    let runs: BTreeSet<u64> = world
+        .start_all()
+        .iter()
+        .filter_map(|order| match order {
+            Order::Start { run, .. } => Some(*run),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(runs, BTreeSet::from([1]));
+    let placed: usize = (1..=3).map(|number| world.tasks_on(number).len()).sum();
+    assert_eq!(placed, 5);
+}
+
+#[test]
+fn tasks_that_serve_go_where_others_of_their_image_are() {
+    let mut world = World::new(4);
+    for number in 0..8 {
+        let image = if number % 2 == 0 { "a" } else { "b" };
+        world.submit(number, vec![serving(2, 10, image)]);
+        world.start_all();
+    }
+    for number in 1..=4 {
+        let images: BTreeSet<String> = world
+            .tasks_on(number)
+            .into_iter()
+            .filter_map(|key| world.book.step(key)?.image.as_deref().map(str::to_owned))
+            .collect();
+        assert!(images.len() <= 1, "executor {number} serves {images:?}");
+    }
+}
+
+#[test]
+fn tasks_that_fill_take_only_the_processors_that_others_leave() {
+    let mut world = World::new(1);
+    world.submit(1, vec![serving(4, 16, "a")]);
+    world.start_all();
+    world.submit(2, vec![filling(20, 4, "f")]);
+    world.start_all();
+    let filling = world
+        .tasks_on(1)
+        .into_iter()
+        .filter(|key| world.book.step(*key).is_some_and(|step| step.fills))
+        .count();
+    assert!(filling > 0, "the executor is reserved and not busy");
+    assert!(filling * 4 <= 32, "{filling} tasks of 4 cores fill");
+}
+
+#[test]
+fn work_that_can_be_in_time_goes_before_work_that_cannot() {
+    let mut world = World::new(1);
+    let late = world.submit(1, vec![step(1, 40, 60_000)]);
+    world.pass(200_000);
+    let in_time = world.submit(2, vec![step(1, 40, 1_000)]);
+    world.start_all();
+    let placed = world
+        .book
+        .job(world.tasks_on(1)[0].job)
+        .expect("a job")
+        .id;
+    assert_eq!(placed, in_time);
+    assert_ne!(placed, late);
+}
