--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -26,6 +26,17 @@
     pub life: u64,
     /// Where other hosts reach it.
     pub peer_address: String,
+    /// What its host can bear.
+    pub strength: Strength,
+}
+
+/// What a host can bear.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Strength {
+    /// The processor time that it has, in cores.
+    pub cores: f64,
+    /// Its own link, in Mbit/s.
+    pub link_mbps: f64,
 }
 
 /// Spans that hosts have to agree on or that the platform sets.
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -13,6 +13,7 @@
 
 use crate::events;
 use crate::node::Node;
+use crate::node::Strength;
 use crate::outside::Range;
 use crate::outside::StoreError;
 use crate::outside::Transaction;
@@ -38,6 +39,15 @@
 const RETRY: Duration = Duration::from_millis(200);
 /// Hosts far from the store wait this many round trips before they claim, so that one near it does.
 const ROUND_TRIPS_BEFORE_CLAIM: u32 = 6;
+/// A host with one core waits so long before it claims, one with a part of a core longer, so that a
+/// strong host becomes the owner.
+const ONE_CORE_WAITS: Duration = Duration::from_millis(60);
+/// The same for a link of 100 Mbit/s.
+const LINK_WAITS: Duration = Duration::from_millis(20);
+/// The speed of the link that waits so, in Mbit/s.
+const LINK_MBPS: f64 = 100.0;
+/// No host waits longer for its weakness.
+const MOST_WEAKNESS: Duration = Duration::from_millis(900);
 /// Hosts that are equally near wait for different times, up to this.
 const CLAIM_SPREAD_MS: u64 = 120;
 
@@ -45,7 +55,6 @@
 struct Seen {
     record: OwnerRecord,
     version: u64,
-    round_trip: Duration,
 }
 
 /// Becomes the owner whenever it has to, until the process ends.
@@ -56,15 +65,18 @@
             *node.owner.borrow_mut() = None;
             continue;
         }
+        let begin = node.now();
         match read(&node).await {
-            Ok(seen) => follow(&node, seen).await,
+            Ok(seen) => {
+                let round_trip = node.now().since(begin);
+                follow(&node, seen, round_trip).await;
+            }
             Err(_) => tokio::time::sleep(RETRY).await,
         }
     }
 }
 
 async fn read(node: &Node) -> Result<Option<Seen>, StoreError> {
-    let begin = node.now();
     let range = Range {
         table: rows::OWNER_TABLE,
         part: rows::OWNED_PART,
@@ -87,13 +99,12 @@
     Ok(Some(Seen {
         record,
         version: row.version,
-        round_trip: node.now().since(begin),
     }))
 }
 
-async fn follow(node: &Rc<Node>, seen: Option<Seen>) {
+async fn follow(node: &Rc<Node>, seen: Option<Seen>, round_trip: Duration) {
     let Some(seen) = seen else {
-        tokio::time::sleep(spread(node)).await;
+        tokio::time::sleep(stagger(node, round_trip)).await;
         claim(node, &OwnerRecord::default(), 0).await;
         return;
     };
@@ -103,7 +114,7 @@
     let own_earlier_life = seen.record.host == node.identity.host;
     if own_earlier_life || seen.record.released {
         if !own_earlier_life {
-            tokio::time::sleep(stagger(node, seen.round_trip)).await;
+            tokio::time::sleep(stagger(node, round_trip)).await;
         }
         claim(node, &seen.record, seen.version).await;
         return;
@@ -115,7 +126,7 @@
             return;
         }
     }
-    doubt(node, seen).await;
+    doubt(node, seen, round_trip).await;
 }
 
 async fn signs_of_life(node: &Node, address: &Arc<str>, record: &OwnerRecord) -> bool {
@@ -130,9 +141,9 @@
 }
 
 /// Reads the row of a doubted owner until it changes or has stood still for long enough.
-async fn doubt(node: &Rc<Node>, first: Seen) {
+async fn doubt(node: &Rc<Node>, first: Seen, round_trip: Duration) {
     let mut since: Option<(u64, Mono)> = None;
-    let wait = LAPSE + stagger(node, first.round_trip);
+    let wait = LAPSE + stagger(node, round_trip);
     while !node.draining.is_cancelled() {
         let Ok(Some(seen)) = read(node).await else {
             since = None;
@@ -157,7 +168,14 @@
 }
 
 fn stagger(node: &Node, round_trip: Duration) -> Duration {
-    round_trip * ROUND_TRIPS_BEFORE_CLAIM + spread(node)
+    round_trip * ROUND_TRIPS_BEFORE_CLAIM + weakness(node.identity.strength) + spread(node)
+}
+
+/// Returns how long a host waits for its weakness.
+fn weakness(strength: Strength) -> Duration {
+    let cores = ONE_CORE_WAITS.as_secs_f64() / strength.cores.max(f64::EPSILON);
+    let link = LINK_WAITS.as_secs_f64() * LINK_MBPS / strength.link_mbps.max(f64::EPSILON);
+    Duration::from_secs_f64((cores + link).min(MOST_WEAKNESS.as_secs_f64()))
 }
 
 fn spread(node: &Node) -> Duration {
