fix(dispatch): a submission that the store does not answer is told after 0.9 s, and refused while it is away

Now the caller hears after 0.9 s that the outcome is unknown (504, submit the same job again), and once nothing was heard of the store for 1.2 s that it was refused.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -27,14 +27,22 @@
 use crate::peers::Reply;
 use crate::rows;
 
-/// How long a submission tries to be stored before its caller is told, well before callers give up.
-const STORE_WITHIN: Duration = Duration::from_millis(1_600);
+/// How long a submission or a cancellation tries to be stored before its caller is told, so that there
+/// is time left to try another host.
+const STORE_WITHIN: Duration = Duration::from_millis(900);
+/// The part of a caller's own deadline that it may take at most, as one part in so many.
+const DEADLINE_PARTS: u32 = 2;
+/// How long reading what is stored of a job may take.
+const READ_WITHIN: Duration = Duration::from_millis(700);
+/// A submission that the store has turned away for so long, and that it cannot have stored, is refused.
+const REFUSE_AFTER: Duration = Duration::from_millis(400);
 /// The pause before a write is sent again.
 const RETRY: Duration = Duration::from_millis(60);
 /// How long the owner may take to answer a question.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
-/// With the store away for so long, nothing is sent and callers are refused at once.
-const STORE_AWAY: Duration = Duration::from_millis(400);
+/// When nothing has been heard of the store for so long and the last call failed, nothing is sent and
+/// callers are refused at once.
+const STORE_AWAY: Duration = Duration::from_millis(1_200);
 /// When a caller that was refused should come back, in seconds.
 pub const RETRY_AFTER_S: u64 = 1;
 /// The most final states that are remembered.
@@ -75,15 +83,28 @@
     Unknown,
 }
 
-/// Stores a job.
-pub async fn submit(node: &Rc<Node>, queue: &Arc<str>, id: JobId, spec: JobSpec) -> Submitted {
+/// Stores a job. The caller waits for `deadline`, if it said so.
+pub async fn submit(
+    node: &Rc<Node>,
+    queue: &Arc<str>,
+    id: JobId,
+    spec: JobSpec,
+    deadline: Option<Duration>,
+) -> Submitted {
     let begin = node.now();
     let record = SubmissionRecord {
         queue: queue.clone(),
         accepted_unix_ms: (node.unix_ms)(),
         spec: Arc::new(spec),
     };
-    let outcome = store(node, id, &record, begin).await;
+    let outcome = if node.store_is_away(STORE_AWAY) {
+        Submitted::Refused
+    } else {
+        // Whether a write that is broken off here takes effect is not known.
+        tokio::time::timeout(store_within(deadline), store(node, id, &record, begin))
+            .await
+            .unwrap_or(Submitted::Unknown)
+    };
     let took = model::time::millis(node.now().since(begin));
     match outcome {
         Submitted::Accepted => events::accepted(id, queue, took),
@@ -95,13 +116,6 @@
 }
 
 async fn store(node: &Node, id: JobId, record: &SubmissionRecord, begin: Mono) -> Submitted {
-    let away = node
-        .store_failing_since
-        .get()
-        .is_some_and(|since| begin.since(since) > STORE_AWAY);
-    if away {
-        return Submitted::Refused;
-    }
     let Ok(value) = serde_json::to_vec(record) else {
         return Submitted::Refused;
     };
@@ -123,17 +137,19 @@
             Err(StoreError::Unanswered | StoreError::Misunderstood) => may_be_stored = true,
             Err(StoreError::Refused | StoreError::HistoryGone) => {}
         }
-        if node.now().since(begin) > STORE_WITHIN {
-            return if may_be_stored {
-                Submitted::Unknown
-            } else {
-                Submitted::Refused
-            };
+        if !may_be_stored && node.now().since(begin) > REFUSE_AFTER {
+            return Submitted::Refused;
         }
         tokio::time::sleep(RETRY).await;
     }
 }
 
+fn store_within(deadline: Option<Duration>) -> Duration {
+    deadline.map_or(STORE_WITHIN, |deadline| {
+        STORE_WITHIN.min(deadline / DEADLINE_PARTS)
+    })
+}
+
 /// The same job again is one job.
 fn compare(rows: &[Row], record: &SubmissionRecord) -> Submitted {
     let stored = rows
@@ -149,7 +165,9 @@
 
 /// Stores that a job is cancelled.
 pub async fn cancel(node: &Rc<Node>, id: JobId) -> Cancelled {
-    let outcome = store_cancel(node, id).await;
+    let outcome = tokio::time::timeout(STORE_WITHIN, store_cancel(node, id))
+        .await
+        .unwrap_or(Cancelled::Unknown);
     let text = match outcome {
         Cancelled::Accepted => "accepted",
         Cancelled::NoSuchJob => "no_such_job",
@@ -192,7 +210,10 @@
     }
     let found = match ask_owner(node, id).await {
         Some(state) => Found::State(state),
-        None => stored_state(node, id).await,
+        None if node.store_is_away(STORE_AWAY) => Found::Unknown,
+        None => tokio::time::timeout(READ_WITHIN, stored_state(node, id))
+            .await
+            .unwrap_or(Found::Unknown),
     };
     if let Found::State(state) = found
         && state.is_final()
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -74,6 +74,8 @@
     pub highest_epoch: Cell<u64>,
     /// Since when no call to the store was answered.
     pub store_failing_since: Cell<Option<Mono>>,
+    /// When the store answered last.
+    pub store_heard: Cell<Mono>,
     /// The final states of jobs that callers asked for, which never change.
     pub final_states: RefCell<Map<job::id::JobId, job::book::JobState>>,
     /// Cancelled when the process is told to end.
@@ -96,6 +98,7 @@
             known_owner: RefCell::new(None),
             highest_epoch: Cell::new(0),
             store_failing_since: Cell::new(None),
+            store_heard: Cell::new(Mono::ZERO),
             final_states: RefCell::new(Map::default()),
             draining: CancellationToken::new(),
         })
@@ -127,6 +130,9 @@
 
     /// Notes whether the store answered a call.
     pub fn store_answered(&self, answered: bool) {
+        if answered {
+            self.store_heard.set(self.now());
+        }
         let since = self.store_failing_since.get();
         match (answered, since) {
             (true, Some(since)) => {
@@ -142,6 +148,13 @@
         }
     }
 
+    /// Returns whether the last call to the store failed and nothing was heard of it for `span`.
+    #[must_use]
+    pub fn store_is_away(&self, span: Duration) -> bool {
+        self.store_failing_since.get().is_some()
+            && self.now().since(self.store_heard.get()) > span
+    }
+
     /// Starts the parts that run for as long as the process does.
     pub fn start(self: &Rc<Self>) {
         tokio::task::spawn_local(crate::plans::follow(self.clone()));
