fix(job): what stands still does so until the tail is under its target, and nothing joins it

The reports of that executor show it: after 1.9 s over the target everything that fills was told to stand still, and the very next report, which could not show it yet, took the tail for not caused by them, as they stood; so they worked on, and new ones were placed beside them.

--- a/crates/job/src/order.rs
+++ b/crates/job/src/order.rs
@@ -2,9 +2,10 @@
 //!
 //! The load pattern that this answers: more work arrives than the executors can do. A job earns in
 //! full until its objective and little until three times that, so work that can still be in time
-//! goes first, the smaller before the larger, as more jobs are in time that way; then work that is late
-//! but still earns, last what can earn nothing. Tasks that last
-//! earn for every second and go before all. See "Order" in `docs/JOBS.md`.
+//! goes first, the smaller before the larger, as more jobs are in time that way; then work that is
+//! late but still earns, last what can earn nothing. Tasks that last keep their room for long and earn
+//! less for it than short ones, so that they come after short work that can be in time. See "Order" in
+//! `docs/JOBS.md`.
 
 use std::time::Duration;
 
@@ -36,10 +37,12 @@
 /// What a start now can still earn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Chance {
-    /// It earns for as long as it runs.
-    Lasting,
     /// It can meet its objective.
     InTime,
+    /// It earns for as long as it runs.
+    Lasting,
+    /// It can meet its objective on processors that others leave.
+    InTimeFilling,
     /// It can still earn a part.
     Late,
     /// It can earn nothing.
@@ -67,6 +70,8 @@
     let ends = now.0 + job.chain_from(ready.step);
     let (chance, slack_ms) = if step.lasting {
         (Chance::Lasting, 0)
+    } else if ends <= due && step.fills {
+        (Chance::InTimeFilling, due - ends)
     } else if ends <= due {
         (Chance::InTime, due - ends)
     } else if ends <= late_until {
--- a/crates/job/src/pace.rs
+++ b/crates/job/src/pace.rs
@@ -27,7 +27,7 @@
 const CAUSE_MARGIN: f64 = 0.3;
 /// How long a tail may stay above its target before everything that fills beside it stands still,
 /// whatever is known of its image.
-const STAND_STILL_AFTER: Duration = Duration::from_millis(2_200);
+const STAND_STILL_AFTER: Duration = Duration::from_millis(1_900);
 
 /// A tail on an executor.
 struct Tail {
@@ -51,17 +51,19 @@
         let Some(executor) = self.fleet.get(at) else {
             return;
         };
-        if executor.filling_cpu == 0 {
-            return;
-        }
         let keys: Vec<TaskKey> = executor.tasks.iter().copied().collect();
         let settled = now.since(executor.paced) >= SETTLE;
         let tails = self.tails(&keys);
         let fillers = self.fillers(at, &keys);
-        let over = tails
-            .iter()
-            .any(|tail| self.is_over_through(tail, &fillers));
-        let stands = self.over_for(at, over, now) >= STAND_STILL_AFTER;
+        let over = tails.iter().any(|tail| tail.excess + AIM.ln() > 0.0);
+        let over_for = self.over_for(at, over, now);
+        if fillers.is_empty() {
+            return;
+        }
+        let stands = over_for >= STAND_STILL_AFTER
+            && tails
+                .iter()
+                .any(|tail| self.is_over_through(tail, &fillers));
         if !settled && !stands {
             return;
         }
@@ -79,7 +81,8 @@
         }
     }
 
-    /// Returns whether a tail is over its target and may be under it without the tasks that fill.
+    /// Returns whether a tail is over its target and may be under it without the tasks that fill, also
+    /// where these have been slowed down and the newest report does not show it yet.
     fn is_over_through(&self, tail: &Tail, fillers: &[Filler]) -> bool {
         let over = tail.excess + AIM.ln();
         let may_cause: f64 = fillers
@@ -87,7 +90,7 @@
             .filter_map(|filler| {
                 let image = self.step(filler.key)?.image.as_ref()?;
                 let weight = self.interference.at_most(&tail.image, image);
-                Some(weight * filler.full_use * f64::from(filler.percent) / 100.0)
+                Some(weight * filler.full_use)
             })
             .sum();
         over > 0.0 && over <= may_cause + CAUSE_MARGIN
--- a/crates/job/src/place.rs
+++ b/crates/job/src/place.rs
@@ -137,6 +137,9 @@
     /// tail beyond what it can bear.
     #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
     fn filling_score(&self, executor: &Executor, step: &StepSpec) -> Option<f64> {
+        if executor.over_since.is_some() {
+            return None;
+        }
         let image = step.image.as_ref()?;
         let part = step.size.cpu_millis as f64 / executor.listing.capacity.cpu_millis.max(1) as f64;
         let mut caused: f64 = 0.0;
--- a/crates/job/tests/all/interference.rs
+++ b/crates/job/tests/all/interference.rs
@@ -147,3 +147,47 @@
     }
     assert_eq!(shares(&mut world), Vec::<u32>::new());
 }
+
+/// The load pattern: a service at its own peak, a little over its target through pairs of small weight.
+#[test]
+fn what_stands_still_does_so_until_the_tail_is_under_its_target_and_nothing_joins_it() {
+    let mut world = world();
+    for _ in 0..6 {
+        world.pass(500);
+        report(&mut world, 60, 4_000);
+    }
+    assert!(shares(&mut world).contains(&0));
+    for _ in 0..6 {
+        world.pass(500);
+        report(&mut world, 55, 0);
+        assert!(!shares(&mut world).iter().any(|share| *share > 0));
+    }
+    world.submit(3, vec![filling(1, 2, "other")]);
+    assert_eq!(world.place(), 0);
+    for _ in 0..3 {
+        world.pass(800);
+        report(&mut world, 30, 0);
+    }
+    assert!(shares(&mut world).contains(&100));
+    assert_eq!(world.place(), 1);
+}
+
+#[test]
+fn an_executor_is_open_again_once_its_tails_are_calm_though_nothing_fills_there_any_more() {
+    let mut world = world();
+    for _ in 0..6 {
+        world.pass(500);
+        report(&mut world, 60, 4_000);
+    }
+    let ends = (1..)
+        .zip(world.tasks_on(1))
+        .filter(|(_, key)| is_filling(&world, *key))
+        .map(|(number, key)| world.end(number, key, job::book::EndKind::Done))
+        .collect();
+    world.report(1, ends);
+    world.pass(500);
+    report(&mut world, 10, 0);
+    world.submit(3, vec![filling(1, 2, "other")]);
+    world.pass(500);
+    assert_eq!(world.place(), 1);
+}
--- a/crates/job/tests/all/placement.rs
+++ b/crates/job/tests/all/placement.rs
@@ -154,3 +154,20 @@
     assert!(small.iter().all(|id| started(&world, *id)));
     assert!(!started(&world, large));
 }
+
+/// The load pattern: reserved room runs out, and what is freed would go to services for good.
+#[test]
+fn short_work_that_can_be_in_time_gets_scarce_room_before_a_service() {
+    let mut world = World::new(1);
+    world.submit(1, vec![serving(5, 16, "web")]);
+    world.start_all();
+    world.submit(2, vec![serving(1, 16, "web")]);
+    let short = world.submit(3, vec![step(1, 16, 500)]);
+    let task = world.tasks_on(1)[0];
+    let end = world.end(1, task, job::book::EndKind::Failed);
+    world.report(1, vec![end]);
+    world.pass(1_000);
+    world.start_all();
+    let key = world.book.find(short).expect("a job");
+    assert!(world.tasks_on(1).iter().any(|task| task.job == key));
+}
