--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -101,9 +101,12 @@
         Submitted::Refused
     } else {
         // Whether a write that is broken off here takes effect is not known.
-        tokio::time::timeout(store_within(deadline), store(node, id, &record, begin))
-            .await
-            .unwrap_or(Submitted::Unknown)
+        let outcome =
+            tokio::time::timeout(store_within(deadline), store(node, id, &record, begin)).await;
+        outcome.unwrap_or_else(|_| {
+            node.store_answered(false);
+            Submitted::Unknown
+        })
     };
     let took = model::time::millis(node.now().since(begin));
     match outcome {
@@ -127,10 +130,7 @@
             removes: Vec::new(),
         };
         let result = (node.outside.store.commit)(transaction).await;
-        node.store_answered(matches!(
-            result,
-            Ok(_) | Err(StoreError::Conflict { .. })
-        ));
+        node.store_answered(matches!(result, Ok(_) | Err(StoreError::Conflict { .. })));
         match result {
             Ok(_) => return Submitted::Accepted,
             Err(StoreError::Conflict { rows }) => return compare(&rows, record),
@@ -236,7 +236,7 @@
         return owner.state(id);
     }
     let address = owner_address(node)?;
-    let reply = peers::ask(node, &address, &Question::State(id), ASK_TIMEOUT).await?;
+    let reply = peers::ask(node, &address, Question::State(id), ASK_TIMEOUT).await?;
     match reply {
         Reply::State(Some(letter)) => Some(job::record::state_of(letter)),
         _ => None,
@@ -298,7 +298,7 @@
         return Some(owner.pending());
     }
     let address = owner_address(node)?;
-    match peers::ask(node, &address, &Question::Pending, ASK_TIMEOUT).await? {
+    match peers::ask(node, &address, Question::Pending, ASK_TIMEOUT).await? {
         Reply::Pending(pending) => Some(pending),
         _ => None,
     }
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use job::plan::Plan;
-use link::client::Client;
 use model::Clock;
 use model::Map;
 use model::Mono;
@@ -62,8 +61,6 @@
     pub clock: Clock,
     /// The time of day in milliseconds since 1970.
     pub unix_ms: fn() -> u64,
-    /// The client for calls to other hosts.
-    pub client: Client,
     /// The document in force, once it is known.
     pub plan: RefCell<Option<Arc<Plan>>>,
     /// The owner, while this host is it.
@@ -85,14 +82,18 @@
 impl Node {
     /// Makes a node that knows nothing yet.
     #[must_use]
-    pub fn new(identity: Identity, outside: Outside, spans: Spans, unix_ms: fn() -> u64) -> Rc<Self> {
+    pub fn new(
+        identity: Identity,
+        outside: Outside,
+        spans: Spans,
+        unix_ms: fn() -> u64,
+    ) -> Rc<Self> {
         Rc::new(Self {
             identity,
             outside,
             spans,
             clock: Clock::start(),
             unix_ms,
-            client: Client::new(),
             plan: RefCell::new(None),
             owner: RefCell::new(None),
             known_owner: RefCell::new(None),
@@ -151,8 +152,7 @@
     /// Returns whether the last call to the store failed and nothing was heard of it for `span`.
     #[must_use]
     pub fn store_is_away(&self, span: Duration) -> bool {
-        self.store_failing_since.get().is_some()
-            && self.now().since(self.store_heard.get()) > span
+        self.store_failing_since.get().is_some() && self.now().since(self.store_heard.get()) > span
     }
 
     /// Starts the parts that run for as long as the process does.
--- a/crates/dispatch/src/outside.rs
+++ b/crates/dispatch/src/outside.rs
@@ -14,6 +14,9 @@
 use job::plan::Plan;
 use job::task::Run;
 
+use crate::peers::Question;
+use crate::peers::Reply;
+
 /// What a call returns.
 pub type Pending<T> = LocalBoxFuture<'static, T>;
 /// A call.
@@ -29,6 +32,25 @@
     pub list: ListExecutors,
     /// The executors.
     pub executors: Executors,
+    /// The other hosts.
+    pub hosts: Hosts,
+}
+
+/// The other hosts.
+pub struct Hosts {
+    /// Asks one of them; no answer in time is none.
+    pub ask: Call<Ask, Option<Reply>>,
+}
+
+/// A question to another host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Where it listens for other hosts.
+    pub address: Arc<str>,
+    /// The question.
+    pub question: Question,
+    /// How long it may take to answer.
+    pub timeout: Duration,
 }
 
 /// The store of rows, in which all that has to last is kept.
@@ -133,13 +155,16 @@
     Misunderstood,
 }
 
+/// The operators' document, if there is one to be taken, and the version of the store to go on from.
+pub type Document = (Option<Plan>, u64);
+
 /// The operators' document.
 pub struct Operators {
     /// Reads the document and the version of the store that it was read at.
-    pub read: Call<(), Result<(Option<Plan>, u64), StoreError>>,
+    pub read: Call<(), Result<Document, StoreError>>,
     /// Waits until the document may have changed after a version of the store; returns the document
     /// if it has, and the version to go on from.
-    pub follow: Call<(u64, Duration), Result<(Option<Plan>, u64), StoreError>>,
+    pub follow: Call<(u64, Duration), Result<Document, StoreError>>,
 }
 
 /// The list of executors, each with what its clock showed.
@@ -151,11 +176,11 @@
 /// The executors.
 pub struct Executors {
     /// Starts a run.
-    pub start: Call<StartCall, Reply<StartAnswer>>,
+    pub start: Call<StartCall, OrderReply<StartAnswer>>,
     /// Stops a run.
-    pub stop: Call<RunCall, Reply<bool>>,
+    pub stop: Call<RunCall, OrderReply<bool>>,
     /// Sets the share of its processor time that a run may use, in percent.
-    pub pace: Call<(RunCall, u32), Reply<bool>>,
+    pub pace: Call<(RunCall, u32), OrderReply<bool>>,
     /// Extends the leases of all runs and asks what runs and what has ended.
     pub look: Call<LookCall, Result<Report, LookError>>,
 }
@@ -214,7 +239,7 @@
 
 /// What an executor answered to an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Reply<T> {
+pub struct OrderReply<T> {
     /// The outcome.
     pub outcome: Outcome<T>,
     /// Which life answered, in milliseconds since 1970, and what its clock showed.
--- a/crates/dispatch/src/owner/begin.rs
+++ b/crates/dispatch/src/owner/begin.rs
@@ -135,14 +135,13 @@
 /// for as long as it could go on unconfirmed.
 async fn settle_earlier(owner: Rc<Owner>, earlier: OwnerRecord, assumed: Mono, lease: Duration) {
     let node = &owner.node;
-    let is_over =
-        earlier.epoch == 0 || earlier.released || earlier.host == node.identity.host;
+    let is_over = earlier.epoch == 0 || earlier.released || earlier.host == node.identity.host;
     let address: Arc<str> = earlier.address.as_str().into();
     let question = Question::Superseded(owner.epoch);
     let mut stopped = is_over;
     while !stopped && node.now() < assumed && !owner.stop.is_cancelled() {
         // Any answer will do: a later life of the process grants nothing that the earlier one did.
-        stopped = peers::ask(node, &address, &question, TELL_TIMEOUT)
+        stopped = peers::ask(node, &address, question.clone(), TELL_TIMEOUT)
             .await
             .is_some();
         if !stopped {
--- a/crates/dispatch/src/owner/calls.rs
+++ b/crates/dispatch/src/owner/calls.rs
@@ -17,8 +17,8 @@
 use tokio::sync::Semaphore;
 
 use super::Owner;
+use crate::outside::OrderReply;
 use crate::outside::Outcome;
-use crate::outside::Reply;
 use crate::outside::RunCall;
 use crate::outside::StartCall;
 
@@ -103,7 +103,7 @@
     }
 
     /// Takes in what an executor said about its clock; ends the owner when it obeys another.
-    fn note<T: Copy>(&self, executor: ExecutorKey, reply: &Reply<T>) -> Outcome<T> {
+    fn note<T: Copy>(&self, executor: ExecutorKey, reply: &OrderReply<T>) -> Outcome<T> {
         if let Some((born, clock_ms)) = reply.clock {
             let now = self.now();
             self.book
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -144,10 +144,7 @@
                 return;
             }
             let now = self.now();
-            let placed = self
-                .book
-                .borrow_mut()
-                .place(now, (self.node.unix_ms)());
+            let placed = self.book.borrow_mut().place(now, (self.node.unix_ms)());
             if placed > 0 {
                 self.changed.notify_one();
             }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -16,6 +17,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use job::id::JobId;
+use link::client::Client;
 use link::server::Incoming1;
 use link::server::Outgoing;
 use model::Map;
@@ -23,6 +25,8 @@
 use serde::Serialize;
 
 use crate::node::Node;
+use crate::outside::Ask;
+use crate::outside::Hosts;
 
 /// The largest message, in bytes.
 const MOST_MESSAGE_BYTES: usize = 64 << 10;
@@ -72,15 +76,33 @@
 pub async fn ask(
     node: &Node,
     address: &Arc<str>,
-    question: &Question,
+    question: Question,
     timeout: Duration,
 ) -> Option<Reply> {
-    let body = serde_json::to_vec(question).ok()?;
+    let ask = Ask {
+        address: address.clone(),
+        question,
+        timeout,
+    };
+    (node.outside.hosts.ask)(ask).await
+}
+
+/// Returns the other hosts as they are reached over the network.
+#[must_use]
+pub fn over_http(client: &Client) -> Hosts {
+    let client = client.clone();
+    Hosts {
+        ask: Box::new(move |ask| call(client.clone(), ask).boxed_local()),
+    }
+}
+
+async fn call(client: Client, ask: Ask) -> Option<Reply> {
+    let body = serde_json::to_vec(&ask.question).ok()?;
     let request = Request::post(PATH)
-        .header(http::header::HOST, &**address)
+        .header(http::header::HOST, &*ask.address)
         .body(Full::new(Bytes::from(body)))
         .ok()?;
-    let answer = node.client.call(address, request, timeout).await.ok()?;
+    let answer = client.call(&ask.address, request, ask.timeout).await.ok()?;
     if answer.status != StatusCode::OK {
         return None;
     }
@@ -111,7 +133,9 @@
     response
 }
 
-fn reply(node: &Node, question: &Question) -> Reply {
+/// Returns what this host answers to a question.
+#[must_use]
+pub fn reply(node: &Node, question: &Question) -> Reply {
     let owner = node.owner();
     match question {
         Question::Ping => Reply::Pong(pong(node)),
@@ -124,9 +148,7 @@
         Question::State(id) => owner.map_or(Reply::NotOwner, |owner| {
             Reply::State(owner.state(*id).map(job::record::letter))
         }),
-        Question::Pending => {
-            owner.map_or(Reply::NotOwner, |owner| Reply::Pending(owner.pending()))
-        }
+        Question::Pending => owner.map_or(Reply::NotOwner, |owner| Reply::Pending(owner.pending())),
     }
 }
 
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -130,7 +130,7 @@
 }
 
 async fn signs_of_life(node: &Node, address: &Arc<str>, record: &OwnerRecord) -> bool {
-    let reply = peers::ask(node, address, &Question::Ping, PING_TIMEOUT).await;
+    let reply = peers::ask(node, address, Question::Ping, PING_TIMEOUT).await;
     matches!(
         reply,
         Some(Reply::Pong(pong))
--- a/crates/job/src/book/executors.rs
+++ b/crates/job/src/book/executors.rs
@@ -34,7 +34,10 @@
     fn list_executor(&mut self, listing: Listing, clock_ms: u64, now: Mono) {
         let key = self.fleet.intern(&listing.id);
         let born = listing.born_unix_ms;
-        let known = self.fleet.get(key).map_or(0, |executor| executor.listing.born_unix_ms);
+        let known = self
+            .fleet
+            .get(key)
+            .map_or(0, |executor| executor.listing.born_unix_ms);
         if born < known {
             return;
         }
--- a/crates/job/src/book/mod.rs
+++ b/crates/job/src/book/mod.rs
@@ -354,7 +354,11 @@
 
     /// Takes a task off its executor; it waits for another start unless its job has ended.
     fn release(&mut self, key: TaskKey, not_before: Mono) {
-        let Some(executor) = self.task(key).and_then(Task::assignment).map(|at| at.executor) else {
+        let Some(executor) = self
+            .task(key)
+            .and_then(Task::assignment)
+            .map(|at| at.executor)
+        else {
             return;
         };
         self.unreserve(key, executor);
@@ -370,7 +374,11 @@
 
     /// Notes that a task has ended well, and the job if it was the last one.
     fn finish(&mut self, key: TaskKey) {
-        let Some(executor) = self.task(key).and_then(Task::assignment).map(|at| at.executor) else {
+        let Some(executor) = self
+            .task(key)
+            .and_then(Task::assignment)
+            .map(|at| at.executor)
+        else {
             return;
         };
         self.unreserve(key, executor);
--- a/crates/job/src/book/orders.rs
+++ b/crates/job/src/book/orders.rs
@@ -152,7 +152,9 @@
     /// Takes in what an executor answered to an order to start.
     pub fn start_answered(&mut self, key: TaskKey, run: Run, answer: StartAnswer, now: Mono) {
         let current = self.task(key).is_some_and(|task| task.run == run);
-        let Some(executor) = self.task(key).and_then(|task| Some(task.assignment()?.executor))
+        let Some(executor) = self
+            .task(key)
+            .and_then(|task| Some(task.assignment()?.executor))
         else {
             return;
         };
--- a/crates/job/src/book/report.rs
+++ b/crates/job/src/book/report.rs
@@ -271,13 +271,7 @@
 
     /// Releases tasks that an executor neither runs nor has ended, although nothing can start them
     /// there any more.
-    fn find_vanished(
-        &mut self,
-        executor: ExecutorKey,
-        report: &Report,
-        sent: Mono,
-        now: Mono,
-    ) {
+    fn find_vanished(&mut self, executor: ExecutorKey, report: &Report, sent: Mono, now: Mono) {
         let Some(known) = self.fleet.get(executor) else {
             return;
         };
--- a/crates/job/src/book/restore.rs
+++ b/crates/job/src/book/restore.rs
@@ -37,7 +37,10 @@
         }
         let key = self.submit(submission, now);
         for slot in &record.done {
-            self.restore_done(TaskKey { job: key, slot: *slot });
+            self.restore_done(TaskKey {
+                job: key,
+                slot: *slot,
+            });
         }
         for task in &record.tasks {
             self.restore_task(key, task, now);
--- a/crates/job/src/interference.rs
+++ b/crates/job/src/interference.rs
@@ -134,7 +134,11 @@
         if since < SHORTEST {
             return;
         }
-        let baseline = Baseline { at: now, tails, uses };
+        let baseline = Baseline {
+            at: now,
+            tails,
+            uses,
+        };
         let earlier = std::mem::replace(&mut executor.baseline, baseline.clone());
         if since > LONGEST {
             return;
--- a/crates/job/src/pace.rs
+++ b/crates/job/src/pace.rs
@@ -166,7 +166,8 @@
             let caused: f64 = all
                 .iter()
                 .map(|other| {
-                    self.pair_weight(tail.key, other.key) * other.full_use
+                    self.pair_weight(tail.key, other.key)
+                        * other.full_use
                         * f64::from(other.percent)
                         / 100.0
                 })
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -140,7 +140,10 @@
     serde_json::to_vec(&record).expect("a record is always expressible")
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
 const fn is_zero(value: &u32) -> bool {
     *value == 0
 }
--- a/crates/job/tests/all/interference.rs
+++ b/crates/job/tests/all/interference.rs
@@ -85,7 +85,11 @@
     for round in 0..6 {
         world.pass(500);
         let busy = round % 2 == 1;
-        report(&mut world, if busy { 40 } else { 20 }, if busy { 4_000 } else { 0 });
+        report(
+            &mut world,
+            if busy { 40 } else { 20 },
+            if busy { 4_000 } else { 0 },
+        );
     }
     world.book.take_orders();
     world.pass(1_000);
--- a/crates/job/tests/all/life.rs
+++ b/crates/job/tests/all/life.rs
@@ -28,8 +28,7 @@
     let end = world.end(1, task, EndKind::Done);
     world.report(1, vec![end]);
     let executor = world.executor(1);
-    let acknowledged =
-        |world: &World| world.book.fleet.get(executor).expect("listed").acknowledged;
+    let acknowledged = |world: &World| world.book.fleet.get(executor).expect("listed").acknowledged;
     let batch = world.book.take_batch(100);
     assert_eq!(acknowledged(&world), 0);
     world.book.stored(batch, world.now);
@@ -144,7 +143,14 @@
     let known = world.running(task, 50, 0);
     world.report_rows(1, vec![known, stray], vec![]);
     let orders = world.book.take_orders();
-    assert!(matches!(&orders[..], [Order::Stop { key: None, run: 9, .. }]));
+    assert!(matches!(
+        &orders[..],
+        [Order::Stop {
+            key: None,
+            run: 9,
+            ..
+        }]
+    ));
 }
 
 #[test]
--- a/crates/job/tests/all/placement.rs
+++ b/crates/job/tests/all/placement.rs
@@ -129,11 +129,7 @@
     world.pass(200_000);
     let in_time = world.submit(2, vec![step(1, 40, 1_000)]);
     world.start_all();
-    let placed = world
-        .book
-        .job(world.tasks_on(1)[0].job)
-        .expect("a job")
-        .id;
+    let placed = world.book.job(world.tasks_on(1)[0].job).expect("a job").id;
     assert_eq!(placed, in_time);
     assert_ne!(placed, late);
 }
--- a/crates/job/tests/all/record.rs
+++ b/crates/job/tests/all/record.rs
@@ -126,5 +126,9 @@
         world.report(number, ends);
     }
     let batch = world.book.take_batch(100);
-    assert!(batch.rows[0].1.len() < 20, "{} bytes", batch.rows[0].1.len());
+    assert!(
+        batch.rows[0].1.len() < 20,
+        "{} bytes",
+        batch.rows[0].1.len()
+    );
 }
--- a/crates/logs/tests/all/json.rs
+++ b/crates/logs/tests/all/json.rs
@@ -5,8 +5,8 @@
 use log::LevelFilter;
 use log::Log;
 use log::Record;
-use model::Clock;
 use logs::JsonLogger;
+use model::Clock;
 use serde_json::Value;
 
 #[derive(Clone, Default)]
--- a/crates/logs/tests/all/queue.rs
+++ b/crates/logs/tests/all/queue.rs
@@ -52,7 +52,9 @@
     }
     let text = String::from_utf8(all).expect("lines are text");
     assert!(
-        text.contains(&format!("\"event\":\"log_lines_dropped\",\"lines\":{dropped}")),
+        text.contains(&format!(
+            "\"event\":\"log_lines_dropped\",\"lines\":{dropped}"
+        )),
         "the loss is told"
     );
 }
