feat: decisions are told of by job, counted, and bounded in number; metrics as text

Each job leaves lines from its acceptance to its end: accepted or refused, placed (with what put it where in the order), run_failed, run_lost with the cause, job_ended against its objective. 100 lines a second of each kind, the rest counted in the next line.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -17,6 +17,7 @@
 use model::Mono;
 
 use crate::events;
+use crate::metrics::Outcome;
 use crate::node::Node;
 use crate::outside::Range;
 use crate::outside::Row;
@@ -61,6 +62,19 @@
     Unknown,
 }
 
+impl Submitted {
+    /// Returns a word for it in logs and metrics.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::NameTaken => "name_taken",
+            Self::Refused => "store_away",
+            Self::Unknown => "outcome_unknown",
+        }
+    }
+}
+
 /// What became of a cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cancelled {
@@ -108,12 +122,20 @@
             Submitted::Unknown
         })
     };
-    let took = model::time::millis(node.now().since(begin));
+    let span = node.now().since(begin);
+    let took = model::time::millis(span);
+    node.metrics.submission_seconds.observe(span.as_secs_f64());
+    node.metrics
+        .submissions
+        .get_or_create(&Outcome {
+            outcome: outcome.word(),
+        })
+        .inc();
     match outcome {
         Submitted::Accepted => events::accepted(id, queue, took),
-        Submitted::NameTaken => events::refused(id, queue, "name_taken", 409, took),
-        Submitted::Refused => events::refused(id, queue, "store_away", 503, took),
-        Submitted::Unknown => events::refused(id, queue, "outcome_unknown", 504, took),
+        Submitted::NameTaken => events::refused(id, queue, outcome.word(), 409, took),
+        Submitted::Refused => events::refused(id, queue, outcome.word(), 503, took),
+        Submitted::Unknown => events::refused(id, queue, outcome.word(), 504, took),
     }
     outcome
 }
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -2,6 +2,7 @@
 //! believes. `docs/OPERATIONS.md` shows how to get from a job's name to its cause.
 
 use job::id::JobId;
+use job::id::TaskId;
 
 /// Logs that a job was accepted.
 pub fn accepted(id: JobId, queue: &str, took_ms: u64) {
@@ -38,9 +39,21 @@
     log::info!(event = "owner_ended", epoch, reason; "");
 }
 
-/// Logs how an executor answered an order to start.
-pub fn start(task: &str, run: u64, executor: &str, answer: &str) {
-    log::debug!(event = "start", task, run, executor, answer; "");
+/// Logs that tasks of a step were assigned, and what put the step where it was in the order.
+pub fn placed(id: JobId, step: u32, tasks: usize, chance: &str, slack_ms: u64) {
+    log::info!(event = "placed", job = id.as_str(), step, tasks, chance, slack_ms; "");
+}
+
+/// Logs that a run failed.
+pub fn run_failed(task: TaskId, run: u64, executor: &str, failures: u32, attempts: u32) {
+    let (job, step, index) = (task.job.as_str(), task.step, task.index);
+    log::info!(event = "run_failed", job, step, index, run, executor, failures, attempts; "");
+}
+
+/// Logs that a run was lost and its task waits again.
+pub fn run_lost(task: TaskId, run: u64, executor: &str, why: &str) {
+    let (job, step, index) = (task.job.as_str(), task.step, task.index);
+    log::info!(event = "run_lost", job, step, index, run, executor, why; "");
 }
 
 /// Logs that a job has ended and is stored as such.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod entry;
 pub mod events;
+pub mod metrics;
 pub mod node;
 pub mod outside;
 pub mod owner;
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -12,6 +12,8 @@
 use model::Mono;
 use tokio_util::sync::CancellationToken;
 
+use crate::metrics::Metrics;
+use crate::metrics::Outcome;
 use crate::outside::Outside;
 use crate::owner::Owner;
 use crate::rows::OwnerRecord;
@@ -61,6 +63,8 @@
     pub clock: Clock,
     /// The time of day in milliseconds since 1970.
     pub unix_ms: fn() -> u64,
+    /// What is counted.
+    pub metrics: Metrics,
     /// The document in force, once it is known.
     pub plan: RefCell<Option<Arc<Plan>>>,
     /// The owner, while this host is it.
@@ -94,6 +98,7 @@
             spans,
             clock: Clock::start(),
             unix_ms,
+            metrics: Metrics::default(),
             plan: RefCell::new(None),
             owner: RefCell::new(None),
             known_owner: RefCell::new(None),
@@ -134,6 +139,11 @@
         if answered {
             self.store_heard.set(self.now());
         }
+        let outcome = if answered { "answered" } else { "failed" };
+        self.metrics
+            .store_calls
+            .get_or_create(&Outcome { outcome })
+            .inc();
         let since = self.store_failing_since.get();
         match (answered, since) {
             (true, Some(since)) => {
--- a/crates/dispatch/src/owner/begin.rs
+++ b/crates/dispatch/src/owner/begin.rs
@@ -94,6 +94,7 @@
         book.list_executors(list, node.now());
     }
     let took = model::time::millis(node.now().since(began));
+    node.metrics.takeovers.inc();
     events::takeover(
         claim.record.epoch,
         &claim.earlier.host,
--- a/crates/dispatch/src/owner/calls.rs
+++ b/crates/dispatch/src/owner/calls.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Semaphore;
 
 use super::Owner;
+use crate::metrics;
 use crate::outside::OrderReply;
 use crate::outside::Outcome;
 use crate::outside::RunCall;
@@ -170,7 +171,14 @@
             checkpoint: start.checkpoint.clone(),
         };
         let reply = (self.node.outside.executors.start)(call).await;
-        self.note(start.executor, &reply)
+        let outcome = self.note(start.executor, &reply);
+        let word = word(outcome);
+        self.node
+            .metrics
+            .starts
+            .get_or_create(&metrics::Outcome { outcome: word })
+            .inc();
+        outcome
     }
 
     async fn stop_run(&self, key: Option<TaskKey>, task: TaskId, run: Run, executor: ExecutorKey) {
@@ -219,3 +227,19 @@
         self.note(executor, &reply);
     }
 }
+
+/// Returns a word for an answer to an order to start.
+const fn word(outcome: Outcome<StartAnswer>) -> &'static str {
+    match outcome {
+        Outcome::Answered(StartAnswer::Started) => "started",
+        Outcome::Answered(StartAnswer::NoRoom) => "no_room",
+        Outcome::Answered(StartAnswer::TooLate) => "too_late",
+        Outcome::Answered(StartAnswer::Superseded) => "superseded",
+        Outcome::Answered(StartAnswer::Unhealthy) => "unhealthy",
+        Outcome::Answered(StartAnswer::Invalid) => "invalid",
+        Outcome::Fenced => "fenced",
+        Outcome::Elsewhere => "elsewhere",
+        Outcome::NotSent => "not_sent",
+        Outcome::Answered(StartAnswer::Unanswered) | Outcome::Unanswered => "unanswered",
+    }
+}
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -11,6 +11,7 @@
 
 use super::Owner;
 use crate::events;
+use crate::metrics::Outcome;
 use crate::outside::Row;
 use crate::outside::StoreError;
 use crate::outside::Transaction;
@@ -60,12 +61,12 @@
         let now = self.now();
         let ended = self.book.borrow_mut().stored(batch, now);
         for job in ended {
-            events::job_ended(
-                job.id,
-                &job.state.to_string(),
-                job.after_ms,
-                job.objective_ms,
-            );
+            let outcome = job.state.word();
+            let metrics = &self.node.metrics;
+            metrics.jobs_ended.get_or_create(&Outcome { outcome }).inc();
+            let span = std::time::Duration::from_millis(job.after_ms);
+            metrics.job_seconds.observe(span.as_secs_f64());
+            events::job_ended(job.id, outcome, job.after_ms, job.objective_ms);
         }
         self.stored.notify_waiters();
         self.after_event();
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -10,6 +10,7 @@
 pub mod commit;
 pub mod feeds;
 pub mod looks;
+mod tell;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -111,6 +112,7 @@
 
     /// Lets everything follow that an event has made possible.
     pub fn after_event(self: &Rc<Self>) {
+        self.tell();
         calls::carry_out(self);
         looks::ensure(self);
         if self.book.borrow().has_changes() {
@@ -145,6 +147,7 @@
             }
             let now = self.now();
             let placed = self.book.borrow_mut().place(now, (self.node.unix_ms)());
+            self.tell();
             if placed > 0 {
                 self.changed.notify_one();
             }
--- /dev/null
+++ b/crates/dispatch/src/owner/tell.rs
@@ -0,0 +1,67 @@
+//! Tells of what the book decided: a line and a count each.
+
+use job::book::Book;
+use job::book::Note;
+use job::fleet::ExecutorKey;
+
+use super::Owner;
+use crate::events;
+use crate::metrics::Metrics;
+use crate::metrics::Outcome;
+
+impl Owner {
+    /// Logs and counts the decisions that have not been told of.
+    pub(super) fn tell(&self) {
+        let mut book = self.book.borrow_mut();
+        let notes = book.take_notes();
+        for note in notes {
+            tell(&book, &self.node.metrics, &note);
+        }
+    }
+}
+
+fn tell(book: &Book, metrics: &Metrics, note: &Note) {
+    match note {
+        Note::Placed {
+            job,
+            step,
+            tasks,
+            rank,
+        } => {
+            if let Some(job) = book.job(*job) {
+                let chance = rank.chance.to_string();
+                events::placed(job.id, *step, *tasks, &chance, rank.slack_ms);
+            }
+        }
+        Note::Failed {
+            task,
+            run,
+            executor,
+            failures,
+            attempts,
+        } => {
+            metrics.failed_runs.inc();
+            if let Some(id) = book.task_id(*task) {
+                events::run_failed(id, *run, name(book, *executor), *failures, *attempts);
+            }
+        }
+        Note::Lost {
+            task,
+            run,
+            executor,
+            why,
+        } => {
+            let outcome = why.word();
+            metrics.lost_runs.get_or_create(&Outcome { outcome }).inc();
+            if let Some(id) = book.task_id(*task) {
+                events::run_lost(id, *run, name(book, *executor), outcome);
+            }
+        }
+    }
+}
+
+fn name(book: &Book, executor: ExecutorKey) -> &str {
+    book.fleet
+        .get(executor)
+        .map_or("", |executor| &executor.listing.id)
+}
--- a/crates/job/src/book/executors.rs
+++ b/crates/job/src/book/executors.rs
@@ -5,6 +5,7 @@
 use model::Mono;
 
 use super::Book;
+use super::Loss;
 use super::TaskKey;
 use crate::fleet::ClockReading;
 use crate::fleet::ExecutorKey;
@@ -92,7 +93,7 @@
         match at.progress {
             Progress::Storing => {}
             _ if may_arrive => self.stop(key),
-            _ => self.release(key, now),
+            _ => self.lose(key, Loss::ExecutorRestarted, now),
         }
     }
 
@@ -150,7 +151,7 @@
             .filter(|key| !self.is_storing(*key))
             .collect();
         for key in lapsed {
-            self.release(key, now);
+            self.lose(key, Loss::LeaseLapsed, now);
         }
         let leaving: Vec<TaskKey> = self
             .fleet
--- a/crates/job/src/book/mod.rs
+++ b/crates/job/src/book/mod.rs
@@ -8,6 +8,7 @@
 
 mod executors;
 mod gang;
+mod note;
 mod orders;
 mod report;
 mod restore;
@@ -22,6 +23,8 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+pub use self::note::Loss;
+pub use self::note::Note;
 pub use self::orders::Order;
 pub use self::orders::StartAnswer;
 pub use self::report::End;
@@ -60,25 +63,33 @@
 
 /// How a job stands.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{}", self.word())]
 pub enum JobState {
     /// No task has started.
-    #[display("queued")]
     Queued,
     /// A task has started.
-    #[display("running")]
     Running,
     /// All tasks have ended well.
-    #[display("succeeded")]
     Succeeded,
     /// A task has failed as often as it may.
-    #[display("failed")]
     Failed,
     /// Its caller cancelled it.
-    #[display("cancelled")]
     Cancelled,
 }
 
 impl JobState {
+    /// Returns a word for it.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Succeeded => "succeeded",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+
     /// Returns whether nothing more will happen.
     #[must_use]
     pub const fn is_final(self) -> bool {
@@ -151,6 +162,7 @@
     open: Vec<JobKey>,
     dirty: Vec<JobKey>,
     orders: Vec<Order>,
+    notes: Vec<Note>,
 }
 
 impl Book {
@@ -168,6 +180,7 @@
             open: Vec::new(),
             dirty: Vec::new(),
             orders: Vec::new(),
+            notes: Vec::new(),
         }
     }
 
@@ -307,6 +320,31 @@
         self.jobs.get_mut(key.job)?.tasks.get_mut(key.slot as usize)
     }
 
+    /// Returns the decisions that have not been told of.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    pub(crate) fn note(&mut self, note: Note) {
+        self.notes.push(note);
+    }
+
+    /// Notes that a run is lost, and releases its task.
+    fn lose(&mut self, key: TaskKey, why: Loss, not_before: Mono) {
+        let at = self
+            .task(key)
+            .and_then(|task| Some((task.run, task.assignment()?.executor)));
+        if let Some((run, executor)) = at {
+            self.note(Note::Lost {
+                task: key,
+                run,
+                executor,
+                why,
+            });
+        }
+        self.release(key, not_before);
+    }
+
     /// Returns the steps whose turn has come and that have tasks waiting.
     #[must_use]
     pub fn ready_steps(&self, unix_ms: u64) -> Vec<ReadyStep> {
--- /dev/null
+++ b/crates/job/src/book/note.rs
@@ -0,0 +1,76 @@
+//! Decisions worth telling of: what an engineer needs to get from a job's name to its cause.
+
+use super::JobKey;
+use super::TaskKey;
+use crate::fleet::ExecutorKey;
+use crate::order::Rank;
+use crate::task::Run;
+
+/// One decision, with what decided it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// Tasks of a step were assigned to executors.
+    Placed {
+        /// The job.
+        job: JobKey,
+        /// The step.
+        step: u32,
+        /// How many tasks.
+        tasks: usize,
+        /// What put the step where it was in the order.
+        rank: Rank,
+    },
+    /// A run of a task failed.
+    Failed {
+        /// The task.
+        task: TaskKey,
+        /// The number of the start.
+        run: Run,
+        /// Where.
+        executor: ExecutorKey,
+        /// How many runs of the task have failed.
+        failures: u32,
+        /// After how many failures its job has failed.
+        attempts: u32,
+    },
+    /// A run was lost, and its task waits again.
+    Lost {
+        /// The task.
+        task: TaskKey,
+        /// The number of the start.
+        run: Run,
+        /// Where.
+        executor: ExecutorKey,
+        /// Why.
+        why: Loss,
+    },
+}
+
+/// Why a run was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// The executor could not be reached until its leases had lapsed.
+    LeaseLapsed,
+    /// The executor started anew.
+    ExecutorRestarted,
+    /// The executor answers and does not know the run.
+    UnknownToExecutor,
+    /// The run was interrupted: stopped, or its lease lapsed.
+    Interrupted,
+    /// The executor refused to start it.
+    Refused,
+}
+
+impl Loss {
+    /// Returns a word for it in logs and metrics.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::LeaseLapsed => "lease_lapsed",
+            Self::ExecutorRestarted => "executor_restarted",
+            Self::UnknownToExecutor => "unknown_to_executor",
+            Self::Interrupted => "interrupted",
+            Self::Refused => "refused",
+        }
+    }
+}
--- a/crates/job/src/book/orders.rs
+++ b/crates/job/src/book/orders.rs
@@ -7,6 +7,7 @@
 
 use super::Book;
 use super::JobState;
+use super::Loss;
 use super::TaskKey;
 use crate::fleet::ExecutorKey;
 use crate::id::TaskId;
@@ -190,7 +191,7 @@
         if unanswered {
             self.stop(key);
         } else {
-            self.release(key, now.after(START_RETRY));
+            self.lose(key, Loss::Refused, now.after(START_RETRY));
         }
     }
 
--- a/crates/job/src/book/report.rs
+++ b/crates/job/src/book/report.rs
@@ -7,6 +7,8 @@
 
 use super::Book;
 use super::JobState;
+use super::Loss;
+use super::Note;
 use super::Order;
 use super::TaskKey;
 use crate::fleet::ClockReading;
@@ -194,6 +196,14 @@
         self.release(key, now.after(FAILED_PAUSE));
         let attempts = self.attempts(key);
         let failures = self.failures(key);
+        let run = self.task(key).map_or(0, |task| task.run);
+        self.note(Note::Failed {
+            task: key,
+            run,
+            executor,
+            failures,
+            attempts,
+        });
         let open = self
             .jobs
             .get(key.job)
@@ -224,7 +234,7 @@
     }
 
     fn interrupted(&mut self, key: TaskKey, now: Mono) {
-        self.release(key, now);
+        self.lose(key, Loss::Interrupted, now);
     }
 
     fn running(&mut self, executor: ExecutorKey, run: &Running, now: Mono) {
@@ -290,7 +300,7 @@
             };
             let there = report.running.iter().any(|run| run.task == Some(id));
             if !there {
-                self.release(key, now);
+                self.lose(key, Loss::UnknownToExecutor, now);
             }
         }
     }
--- a/crates/job/src/order.rs
+++ b/crates/job/src/order.rs
@@ -9,6 +9,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use model::Mono;
 
 use crate::book::Book;
@@ -35,17 +36,22 @@
 }
 
 /// What a start now can still earn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Chance {
     /// It can meet its objective.
+    #[display("in_time")]
     InTime,
     /// It earns for as long as it runs.
+    #[display("lasting")]
     Lasting,
     /// It can meet its objective on processors that others leave.
+    #[display("in_time_filling")]
     InTimeFilling,
     /// It can still earn a part.
+    #[display("late")]
     Late,
     /// It can earn nothing.
+    #[display("hopeless")]
     Hopeless,
 }
 
--- a/crates/job/src/place.rs
+++ b/crates/job/src/place.rs
@@ -6,6 +6,7 @@
 
 use crate::book::Book;
 use crate::book::Job;
+use crate::book::Note;
 use crate::book::ReadyStep;
 use crate::book::TaskKey;
 use crate::fleet::Executor;
@@ -35,8 +36,17 @@
             .collect();
         steps.sort_by_key(|(rank, ready)| (*rank, ready.first_slot));
         let mut placed = 0;
-        for (_, ready) in steps {
-            placed += self.place_step(ready, now);
+        for (rank, ready) in steps {
+            let tasks = self.place_step(ready, now);
+            if tasks > 0 {
+                self.note(Note::Placed {
+                    job: ready.job,
+                    step: ready.step,
+                    tasks,
+                    rank,
+                });
+            }
+            placed += tasks;
             if placed >= MOST_A_ROUND {
                 break;
             }
--- a/crates/logs/src/json.rs
+++ b/crates/logs/src/json.rs
@@ -21,14 +21,23 @@
 use simplelog::Config;
 use simplelog::SharedLogger;
 
+use crate::budget::Admission;
+use crate::budget::Budget;
+
 /// Writes log lines as JSON.
 pub struct JsonLogger<W: Write + Send + 'static> {
     level: LevelFilter,
     daemon: String,
     clock: Clock,
     writer: Mutex<W>,
+    budget: Mutex<Budget>,
 }
 
+/// The most lines of one event in a second; a burst is told of by its first lines and a count.
+const LINES_PER_SECOND: u32 = 100;
+/// The field that names the kind of a line; lines without it are always written.
+const KIND: &str = "event";
+
 impl<W: Write + Send + 'static> JsonLogger<W> {
     /// Makes a logger whose lines carry the name of the daemon and the milliseconds since `clock`
     /// was started.
@@ -39,23 +48,40 @@
             daemon,
             clock,
             writer: Mutex::new(writer),
+            budget: Mutex::new(Budget::new(LINES_PER_SECOND)),
         })
     }
 
-    fn line(&self, record: &Record<'_>) -> String {
+    /// Returns the line, unless too many of its kind were written in this second.
+    fn line(&self, record: &Record<'_>) -> Option<String> {
         let mut fields = Fields(JsonMap::new());
         // A field that cannot be read is left out; the line is worth more without it than not at all.
         let _ = record.key_values().visit(&mut fields);
         let Fields(mut object) = fields;
-        object.insert("uptime_ms".into(), self.clock.now().0.into());
+        let uptime_ms = self.clock.now().0;
+        if let Some(kind) = object.get(KIND).and_then(Json::as_str) {
+            let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+            match budget.admit(kind, uptime_ms / 1_000) {
+                Admission::LeaveOut => return None,
+                Admission::Write { left_out: 0 } => {}
+                Admission::Write { left_out } => {
+                    drop(budget);
+                    object.insert("left_out".into(), left_out.into());
+                }
+            }
+        }
+        object.insert("uptime_ms".into(), uptime_ms.into());
         object.insert(
             "level".into(),
             record.level().as_str().to_lowercase().into(),
         );
         object.insert("daemon".into(), self.daemon.as_str().into());
         object.insert("target".into(), record.target().into());
-        object.insert("message".into(), record.args().to_string().into());
-        Json::Object(object).to_string()
+        let message = record.args().to_string();
+        if !message.is_empty() {
+            object.insert("message".into(), message.into());
+        }
+        Some(Json::Object(object).to_string())
     }
 }
 
@@ -68,7 +94,9 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let mut line = self.line(record);
+        let Some(mut line) = self.line(record) else {
+            return;
+        };
         line.push('\n');
         let mut writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
         // There is nowhere left to report a failing log to.
--- a/crates/logs/tests/all/main.rs
+++ b/crates/logs/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the log lines.
 
+mod budget;
 mod json;
 mod queue;
