--- a/crates/fireflynotch/src/args.rs
+++ b/crates/fireflynotch/src/args.rs
@@ -67,6 +67,9 @@
     /// Print the dump.
     #[options(help = "print the state of the daemon that is asked, as JSON")]
     Dump(Plain),
+    /// Tell a job's story.
+    #[options(help = "tell a job's story from log files: `explain ID [LOG...]`, or standard input")]
+    Explain(Explain),
     /// Speak of a worker.
     #[options(help = "say what is known of a worker: `worker lost NAME`")]
     Worker(Worker),
@@ -80,6 +83,20 @@
     pub help: bool,
 }
 
+/// Tells a job's story from the log lines of any number of processes.
+#[derive(Debug, Options)]
+pub struct Explain {
+    /// Print help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The job.
+    #[options(free, required, help = "the job's name")]
+    pub id: String,
+    /// The files.
+    #[options(free, help = "log files; standard input without any")]
+    pub logs: Vec<String>,
+}
+
 /// Shows what is wrong with a document and what it would change.
 #[derive(Debug, Options)]
 pub struct Check {
--- a/crates/fireflynotch/src/command.rs
+++ b/crates/fireflynotch/src/command.rs
@@ -39,6 +39,7 @@
 use crate::args::Worker;
 use crate::args::WorkerCommand;
 use crate::exit::Exit;
+use crate::explain;
 use crate::http::Client;
 use crate::http::Failure;
 use crate::show;
@@ -48,6 +49,10 @@
 
 /// Carries out a command.
 pub async fn run(command: &Command, args: &Args, environment: &Environment) -> Ran {
+    // It asks no daemon, so that it needs neither an address nor a token.
+    if let Command::Explain(options) = command {
+        return explain::run(options);
+    }
     let cx = match Run::new(args, environment) {
         Ok(cx) => cx,
         Err(ran) => return ran,
@@ -63,6 +68,7 @@
         Command::Drain(options) => cx.drain(options).await,
         Command::Dump(_) => cx.dump().await,
         Command::Worker(options) => cx.worker(options).await,
+        Command::Explain(options) => Ok(explain::run(options)),
     };
     ran.unwrap_or_else(|ended| ended)
 }
--- a/crates/fireflynotch/src/lib.rs
+++ b/crates/fireflynotch/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod args;
 pub mod command;
 pub mod exit;
+pub mod explain;
 pub mod http;
 pub mod show;
 pub mod table;
--- a/crates/fireflynotch/tests/all/main.rs
+++ b/crates/fireflynotch/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod commands;
 mod daemon;
+mod explain;
 mod faults;
