feat(dispatch): what was learned is stored for a successor, and an owner without the store is followed sooner

Changes: pairs are stored with a transaction every 3 s; an idle owner writes its row every 0.4 s (0.7 before), is doubted after 0.9 s without confirmation (1.5) and followed when its row stands still for 0.8 s (1.3).

--- a/crates/dispatch/src/owner/begin.rs
+++ b/crates/dispatch/src/owner/begin.rs
@@ -10,6 +10,7 @@
 use job::book::Spans;
 use job::book::Submission;
 use job::id::JobId;
+use job::interference::LearnedPair;
 use job::record::JobRecord;
 use job::record::SubmissionRecord;
 use model::Map;
@@ -63,6 +64,7 @@
     jobs: Vec<Row>,
     jobs_version: u64,
     runs: Vec<Row>,
+    learned: Vec<Row>,
 }
 
 /// Begins to own the executors.
@@ -109,6 +111,7 @@
         record: RefCell::new(claim.record.clone()),
         version: Cell::new(claim.version),
         confirmed: Cell::new(claim.sent),
+        learned_stored: Cell::new(claim.sent),
         changed: Notify::new(),
         stored: Notify::new(),
         place: Notify::new(),
@@ -163,11 +166,13 @@
     while node.now() < limit {
         let jobs = read_all(node, rows::JOBS_TABLE, rows::JOBS_PART).await;
         let runs = read_all(node, rows::RUNS_TABLE, rows::OWNED_PART).await;
-        if let (Ok((jobs, jobs_version)), Ok((runs, _))) = (jobs, runs) {
+        let learned = read_all(node, rows::LEARNED_TABLE, rows::OWNED_PART).await;
+        if let (Ok((jobs, jobs_version)), Ok((runs, _)), Ok((learned, _))) = (jobs, runs, learned) {
             return Some(Stored {
                 jobs,
                 jobs_version,
                 runs,
+                learned,
             });
         }
         tokio::time::sleep(READ_RETRY).await;
@@ -231,6 +236,14 @@
     for id in cancelled {
         book.cancel(id);
     }
+    for row in &stored.learned {
+        match serde_json::from_slice::<Vec<LearnedPair>>(row.value.as_deref().unwrap_or_default()) {
+            Ok(learned) => book.interference.restore(&learned),
+            Err(error) => {
+                events::unreadable(rows::LEARNED_TABLE, &row.key, &error.to_string());
+            }
+        }
+    }
 }
 
 fn run_record(row: &Row) -> Option<(JobId, JobRecord)> {
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -12,6 +12,7 @@
 use super::Owner;
 use crate::events;
 use crate::metrics::Outcome;
+use crate::outside::Place;
 use crate::outside::Row;
 use crate::outside::StoreError;
 use crate::outside::Transaction;
@@ -19,9 +20,11 @@
 use crate::rows::OwnerRecord;
 
 /// An owner with nothing to store writes its row this often, so that others see that it lives.
-const HEARTBEAT: Duration = Duration::from_millis(700);
+const HEARTBEAT: Duration = Duration::from_millis(400);
 /// The most jobs in one transaction; the store takes a hundred rows.
 const MOST_ROWS: usize = 90;
+/// How often what was learned is stored for a successor.
+const LEARNED_INTERVAL: Duration = Duration::from_secs(3);
 /// The pause before a transaction is sent again.
 const RETRY: Duration = Duration::from_millis(60);
 
@@ -89,6 +92,7 @@
                 .iter()
                 .map(|(id, row)| (rows::run_place(*id), row.clone())),
         );
+        puts.extend(self.learned());
         loop {
             let sent = self.now();
             let transaction = Transaction {
@@ -120,6 +124,21 @@
         }
     }
 
+    /// Returns the row with what was learned, if it is time to store it again.
+    fn learned(&self) -> Option<(Place, Vec<u8>)> {
+        let now = self.now();
+        if now.since(self.learned_stored.get()) < LEARNED_INTERVAL {
+            return None;
+        }
+        let learned = self.book.borrow().interference.learned();
+        if learned.is_empty() {
+            return None;
+        }
+        self.learned_stored.set(now);
+        let value = serde_json::to_vec(&learned).ok()?;
+        Some((rows::interference_place(), value))
+    }
+
     fn took_effect(&self, record: OwnerRecord, version: u64, sent: Mono) {
         self.version.set(version);
         self.confirmed.set(sent);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -56,6 +56,7 @@
     record: RefCell<OwnerRecord>,
     version: Cell<u64>,
     confirmed: Cell<Mono>,
+    learned_stored: Cell<Mono>,
     changed: Notify,
     stored: Notify,
     place: Notify,
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -4,6 +4,7 @@
 //! |---|---|---|---|---|
 //! | `owner` | `owned` | `owner` | who owns the executors, epoch, number of the last transaction | the owner, with each transaction |
 //! | `runs` | `owned` | job | what is stored of a job, `job::record::JobRecord` | the owner |
+//! | `learned` | `owned` | `interference` | which images disturb each other, `job::interference::LearnedPair` | the owner, now and then |
 //! | `jobs` | `jobs` | job | the job as it was accepted | the host that accepted it |
 //! | `jobs` | `jobs` | job + `-cancel` | that its caller cancelled it | the host that was told |
 //!
@@ -21,7 +22,11 @@
 pub const OWNER_TABLE: &str = "owner";
 /// The table with what is stored of jobs.
 pub const RUNS_TABLE: &str = "runs";
-/// The part of both.
+/// The table with what was learned.
+pub const LEARNED_TABLE: &str = "learned";
+/// The key of what was learned about images that disturb each other.
+pub const INTERFERENCE_KEY: &str = "interference";
+/// The part of all of them.
 pub const OWNED_PART: &str = "owned";
 /// The key of the owner's row.
 pub const OWNER_KEY: &str = "owner";
@@ -59,6 +64,16 @@
     }
 }
 
+/// Returns where lies what was learned about images that disturb each other.
+#[must_use]
+pub fn interference_place() -> Place {
+    Place {
+        table: LEARNED_TABLE,
+        part: OWNED_PART,
+        key: INTERFERENCE_KEY.to_owned(),
+    }
+}
+
 /// Returns where the record of a job lies.
 #[must_use]
 pub fn run_place(id: JobId) -> Place {
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -26,15 +26,15 @@
 use crate::rows::OwnerRecord;
 
 /// How often the owner is asked for a sign of life.
-const PING_INTERVAL: Duration = Duration::from_millis(400);
+const PING_INTERVAL: Duration = Duration::from_millis(300);
 /// How long it may take to answer.
-const PING_TIMEOUT: Duration = Duration::from_millis(600);
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// An owner that the store has not confirmed for so long is doubted.
-const CONFIRMED_WITHIN_MS: u64 = 1_500;
+const CONFIRMED_WITHIN_MS: u64 = 900;
 /// How long the owner's row has to stand still over successful reads.
-const LAPSE: Duration = Duration::from_millis(1_300);
+const LAPSE: Duration = Duration::from_millis(800);
 /// How often the row of a doubted owner is read.
-const DOUBT_INTERVAL: Duration = Duration::from_millis(250);
+const DOUBT_INTERVAL: Duration = Duration::from_millis(200);
 /// The pause after the store did not answer.
 const RETRY: Duration = Duration::from_millis(200);
 /// Hosts far from the store wait this many round trips before they claim, so that one near it does.
--- a/crates/job/src/interference.rs
+++ b/crates/job/src/interference.rs
@@ -12,6 +12,8 @@
 
 use model::Map;
 use model::Mono;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::book::Book;
 use crate::book::TaskKey;
@@ -25,6 +27,8 @@
 const NOISE_VARIANCE: f64 = 0.15 * 0.15;
 /// How much a weight may have changed since it was learned, for each observation.
 const DRIFT_VARIANCE: f64 = 0.002;
+/// How much more uncertain a weight is that an earlier owner stored.
+const AGED_VARIANCE: f64 = 0.1;
 /// Two reports that are closer share their windows.
 const SHORTEST: Duration = Duration::from_millis(450);
 /// Two reports that are farther apart differ by the service's own load.
@@ -61,6 +65,23 @@
     pairs: Map<(ImageKey, ImageKey), Weight>,
 }
 
+/// What is known of one pair, to be stored for a successor.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LearnedPair {
+    /// The image that serves.
+    #[serde(rename = "s")]
+    pub serving: Arc<str>,
+    /// The image that fills.
+    #[serde(rename = "f")]
+    pub filling: Arc<str>,
+    /// The estimate of its weight.
+    #[serde(rename = "m")]
+    pub mean: f64,
+    /// How uncertain it is.
+    #[serde(rename = "v")]
+    pub variance: f64,
+}
+
 /// What an executor showed when it was last learned from.
 #[derive(Clone, Debug, Default)]
 pub struct Baseline {
@@ -100,6 +121,42 @@
         weight.mean.max(0.0) + weight.variance.sqrt()
     }
 
+    /// Returns all pairs that were learned about.
+    #[must_use]
+    pub fn learned(&self) -> Vec<LearnedPair> {
+        let names: Map<ImageKey, &Arc<str>> =
+            self.images.iter().map(|(name, key)| (*key, name)).collect();
+        let mut learned: Vec<LearnedPair> = self
+            .pairs
+            .iter()
+            .filter_map(|((serving, filling), weight)| {
+                Some(LearnedPair {
+                    serving: (*names.get(serving)?).clone(),
+                    filling: (*names.get(filling)?).clone(),
+                    mean: rounded(weight.mean),
+                    variance: rounded(weight.variance),
+                })
+            })
+            .collect();
+        learned.sort_by(|left, right| {
+            (&left.serving, &left.filling).cmp(&(&right.serving, &right.filling))
+        });
+        learned
+    }
+
+    /// Takes in what an earlier owner had learned.
+    pub fn restore(&mut self, learned: &[LearnedPair]) {
+        for pair in learned {
+            let serving = self.image(&pair.serving);
+            let filling = self.image(&pair.filling);
+            let weight = Weight {
+                mean: pair.mean,
+                variance: (pair.variance + AGED_VARIANCE).min(PRIOR_VARIANCE),
+            };
+            self.pairs.insert((serving, filling), weight);
+        }
+    }
+
     /// Learns from a tail's logarithm that moved by `moved` while the use of filling images moved by
     /// `changes`, as parts of the executor.
     fn learn(&mut self, serving: ImageKey, changes: &[(ImageKey, f64)], moved: f64) {
@@ -189,6 +246,11 @@
     }
 }
 
+/// Three digits are enough to go on from, and keep the row small.
+fn rounded(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
+
 fn changes(earlier: &Map<ImageKey, f64>, now: &Map<ImageKey, f64>) -> Vec<(ImageKey, f64)> {
     let mut changes = Vec::new();
     for (image, used) in now {
--- a/crates/job/tests/all/interference.rs
+++ b/crates/job/tests/all/interference.rs
@@ -195,3 +195,22 @@
     world.pass(500);
     assert_eq!(world.place(), 1);
 }
+
+#[test]
+fn a_successor_knows_what_was_learned() {
+    let mut world = world();
+    for round in 0..6 {
+        world.pass(500);
+        let busy = round % 2 == 1;
+        let tail = if busy { 55 } else { 20 };
+        report(&mut world, tail, if busy { 4_000 } else { 0 });
+    }
+    let text = serde_json::to_string(&world.book.interference.learned()).expect("a row");
+    let learned: Vec<job::interference::LearnedPair> =
+        serde_json::from_str(&text).expect("what was learned");
+    let mut next = World::new(1);
+    next.book.interference.restore(&learned);
+    let before = weight(&world, "web", "batch");
+    let after = weight(&next, "web", "batch");
+    assert!((before - after).abs() < 0.01, "{before} {after}");
+}
