--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of whole hosts on a paused clock, with a store and executors that fail as a test wants.
 
 mod callers;
+mod chaos;
 mod executor;
 mod owners;
 mod store;
