--- a/crates/fireflynotch/src/explain.rs
+++ b/crates/fireflynotch/src/explain.rs
@@ -14,7 +14,7 @@
 use crate::exit::Exit;
 
 /// Events that touch all jobs and are shown while a job lives.
-const SHARED: [&str; 4] = ["takeover", "owner_ended", "dependency", "document"];
+const SHARED: [&str; 3] = ["takeover", "owner_ended", "dependency"];
 /// Fields that are shown in a column of their own, or to nobody.
 const COLUMNS: [&str; 7] = [
     "event",
--- a/crates/job/src/place.rs
+++ b/crates/job/src/place.rs
@@ -116,7 +116,12 @@
 
     fn best_executor(&self, key: TaskKey, step: &StepSpec, now: Mono) -> Option<ExecutorKey> {
         let job = self.job(key.job)?;
-        let service = &self.plan.queue(&job.queue)?.service;
+        let queue = self.plan.queue(&job.queue)?;
+        if queue.advised {
+            // Without the advisor's consent every start would be refused.
+            return None;
+        }
+        let service = &queue.service;
         let failed_on = self.task(key)?.failed_on;
         self.fleet
             .iter()
