--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -274,7 +274,7 @@
 async fn read_job(node: &Node, id: JobId) -> Result<Vec<Row>, StoreError> {
     let range = Range {
         table: rows::JOBS_TABLE,
-        part: rows::JOBS_PART,
+        part: rows::jobs_part(id),
         from: id.to_string(),
         to: Some(format!("{id}~")),
     };
--- a/crates/dispatch/src/owner/begin.rs
+++ b/crates/dispatch/src/owner/begin.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use job::book::Book;
 use job::book::Spans;
 use job::book::Submission;
@@ -164,7 +165,7 @@
 async fn read_stored(node: &Node) -> Option<Stored> {
     let limit = node.now().after(READ_LIMIT);
     while node.now() < limit {
-        let jobs = read_all(node, rows::JOBS_TABLE, rows::JOBS_PART).await;
+        let jobs = read_jobs(node).await;
         let runs = read_all(node, rows::RUNS_TABLE, rows::OWNED_PART).await;
         let learned = read_all(node, rows::LEARNED_TABLE, rows::OWNED_PART).await;
         if let (Ok((jobs, jobs_version)), Ok((runs, _)), Ok((learned, _))) = (jobs, runs, learned) {
@@ -180,8 +181,22 @@
     None
 }
 
+/// Reads all accepted jobs and cancellations, and the version from which changes to them can be
+/// followed.
+pub(super) async fn read_jobs(node: &Node) -> Result<(Vec<Row>, u64), StoreError> {
+    let parts = rows::JOBS_PARTS.map(|part| read_all(node, rows::JOBS_TABLE, part));
+    let mut all = Vec::new();
+    let mut oldest = u64::MAX;
+    for part in join_all(parts).await {
+        let (rows, version) = part?;
+        all.extend(rows);
+        oldest = oldest.min(version);
+    }
+    Ok((all, oldest))
+}
+
 /// Reads all rows of a part, and the version from which changes to them can be followed.
-pub(super) async fn read_all(
+async fn read_all(
     node: &Node,
     table: &'static str,
     part: &'static str,
--- a/crates/dispatch/src/owner/feeds.rs
+++ b/crates/dispatch/src/owner/feeds.rs
@@ -34,7 +34,7 @@
                     .await
                     .map(|page| (page.rows, page.version))
             }
-            None => begin::read_all(&owner.node, rows::JOBS_TABLE, rows::JOBS_PART).await,
+            None => begin::read_jobs(&owner.node).await,
         };
         if owner.stop.is_cancelled() {
             return;
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -5,8 +5,8 @@
 //! | `owner` | `owned` | `owner` | who owns the executors, epoch, number of the last transaction | the owner, with each transaction |
 //! | `runs` | `owned` | job | what is stored of a job, `job::record::JobRecord` | the owner |
 //! | `learned` | `owned` | `interference` | which images disturb each other, `job::interference::LearnedPair` | the owner, now and then |
-//! | `jobs` | `jobs` | job | the job as it was accepted | the host that accepted it |
-//! | `jobs` | `jobs` | job + `-cancel` | that its caller cancelled it | the host that was told |
+//! | `jobs` | `jobs-`digit | job | the job as it was accepted | the host that accepted it |
+//! | `jobs` | `jobs-`digit | job + `-cancel` | that its caller cancelled it | the host that was told |
 //!
 //! The owner's row changes with each of its transactions, which expects the version before. So a
 //! copy of a transaction that is late changes nothing, and a successor that saw the row change knows
@@ -32,8 +32,12 @@
 pub const OWNER_KEY: &str = "owner";
 /// The table with accepted jobs and cancellations.
 pub const JOBS_TABLE: &str = "jobs";
-/// Its part.
-pub const JOBS_PART: &str = "jobs";
+/// Its parts. A part carries out its transactions one after another, and a slow store makes each of
+/// them longer, so that jobs are spread over many by the last digit of their names.
+pub const JOBS_PARTS: [&str; 16] = [
+    "jobs-0", "jobs-1", "jobs-2", "jobs-3", "jobs-4", "jobs-5", "jobs-6", "jobs-7", "jobs-8",
+    "jobs-9", "jobs-a", "jobs-b", "jobs-c", "jobs-d", "jobs-e", "jobs-f",
+];
 /// What the key of a cancellation ends with.
 const CANCEL_SUFFIX: &str = "-cancel";
 
@@ -84,12 +88,24 @@
     }
 }
 
+/// Returns the part of the table of jobs that a job lies in.
+#[must_use]
+pub fn jobs_part(id: JobId) -> &'static str {
+    let digit = id
+        .as_str()
+        .chars()
+        .last()
+        .and_then(|last| last.to_digit(16));
+    let index = digit.and_then(|digit| usize::try_from(digit).ok());
+    JOBS_PARTS[index.unwrap_or(0)]
+}
+
 /// Returns where an accepted job lies.
 #[must_use]
 pub fn job_place(id: JobId) -> Place {
     Place {
         table: JOBS_TABLE,
-        part: JOBS_PART,
+        part: jobs_part(id),
         key: id.to_string(),
     }
 }
@@ -99,7 +115,7 @@
 pub fn cancel_place(id: JobId) -> Place {
     Place {
         table: JOBS_TABLE,
-        part: JOBS_PART,
+        part: jobs_part(id),
         key: format!("{id}{CANCEL_SUFFIX}"),
     }
 }
--- a/crates/job/src/book/mod.rs
+++ b/crates/job/src/book/mod.rs
@@ -8,6 +8,7 @@
 
 mod executors;
 mod gang;
+mod job;
 mod note;
 mod orders;
 mod report;
@@ -17,12 +18,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use derive_more::Display;
 use model::Map;
 use model::Mono;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+pub use self::job::Job;
+pub use self::job::JobState;
 pub use self::note::Loss;
 pub use self::note::Note;
 pub use self::orders::Order;
@@ -41,7 +43,6 @@
 use crate::interference::Interference;
 use crate::plan::Plan;
 use crate::sizes::Durations;
-use crate::spec::JobSpec;
 use crate::spec::StepSpec;
 use crate::task::Phase;
 use crate::task::Progress;
@@ -61,67 +62,6 @@
     pub slot: u32,
 }
 
-/// How a job stands.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-#[display("{}", self.word())]
-pub enum JobState {
-    /// No task has started.
-    Queued,
-    /// A task has started.
-    Running,
-    /// All tasks have ended well.
-    Succeeded,
-    /// A task has failed as often as it may.
-    Failed,
-    /// Its caller cancelled it.
-    Cancelled,
-}
-
-impl JobState {
-    /// Returns a word for it.
-    #[must_use]
-    pub const fn word(self) -> &'static str {
-        match self {
-            Self::Queued => "queued",
-            Self::Running => "running",
-            Self::Succeeded => "succeeded",
-            Self::Failed => "failed",
-            Self::Cancelled => "cancelled",
-        }
-    }
-
-    /// Returns whether nothing more will happen.
-    #[must_use]
-    pub const fn is_final(self) -> bool {
-        matches!(self, Self::Succeeded | Self::Failed | Self::Cancelled)
-    }
-}
-
-/// One job.
-#[derive(Clone, Debug)]
-pub struct Job {
-    /// Its name.
-    pub id: JobId,
-    /// The name of its queue.
-    pub queue: Arc<str>,
-    /// What it consists of.
-    pub spec: Arc<JobSpec>,
-    /// When it arrived, by this owner's clock.
-    pub arrived: Mono,
-    /// How it stands.
-    pub state: JobState,
-    /// How it stands according to the store, which is what callers are told of a final state.
-    pub stored: JobState,
-    /// Its tasks, occurrence by occurrence and step by step.
-    pub tasks: Vec<Task>,
-    /// How many tasks of each occurrence and step have not ended well.
-    left: Vec<u32>,
-    /// Tasks that wait.
-    waiting: u32,
-    /// Whether its row has to be written.
-    dirty: bool,
-}
-
 /// The steps of one occurrence that can start tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadyStep {
@@ -442,12 +382,20 @@
             return;
         };
         job.state = state;
+        self.mark_dirty(key);
+        self.stop_all(key);
+    }
+
+    /// Has everything stopped that a job runs.
+    fn stop_all(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
         let assigned: Vec<u32> = (0_u32..)
             .zip(&job.tasks)
             .filter(|(_, task)| task.assignment().is_some())
             .map(|(slot, _)| slot)
             .collect();
-        self.mark_dirty(key);
         for slot in assigned {
             self.stop(TaskKey { job: key, slot });
         }
@@ -462,91 +410,3 @@
         }
     }
 }
-
-impl Job {
-    /// Returns the place of a step's count among those of all occurrences.
-    fn group(&self, occurrence: u32, step: u32) -> usize {
-        occurrence as usize * self.spec.steps.len() + step as usize
-    }
-
-    /// Returns the slot of the first task of a step.
-    #[must_use]
-    pub fn first_slot(&self, occurrence: u32, step: u32) -> u32 {
-        let before: u32 = self.spec.steps[..step as usize]
-            .iter()
-            .map(|step| step.count)
-            .sum();
-        let each = u32::try_from(self.spec.tasks_each()).unwrap_or(u32::MAX);
-        occurrence * each + before
-    }
-
-    /// Returns occurrence, step and index of a task.
-    #[must_use]
-    pub fn locate(&self, slot: u32) -> Option<(u32, u32, u32)> {
-        let each = u32::try_from(self.spec.tasks_each()).ok()?;
-        let occurrence = slot.checked_div(each)?;
-        let mut index = slot % each;
-        for (step, spec) in (0_u32..).zip(&self.spec.steps) {
-            if index < spec.count {
-                return Some((occurrence, step, index));
-            }
-            index -= spec.count;
-        }
-        None
-    }
-
-    fn ready_steps(&self, job: JobKey, unix_ms: u64, ready: &mut Vec<ReadyStep>) {
-        for occurrence in 0..self.spec.occurrences() {
-            if !self.is_due(occurrence, unix_ms) {
-                return;
-            }
-            for (step, spec) in (0_u32..).zip(&self.spec.steps) {
-                let open = self.left[self.group(occurrence, step)] > 0;
-                let waits = spec
-                    .after
-                    .iter()
-                    .any(|after| self.left[self.group(occurrence, *after)] > 0);
-                if open && !waits {
-                    ready.push(ReadyStep {
-                        job,
-                        occurrence,
-                        step,
-                        first_slot: self.first_slot(occurrence, step),
-                    });
-                }
-            }
-        }
-    }
-
-    fn is_due(&self, occurrence: u32, unix_ms: u64) -> bool {
-        self.spec.repeat.is_none_or(|repeat| {
-            let due = repeat.first_due_unix_ms + u64::from(occurrence) * repeat.interval_ms;
-            unix_ms >= due
-        })
-    }
-
-    /// Returns the estimated work that is left, in thousandths of a core times milliseconds.
-    #[must_use]
-    pub fn work_left(&self) -> u64 {
-        let steps = self.spec.steps.iter().cycle();
-        self.left
-            .iter()
-            .zip(steps)
-            .map(|(left, step)| u64::from(*left) * step.size.cpu_millis * step.estimate_ms)
-            .sum()
-    }
-
-    /// Returns the estimated time of work from the start of this step on, in milliseconds.
-    #[must_use]
-    pub fn chain_from(&self, step: u32) -> u64 {
-        let mut longest = vec![0_u64; self.spec.steps.len()];
-        for (at, spec) in self.spec.steps.iter().enumerate().rev() {
-            longest[at] += spec.estimate_ms;
-            for after in &spec.after {
-                let before = *after as usize;
-                longest[before] = longest[before].max(longest[at]);
-            }
-        }
-        longest.get(step as usize).copied().unwrap_or(0)
-    }
-}
--- a/crates/job/src/book/restore.rs
+++ b/crates/job/src/book/restore.rs
@@ -115,13 +115,6 @@
         if job.state == JobState::Succeeded {
             self.open.retain(|open| *open != key);
         }
-        let slots: Vec<u32> = (0_u32..)
-            .zip(&job.tasks)
-            .filter(|(_, task)| task.assignment().is_some())
-            .map(|(slot, _)| slot)
-            .collect();
-        for slot in slots {
-            self.stop(TaskKey { job: key, slot });
-        }
+        self.stop_all(key);
     }
 }
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -77,7 +77,7 @@
     /// How many tasks of a lasting step may be away at once through our doing; without it there is
     /// no limit.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub may_miss: Option<u32>,
+    pub most_away: Option<u32>,
 }
 
 /// When a job runs.
