--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -112,6 +112,7 @@
             book.report(key, &report, sent, now);
             book.learn_interference(key, now);
             book.pace_after_report(key, now);
+            book.stop_stalled(key, now);
             if !was_reachable {
                 log_executor(&book, key);
             }
--- a/crates/job/src/book/mod.rs
+++ b/crates/job/src/book/mod.rs
@@ -44,6 +44,7 @@
 use crate::plan::Plan;
 use crate::sizes::Durations;
 use crate::spec::StepSpec;
+use crate::task::Assignment;
 use crate::task::Phase;
 use crate::task::Progress;
 use crate::task::Task;
@@ -285,6 +286,17 @@
         self.release(key, not_before);
     }
 
+    pub(crate) fn assignment_mut(&mut self, key: TaskKey) -> Option<&mut Assignment> {
+        self.task_mut(key)?.assignment_mut()
+    }
+
+    /// Notes an executor that a task had better not start on again.
+    pub(crate) fn set_failed_on(&mut self, key: TaskKey, executor: ExecutorKey) {
+        if let Some(task) = self.task_mut(key) {
+            task.failed_on = Some(executor);
+        }
+    }
+
     /// Returns the steps whose turn has come and that have tasks waiting.
     #[must_use]
     pub fn ready_steps(&self, unix_ms: u64) -> Vec<ReadyStep> {
@@ -314,7 +326,7 @@
             return;
         };
         task.run = run;
-        task.phase = Phase::Assigned(crate::task::Assignment {
+        task.phase = Phase::Assigned(Assignment {
             executor,
             progress: Progress::Storing,
             since: now,
@@ -322,6 +334,7 @@
             unanswered: false,
             percent: 100,
             seen: None,
+            judged: None,
         });
         self.reserve(key, executor);
         if let Some(job) = self.jobs.get_mut(key.job) {
--- a/crates/job/src/book/restore.rs
+++ b/crates/job/src/book/restore.rs
@@ -100,6 +100,7 @@
             unanswered: true,
             percent: 100,
             seen: None,
+            judged: None,
         });
         self.reserve(key, executor);
     }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod record;
 pub mod sizes;
 pub mod spec;
+pub mod stall;
 pub mod task;
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -5,6 +5,7 @@
 use model::Mono;
 
 use crate::fleet::ExecutorKey;
+use crate::stall::Judged;
 
 /// The number of a task's start; it rises with each start of the task, whoever starts it.
 pub type Run = u64;
@@ -55,6 +56,8 @@
     pub percent: u32,
     /// What the executor last said about it, if it did.
     pub seen: Option<Seen>,
+    /// Its progress when it was last judged whether it stands still.
+    pub judged: Option<Judged>,
 }
 
 /// How far a start has come.
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod life;
 mod placement;
 mod record;
+mod stall;
