--- a/crates/job/src/book/orders.rs
+++ b/crates/job/src/book/orders.rs
@@ -11,6 +11,7 @@
 use super::TaskKey;
 use crate::fleet::ExecutorKey;
 use crate::id::TaskId;
+use crate::task::Assignment;
 use crate::task::Progress;
 use crate::task::Run;
 
@@ -126,30 +127,40 @@
         });
     }
 
-    /// Returns whether an order to start is still wanted.
+    /// Returns whether an order to start is still wanted: not once its task is to stop, nor once its
+    /// executor is about to leave.
     #[must_use]
     pub fn wants_start(&self, key: TaskKey, run: Run) -> bool {
-        self.task(key).is_some_and(|task| {
-            task.run == run
-                && task
-                    .assignment()
-                    .is_some_and(|at| at.progress == Progress::Ordered && !at.stopping)
-        })
+        let Some(at) = self.ordered(key, run) else {
+            return false;
+        };
+        let leaves = self
+            .fleet
+            .get(at.executor)
+            .is_none_or(|executor| executor.listing.draining);
+        !at.stopping && !leaves
     }
 
-    /// Drops an order to start that was never sent, as the task was to stop meanwhile.
+    /// Takes back an order to start that is no longer wanted. If it was sent and has no answer, it may
+    /// still be carried out, so that the run is stopped.
     pub fn start_withdrawn(&mut self, key: TaskKey, run: Run, now: Mono) {
-        let unsent = self.task(key).is_some_and(|task| {
-            task.run == run
-                && task
-                    .assignment()
-                    .is_some_and(|at| at.progress == Progress::Ordered && !at.unanswered)
-        });
-        if unsent {
+        let Some(at) = self.ordered(key, run) else {
+            return;
+        };
+        if !at.unanswered {
             self.release(key, now);
+        } else if !at.stopping {
+            self.stop(key);
         }
     }
 
+    /// Returns the assignment of a run whose order to start is out and not confirmed.
+    fn ordered(&self, key: TaskKey, run: Run) -> Option<&Assignment> {
+        let task = self.task(key).filter(|task| task.run == run)?;
+        task.assignment()
+            .filter(|at| at.progress == Progress::Ordered)
+    }
+
     /// Takes in what an executor answered to an order to start.
     pub fn start_answered(&mut self, key: TaskKey, run: Run, answer: StartAnswer, now: Mono) {
         let current = self.task(key).is_some_and(|task| task.run == run);
--- a/crates/job/tests/all/life.rs
+++ b/crates/job/tests/all/life.rs
@@ -6,6 +6,7 @@
 use job::book::StartAnswer;
 
 use crate::fixture::World;
+use crate::fixture::listing;
 use crate::fixture::step;
 
 #[test]
@@ -206,3 +207,37 @@
     assert_eq!(world.place(), 1);
     assert_eq!(world.book.open_jobs().count(), 1);
 }
+
+/// The load pattern: orders wait behind others that an executor does not answer, and it begins to leave.
+#[test]
+fn an_order_that_waited_until_its_executor_began_to_leave_is_not_sent() {
+    for was_sent in [false, true] {
+        let mut world = World::new(1);
+        world.submit(1, vec![step(1, 4, 60_000)]);
+        world.place();
+        world.store();
+        let orders = world.book.take_orders();
+        let [Order::Start { key, run, .. }] = &orders[..] else {
+            panic!("one start, got {orders:?}");
+        };
+        assert!(world.book.wants_start(*key, *run));
+        if was_sent {
+            world
+                .book
+                .start_answered(*key, *run, StartAnswer::Unanswered, world.now);
+        }
+        let mut leaving = listing(1);
+        leaving.draining = true;
+        world.list(vec![leaving]);
+        assert!(!world.book.wants_start(*key, *run));
+        world.book.start_withdrawn(*key, *run, world.now);
+        let stops = world.book.take_orders();
+        if was_sent {
+            assert!(matches!(&stops[..], [Order::Stop { .. }]), "{stops:?}");
+            assert_eq!(world.tasks_on(1).len(), 1, "it may still start there");
+        } else {
+            assert!(stops.is_empty());
+            assert_eq!(world.tasks_on(1).len(), 0);
+        }
+    }
+}
