fix(dispatch): only a process at the same address takes an owner of its name for its own earlier life

Cause, found in reading: a host that was replaced under its name at another address took the former for dead, though it may still live, and did not wait for its leases on executors that it cannot reach. Both places now ask one function, which compares the address as well.

--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -31,6 +31,15 @@
     pub strength: Strength,
 }
 
+impl Identity {
+    /// Returns whether an owner was this process or an earlier life of it, which has ended. A process
+    /// of the same name at another address may still live.
+    #[must_use]
+    pub fn succeeds(&self, owner: &OwnerRecord) -> bool {
+        owner.host == self.host && owner.address == self.peer_address
+    }
+}
+
 /// What a host can bear.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Strength {
--- a/crates/dispatch/src/owner/begin.rs
+++ b/crates/dispatch/src/owner/begin.rs
@@ -140,7 +140,7 @@
 /// for as long as it could go on unconfirmed.
 async fn settle_earlier(owner: Rc<Owner>, earlier: OwnerRecord, assumed: Mono, lease: Duration) {
     let node = &owner.node;
-    let is_over = earlier.epoch == 0 || earlier.released || earlier.host == node.identity.host;
+    let is_over = earlier.epoch == 0 || earlier.released || node.identity.succeeds(&earlier);
     let address: Arc<str> = earlier.address.as_str().into();
     let question = Question::Superseded(owner.epoch);
     let mut stopped = is_over;
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -111,7 +111,7 @@
     *node.known_owner.borrow_mut() = Some(seen.record.clone());
     node.highest_epoch
         .set(node.highest_epoch.get().max(seen.record.epoch));
-    let own_earlier_life = seen.record.host == node.identity.host;
+    let own_earlier_life = node.identity.succeeds(&seen.record);
     if own_earlier_life || seen.record.released {
         if !own_earlier_life {
             tokio::time::sleep(stagger(node, round_trip)).await;
