perf(job): one assessment of the executors a step, and none for what is known not to fit

Now the executors are assessed once a step, the best candidate is assessed again when it is taken (CandidatePool); a round remembers demands that found no executor (Round); services are summed by image on each executor. No decision changes but among equal candidates.

--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -65,6 +65,8 @@
     pub long_running_cpu_millis: u64,
     /// CPU in thousandths of a core requested by best-effort tasks.
     pub best_effort_cpu_millis: u64,
+    /// The services on the executor, by image.
+    pub services: Vec<ServiceLoad>,
     /// The tasks assigned to the executor.
     pub tasks: Set<TaskKey>,
     /// The most recent reading of the executor's clock.
@@ -99,6 +101,17 @@
     pub failed_jobs: Vec<crate::scheduler::JobKey>,
 }
 
+/// The tasks of one service image on an executor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceLoad {
+    /// The image.
+    pub image: Arc<str>,
+    /// The CPU in thousandths of a core allocated to the tasks.
+    pub cpu_millis: u64,
+    /// The number of tasks.
+    pub tasks: u32,
+}
+
 /// A reading of an executor's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockReading {
@@ -174,6 +187,30 @@
         first.map_or(sequence, |first| sequence.min(first - 1))
     }
 
+    /// Adds a service task to the loads by image.
+    pub(crate) fn add_service(&mut self, image: &Arc<str>, cpu_millis: u64) {
+        let known = self.services.iter_mut().find(|load| load.image == *image);
+        if let Some(load) = known {
+            load.cpu_millis += cpu_millis;
+            load.tasks += 1;
+        } else {
+            self.services.push(ServiceLoad {
+                image: image.clone(),
+                cpu_millis,
+                tasks: 1,
+            });
+        }
+    }
+
+    /// Removes a service task from the loads by image.
+    pub(crate) fn remove_service(&mut self, image: &Arc<str>, cpu_millis: u64) {
+        if let Some(load) = self.services.iter_mut().find(|load| load.image == *image) {
+            load.cpu_millis = load.cpu_millis.saturating_sub(cpu_millis);
+            load.tasks -= 1;
+        }
+        self.services.retain(|load| load.tasks > 0);
+    }
+
     /// Returns whether the executor has this label.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
@@ -222,6 +259,18 @@
         key
     }
 
+    /// Returns the number of executors.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.executors.len()
+    }
+
+    /// Returns whether there are no executors.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.executors.is_empty()
+    }
+
     /// Iterates over all executors.
     pub fn iter(&self) -> impl Iterator<Item = (ExecutorKey, &Executor)> {
         self.executors.iter()
--- a/crates/job/src/placement.rs
+++ b/crates/job/src/placement/mod.rs
@@ -1,9 +1,15 @@
 //! Selects which waiting tasks start next, and on which executors.
 
+mod pool;
+mod round;
+
 use std::cmp::Ordering;
 
 use model::Mono;
 
+use self::pool::CandidatePool;
+use self::round::Demand;
+pub(crate) use self::round::Round;
 use crate::fleet::Executor;
 use crate::fleet::ExecutorKey;
 use crate::ranking::Rank;
@@ -51,7 +57,7 @@
     /// Assigns waiting tasks to executors in the order of their rank. Returns the number of tasks
     /// assigned.
     pub fn place(&mut self, now: Mono, unix_ms: u64) -> usize {
-        self.release_stale_reservations(now);
+        let mut round = Round::new(self.release_stale_reservations(now));
         let mut steps: Vec<(Rank, ReadyStep)> = self
             .ready_steps(unix_ms)
             .into_iter()
@@ -62,7 +68,7 @@
         steps.sort_by_key(|(rank, ready)| (*rank, ready.first_slot));
         let mut placed = 0;
         for (rank, ready) in steps {
-            let tasks = self.place_step(ready, now);
+            let tasks = self.place_step(ready, &mut round, now);
             if tasks > 0 {
                 self.record_event(Event::Placed {
                     job: ready.job,
@@ -79,7 +85,7 @@
         placed
     }
 
-    fn place_step(&mut self, ready: ReadyStep, now: Mono) -> usize {
+    fn place_step(&mut self, ready: ReadyStep, round: &mut Round, now: Mono) -> usize {
         let Some(job) = self.job(ready.job) else {
             return 0;
         };
@@ -88,6 +94,9 @@
         if step.gang {
             return self.place_gang(ready, step, now);
         }
+        let queue = self.plan.queue(&job.queue);
+        let demand = queue.and_then(|queue| Demand::new(queue, step));
+        let mut pool = None;
         let mut placed = 0;
         for slot in ready.first_slot..ready.first_slot + step.count {
             let key = TaskKey {
@@ -97,17 +106,44 @@
             if !self.may_start(key, now) {
                 continue;
             }
-            let Some(executor) = self.best_executor(key, step, now) else {
+            let shared = demand
+                .as_ref()
+                .filter(|_| self.is_interchangeable(key, round));
+            let executor = match shared {
+                None => self.best_executor(key, step, now),
+                Some(demand) if round.is_unmet(demand) => None,
+                Some(demand) => {
+                    let pool = pool
+                        .get_or_insert_with(|| CandidatePool::new(self.candidates(key, step, now)));
+                    let best = pool.take_best(|executor| self.assess(executor, key, step, now));
+                    if best.is_none() {
+                        round.add_unmet(demand.clone());
+                    }
+                    best
+                }
+            };
+            let Some(executor) = executor else {
                 self.request_advice(ready, key, now);
-                self.reserve_executor_for(key, step, now);
+                self.reserve_executor_for(key, step, round, now);
                 break;
             };
             self.assign(key, executor, now);
             placed += 1;
+            if let Some(pool) = &mut pool
+                && let Some(preference) = self.assess(executor, key, step, now)
+            {
+                pool.add(executor, preference);
+            }
         }
         placed
     }
 
+    /// Returns whether a task suits every executor as well as the other tasks of its step do.
+    fn is_interchangeable(&self, key: TaskKey, round: &Round) -> bool {
+        let failed = self.task(key).is_some_and(|task| task.failed_on.is_some());
+        !failed && !round.reserved.contains(&key)
+    }
+
     fn place_gang(&mut self, ready: ReadyStep, step: &StepSpec, now: Mono) -> usize {
         let keys: Vec<TaskKey> = (ready.first_slot..ready.first_slot + step.count)
             .map(|slot| TaskKey {
@@ -161,30 +197,55 @@
         step: &StepSpec,
         now: Mono,
     ) -> Vec<(ExecutorKey, Preference)> {
-        let job = self.job(key.job);
-        let queue = job.and_then(|job| self.plan.queue(&job.queue));
-        let Some((job, queue)) = job.zip(queue) else {
-            return Vec::new();
-        };
-        let failed_on = self.task(key).and_then(|task| task.failed_on);
-        self.fleet
-            .iter()
-            .filter(|(_, executor)| executor.listing.service == queue.service)
-            .filter(|(_, executor)| executor.accepts_tasks(now))
-            .filter(|(executor_key, executor)| {
-                self.is_feasible(*executor_key, executor, job, key, step)
-            })
+        let executors = self.fleet.iter();
+        executors
             .filter_map(|(executor_key, executor)| {
-                let preference = Preference {
-                    not_failed_here: Some(executor_key) != failed_on,
-                    near_data: near_data(executor, step),
-                    score: self.score(executor, step)?,
-                };
+                let preference = self.preference(executor_key, executor, key, step, now)?;
                 Some((executor_key, preference))
             })
             .collect()
     }
 
+    /// Returns how well a task suits an executor now, or `None` if the executor cannot take it.
+    fn assess(
+        &self,
+        executor_key: ExecutorKey,
+        key: TaskKey,
+        step: &StepSpec,
+        now: Mono,
+    ) -> Option<Preference> {
+        let executor = self.fleet.get(executor_key)?;
+        self.preference(executor_key, executor, key, step, now)
+    }
+
+    fn preference(
+        &self,
+        executor_key: ExecutorKey,
+        executor: &Executor,
+        key: TaskKey,
+        step: &StepSpec,
+        now: Mono,
+    ) -> Option<Preference> {
+        // Most executors are full under load, so that this comes first.
+        if !step.allocated_size().fits(&executor.free()) {
+            return None;
+        }
+        let job = self.job(key.job)?;
+        let queue = self.plan.queue(&job.queue)?;
+        let suitable = executor.listing.service == queue.service
+            && executor.accepts_tasks(now)
+            && self.is_feasible(executor_key, executor, job, key, step);
+        if !suitable {
+            return None;
+        }
+        let failed_on = self.task(key).and_then(|task| task.failed_on);
+        Some(Preference {
+            not_failed_here: Some(executor_key) != failed_on,
+            near_data: near_data(executor, step),
+            score: self.score(executor, step)?,
+        })
+    }
+
     /// Returns how well a task fits an executor, where higher is better, or `None` if the executor
     /// must not take it now.
     pub(crate) fn score(&self, executor: &Executor, step: &StepSpec) -> Option<f64> {
@@ -208,14 +269,8 @@
         let cpu_fraction =
             step.size.cpu_millis as f64 / executor.listing.capacity.cpu_millis.max(1) as f64;
         let mut caused: f64 = 0.0;
-        for key in &executor.tasks {
-            let Some(service) = self.step(*key).filter(|step| step.is_service()) else {
-                continue;
-            };
-            let Some(service_image) = service.image.as_ref() else {
-                continue;
-            };
-            caused = caused.max(self.interference.weight(service_image, image) * cpu_fraction);
+        for service in &executor.services {
+            caused = caused.max(self.interference.weight(&service.image, image) * cpu_fraction);
         }
         if caused > MAX_CAUSED_LOG {
             return None;
@@ -230,13 +285,11 @@
     fn service_score(&self, executor: &Executor, step: &StepSpec) -> f64 {
         let mut same_image = 0_u64;
         let mut other_images = 0_u64;
-        for key in &executor.tasks {
-            if let Some(service) = self.step(*key).filter(|step| step.is_service()) {
-                if service.image == step.image {
-                    same_image += service.size.cpu_millis;
-                } else {
-                    other_images += service.size.cpu_millis;
-                }
+        for service in &executor.services {
+            if step.image.as_ref() == Some(&service.image) {
+                same_image += service.cpu_millis;
+            } else {
+                other_images += service.cpu_millis;
             }
         }
         let capacity = executor.listing.capacity.cpu_millis.max(1) as f64;
--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet::Executor;
 use crate::fleet::ExecutorKey;
+use crate::placement::Round;
 use crate::scheduler::Scheduler;
 use crate::scheduler::TaskKey;
 use crate::spec::StepSpec;
@@ -35,8 +36,9 @@
 }
 
 impl Scheduler {
-    /// Removes reservations that have expired or whose task or executor no longer qualifies.
-    pub(crate) fn release_stale_reservations(&mut self, now: Mono) {
+    /// Removes reservations that have expired or whose task or executor no longer qualifies. Returns
+    /// the tasks for which an executor is still reserved.
+    pub(crate) fn release_stale_reservations(&mut self, now: Mono) -> Vec<TaskKey> {
         let stale: Vec<ExecutorKey> = self
             .fleet
             .iter()
@@ -58,22 +60,26 @@
                 executor.reservation = None;
             }
         }
+        let executors = self.fleet.iter();
+        executors
+            .filter_map(|(_, executor)| Some(executor.reservation?.task))
+            .collect()
     }
 
     /// Reserves an executor for a long-running task that has waited too long for free resources.
     /// The executor that lacks least is chosen.
-    pub(crate) fn reserve_executor_for(&mut self, key: TaskKey, step: &StepSpec, now: Mono) {
+    pub(crate) fn reserve_executor_for(
+        &mut self,
+        key: TaskKey,
+        step: &StepSpec,
+        round: &mut Round,
+        now: Mono,
+    ) {
         if !step.long_running || step.gang || now.since(self.waiting_since(key)) < RESERVE_AFTER {
             return;
         }
-        let executors = self.fleet.iter().count();
-        let reserved: Vec<TaskKey> = self
-            .fleet
-            .iter()
-            .filter_map(|(_, executor)| Some(executor.reservation?.task))
-            .collect();
-        let limit = (executors * MAX_RESERVED_PERCENT / 100).max(1);
-        if reserved.contains(&key) || reserved.len() >= limit {
+        let limit = (self.fleet.len() * MAX_RESERVED_PERCENT / 100).max(1);
+        if round.reserved.contains(&key) || round.reserved.len() >= limit {
             return;
         }
         let best = self
@@ -89,6 +95,7 @@
                 task: key,
                 until: now.after(RESERVATION_TIMEOUT),
             });
+            round.reserved.push(key);
         }
     }
 
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -374,9 +374,13 @@
         let allocated_size = step.allocated_size();
         let cpu = step.size.cpu_millis;
         let (long_running, best_effort) = (step.long_running, step.best_effort);
+        let service_image = step.image.clone().filter(|_| step.is_service());
         if let Some(executor) = self.fleet.get_mut(executor) {
             executor.tasks.insert(key);
             executor.used += allocated_size;
+            if let Some(image) = &service_image {
+                executor.add_service(image, cpu);
+            }
             if best_effort {
                 executor.best_effort_cpu_millis += cpu;
             } else if long_running {
@@ -395,9 +399,13 @@
         let allocated_size = step.allocated_size();
         let cpu = step.size.cpu_millis;
         let (long_running, best_effort) = (step.long_running, step.best_effort);
+        let service_image = step.image.clone().filter(|_| step.is_service());
         if let Some(executor) = self.fleet.get_mut(executor)
             && executor.tasks.remove(&key)
         {
+            if let Some(image) = &service_image {
+                executor.remove_service(image, cpu);
+            }
             executor.used = executor.used.saturating_sub(&allocated_size);
             if best_effort {
                 executor.best_effort_cpu_millis =
--- a/crates/measure/examples/measure.rs
+++ b/crates/measure/examples/measure.rs
@@ -15,10 +15,11 @@
         "configuration" => measure::configuration::run(),
         "capacity" => measure::capacity::run(),
         "jobs" => measure::jobs::run(),
+        "fleet" => measure::fleet_load::run(),
         "logs" => measure::logs::run(),
         _ => {
             eprintln!(
-                "measure: expected one of: routing, placement, policy, configuration, capacity, jobs, logs"
+                "measure: expected one of: routing, placement, policy, configuration, capacity, jobs, fleet, logs"
             );
             return ExitCode::from(2);
         }
--- /dev/null
+++ b/crates/measure/src/fleet_load.rs
@@ -0,0 +1,409 @@
+//! CPU cost of an owner's decisions for a large fleet under sustained load: `measure -- fleet`.
+//!
+//! The benchmark drives the [`Scheduler`] through seconds of simulated time with simulated
+//! executors: services fill part of each executor, short and best-effort jobs arrive steadily, each
+//! executor is polled when a run ends and once a second, and changes are stored every 10 ms. Only
+//! calls of the scheduler are timed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use job::fleet::ExecutorKey;
+use job::fleet::Listing;
+use job::id::JobId;
+use job::id::TaskId;
+use job::plan::Plan;
+use job::plan::Queue;
+use job::plan::Service;
+use job::scheduler::ActiveRun;
+use job::scheduler::Command;
+use job::scheduler::EndedRun;
+use job::scheduler::Report;
+use job::scheduler::RunOutcome;
+use job::scheduler::Scheduler;
+use job::scheduler::StartAnswer;
+use job::scheduler::Submission;
+use job::scheduler::Timing;
+use job::spec::JobSpec;
+use job::spec::StepSpec;
+use job::task::RunMetrics;
+use job::task::RunNumber;
+use model::Map;
+use model::Mono;
+use model::Size;
+
+use crate::figure::Figure;
+
+/// Executors of the fleet.
+const EXECUTORS: u32 = 1_800;
+/// Long-running jobs submitted before the load begins, of 24 tasks each.
+const SERVICES: u32 = 250;
+/// Images of services.
+const SERVICE_IMAGES: u32 = 16;
+/// Images of best-effort tasks.
+const BEST_EFFORT_IMAGES: u32 = 30;
+/// Simulated duration of the load, in milliseconds.
+const LOAD_MS: u64 = 6_000;
+/// Interval between two jobs, in milliseconds, at the load that the fleet can complete.
+const JOB_INTERVAL_MS: u64 = 22;
+/// Interval between placement rounds, in milliseconds.
+const PLACEMENT_INTERVAL_MS: u64 = 4;
+/// Interval between transactions, in milliseconds.
+const STORE_INTERVAL_MS: u64 = 10;
+/// Maximum interval between polls of an executor, in milliseconds.
+const POLL_INTERVAL_MS: u64 = 1_000;
+/// Duration of a run, in milliseconds.
+const RUN_MS: u64 = 2_000;
+
+/// Seconds of processor time by part, and the number of operations.
+#[derive(Default)]
+struct Spent {
+    placing: f64,
+    rounds: u32,
+    storing: f64,
+    transactions: u32,
+    starting: f64,
+    starts: u32,
+    reporting: f64,
+    reports: u32,
+    ends: u32,
+    record_bytes: usize,
+}
+
+/// Runs the measurement at the load that the fleet can complete and at three times that load.
+#[must_use]
+pub fn run() -> Vec<Figure> {
+    let mut figures = Vec::new();
+    for (name, interval_ms) in [("1x", JOB_INTERVAL_MS), ("3x", JOB_INTERVAL_MS / 3)] {
+        let mut load = Load::new();
+        load.run(interval_ms);
+        figures.extend(load.figures(name));
+    }
+    figures
+}
+
+/// An executor of the simulation.
+#[derive(Default)]
+struct SimulatedExecutor {
+    runs: BTreeMap<TaskId, (RunNumber, u64)>,
+    ended: Vec<EndedRun>,
+    sequence: u64,
+    polled_at: u64,
+}
+
+struct Load {
+    scheduler: Scheduler,
+    now_ms: u64,
+    executors: Map<ExecutorKey, SimulatedExecutor>,
+    spent: Spent,
+}
+
+impl Load {
+    fn new() -> Self {
+        let timing = Timing {
+            lease: Duration::from_secs(5),
+            max_lease: Duration::from_secs(6),
+            stop_timeout: Duration::from_millis(200),
+        };
+        let mut scheduler = Scheduler::new(plan(), timing);
+        let listings = (0..EXECUTORS).map(|number| (listing(number), 1)).collect();
+        scheduler.update_executors(listings, Mono(1));
+        let keys: Vec<ExecutorKey> = scheduler.fleet.iter().map(|(key, _)| key).collect();
+        let mut load = Self {
+            scheduler,
+            now_ms: 1,
+            executors: keys
+                .into_iter()
+                .map(|key| (key, SimulatedExecutor::default()))
+                .collect(),
+            spent: Spent::default(),
+        };
+        for number in 0..SERVICES {
+            load.submit(u64::from(number), services(number));
+        }
+        while load.place() > 0 {}
+        while load.store() {}
+        load.send_starts();
+        load.spent = Spent::default();
+        load
+    }
+
+    fn run(&mut self, job_interval_ms: u64) {
+        let end = self.now_ms + LOAD_MS;
+        while self.now_ms < end {
+            self.now_ms += 1;
+            if self.now_ms.is_multiple_of(job_interval_ms) {
+                self.submit(1_000_000 + self.now_ms, batch(self.now_ms));
+            }
+            if self.now_ms.is_multiple_of(PLACEMENT_INTERVAL_MS) {
+                self.place();
+            }
+            if self.now_ms.is_multiple_of(STORE_INTERVAL_MS) {
+                self.store();
+                self.send_starts();
+                self.scheduler.tick(Mono(self.now_ms));
+            }
+            self.poll();
+            self.scheduler.take_events();
+        }
+    }
+
+    fn figures(&self, load: &str) -> Vec<Figure> {
+        let spent = &self.spent;
+        let mean_us = |seconds: f64, count: u32| seconds * 1e6 / f64::from(count.max(1));
+        let total = spent.placing + spent.storing + spent.starting + spent.reporting;
+        let seconds = Duration::from_millis(LOAD_MS).as_secs_f64();
+        let bytes = u32::try_from(spent.record_bytes).map_or(f64::NAN, f64::from);
+        let figure =
+            |name: &str, value, unit| Figure::reported(format!("fleet-{load}-{name}"), value, unit);
+        vec![
+            figure("starts", f64::from(spent.starts) / seconds, "1/s"),
+            figure("ends", f64::from(spent.ends) / seconds, "1/s"),
+            figure("reports", f64::from(spent.reports) / seconds, "1/s"),
+            figure("round", mean_us(spent.placing, spent.rounds), "us"),
+            figure(
+                "placing-a-start",
+                mean_us(spent.placing, spent.starts),
+                "us",
+            ),
+            figure(
+                "transaction",
+                mean_us(spent.storing, spent.transactions),
+                "us",
+            ),
+            figure("records", bytes / seconds / 1e6, "MB/s"),
+            figure(
+                "answer-to-a-start",
+                mean_us(spent.starting, spent.starts),
+                "us",
+            ),
+            figure("report", mean_us(spent.reporting, spent.reports), "us"),
+            figure("processor", total / seconds, "cores"),
+        ]
+    }
+
+    fn submit(&mut self, number: u64, step: StepSpec) {
+        let second = StepSpec {
+            after: vec![0],
+            ..step.clone()
+        };
+        let steps = if step.long_running {
+            vec![step]
+        } else {
+            vec![step, second]
+        };
+        let submission = Submission {
+            id: JobId::parse(&format!("{number:016x}"))
+                .expect("16 hexadecimal digits are a valid job id"),
+            queue: "queue".into(),
+            age_ms: 0,
+            spec: Arc::new(JobSpec {
+                payload: "payload".into(),
+                steps,
+                repeat: None,
+            }),
+            row_version: number,
+        };
+        self.scheduler.submit(submission, Mono(self.now_ms));
+    }
+
+    fn place(&mut self) -> usize {
+        let started = Instant::now();
+        let placed = self.scheduler.place(Mono(self.now_ms), 0);
+        self.spent.placing += started.elapsed().as_secs_f64();
+        self.spent.rounds += 1;
+        placed
+    }
+
+    fn store(&mut self) -> bool {
+        let started = Instant::now();
+        let batch = self.scheduler.take_batch(90);
+        let bytes: usize = batch.rows.iter().map(|(_, row)| row.len()).sum();
+        let changed = !batch.rows.is_empty();
+        self.scheduler.batch_stored(batch, Mono(self.now_ms));
+        self.spent.storing += started.elapsed().as_secs_f64();
+        self.spent.record_bytes += bytes;
+        self.spent.transactions += 1;
+        changed
+    }
+
+    fn send_starts(&mut self) {
+        for command in self.scheduler.take_commands() {
+            let Command::Start {
+                key,
+                task,
+                run,
+                executor,
+                ..
+            } = command
+            else {
+                continue;
+            };
+            let started = Instant::now();
+            self.scheduler.grant_lease(executor, Mono(self.now_ms));
+            self.scheduler
+                .command_answered(executor, self.now_ms, Mono(self.now_ms));
+            self.scheduler
+                .start_answered(key, run, StartAnswer::Started, Mono(self.now_ms));
+            self.spent.starting += started.elapsed().as_secs_f64();
+            self.spent.starts += 1;
+            let lasts = self
+                .scheduler
+                .step(key)
+                .is_some_and(|step| step.long_running);
+            let ends = if lasts {
+                u64::MAX
+            } else {
+                self.now_ms + RUN_MS
+            };
+            if let Some(executor) = self.executors.get_mut(&executor) {
+                executor.runs.insert(task, (run, ends));
+            }
+        }
+    }
+
+    fn poll(&mut self) {
+        let now_ms = self.now_ms;
+        for (key, executor) in &mut self.executors {
+            executor.end_due_runs(now_ms);
+            let idle = now_ms - executor.polled_at < POLL_INTERVAL_MS;
+            if executor.ended.is_empty() && idle {
+                continue;
+            }
+            let acknowledged = self.scheduler.acknowledgement(*key);
+            executor.ended.retain(|end| end.sequence > acknowledged);
+            if executor.ended.is_empty() && idle {
+                continue;
+            }
+            if now_ms - executor.polled_at < STORE_INTERVAL_MS {
+                continue;
+            }
+            executor.polled_at = now_ms;
+            let report = executor.report(now_ms);
+            let now = Mono(now_ms);
+            let started = Instant::now();
+            self.scheduler.grant_lease(*key, now);
+            self.scheduler.report(*key, &report, now, now);
+            self.scheduler
+                .acknowledgement_confirmed(*key, 1_000, acknowledged);
+            self.scheduler.learn_interference(*key, now);
+            self.scheduler.throttle_after_report(*key, now);
+            self.scheduler.stop_stalled(*key, now);
+            self.spent.reporting += started.elapsed().as_secs_f64();
+            self.spent.reports += 1;
+            self.spent.ends += u32::try_from(report.ended.len()).unwrap_or(u32::MAX);
+        }
+    }
+}
+
+impl SimulatedExecutor {
+    fn end_due_runs(&mut self, now_ms: u64) {
+        let due: Vec<(TaskId, RunNumber)> = self
+            .runs
+            .iter()
+            .filter(|(_, (_, ends))| *ends <= now_ms)
+            .map(|(task, (run, _))| (*task, *run))
+            .collect();
+        for (task, run) in due {
+            self.runs.remove(&task);
+            self.sequence += 1;
+            self.ended.push(EndedRun {
+                sequence: self.sequence,
+                task: Some(task),
+                run,
+                outcome: RunOutcome::Done,
+                checkpoint: None,
+            });
+        }
+    }
+
+    fn report(&self, now_ms: u64) -> Report {
+        let running = self.runs.iter().map(|(task, (run, ends))| ActiveRun {
+            task: Some(*task),
+            run: *run,
+            checkpoint: None,
+            metrics: RunMetrics {
+                progress: if *ends == u64::MAX {
+                    100
+                } else {
+                    progress(*ends, now_ms)
+                },
+                tail_ms_or_cpu_millis: 30,
+            },
+        });
+        Report {
+            started_unix_ms: Some(1_000),
+            clock_ms: now_ms,
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
+
+/// Returns the progress in percent of a run that ends at `ends_ms`.
+fn progress(ends_ms: u64, now_ms: u64) -> u32 {
+    let left = ends_ms.saturating_sub(now_ms).min(RUN_MS);
+    u32::try_from(100 - left * 100 / RUN_MS).unwrap_or(100)
+}
+
+fn plan() -> Arc<Plan> {
+    let queue = Queue {
+        name: "queue".into(),
+        host: "host".into(),
+        path_prefix: "/queue/".into(),
+        service: "service".into(),
+        priority: 0,
+        attempts: 3,
+        stretch: 2.0,
+        target: Duration::from_secs(1),
+        advisor: None,
+    };
+    let mut services = Map::default();
+    services.insert("service".into(), Service::default());
+    Arc::new(Plan {
+        version: 1,
+        queues: vec![queue],
+        services,
+        ..Plan::default()
+    })
+}
+
+fn listing(number: u32) -> Listing {
+    Listing {
+        id: format!("i-{number:010x}").into(),
+        address: format!("10.0.{}.{}:8625", number / 250, number % 250).into(),
+        service: "service".into(),
+        data_centre: "dc".into(),
+        labels: vec![format!("r{}", number / 20).into()],
+        capacity: Size::new(64_000, 256_000, 0),
+        started_unix_ms: 1_000,
+        ..Listing::default()
+    }
+}
+
+fn services(number: u32) -> StepSpec {
+    StepSpec {
+        count: 24,
+        size: Size::new(13_000, 26_000, 0),
+        long_running: true,
+        image: Some(format!("service-{}", number % SERVICE_IMAGES).into()),
+        tail_latency_target_ms: 50,
+        ..StepSpec::default()
+    }
+}
+
+/// Returns a step of a job that arrives at this time: alternately short and best-effort tasks.
+fn batch(now_ms: u64) -> StepSpec {
+    let best_effort = now_ms.is_multiple_of(3);
+    let image = format!("fill-{}", now_ms % u64::from(BEST_EFFORT_IMAGES));
+    StepSpec {
+        count: 40,
+        size: Size::new(7_000, 13_000, 0),
+        estimate_ms: RUN_MS,
+        best_effort,
+        image: best_effort.then(|| image.into()),
+        ..StepSpec::default()
+    }
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod capacity;
 pub mod configuration;
 pub mod figure;
+pub mod fleet_load;
 pub mod jobs;
 pub mod logs;
 pub mod placement;
