perf(job): queues are found by name in constant time, and placement looks one up once a step

The pause after a round is capped at 40 ms, since its duration includes the time in which the host ran nothing.

--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -50,6 +50,9 @@
 /// The pause after a placement round as a multiple of its duration, so that placement leaves most of
 /// the processor to the calls that free executors.
 const PLACEMENT_PAUSE_FACTOR: u32 = 4;
+/// Maximum pause after a placement round. The duration of a round includes the time for which the
+/// host ran nothing, so that one round may seem to take seconds.
+const MAX_PLACEMENT_PAUSE: Duration = Duration::from_millis(40);
 /// Delay before placement that batches events in quick succession.
 const PLACEMENT_DEBOUNCE: Duration = Duration::from_millis(2);
 
@@ -190,7 +193,7 @@
                 self.commit_requested.notify_one();
             }
             advice::request_pending(&self);
-            pause = PLACEMENT_DEBOUNCE.max(started.elapsed() * PLACEMENT_PAUSE_FACTOR);
+            pause = placement_pause(started.elapsed());
         }
     }
 
@@ -208,3 +211,8 @@
         }
     }
 }
+
+/// Returns the pause after a placement round that took this long.
+fn placement_pause(took: Duration) -> Duration {
+    (took * PLACEMENT_PAUSE_FACTOR).clamp(PLACEMENT_DEBOUNCE, MAX_PLACEMENT_PAUSE)
+}
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -87,7 +87,7 @@
     services.insert("service".into(), Service::default());
     Plan {
         version: 1,
-        queues: vec![queue],
+        queues: vec![queue].into(),
         services,
         ..Plan::default()
     }
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod round;
 
 use std::cmp::Ordering;
+use std::sync::Arc;
 
 use model::Mono;
 
@@ -94,8 +95,11 @@
         if step.gang {
             return self.place_gang(ready, step, now);
         }
-        let queue = self.plan.queue(&job.queue);
-        let demand = queue.and_then(|queue| Demand::new(queue, step));
+        let Some(queue) = self.plan.queue(&job.queue) else {
+            return 0;
+        };
+        let service = queue.service.clone();
+        let demand = Demand::new(queue, step);
         let mut pool = None;
         let mut placed = 0;
         for slot in ready.first_slot..ready.first_slot + step.count {
@@ -115,7 +119,8 @@
                 Some(demand) => {
                     let pool = pool
                         .get_or_insert_with(|| CandidatePool::new(self.candidates(key, step, now)));
-                    let best = pool.take_best(|executor| self.assess(executor, key, step, now));
+                    let best =
+                        pool.take_best(|executor| self.assess(executor, &service, key, step, now));
                     if best.is_none() {
                         round.add_unmet(demand.clone());
                     }
@@ -130,7 +135,7 @@
             self.assign(key, executor, now);
             placed += 1;
             if let Some(pool) = &mut pool
-                && let Some(preference) = self.assess(executor, key, step, now)
+                && let Some(preference) = self.assess(executor, &service, key, step, now)
             {
                 pool.add(executor, preference);
             }
@@ -197,31 +202,42 @@
         step: &StepSpec,
         now: Mono,
     ) -> Vec<(ExecutorKey, Preference)> {
+        let Some(service) = self.service_of(key) else {
+            return Vec::new();
+        };
         let executors = self.fleet.iter();
         executors
             .filter_map(|(executor_key, executor)| {
-                let preference = self.preference(executor_key, executor, key, step, now)?;
+                let preference =
+                    self.preference((executor_key, executor), &service, key, step, now)?;
                 Some((executor_key, preference))
             })
             .collect()
     }
 
+    /// Returns the service whose executors run the queue of a task.
+    fn service_of(&self, key: TaskKey) -> Option<Arc<str>> {
+        let queue = self.plan.queue(&self.job(key.job)?.queue)?;
+        Some(queue.service.clone())
+    }
+
     /// Returns how well a task suits an executor now, or `None` if the executor cannot take it.
     fn assess(
         &self,
         executor_key: ExecutorKey,
+        service: &str,
         key: TaskKey,
         step: &StepSpec,
         now: Mono,
     ) -> Option<Preference> {
         let executor = self.fleet.get(executor_key)?;
-        self.preference(executor_key, executor, key, step, now)
+        self.preference((executor_key, executor), service, key, step, now)
     }
 
     fn preference(
         &self,
-        executor_key: ExecutorKey,
-        executor: &Executor,
+        (executor_key, executor): (ExecutorKey, &Executor),
+        service: &str,
         key: TaskKey,
         step: &StepSpec,
         now: Mono,
@@ -231,8 +247,7 @@
             return None;
         }
         let job = self.job(key.job)?;
-        let queue = self.plan.queue(&job.queue)?;
-        let suitable = executor.listing.service == queue.service
+        let suitable = &*executor.listing.service == service
             && executor.accepts_tasks(now)
             && self.is_feasible(executor_key, executor, job, key, step);
         if !suitable {
--- a/crates/job/src/plan.rs
+++ b/crates/job/src/plan.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::Deref;
 use model::Map;
 
 /// One version of the operators' document.
@@ -11,13 +12,46 @@
     /// The version of the document; it increases with every change.
     pub version: u64,
     /// The queues. No two share both host name and path prefix.
-    pub queues: Vec<Queue>,
+    pub queues: Queues,
     /// The services by name.
     pub services: Map<Arc<str>, Service>,
     /// Limits on requests of callers.
     pub limits: Limits,
 }
 
+/// The queues of a document, found by name. A document may have thousands of them, and placement
+/// looks up the queue of each waiting step.
+#[derive(Clone, Debug, Default, PartialEq, Deref)]
+pub struct Queues {
+    #[deref]
+    queues: Vec<Queue>,
+    positions: Map<Arc<str>, usize>,
+}
+
+impl FromIterator<Queue> for Queues {
+    fn from_iter<I: IntoIterator<Item = Queue>>(queues: I) -> Self {
+        queues.into_iter().collect::<Vec<Queue>>().into()
+    }
+}
+
+impl From<Vec<Queue>> for Queues {
+    fn from(queues: Vec<Queue>) -> Self {
+        let names = queues.iter().map(|queue| queue.name.clone());
+        Self {
+            positions: names.zip(0..).collect(),
+            queues,
+        }
+    }
+}
+
+impl Queues {
+    /// Returns the queue with this name.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<&Queue> {
+        self.queues.get(*self.positions.get(name)?)
+    }
+}
+
 /// A queue that callers submit jobs to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Queue {
@@ -113,6 +147,6 @@
     /// Returns the queue with this name.
     #[must_use]
     pub fn queue(&self, name: &str) -> Option<&Queue> {
-        self.queues.iter().find(|queue| &*queue.name == name)
+        self.queues.find(name)
     }
 }
--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -58,7 +58,7 @@
     services.insert("service".into(), Service::default());
     Arc::new(Plan {
         version: 1,
-        queues: vec![queue],
+        queues: vec![queue].into(),
         services,
         ..Plan::default()
     })
@@ -67,11 +67,13 @@
 /// Returns the same plan with an advisor whose tickets are valid for four seconds.
 pub fn advised_plan() -> Arc<Plan> {
     let mut plan = (*plan(2)).clone();
-    plan.queues[0].advisor = Some(Advisor {
+    let mut queue = plan.queues[0].clone();
+    queue.advisor = Some(Advisor {
         base_latency: Duration::from_millis(200),
         latency_per_executor: Duration::from_millis(10),
         ticket_ttl: Duration::from_secs(4),
     });
+    plan.queues = vec![queue].into();
     Arc::new(plan)
 }
 
--- a/crates/job/tests/all/overload.rs
+++ b/crates/job/tests/all/overload.rs
@@ -51,7 +51,11 @@
         best_effort(1, 3, "fill"),
         best_effort(1, 3, "other"),
     ];
-    assert_eq!(started(&mut fixture, &steps), 2, "one large task and one of 3 cores");
+    assert_eq!(
+        started(&mut fixture, &steps),
+        2,
+        "one large task and one of 3 cores"
+    );
 }
 
 #[test]
--- a/crates/measure/src/fleet_load.rs
+++ b/crates/measure/src/fleet_load.rs
@@ -40,6 +40,8 @@
 const EXECUTORS: u32 = 1_800;
 /// Long-running jobs submitted before the load begins, of 24 tasks each.
 const SERVICES: u32 = 250;
+/// Queues of the document without jobs.
+const UNUSED_QUEUES: u32 = 1_000;
 /// Images of services.
 const SERVICE_IMAGES: u32 = 16;
 /// Images of best-effort tasks.
@@ -360,11 +362,16 @@
         target: Duration::from_secs(1),
         advisor: None,
     };
+    let unused = (0..UNUSED_QUEUES).map(|number| Queue {
+        name: format!("unused-{number}").into(),
+        ..queue.clone()
+    });
+    let queues: Vec<Queue> = unused.chain([queue.clone()]).collect();
     let mut services = Map::default();
     services.insert("service".into(), Service::default());
     Arc::new(Plan {
         version: 1,
-        queues: vec![queue],
+        queues: queues.into(),
         services,
         ..Plan::default()
     })
--- a/crates/measure/src/jobs.rs
+++ b/crates/measure/src/jobs.rs
@@ -255,7 +255,7 @@
     };
     Arc::new(Plan {
         version: 1,
-        queues: vec![queue],
+        queues: vec![queue].into(),
         ..Plan::default()
     })
 }
