fix(logs, platform, sched, link): four known faults of start and shutdown

It is no longer ignored. - Sched::assigned panicked for a run that moves on an unlisted worker: detaching its last run forgets the worker whose key was still used. The worker is looked up again. - A stopping server with all connections taken kept its listener open until one of them ended.

--- a/crates/fireflynotchd/src/main.rs
+++ b/crates/fireflynotchd/src/main.rs
@@ -88,6 +88,10 @@
         Ok(daemon) => daemon,
         Err(error) => return exit_with_error(&error.to_string()),
     };
+    let hangup = match reload::handle_sighup() {
+        Ok(hangup) => hangup,
+        Err(error) => return exit_with_error(&error.to_string()),
+    };
     log::info!(
         callers = daemon.callers.to_string().as_str(),
         operators = daemon.operators.to_string().as_str(),
@@ -104,9 +108,7 @@
     });
     tokio::spawn(async move {
         let read_policy = || reload_policy(&path, &initial_settings);
-        if let Err(error) = reload::reload_on_sighup(&control, read_policy).await {
-            log::error!("log settings cannot be reloaded on SIGHUP: {error}");
-        }
+        reload::reload_on(hangup, &control, read_policy).await;
     });
     match daemon.wait().await {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -57,7 +57,10 @@
     let closed = Rc::new(tokio::sync::Notify::new());
     loop {
         while open.get() >= limits.max_connections && !stop.is_cancelled() {
-            closed.notified().await;
+            tokio::select! {
+                () = stop.cancelled() => break,
+                () = closed.notified() => {}
+            }
         }
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
--- /dev/null
+++ b/crates/link/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the HTTP server loop.
+
+mod server;
--- a/crates/logs/src/reload.rs
+++ b/crates/logs/src/reload.rs
@@ -5,6 +5,7 @@
 use conf::observe::LogLevel;
 use conf::observe::Logs;
 use log::LevelFilter;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -24,22 +25,27 @@
     }
 }
 
-/// Calls `read` on each `SIGHUP` and applies its result, for as long as the future is polled.
-///
-/// If `read` fails, the current policy stays and the reason is logged.
+/// Installs the handler of `SIGHUP`, which would otherwise end the process. A process calls this
+/// before it reports that it has started.
 ///
 /// # Errors
 ///
-/// Returns an error if the signal handler cannot be installed.
-pub async fn reload_on_sighup(
+/// Returns an error if the handler cannot be installed.
+pub fn handle_sighup() -> io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
+/// Calls `read` on each signal and applies its result, for as long as the future is polled.
+///
+/// If `read` fails, the current policy stays and the reason is logged.
+pub async fn reload_on(
+    mut sighup: Signal,
     control: &Control,
     read: impl Fn() -> Result<Policy, String>,
-) -> io::Result<()> {
-    let mut sighup = signal(SignalKind::hangup())?;
+) {
     while sighup.recv().await.is_some() {
         apply(control, read());
     }
-    Ok(())
 }
 
 /// Applies the policy read from the settings, or logs why there is none and keeps the current one.
--- a/crates/logs/tests/all/queue.rs
+++ b/crates/logs/tests/all/queue.rs
@@ -5,6 +5,7 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::Sender;
 use std::sync::mpsc::channel;
+use std::time::Duration;
 
 use logs::QueueWriter;
 use logs::queue::MAX_BATCH_LINES;
@@ -78,3 +79,24 @@
         "the total equals the reported losses"
     );
 }
+
+#[test]
+fn waiting_returns_once_every_line_is_written_and_gives_up_on_a_blocked_writer() {
+    let (permits, permit_receiver) = channel();
+    let (written, lines) = channel();
+    let mut writer = QueueWriter::start(GatedWriter {
+        permits: permit_receiver,
+        written,
+    });
+    writer.write_all(b"last\n").expect("writes never fail");
+    assert!(
+        !writer.wait_until_written(Duration::from_millis(20)),
+        "nothing is permitted"
+    );
+    // Requests that nobody awaits any more are answered without a line.
+    for _ in 0..4 {
+        permits.send(()).expect("the writer thread is running");
+    }
+    assert!(writer.wait_until_written(Duration::from_secs(30)));
+    assert_eq!(lines.try_recv().as_deref(), Ok(&b"last\n"[..]));
+}
--- a/crates/sched/src/sched.rs
+++ b/crates/sched/src/sched.rs
@@ -177,11 +177,13 @@
         let Some(key) = self.cluster.task_key(task) else {
             return;
         };
-        let worker = self.cluster.intern_worker(worker);
-        let is_same_run = |run: &Run| run.worker == worker && run.reserved == reserved;
+        let worker_key = self.cluster.intern_worker(worker);
+        let is_same_run = |run: &Run| run.worker == worker_key && run.reserved == reserved;
         if !self.cluster.tasks[key].run().is_some_and(is_same_run) {
             self.detach(key);
-            self.cluster.reserve(key, worker, reserved, now);
+            // An unlisted worker is forgotten with its last run, which may just have been detached.
+            let worker_key = self.cluster.intern_worker(worker);
+            self.cluster.reserve(key, worker_key, reserved, now);
         }
         if let Some(run) = self.cluster.tasks[key].run_mut() {
             run.confirmed = true;
--- a/crates/sched/tests/all/faults.rs
+++ b/crates/sched/tests/all/faults.rs
@@ -133,3 +133,14 @@
         .filter(|recent| matches!(recent.decision, Decision::Evict { .. }));
     assert_eq!(evictions.count(), 1, "only the first eviction was decided");
 }
+
+#[test]
+fn a_confirmation_with_another_size_on_an_unlisted_worker_replaces_the_run() {
+    let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
+    sched.enqueue(fixture::task("t", "study", HALF));
+    let task = TaskId::new("t");
+    let unlisted = "unlisted".into();
+    sched.assigned(&task, &unlisted, HALF, Mono(1));
+    sched.assigned(&task, &unlisted, WORKER, Mono(2));
+    sched.ended(&task, RunOutcome::Stopped, Mono(3));
+}
