feat(dispatch): an owner sends what its link carries

Cause, from small twins (2 Mbit/s a host, 192 executors): one poll a second of each executor with its list of runs is more than the owner's link carries; the list of executors, read every 0.9 s, takes a third of it. Queues in front of the link delay answers past their limit, connections are given up and opened anew (5,573 in a minute), starts are refused as unanswered (647), and what is sent again fills the link further. Change: owner::pacing, pure: polls use half of the link at most (no pause up to 250 ms, so none on links that suffice), the list a fifth; a window limits start commands in flight by how long answers take, and placement stays within it, so that tasks wait in their order instead of in front of the link. Tests: pacing replays three times the load of a link (0.9 of its rate is kept; without the window under a tenth).

--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -69,9 +69,12 @@
                 checkpoint,
                 ticket,
             };
+            let in_flight = &owner.starts_in_flight;
+            in_flight.set(in_flight.get() + 1);
             owner
                 .with_command_slot(executor, owner.start_run(start))
                 .await;
+            in_flight.set(in_flight.get() - 1);
         }
         Command::Stop {
             key,
@@ -223,6 +226,11 @@
         let id = call.target.id.clone();
         let reply = (self.node.dependencies.executors.start)(call).await;
         let outcome = self.record_reply(start.executor, &reply);
+        let answered_at = self.now();
+        if matches!(outcome, CommandOutcome::Answered(_)) {
+            let took = answered_at.since(now);
+            self.window.borrow_mut().answered(took, answered_at);
+        }
         if matches!(outcome, CommandOutcome::Answered(StartAnswer::Started)) {
             let took = model::time::millis(self.now().since(now));
             events::run_started(start.task, start.run, &id, took);
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -78,6 +78,9 @@
             metrics.job_seconds.observe(elapsed.as_secs_f64());
             events::job_ended(job.id, outcome, job.after_ms, job.objective_ms);
         }
+        if !self.scheduler.borrow().has_changes() {
+            self.starts_unstored.set(0);
+        }
         self.committed.notify_waiters();
         self.dispatch_pending();
     }
--- a/crates/dispatch/src/owner/feeds.rs
+++ b/crates/dispatch/src/owner/feeds.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Owner;
+use super::pacing;
 use super::takeover;
 use crate::dependencies::FollowRequest;
 use crate::dependencies::Row;
@@ -14,8 +15,6 @@
 
 /// How long a call waits for new jobs.
 const JOBS_WAIT: Duration = Duration::from_millis(2_000);
-/// Interval between reads of the list of executors.
-const LIST_INTERVAL: Duration = Duration::from_millis(900);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
@@ -96,7 +95,9 @@
                 let now = owner.now();
                 owner.scheduler.borrow_mut().update_executors(list, now);
                 owner.dispatch_pending();
-                tokio::time::sleep(LIST_INTERVAL).await;
+                let executors = owner.scheduler.borrow().fleet.len();
+                let link_mbps = owner.node.identity.capacity.link_mbps;
+                tokio::time::sleep(pacing::list_interval(executors, link_mbps)).await;
             }
             Err(_) => tokio::time::sleep(RETRY_DELAY).await,
         }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -11,6 +11,7 @@
 pub mod commands;
 pub mod commit;
 pub mod feeds;
+pub mod pacing;
 pub mod polls;
 pub mod takeover;
 mod telemetry;
@@ -35,6 +36,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::pacing::CommandWindow;
 pub use self::takeover::Claim;
 pub use self::takeover::take_over;
 use crate::dependencies::Target;
@@ -88,6 +90,12 @@
     command_slots: RefCell<Map<ExecutorKey, Rc<Semaphore>>>,
     /// Executors that have a running poll task.
     polled_executors: RefCell<Set<ExecutorKey>>,
+    /// Limits the start commands in flight.
+    window: RefCell<CommandWindow>,
+    /// The number of start commands that are being sent or await their answer.
+    starts_in_flight: Cell<usize>,
+    /// The number of tasks placed whose assignments are not stored.
+    starts_unstored: Cell<usize>,
     /// Limits requests to the advisor to one at a time.
     advisor_slot: Semaphore,
 }
@@ -184,10 +192,14 @@
             }
             let started = Instant::now();
             let now = self.now();
-            let placed = self
-                .scheduler
-                .borrow_mut()
-                .place(now, (self.node.unix_ms)());
+            let in_flight = self.starts_in_flight.get() + self.starts_unstored.get();
+            let budget = self.window.borrow().free(in_flight);
+            let placed =
+                self.scheduler
+                    .borrow_mut()
+                    .place_up_to(budget, now, (self.node.unix_ms)());
+            self.starts_unstored
+                .set(self.starts_unstored.get() + placed);
             self.log_events();
             if placed > 0 {
                 self.commit_requested.notify_one();
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -9,6 +9,7 @@
 use model::Mono;
 
 use super::Owner;
+use super::pacing;
 use crate::dependencies::CallFuture;
 use crate::dependencies::PollError;
 use crate::dependencies::PollRequest;
@@ -81,7 +82,13 @@
         if owner.shutdown.is_cancelled() {
             break;
         }
-        match owner.poll_once(key).await {
+        let polled_at = tokio::time::Instant::now();
+        let result = owner.poll_once(key).await;
+        let interval = owner.poll_interval();
+        if !interval.is_zero() {
+            tokio::time::sleep_until(polled_at + interval).await;
+        }
+        match result {
             Ok(()) if owner.has_withheld_ends(key) => {
                 tokio::time::sleep(WITHHELD_ENDS_INTERVAL).await;
             }
@@ -146,6 +153,12 @@
         executor.is_some_and(|executor| !executor.withheld_ends.is_empty())
     }
 
+    /// Returns the minimum interval between two polls of an executor.
+    fn poll_interval(&self) -> Duration {
+        let polled = self.polled_executors.borrow().len();
+        pacing::poll_interval(polled, self.node.identity.capacity.link_mbps)
+    }
+
     fn has_unstored_ends(&self, key: ExecutorKey) -> bool {
         self.scheduler
             .borrow()
@@ -164,7 +177,7 @@
                 target,
                 lease_deadline_ms,
                 acknowledged: scheduler.acknowledgement(key),
-                wait: poll_wait(&scheduler, key),
+                wait: poll_wait(&scheduler, key).max(self.poll_interval()),
                 timeout: LATE_ANSWER_TIMEOUT,
             }
         };
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -126,6 +126,9 @@
         releasing: Cell::new(false),
         command_slots: RefCell::new(Map::default()),
         polled_executors: RefCell::new(Set::default()),
+        window: RefCell::default(),
+        starts_in_flight: Cell::new(0),
+        starts_unstored: Cell::new(0),
         advisor_slot: Semaphore::new(1),
     });
     *node.owner.borrow_mut() = Some(owner.clone());
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod cleanup;
 mod executor;
 mod owners;
+mod pacing;
 mod shares;
 mod state;
 mod store;
--- /dev/null
+++ b/crates/dispatch/tests/all/pacing.rs
@@ -0,0 +1,109 @@
+//! Pacing of an owner's calls to executors, with replays of the loads that it answers.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use dispatch::owner::pacing::CommandWindow;
+use dispatch::owner::pacing::list_interval;
+use dispatch::owner::pacing::poll_interval;
+use model::Mono;
+
+/// Commands that the simulated link carries a second.
+const LINK_COMMANDS_PER_S: u64 = 100;
+/// Duration of the simulated load, in milliseconds.
+const LOAD_MS: u64 = 30_000;
+/// A caller of the simulated load does not wait longer for an answer, in milliseconds.
+const ANSWER_LIMIT_MS: u64 = 700;
+
+#[test]
+fn a_wide_link_needs_no_pacing() {
+    assert_eq!(poll_interval(66, 1_000.0), Duration::ZERO);
+    assert_eq!(poll_interval(500, 200.0), Duration::ZERO);
+    assert_eq!(list_interval(66, 1_000.0), Duration::from_millis(900));
+}
+
+#[test]
+fn the_poll_interval_grows_with_the_executors_and_stays_below_half_of_a_lease() {
+    let mut previous = Duration::ZERO;
+    for executors in [50, 100, 200, 1_000, 100_000] {
+        let interval = poll_interval(executors, 2.0);
+        assert!(interval >= previous, "{executors} executors: {interval:?}");
+        assert!(interval < Duration::from_millis(2_500));
+        previous = interval;
+    }
+    assert!(previous > Duration::from_secs(1));
+}
+
+#[test]
+fn an_executor_that_drains_is_noticed_in_time_over_the_narrowest_link() {
+    assert!(list_interval(100_000, 0.1) <= Duration::from_secs(2));
+}
+
+/// What became of the commands of a simulated load.
+#[derive(Default)]
+struct Outcome {
+    answered: u64,
+    /// Commands whose answers came after the limit, so that their work was wasted.
+    late: u64,
+}
+
+/// Sends commands at this rate over a link that answers them one after the other, and returns what
+/// became of them. `window` limits the commands in flight.
+fn replay(commands_per_s: u64, mut window: Option<CommandWindow>) -> Outcome {
+    let mut link: VecDeque<u64> = VecDeque::new();
+    let mut waiting = 0;
+    let mut outcome = Outcome::default();
+    for now_ms in 1..=LOAD_MS {
+        waiting += commands_per_s * now_ms / 1_000 - commands_per_s * (now_ms - 1) / 1_000;
+        while waiting > 0 && window.is_none_or(|window| window.free(link.len()) > 0) {
+            link.push_back(now_ms);
+            waiting -= 1;
+        }
+        if now_ms.is_multiple_of(1_000 / LINK_COMMANDS_PER_S)
+            && let Some(sent_ms) = link.pop_front()
+        {
+            let took_ms = now_ms - sent_ms;
+            if took_ms <= ANSWER_LIMIT_MS {
+                outcome.answered += 1;
+            } else {
+                outcome.late += 1;
+            }
+            if let Some(window) = &mut window {
+                window.answered(Duration::from_millis(took_ms), Mono(now_ms));
+            }
+        }
+    }
+    outcome
+}
+
+#[test]
+fn three_times_the_load_of_the_link_is_carried_at_the_full_rate_of_the_link() {
+    let fitting = replay(LINK_COMMANDS_PER_S, Some(CommandWindow::default()));
+    let overload = replay(3 * LINK_COMMANDS_PER_S, Some(CommandWindow::default()));
+    assert!(
+        overload.answered * 10 >= fitting.answered * 9,
+        "{} of {}",
+        overload.answered,
+        fitting.answered
+    );
+    let unlimited = replay(3 * LINK_COMMANDS_PER_S, None);
+    assert!(
+        unlimited.answered * 10 < fitting.answered,
+        "without a window nearly all answers come too late, {} do not",
+        unlimited.answered
+    );
+    assert!(overload.late < unlimited.late);
+}
+
+#[test]
+fn the_window_opens_again_after_an_overload() {
+    let mut window = CommandWindow::default();
+    for number in 1..=200 {
+        window.answered(Duration::from_secs(2), Mono(number * 1_000));
+    }
+    assert_eq!(window.free(0), 16, "some commands are always sent");
+    for number in 0..5_000 {
+        window.answered(Duration::from_millis(5), Mono(300_000 + number));
+    }
+    assert!(window.free(0) > 4_000);
+}
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -58,6 +58,16 @@
     /// Assigns waiting tasks to executors in the order of their rank. Returns the number of tasks
     /// assigned.
     pub fn place(&mut self, now: Mono, unix_ms: u64) -> usize {
+        self.place_up_to(MAX_TASKS_PER_ROUND, now, unix_ms)
+    }
+
+    /// Like [`Self::place`], but ends after the step with which it has assigned at least `limit`
+    /// tasks. Gangs and steps are not divided, so that slightly more may be assigned.
+    pub fn place_up_to(&mut self, limit: usize, now: Mono, unix_ms: u64) -> usize {
+        let limit = limit.min(MAX_TASKS_PER_ROUND);
+        if limit == 0 {
+            return 0;
+        }
         let mut round = Round::new(self.release_stale_reservations(now));
         let mut steps: Vec<(Rank, ReadyStep)> = self
             .ready_steps(unix_ms)
@@ -79,7 +89,7 @@
                 });
             }
             placed += tasks;
-            if placed >= MAX_TASKS_PER_ROUND {
+            if placed >= limit {
                 break;
             }
         }
--- a/crates/job/tests/all/overload.rs
+++ b/crates/job/tests/all/overload.rs
@@ -111,3 +111,16 @@
         assert!(executor.used.fits(&Size::new(64_000, 256_000, 0)));
     }
 }
+
+#[test]
+fn a_limited_round_places_the_most_urgent_step_only() {
+    let mut fixture = Fixture::new(4);
+    fixture.submit(1, vec![step(8, 4, 60_000)]);
+    let small = fixture.submit(2, vec![step(4, 4, 1_000)]);
+    assert_eq!(fixture.scheduler.place_up_to(0, fixture.now, 0), 0);
+    assert_eq!(fixture.scheduler.place_up_to(1, fixture.now, 0), 4);
+    let key = fixture.scheduler.find(small).expect("the job is known");
+    let placed = fixture.scheduler.job(key).expect("the job is known");
+    assert!(!placed.has_waiting_tasks(), "the smaller job goes first");
+    assert_eq!(fixture.scheduler.place_up_to(1, fixture.now, 0), 8);
+}
