fix(dispatch): starts that wait for the store are counted down as they are stored

Cause: the count of placed tasks whose assignments are not stored was reset only when nothing at all was left to store, which does not happen under load; the window was used up for good. Each transaction now takes its own starts off. Test: a batch counts the starts that it releases.

--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -66,7 +66,12 @@
 
     fn on_committed(self: &Rc<Self>, batch: Batch) {
         let now = self.now();
+        let stored = self.starts_unstored.get().saturating_sub(batch.starts());
         let ended = self.scheduler.borrow_mut().batch_stored(batch, now);
+        // Assignments that were withdrawn before they were stored are in no batch.
+        let all_stored = !self.scheduler.borrow().has_changes();
+        self.starts_unstored
+            .set(if all_stored { 0 } else { stored });
         for job in ended {
             let outcome = job.state.as_str();
             let metrics = &self.node.metrics;
@@ -78,9 +83,6 @@
             metrics.job_seconds.observe(elapsed.as_secs_f64());
             events::job_ended(job.id, outcome, job.after_ms, job.objective_ms);
         }
-        if !self.scheduler.borrow().has_changes() {
-            self.starts_unstored.set(0);
-        }
         self.committed.notify_waiters();
         self.dispatch_pending();
     }
--- a/crates/job/src/scheduler/store.rs
+++ b/crates/job/src/scheduler/store.rs
@@ -28,6 +28,14 @@
     acks: Vec<(ExecutorKey, u64, u64)>,
 }
 
+impl Batch {
+    /// Returns the number of tasks whose start commands may be sent once the batch is stored.
+    #[must_use]
+    pub const fn starts(&self) -> usize {
+        self.starts.len()
+    }
+}
+
 /// Ended runs of an executor whose effect is not stored yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnstoredEnds {
--- a/crates/job/tests/all/lifecycle.rs
+++ b/crates/job/tests/all/lifecycle.rs
@@ -271,3 +271,17 @@
     let known = fixture.scheduler.fleet.get(executor).expect("listed");
     assert_eq!(known.ends_acknowledgeable(), 1);
 }
+
+#[test]
+fn a_batch_counts_the_starts_that_it_releases() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(1, vec![step(3, 4, 1_000)]);
+    fixture.submit(2, vec![step(2, 4, 1_000)]);
+    assert_eq!(fixture.place(), 5);
+    let first = fixture.scheduler.take_batch(1);
+    let second = fixture.scheduler.take_batch(1);
+    assert_eq!(first.starts() + second.starts(), 5);
+    fixture.scheduler.batch_stored(first, fixture.now);
+    fixture.scheduler.batch_stored(second, fixture.now);
+    assert_eq!(fixture.scheduler.take_batch(1).starts(), 0);
+}
