--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -51,6 +51,8 @@
     pub store_calls: Family<OutcomeLabel, Counter>,
     /// Time from the acceptance of a job until the owner received it.
     pub feed_seconds: Histogram,
+    /// Duration of a placement round, including the time for which the host ran nothing.
+    pub placement_seconds: Histogram,
     /// Time from the arrival of a job to its first start, by queue. Repeating jobs are excluded.
     pub first_start_seconds: Family<QueueLabel, Histogram, fn() -> Histogram>,
     /// Commands to start a run, by the executor's answer.
@@ -80,6 +82,7 @@
             submission_seconds: histogram(LATENCY_BUCKETS),
             store_calls: Family::default(),
             feed_seconds: histogram(LATENCY_BUCKETS),
+            placement_seconds: histogram(LATENCY_BUCKETS),
             first_start_seconds: Family::new_with_constructor(|| histogram(LATENCY_BUCKETS)),
             starts: Family::default(),
             advice: Family::default(),
@@ -146,6 +149,11 @@
             "Time from a job's acceptance until the owner heard of it",
             &self.feed_seconds,
         );
+        register_duration(
+            "placement",
+            "Duration of a placement round of the owner",
+            &self.placement_seconds,
+        );
         register_duration(
             "job",
             "Time from a job's arrival to its end",
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -205,7 +205,10 @@
                 self.commit_requested.notify_one();
             }
             advice::request_pending(&self);
-            pause = placement_pause(started.elapsed());
+            let took = started.elapsed();
+            let metrics = &self.node.metrics;
+            metrics.placement_seconds.observe(took.as_secs_f64());
+            pause = placement_pause(took);
         }
     }
 
