--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -10,6 +10,7 @@
 use job::plan::Plan;
 use job::plan::Queue;
 use job::plan::Service;
+use job::record::JobRecord;
 use job::scheduler::ActiveRun;
 use job::scheduler::Command;
 use job::scheduler::EndedRun;
@@ -137,6 +138,30 @@
         fixture
     }
 
+    /// Returns a new owner that restores the only job from the record that this one would store.
+    pub fn successor(&mut self) -> Self {
+        let batch = self.scheduler.take_batch(100);
+        let [(id, row)] = &batch.rows[..] else {
+            panic!("expected one row, got {}", batch.rows.len());
+        };
+        let record: JobRecord = serde_json::from_slice(row).expect("a valid record");
+        let key = self.scheduler.find(*id).expect("the job exists");
+        let job = self.scheduler.job(key).expect("the job exists");
+        let submission = Submission {
+            id: *id,
+            queue: QUEUE.into(),
+            age_ms: 0,
+            spec: job.spec.clone(),
+            row_version: 1,
+        };
+        let mut next = Self {
+            scheduler: Scheduler::new(plan(2), self.scheduler.timing),
+            now: Mono(500),
+        };
+        next.scheduler.restore(submission, &record, next.now);
+        next
+    }
+
     /// Passes an executor list to the scheduler.
     pub fn list(&mut self, listings: Vec<Listing>) {
         let listings = listings.into_iter().map(|listing| (listing, 500)).collect();
--- a/crates/job/tests/all/late_ends.rs
+++ b/crates/job/tests/all/late_ends.rs
@@ -56,30 +56,9 @@
     fixture.scheduler.acknowledgement(fixture.executor(number))
 }
 
-/// Returns a new owner that restores the job from its stored record.
+/// Returns a new owner of the same executors.
 fn successor(fixture: &mut Fixture) -> Fixture {
-    let batch = fixture.scheduler.take_batch(100);
-    let (id, row) = batch.rows.first().expect("the job changed").clone();
-    let record: JobRecord = serde_json::from_slice(&row).expect("a valid record");
-    let key = fixture.scheduler.find(id).expect("the job exists");
-    let spec = fixture
-        .scheduler
-        .job(key)
-        .expect("the job exists")
-        .spec
-        .clone();
-    let submission = Submission {
-        id,
-        queue: QUEUE.into(),
-        age_ms: 0,
-        spec,
-        row_version: 1,
-    };
-    let mut next = Fixture {
-        scheduler: Scheduler::new(plan(2), fixture.scheduler.timing),
-        now: fixture.now,
-    };
-    next.scheduler.restore(submission, &record, next.now);
+    let mut next = fixture.successor();
     next.list(vec![listing(1), listing(2)]);
     next
 }
--- a/crates/job/tests/all/record.rs
+++ b/crates/job/tests/all/record.rs
@@ -1,58 +1,20 @@
 //! Tests of stored records and of their restoration by a new owner.
 
-use job::record::JobRecord;
 use job::scheduler::Command;
 use job::scheduler::JobState;
 use job::scheduler::RunOutcome;
-use job::scheduler::Scheduler;
-use job::scheduler::Submission;
-use job::scheduler::Timing;
-use model::Mono;
 
 use crate::fixture::Fixture;
 use crate::fixture::LEASE;
-use crate::fixture::MAX_LEASE;
-use crate::fixture::QUEUE;
 use crate::fixture::listing;
-use crate::fixture::plan;
 use crate::fixture::step;
 
-/// Returns a new owner that restores the only job from the record that the current owner would
-/// store.
-fn successor(fixture: &mut Fixture) -> Fixture {
-    let batch = fixture.scheduler.take_batch(100);
-    let [(id, row)] = &batch.rows[..] else {
-        panic!("expected one row, got {}", batch.rows.len());
-    };
-    let record: JobRecord = serde_json::from_slice(row).expect("a valid record");
-    let key = fixture.scheduler.find(*id).expect("the job exists");
-    let job = fixture.scheduler.job(key).expect("the job exists");
-    let submission = Submission {
-        id: *id,
-        queue: QUEUE.into(),
-        age_ms: 0,
-        spec: job.spec.clone(),
-        row_version: 1,
-    };
-    let timing = Timing {
-        lease: LEASE,
-        max_lease: MAX_LEASE,
-        stop_timeout: std::time::Duration::from_millis(900),
-    };
-    let mut next = Fixture {
-        scheduler: Scheduler::new(plan(2), timing),
-        now: Mono(500),
-    };
-    next.scheduler.restore(submission, &record, next.now);
-    next
-}
-
 #[test]
 fn a_new_owner_polls_executors_before_it_starts_inherited_tasks_again() {
     let mut fixture = Fixture::new(1);
     fixture.submit(1, vec![step(2, 4, 1_000)]);
     fixture.place();
-    let mut next = successor(&mut fixture);
+    let mut next = fixture.successor();
     next.list(vec![listing(1), listing(2)]);
     assert_eq!(next.place(), 0);
     assert_eq!(next.tasks_on(1).len(), 2);
@@ -66,7 +28,7 @@
     let mut fixture = Fixture::new(1);
     let job = fixture.submit(1, vec![step(2, 4, 1_000)]);
     fixture.place();
-    let mut next = successor(&mut fixture);
+    let mut next = fixture.successor();
     next.list(vec![listing(1)]);
     let tasks = next.tasks_on(1);
     let running = next.running(tasks[0], 40, 0);
@@ -87,7 +49,7 @@
     let task = fixture.tasks_on(1)[0];
     let end = fixture.end(1, task, RunOutcome::Failed);
     fixture.report(1, vec![end]);
-    let mut next = successor(&mut fixture);
+    let mut next = fixture.successor();
     next.list(vec![listing(1)]);
     next.pass(5_000);
     let commands = next.start_all();
@@ -104,7 +66,7 @@
     let mut fixture = Fixture::new(1);
     fixture.submit(1, vec![step(1, 4, 1_000)]);
     fixture.place();
-    let mut next = successor(&mut fixture);
+    let mut next = fixture.successor();
     let until = next.now.after(LEASE * 3);
     next.scheduler.inherit_leases(next.now, until);
     next.list(vec![listing(2)]);
