fix(dispatch): starts without an answer do not use up the window of others

Cause, seen by reading and then by a test (100 of 120 executors leave commands unanswered: 40 starts in 2.5 s where 640 are possible): a start counted as in flight until it was settled, so that executors that do not answer took the whole window. A start now counts for its first attempt, and for 400 ms at most. A poll's result is handled before the pause that paces it.

--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -4,6 +4,8 @@
 //! answer when it is sent again, a poll that reports the run, a stop that the executor remembers,
 //! or the end of the lease.
 
+use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +26,9 @@
 use crate::events;
 use crate::metrics;
 
+/// How long a start command counts as in flight. One that takes longer is for an executor that does
+/// not answer, which is no reason to send less to others.
+const MAX_COUNTED: Duration = Duration::from_millis(400);
 /// Maximum number of concurrent commands to one executor.
 const MAX_CONCURRENT_COMMANDS: usize = 2;
 /// Delay before a command is sent again.
@@ -69,12 +74,13 @@
                 checkpoint,
                 ticket,
             };
-            let in_flight = &owner.starts_in_flight;
-            in_flight.set(in_flight.get() + 1);
-            owner
-                .with_command_slot(executor, owner.start_run(start))
-                .await;
-            in_flight.set(in_flight.get() - 1);
+            let counted = CountedStart::new(&owner);
+            let mut sent =
+                pin!(owner.with_command_slot(executor, owner.start_run(start, &counted)));
+            if tokio::time::timeout(MAX_COUNTED, &mut sent).await.is_err() {
+                counted.release();
+                sent.await;
+            }
         }
         Command::Stop {
             key,
@@ -105,6 +111,36 @@
     owner.dispatch_pending();
 }
 
+/// A start command that counts as in flight until it is released or dropped.
+struct CountedStart {
+    owner: Rc<Owner>,
+    counted: Cell<bool>,
+}
+
+impl CountedStart {
+    fn new(owner: &Rc<Owner>) -> Self {
+        let in_flight = &owner.starts_in_flight;
+        in_flight.set(in_flight.get() + 1);
+        Self {
+            owner: owner.clone(),
+            counted: Cell::new(true),
+        }
+    }
+
+    fn release(&self) {
+        if self.counted.replace(false) {
+            let in_flight = &self.owner.starts_in_flight;
+            in_flight.set(in_flight.get() - 1);
+        }
+    }
+}
+
+impl Drop for CountedStart {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
 /// A command to start a run.
 struct StartRun {
     key: TaskKey,
@@ -164,7 +200,7 @@
         reply.outcome
     }
 
-    async fn start_run(&self, start: StartRun) {
+    async fn start_run(&self, start: StartRun, counted: &CountedStart) {
         let mut failed_sends = 0;
         while !self.shutdown.is_cancelled() {
             if !self
@@ -179,6 +215,7 @@
                 return;
             }
             let outcome = self.try_start(&start).await;
+            counted.release();
             let answer = match outcome {
                 CommandOutcome::Answered(answer) => answer,
                 CommandOutcome::Fenced => return,
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -83,12 +83,7 @@
             break;
         }
         let polled_at = tokio::time::Instant::now();
-        let result = owner.poll_once(key).await;
-        let interval = owner.poll_interval();
-        if !interval.is_zero() {
-            tokio::time::sleep_until(polled_at + interval).await;
-        }
-        match result {
+        match owner.poll_once(key).await {
             Ok(()) if owner.has_withheld_ends(key) => {
                 tokio::time::sleep(WITHHELD_ENDS_INTERVAL).await;
             }
@@ -99,6 +94,10 @@
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
+        let interval = owner.poll_interval();
+        if !interval.is_zero() {
+            tokio::time::sleep_until(polled_at + interval).await;
+        }
     }
     owner.polled_executors.borrow_mut().remove(&key);
 }
--- a/crates/dispatch/tests/all/pacing.rs
+++ b/crates/dispatch/tests/all/pacing.rs
@@ -8,6 +8,9 @@
 use dispatch::owner::pacing::poll_interval;
 use model::Mono;
 
+use crate::world::World;
+use crate::world::job;
+
 /// Commands that the simulated link carries a second.
 const LINK_COMMANDS_PER_S: u64 = 100;
 /// Duration of the simulated load, in milliseconds.
@@ -107,3 +110,27 @@
     }
     assert!(window.free(0) > 4_000);
 }
+
+/// Most of the executors leave commands unanswered when more work arrives than the window holds.
+#[tokio::test(start_paused = true)]
+async fn starts_without_an_answer_do_not_hold_up_those_on_other_executors() {
+    const EXECUTORS: usize = 120;
+    const ANSWERING: usize = 20;
+    let world = World::new(EXECUTORS);
+    world.start("a");
+    world.advance(Duration::from_secs(1)).await;
+    for number in 1..=EXECUTORS - ANSWERING {
+        let executor = world.fleet.executor(number);
+        executor.command_delay.set(Some(Duration::from_secs(60)));
+    }
+    for number in 1..=24 {
+        world.submit("a", number, job(96)).await;
+    }
+    world.advance(Duration::from_millis(2_500)).await;
+    let capacity = ANSWERING as u64 * 16 * 2;
+    assert!(
+        world.fleet.starts.get() >= capacity,
+        "{} starts, two for each place are {capacity}",
+        world.fleet.starts.get()
+    );
+}
