--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -122,10 +122,15 @@
             self.assume_max_lease(key, now);
         }
         if let Some(executor) = self.fleet.get_mut(key) {
-            executor.clock = Some(ClockReading {
-                executor_ms: report.clock_ms,
-                at: now,
-            });
+            // The reading in a late report may be seconds old. Leases computed from it would be too
+            // short.
+            let has_newer = executor.clock.is_some_and(|clock| clock.at > sent);
+            if !has_newer {
+                executor.clock = Some(ClockReading {
+                    executor_ms: report.clock_ms,
+                    at: now,
+                });
+            }
         }
         if earlier != 0 && started_unix_ms > earlier {
             for task in tasks {
--- a/crates/job/tests/all/leases.rs
+++ b/crates/job/tests/all/leases.rs
@@ -335,3 +335,27 @@
     );
     assert_eq!(fixture.scheduler.state(job), Some(JobState::Running));
 }
+
+/// The answer to a poll arrives seconds late, after those to later calls.
+#[test]
+fn a_late_report_does_not_shorten_the_leases_that_are_granted_after_it() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(1, vec![step(1, 4, 60_000)]);
+    fixture.start_all();
+    let executor = fixture.executor(1);
+    let task = fixture.tasks_on(1)[0];
+    let late = Report {
+        started_unix_ms: Some(1_000),
+        clock_ms: fixture.now.0,
+        running: vec![fixture.running(task, 10, 0)],
+        ended: vec![],
+    };
+    let sent = fixture.now;
+    fixture.pass(6_000);
+    fixture.report(1, vec![]);
+    fixture.pass(10);
+    fixture.scheduler.report(executor, &late, sent, fixture.now);
+    let deadline = fixture.scheduler.grant_lease(executor, fixture.now);
+    let expected = fixture.now.after(LEASE).0;
+    assert_eq!(deadline, Some(expected));
+}
