--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -18,6 +18,7 @@
 use http_body_util::Limited;
 use job::id::JobId;
 use link::client::Client;
+use link::client::TimeLimits;
 use link::server::IncomingRequest;
 use link::server::OutgoingResponse;
 use model::Map;
@@ -105,7 +106,11 @@
         .body(Full::new(Bytes::from(body)))
         .ok()?;
     let answer = client
-        .call(&peer_call.address, http_request, peer_call.timeout)
+        .call(
+            &peer_call.address,
+            http_request,
+            TimeLimits::total(peer_call.timeout),
+        )
         .await
         .ok()?;
     if answer.status != StatusCode::OK {
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use derive_more::Display;
 use derive_more::Error;
 use http::HeaderMap;
@@ -14,6 +15,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use model::Map;
@@ -28,7 +30,7 @@
 /// Maximum number of idle connections in the pool per address.
 const MAX_IDLE_PER_ADDRESS: usize = 4;
 /// Maximum size of a response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// A response with its complete body.
 #[derive(Clone, Debug)]
@@ -53,6 +55,29 @@
     Unanswered,
 }
 
+/// Time limits of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimeLimits {
+    /// Until the response begins, including the time to open a connection.
+    pub response: Duration,
+    /// Between two parts of the response's body.
+    pub idle: Duration,
+    /// Until the response is complete.
+    pub total: Duration,
+}
+
+impl TimeLimits {
+    /// Returns limits that allow a call this much time in all.
+    #[must_use]
+    pub const fn total(total: Duration) -> Self {
+        Self {
+            response: total,
+            idle: total,
+            total,
+        }
+    }
+}
+
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     /// When the connection was returned to the pool.
@@ -80,46 +105,40 @@
 
     /// Sends a request to `address` and reads the complete response.
     ///
-    /// `timeout` limits the whole call, including the time to open a connection. The connection
-    /// returns to the pool only after a complete response. New connections are driven by a task
-    /// started with [`tokio::task::spawn_local`].
+    /// The connection returns to the pool only after a complete response. New connections are
+    /// driven by a task started with [`tokio::task::spawn_local`].
     ///
     /// # Errors
     ///
     /// Returns [`CallError::NotSent`] if no connection could be opened, and
-    /// [`CallError::Unanswered`] if no complete response arrived in time.
+    /// [`CallError::Unanswered`] if no complete response arrived within the limits.
     pub async fn call(
         &self,
         address: &Arc<str>,
         request: Request<Full<Bytes>>,
-        timeout: Duration,
+        limits: TimeLimits,
     ) -> Result<Response, CallError> {
-        let deadline = Instant::now() + timeout;
+        let started = Instant::now();
+        let response_deadline = started + limits.response.min(limits.total);
         let mut sender = match self.take_idle(address) {
             Some(sender) => sender,
-            None => connect(address, deadline).await?,
-        };
-        let exchange = async {
-            let response = sender
-                .send_request(request)
-                .await
-                .map_err(|_| CallError::Unanswered)?;
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES)
-                .collect()
-                .await
-                .map_err(|_| CallError::Unanswered)?;
-            Ok(Response {
-                status: head.status,
-                headers: head.headers,
-                body: body.to_bytes(),
-            })
+            None => connect(address, response_deadline).await?,
         };
-        let response = tokio::time::timeout_at(deadline, exchange)
+        let response = tokio::time::timeout_at(response_deadline, sender.send_request(request))
+            .await
+            .map_err(|_| CallError::Unanswered)?
+            .map_err(|_| CallError::Unanswered)?;
+        let (head, body) = response.into_parts();
+        let body = read_body(body, limits.idle);
+        let body = tokio::time::timeout_at(started + limits.total, body)
             .await
             .map_err(|_| CallError::Unanswered)??;
         self.return_to_pool(address, sender);
-        Ok(response)
+        Ok(Response {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
     }
 
     /// Closes all idle connections to `address`, for example after a call without a response.
@@ -153,6 +172,26 @@
     }
 }
 
+/// Reads a body completely; `idle` limits the time between two parts of it.
+async fn read_body(body: Incoming, idle: Duration) -> Result<Bytes, CallError> {
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+    let mut buf = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(idle, body.frame())
+            .await
+            .map_err(|_| CallError::Unanswered)?;
+        match frame {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    buf.extend_from_slice(data);
+                }
+            }
+            Some(Err(_)) => return Err(CallError::Unanswered),
+            None => return Ok(buf.freeze()),
+        }
+    }
+}
+
 async fn connect(address: &str, deadline: Instant) -> Result<SendRequest<Full<Bytes>>, CallError> {
     let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let stream = tokio::time::timeout_at(limit, TcpStream::connect(address))
