feat(dispatch): hosts far from the store take the document from the owner

Cause: each host reads the whole document in the store's encoding over the one link to the store's region. Change: hosts whose round trip to the store is twice the owner's take the document from the owner, compressed (a fifth of its JSON or less), after the owner's answer to a ping named a new version. The owner's report ages after 1.6 s without the store; then, or after two failed transfers, they follow the store from where the owner was. They read a small row of the store each second, because a host that makes no call by itself would refuse callers for good once one call has failed. docs/JOBS.md, 'The document', says what was weighed.

Tests (document_relay.rs): without the relay the document crosses four times to each far host instead of once (fails); without the check of the store a far host refuses jobs for good after it had lost the store (fails); whatever happens to the owner, a change is in force on far hosts within 2.5 s; the decision as a table; damaged text; answers of earlier releases.

--- /dev/null
+++ b/crates/dispatch/src/document/mod.rs
@@ -0,0 +1,222 @@
+//! Keeps the operators' document up to date on each host.
+//!
+//! A host near the store follows the document there: a change comes into force when a waiting call
+//! returns it. Changes can be missed, for example when the store drops its history or a connection
+//! hangs, so the whole document is read again after every failed call. A host far from the store
+//! takes the document from the owner instead, compressed, because the link to the store's region is
+//! shared and a large document for each host would fill it; see "The document" in `docs/JOBS.md`.
+//! [`relay`] decides which of the two applies. A version lower than the one in force is never
+//! accepted.
+
+pub mod packed;
+pub mod relay;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use job::plan::Plan;
+use model::Mono;
+
+use self::packed::PackedPlan;
+use self::relay::OwnerDocument;
+use crate::dependencies::Range;
+use crate::dependencies::StoreError;
+use crate::events;
+use crate::node::Node;
+use crate::peers;
+use crate::peers::DocumentInfo;
+use crate::peers::PeerRequest;
+use crate::peers::PeerResponse;
+use crate::rows;
+
+/// How long a call waits for a change; the document is not read in the meantime.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Delay after a failed call to the store or to the owner.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Interval at which a host that takes the document from the owner checks for a new version.
+const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time limit for receiving the document from the owner.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Number of failed transfers after which a host reads the document from the store.
+const MAX_FAILED_TRANSFERS: u32 = 2;
+/// Interval at which a host that takes the document from the owner checks that the store answers.
+const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// What a host knows about the document besides its contents.
+#[derive(Debug, Default)]
+pub struct DocumentState {
+    /// The version of the store up to which this host has followed the document, and when the store
+    /// last confirmed it.
+    followed: Cell<Option<(u64, Mono)>>,
+    /// The document of the owner as reported in its latest answer to a ping.
+    owner: RefCell<Option<OwnerDocument>>,
+    /// The shortest round trip to the store measured so far.
+    store_round_trip: Cell<Option<Duration>>,
+    /// The document in force, compressed for other hosts.
+    packed: RefCell<Option<PackedPlan>>,
+    /// Whether this host takes the document from the owner.
+    is_relayed: Cell<bool>,
+}
+
+impl DocumentState {
+    /// Records the duration of a small call to the store.
+    pub fn record_round_trip(&self, round_trip: Duration) {
+        let shortest = self.store_round_trip.get().unwrap_or(Duration::MAX);
+        self.store_round_trip.set(Some(shortest.min(round_trip)));
+    }
+
+    /// Records what the owner at `address` reports about its document.
+    pub fn record_owner(&self, address: &Arc<str>, info: DocumentInfo, now: Mono) {
+        *self.owner.borrow_mut() = Some(OwnerDocument {
+            address: address.clone(),
+            info,
+            reported_at: now,
+        });
+    }
+}
+
+/// Returns what this host reports about its document to others, or `None` before it has one.
+#[must_use]
+pub fn info(node: &Node) -> Option<DocumentInfo> {
+    let (store_version, confirmed_at) = node.document.followed.get()?;
+    Some(DocumentInfo {
+        version: node.plan()?.version,
+        store_version,
+        age_ms: model::time::millis(node.now().since(confirmed_at)),
+        store_round_trip_ms: model::time::millis(node.document.store_round_trip.get()?),
+    })
+}
+
+/// Returns the document in force in compressed form.
+#[must_use]
+pub fn packed(node: &Node) -> Option<PackedPlan> {
+    let plan = node.plan()?;
+    let mut cached = node.document.packed.borrow_mut();
+    if cached.as_ref().map(|packed| packed.version) != Some(plan.version) {
+        *cached = PackedPlan::pack(&plan);
+    }
+    cached.clone()
+}
+
+/// Keeps the document in force up to date until the process ends.
+pub async fn follow(node: Rc<Node>) {
+    let mut followed = None;
+    let mut failed_transfers = 0;
+    loop {
+        let source = owner_document(&node).filter(|_| failed_transfers < MAX_FAILED_TRANSFERS);
+        node.document.is_relayed.set(source.is_some());
+        if let Some(source) = source {
+            match take_from_owner(&node, &source).await {
+                Ok(store_version) => {
+                    failed_transfers = 0;
+                    followed = Some(store_version);
+                    tokio::time::sleep(OWNER_CHECK_INTERVAL).await;
+                }
+                Err(TransferFailed) => {
+                    failed_transfers += 1;
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+            }
+        } else {
+            followed = take_from_store(&node, followed).await;
+            failed_transfers = 0;
+        }
+    }
+}
+
+/// Returns the owner's document if this host should take its own from there.
+fn owner_document(node: &Node) -> Option<OwnerDocument> {
+    if node.owner().is_some() || node.plan().is_none() {
+        return None;
+    }
+    let owner = node.document.owner.borrow().clone()?;
+    let round_trip = node.document.store_round_trip.get()?;
+    relay::is_preferred(&owner, round_trip, node.now()).then_some(owner)
+}
+
+/// The owner did not send the document that it had reported.
+struct TransferFailed;
+
+/// Brings the document up to date with that of the owner. Returns the version of the store up to
+/// which the owner has followed it.
+async fn take_from_owner(node: &Node, owner: &OwnerDocument) -> Result<u64, TransferFailed> {
+    let current = node.plan().map_or(0, |plan| plan.version);
+    if owner.info.version <= current {
+        return Ok(owner.info.store_version);
+    }
+    let request = PeerRequest::Document;
+    let response = peers::send(node, &owner.address, request, TRANSFER_TIMEOUT).await;
+    let Some(PeerResponse::Document(packed)) = response else {
+        return Err(TransferFailed);
+    };
+    let plan = packed.unpack().ok_or(TransferFailed)?;
+    accept(node, plan, "owner");
+    Ok(owner.info.store_version)
+}
+
+/// Follows the document in the store after a version, or reads it. Returns the version up to which
+/// it has been followed.
+async fn take_from_store(node: &Node, followed: Option<u64>) -> Option<u64> {
+    let result = match followed {
+        None => (node.dependencies.document.read)(()).await,
+        Some(after) => (node.dependencies.document.follow)((after, WAIT)).await,
+    };
+    match result {
+        Ok((plan, store_version)) => {
+            node.record_store_result(true);
+            if let Some(plan) = plan {
+                accept(node, plan, "store");
+            }
+            let confirmed = (store_version, node.now());
+            node.document.followed.set(Some(confirmed));
+            Some(store_version)
+        }
+        Err(StoreError::HistoryGone) => None,
+        Err(_) => {
+            node.record_store_result(false);
+            tokio::time::sleep(RETRY_DELAY).await;
+            None
+        }
+    }
+}
+
+/// Puts a document into force unless its version is already in force or older. `source` tells in
+/// the log where it was read.
+pub fn accept(node: &Node, plan: Plan, source: &str) {
+    let current = node.plan().map_or(0, |plan| plan.version);
+    if plan.version < current || (plan.version == current && current > 0) {
+        return;
+    }
+    events::document(plan.version, plan.queues.len(), source);
+    let plan = Arc::new(plan);
+    *node.plan.borrow_mut() = Some(plan.clone());
+    if let Some(owner) = node.owner() {
+        owner.set_plan(plan);
+    }
+}
+
+/// Checks regularly that the store answers, on a host that does not follow the document there. Other
+/// calls are not made, and callers are refused, while the store is considered unavailable.
+pub async fn probe_store(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        if !node.document.is_relayed.get() {
+            continue;
+        }
+        let range = Range {
+            table: rows::OWNER_TABLE,
+            part: rows::OWNED_PART,
+            from: rows::OWNER_KEY.to_owned(),
+            to: None,
+        };
+        let started = node.now();
+        let result = (node.dependencies.store.read)(range).await;
+        node.record_store_result(result.is_ok());
+        if result.is_ok() {
+            node.document.record_round_trip(node.now().since(started));
+        }
+    }
+}
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -87,9 +87,11 @@
         from: rows::OWNER_KEY.to_owned(),
         to: None,
     };
+    let started = node.now();
     let result = (node.dependencies.store.read)(range).await;
     node.record_store_result(result.is_ok());
     let page = result?;
+    node.document.record_round_trip(node.now().since(started));
     let Some(stored) = page.rows.into_iter().find(|row| row.key == rows::OWNER_KEY) else {
         return Ok(None);
     };
@@ -135,13 +137,14 @@
 
 async fn is_alive(node: &Node, address: &Arc<str>, record: &OwnerRecord) -> bool {
     let reply = peers::send(node, address, PeerRequest::Ping, PING_TIMEOUT).await;
-    matches!(
-        reply,
-        Some(PeerResponse::Pong(pong))
-            if pong.epoch == record.epoch
-                && pong.incarnation == record.incarnation
-                && pong.confirmed_ms <= MAX_CONFIRMATION_AGE_MS
-    )
+    let Some(PeerResponse::Pong(pong)) = reply else {
+        return false;
+    };
+    let is_owner = pong.epoch == record.epoch && pong.incarnation == record.incarnation;
+    if is_owner && let Some(info) = pong.document {
+        node.document.record_owner(address, info, node.now());
+    }
+    is_owner && pong.confirmed_ms <= MAX_CONFIRMATION_AGE_MS
 }
 
 /// Reads the row of a suspected owner until it changes or has stayed unchanged for long enough.
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -25,9 +25,10 @@
     log::info!(event = "dependency", name, available, detail; "");
 }
 
-/// Logs the version of the document that has just come into force and its number of queues.
-pub fn document(version: u64, queues: usize) {
-    log::info!(event = "document", version, queues; "");
+/// Logs the version of the document that has just come into force, its number of queues and whether
+/// it was read from the store or from the owner.
+pub fn document(version: u64, queues: usize, source: &str) {
+    log::info!(event = "document", version, queues, source; "");
 }
 
 /// Logs a takeover: the epoch, the earlier owner, the stored jobs and the inherited tasks.
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::dependencies::Dependencies;
+use crate::document::DocumentState;
 use crate::metrics::Metrics;
 use crate::metrics::OutcomeLabel;
 use crate::owner::Owner;
@@ -97,6 +98,8 @@
     /// cached state becomes outdated only if an id is reused, long after the job with that id
     /// ended.
     pub final_states: RefCell<Map<JobId, (JobState, Mono)>>,
+    /// What this host knows about the document besides its contents.
+    pub document: DocumentState,
     /// Cancelled when the process begins to shut down.
     pub draining: CancellationToken,
 }
@@ -124,6 +127,7 @@
             store_failing_since: Cell::new(None),
             store_answered_at: Cell::new(Mono::ZERO),
             final_states: RefCell::new(Map::default()),
+            document: DocumentState::default(),
             draining: CancellationToken::new(),
         })
     }
@@ -189,6 +193,7 @@
     /// Starts the background tasks that run until the process ends.
     pub fn start(self: &Rc<Self>) {
         tokio::task::spawn_local(crate::document::follow(self.clone()));
+        tokio::task::spawn_local(crate::document::probe_store(self.clone()));
         tokio::task::spawn_local(crate::election::run(self.clone()));
     }
 
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -27,6 +27,8 @@
 
 use crate::dependencies::PeerCall;
 use crate::dependencies::PeerClient;
+use crate::document;
+use crate::document::packed::PackedPlan;
 use crate::node::Node;
 
 /// Maximum size of a message, in bytes.
@@ -46,6 +48,8 @@
     Pending,
     /// Announces an owner with this epoch; an owner with a lower epoch has to stop.
     Superseded(u64),
+    /// Asks the owner for the operators' document.
+    Document,
 }
 
 /// The response to a request.
@@ -59,7 +63,9 @@
     State(Option<char>),
     /// Number of jobs that have not started, by queue.
     Pending(Map<Arc<str>, usize>),
-    /// The host does not own the executors.
+    /// The operators' document in force at the owner.
+    Document(PackedPlan),
+    /// The host does not own the executors, or has no document to send.
     NotOwner,
 }
 
@@ -73,6 +79,22 @@
     pub epoch: u64,
     /// Time since the store last confirmed the ownership, in milliseconds.
     pub confirmed_ms: u64,
+    /// The document of the process; `None` from earlier releases and before it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub document: Option<DocumentInfo>,
+}
+
+/// What a host reports about its document.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentInfo {
+    /// The version of the document in force.
+    pub version: u64,
+    /// The version of the store up to which the host has followed the document.
+    pub store_version: u64,
+    /// Time since the store last confirmed that the document is current, in milliseconds.
+    pub age_ms: u64,
+    /// The host's shortest round trip to the store, in milliseconds.
+    pub store_round_trip_ms: u64,
 }
 
 /// Sends a request to another host.
@@ -161,6 +183,9 @@
         PeerRequest::Pending => owner.map_or(PeerResponse::NotOwner, |owner| {
             PeerResponse::Pending(owner.pending())
         }),
+        PeerRequest::Document => owner
+            .and_then(|_| document::packed(node))
+            .map_or(PeerResponse::NotOwner, PeerResponse::Document),
     }
 }
 
@@ -172,5 +197,6 @@
         confirmed_ms: owner.map_or(0, |owner| {
             model::time::millis(node.now().since(owner.confirmed_at()))
         }),
+        document: document::info(node),
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/all/document.rs
@@ -0,0 +1,114 @@
+//! The operators' document in the simulated store.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dispatch::dependencies::DocumentSource;
+use dispatch::dependencies::DocumentUpdate;
+use dispatch::dependencies::StoreError;
+use futures::FutureExt;
+use job::plan::Plan;
+use tokio::sync::Notify;
+
+use crate::store::StoreFault;
+
+/// Duration of a call to the store.
+const CALL_DELAY: Duration = Duration::from_millis(5);
+
+/// The document, the version of the store at which it last changed, and how often the store has
+/// sent it to each host.
+pub struct FakeDocument {
+    plan: RefCell<Plan>,
+    store_version: Cell<u64>,
+    changed: Notify,
+    transfers: RefCell<BTreeMap<String, u32>>,
+}
+
+impl FakeDocument {
+    /// Creates the document.
+    pub fn new(plan: Plan) -> Self {
+        Self {
+            plan: RefCell::new(plan),
+            store_version: Cell::new(1),
+            changed: Notify::new(),
+            transfers: RefCell::default(),
+        }
+    }
+
+    /// Replaces the document.
+    pub fn change(&self, plan: Plan) {
+        *self.plan.borrow_mut() = plan;
+        self.store_version.set(self.store_version.get() + 1);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns how often the store has sent the document to a host.
+    pub fn transfers(&self, host: &str) -> u32 {
+        let transfers = self.transfers.borrow();
+        transfers.get(host).copied().unwrap_or(0)
+    }
+
+    fn send(&self, host: &str) -> DocumentUpdate {
+        let mut transfers = self.transfers.borrow_mut();
+        *transfers.entry(host.to_owned()).or_default() += 1;
+        (Some(self.plan.borrow().clone()), self.store_version.get())
+    }
+
+    async fn follow(&self, host: &str, after: u64, wait: Duration) -> DocumentUpdate {
+        let limit = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            if self.store_version.get() > after {
+                return self.send(host);
+            }
+            if tokio::time::timeout_at(limit, changed).await.is_err() {
+                return (None, after);
+            }
+        }
+    }
+
+    /// Returns the document as one host reads it, with the fault that the store simulates for it.
+    pub fn source(
+        self: &Rc<Self>,
+        host: &str,
+        fault: &Rc<Cell<StoreFault>>,
+        distance: Duration,
+    ) -> DocumentSource {
+        let (read_document, follow_document) = (self.clone(), self.clone());
+        let (read_fault, follow_fault) = (fault.clone(), fault.clone());
+        let (read_host, follow_host) = (host.to_owned(), host.to_owned());
+        DocumentSource {
+            read: Box::new(move |()| {
+                let (document, host) = (read_document.clone(), read_host.clone());
+                let fault = read_fault.clone();
+                async move {
+                    tokio::time::sleep(CALL_DELAY + distance).await;
+                    answers(fault.get())?;
+                    Ok(document.send(&host))
+                }
+                .boxed_local()
+            }),
+            follow: Box::new(move |(after, wait)| {
+                let (document, host) = (follow_document.clone(), follow_host.clone());
+                let fault = follow_fault.clone();
+                async move {
+                    tokio::time::sleep(CALL_DELAY + distance).await;
+                    let update = document.follow(&host, after, wait).await;
+                    answers(fault.get())?;
+                    Ok(update)
+                }
+                .boxed_local()
+            }),
+        }
+    }
+}
+
+const fn answers(fault: StoreFault) -> Result<(), StoreError> {
+    match fault {
+        StoreFault::Refuses | StoreFault::Silent => Err(StoreError::Unanswered),
+        StoreFault::None | StoreFault::LosesAnswers | StoreFault::DelaysWrites(_) => Ok(()),
+    }
+}
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -4,6 +4,8 @@
 mod callers;
 mod chaos;
 mod cleanup;
+mod document;
+mod document_relay;
 mod executor;
 mod owners;
 mod pacing;
--- a/crates/dispatch/tests/all/store.rs
+++ b/crates/dispatch/tests/all/store.rs
@@ -166,19 +166,26 @@
     }
 }
 
-/// Returns the store with the faults of one host.
-pub fn store(memory: &Rc<MemoryStore>, fault: &Rc<Cell<StoreFault>>) -> Store {
+/// Returns the store with the faults of one host. Each call takes `distance` longer than for a host
+/// in the store's region.
+pub fn store(memory: &Rc<MemoryStore>, fault: &Rc<Cell<StoreFault>>, distance: Duration) -> Store {
     let (commit_memory, commit_fault) = (memory.clone(), fault.clone());
     let (read_memory, read_fault) = (memory.clone(), fault.clone());
     let (follow_memory, follow_fault) = (memory.clone(), fault.clone());
     Store {
         commit: Box::new(move |transaction| {
-            commit(commit_memory.clone(), commit_fault.get(), transaction).boxed_local()
+            let (memory, fault) = (commit_memory.clone(), commit_fault.get());
+            async move {
+                tokio::time::sleep(distance).await;
+                commit(memory, fault, transaction).await
+            }
+            .boxed_local()
         }),
         read: Box::new(move |range| {
             let memory = read_memory.clone();
             let fault = read_fault.get();
             async move {
+                tokio::time::sleep(distance).await;
                 reachable(fault).await?;
                 Ok(memory.read(&range))
             }
@@ -188,6 +195,7 @@
             let memory = follow_memory.clone();
             let fault = follow_fault.get();
             async move {
+                tokio::time::sleep(distance).await;
                 reachable(fault).await?;
                 memory.follow(&follow).await
             }
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -11,12 +11,10 @@
 use dispatch::api::JobLookup;
 use dispatch::api::SubmitOutcome;
 use dispatch::dependencies::Dependencies;
-use dispatch::dependencies::DocumentSource;
 use dispatch::dependencies::ExecutorList;
 use dispatch::dependencies::LogCounts;
 use dispatch::dependencies::PeerCall;
 use dispatch::dependencies::PeerClient;
-use dispatch::dependencies::StoreError;
 use dispatch::node::HostCapacity;
 use dispatch::node::Identity;
 use dispatch::node::Node;
@@ -35,6 +33,7 @@
 use model::Size;
 use tokio::task::LocalSet;
 
+use crate::document::FakeDocument;
 use crate::executor::Fleet;
 use crate::executor::advisor;
 use crate::executor::executors;
@@ -62,11 +61,13 @@
 pub struct World {
     pub store: Rc<MemoryStore>,
     pub fleet: Rc<Fleet>,
+    pub document: Rc<FakeDocument>,
     hosts: Rc<RefCell<BTreeMap<String, Rc<Host>>>>,
     incarnations: Cell<u64>,
 }
 
-fn plan(advised: bool) -> Plan {
+/// Returns a document of this version with one queue.
+pub fn plan(version: u64, advised: bool) -> Plan {
     let advisor = Advisor {
         base_latency: Duration::from_millis(100),
         latency_per_executor: Duration::from_millis(10),
@@ -86,7 +87,7 @@
     let mut services = Map::default();
     services.insert("service".into(), Service::default());
     Plan {
-        version: 1,
+        version,
         queues: vec![queue].into(),
         services,
         ..Plan::default()
@@ -136,45 +137,28 @@
         Self {
             store: Rc::default(),
             fleet,
+            document: Rc::new(FakeDocument::new(plan(1, false))),
             hosts: Rc::default(),
             incarnations: Cell::new(0),
         }
     }
 
-    /// Starts the process of a host; an earlier incarnation of it ends.
+    /// Starts the process of a host in the store's region; an earlier incarnation of it ends.
     pub fn start(&self, name: &str) {
+        self.start_at(name, Duration::ZERO);
+    }
+
+    /// Starts the process of a host whose calls to the store take `distance` longer.
+    pub fn start_at(&self, name: &str, distance: Duration) {
         self.incarnations.set(self.incarnations.get() + 1);
         let store_fault = Rc::new(Cell::new(StoreFault::None));
         let fleet = self.fleet.clone();
-        let follow_fault = store_fault.clone();
-        let read_fault = store_fault.clone();
-        let advised = self.fleet.granted_executors.borrow().is_some();
+        if self.fleet.granted_executors.borrow().is_some() {
+            self.document.change(plan(1, true));
+        }
         let dependencies = Dependencies {
-            store: store(&self.store, &store_fault),
-            document: DocumentSource {
-                read: Box::new(move |()| {
-                    let store_fault = read_fault.clone();
-                    async move {
-                        tokio::time::sleep(Duration::from_millis(5)).await;
-                        match store_fault.get() {
-                            StoreFault::Refuses | StoreFault::Silent => Err(StoreError::Unanswered),
-                            _ => Ok((Some(plan(advised)), 1)),
-                        }
-                    }
-                    .boxed_local()
-                }),
-                follow: Box::new(move |(after, wait)| {
-                    let store_fault = follow_fault.clone();
-                    async move {
-                        tokio::time::sleep(wait).await;
-                        match store_fault.get() {
-                            StoreFault::Refuses | StoreFault::Silent => Err(StoreError::Unanswered),
-                            _ => Ok((None, after)),
-                        }
-                    }
-                    .boxed_local()
-                }),
-            },
+            store: store(&self.store, &store_fault, distance),
+            document: self.document.source(name, &store_fault, distance),
             executor_list: ExecutorList {
                 read: Box::new(move |()| {
                     let fleet = fleet.clone();
--- a/crates/job/src/plan.rs
+++ b/crates/job/src/plan.rs
@@ -5,9 +5,11 @@
 
 use derive_more::Deref;
 use model::Map;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// One version of the operators' document.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
     /// The version of the document; it increases with every change.
     pub version: u64,
@@ -21,7 +23,8 @@
 
 /// The queues of a document, found by name. A document may have thousands of them, and placement
 /// looks up the queue of each waiting step.
-#[derive(Clone, Debug, Default, PartialEq, Deref)]
+#[derive(Clone, Debug, Default, PartialEq, Deref, Serialize, Deserialize)]
+#[serde(from = "Vec<Queue>", into = "Vec<Queue>")]
 pub struct Queues {
     #[deref]
     queues: Vec<Queue>,
@@ -44,6 +47,12 @@
     }
 }
 
+impl From<Queues> for Vec<Queue> {
+    fn from(queues: Queues) -> Self {
+        queues.queues
+    }
+}
+
 impl Queues {
     /// Returns the queue with this name.
     #[must_use]
@@ -53,7 +62,7 @@
 }
 
 /// A queue that callers submit jobs to.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// The queue's name, which is stable across document versions.
     pub name: Arc<str>,
@@ -77,7 +86,7 @@
 }
 
 /// The timing of an advisor's responses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Advisor {
     /// The part of the response time that does not depend on the number of executors.
     pub base_latency: Duration,
@@ -102,14 +111,14 @@
 }
 
 /// A pool of executors.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Whether the executors reject a start that exceeds their free capacity.
     pub refuses_overcommit: bool,
 }
 
 /// Limits on requests of callers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// The maximum size of a request's header section, in bytes.
     pub header_bytes: usize,
