feat(dispatch): the log tells which call to the store failed first

Cause: 970 lines said that hosts had lost the store, none that it was the document they were reading; that took the users' figures for links to find out. Change: record_store_result names the call (StoreCall); the field detail of the event dependency holds it.

--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -27,6 +27,7 @@
 use crate::peers::PeerRequest;
 use crate::peers::PeerResponse;
 use crate::rows;
+use crate::store_call::StoreCall;
 
 /// Time limit for storing a submission or a cancellation. It leaves the caller time to try another
 /// host.
@@ -125,7 +126,7 @@
         )
         .await;
         outcome.unwrap_or_else(|_| {
-            node.record_store_result(false);
+            node.record_store_result(StoreCall::Request, false);
             SubmitOutcome::Unknown
         })
     };
@@ -169,7 +170,10 @@
             removes: Vec::new(),
         };
         let result = (node.dependencies.store.commit)(transaction).await;
-        node.record_store_result(matches!(result, Ok(_) | Err(StoreError::Conflict { .. })));
+        node.record_store_result(
+            StoreCall::Request,
+            matches!(result, Ok(_) | Err(StoreError::Conflict { .. })),
+        );
         match result {
             Ok(_) => return SubmitOutcome::Accepted,
             Err(StoreError::Conflict { rows }) => return compare_with_stored(&rows, record),
@@ -234,7 +238,7 @@
             removes: Vec::new(),
         };
         let result = (node.dependencies.store.commit)(transaction).await;
-        node.record_store_result(result.is_ok());
+        node.record_store_result(StoreCall::Request, result.is_ok());
         if result.is_ok() {
             return CancelOutcome::Accepted;
         }
@@ -302,7 +306,7 @@
         to: Some(format!("{id}~")),
     };
     let result = (node.dependencies.store.read)(range).await;
-    node.record_store_result(result.is_ok());
+    node.record_store_result(StoreCall::JobState, result.is_ok());
     Ok(result?.rows)
 }
 
@@ -321,7 +325,7 @@
         to: Some(format!("{id}~")),
     };
     let result = (node.dependencies.store.read)(range).await;
-    node.record_store_result(result.is_ok());
+    node.record_store_result(StoreCall::JobState, result.is_ok());
     let Ok(page) = result else {
         return JobLookup::Unknown;
     };
--- a/crates/dispatch/src/document/mod.rs
+++ b/crates/dispatch/src/document/mod.rs
@@ -31,6 +31,7 @@
 use crate::peers::PeerRequest;
 use crate::peers::PeerResponse;
 use crate::rows;
+use crate::store_call::StoreCall;
 
 /// How long a call waits for a change; the document is not read in the meantime.
 const WAIT: Duration = Duration::from_millis(1_000);
@@ -166,7 +167,7 @@
     };
     match result {
         Ok((plan, store_version)) => {
-            node.record_store_result(true);
+            node.record_store_result(StoreCall::Document, true);
             if let Some(plan) = plan {
                 accept(node, plan, "store");
             }
@@ -176,7 +177,7 @@
         }
         Err(StoreError::HistoryGone) => None,
         Err(_) => {
-            node.record_store_result(false);
+            node.record_store_result(StoreCall::Document, false);
             tokio::time::sleep(RETRY_DELAY).await;
             None
         }
@@ -214,7 +215,7 @@
         };
         let started = node.now();
         let result = (node.dependencies.store.read)(range).await;
-        node.record_store_result(result.is_ok());
+        node.record_store_result(StoreCall::OwnerRow, result.is_ok());
         if result.is_ok() {
             node.document.record_round_trip(node.now().since(started));
         }
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -24,6 +24,7 @@
 use crate::peers::PeerResponse;
 use crate::rows;
 use crate::rows::OwnerRecord;
+use crate::store_call::StoreCall;
 
 /// Interval between pings of the owner.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
@@ -89,7 +90,7 @@
     };
     let started = node.now();
     let result = (node.dependencies.store.read)(range).await;
-    node.record_store_result(result.is_ok());
+    node.record_store_result(StoreCall::OwnerRow, result.is_ok());
     let page = result?;
     node.document.record_round_trip(node.now().since(started));
     let Some(stored) = page.rows.into_iter().find(|row| row.key == rows::OWNER_KEY) else {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod owner;
 pub mod peers;
 pub mod rows;
+pub mod store_call;
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -20,6 +20,7 @@
 use crate::metrics::OutcomeLabel;
 use crate::owner::Owner;
 use crate::rows::OwnerRecord;
+use crate::store_call::StoreCall;
 
 /// The identity of a process.
 #[derive(Clone, Debug)]
@@ -156,9 +157,9 @@
         !self.draining.is_cancelled() && self.plan.borrow().is_some()
     }
 
-    /// Records whether the store answered a call, and logs when it becomes unavailable or
-    /// available.
-    pub fn record_store_result(&self, answered: bool) {
+    /// Records whether the store answered a call, and logs when it becomes unavailable, with the
+    /// call that failed, or available.
+    pub fn record_store_result(&self, call: StoreCall, answered: bool) {
         if answered {
             self.store_answered_at.set(self.now());
         }
@@ -176,7 +177,7 @@
             }
             (false, None) => {
                 self.store_failing_since.set(Some(self.now()));
-                crate::events::dependency("store", false, "");
+                crate::events::dependency("store", false, call.as_str());
             }
             _ => {}
         }
--- a/crates/dispatch/src/owner/cleanup.rs
+++ b/crates/dispatch/src/owner/cleanup.rs
@@ -13,6 +13,7 @@
 use crate::dependencies::Transaction;
 use crate::events;
 use crate::rows;
+use crate::store_call::StoreCall;
 
 /// Interval between cleanups.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(3);
@@ -56,7 +57,7 @@
     };
     let result = (owner.node.dependencies.store.commit)(transaction).await;
     let answered = matches!(result, Ok(_) | Err(StoreError::Conflict { .. }));
-    owner.node.record_store_result(answered);
+    owner.node.record_store_result(StoreCall::Cleanup, answered);
     match result {
         Ok(_) => Some(job.id),
         Err(StoreError::Conflict { rows }) => {
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -19,6 +19,7 @@
 use crate::metrics::OutcomeLabel;
 use crate::rows;
 use crate::rows::OwnerRecord;
+use crate::store_call::StoreCall;
 
 /// Interval at which an owner without changes writes its row, to show other hosts that it is alive.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -119,7 +120,8 @@
             };
             let result = (self.node.dependencies.store.commit)(transaction).await;
             let answered = matches!(result, Ok(_) | Err(StoreError::Conflict { .. }));
-            self.node.record_store_result(answered);
+            self.node
+                .record_store_result(StoreCall::Transaction, answered);
             match result {
                 Ok(version) => {
                     self.record_commit(record, version, sent);
--- a/crates/dispatch/src/owner/feeds.rs
+++ b/crates/dispatch/src/owner/feeds.rs
@@ -12,6 +12,7 @@
 use crate::events;
 use crate::rows;
 use crate::rows::JobsKey;
+use crate::store_call::StoreCall;
 
 /// How long a call waits for new jobs.
 const JOBS_WAIT: Duration = Duration::from_millis(2_000);
@@ -38,7 +39,9 @@
         if owner.shutdown.is_cancelled() {
             return;
         }
-        owner.node.record_store_result(result.is_ok());
+        owner
+            .node
+            .record_store_result(StoreCall::Jobs, result.is_ok());
         match result {
             Ok((rows, version)) => {
                 let followed = after.replace(version).is_some();
@@ -89,7 +92,9 @@
 pub async fn follow_executors(owner: Rc<Owner>) {
     while !owner.shutdown.is_cancelled() {
         let result = (owner.node.dependencies.executor_list.read)(()).await;
-        owner.node.record_store_result(result.is_ok());
+        owner
+            .node
+            .record_store_result(StoreCall::Executors, result.is_ok());
         match result {
             Ok(list) => {
                 let now = owner.now();
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -37,6 +37,7 @@
 use crate::rows;
 use crate::rows::JobsKey;
 use crate::rows::OwnerRecord;
+use crate::store_call::StoreCall;
 
 /// Delay before the stored state is read again.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -235,7 +236,7 @@
             to: None,
         };
         let result: Result<Page, StoreError> = (node.dependencies.store.read)(range).await;
-        node.record_store_result(result.is_ok());
+        node.record_store_result(StoreCall::Jobs, result.is_ok());
         let page = result?;
         version.get_or_insert(page.version);
         let Some(last) = page.rows.last() else {
