fix(dispatch): a job removed while all jobs are read again does not run again

Change: of rows that are read again only those after the version followed so far are ingested; earlier ones are known.

--- a/crates/dispatch/src/owner/feeds.rs
+++ b/crates/dispatch/src/owner/feeds.rs
@@ -20,21 +20,25 @@
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
 /// Ingests jobs and cancellations as hosts store them.
+///
+/// If the store has dropped its history, all rows are read again. Rows up to the version followed so
+/// far are known, and some of them may belong to ended jobs that were removed while the answer was on
+/// its way, so that only later ones are ingested.
 pub async fn follow_jobs(owner: Rc<Owner>, version: u64) {
-    let mut after = Some(version);
+    let mut after = version;
+    let mut history_gone = false;
     while !owner.shutdown.is_cancelled() {
-        let result = match after {
-            Some(after) => {
-                let follow = FollowRequest {
-                    table: rows::JOBS_TABLE,
-                    after,
-                    wait: JOBS_WAIT,
-                };
-                (owner.node.dependencies.store.follow)(follow)
-                    .await
-                    .map(|page| (page.rows, page.version))
-            }
-            None => takeover::read_jobs(&owner.node).await,
+        let result = if history_gone {
+            takeover::read_jobs(&owner.node).await
+        } else {
+            let follow = FollowRequest {
+                table: rows::JOBS_TABLE,
+                after,
+                wait: JOBS_WAIT,
+            };
+            (owner.node.dependencies.store.follow)(follow)
+                .await
+                .map(|page| (page.rows, page.version))
         };
         if owner.shutdown.is_cancelled() {
             return;
@@ -43,12 +47,14 @@
             .node
             .record_store_result(StoreCall::Jobs, result.is_ok());
         match result {
-            Ok((rows, version)) => {
-                let followed = after.replace(version).is_some();
+            Ok((mut rows, version)) => {
+                rows.retain(|row| row.version > after);
                 owner.jobs_synced_at.set(owner.now());
-                owner.ingest(&rows, followed);
+                owner.ingest(&rows, !history_gone);
+                after = version;
+                history_gone = false;
             }
-            Err(StoreError::HistoryGone) => after = None,
+            Err(StoreError::HistoryGone) => history_gone = true,
             Err(_) => tokio::time::sleep(RETRY_DELAY).await,
         }
     }
--- a/crates/dispatch/tests/all/cleanup.rs
+++ b/crates/dispatch/tests/all/cleanup.rs
@@ -76,6 +76,35 @@
     }
 }
 
+/// The history of changes is gone, so that the owner reads all jobs again. Meanwhile it removes an
+/// ended job whose row is in the answer that is on its way.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_removed_while_all_jobs_are_read_again_does_not_run_again() {
+    let world = with_an_ended_job().await;
+    let starts = world.fleet.starts.get();
+    world.advance(RETENTION + 58 * SECOND).await;
+    assert_eq!(rows_of(&world, 1), 2);
+    world.store.set_read_transfer(6 * SECOND);
+    for number in 2..=4 {
+        // The history is gone for a follower that has not heard of this change.
+        let owner = world.owner().expect("an owner");
+        assert_eq!(
+            world.submit(&owner, number, job(1)).await,
+            SubmitOutcome::Accepted
+        );
+        world.store.drop_history();
+        world.advance(2 * SECOND).await;
+    }
+    world.advance(10 * SECOND).await;
+    world.store.set_read_transfer(Duration::ZERO);
+    world.advance(10 * SECOND).await;
+    assert_eq!(world.store.value(&rows::job_row_id(job_id(1))), None);
+    world
+        .wait_until_succeeded("a", &[2, 3, 4], 5 * SECOND)
+        .await;
+    assert_eq!(world.fleet.starts.get(), starts + 6, "two tasks a job");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_new_job_of_the_same_name_survives_a_delayed_removal() {
     let world = with_an_ended_job().await;
--- a/crates/dispatch/tests/all/store.rs
+++ b/crates/dispatch/tests/all/store.rs
@@ -50,6 +50,8 @@
     version: Cell<u64>,
     changed: Notify,
     oldest_change: Cell<u64>,
+    /// How long the answer to a read is on its way.
+    read_transfer: Cell<Duration>,
 }
 
 impl MemoryStore {
@@ -64,6 +66,11 @@
         self.oldest_change.set(self.version.get() + 1);
     }
 
+    /// Sets how long the answer to a read is on its way, as over a full link.
+    pub fn set_read_transfer(&self, duration: Duration) {
+        self.read_transfer.set(duration);
+    }
+
     fn apply(&self, transaction: &Transaction) -> Result<u64, StoreError> {
         let mut rows = self.rows.borrow_mut();
         let current = |rows: &Rows, row_id: &RowId| {
@@ -187,7 +194,9 @@
             async move {
                 tokio::time::sleep(distance).await;
                 reachable(fault).await?;
-                Ok(memory.read(&range))
+                let page = memory.read(&range);
+                tokio::time::sleep(memory.read_transfer.get()).await;
+                Ok(page)
             }
             .boxed_local()
         }),
