feat(job): held names starts that are overdue

A task that was given to an executor and had not started was in no line and in no dump: `held` listed tasks that wait for an executor only.

`waiting_steps` now also lists tasks that were assigned 2 s ago or more and have not started: not stored, start command pending, start command unanswered, with the executor and the time.

Not covered: stops; the scheduler does not know since when a run is being stopped.

--- a/crates/job/src/wait_reason.rs
+++ b/crates/job/src/wait_reason.rs
@@ -1,8 +1,11 @@
-//! Explains why a waiting task does not start.
+//! Explains why a waiting task does not start, and why an assigned one has not started.
 //!
 //! The constraints are those of [`crate::placement`], checked one after the other. The first one
 //! that leaves no executor is reported. This module makes no scheduling decisions.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use derive_more::Display;
 use model::Mono;
 use serde::Serialize;
@@ -16,6 +19,11 @@
 use crate::scheduler::TaskKey;
 use crate::spec::StepSpec;
 use crate::task::Phase;
+use crate::task::StartState;
+use crate::task::Task;
+
+/// How long an assigned task may take to start before it is reported as overdue.
+pub const OVERDUE_START: Duration = Duration::from_secs(2);
 
 /// The reason why a task waits.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize)]
@@ -146,6 +154,37 @@
     /// There are enough resources, and the task is due in the next placement round.
     #[display("its turn is next")]
     NextRound,
+    /// The task is assigned, and the store has not confirmed the assignment for a long time.
+    #[display("given to {executor}, which has not been stored for {waited_ms} ms")]
+    #[serde(rename = "unstored")]
+    NotStored {
+        /// The name of the executor.
+        executor: Arc<str>,
+        /// The time since the assignment, in milliseconds.
+        #[serde(rename = "for_ms")]
+        waited_ms: u64,
+    },
+    /// The task is assigned, and its start command waits for a command slot of the executor or for
+    /// the executor's first answer.
+    #[display("its start at {executor} has waited for {waited_ms} ms")]
+    #[serde(rename = "start_pending")]
+    StartPending {
+        /// The name of the executor.
+        executor: Arc<str>,
+        /// The time since the assignment, in milliseconds.
+        #[serde(rename = "for_ms")]
+        waited_ms: u64,
+    },
+    /// The task is assigned, and the executor has left at least one start command unanswered.
+    #[display("{executor} has not answered its start for {waited_ms} ms")]
+    #[serde(rename = "start_unanswered")]
+    StartUnanswered {
+        /// The name of the executor.
+        executor: Arc<str>,
+        /// The time since the assignment, in milliseconds.
+        #[serde(rename = "for_ms")]
+        waited_ms: u64,
+    },
 }
 
 /// A step with waiting tasks, and why they wait.
@@ -155,9 +194,9 @@
     pub occurrence: u32,
     /// The index of the step.
     pub step: u32,
-    /// The number of waiting tasks.
+    /// The number of tasks that wait, or whose starts are overdue.
     pub tasks: u32,
-    /// Why the first waiting task does not start.
+    /// Why the first of these tasks does not start.
     #[serde(flatten)]
     pub wait_reason: WaitReason,
     /// The reason as a sentence.
@@ -165,9 +204,71 @@
 }
 
 impl Scheduler {
-    /// Returns the steps of a job that have waiting tasks, each with its wait reason.
+    /// Returns the steps of a job that have waiting tasks, each with its wait reason, and after
+    /// them the steps with overdue starts.
     #[must_use]
     pub fn waiting_steps(&self, job: &Job, now: Mono, unix_ms: u64) -> Vec<WaitingStep> {
+        let mut steps = self.unassigned_steps(job, now, unix_ms);
+        steps.extend(self.overdue_steps(job, now));
+        steps
+    }
+
+    /// Returns the steps of a job with tasks that were assigned more than [`OVERDUE_START`] ago and
+    /// have not started.
+    #[must_use]
+    pub fn overdue_steps(&self, job: &Job, now: Mono) -> Vec<WaitingStep> {
+        let mut overdue: Vec<WaitingStep> = Vec::new();
+        if job.state.is_final() {
+            return overdue;
+        }
+        for (slot, task) in (0_u32..).zip(&job.tasks) {
+            let Some(wait_reason) = self.overdue_start(task, now) else {
+                continue;
+            };
+            let Some((occurrence, step, _)) = job.locate(slot) else {
+                continue;
+            };
+            match overdue.last_mut() {
+                Some(last) if (last.occurrence, last.step) == (occurrence, step) => last.tasks += 1,
+                _ => overdue.push(WaitingStep {
+                    occurrence,
+                    step,
+                    tasks: 1,
+                    reason: wait_reason.to_string(),
+                    wait_reason,
+                }),
+            }
+        }
+        overdue
+    }
+
+    /// Returns why the start of an assigned task is overdue, or `None` if it is not.
+    fn overdue_start(&self, task: &Task, now: Mono) -> Option<WaitReason> {
+        let assignment = task.assignment()?;
+        let waited = now.since(assignment.assigned_at);
+        if waited < OVERDUE_START {
+            return None;
+        }
+        let executor = self.fleet.get(assignment.executor)?.listing.id.clone();
+        let waited_ms = model::time::millis(waited);
+        match assignment.start_state {
+            StartState::Storing => Some(WaitReason::NotStored {
+                executor,
+                waited_ms,
+            }),
+            StartState::Sent if assignment.start_unanswered => Some(WaitReason::StartUnanswered {
+                executor,
+                waited_ms,
+            }),
+            StartState::Sent => Some(WaitReason::StartPending {
+                executor,
+                waited_ms,
+            }),
+            StartState::Confirmed(_) | StartState::Inherited => None,
+        }
+    }
+
+    fn unassigned_steps(&self, job: &Job, now: Mono, unix_ms: u64) -> Vec<WaitingStep> {
         let Some(key) = self.find(job.id) else {
             return Vec::new();
         };
--- a/crates/job/tests/all/wait_reason.rs
+++ b/crates/job/tests/all/wait_reason.rs
@@ -5,7 +5,9 @@
 
 use job::id::JobId;
 use job::plan::Plan;
+use job::scheduler::Command;
 use job::scheduler::RunOutcome;
+use job::scheduler::StartAnswer;
 use job::scheduler::Submission;
 use job::spec::JobSpec;
 use job::spec::Repeat;
@@ -194,3 +196,48 @@
         "there are enough free resources"
     );
 }
+
+#[test]
+fn an_overdue_start_names_its_executor_and_what_it_waits_for() {
+    let mut fixture = Fixture::new(1);
+    let id = fixture.submit(1, vec![step(2, 1, 100)]);
+    fixture.place();
+    fixture.pass(1_999);
+    assert_eq!(fixture.wait_reason(id), None, "not overdue yet");
+    fixture.pass(1);
+    let executor: Arc<str> = "e1".into();
+    let not_stored = WaitReason::NotStored {
+        executor: executor.clone(),
+        waited_ms: 2_000,
+    };
+    assert_eq!(fixture.wait_reason(id), Some(not_stored));
+
+    fixture.store();
+    let pending = WaitReason::StartPending {
+        executor: executor.clone(),
+        waited_ms: 2_000,
+    };
+    assert_eq!(fixture.wait_reason(id), Some(pending));
+
+    for command in fixture.scheduler.take_commands() {
+        if let Command::Start { key, run, .. } = command {
+            let answer = StartAnswer::Unanswered;
+            fixture
+                .scheduler
+                .start_answered(key, run, answer, fixture.now);
+        }
+    }
+    let unanswered = WaitReason::StartUnanswered {
+        executor,
+        waited_ms: 2_000,
+    };
+    assert_eq!(fixture.wait_reason(id), Some(unanswered));
+    let job = fixture.scheduler.find(id).expect("the job is known");
+    let job = fixture.scheduler.job(job).expect("the job is known");
+    let steps = fixture.scheduler.waiting_steps(job, fixture.now, UNIX_MS);
+    assert_eq!(steps.len(), 1, "one entry a step");
+    assert_eq!(steps[0].tasks, 2);
+
+    fixture.scheduler.cancel(id);
+    assert_eq!(fixture.wait_reason(id), None, "a job that has ended");
+}
