feat(dispatch): what a start or stop command waited for, in logs and metrics

Nothing told what became of a command between the decision and the executor: no line said that it was sent, went without an answer, waited for a command slot or was given up.

A command that took 1 s or more, or left an attempt without an answer, ends with one line: start_delayed, stop_delayed, start_unanswered or stop_unanswered, with job, step, index, run, executor, outcome, attempts, attempts without an answer, and the time spent on the store, on the slot and on the answer. Four events, because lines are limited by event: starts that hang by the hundred leave the lines of stops alone. fireflynotch_command_seconds has the three waits of each answered command, fireflynotch_unanswered_commands_total counts the others by reason.

Partial: a line is written when its command ends, so that a command which never ends has none; `held` shows starts of that kind.

--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -75,6 +75,53 @@
     log::debug!(event = "paced", job, step, index, executor, percent, over_for_ms; "");
 }
 
+/// The end of a start or stop command that took long or had no answer.
+pub struct CommandSummary<'e> {
+    /// Name of the event: by whether the run was to start or to stop, and by whether the last
+    /// attempt was answered.
+    pub event: &'e str,
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u64,
+    /// Name of the executor.
+    pub executor: &'e str,
+    /// The executor's answer, or why the command is not sent any more.
+    pub outcome: &'e str,
+    /// Number of attempts, including those that were not sent because the executor was unreachable.
+    pub attempts: u32,
+    /// Number of attempts that were sent and not answered.
+    pub unanswered: u32,
+    /// Time from the decision until it was stored, in milliseconds.
+    pub store_ms: u64,
+    /// Time for which the command waited for a command slot of the executor, in milliseconds.
+    pub slot_ms: u64,
+    /// The rest of the time until the command ended, in milliseconds: its attempts and the pauses
+    /// between them.
+    pub answer_ms: u64,
+}
+
+/// Logs the end of a start or stop command that took long or had no answer.
+pub fn command_ended(ended: &CommandSummary) {
+    let CommandSummary {
+        event,
+        task,
+        run,
+        executor,
+        outcome,
+        attempts,
+        unanswered,
+        store_ms,
+        slot_ms,
+        answer_ms,
+    } = *ended;
+    let (job, step, index) = (task.job.as_str(), task.step, task.index);
+    log::info!(
+        event, job, step, index, run, executor, outcome, attempts, unanswered, store_ms, slot_ms,
+        answer_ms; ""
+    );
+}
+
 /// Logs that a run failed, with the failures so far and the attempts allowed.
 pub fn run_failed(task: TaskId, run: u64, executor: &str, failures: u32, attempts: u32) {
     let (job, step, index) = (task.job.as_str(), task.step, task.index);
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -24,6 +24,8 @@
 const LATENCY_BUCKETS: (f64, f64, u16) = (0.002, 2.0, 12);
 /// Buckets for the duration of jobs, in the same format.
 const JOB_BUCKETS: (f64, f64, u16) = (0.1, 2.0, 14);
+/// Buckets for the waits of commands, in the same format.
+const COMMAND_BUCKETS: (f64, f64, u16) = (0.004, 2.0, 13);
 
 /// The `outcome` label: a result or a state.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -39,6 +41,24 @@
     pub queue: String,
 }
 
+/// The labels of a command's wait.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CommandWaitLabel {
+    /// `start` or `stop`.
+    pub command: &'static str,
+    /// What the command waited for: `store`, `slot` or `answer`.
+    pub waited_for: &'static str,
+}
+
+/// The labels of a command by its outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CommandOutcomeLabel {
+    /// `start` or `stop`.
+    pub command: &'static str,
+    /// Why the command is not sent any more, a constant of the code.
+    pub outcome: &'static str,
+}
+
 /// All metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -57,6 +77,11 @@
     pub first_start_seconds: Family<QueueLabel, Histogram, fn() -> Histogram>,
     /// Commands to start a run, by the executor's answer.
     pub starts: Family<OutcomeLabel, Counter>,
+    /// Time from the decision to start or stop a run to the executor's answer, by what it was
+    /// spent on.
+    pub command_seconds: Family<CommandWaitLabel, Histogram, fn() -> Histogram>,
+    /// Start and stop commands that ended without an answer, by reason.
+    pub unanswered_commands: Family<CommandOutcomeLabel, Counter>,
     /// Requests to the advisor by outcome.
     pub advice: Family<OutcomeLabel, Counter>,
     /// Ended runs reported by executors, by outcome.
@@ -85,6 +110,8 @@
             placement_seconds: histogram(LATENCY_BUCKETS),
             first_start_seconds: Family::new_with_constructor(|| histogram(LATENCY_BUCKETS)),
             starts: Family::default(),
+            command_seconds: Family::new_with_constructor(|| histogram(COMMAND_BUCKETS)),
+            unanswered_commands: Family::default(),
             advice: Family::default(),
             run_ends: Family::default(),
             lost_runs: Family::default(),
@@ -110,6 +137,12 @@
             &self.store_calls,
         );
         register(registry, "starts", "Orders to start a task", &self.starts);
+        register(
+            registry,
+            "unanswered_commands",
+            "Orders to start or stop a task that ended without an answer",
+            &self.unanswered_commands,
+        );
         register(registry, "advice", "Questions to the advisor", &self.advice);
         register(
             registry,
@@ -165,6 +198,12 @@
             Unit::Seconds,
             self.first_start_seconds.clone(),
         );
+        registry.register_with_unit(
+            "command",
+            "Time from the decision to start or stop a task to the answer, by what it waited for",
+            Unit::Seconds,
+            self.command_seconds.clone(),
+        );
     }
 
     /// Returns all metrics in the text format.
--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -16,9 +16,13 @@
 use job::scheduler::StartAnswer;
 use job::scheduler::TaskKey;
 use job::task::RunNumber;
+use model::Mono;
 use tokio::sync::Semaphore;
 
 use super::Owner;
+use super::command_trace::CommandEnd;
+use super::command_trace::CommandKind;
+use super::command_trace::CommandTrace;
 use crate::dependencies::CommandOutcome;
 use crate::dependencies::CommandReply;
 use crate::dependencies::RunRequest;
@@ -75,8 +79,7 @@
                 ticket,
             };
             let counted = CountedStart::new(&owner);
-            let mut sent =
-                pin!(owner.with_command_slot(executor, owner.start_run(start, &counted)));
+            let mut sent = pin!(owner.execute_start(start, &counted));
             if tokio::time::timeout(MAX_COUNTED, &mut sent).await.is_err() {
                 counted.release();
                 sent.await;
@@ -88,8 +91,13 @@
             run,
             executor,
         } => {
-            let stop = owner.stop_run(key, task, run, executor);
-            owner.with_command_slot(executor, stop).await;
+            let stop = StopRun {
+                key,
+                task,
+                run,
+                executor,
+            };
+            owner.execute_stop(stop).await;
         }
         Command::Throttle {
             key,
@@ -152,6 +160,15 @@
     ticket: Option<Arc<str>>,
 }
 
+/// A command to stop a run.
+struct StopRun {
+    /// The scheduler's key of the task; `None` for a run that is unknown to the scheduler.
+    key: Option<TaskKey>,
+    task: TaskId,
+    run: RunNumber,
+    executor: ExecutorKey,
+}
+
 /// A command to set the CPU share of a run.
 struct SetShare {
     key: TaskKey,
@@ -200,7 +217,31 @@
         reply.outcome
     }
 
-    async fn start_run(&self, start: StartRun, counted: &CountedStart) {
+    async fn execute_start(&self, start: StartRun, counted: &CountedStart) {
+        let now = self.now();
+        let run = (start.task, start.run);
+        let decided_at = self.assigned_at(start.key).unwrap_or(now);
+        let mut trace =
+            CommandTrace::new(CommandKind::Start, run, start.executor, now).decided_at(decided_at);
+        let command_slot = self.command_slot(start.executor);
+        let permit = command_slot.acquire().await;
+        trace.add_slot_wait(self.now().since(now));
+        let end = self.start_run(&start, counted, &mut trace).await;
+        drop(permit);
+        self.record_command_end(&trace, end);
+    }
+
+    fn assigned_at(&self, key: TaskKey) -> Option<Mono> {
+        let scheduler = self.scheduler.borrow();
+        Some(scheduler.task(key)?.assignment()?.assigned_at)
+    }
+
+    async fn start_run(
+        &self,
+        start: &StartRun,
+        counted: &CountedStart,
+        trace: &mut CommandTrace,
+    ) -> CommandEnd {
         let mut failed_sends = 0;
         while !self.shutdown.is_cancelled() {
             if !self
@@ -212,32 +253,36 @@
                 self.scheduler
                     .borrow_mut()
                     .withdraw_start(start.key, start.run, now);
-                return;
+                return CommandEnd::WITHDRAWN;
             }
-            let outcome = self.try_start(&start).await;
+            let outcome = self.try_start(start).await;
+            trace.count_attempt(&outcome);
             counted.release();
-            let answer = match outcome {
-                CommandOutcome::Answered(answer) => answer,
-                CommandOutcome::Fenced => return,
+            let (answer, end) = match outcome {
+                CommandOutcome::Answered(answer) => {
+                    (answer, CommandEnd::Answered(outcome_label(outcome)))
+                }
+                CommandOutcome::Fenced => return CommandEnd::FENCED,
                 CommandOutcome::NotSent | CommandOutcome::WrongExecutor => {
                     failed_sends += 1;
                     if failed_sends < MAX_START_ATTEMPTS {
                         tokio::time::sleep(RETRY_DELAY).await;
                         continue;
                     }
-                    StartAnswer::Unhealthy
+                    (StartAnswer::Unhealthy, CommandEnd::GIVEN_UP)
                 }
-                CommandOutcome::Unanswered => StartAnswer::Unanswered,
+                CommandOutcome::Unanswered => (StartAnswer::Unanswered, CommandEnd::GIVEN_UP),
             };
             let now = self.now();
             self.scheduler
                 .borrow_mut()
                 .start_answered(start.key, start.run, answer, now);
             if answer != StartAnswer::Unanswered {
-                return;
+                return end;
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
+        CommandEnd::OWNER_ENDED
     }
 
     async fn try_start(&self, start: &StartRun) -> CommandOutcome<StartAnswer> {
@@ -281,41 +326,61 @@
         outcome
     }
 
-    async fn stop_run(
-        &self,
-        key: Option<TaskKey>,
-        task: TaskId,
-        run: RunNumber,
-        executor: ExecutorKey,
-    ) {
+    async fn execute_stop(&self, stop: StopRun) {
+        let now = self.now();
+        let run = (stop.task, stop.run);
+        let mut trace = CommandTrace::new(CommandKind::Stop, run, stop.executor, now);
+        let command_slot = self.command_slot(stop.executor);
+        let permit = command_slot.acquire().await;
+        trace.add_slot_wait(self.now().since(now));
+        let end = self.stop_run(&stop, &mut trace).await;
+        drop(permit);
+        self.record_command_end(&trace, end);
+    }
+
+    async fn stop_run(&self, stop: &StopRun, trace: &mut CommandTrace) -> CommandEnd {
         let mut attempts = 0;
         while !self.shutdown.is_cancelled() {
-            if key.is_some_and(|key| !self.is_assigned(key, run)) {
-                return;
+            if stop.key.is_some_and(|key| !self.is_assigned(key, stop.run)) {
+                return CommandEnd::WITHDRAWN;
             }
-            if let Some(target) = self.target(executor) {
-                let call = RunRequest { target, task, run };
-                let reply = (self.node.dependencies.executors.stop)(call).await;
-                match self.record_reply(executor, &reply) {
-                    CommandOutcome::Answered(_) => {
-                        let now = self.now();
-                        if let Some(key) = key {
-                            self.scheduler.borrow_mut().stop_confirmed(key, run, now);
-                        }
-                        return;
+            let outcome = self.try_stop(stop).await;
+            trace.count_attempt(&outcome);
+            match outcome {
+                CommandOutcome::Answered(_) => {
+                    let now = self.now();
+                    if let Some(key) = stop.key {
+                        self.scheduler
+                            .borrow_mut()
+                            .stop_confirmed(key, stop.run, now);
                     }
-                    CommandOutcome::Fenced => return,
-                    CommandOutcome::WrongExecutor
-                    | CommandOutcome::NotSent
-                    | CommandOutcome::Unanswered => {}
+                    return CommandEnd::Answered("stopped");
                 }
+                CommandOutcome::Fenced => return CommandEnd::FENCED,
+                CommandOutcome::WrongExecutor
+                | CommandOutcome::NotSent
+                | CommandOutcome::Unanswered => {}
             }
             attempts += 1;
-            if key.is_none() && attempts >= MAX_STRAY_STOP_ATTEMPTS {
-                return;
+            if stop.key.is_none() && attempts >= MAX_STRAY_STOP_ATTEMPTS {
+                return CommandEnd::GIVEN_UP;
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
+        CommandEnd::OWNER_ENDED
+    }
+
+    async fn try_stop(&self, stop: &StopRun) -> CommandOutcome<bool> {
+        let Some(target) = self.target(stop.executor) else {
+            return CommandOutcome::NotSent;
+        };
+        let call = RunRequest {
+            target,
+            task: stop.task,
+            run: stop.run,
+        };
+        let reply = (self.node.dependencies.executors.stop)(call).await;
+        self.record_reply(stop.executor, &reply)
     }
 
     fn is_assigned(&self, key: TaskKey, run: RunNumber) -> bool {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -8,6 +8,7 @@
 
 mod advice;
 mod cleanup;
+mod command_trace;
 pub mod commands;
 pub mod commit;
 pub mod feeds;
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -60,6 +60,8 @@
     pub answer_delay: Cell<Duration>,
     /// If set, commands are not answered and are executed after this delay.
     pub command_delay: Cell<Option<Duration>>,
+    /// Whether start commands are neither executed nor answered, while all else is.
+    pub hangs_starts: Cell<bool>,
 }
 
 /// All executors and the violations observed on them.
@@ -100,6 +102,7 @@
             cpu_shares: RefCell::default(),
             answer_delay: Cell::default(),
             command_delay: Cell::new(None),
+            hangs_starts: Cell::new(false),
         });
         self.executors.borrow_mut().insert(id, executor);
     }
@@ -365,6 +368,17 @@
     executor.reply(outcome)
 }
 
+async fn start(fleet: Rc<Fleet>, call: StartRequest) -> CommandReply<StartAnswer> {
+    let id = call.target.id.clone();
+    let executor = fleet.executors.borrow().get(&id).cloned();
+    if executor.is_some_and(|executor| executor.hangs_starts.get()) {
+        tokio::time::sleep(COMMAND_TIMEOUT).await;
+        return without_clock(CommandOutcome::Unanswered);
+    }
+    let act = move |fleet: &Fleet, executor: &FakeExecutor| executor.start(fleet, &call);
+    command(fleet, id, act).await
+}
+
 async fn poll(fleet: Rc<Fleet>, call: PollRequest) -> Result<Report, PollError> {
     tokio::time::sleep(CALL_DELAY).await;
     let executor = fleet.executors.borrow().get(&call.target.id).cloned();
@@ -425,13 +439,7 @@
     let (to_start, to_stop) = (fleet.clone(), fleet.clone());
     let (to_set_share, to_poll) = (fleet.clone(), fleet.clone());
     Executors {
-        start: Box::new(move |call: StartRequest| {
-            let id = call.target.id.clone();
-            command(to_start.clone(), id, move |fleet, executor| {
-                executor.start(fleet, &call)
-            })
-            .boxed_local()
-        }),
+        start: Box::new(move |call: StartRequest| start(to_start.clone(), call).boxed_local()),
         stop: Box::new(move |call: RunRequest| {
             let id = call.target.id.clone();
             command(to_stop.clone(), id, move |fleet, executor| {
--- a/crates/dispatch/tests/all/state.rs
+++ b/crates/dispatch/tests/all/state.rs
@@ -22,7 +22,7 @@
 
 /// Returns the value of a metric of a host. `name` includes the labels as written in the text
 /// format.
-fn metric(world: &World, host: &str, name: &str) -> Option<f64> {
+pub fn metric(world: &World, host: &str, name: &str) -> Option<f64> {
     let node = &world.host(host).node;
     let text = node
         .metrics
--- a/crates/fireflynotch/tests/all/explain.rs
+++ b/crates/fireflynotch/tests/all/explain.rs
@@ -1,4 +1,4 @@
-//! The timeline of a job: three failures whose cause is found from the log lines alone.
+//! The timeline of a job: failures whose cause is found from the log lines alone.
 
 use fireflynotch::exit::ExitStatus;
 use fireflynotch::explain::explain;
@@ -33,6 +33,40 @@
 {"event":"job_ended","daemon":"a","uptime_ms":2910,"job":"5c0e7a21d94b36f8","state":"failed","after_ms":2800,"objective_ms":3000}
 "#;
 
+/// Starts that hung on one executor held up a stop there, and the task started elsewhere.
+const HELD_UP: &str = r#"
+{"event":"started","daemon":"a","life":1000,"uptime_ms":0}
+{"event":"placed","daemon":"a","uptime_ms":100,"job":"5c0e7a21d94b36f8","step":0,"tasks":1,"chance":"in_time","slack_ms":900}
+{"event":"held","daemon":"a","uptime_ms":2400,"job":"5c0e7a21d94b36f8","step":0,"tasks":1,"reason":"e7 has not answered its start for 2300 ms","age_ms":2350}
+{"event":"start_unanswered","daemon":"a","uptime_ms":2700,"job":"5c0e7a21d94b36f8","step":0,"index":2,"run":1,"executor":"e7","outcome":"given_up","attempts":3,"unanswered":3,"store_ms":20,"slot_ms":30,"answer_ms":2550}
+{"event":"start_unanswered","daemon":"a","uptime_ms":2800,"job":"other","step":0,"index":0,"run":1,"executor":"e7","outcome":"given_up","attempts":3,"unanswered":3,"store_ms":20,"slot_ms":30,"answer_ms":2550}
+{"event":"stop_delayed","daemon":"a","uptime_ms":4400,"job":"5c0e7a21d94b36f8","step":0,"index":2,"run":1,"executor":"e7","outcome":"stopped","attempts":1,"unanswered":0,"store_ms":0,"slot_ms":1690,"answer_ms":10}
+{"event":"placed","daemon":"a","uptime_ms":4500,"job":"5c0e7a21d94b36f8","step":0,"tasks":1,"chance":"late","slack_ms":1}
+"#;
+
+#[test]
+fn a_late_start_is_traced_to_commands_without_an_answer_at_one_executor() {
+    let output = explain(ID, HELD_UP);
+    let events: Vec<&str> = output
+        .stdout
+        .lines()
+        .filter_map(|line| line.split_whitespace().nth(3))
+        .collect();
+    assert_eq!(
+        events,
+        [
+            "placed",
+            "held",
+            "start_unanswered",
+            "stop_delayed",
+            "placed"
+        ]
+    );
+    assert!(output.stdout.contains("outcome=given_up"));
+    assert!(output.stdout.contains("slot_ms=1690"));
+    assert_eq!(output.stdout.matches("executor=e7").count(), 2);
+}
+
 #[test]
 fn a_refused_job_is_traced_to_the_store() {
     let output = explain(ID, REFUSED);
