--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -1,48 +1,37 @@
-//! Sends commands to executors.
+//! Sends commands to executors; start commands are in `starts`.
 //!
 //! A command without an answer may still be executed seconds later. Only four things resolve it: an
 //! answer when it is sent again, a poll that reports the run, a stop that the executor remembers,
 //! or the end of the lease.
 
-use std::cell::Cell;
-use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use job::fleet::ExecutorKey;
 use job::id::TaskId;
 use job::scheduler::Command;
-use job::scheduler::StartAnswer;
 use job::scheduler::TaskKey;
 use job::task::RunNumber;
-use model::Mono;
 use tokio::sync::Semaphore;
 
 use super::Owner;
 use super::command_trace::CommandEnd;
 use super::command_trace::CommandKind;
 use super::command_trace::CommandTrace;
+use super::starts;
+use super::starts::StartRun;
 use crate::dependencies::CommandOutcome;
 use crate::dependencies::CommandReply;
 use crate::dependencies::RunRequest;
-use crate::dependencies::StartRequest;
-use crate::events;
-use crate::metrics;
 
-/// How long a start command counts as in flight. One that takes longer is for an executor that does
-/// not answer, which is no reason to send less to others.
-const MAX_COUNTED: Duration = Duration::from_millis(400);
 /// Maximum number of concurrent commands to one executor.
 const MAX_CONCURRENT_COMMANDS: usize = 2;
 /// Delay before a command is sent again.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How long after it was sent an unanswered command may still be executed.
 const MAX_COMMAND_DELAY: Duration = Duration::from_secs(12);
 /// Interval at which a CPU share is sent again during that time.
 const SHARE_RESEND_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of attempts to send a start before another executor is chosen.
-const MAX_START_ATTEMPTS: usize = 3;
 /// Number of attempts to stop a run that the scheduler does not know; the next poll shows whether
 /// the run still exists.
 const MAX_STRAY_STOP_ATTEMPTS: usize = 2;
@@ -78,12 +67,7 @@
                 checkpoint,
                 ticket,
             };
-            let counted = CountedStart::new(&owner);
-            let mut sent = pin!(owner.execute_start(start, &counted));
-            if tokio::time::timeout(MAX_COUNTED, &mut sent).await.is_err() {
-                counted.release();
-                sent.await;
-            }
+            starts::execute(&owner, &start).await;
         }
         Command::Stop {
             key,
@@ -119,47 +103,6 @@
     owner.dispatch_pending();
 }
 
-/// A start command that counts as in flight until it is released or dropped.
-struct CountedStart {
-    owner: Rc<Owner>,
-    counted: Cell<bool>,
-}
-
-impl CountedStart {
-    fn new(owner: &Rc<Owner>) -> Self {
-        let in_flight = &owner.starts_in_flight;
-        in_flight.set(in_flight.get() + 1);
-        Self {
-            owner: owner.clone(),
-            counted: Cell::new(true),
-        }
-    }
-
-    fn release(&self) {
-        if self.counted.replace(false) {
-            let in_flight = &self.owner.starts_in_flight;
-            in_flight.set(in_flight.get() - 1);
-        }
-    }
-}
-
-impl Drop for CountedStart {
-    fn drop(&mut self) {
-        self.release();
-    }
-}
-
-/// A command to start a run.
-struct StartRun {
-    key: TaskKey,
-    task: TaskId,
-    run: RunNumber,
-    executor: ExecutorKey,
-    payload: Arc<str>,
-    checkpoint: Option<Arc<str>>,
-    ticket: Option<Arc<str>>,
-}
-
 /// A command to stop a run.
 struct StopRun {
     /// The scheduler's key of the task; `None` for a run that is unknown to the scheduler.
@@ -179,7 +122,7 @@
 }
 
 impl Owner {
-    fn command_slot(&self, executor: ExecutorKey) -> Rc<Semaphore> {
+    pub(super) fn command_slot(&self, executor: ExecutorKey) -> Rc<Semaphore> {
         self.command_slots
             .borrow_mut()
             .entry(executor)
@@ -200,7 +143,7 @@
 
     /// Records the executor's clock from a reply; ends the ownership if the executor has seen a
     /// higher epoch.
-    fn record_reply<T: Copy>(
+    pub(super) fn record_reply<T: Copy>(
         &self,
         executor: ExecutorKey,
         reply: &CommandReply<T>,
@@ -217,115 +160,6 @@
         reply.outcome
     }
 
-    async fn execute_start(&self, start: StartRun, counted: &CountedStart) {
-        let now = self.now();
-        let run = (start.task, start.run);
-        let decided_at = self.assigned_at(start.key).unwrap_or(now);
-        let mut trace =
-            CommandTrace::new(CommandKind::Start, run, start.executor, now).decided_at(decided_at);
-        let command_slot = self.command_slot(start.executor);
-        let permit = command_slot.acquire().await;
-        trace.add_slot_wait(self.now().since(now));
-        let end = self.start_run(&start, counted, &mut trace).await;
-        drop(permit);
-        self.record_command_end(&trace, end);
-    }
-
-    fn assigned_at(&self, key: TaskKey) -> Option<Mono> {
-        let scheduler = self.scheduler.borrow();
-        Some(scheduler.task(key)?.assignment()?.assigned_at)
-    }
-
-    async fn start_run(
-        &self,
-        start: &StartRun,
-        counted: &CountedStart,
-        trace: &mut CommandTrace,
-    ) -> CommandEnd {
-        let mut failed_sends = 0;
-        while !self.shutdown.is_cancelled() {
-            if !self
-                .scheduler
-                .borrow()
-                .is_start_wanted(start.key, start.run)
-            {
-                let now = self.now();
-                self.scheduler
-                    .borrow_mut()
-                    .withdraw_start(start.key, start.run, now);
-                return CommandEnd::WITHDRAWN;
-            }
-            let outcome = self.try_start(start).await;
-            trace.count_attempt(&outcome);
-            counted.release();
-            let (answer, end) = match outcome {
-                CommandOutcome::Answered(answer) => {
-                    (answer, CommandEnd::Answered(outcome_label(outcome)))
-                }
-                CommandOutcome::Fenced => return CommandEnd::FENCED,
-                CommandOutcome::NotSent | CommandOutcome::WrongExecutor => {
-                    failed_sends += 1;
-                    if failed_sends < MAX_START_ATTEMPTS {
-                        tokio::time::sleep(RETRY_DELAY).await;
-                        continue;
-                    }
-                    (StartAnswer::Unhealthy, CommandEnd::GIVEN_UP)
-                }
-                CommandOutcome::Unanswered => (StartAnswer::Unanswered, CommandEnd::GIVEN_UP),
-            };
-            let now = self.now();
-            self.scheduler
-                .borrow_mut()
-                .start_answered(start.key, start.run, answer, now);
-            if answer != StartAnswer::Unanswered {
-                return end;
-            }
-            tokio::time::sleep(RETRY_DELAY).await;
-        }
-        CommandEnd::OWNER_ENDED
-    }
-
-    async fn try_start(&self, start: &StartRun) -> CommandOutcome<StartAnswer> {
-        let Some(target) = self.target(start.executor) else {
-            return CommandOutcome::NotSent;
-        };
-        let now = self.now();
-        let lease_deadline_ms = self.scheduler.borrow_mut().grant_lease(start.executor, now);
-        let Some(lease_deadline_ms) = lease_deadline_ms else {
-            // The executor is unreachable. Whether earlier copies of the command arrived becomes
-            // known when it answers again, or no longer matters once the lease has expired.
-            return CommandOutcome::NotSent;
-        };
-        let call = StartRequest {
-            target,
-            task: start.task,
-            run: start.run,
-            payload: start.payload.clone(),
-            lease_deadline_ms,
-            checkpoint: start.checkpoint.clone(),
-            ticket: start.ticket.clone(),
-        };
-        let id = call.target.id.clone();
-        let reply = (self.node.dependencies.executors.start)(call).await;
-        let outcome = self.record_reply(start.executor, &reply);
-        let answered_at = self.now();
-        if matches!(outcome, CommandOutcome::Answered(_)) {
-            let took = answered_at.since(now);
-            self.window.borrow_mut().answered(took, answered_at);
-        }
-        if matches!(outcome, CommandOutcome::Answered(StartAnswer::Started)) {
-            let took = model::time::millis(self.now().since(now));
-            events::run_started(start.task, start.run, &id, took);
-        }
-        let label = outcome_label(outcome);
-        self.node
-            .metrics
-            .starts
-            .get_or_create(&metrics::OutcomeLabel { outcome: label })
-            .inc();
-        outcome
-    }
-
     async fn execute_stop(&self, stop: StopRun) {
         let now = self.now();
         let run = (stop.task, stop.run);
@@ -436,22 +270,3 @@
         }
     }
 }
-
-/// Returns the metric label for the outcome of a start.
-const fn outcome_label(outcome: CommandOutcome<StartAnswer>) -> &'static str {
-    match outcome {
-        CommandOutcome::Answered(StartAnswer::Started) => "started",
-        CommandOutcome::Answered(StartAnswer::NoRoom) => "no_room",
-        CommandOutcome::Answered(StartAnswer::TooLate) => "too_late",
-        CommandOutcome::Answered(StartAnswer::Superseded) => "superseded",
-        CommandOutcome::Answered(StartAnswer::Unhealthy) => "unhealthy",
-        CommandOutcome::Answered(StartAnswer::Invalid) => "invalid",
-        CommandOutcome::Answered(StartAnswer::NoTicket) => "no_ticket",
-        CommandOutcome::Fenced => "fenced",
-        CommandOutcome::WrongExecutor => "elsewhere",
-        CommandOutcome::NotSent => "not_sent",
-        CommandOutcome::Answered(StartAnswer::Unanswered) | CommandOutcome::Unanswered => {
-            "unanswered"
-        }
-    }
-}
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -14,6 +14,7 @@
 pub mod feeds;
 pub mod pacing;
 pub mod polls;
+mod starts;
 pub mod takeover;
 mod telemetry;
 mod waiting;
