fix(dispatch): a stop does not wait behind starts that hang

Cause: a start held one of the two command slots of its executor until it was answered, over all its attempts. Two starts that the executor did not answer kept both slots for as long as they were wanted, and no stop, no CPU share and no other start reached the executor meanwhile, although it answered polls, so that its leases were renewed.

Now a slot is held for one attempt, and stops have two slots of their own.

The new test cancels a job that runs on an executor which answers polls and stops and lets starts hang.

Before: thread 'commands::a_stop_does_not_wait_behind_starts_that_hang' panicked: 2 starts hang: 20s

Ruled out: the window for starts and the link, which the test leaves idle.

--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -12,9 +12,9 @@
 use job::scheduler::Command;
 use job::scheduler::TaskKey;
 use job::task::RunNumber;
-use tokio::sync::Semaphore;
 
 use super::Owner;
+use super::command_slots::CommandSlots;
 use super::command_trace::CommandEnd;
 use super::command_trace::CommandKind;
 use super::command_trace::CommandTrace;
@@ -24,8 +24,6 @@
 use crate::dependencies::CommandReply;
 use crate::dependencies::RunRequest;
 
-/// Maximum number of concurrent commands to one executor.
-const MAX_CONCURRENT_COMMANDS: usize = 2;
 /// Delay before a command is sent again.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How long after it was sent an unanswered command may still be executed.
@@ -122,23 +120,9 @@
 }
 
 impl Owner {
-    pub(super) fn command_slot(&self, executor: ExecutorKey) -> Rc<Semaphore> {
-        self.command_slots
-            .borrow_mut()
-            .entry(executor)
-            .or_insert_with(|| Rc::new(Semaphore::new(MAX_CONCURRENT_COMMANDS)))
-            .clone()
-    }
-
-    /// Runs calls to an executor while holding one of its command slots.
-    async fn with_command_slot<T>(
-        &self,
-        executor: ExecutorKey,
-        calls: impl Future<Output = T>,
-    ) -> Option<T> {
-        let command_slot = self.command_slot(executor);
-        let _permit = command_slot.acquire().await.ok()?;
-        Some(calls.await)
+    pub(super) fn command_slots(&self, executor: ExecutorKey) -> Rc<CommandSlots> {
+        let mut command_slots = self.command_slots.borrow_mut();
+        command_slots.entry(executor).or_default().clone()
     }
 
     /// Records the executor's clock from a reply; ends the ownership if the executor has seen a
@@ -164,21 +148,25 @@
         let now = self.now();
         let run = (stop.task, stop.run);
         let mut trace = CommandTrace::new(CommandKind::Stop, run, stop.executor, now);
-        let command_slot = self.command_slot(stop.executor);
-        let permit = command_slot.acquire().await;
-        trace.add_slot_wait(self.now().since(now));
         let end = self.stop_run(&stop, &mut trace).await;
-        drop(permit);
         self.record_command_end(&trace, end);
     }
 
     async fn stop_run(&self, stop: &StopRun, trace: &mut CommandTrace) -> CommandEnd {
+        let command_slots = self.command_slots(stop.executor);
         let mut attempts = 0;
-        while !self.shutdown.is_cancelled() {
+        loop {
+            let slot_awaited_since = self.now();
+            let slot = command_slots.for_stop().await;
+            trace.add_slot_wait(self.now().since(slot_awaited_since));
+            if self.shutdown.is_cancelled() {
+                return CommandEnd::OWNER_ENDED;
+            }
             if stop.key.is_some_and(|key| !self.is_assigned(key, stop.run)) {
                 return CommandEnd::WITHDRAWN;
             }
             let outcome = self.try_stop(stop).await;
+            drop(slot);
             trace.count_attempt(&outcome);
             match outcome {
                 CommandOutcome::Answered(_) => {
@@ -201,7 +189,6 @@
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
-        CommandEnd::OWNER_ENDED
     }
 
     async fn try_stop(&self, stop: &StopRun) -> CommandOutcome<bool> {
@@ -249,9 +236,13 @@
                 run: set_share.run,
             };
             let sent = (self.node.dependencies.executors.set_cpu_share)((call, cpu_percent));
-            let Some(reply) = self.with_command_slot(set_share.executor, sent).await else {
+            let command_slots = self.command_slots(set_share.executor);
+            let slot = command_slots.for_command().await;
+            if self.shutdown.is_cancelled() {
                 return;
-            };
+            }
+            let reply = sent.await;
+            drop(slot);
             let pause = match self.record_reply(set_share.executor, &reply) {
                 CommandOutcome::Fenced | CommandOutcome::WrongExecutor => return,
                 CommandOutcome::Answered(_)
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -8,6 +8,7 @@
 
 mod advice;
 mod cleanup;
+mod command_slots;
 mod command_trace;
 pub mod commands;
 pub mod commit;
@@ -38,6 +39,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::command_slots::CommandSlots;
 use self::pacing::CommandWindow;
 pub use self::takeover::Claim;
 pub use self::takeover::take_over;
@@ -89,7 +91,7 @@
     /// Whether the next transaction releases the executors.
     releasing: Cell<bool>,
     /// Limits the concurrent commands to each executor.
-    command_slots: RefCell<Map<ExecutorKey, Rc<Semaphore>>>,
+    command_slots: RefCell<Map<ExecutorKey, Rc<CommandSlots>>>,
     /// Executors that have a running poll task.
     polled_executors: RefCell<Set<ExecutorKey>>,
     /// Limits the start commands in flight.
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -87,11 +87,7 @@
         let decided_at = self.assigned_at(start.key).unwrap_or(now);
         let mut trace =
             CommandTrace::new(CommandKind::Start, run, start.executor, now).decided_at(decided_at);
-        let command_slot = self.command_slot(start.executor);
-        let permit = command_slot.acquire().await;
-        trace.add_slot_wait(self.now().since(now));
         let end = self.start_run(start, counted, &mut trace).await;
-        drop(permit);
         self.record_command_end(&trace, end);
     }
 
@@ -106,8 +102,15 @@
         counted: &CountedStart,
         trace: &mut CommandTrace,
     ) -> CommandEnd {
+        let command_slots = self.command_slots(start.executor);
         let mut failed_sends = 0;
-        while !self.shutdown.is_cancelled() {
+        loop {
+            let slot_awaited_since = self.now();
+            let slot = command_slots.for_command().await;
+            trace.add_slot_wait(self.now().since(slot_awaited_since));
+            if self.shutdown.is_cancelled() {
+                return CommandEnd::OWNER_ENDED;
+            }
             if !self
                 .scheduler
                 .borrow()
@@ -120,6 +123,7 @@
                 return CommandEnd::WITHDRAWN;
             }
             let outcome = self.try_start(start).await;
+            drop(slot);
             trace.count_attempt(&outcome);
             counted.release();
             let (answer, end) = match outcome {
@@ -146,7 +150,6 @@
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
-        CommandEnd::OWNER_ENDED
     }
 
     async fn try_start(&self, start: &StartRun) -> CommandOutcome<StartAnswer> {
--- /dev/null
+++ b/crates/dispatch/tests/all/commands.rs
@@ -0,0 +1,91 @@
+//! How long commands take on an executor that answers polls while start commands hang there.
+
+use std::time::Duration;
+
+use dispatch::api;
+use dispatch::api::CancelOutcome;
+use dispatch::api::SubmitOutcome;
+use job::id::TaskId;
+use tokio::time::Instant;
+
+use crate::world::World;
+use crate::world::job;
+use crate::world::job_id;
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Maximum time from the cancellation of a job until its run is stopped.
+const MAX_STOP_DELAY: Duration = Duration::from_secs(2);
+/// How long the tests wait for what does not happen in time.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
+
+fn first_task(number: u64) -> TaskId {
+    TaskId {
+        job: job_id(number),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+/// Returns a world with one executor that runs the task of job 1 and lets the starts of the jobs
+/// from 2 on hang, `starts` in number.
+async fn with_hanging_starts(starts: u64) -> World {
+    let world = World::new(1);
+    world.fleet.executor(1).task_duration.set(60 * SECOND);
+    world.start("a");
+    world.advance(SECOND).await;
+    assert_eq!(world.submit("a", 1, job(1)).await, SubmitOutcome::Accepted);
+    world.advance(SECOND).await;
+    assert!(world.fleet.executor(1).runs(first_task(1)));
+    world.fleet.executor(1).hangs_starts.set(true);
+    for number in 2..2 + starts {
+        let submitted = world.submit("a", number, job(1)).await;
+        assert_eq!(submitted, SubmitOutcome::Accepted);
+    }
+    world.advance(SECOND / 2).await;
+    let hung_starts = world.fleet.executor(1).hung_starts.borrow().len();
+    assert!(hung_starts > 0, "no start hangs");
+    world
+}
+
+async fn cancel(world: &World, number: u64) {
+    let node = world.host("a").node.clone();
+    let outcome = world.run_on("a", api::cancel(&node, job_id(number))).await;
+    assert_eq!(outcome, CancelOutcome::Accepted);
+}
+
+/// Advances the world until `done` holds; returns how long that took.
+async fn time_until(world: &World, done: impl Fn(&World) -> bool) -> Duration {
+    let begin = Instant::now();
+    while !done(world) && begin.elapsed() < GIVE_UP_AFTER {
+        world.advance(Duration::from_millis(5)).await;
+    }
+    begin.elapsed()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stop_does_not_wait_behind_starts_that_hang() {
+    for starts in [1, 2, 6, 12] {
+        let world = with_hanging_starts(starts).await;
+        cancel(&world, 1).await;
+        let took = time_until(&world, |world| !world.fleet.executor(1).runs(first_task(1))).await;
+        println!("{starts} starts hang: the stop took {took:?}");
+        assert!(took <= MAX_STOP_DELAY, "{starts} starts hang: {took:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn starts_that_wait_for_a_slot_are_not_sent_once_the_ownership_has_ended() {
+    let world = with_hanging_starts(12).await;
+    let owner = world.host("a").node.owner().expect("an owner");
+    let epoch = owner.epoch;
+    let sent = || {
+        let executor = world.fleet.executor(1);
+        let hung_starts = executor.hung_starts.borrow();
+        hung_starts.iter().filter(|sent| **sent == epoch).count()
+    };
+    let sent_before = sent();
+    owner.end("the test ends it");
+    world.advance(5 * SECOND).await;
+    assert_eq!(sent(), sent_before);
+}
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -62,6 +62,8 @@
     pub command_delay: Cell<Option<Duration>>,
     /// Whether start commands are neither executed nor answered, while all else is.
     pub hangs_starts: Cell<bool>,
+    /// The epochs of the start commands that were neither executed nor answered.
+    pub hung_starts: RefCell<Vec<u64>>,
 }
 
 /// All executors and the violations observed on them.
@@ -103,6 +105,7 @@
             answer_delay: Cell::default(),
             command_delay: Cell::new(None),
             hangs_starts: Cell::new(false),
+            hung_starts: RefCell::default(),
         });
         self.executors.borrow_mut().insert(id, executor);
     }
@@ -182,6 +185,11 @@
         }
     }
 
+    /// Returns whether a run of the task exists on the executor.
+    pub fn runs(&self, task: TaskId) -> bool {
+        self.runs.borrow().contains_key(&task)
+    }
+
     fn clock_ms(&self) -> u64 {
         u64::try_from(self.started_at.elapsed().as_millis())
             .expect("the milliseconds fit in 64 bits")
@@ -371,7 +379,8 @@
 async fn start(fleet: Rc<Fleet>, call: StartRequest) -> CommandReply<StartAnswer> {
     let id = call.target.id.clone();
     let executor = fleet.executors.borrow().get(&id).cloned();
-    if executor.is_some_and(|executor| executor.hangs_starts.get()) {
+    if let Some(executor) = executor.filter(|executor| executor.hangs_starts.get()) {
+        executor.hung_starts.borrow_mut().push(call.target.epoch);
         tokio::time::sleep(COMMAND_TIMEOUT).await;
         return without_clock(CommandOutcome::Unanswered);
     }
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod chaos;
 mod cleanup;
 mod command_logs;
+mod commands;
 mod executor;
 mod log_capture;
 mod owners;
