fix(dispatch): a start that was never sent is withdrawn without a command slot

Cause: a start that is no longer wanted was withdrawn only once it had a command slot. Behind starts that hang it waited for them, its task stayed assigned, and the stop that had been issued for it was sent to the executor for nothing.

Now the stop of a run whose start waits for its first attempt withdraws that start at once and sends nothing; any other start that waits for a slot checks at once whether it is still wanted.

The new test cancels the last of six jobs whose starts wait behind two that hang.

--- a/crates/dispatch/src/owner/command_slots.rs
+++ b/crates/dispatch/src/owner/command_slots.rs
@@ -1,7 +1,9 @@
 //! Limits the concurrent commands to an executor.
 
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
+use tokio::sync::futures::Notified;
 
 /// Maximum number of concurrent starts and changes of CPU shares at one executor.
 const MAX_CONCURRENT_COMMANDS: usize = 2;
@@ -15,6 +17,8 @@
 pub struct CommandSlots {
     commands: Semaphore,
     stops: Semaphore,
+    /// Notified when starts that wait for a slot may no longer be wanted.
+    starts_changed: Notify,
 }
 
 impl Default for CommandSlots {
@@ -22,6 +26,7 @@
         Self {
             commands: Semaphore::new(MAX_CONCURRENT_COMMANDS),
             stops: Semaphore::new(MAX_CONCURRENT_STOPS),
+            starts_changed: Notify::new(),
         }
     }
 }
@@ -37,4 +42,14 @@
     pub async fn for_stop(&self) -> Option<SemaphorePermit<'_>> {
         self.stops.acquire().await.ok()
     }
+
+    /// Makes the starts that wait for a slot check whether they are still wanted.
+    pub fn notify_starts(&self) {
+        self.starts_changed.notify_waiters();
+    }
+
+    /// Returns a future that is ready once [`Self::notify_starts`] is called after this call.
+    pub fn starts_changed(&self) -> Notified<'_> {
+        self.starts_changed.notified()
+    }
 }
--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -145,6 +145,9 @@
     }
 
     async fn execute_stop(&self, stop: StopRun) {
+        if self.withdraw_unsent_start(&stop) {
+            return;
+        }
         let now = self.now();
         let run = (stop.task, stop.run);
         let mut trace = CommandTrace::new(CommandKind::Stop, run, stop.executor, now);
@@ -152,6 +155,23 @@
         self.record_command_end(&trace, end);
     }
 
+    /// Withdraws the start of the run to be stopped if it was never sent, so that there is nothing
+    /// to stop. Otherwise, a start that waits to be sent again is no longer wanted.
+    fn withdraw_unsent_start(&self, stop: &StopRun) -> bool {
+        self.command_slots(stop.executor).notify_starts();
+        let Some(key) = stop.key else {
+            return false;
+        };
+        if !self.unsent_starts.borrow_mut().remove(&(key, stop.run)) {
+            return false;
+        }
+        let now = self.now();
+        self.scheduler
+            .borrow_mut()
+            .withdraw_start(key, stop.run, now);
+        !self.is_assigned(key, stop.run)
+    }
+
     async fn stop_run(&self, stop: &StopRun, trace: &mut CommandTrace) -> CommandEnd {
         let command_slots = self.command_slots(stop.executor);
         let mut attempts = 0;
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -31,6 +31,8 @@
 use job::plan::Plan;
 use job::scheduler::JobState;
 use job::scheduler::Scheduler;
+use job::scheduler::TaskKey;
+use job::task::RunNumber;
 use model::Map;
 use model::Mono;
 use model::Set;
@@ -92,6 +94,8 @@
     releasing: Cell<bool>,
     /// Limits the concurrent commands to each executor.
     command_slots: RefCell<Map<ExecutorKey, Rc<CommandSlots>>>,
+    /// Start commands that wait for the slot of their first attempt.
+    unsent_starts: RefCell<Set<(TaskKey, RunNumber)>>,
     /// Executors that have a running poll task.
     polled_executors: RefCell<Set<ExecutorKey>>,
     /// Limits the start commands in flight.
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -12,8 +12,10 @@
 use job::scheduler::TaskKey;
 use job::task::RunNumber;
 use model::Mono;
+use tokio::sync::SemaphorePermit;
 
 use super::Owner;
+use super::command_slots::CommandSlots;
 use super::command_trace::CommandEnd;
 use super::command_trace::CommandKind;
 use super::command_trace::CommandTrace;
@@ -87,7 +89,10 @@
         let decided_at = self.assigned_at(start.key).unwrap_or(now);
         let mut trace =
             CommandTrace::new(CommandKind::Start, run, start.executor, now).decided_at(decided_at);
+        let unsent = (start.key, start.run);
+        self.unsent_starts.borrow_mut().insert(unsent);
         let end = self.start_run(start, counted, &mut trace).await;
+        self.unsent_starts.borrow_mut().remove(&unsent);
         self.record_command_end(&trace, end);
     }
 
@@ -106,22 +111,14 @@
         let mut failed_sends = 0;
         loop {
             let slot_awaited_since = self.now();
-            let slot = command_slots.for_command().await;
+            let slot = self.wait_for_start_slot(start, &command_slots).await;
             trace.add_slot_wait(self.now().since(slot_awaited_since));
-            if self.shutdown.is_cancelled() {
-                return CommandEnd::OWNER_ENDED;
-            }
-            if !self
-                .scheduler
-                .borrow()
-                .is_start_wanted(start.key, start.run)
-            {
-                let now = self.now();
-                self.scheduler
-                    .borrow_mut()
-                    .withdraw_start(start.key, start.run, now);
-                return CommandEnd::WITHDRAWN;
+            if slot.is_none() {
+                return self.withdraw_start(start);
             }
+            self.unsent_starts
+                .borrow_mut()
+                .remove(&(start.key, start.run));
             let outcome = self.try_start(start).await;
             drop(slot);
             trace.count_attempt(&outcome);
@@ -152,6 +149,43 @@
         }
     }
 
+    /// Waits for a slot for one attempt. Returns `None` as soon as the start should not be sent.
+    async fn wait_for_start_slot<'s>(
+        &self,
+        start: &StartRun,
+        command_slots: &'s CommandSlots,
+    ) -> Option<SemaphorePermit<'s>> {
+        let mut slot = pin!(command_slots.for_command());
+        loop {
+            let changed = command_slots.starts_changed();
+            if !self.may_send(start) {
+                return None;
+            }
+            tokio::select! {
+                biased;
+                () = self.shutdown.cancelled() => return None,
+                slot = &mut slot => return slot.filter(|_| self.may_send(start)),
+                () = changed => {}
+            }
+        }
+    }
+
+    fn may_send(&self, start: &StartRun) -> bool {
+        let scheduler = self.scheduler.borrow();
+        !self.shutdown.is_cancelled() && scheduler.is_start_wanted(start.key, start.run)
+    }
+
+    fn withdraw_start(&self, start: &StartRun) -> CommandEnd {
+        if self.shutdown.is_cancelled() {
+            return CommandEnd::OWNER_ENDED;
+        }
+        let now = self.now();
+        self.scheduler
+            .borrow_mut()
+            .withdraw_start(start.key, start.run, now);
+        CommandEnd::WITHDRAWN
+    }
+
     async fn try_start(&self, start: &StartRun) -> CommandOutcome<StartAnswer> {
         let Some(target) = self.target(start.executor) else {
             return CommandOutcome::NotSent;
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -125,6 +125,7 @@
         shutdown: CancellationToken::new(),
         releasing: Cell::new(false),
         command_slots: RefCell::new(Map::default()),
+        unsent_starts: RefCell::default(),
         polled_executors: RefCell::new(Set::default()),
         window: RefCell::default(),
         starts_in_flight: Cell::new(0),
--- a/crates/dispatch/tests/all/commands.rs
+++ b/crates/dispatch/tests/all/commands.rs
@@ -15,6 +15,8 @@
 const SECOND: Duration = Duration::from_secs(1);
 /// Maximum time from the cancellation of a job until its run is stopped.
 const MAX_STOP_DELAY: Duration = Duration::from_secs(2);
+/// Maximum time from the cancellation of a job until a start that was never sent is withdrawn.
+const MAX_WITHDRAWAL_DELAY: Duration = Duration::from_millis(200);
 /// How long the tests wait for what does not happen in time.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
 
@@ -63,6 +65,15 @@
     begin.elapsed()
 }
 
+fn is_assigned(world: &World, task: TaskId) -> bool {
+    let owner = world.host("a").node.owner().expect("an owner");
+    let scheduler = owner.scheduler.borrow();
+    let key = scheduler.task_key(task).expect("the task is known");
+    scheduler
+        .task(key)
+        .is_some_and(|task| task.assignment().is_some())
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_stop_does_not_wait_behind_starts_that_hang() {
     for starts in [1, 2, 6, 12] {
@@ -74,6 +85,15 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_start_that_was_never_sent_is_withdrawn_without_a_command_slot() {
+    let world = with_hanging_starts(6).await;
+    cancel(&world, 7).await;
+    let took = time_until(&world, |world| !is_assigned(world, first_task(7))).await;
+    println!("the withdrawal took {took:?}");
+    assert!(took <= MAX_WITHDRAWAL_DELAY, "{took:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn starts_that_wait_for_a_slot_are_not_sent_once_the_ownership_has_ended() {
     let world = with_hanging_starts(12).await;
