--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -1,44 +1,35 @@
-//! Sends commands to executors.
+//! Sends commands to executors; start commands are in `starts`.
 //!
 //! A command without an answer may still be executed seconds later. Only four things resolve it: an
 //! answer when it is sent again, a poll that reports the run, a stop that the executor remembers,
 //! or the end of the lease.
 
-use std::cell::Cell;
-use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use job::fleet::ExecutorKey;
 use job::id::TaskId;
 use job::scheduler::Command;
-use job::scheduler::StartAnswer;
 use job::scheduler::TaskKey;
 use job::task::RunNumber;
-use tokio::sync::Semaphore;
 
 use super::Owner;
+use super::command_slots::CommandSlots;
+use super::command_trace::CommandEnd;
+use super::command_trace::CommandKind;
+use super::command_trace::CommandTrace;
+use super::starts;
+use super::starts::StartRun;
 use crate::dependencies::CommandOutcome;
 use crate::dependencies::CommandReply;
 use crate::dependencies::RunRequest;
-use crate::dependencies::StartRequest;
-use crate::events;
-use crate::metrics;
 
-/// How long a start command counts as in flight. One that takes longer is for an executor that does
-/// not answer, which is no reason to send less to others.
-const MAX_COUNTED: Duration = Duration::from_millis(400);
-/// Maximum number of concurrent commands to one executor.
-const MAX_CONCURRENT_COMMANDS: usize = 2;
 /// Delay before a command is sent again.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How long after it was sent an unanswered command may still be executed.
 const MAX_COMMAND_DELAY: Duration = Duration::from_secs(12);
 /// Interval at which a CPU share is sent again during that time.
 const SHARE_RESEND_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of attempts to send a start before another executor is chosen.
-const MAX_START_ATTEMPTS: usize = 3;
 /// Number of attempts to stop a run that the scheduler does not know; the next poll shows whether
 /// the run still exists.
 const MAX_STRAY_STOP_ATTEMPTS: usize = 2;
@@ -74,13 +65,7 @@
                 checkpoint,
                 ticket,
             };
-            let counted = CountedStart::new(&owner);
-            let mut sent =
-                pin!(owner.with_command_slot(executor, owner.start_run(start, &counted)));
-            if tokio::time::timeout(MAX_COUNTED, &mut sent).await.is_err() {
-                counted.release();
-                sent.await;
-            }
+            starts::execute(&owner, &start).await;
         }
         Command::Stop {
             key,
@@ -88,8 +73,13 @@
             run,
             executor,
         } => {
-            let stop = owner.stop_run(key, task, run, executor);
-            owner.with_command_slot(executor, stop).await;
+            let stop = StopRun {
+                key,
+                task,
+                run,
+                executor,
+            };
+            owner.execute_stop(stop).await;
         }
         Command::Throttle {
             key,
@@ -111,45 +101,13 @@
     owner.dispatch_pending();
 }
 
-/// A start command that counts as in flight until it is released or dropped.
-struct CountedStart {
-    owner: Rc<Owner>,
-    counted: Cell<bool>,
-}
-
-impl CountedStart {
-    fn new(owner: &Rc<Owner>) -> Self {
-        let in_flight = &owner.starts_in_flight;
-        in_flight.set(in_flight.get() + 1);
-        Self {
-            owner: owner.clone(),
-            counted: Cell::new(true),
-        }
-    }
-
-    fn release(&self) {
-        if self.counted.replace(false) {
-            let in_flight = &self.owner.starts_in_flight;
-            in_flight.set(in_flight.get() - 1);
-        }
-    }
-}
-
-impl Drop for CountedStart {
-    fn drop(&mut self) {
-        self.release();
-    }
-}
-
-/// A command to start a run.
-struct StartRun {
-    key: TaskKey,
+/// A command to stop a run.
+struct StopRun {
+    /// The scheduler's key of the task; `None` for a run that is unknown to the scheduler.
+    key: Option<TaskKey>,
     task: TaskId,
     run: RunNumber,
     executor: ExecutorKey,
-    payload: Arc<str>,
-    checkpoint: Option<Arc<str>>,
-    ticket: Option<Arc<str>>,
 }
 
 /// A command to set the CPU share of a run.
@@ -162,28 +120,14 @@
 }
 
 impl Owner {
-    fn command_slot(&self, executor: ExecutorKey) -> Rc<Semaphore> {
-        self.command_slots
-            .borrow_mut()
-            .entry(executor)
-            .or_insert_with(|| Rc::new(Semaphore::new(MAX_CONCURRENT_COMMANDS)))
-            .clone()
-    }
-
-    /// Runs calls to an executor while holding one of its command slots.
-    async fn with_command_slot<T>(
-        &self,
-        executor: ExecutorKey,
-        calls: impl Future<Output = T>,
-    ) -> Option<T> {
-        let command_slot = self.command_slot(executor);
-        let _permit = command_slot.acquire().await.ok()?;
-        Some(calls.await)
+    pub(super) fn command_slots(&self, executor: ExecutorKey) -> Rc<CommandSlots> {
+        let mut command_slots = self.command_slots.borrow_mut();
+        command_slots.entry(executor).or_default().clone()
     }
 
     /// Records the executor's clock from a reply; ends the ownership if the executor has seen a
     /// higher epoch.
-    fn record_reply<T: Copy>(
+    pub(super) fn record_reply<T: Copy>(
         &self,
         executor: ExecutorKey,
         reply: &CommandReply<T>,
@@ -200,124 +144,86 @@
         reply.outcome
     }
 
-    async fn start_run(&self, start: StartRun, counted: &CountedStart) {
-        let mut failed_sends = 0;
-        while !self.shutdown.is_cancelled() {
-            if !self
-                .scheduler
-                .borrow()
-                .is_start_wanted(start.key, start.run)
-            {
-                let now = self.now();
-                self.scheduler
-                    .borrow_mut()
-                    .withdraw_start(start.key, start.run, now);
-                return;
-            }
-            let outcome = self.try_start(&start).await;
-            counted.release();
-            let answer = match outcome {
-                CommandOutcome::Answered(answer) => answer,
-                CommandOutcome::Fenced => return,
-                CommandOutcome::NotSent | CommandOutcome::WrongExecutor => {
-                    failed_sends += 1;
-                    if failed_sends < MAX_START_ATTEMPTS {
-                        tokio::time::sleep(RETRY_DELAY).await;
-                        continue;
-                    }
-                    StartAnswer::Unhealthy
-                }
-                CommandOutcome::Unanswered => StartAnswer::Unanswered,
-            };
-            let now = self.now();
-            self.scheduler
-                .borrow_mut()
-                .start_answered(start.key, start.run, answer, now);
-            if answer != StartAnswer::Unanswered {
-                return;
-            }
-            tokio::time::sleep(RETRY_DELAY).await;
+    async fn execute_stop(&self, stop: StopRun) {
+        if self.withdraw_unsent_start(&stop) {
+            return;
         }
+        let now = self.now();
+        let run = (stop.task, stop.run);
+        let mut trace = CommandTrace::new(CommandKind::Stop, run, stop.executor, now);
+        let end = self.stop_run(&stop, &mut trace).await;
+        self.record_command_end(&trace, end);
     }
 
-    async fn try_start(&self, start: &StartRun) -> CommandOutcome<StartAnswer> {
-        let Some(target) = self.target(start.executor) else {
-            return CommandOutcome::NotSent;
-        };
-        let now = self.now();
-        let lease_deadline_ms = self.scheduler.borrow_mut().grant_lease(start.executor, now);
-        let Some(lease_deadline_ms) = lease_deadline_ms else {
-            // The executor is unreachable. Whether earlier copies of the command arrived becomes
-            // known when it answers again, or no longer matters once the lease has expired.
-            return CommandOutcome::NotSent;
+    /// Withdraws the start of the run to be stopped if it was never sent, so that there is nothing
+    /// to stop. Otherwise, a start that waits to be sent again is no longer wanted.
+    fn withdraw_unsent_start(&self, stop: &StopRun) -> bool {
+        self.command_slots(stop.executor).notify_starts();
+        let Some(key) = stop.key else {
+            return false;
         };
-        let call = StartRequest {
-            target,
-            task: start.task,
-            run: start.run,
-            payload: start.payload.clone(),
-            lease_deadline_ms,
-            checkpoint: start.checkpoint.clone(),
-            ticket: start.ticket.clone(),
-        };
-        let id = call.target.id.clone();
-        let reply = (self.node.dependencies.executors.start)(call).await;
-        let outcome = self.record_reply(start.executor, &reply);
-        let answered_at = self.now();
-        if matches!(outcome, CommandOutcome::Answered(_)) {
-            let took = answered_at.since(now);
-            self.window.borrow_mut().answered(took, answered_at);
+        if !self.unsent_starts.borrow_mut().remove(&(key, stop.run)) {
+            return false;
         }
-        if matches!(outcome, CommandOutcome::Answered(StartAnswer::Started)) {
-            let took = model::time::millis(self.now().since(now));
-            events::run_started(start.task, start.run, &id, took);
-        }
-        let label = outcome_label(outcome);
-        self.node
-            .metrics
-            .starts
-            .get_or_create(&metrics::OutcomeLabel { outcome: label })
-            .inc();
-        outcome
+        let now = self.now();
+        self.scheduler
+            .borrow_mut()
+            .withdraw_start(key, stop.run, now);
+        !self.is_assigned(key, stop.run)
     }
 
-    async fn stop_run(
-        &self,
-        key: Option<TaskKey>,
-        task: TaskId,
-        run: RunNumber,
-        executor: ExecutorKey,
-    ) {
+    async fn stop_run(&self, stop: &StopRun, trace: &mut CommandTrace) -> CommandEnd {
+        let command_slots = self.command_slots(stop.executor);
         let mut attempts = 0;
-        while !self.shutdown.is_cancelled() {
-            if key.is_some_and(|key| !self.is_assigned(key, run)) {
-                return;
+        loop {
+            let slot_awaited_since = self.now();
+            let slot = command_slots.for_stop().await;
+            trace.add_slot_wait(self.now().since(slot_awaited_since));
+            if self.shutdown.is_cancelled() {
+                return CommandEnd::OWNER_ENDED;
             }
-            if let Some(target) = self.target(executor) {
-                let call = RunRequest { target, task, run };
-                let reply = (self.node.dependencies.executors.stop)(call).await;
-                match self.record_reply(executor, &reply) {
-                    CommandOutcome::Answered(_) => {
-                        let now = self.now();
-                        if let Some(key) = key {
-                            self.scheduler.borrow_mut().stop_confirmed(key, run, now);
-                        }
-                        return;
+            if stop.key.is_some_and(|key| !self.is_assigned(key, stop.run)) {
+                return CommandEnd::WITHDRAWN;
+            }
+            let outcome = self.try_stop(stop).await;
+            drop(slot);
+            trace.count_attempt(&outcome);
+            match outcome {
+                CommandOutcome::Answered(_) => {
+                    let now = self.now();
+                    if let Some(key) = stop.key {
+                        self.scheduler
+                            .borrow_mut()
+                            .stop_confirmed(key, stop.run, now);
                     }
-                    CommandOutcome::Fenced => return,
-                    CommandOutcome::WrongExecutor
-                    | CommandOutcome::NotSent
-                    | CommandOutcome::Unanswered => {}
+                    return CommandEnd::Answered("stopped");
                 }
+                CommandOutcome::Fenced => return CommandEnd::FENCED,
+                CommandOutcome::WrongExecutor
+                | CommandOutcome::NotSent
+                | CommandOutcome::Unanswered => {}
             }
             attempts += 1;
-            if key.is_none() && attempts >= MAX_STRAY_STOP_ATTEMPTS {
-                return;
+            if stop.key.is_none() && attempts >= MAX_STRAY_STOP_ATTEMPTS {
+                return CommandEnd::GIVEN_UP;
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 
+    async fn try_stop(&self, stop: &StopRun) -> CommandOutcome<bool> {
+        let Some(target) = self.target(stop.executor) else {
+            return CommandOutcome::NotSent;
+        };
+        let call = RunRequest {
+            target,
+            task: stop.task,
+            run: stop.run,
+        };
+        let reply = (self.node.dependencies.executors.stop)(call).await;
+        self.record_reply(stop.executor, &reply)
+    }
+
     fn is_assigned(&self, key: TaskKey, run: RunNumber) -> bool {
         self.scheduler
             .borrow()
@@ -350,9 +256,13 @@
                 run: set_share.run,
             };
             let sent = (self.node.dependencies.executors.set_cpu_share)((call, cpu_percent));
-            let Some(reply) = self.with_command_slot(set_share.executor, sent).await else {
+            let command_slots = self.command_slots(set_share.executor);
+            let slot = command_slots.for_command().await;
+            if self.shutdown.is_cancelled() {
                 return;
-            };
+            }
+            let reply = sent.await;
+            drop(slot);
             let pause = match self.record_reply(set_share.executor, &reply) {
                 CommandOutcome::Fenced | CommandOutcome::WrongExecutor => return,
                 CommandOutcome::Answered(_)
@@ -371,22 +281,3 @@
         }
     }
 }
-
-/// Returns the metric label for the outcome of a start.
-const fn outcome_label(outcome: CommandOutcome<StartAnswer>) -> &'static str {
-    match outcome {
-        CommandOutcome::Answered(StartAnswer::Started) => "started",
-        CommandOutcome::Answered(StartAnswer::NoRoom) => "no_room",
-        CommandOutcome::Answered(StartAnswer::TooLate) => "too_late",
-        CommandOutcome::Answered(StartAnswer::Superseded) => "superseded",
-        CommandOutcome::Answered(StartAnswer::Unhealthy) => "unhealthy",
-        CommandOutcome::Answered(StartAnswer::Invalid) => "invalid",
-        CommandOutcome::Answered(StartAnswer::NoTicket) => "no_ticket",
-        CommandOutcome::Fenced => "fenced",
-        CommandOutcome::WrongExecutor => "elsewhere",
-        CommandOutcome::NotSent => "not_sent",
-        CommandOutcome::Answered(StartAnswer::Unanswered) | CommandOutcome::Unanswered => {
-            "unanswered"
-        }
-    }
-}
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -8,11 +8,14 @@
 
 mod advice;
 mod cleanup;
+mod command_slots;
+mod command_trace;
 pub mod commands;
 pub mod commit;
 pub mod feeds;
 pub mod pacing;
 pub mod polls;
+mod starts;
 pub mod takeover;
 mod telemetry;
 mod waiting;
@@ -28,6 +31,8 @@
 use job::plan::Plan;
 use job::scheduler::JobState;
 use job::scheduler::Scheduler;
+use job::scheduler::TaskKey;
+use job::task::RunNumber;
 use model::Map;
 use model::Mono;
 use model::Set;
@@ -36,6 +41,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::command_slots::CommandSlots;
 use self::pacing::CommandWindow;
 pub use self::takeover::Claim;
 pub use self::takeover::take_over;
@@ -87,7 +93,9 @@
     /// Whether the next transaction releases the executors.
     releasing: Cell<bool>,
     /// Limits the concurrent commands to each executor.
-    command_slots: RefCell<Map<ExecutorKey, Rc<Semaphore>>>,
+    command_slots: RefCell<Map<ExecutorKey, Rc<CommandSlots>>>,
+    /// Start commands that wait for the slot of their first attempt.
+    unsent_starts: RefCell<Set<(TaskKey, RunNumber)>>,
     /// Executors that have a running poll task.
     polled_executors: RefCell<Set<ExecutorKey>>,
     /// Limits the start commands in flight.
