fix(sched): a job that fails again after a success is listed once among the failed jobs

Cause, seen by reading: when a job ended well or was cancelled, its record was removed but not its place in the order in which records go. A job that failed again was then listed twice, and its new record went with the old place; and places of jobs without a record pushed out the records of others. Without its record a job may start again on the worker where it fails, and counts as evidence against workers although it failed elsewhere. Seen first: both new tests of health.rs fail ("left: w1, right: w0": the job starts again on the worker where it failed), a_job_that_fails_again_after_a_success_is_remembered_as_long_as_any_other and jobs_that_have_succeeded_since_take_no_room_among_the_failed_ones. The place is now removed with the record; this searches the at most 4,096 places, and only for a job that has a record.

Evidence: cargo test -p sched passes.

--- a/crates/sched/src/health.rs
+++ b/crates/sched/src/health.rs
@@ -108,6 +108,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct FailedJobs {
     workers: Map<u64, Vec<WorkerKey>>,
+    /// The jobs of `workers`, each once, in the order in which their records began.
     order: VecDeque<u64>,
 }
 
@@ -141,7 +142,10 @@
 
     /// Removes the failures of a job that has ended without a failure or was cancelled.
     pub(crate) fn remove(&mut self, task: &TaskId) {
-        self.workers.remove(&Self::hash(task));
+        let job = Self::hash(task);
+        if self.workers.remove(&job).is_some() {
+            self.order.retain(|known| *known != job);
+        }
     }
 
     /// Returns the workers on which a job failed.
--- a/crates/sched/tests/all/health.rs
+++ b/crates/sched/tests/all/health.rs
@@ -231,3 +231,59 @@
         assert!(quarantined(&fixture::decide_and_confirm(&mut sched, Mono(number))).is_empty());
     }
 }
+
+/// How many failed jobs the scheduler keeps track of.
+const TRACKED_JOBS: usize = 4096;
+
+/// Lets jobs that have never failed before fail on each of two workers, so that they are evidence
+/// against neither.
+fn fail_on_both_workers(sched: &mut Sched, count: usize) {
+    for number in 0..count {
+        for worker in 0..2 {
+            let id = format!("other{number}");
+            run(sched, &id, "quiet", worker, RunOutcome::Failed, Mono(1000));
+        }
+    }
+}
+
+/// Starts a job on a fleet of two workers and returns the worker.
+fn started_on(sched: &mut Sched, id: &str) -> String {
+    sched.enqueue(fixture::task(id, "study", UNIT));
+    let starts = fixture::starts(&fixture::decide_and_confirm(sched, Mono(2000)));
+    assert_eq!(starts.len(), 1);
+    starts[0].1.to_string()
+}
+
+#[test]
+fn a_job_that_fails_again_after_a_success_is_remembered_as_long_as_any_other() {
+    for failed_on in 0..2 {
+        let mut sched = fixture::fleet(&fixture::document(), 2, WORKER);
+        for end in [
+            RunOutcome::Failed,
+            RunOutcome::Succeeded,
+            RunOutcome::Failed,
+        ] {
+            run(&mut sched, "bad", "study", failed_on, end, Mono(0));
+        }
+        fail_on_both_workers(&mut sched, TRACKED_JOBS - 1);
+        let other = format!("w{}", 1 - failed_on);
+        assert_eq!(started_on(&mut sched, "bad"), other);
+    }
+}
+
+#[test]
+fn jobs_that_have_succeeded_since_take_no_room_among_the_failed_ones() {
+    for failed_on in 0..2 {
+        let mut sched = fixture::fleet(&fixture::document(), 2, WORKER);
+        let bad = |sched: &mut Sched, end| run(sched, "bad", "study", failed_on, end, Mono(0));
+        bad(&mut sched, RunOutcome::Failed);
+        for number in 0..TRACKED_JOBS {
+            for end in [RunOutcome::Failed, RunOutcome::Succeeded] {
+                let id = format!("mended{number}");
+                run(&mut sched, &id, "quiet", number % 2, end, Mono(1000));
+            }
+        }
+        let other = format!("w{}", 1 - failed_on);
+        assert_eq!(started_on(&mut sched, "bad"), other);
+    }
+}
