fix(sched): only its probe readmits a quarantined worker

Cause, seen by reading: any run that succeeded on a quarantined worker counted as its probe, so that a run that began before the failures readmitted it at once, although each new start there may fail. docs/POLICY.md says that one task is the probe. Seen first: a_run_that_began_before_the_quarantine_readmits_no_worker_by_its_success fails with 3 failures, readmitted with ProbePassed. With the check of the probe alone it still fails, readmitted with JobsFailElsewhere: a success discards the two oldest failures, and of three little evidence is left. So on a quarantined worker no other run's success counts in either way.

Evidence: cargo test -p sched passes (65 tests); the new test also shows that the probe's success readmits the worker.

--- a/crates/sched/src/health.rs
+++ b/crates/sched/src/health.rs
@@ -53,8 +53,8 @@
     pub(crate) probe_delay: Duration,
     /// The probe that is running.
     pub(crate) probe: Option<TaskKey>,
-    /// Whether a run has succeeded on the worker since the quarantine began.
-    pub(crate) run_succeeded: bool,
+    /// Whether the probe has succeeded.
+    pub(crate) probe_succeeded: bool,
 }
 
 impl Quarantine {
@@ -64,7 +64,7 @@
             next_probe_at: now.after(probe_delay),
             probe_delay,
             probe: None,
-            run_succeeded: false,
+            probe_succeeded: false,
         }
     }
 
@@ -86,10 +86,20 @@
         self.failed_jobs.push(failed);
     }
 
-    /// Discards the two oldest failures after a successful run.
-    pub(crate) fn record_success(&mut self) {
-        let discarded = self.failed_jobs.len().min(2);
-        self.failed_jobs.drain(..discarded);
+    /// Records a successful run of a task: discards the two oldest failures. On a quarantined
+    /// worker only the probe counts, because other runs began before the failures and show nothing
+    /// of what a new one meets.
+    pub(crate) fn record_success(&mut self, task: TaskKey) {
+        match &mut self.quarantine {
+            None => {
+                let discarded = self.failed_jobs.len().min(2);
+                self.failed_jobs.drain(..discarded);
+            }
+            Some(quarantine) if quarantine.probe == Some(task) => {
+                quarantine.probe_succeeded = true;
+            }
+            Some(_) => {}
+        }
     }
 
     /// Returns whether new work may start at `now`. A quarantined worker admits only a probe that
--- a/crates/sched/src/quarantine.rs
+++ b/crates/sched/src/quarantine.rs
@@ -35,10 +35,7 @@
         match outcome {
             RunOutcome::Stopped => self.cancel_probe(key, run),
             RunOutcome::Succeeded => {
-                worker.health.record_success();
-                if let Some(quarantine) = &mut worker.health.quarantine {
-                    quarantine.run_succeeded = true;
-                }
+                worker.health.record_success(key);
                 self.cluster.classes[class].record_outcome(run.worker, false);
             }
             RunOutcome::Failed if may_have_exhausted_memory(run) => self.cancel_probe(key, run),
@@ -157,7 +154,7 @@
         let has_run_long_enough = probe
             .and_then(|probe| probe.run())
             .is_some_and(|run| run.confirmed && now.since(run.started_at) >= health::PROBE_TIME);
-        quarantine.run_succeeded || has_run_long_enough
+        quarantine.probe_succeeded || has_run_long_enough
     }
 }
 
--- a/crates/sched/tests/all/health.rs
+++ b/crates/sched/tests/all/health.rs
@@ -3,6 +3,7 @@
 
 use model::Mono;
 use model::Size;
+use model::id::TaskId;
 use sched::Decision;
 use sched::Sched;
 use sched::decision::Reason;
@@ -216,6 +217,50 @@
     }
 }
 
+/// Returns a scheduler in which `w0` is quarantined after `failures` jobs have failed there, while
+/// the job `earlier` goes on running there.
+fn quarantined_beside_a_run(failures: usize) -> Sched {
+    let mut sched = healthy(10);
+    let earlier = fixture::task("earlier", "check", UNIT);
+    fixture::run(&mut sched, earlier, "w0", Mono(500));
+    for number in 0..failures {
+        let id = format!("bad{number}");
+        run(&mut sched, &id, "study", 0, RunOutcome::Failed, Mono(1000));
+    }
+    let decisions = fixture::decide_and_confirm(&mut sched, Mono(1001));
+    assert_eq!(quarantined(&decisions), ["w0"]);
+    sched
+}
+
+/// Returns the tasks that start as probes.
+fn probes(decisions: &[Decision]) -> Vec<TaskId> {
+    let probes = decisions.iter().filter_map(|decision| match decision {
+        Decision::Start {
+            task,
+            why: Reason::Probe,
+            ..
+        } => Some(task.clone()),
+        _ => None,
+    });
+    probes.collect()
+}
+
+#[test]
+fn a_run_that_began_before_the_quarantine_readmits_no_worker_by_its_success() {
+    for failures in [3, 5] {
+        let mut sched = quarantined_beside_a_run(failures);
+        fixture::end(&mut sched, "earlier", RunOutcome::Succeeded, Mono(2000));
+        let decisions = fixture::decide_and_confirm(&mut sched, Mono(2001));
+        assert_eq!(readmitted(&decisions), [], "{failures} failures");
+        sched.enqueue(fixture::task("next", "check", UNIT));
+        let decisions = fixture::decide_and_confirm(&mut sched, Mono(302_000));
+        let probe = probes(&decisions).pop().expect("a probe is due");
+        sched.ended(&probe, RunOutcome::Succeeded, Mono(303_000));
+        let decisions = fixture::decide_and_confirm(&mut sched, Mono(303_001));
+        assert_eq!(readmitted(&decisions), [Reason::ProbePassed]);
+    }
+}
+
 #[test]
 fn the_only_worker_is_never_quarantined() {
     let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
