fix(sched): a probe that did not run on the quarantined worker gives way to another

Seen first: a_probe_that_did_not_run_on_the_quarantined_worker_gives_way_to_another fails, readmitted with ProbePassed; with the check in `decision_failed` alone it fails in its second case, so each of the two changes has a case of its own.

--- a/crates/sched/src/sched.rs
+++ b/crates/sched/src/sched.rs
@@ -180,7 +180,11 @@
         let worker_key = self.cluster.intern_worker(worker);
         let is_same_run = |run: &Run| run.worker == worker_key && run.reserved == reserved;
         if !self.cluster.tasks[key].run().is_some_and(is_same_run) {
-            self.detach(key);
+            if let Some(run) = self.detach(key)
+                && run.worker != worker_key
+            {
+                self.cancel_probe(key, &run);
+            }
             // An unlisted worker is forgotten with its last run, which may just have been detached.
             let worker_key = self.cluster.intern_worker(worker);
             self.cluster.reserve(key, worker_key, reserved, now);
@@ -200,7 +204,9 @@
         match &mut self.cluster.tasks[key].phase {
             Phase::Running(run) if run.confirmed => run.evicting = false,
             Phase::Running(_) | Phase::Moving => {
-                self.detach(key);
+                if let Some(run) = self.detach(key) {
+                    self.cancel_probe(key, &run);
+                }
                 self.push_to_lane(key, true);
             }
             Phase::Queued(_) | Phase::Delayed | Phase::Unrunnable(_) => {}
--- a/crates/sched/tests/all/fixture.rs
+++ b/crates/sched/tests/all/fixture.rs
@@ -199,6 +199,11 @@
     sched.assigned(&id, &WorkerId::new(worker), size, now);
 }
 
+/// Confirms that a known task of one core and 1000 MiB runs on a worker.
+pub fn assign(sched: &mut Sched, task: &TaskId, worker: &str, now: Mono) {
+    sched.assigned(task, &WorkerId::new(worker), Size::new(1000, 1000, 0), now);
+}
+
 /// Reports the end of a running task.
 pub fn end(sched: &mut Sched, id: &str, end: RunOutcome, now: Mono) {
     sched.ended(&TaskId::new(id), end, now);
--- a/crates/sched/tests/all/health.rs
+++ b/crates/sched/tests/all/health.rs
@@ -261,6 +261,35 @@
     }
 }
 
+/// A start that fails and a run that turns out to be on another worker.
+#[test]
+fn a_probe_that_did_not_run_on_the_quarantined_worker_gives_way_to_another() {
+    type Event = fn(&mut Sched, &TaskId, Mono);
+    let events: [(&str, Event); 2] = [
+        ("the start fails", |sched, probe, now| {
+            sched.decision_failed(probe, now);
+            fixture::assign(sched, probe, "w5", now);
+        }),
+        ("the run is on another worker", |sched, probe, now| {
+            fixture::assign(sched, probe, "w5", now);
+        }),
+    ];
+    for (name, event) in events {
+        let mut sched = quarantined_beside_a_run(3);
+        sched.enqueue(fixture::task("next", "check", UNIT));
+        let decisions = sched.decide(Mono(302_000), fixture::BUDGET);
+        let probe = probes(&decisions).pop().expect("a probe is due");
+        event(&mut sched, &probe, Mono(302_001));
+        // A run elsewhere that lasts says nothing about the worker.
+        let decisions = fixture::decide_and_confirm(&mut sched, Mono(500_000));
+        assert_eq!(readmitted(&decisions), [], "{name}");
+        sched.ended(&probe, RunOutcome::Succeeded, Mono(500_001));
+        sched.enqueue(fixture::task("another", "check", UNIT));
+        let decisions = fixture::decide_and_confirm(&mut sched, Mono(500_002));
+        assert_eq!(probes(&decisions), [TaskId::new("another")], "{name}");
+    }
+}
+
 #[test]
 fn the_only_worker_is_never_quarantined() {
     let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
