fix(sched): racks, sites and halves are told apart beyond 65,535 names

Cause, seen by reading: the index of a name had 16 bits and names are never removed. From the 65,536th on all names got one index, so that different racks shared one limit of tasks (and sites one pool of workers), and the search for a name was linear. Seen first: racks_are_told_apart_however_many_names_there_have_been fails, 1 task started instead of 3, one a rack (62 s for 65,536 names, beside other load). An index now has the size of a pointer, and names are found by a map, so that the conversion that saturated is gone.

Evidence: cargo test -p sched passes (67 tests); the new test takes 0.5 s.

--- a/crates/sched/src/blocked.rs
+++ b/crates/sched/src/blocked.rs
@@ -173,7 +173,7 @@
         }
         let reservation = self.cluster.reservation(key);
         let half = self.cluster.teams[task.team].half;
-        let reserved = &mut self.cluster.halves[usize::from(half.0)].reserved;
+        let reserved = &mut self.cluster.halves[half.0].reserved;
         if reserved.is_none() {
             *reserved = Some((key, reservation));
         }
@@ -268,10 +268,7 @@
     /// Returns whether any of this daemon's workers could run the task if the worker were empty.
     fn could_fit(&self, key: TaskKey, reservation: &Size) -> bool {
         let class = &self.cluster.classes[self.cluster.tasks[key].class];
-        let pools = class
-            .sites
-            .iter()
-            .map(|site| &self.cluster.pools[usize::from(site.0)]);
+        let pools = class.sites.iter().map(|site| &self.cluster.pools[site.0]);
         let mut keys = pools.flat_map(|pool| pool.plain.iter().chain(&pool.accelerated));
         keys.any(|key| reservation.fits(&self.cluster.workers[*key].capacity))
     }
@@ -297,7 +294,7 @@
                 quota: rules.quota,
             });
         }
-        let half = &self.cluster.halves[usize::from(team.half.0)];
+        let half = &self.cluster.halves[team.half.0];
         let share = team::percent_of(&self.cluster.total_capacity(), half.percent);
         let peers = self.peers.values().flat_map(|peer| &peer.shards);
         let mut shards = peers.filter(|shard| class.allows(&shard.place));
--- a/crates/sched/src/cluster.rs
+++ b/crates/sched/src/cluster.rs
@@ -104,7 +104,7 @@
         }
         for (id, half) in &document.halves {
             let index = self.intern_half(id);
-            self.halves[usize::from(index.0)].percent = half.share_percent;
+            self.halves[index.0].percent = half.share_percent;
         }
         self.set_teams(document);
         self.rebuild_pools();
@@ -128,7 +128,7 @@
             half.used_elsewhere = Size::ZERO;
         }
         for team in self.teams.values() {
-            let half = &mut self.halves[usize::from(team.half.0)];
+            let half = &mut self.halves[team.half.0];
             half.used += team.used;
             half.used_elsewhere += team.used_elsewhere;
         }
@@ -136,7 +136,7 @@
 
     fn intern_half(&mut self, id: &HalfId) -> Index {
         let index = self.half_names.intern(id);
-        if self.halves.len() <= usize::from(index.0) {
+        if self.halves.len() <= index.0 {
             self.halves.push(Half::default());
         }
         index
@@ -241,7 +241,7 @@
                 self.unlisted += worker.reserved;
                 continue;
             }
-            let pool = &mut self.pools[usize::from(worker.site.0)];
+            let pool = &mut self.pools[worker.site.0];
             pool.largest = pool.largest.max(&worker.capacity);
             self.capacity += worker.capacity;
             match worker.capacity.accelerators {
@@ -252,8 +252,7 @@
         for class in self.classes.values_mut() {
             let allowed = self.sites.iter().filter(|(_, place)| class.allows(place));
             let sites: Vec<Index> = allowed.map(|(site, _)| site).collect();
-            let largest =
-                |size: Size, site: &Index| size.max(&self.pools[usize::from(site.0)].largest);
+            let largest = |size: Size, site: &Index| size.max(&self.pools[site.0].largest);
             class.max_capacity = sites.iter().fold(Size::ZERO, largest);
             class.sites = sites;
         }
@@ -316,7 +315,7 @@
         }
         worker.tasks.push(key);
         team.used += reserved;
-        self.halves[usize::from(team.half.0)].used += reserved;
+        self.halves[team.half.0].used += reserved;
         *class.tasks_per_rack.entry(worker.rack).or_default() += 1;
     }
 
@@ -332,7 +331,7 @@
         let class = &mut self.classes[task.class];
         let team = &mut self.teams[task.team];
         team.used = team.used.saturating_sub(&run.reserved);
-        let half = &mut self.halves[usize::from(team.half.0)];
+        let half = &mut self.halves[team.half.0];
         half.used = half.used.saturating_sub(&run.reserved);
         let worker = &mut self.workers[run.worker];
         worker.reserved = worker.reserved.saturating_sub(&run.reserved);
--- a/crates/sched/src/key.rs
+++ b/crates/sched/src/key.rs
@@ -1,5 +1,8 @@
 //! Compact keys into the arenas of the scheduler; names are translated to keys when input arrives.
 
+use std::hash::Hash;
+
+use model::Map;
 use slotmap::new_key_type;
 
 new_key_type! {
@@ -17,36 +20,39 @@
 
 /// An index into an [`Interner`]; used for sites, racks and halves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct Index(pub(crate) u16);
+pub(crate) struct Index(pub(crate) usize);
 
-/// A small list of names that are never removed.
+/// A list of names that are never removed.
 #[derive(Debug)]
 pub(crate) struct Interner<T> {
     names: Vec<T>,
+    indices: Map<T, Index>,
 }
 
 impl<T> Default for Interner<T> {
     fn default() -> Self {
-        Self { names: Vec::new() }
+        Self {
+            names: Vec::new(),
+            indices: Map::default(),
+        }
     }
 }
 
-impl<T: Clone + PartialEq> Interner<T> {
+impl<T: Clone + Eq + Hash> Interner<T> {
     /// Returns the index of a name, adding the name if it is new.
     pub(crate) fn intern(&mut self, name: &T) -> Index {
-        let at = match self.names.iter().position(|known| known == name) {
-            Some(at) => at,
-            None => {
-                self.names.push(name.clone());
-                self.names.len() - 1
-            }
-        };
-        Index(u16::try_from(at).unwrap_or(u16::MAX))
+        if let Some(index) = self.indices.get(name) {
+            return *index;
+        }
+        let index = Index(self.names.len());
+        self.names.push(name.clone());
+        self.indices.insert(name.clone(), index);
+        index
     }
 
     /// Returns the name at an index.
     pub(crate) fn get(&self, index: Index) -> &T {
-        &self.names[usize::from(index.0)]
+        &self.names[index.0]
     }
 
     /// Returns all names with their indices.
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -84,7 +84,7 @@
         self.feasible.clear();
         let class = &context.cluster.classes[request.class];
         for site in &class.sites {
-            let pool = &context.cluster.pools[usize::from(site.0)];
+            let pool = &context.cluster.pools[site.0];
             self.scan(context, request, class, pool, rng);
         }
         self.best(context, request)
@@ -192,10 +192,7 @@
     class: &Class,
     request: &PlacementRequest<'_>,
 ) -> bool {
-    let pools = class
-        .sites
-        .iter()
-        .map(|site| &cluster.pools[usize::from(site.0)]);
+    let pools = class.sites.iter().map(|site| &cluster.pools[site.0]);
     let mut plain = pools.flat_map(|pool| &pool.plain);
     !request.urgent
         && request.reservation.accelerators == 0
--- a/crates/sched/src/preemption.rs
+++ b/crates/sched/src/preemption.rs
@@ -58,7 +58,7 @@
     let class = &cluster.classes[request.class];
     let mut best: Option<Victims> = None;
     for site in &class.sites {
-        let pool = &cluster.pools[usize::from(site.0)];
+        let pool = &cluster.pools[site.0];
         for key in pool.plain.iter().chain(&pool.accelerated) {
             let worker = &cluster.workers[*key];
             let eligible = worker.is_schedulable()
@@ -189,10 +189,7 @@
     now: Mono,
 ) -> Option<(WorkerKey, Mono)> {
     let class = &cluster.classes[request.class];
-    let pools = class
-        .sites
-        .iter()
-        .map(|site| &cluster.pools[usize::from(site.0)]);
+    let pools = class.sites.iter().map(|site| &cluster.pools[site.0]);
     let keys = pools.flat_map(|pool| pool.plain.iter().chain(&pool.accelerated));
     let expected = keys.filter_map(|key| {
         let worker = &cluster.workers[*key];
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -305,7 +305,7 @@
 
     pub(crate) fn within_share(&self, key: TaskKey, reservation: &Size) -> bool {
         let team = self.cluster.tasks[key].team;
-        let half = &self.cluster.halves[usize::from(self.cluster.teams[team].half.0)];
+        let half = &self.cluster.halves[self.cluster.teams[team].half.0];
         if half.percent >= 100 {
             return true;
         }
--- a/crates/sched/src/wait_reason.rs
+++ b/crates/sched/src/wait_reason.rs
@@ -150,7 +150,7 @@
             };
         }
         if !self.within_share(key, &reservation) {
-            let percent = self.cluster.halves[usize::from(team.half.0)].percent;
+            let percent = self.cluster.halves[team.half.0].percent;
             return WaitReason::Share { percent };
         }
         self.worker_wait_reason(key, reservation, now)
@@ -159,10 +159,7 @@
     fn worker_wait_reason(&self, key: TaskKey, reservation: Size, now: Mono) -> WaitReason {
         let class = &self.cluster.classes[self.cluster.tasks[key].class];
         let request = round::request(&self.cluster, &self.failed_jobs, key, reservation);
-        let pools = class
-            .sites
-            .iter()
-            .map(|site| &self.cluster.pools[usize::from(site.0)]);
+        let pools = class.sites.iter().map(|site| &self.cluster.pools[site.0]);
         let keys = pools.flat_map(|pool| pool.plain.iter().chain(&pool.accelerated));
         let mut remaining: Vec<_> = keys.copied().collect();
         for limit in self.worker_limits(class, &request, now) {
--- a/crates/sched/tests/all/placement.rs
+++ b/crates/sched/tests/all/placement.rs
@@ -168,6 +168,27 @@
     assert_eq!(racks, [2, 2, 2]);
 }
 
+/// A worker that changes its rack often, as over the years of a long-lived fleet.
+#[test]
+fn racks_are_told_apart_however_many_names_there_have_been() {
+    let mut document = fixture::document();
+    let class = document.classes.get_mut("plan").expect("a class");
+    class.max_per_rack = Some(1);
+    let mut sched = fixture::fleet(&document, 0, WORKER);
+    for number in 0..=u16::MAX {
+        sched.upsert_worker(fixture::worker("w0", &format!("former{number}"), WORKER));
+    }
+    for number in 0..3 {
+        let rack = format!("r{number}");
+        sched.upsert_worker(fixture::worker(&format!("w{number}"), &rack, WORKER));
+    }
+    for number in 0..3 {
+        sched.enqueue(fixture::task(&format!("t{number}"), "plan", QUARTER));
+    }
+    let starts = fixture::starts(&fixture::decide_and_confirm(&mut sched, Mono(1)));
+    assert_eq!(starts.len(), 3, "one on each rack");
+}
+
 #[test]
 fn batch_stays_within_its_share_of_a_worker_with_services() {
     let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
