--- a/crates/sched/tests/all/health.rs
+++ b/crates/sched/tests/all/health.rs
@@ -3,6 +3,7 @@
 
 use model::Mono;
 use model::Size;
+use model::id::TaskId;
 use sched::Decision;
 use sched::Sched;
 use sched::decision::Reason;
@@ -216,6 +217,79 @@
     }
 }
 
+/// Returns a scheduler in which `w0` is quarantined after `failures` jobs have failed there, while
+/// the job `earlier` goes on running there.
+fn quarantined_beside_a_run(failures: usize) -> Sched {
+    let mut sched = healthy(10);
+    let earlier = fixture::task("earlier", "check", UNIT);
+    fixture::run(&mut sched, earlier, "w0", Mono(500));
+    for number in 0..failures {
+        let id = format!("bad{number}");
+        run(&mut sched, &id, "study", 0, RunOutcome::Failed, Mono(1000));
+    }
+    let decisions = fixture::decide_and_confirm(&mut sched, Mono(1001));
+    assert_eq!(quarantined(&decisions), ["w0"]);
+    sched
+}
+
+/// Returns the tasks that start as probes.
+fn probes(decisions: &[Decision]) -> Vec<TaskId> {
+    let probes = decisions.iter().filter_map(|decision| match decision {
+        Decision::Start {
+            task,
+            why: Reason::Probe,
+            ..
+        } => Some(task.clone()),
+        _ => None,
+    });
+    probes.collect()
+}
+
+#[test]
+fn a_run_that_began_before_the_quarantine_readmits_no_worker_by_its_success() {
+    for failures in [3, 5] {
+        let mut sched = quarantined_beside_a_run(failures);
+        fixture::end(&mut sched, "earlier", RunOutcome::Succeeded, Mono(2000));
+        let decisions = fixture::decide_and_confirm(&mut sched, Mono(2001));
+        assert_eq!(readmitted(&decisions), [], "{failures} failures");
+        sched.enqueue(fixture::task("next", "check", UNIT));
+        let decisions = fixture::decide_and_confirm(&mut sched, Mono(302_000));
+        let probe = probes(&decisions).pop().expect("a probe is due");
+        sched.ended(&probe, RunOutcome::Succeeded, Mono(303_000));
+        let decisions = fixture::decide_and_confirm(&mut sched, Mono(303_001));
+        assert_eq!(readmitted(&decisions), [Reason::ProbePassed]);
+    }
+}
+
+/// A start that fails and a run that turns out to be on another worker.
+#[test]
+fn a_probe_that_did_not_run_on_the_quarantined_worker_gives_way_to_another() {
+    type Event = fn(&mut Sched, &TaskId, Mono);
+    let events: [(&str, Event); 2] = [
+        ("the start fails", |sched, probe, now| {
+            sched.decision_failed(probe, now);
+            fixture::assign(sched, probe, "w5", now);
+        }),
+        ("the run is on another worker", |sched, probe, now| {
+            fixture::assign(sched, probe, "w5", now);
+        }),
+    ];
+    for (name, event) in events {
+        let mut sched = quarantined_beside_a_run(3);
+        sched.enqueue(fixture::task("next", "check", UNIT));
+        let decisions = sched.decide(Mono(302_000), fixture::BUDGET);
+        let probe = probes(&decisions).pop().expect("a probe is due");
+        event(&mut sched, &probe, Mono(302_001));
+        // A run elsewhere that lasts says nothing about the worker.
+        let decisions = fixture::decide_and_confirm(&mut sched, Mono(500_000));
+        assert_eq!(readmitted(&decisions), [], "{name}");
+        sched.ended(&probe, RunOutcome::Succeeded, Mono(500_001));
+        sched.enqueue(fixture::task("another", "check", UNIT));
+        let decisions = fixture::decide_and_confirm(&mut sched, Mono(500_002));
+        assert_eq!(probes(&decisions), [TaskId::new("another")], "{name}");
+    }
+}
+
 #[test]
 fn the_only_worker_is_never_quarantined() {
     let mut sched = fixture::fleet(&fixture::document(), 1, WORKER);
@@ -231,3 +305,59 @@
         assert!(quarantined(&fixture::decide_and_confirm(&mut sched, Mono(number))).is_empty());
     }
 }
+
+/// How many failed jobs the scheduler keeps track of.
+const TRACKED_JOBS: usize = 4096;
+
+/// Lets jobs that have never failed before fail on each of two workers, so that they are evidence
+/// against neither.
+fn fail_on_both_workers(sched: &mut Sched, count: usize) {
+    for number in 0..count {
+        for worker in 0..2 {
+            let id = format!("other{number}");
+            run(sched, &id, "quiet", worker, RunOutcome::Failed, Mono(1000));
+        }
+    }
+}
+
+/// Starts a job on a fleet of two workers and returns the worker.
+fn started_on(sched: &mut Sched, id: &str) -> String {
+    sched.enqueue(fixture::task(id, "study", UNIT));
+    let starts = fixture::starts(&fixture::decide_and_confirm(sched, Mono(2000)));
+    assert_eq!(starts.len(), 1);
+    starts[0].1.to_string()
+}
+
+#[test]
+fn a_job_that_fails_again_after_a_success_is_remembered_as_long_as_any_other() {
+    for failed_on in 0..2 {
+        let mut sched = fixture::fleet(&fixture::document(), 2, WORKER);
+        for end in [
+            RunOutcome::Failed,
+            RunOutcome::Succeeded,
+            RunOutcome::Failed,
+        ] {
+            run(&mut sched, "bad", "study", failed_on, end, Mono(0));
+        }
+        fail_on_both_workers(&mut sched, TRACKED_JOBS - 1);
+        let other = format!("w{}", 1 - failed_on);
+        assert_eq!(started_on(&mut sched, "bad"), other);
+    }
+}
+
+#[test]
+fn jobs_that_have_succeeded_since_take_no_room_among_the_failed_ones() {
+    for failed_on in 0..2 {
+        let mut sched = fixture::fleet(&fixture::document(), 2, WORKER);
+        let bad = |sched: &mut Sched, end| run(sched, "bad", "study", failed_on, end, Mono(0));
+        bad(&mut sched, RunOutcome::Failed);
+        for number in 0..TRACKED_JOBS {
+            for end in [RunOutcome::Failed, RunOutcome::Succeeded] {
+                let id = format!("mended{number}");
+                run(&mut sched, &id, "quiet", number % 2, end, Mono(1000));
+            }
+        }
+        let other = format!("w{}", 1 - failed_on);
+        assert_eq!(started_on(&mut sched, "bad"), other);
+    }
+}
