test(route): start daemons and send plain requests through the support module

`Daemon::single` now has these defaults and `Daemon::single_with` takes the table and the limits; `Daemon::pair` starts two daemons that know each other; `Daemon::post` sends the request. The calls were the same to the letter but for names. Ruled out: the first test with two daemons keeps its own start, since it changes the address of the peer on each round.

--- a/crates/route/tests/all/at_most_once.rs
+++ b/crates/route/tests/all/at_most_once.rs
@@ -59,12 +59,7 @@
     ];
     for (behavior, expected, recorded) in cases {
         let executor = Executor::start(&[behavior]).await;
-        let daemon = Daemon::single(
-            &[&executor],
-            table(Store::Available),
-            ProxyLimits::default(),
-        )
-        .await;
+        let daemon = Daemon::single(&[&executor]).await;
         let first = submit(&daemon, "order-1").await;
         assert_eq!((first.0, first.1.as_str()), expected);
         daemon.idle().await;
@@ -82,7 +77,7 @@
             intent_write_timeout: Duration::from_millis(100),
             ..ProxyLimits::default()
         };
-        let daemon = Daemon::single(&[&executor], table(store), limits).await;
+        let daemon = Daemon::single_with(&[&executor], table(store), limits).await;
         for id in ["order-1", "order-1", "order-2"] {
             assert_eq!(submit(&daemon, id).await, (503, "not-run".to_owned()));
         }
@@ -103,7 +98,7 @@
 #[tokio::test]
 async fn lost_reply_to_the_intent_write_neither_loses_nor_repeats_the_request() {
     let executor = Executor::start(&[Behavior::Echo]).await;
-    let daemon = Daemon::single(
+    let daemon = Daemon::single_with(
         &[&executor],
         table(Store::LosesFirstReply),
         ProxyLimits::default(),
@@ -124,12 +119,7 @@
         Behavior::Echo,
     ])
     .await;
-    let daemon = Daemon::single(
-        &[&refusing],
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
+    let daemon = Daemon::single(&[&refusing]).await;
     let first = submit(&daemon, "order-1").await;
     assert_eq!(first, (503, "not-run".to_owned()));
     daemon.idle().await;
--- a/crates/route/tests/all/callers.rs
+++ b/crates/route/tests/all/callers.rs
@@ -19,12 +19,7 @@
 #[tokio::test]
 async fn malformed_and_oversized_requests_are_refused_as_not_run() {
     let executor = Executor::start(&[Behavior::Echo]).await;
-    let daemon = Daemon::single(
-        &[&executor],
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
+    let daemon = Daemon::single(&[&executor]).await;
     let large = "x".repeat(40_000);
     let long = "x".repeat(200);
     let cases: [(&str, &str, &str, u16); 9] = [
@@ -57,7 +52,7 @@
         max_replay_bytes: 100,
         ..ProxyLimits::default()
     };
-    let daemon = Daemon::single(&[&executor], table(Store::Available), limits).await;
+    let daemon = Daemon::single_with(&[&executor], table(Store::Available), limits).await;
     let known_length = caller().post(daemon.url()).body(vec![0; 1_001]);
     let response = known_length.send().await.expect("a response");
     assert_eq!(response.status().as_u16(), 413);
@@ -87,7 +82,7 @@
         body_read_timeout: Duration::from_millis(50),
         ..ProxyLimits::default()
     };
-    let daemon = Daemon::single(&[&executor], table(Store::Available), limits).await;
+    let daemon = Daemon::single_with(&[&executor], table(Store::Available), limits).await;
     let mut stream = TcpStream::connect(daemon.address).await.expect("a daemon");
     let head = "POST /plan HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nslow";
     stream.write_all(head.as_bytes()).await.expect("sent");
@@ -122,7 +117,7 @@
         first.update_tables(&[&executor], &members);
         second.update_tables(&[&executor], &members);
         let one = || async {
-            let response = caller().post(first.url()).send().await.expect("a response");
+            let response = first.post().await;
             response_header(&response, "ff-outcome").to_owned()
         };
         let all = futures::future::join_all((0..12).map(|_| one())).await;
@@ -143,12 +138,7 @@
 #[tokio::test]
 async fn hop_by_hop_headers_are_removed_and_the_others_are_forwarded() {
     let executor = Executor::start(&[Behavior::Reflect]).await;
-    let daemon = Daemon::single(
-        &[&executor],
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
+    let daemon = Daemon::single(&[&executor]).await;
     let response = caller()
         .put(daemon.url())
         .header("connection", "x-secret, keep-alive")
@@ -183,12 +173,7 @@
 #[tokio::test]
 async fn streamed_body_arrives_complete_over_http1_and_http2() {
     let executor = Executor::start(&[Behavior::Echo]).await;
-    let daemon = Daemon::single(
-        &[&executor],
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
+    let daemon = Daemon::single(&[&executor]).await;
     let http2 = reqwest::Client::builder()
         .no_proxy()
         .http2_prior_knowledge()
@@ -211,12 +196,7 @@
 #[tokio::test]
 async fn burst_of_cancellations_leaks_no_slot_and_exceeds_no_limit() {
     let executor = Executor::start(&[Behavior::EchoAfter(Duration::from_millis(20))]).await;
-    let daemon = Daemon::single(
-        &[&executor],
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
+    let daemon = Daemon::single(&[&executor]).await;
     let mut streams = Vec::new();
     for _ in 0..100 {
         let mut stream = TcpStream::connect(daemon.address).await.expect("a daemon");
@@ -241,12 +221,7 @@
 #[tokio::test]
 async fn caller_that_disconnects_within_its_body_leaks_no_slot() {
     let executor = Executor::start(&[Behavior::Echo]).await;
-    let daemon = Daemon::single(
-        &[&executor],
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
+    let daemon = Daemon::single(&[&executor]).await;
     for _ in 0..10 {
         let mut stream = TcpStream::connect(daemon.address).await.expect("a daemon");
         let head = b"POST /plan HTTP/1.1\r\nhost: a\r\ncontent-length: 200000\r\n\r\npart";
@@ -264,12 +239,7 @@
 #[tokio::test]
 async fn overload_refuses_early_with_retry_after() {
     let executor = Executor::start(&[Behavior::EchoAfter(Duration::from_millis(100))]).await;
-    let daemon = Daemon::single(
-        &[&executor],
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
+    let daemon = Daemon::single(&[&executor]).await;
     let one = || async {
         let request = caller().get(daemon.url()).header("ff-deadline-ms", "400");
         let response = request.send().await.expect("a response");
@@ -297,26 +267,7 @@
 #[tokio::test]
 async fn request_for_the_other_half_is_forwarded_without_the_store() {
     let executor = Executor::start(&[Behavior::Echo]).await;
-    let owner = Daemon::start(
-        "entry-1",
-        "rsh",
-        table(Store::Refusing),
-        ProxyLimits::default(),
-    )
-    .await;
-    let other = Daemon::start(
-        "entry-2",
-        "aqse",
-        table(Store::Refusing),
-        ProxyLimits::default(),
-    )
-    .await;
-    let members = [
-        ("entry-1", "rsh", owner.address),
-        ("entry-2", "aqse", other.address),
-    ];
-    owner.update_tables(&[&executor], &members);
-    other.update_tables(&[&executor], &members);
+    let [_owner, other] = Daemon::pair(["rsh", "aqse"], Store::Refusing, &[&executor]).await;
     let response = caller().post(other.url()).body("order").send().await;
     let response = response.expect("a response");
     assert_eq!(response_header(&response, "ff-outcome"), "answered");
@@ -329,26 +280,7 @@
 #[tokio::test]
 async fn handover_refuses_no_request() {
     let executor = Executor::start(&[Behavior::EchoAfter(Duration::from_millis(5))]).await;
-    let old = Daemon::start(
-        "entry-1",
-        "rsh",
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
-    let new = Daemon::start(
-        "entry-2",
-        "aqse",
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
-    let members = [
-        ("entry-1", "rsh", old.address),
-        ("entry-2", "aqse", new.address),
-    ];
-    old.update_tables(&[&executor], &members);
-    new.update_tables(&[&executor], &members);
+    let [old, new] = Daemon::pair(["rsh", "aqse"], Store::Available, &[&executor]).await;
     let load = |daemon: &Daemon| {
         let url = daemon.url();
         tokio::spawn(async move {
@@ -390,33 +322,14 @@
 #[tokio::test]
 async fn drained_daemon_finishes_its_requests_and_forwards_new_ones() {
     let executor = Executor::start(&[Behavior::EchoAfter(Duration::from_millis(100))]).await;
-    let first = Daemon::start(
-        "entry-1",
-        "rsh",
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
-    let second = Daemon::start(
-        "entry-2",
-        "rsh",
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
-    let members = [
-        ("entry-1", "rsh", first.address),
-        ("entry-2", "rsh", second.address),
-    ];
-    first.update_tables(&[&executor], &members);
-    second.update_tables(&[&executor], &members);
+    let [first, _second] = Daemon::pair(["rsh", "rsh"], Store::Available, &[&executor]).await;
     let url = first.url();
     let running = tokio::spawn(async move { caller().post(&url).send().await });
     while first.proxy.in_flight(&"plan".into()) == 0 {
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
     first.proxy.drain();
-    let response = caller().post(first.url()).send().await.expect("a response");
+    let response = first.post().await;
     assert_eq!(response_header(&response, "ff-outcome"), "answered");
     first.idle().await;
     let response = running.await.expect("no panic").expect("a response");
@@ -426,12 +339,7 @@
 #[tokio::test]
 async fn isolated_daemon_refuses_as_not_run() {
     let executor = Executor::start(&[Behavior::Echo]).await;
-    let daemon = Daemon::single(
-        &[&executor],
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
+    let daemon = Daemon::single(&[&executor]).await;
     daemon.proxy.set_serving(false);
     let response = caller().get(daemon.url()).send().await.expect("a response");
     assert_eq!(response.status().as_u16(), 503);
--- a/crates/route/tests/all/executors.rs
+++ b/crates/route/tests/all/executors.rs
@@ -114,12 +114,7 @@
 async fn executor_faults_are_reported_with_the_right_outcome() {
     for (at, case) in CASES.iter().enumerate() {
         let executor = Executor::start(case.script).await;
-        let daemon = Daemon::single(
-            &[&executor],
-            table(Store::Available),
-            ProxyLimits::default(),
-        )
-        .await;
+        let daemon = Daemon::single(&[&executor]).await;
         let response = caller()
             .request(case.method.clone(), daemon.url())
             .header("ff-deadline-ms", "2000")
@@ -151,12 +146,7 @@
     for behavior in [Behavior::Truncate, Behavior::TruncateChunked] {
         for method in [Method::GET, Method::POST] {
             let executor = Executor::start(&[behavior]).await;
-            let daemon = Daemon::single(
-                &[&executor],
-                table(Store::Available),
-                ProxyLimits::default(),
-            )
-            .await;
+            let daemon = Daemon::single(&[&executor]).await;
             let response = caller().request(method, daemon.url()).send().await;
             let body = response.expect("a response head").bytes().await;
             assert!(body.is_err(), "{behavior:?} resulted in {body:?}");
@@ -170,28 +160,15 @@
 async fn refused_connection_is_not_run_and_other_executors_serve() {
     let good = Executor::start(&[Behavior::Echo]).await;
     let closed = Executor::at(crate::fixture::unused_address());
-    let daemon = Daemon::single(&[&closed], table(Store::Available), ProxyLimits::default()).await;
-    let response = caller()
-        .post(daemon.url())
-        .send()
-        .await
-        .expect("a response");
+    let daemon = Daemon::single(&[&closed]).await;
+    let response = daemon.post().await;
     assert_eq!(response.status().as_u16(), 503);
     assert_eq!(response_header(&response, "ff-outcome"), "not-run");
     assert!(!response_header(&response, "retry-after").is_empty());
 
-    let daemon = Daemon::single(
-        &[&closed, &good],
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
+    let daemon = Daemon::single(&[&closed, &good]).await;
     for _ in 0..20 {
-        let response = caller()
-            .post(daemon.url())
-            .send()
-            .await
-            .expect("a response");
+        let response = daemon.post().await;
         assert_eq!(response_header(&response, "ff-outcome"), "answered");
     }
     assert_eq!(good.received(), 20);
@@ -201,12 +178,7 @@
 async fn late_response_never_reaches_another_request() {
     let late = Behavior::EchoAfter(Duration::from_millis(400));
     let executor = Executor::start(&[late, late, Behavior::Echo]).await;
-    let daemon = Daemon::single(
-        &[&executor],
-        table(Store::Available),
-        ProxyLimits::default(),
-    )
-    .await;
+    let daemon = Daemon::single(&[&executor]).await;
     for _ in 0..2 {
         let response = caller()
             .post(daemon.url())
@@ -218,11 +190,7 @@
         assert_eq!(response_header(&response, "ff-outcome"), "unknown");
     }
     for _ in 0..20 {
-        let response = caller()
-            .post(daemon.url())
-            .send()
-            .await
-            .expect("a response");
+        let response = daemon.post().await;
         let id = response_header(&response, "ff-request-id").to_owned();
         assert_eq!(response.text().await.expect("a complete response"), id);
         tokio::time::sleep(Duration::from_millis(25)).await;
@@ -237,7 +205,7 @@
         linger_timeout: Duration::from_millis(100),
         ..ProxyLimits::default()
     };
-    let daemon = Daemon::single(&[&executor], table(Store::Available), limits).await;
+    let daemon = Daemon::single_with(&[&executor], table(Store::Available), limits).await;
     let silent = caller()
         .post(daemon.url())
         .header("ff-deadline-ms", "100")
@@ -246,11 +214,7 @@
         .expect("a response");
     assert_eq!(response_header(&silent, "ff-outcome"), "unknown");
     for _ in 0..10 {
-        let response = caller()
-            .post(daemon.url())
-            .send()
-            .await
-            .expect("a response");
+        let response = daemon.post().await;
         assert_eq!(response_header(&response, "ff-outcome"), "answered");
     }
     assert!(daemon.proxy.report().upstreams["plan"].ejected.is_empty());
@@ -273,7 +237,7 @@
         body_idle_timeout: Duration::from_millis(100),
         ..ProxyLimits::default()
     };
-    let daemon = Daemon::single(&[&executor], table(Store::Available), limits).await;
+    let daemon = Daemon::single_with(&[&executor], table(Store::Available), limits).await;
     let response = caller()
         .get(daemon.url())
         .send()
--- a/crates/route/tests/all/support.rs
+++ b/crates/route/tests/all/support.rs
@@ -305,13 +305,34 @@
         Self { proxy, address }
     }
 
+    /// Starts a daemon that is the only member, with these executors, a table that responds to every
+    /// call and the default limits.
+    pub async fn single(executors: &[&Executor]) -> Self {
+        Self::single_with(executors, table(Store::Available), ProxyLimits::default()).await
+    }
+
     /// Starts a daemon that is the only member, with these executors.
-    pub async fn single(executors: &[&Executor], table: Table, limits: ProxyLimits) -> Self {
+    pub async fn single_with(executors: &[&Executor], table: Table, limits: ProxyLimits) -> Self {
         let daemon = Self::start("entry-1", "rsh", table, limits).await;
         daemon.update_tables(executors, &[("entry-1", "rsh", unused_address())]);
         daemon
     }
 
+    /// Starts two daemons of these halves that know each other and the executors. Each has a table
+    /// of its own and the default limits.
+    pub async fn pair(halves: [&str; 2], store: Store, executors: &[&Executor]) -> [Self; 2] {
+        let limits = ProxyLimits::default;
+        let first = Self::start("entry-1", halves[0], table(store), limits()).await;
+        let second = Self::start("entry-2", halves[1], table(store), limits()).await;
+        let members = [
+            ("entry-1", halves[0], first.address),
+            ("entry-2", halves[1], second.address),
+        ];
+        first.update_tables(executors, &members);
+        second.update_tables(executors, &members);
+        [first, second]
+    }
+
     /// Fills the tables of the daemon.
     pub fn update_tables(&self, executors: &[&Executor], members: &[(&str, &str, SocketAddr)]) {
         let entry = |(at, one): (usize, &&Executor)| executor(&format!("plan-{at}"), one.address);
@@ -332,6 +353,12 @@
         format!("http://{}/plan/visit", self.address)
     }
 
+    /// Sends a POST request without a body and returns the response.
+    pub async fn post(&self) -> reqwest::Response {
+        let response = caller().post(self.url()).send().await;
+        response.expect("a response")
+    }
+
     /// Waits until no request is in progress and checks that all slots are released.
     pub async fn idle(&self) {
         self.proxy.drained().await;
