test(conf): check findings at their location in one place

Cause: the tables of faults of the document and of the settings had the same loop body: replace a text, make sure that it was there, and look for a finding with the code at the location. Ruled out: the budgets of the two explorations of `accept/check.rs`, which look alike but differ in their numbers.

--- a/crates/conf/tests/all/check.rs
+++ b/crates/conf/tests/all/check.rs
@@ -14,6 +14,9 @@
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
+use crate::support::assert_found;
+use crate::support::replace_once;
+
 const SEED: u64 = 20_261_204;
 const GEN_SIZE: usize = 60;
 
@@ -172,14 +175,8 @@
         ),
     ];
     for (from, to, code, at) in cases {
-        let text = VALID.replacen(from, to, 1);
-        assert_ne!(text, VALID, "{from} is not in the document");
-        let found = findings(&text);
-        let expected = found
-            .iter()
-            .filter(|finding| finding.code == code)
-            .any(|finding| text[finding.location.offset..].starts_with(at));
-        assert!(expected, "{to}: expected {code} at {at}, found {found:#?}");
+        let text = replace_once(VALID, from, to);
+        assert_found(&findings(&text), &text, code, at);
     }
 }
 
--- a/crates/conf/tests/all/main.rs
+++ b/crates/conf/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod examples;
 mod schema;
 mod settings;
+mod support;
--- a/crates/conf/tests/all/settings.rs
+++ b/crates/conf/tests/all/settings.rs
@@ -1,6 +1,9 @@
 use conf::finding::Code;
 use conf::settings::load;
 
+use crate::support::assert_found;
+use crate::support::replace_once;
+
 const VALID: &str = r#"{
   "daemon": "limburg-1", "half": "vlaanderen",
   "place": { "region": "vlaanderen", "data_centre": "limburg" },
@@ -66,14 +69,8 @@
         ),
     ];
     for (from, to, code, at) in cases {
-        let text = VALID.replacen(from, to, 1);
-        assert_ne!(text, VALID, "{from} is not in the settings");
-        let found = load(&text).unwrap_err().findings;
-        let expected = found
-            .iter()
-            .filter(|finding| finding.code == code)
-            .any(|finding| text[finding.location.offset..].starts_with(at));
-        assert!(expected, "{to}: expected {code} at {at}, found {found:#?}");
+        let text = replace_once(VALID, from, to);
+        assert_found(&load(&text).unwrap_err().findings, &text, code, at);
     }
 }
 
