refactor(fake): let the server wrap handlers that respond without waiting

Cause: the fake table, object store, host list and worker each wrapped a plain function in the same asynchronous handler before they called `server::serve`. `serve` now takes the function and wraps it; the fake executor, which waits, uses `serve_with_connection_limit` as before.

--- a/crates/fake/src/hosts.rs
+++ b/crates/fake/src/hosts.rs
@@ -96,11 +96,7 @@
     /// Returns an error if the address cannot be bound.
     pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
         let hosts = self.clone();
-        let handler = call(move |req| {
-            let answer = hosts.handle(&req);
-            async move { answer }
-        });
-        server::serve(address, self.faults.clone(), handler).await
+        server::serve(address, self.faults.clone(), move |req| hosts.handle(req)).await
     }
 
     fn handle(&self, req: &Request) -> HandlerResponse {
--- a/crates/fake/src/object.rs
+++ b/crates/fake/src/object.rs
@@ -98,11 +98,7 @@
     /// Returns an error if the address cannot be bound.
     pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
         let store = self.clone();
-        let handler = call(move |req| {
-            let answer = store.handle(&req);
-            async move { answer }
-        });
-        server::serve(address, self.faults.clone(), handler).await
+        server::serve(address, self.faults.clone(), move |req| store.handle(req)).await
     }
 
     fn handle(&self, req: &Request) -> HandlerResponse {
--- a/crates/fake/src/server.rs
+++ b/crates/fake/src/server.rs
@@ -25,6 +25,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use plat::call::Call;
+use plat::call::call;
 use plat::client::REFUSED_HEADER;
 use plat::client::REQUEST_ID_HEADER;
 use serde::Serialize;
@@ -121,16 +122,26 @@
     }
 }
 
-/// Starts a server on `address`; with port 0 the system chooses a free port.
+/// Starts a server on `address` whose handler responds without waiting; with port 0 the system
+/// chooses a free port.
 ///
 /// # Errors
 ///
 /// Returns an error if the address cannot be bound.
-pub async fn serve(address: SocketAddr, faults: Faults, handler: Handler) -> io::Result<Server> {
+pub async fn serve(
+    address: SocketAddr,
+    faults: Faults,
+    handle: impl Fn(&Request) -> HandlerResponse + Send + Sync + 'static,
+) -> io::Result<Server> {
+    let handler = call(move |req| {
+        let response = handle(&req);
+        async move { response }
+    });
     serve_with_connection_limit(usize::MAX, address, faults, handler).await
 }
 
-/// Starts a server like [`serve`], which closes connections beyond `max_connections` on accept.
+/// Starts a server on `address`, which closes connections beyond `max_connections` on accept; with
+/// port 0 the system chooses a free port.
 ///
 /// # Errors
 ///
--- a/crates/fake/src/table.rs
+++ b/crates/fake/src/table.rs
@@ -116,11 +116,7 @@
     /// Returns an error if the address cannot be bound.
     pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
         let table = self.clone();
-        let handler = call(move |req| {
-            let answer = table.handle(&req);
-            async move { answer }
-        });
-        server::serve(address, self.faults.clone(), handler).await
+        server::serve(address, self.faults.clone(), move |req| table.handle(req)).await
     }
 
     fn handle(&self, req: &Request) -> HandlerResponse {
--- a/crates/fake/src/worker.rs
+++ b/crates/fake/src/worker.rs
@@ -131,11 +131,10 @@
     /// Returns an error if the address cannot be bound.
     pub async fn serve(&self, address: SocketAddr) -> io::Result<Server> {
         let worker = self.clone();
-        let handler = call(move |req| {
-            let answer = worker.handle(&req);
-            async move { answer }
-        });
-        server::serve(address, self.0.faults.clone(), handler).await
+        server::serve(address, self.0.faults.clone(), move |req| {
+            worker.handle(req)
+        })
+        .await
     }
 
     fn handle(&self, req: &Request) -> HandlerResponse {
