refactor(conf): collect acknowledgements and commit in a file of its own

That step is now `accept/collect.rs`, as the resolution and the propagation already are in files of their own. Functions were moved as they are.

--- a/crates/conf/src/accept.rs
+++ b/crates/conf/src/accept.rs
@@ -8,6 +8,7 @@
 //! operator. `docs/CONFIGURATION.md` describes the protocol and the faults that it considers.
 
 pub mod change;
+mod collect;
 pub mod follower;
 pub mod message;
 mod propagate;
