--- a/crates/lease/src/spec/mod.rs
+++ b/crates/lease/src/spec/mod.rs
@@ -13,6 +13,7 @@
 mod state;
 mod step;
 mod store;
+mod worker;
 
 pub use budget::BrokenRule;
 pub use budget::Budget;
--- a/crates/lease/src/spec/state.rs
+++ b/crates/lease/src/spec/state.rs
@@ -33,7 +33,6 @@
 use crate::ShardOwner;
 use crate::Timing;
 use crate::agent::Agent;
-use crate::agent::Effect;
 use crate::claim;
 use crate::claim::PriorOwners;
 use crate::claim::ShardView;
@@ -166,16 +165,6 @@
         Arc::make_mut(&mut self.daemons[daemon])
     }
 
-    fn agent(&mut self, worker: usize) -> &mut Agent {
-        Arc::make_mut(&mut self.agents[worker])
-    }
-
-    fn deliver_all_messages(&mut self, broken: BrokenRule) {
-        while let Some((worker, _)) = self.daemons[0].messages.first() {
-            self.deliver_message(0, *worker, broken);
-        }
-    }
-
     /// Returns the state after the given steps, which are not charged to the budget.
     pub(super) fn after(mut self, steps: &[Step], broken: BrokenRule) -> Self {
         let budget = self.budget;
@@ -302,125 +291,11 @@
         );
     }
 
-    pub(super) fn take_message(&mut self, daemon: usize, worker: usize) -> WorkerMessage {
-        let messages = &mut self.daemon(daemon).messages;
-        let mut queue = messages.iter();
-        let index = queue.position(|(to, _)| *to == worker);
-        messages.remove(index.expect("a message is in flight")).1
-    }
-
-    pub(super) fn deliver_message(&mut self, daemon: usize, worker: usize, broken: BrokenRule) {
-        let message = self.take_message(daemon, worker);
-        let answer = self.receive(worker, &message, broken);
-        self.answer(daemon, worker, message.sequence, answer);
-    }
-
-    pub(super) fn answer(
-        &mut self,
-        daemon: usize,
-        worker: usize,
-        sequence: u64,
-        answer: Result<WorkerReport, WorkerError>,
-    ) {
-        let event = Event::Answer {
-            worker: WorkerId::from(WORKERS[worker]),
-            sequence,
-            answer,
-        };
-        self.handle_event(daemon, event);
-    }
-
-    /// Processes a message at a worker's agent, with the broken rule applied.
-    pub(super) fn receive(
-        &mut self,
-        worker: usize,
-        message: &WorkerMessage,
-        broken: BrokenRule,
-    ) -> Result<WorkerReport, WorkerError> {
-        let now = self.now;
-        let mut received = message.clone();
-        match broken {
-            BrokenRule::EpochUnchecked => {
-                let current = self.agents[worker].epoch();
-                received.epoch = received.epoch.max(current);
-                received.sequence = self.agents[worker].last_message() + 1;
-            }
-            BrokenRule::LeaseFromReceipt => {
-                let probe = WorkerMessage {
-                    sequence: 0,
-                    commands: Vec::new(),
-                    ..message.clone()
-                };
-                let _ = self.agent(worker).handle(&probe, now);
-                received.last_report = self.agents[worker].last_report();
-            }
-            BrokenRule::MessagesUnordered => {
-                received.sequence = self.agents[worker].last_message() + 1;
-            }
-            _ => {}
-        }
-        let (mut answer, effects) = self.agent(worker).handle(&received, now);
-        if let (BrokenRule::EpochUnchecked, Ok(report)) = (broken, &mut answer) {
-            report.epoch = message.epoch;
-        }
-        self.apply_effects(worker, effects);
-        answer
-    }
-
-    fn apply_effects(&mut self, worker: usize, effects: Vec<Effect>) {
-        for effect in effects {
-            match effect {
-                Effect::Start { task, attempt } => {
-                    let count = self.started.entry((task, attempt)).or_default();
-                    *count += 1;
-                    if *count > 1 {
-                        self.record_violation("an attempt was started twice".to_owned());
-                    }
-                }
-                Effect::Stop {
-                    task,
-                    attempt,
-                    checkpoint,
-                } => {
-                    let name = CheckpointId::from(format!("{task}-{attempt}"));
-                    let name = checkpoint.then_some(name);
-                    if let Some(name) = &name {
-                        self.saved_checkpoints.insert(task.clone(), name.clone());
-                    }
-                    self.agent(worker).run_stopped(&task, attempt, name);
-                }
-                Effect::Throttle { .. } => {}
-            }
-        }
-        self.check_runs();
-    }
-
     pub(super) fn evict(&mut self, daemon: usize, task: &str) {
         self.evict_requests += 1;
         self.handle_event(daemon, Event::Evict(TaskId::from(task)));
     }
 
-    pub(super) fn finish_run(&mut self, worker: usize, task: &TaskId, attempt: Attempt) {
-        self.agent(worker).run_ended(task, attempt, true);
-    }
-
-    /// Restarts the host of a worker, with a new agent that runs nothing.
-    pub(super) fn restart_worker(&mut self, worker: usize) {
-        self.incarnations[worker] += 1;
-        self.agents[worker] = Arc::new(Agent::new(self.incarnations[worker]));
-    }
-
-    /// Lets the host of a worker fail permanently.
-    pub(super) fn kill_worker(&mut self, worker: usize) {
-        self.restart_worker(worker);
-        self.dead = Some(worker);
-    }
-
-    /// Returns whether a daemon's messages reach a worker.
-    pub(super) fn reaches(&self, daemon: usize, worker: usize) -> bool {
-        self.dead != Some(worker) && !self.partitions.contains(&(daemon, worker))
-    }
-
     /// Advances the time by [`WAIT`]. Each running daemon that reaches the table reads the shard's
     /// row.
     pub(super) fn advance_time(&mut self) {
