refactor(measure): one function that runs a measurement on threads

Cause: the measurements of capacity and of configuration built the same runtime with the same lines. `system::block_on` now does. Ruled out: the runtime of a daemon, which has two named threads, and those of `routing` and `logs`, which have one thread.

--- a/crates/measure/src/capacity.rs
+++ b/crates/measure/src/capacity.rs
@@ -17,6 +17,7 @@
 
 use crate::figure::Figure;
 use crate::system::System;
+use crate::system::block_on;
 use crate::system::client;
 use crate::system::plan;
 use crate::system::plan::SystemSize;
@@ -69,12 +70,7 @@
 /// Panics if a system cannot be started or does not start its tasks.
 #[must_use]
 pub fn run() -> Vec<Figure> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
-    runtime
-        .expect("threads can be started")
-        .block_on(measure_all())
+    block_on(measure_all())
 }
 
 async fn measure_all() -> Vec<Figure> {
--- a/crates/measure/src/configuration.rs
+++ b/crates/measure/src/configuration.rs
@@ -15,6 +15,7 @@
 
 use crate::figure::Figure;
 use crate::system::System;
+use crate::system::block_on;
 use crate::system::callers::Callers;
 use crate::system::callers::Counts;
 use crate::system::callers::Load;
@@ -45,12 +46,7 @@
 /// Panics if the system cannot be started or a document is never accepted.
 #[must_use]
 pub fn run() -> Vec<Figure> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
-    runtime
-        .expect("threads can be started")
-        .block_on(measure_all())
+    block_on(measure_all())
 }
 
 async fn measure_all() -> Vec<Figure> {
--- a/crates/measure/src/system/mod.rs
+++ b/crates/measure/src/system/mod.rs
@@ -91,6 +91,18 @@
     }
 }
 
+/// Runs a future on a new runtime with several threads.
+///
+/// # Panics
+///
+/// Panics if the threads cannot be started.
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    runtime.expect("threads can be started").block_on(future)
+}
+
 /// Polls `condition` until it holds or `timeout` has passed; returns whether it held.
 pub async fn wait_until(timeout: Duration, mut condition: impl AsyncFnMut() -> bool) -> bool {
     let deadline = tokio::time::Instant::now() + timeout;
