refactor(measure): wait for an accepted document and for ready daemons in one place

Cause: the systems of the measurements and those of the tests applied their first document and waited for every daemon to be ready with the same loops; the quick start asked for the readiness of a daemon a third time. Now `client::apply_until_accepted`, `System::wait_until_ready` and `HostedDaemon::is_ready` serve all three; each passes the time-out that it had. The tests now also print the last reply if a document is not accepted.

--- a/crates/measure/examples/quickstart.rs
+++ b/crates/measure/examples/quickstart.rs
@@ -210,10 +210,10 @@
     remove_target(&targets, address);
     system.add(&daemons()[0], SEED + 10).await?;
     println!("its host was replaced");
-    let ready = wait_until(STEP_TIMEOUT, async || {
-        let newest = system.daemons.last().map(|daemon| daemon.operators);
-        matches!(newest, Some(address) if client::status(address).await.is_ok_and(|status| status.ready))
-    });
+    let ready = wait_until(
+        STEP_TIMEOUT,
+        async || matches!(system.daemons.last(), Some(newest) if newest.is_ready().await),
+    );
     step(
         "limburg-1 is ready again",
         ready.await.then_some(()).ok_or("it is not ready".into()),
--- a/crates/measure/src/system/client.rs
+++ b/crates/measure/src/system/client.rs
@@ -1,6 +1,7 @@
 //! A client of the operators' API for the quick start, the tests and the measurements.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use conf::api;
 use conf::api::ApplyReply;
@@ -19,6 +20,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::system::TOKEN;
+use crate::system::wait_until;
 
 /// A request that failed.
 #[derive(Clone, Debug, Display, Error)]
@@ -47,6 +49,22 @@
     post(to, api::APPLY, &req).await
 }
 
+/// Applies a document through one daemon, repeating the request under the same operation id until it
+/// is accepted.
+///
+/// # Panics
+///
+/// Panics if that does not happen within `timeout`.
+pub async fn apply_until_accepted(to: SocketAddr, op: &str, text: &str, timeout: Duration) {
+    let mut last_reply = String::new();
+    let accepted = wait_until(timeout, async || {
+        let reply = apply(to, op, text).await;
+        last_reply = format!("{reply:?}");
+        matches!(reply, Ok(ApplyReply::Accepted { .. }))
+    });
+    assert!(accepted.await, "{op} was not accepted: {last_reply}");
+}
+
 /// Submits a task.
 ///
 /// # Errors
--- a/crates/measure/src/system/hosted_daemon.rs
+++ b/crates/measure/src/system/hosted_daemon.rs
@@ -15,6 +15,7 @@
 
 use crate::system::DaemonPlan;
 use crate::system::FakePlatform;
+use crate::system::client;
 
 /// A daemon on its own runtime, so that it can be killed together with all its tasks.
 pub struct HostedDaemon {
@@ -66,6 +67,12 @@
         })
     }
 
+    /// Returns whether the daemon accepts requests, as the operators' API reports it.
+    pub async fn is_ready(&self) -> bool {
+        let status = client::status(self.operators).await;
+        status.is_ok_and(|status| status.ready)
+    }
+
     /// Drains the daemon and waits until it has ended.
     ///
     /// # Errors
--- a/crates/measure/src/system/mod.rs
+++ b/crates/measure/src/system/mod.rs
@@ -84,6 +84,18 @@
             .remove(index.expect("a daemon with this id is running"))
     }
 
+    /// Waits until every daemon is ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a daemon is not ready within `timeout`.
+    pub async fn wait_until_ready(&self, timeout: Duration) {
+        for daemon in &self.daemons {
+            let ready = wait_until(timeout, async || daemon.is_ready().await);
+            assert!(ready.await, "{} is not ready", daemon.id);
+        }
+    }
+
     /// Returns the addresses at which the daemons accept callers.
     #[must_use]
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/measure/src/system/plan.rs
+++ b/crates/measure/src/system/plan.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use conf::api::ApplyReply;
 use fake::worker::Completion;
 use fake::worker::Program;
 use fake::worker::RunSpec;
@@ -16,7 +15,6 @@
 use crate::system::System;
 use crate::system::WorkerPlan;
 use crate::system::client;
-use crate::system::wait_until;
 
 /// Seed of all random choices.
 pub const SEED: u64 = 20_261_203;
@@ -136,27 +134,8 @@
         .await
         .expect("the daemons start");
     let first = document("noord");
-    let mut last_reply = String::new();
-    let accepted = wait_until(READY_TIMEOUT, async || {
-        let reply = client::apply(system.daemons[0].operators, "first", &first).await;
-        last_reply = format!("{reply:?}");
-        matches!(reply, Ok(ApplyReply::Accepted { .. }))
-    });
-    assert!(
-        accepted.await,
-        "the first document was not accepted: {last_reply}"
-    );
-    for daemon in &system.daemons {
-        let ready = async || {
-            client::status(daemon.operators)
-                .await
-                .is_ok_and(|status| status.ready)
-        };
-        assert!(
-            wait_until(READY_TIMEOUT, ready).await,
-            "{} is not ready",
-            daemon.id
-        );
-    }
+    let operators = system.daemons[0].operators;
+    client::apply_until_accepted(operators, "first", &first, READY_TIMEOUT).await;
+    system.wait_until_ready(READY_TIMEOUT).await;
     system
 }
--- a/crates/measure/tests/all/fixture.rs
+++ b/crates/measure/tests/all/fixture.rs
@@ -2,7 +2,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use conf::api::ApplyReply;
 use conf::api::Submission;
 use fake::worker::Program;
 use fake::worker::RunSpec;
@@ -82,30 +81,13 @@
         .expect("the daemons start");
     let operators = system.daemons[0].operators;
     apply_until_accepted(operators, "first", &document("noord")).await;
-    for daemon in &system.daemons {
-        let ready = async || {
-            client::status(daemon.operators)
-                .await
-                .is_ok_and(|status| status.ready)
-        };
-        assert!(
-            wait_until(WAIT_TIMEOUT, ready).await,
-            "{} is not ready",
-            daemon.id
-        );
-    }
+    system.wait_until_ready(WAIT_TIMEOUT).await;
     system
 }
 
 /// Applies a document, retrying under the same operation id until it is accepted.
 pub async fn apply_until_accepted(to: SocketAddr, op: &str, text: &str) {
-    let accepted = wait_until(WAIT_TIMEOUT, async || {
-        matches!(
-            client::apply(to, op, text).await,
-            Ok(ApplyReply::Accepted { .. })
-        )
-    });
-    assert!(accepted.await, "{op} was not accepted");
+    client::apply_until_accepted(to, op, text, WAIT_TIMEOUT).await;
 }
 
 pub fn submission(name: &str) -> Submission {
