refactor(measure): share the queue and the submissions of the measurements of an owner

Cause: `jobs` and `fleet_load` built the same queue, the same submission but for payload and steps, and the same mean. Now both take them from `job_load`; payloads and steps are arguments, so that the records have the size of before. Ruled out: their lists of executors, which differ in racks and addresses, and their loops, which measure different parts.

--- a/crates/measure/src/fleet_load.rs
+++ b/crates/measure/src/fleet_load.rs
@@ -12,7 +12,6 @@
 
 use job::fleet::ExecutorKey;
 use job::fleet::Listing;
-use job::id::JobId;
 use job::id::TaskId;
 use job::plan::Plan;
 use job::plan::Queue;
@@ -24,9 +23,7 @@
 use job::scheduler::RunOutcome;
 use job::scheduler::Scheduler;
 use job::scheduler::StartAnswer;
-use job::scheduler::Submission;
 use job::scheduler::Timing;
-use job::spec::JobSpec;
 use job::spec::StepSpec;
 use job::task::RunMetrics;
 use job::task::RunNumber;
@@ -35,6 +32,9 @@
 use model::Size;
 
 use crate::figure::Figure;
+use crate::job_load;
+use crate::job_load::mean_us;
+use crate::job_load::queue;
 
 /// Executors of the fleet.
 const EXECUTORS: u32 = 1_800;
@@ -154,7 +154,6 @@
 
     fn figures(&self, load: &str) -> Vec<Figure> {
         let spent = &self.spent;
-        let mean_us = |seconds: f64, count: u32| seconds * 1e6 / f64::from(count.max(1));
         let total = spent.placing + spent.storing + spent.starting + spent.reporting;
         let seconds = Duration::from_millis(LOAD_MS).as_secs_f64();
         let bytes = u32::try_from(spent.record_bytes).map_or(f64::NAN, f64::from);
@@ -196,18 +195,7 @@
         } else {
             vec![step, second]
         };
-        let submission = Submission {
-            id: JobId::parse(&format!("{number:016x}"))
-                .expect("16 hexadecimal digits are a valid job id"),
-            queue: "queue".into(),
-            age_ms: 0,
-            spec: Arc::new(JobSpec {
-                payload: "payload".into(),
-                steps,
-                repeat: None,
-            }),
-            row_version: number,
-        };
+        let submission = job_load::submission(number, "payload", steps);
         self.scheduler.submit(submission, Mono(self.now_ms));
     }
 
@@ -351,17 +339,7 @@
 }
 
 fn plan() -> Arc<Plan> {
-    let queue = Queue {
-        name: "queue".into(),
-        host: "host".into(),
-        path_prefix: "/queue/".into(),
-        service: "service".into(),
-        priority: 0,
-        attempts: 3,
-        stretch: 2.0,
-        target: Duration::from_secs(1),
-        advisor: None,
-    };
+    let queue = queue();
     let unused = (0..UNUSED_QUEUES).map(|number| Queue {
         name: format!("unused-{number}").into(),
         ..queue.clone()
--- a/crates/measure/src/jobs.rs
+++ b/crates/measure/src/jobs.rs
@@ -10,9 +10,7 @@
 
 use job::fleet::ExecutorKey;
 use job::fleet::Listing;
-use job::id::JobId;
 use job::plan::Plan;
-use job::plan::Queue;
 use job::scheduler::ActiveRun;
 use job::scheduler::Command;
 use job::scheduler::EndedRun;
@@ -22,7 +20,6 @@
 use job::scheduler::StartAnswer;
 use job::scheduler::Submission;
 use job::scheduler::Timing;
-use job::spec::JobSpec;
 use job::spec::StepSpec;
 use job::task::RunMetrics;
 use model::Map;
@@ -30,6 +27,9 @@
 use model::Size;
 
 use crate::figure::Figure;
+use crate::job_load;
+use crate::job_load::mean_us;
+use crate::job_load::queue;
 
 /// Executors of the users' largest deployment.
 const EXECUTORS: u32 = 660;
@@ -64,7 +64,6 @@
     }
     bench.poll_unchanged();
     let spent = &bench.spent;
-    let mean_us = |seconds: f64, count: u32| seconds * 1e6 / f64::from(count.max(1));
     let bytes = u32::try_from(spent.record_bytes).map_or(f64::NAN, f64::from);
     vec![
         Figure::reported("job-submission", mean_us(spent.submission, JOBS), "us"),
@@ -242,20 +241,9 @@
 }
 
 fn plan() -> Arc<Plan> {
-    let queue = Queue {
-        name: "queue".into(),
-        host: "host".into(),
-        path_prefix: "/queue/".into(),
-        service: "service".into(),
-        priority: 0,
-        attempts: 3,
-        stretch: 2.0,
-        target: Duration::from_secs(1),
-        advisor: None,
-    };
     Arc::new(Plan {
         version: 1,
-        queues: vec![queue].into(),
+        queues: vec![queue()].into(),
         ..Plan::default()
     })
 }
@@ -278,16 +266,5 @@
         estimate_ms: 2_000,
         ..StepSpec::default()
     };
-    Submission {
-        id: JobId::parse(&format!("{number:016x}"))
-            .expect("16 hexadecimal digits are a valid job id"),
-        queue: "queue".into(),
-        age_ms: 0,
-        spec: Arc::new(JobSpec {
-            payload: "p".into(),
-            steps: vec![step],
-            repeat: None,
-        }),
-        row_version: u64::from(number),
-    }
+    job_load::submission(u64::from(number), "p", vec![step])
 }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod configuration;
 pub mod figure;
 pub mod fleet_load;
+mod job_load;
 pub mod jobs;
 pub mod logs;
 pub mod placement;
