refactor(measure): interference and batch jobs of the simulated cluster in files of their own

An entry of a report named a job by `Ok` and a service by `Err`; it has `RunId::Job` and `RunId::Service` now.

--- a/crates/measure/src/policy.rs
+++ b/crates/measure/src/policy.rs
@@ -5,7 +5,9 @@
 //! hour. On the same arrivals and loads, the policy is compared with a variant that does not learn,
 //! one that only evicts, and an oracle that knows interference, loads and task sizes without delay.
 
+mod batch_job;
 mod cluster;
+mod interference;
 mod oracle;
 mod tail_latency;
 mod trial;
--- a/crates/measure/src/policy/cluster.rs
+++ b/crates/measure/src/policy/cluster.rs
@@ -1,11 +1,17 @@
-//! A simulated cluster: services whose p99 depends on their load and on neighbouring batch jobs,
-//! the batch jobs, and the usage reports of the workers.
+//! A simulated cluster: workers with services, whose p99 depends on their load and on the batch jobs
+//! beside them, the batch jobs, and the usage reports of the workers.
 
 use model::Size;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::policy::batch_job::BatchJob;
+use crate::policy::batch_job::RunningJob;
+use crate::policy::interference::BATCH_CLASSES;
+use crate::policy::interference::Interference;
+use crate::policy::interference::SERVICE_CLASSES;
+
 /// Number of workers.
 pub const HOSTS: usize = 20;
 /// One in this many workers runs no service.
@@ -14,18 +20,12 @@
 pub const HOST_CAPACITY: Size = Size::new(64_000, 256_000, 0);
 /// Resources reserved for each service.
 pub const SERVICE_RESERVATION: Size = Size::new(14_000, 40_000, 0);
-/// Number of service classes.
-pub const SERVICE_CLASSES: usize = 2;
-/// Number of batch classes.
-pub const BATCH_CLASSES: usize = 4;
 /// The batch class with the strongest interference, which may arrive in waves.
 const NOISY_CLASS: usize = 3;
 /// Length of the window that a report covers, in seconds.
 pub const REPORT_WINDOW_S: u64 = 5;
 /// Time after which the worker kills a job whose reserved memory is too small, in seconds.
 const OUT_OF_MEMORY_AFTER_S: u64 = 10;
-/// Time that a restarted job needs before it makes progress again, in seconds.
-pub const RESTART_DELAY_S: u64 = 30;
 /// Standard deviation of the logarithm of a reported p99 around the true value.
 const P99_NOISE: f64 = 0.08;
 /// Percentage of reports that are lost.
@@ -61,109 +61,6 @@
     }
 }
 
-/// Interference between services and batch classes; only the oracle may read it.
-#[derive(Clone, Debug)]
-pub struct Interference {
-    base: [f64; SERVICE_CLASSES],
-    steepness: [f64; SERVICE_CLASSES],
-    coefficients: [[f64; BATCH_CLASSES]; SERVICE_CLASSES],
-}
-
-impl Interference {
-    /// Draws random coefficients, one for each pair of service class and batch class.
-    fn draw(rng: &mut SmallRng) -> Self {
-        let mut coefficients = [[0.0; BATCH_CLASSES]; SERVICE_CLASSES];
-        for row in &mut coefficients {
-            for (batch, coefficient) in row.iter_mut().enumerate() {
-                let scale = [0.1, 0.5, 1.0, 3.0][batch];
-                *coefficient = scale * rng.random_range(0.5..1.6);
-            }
-        }
-        Self {
-            base: [rng.random_range(0.25..0.32), rng.random_range(0.2..0.3)],
-            steepness: [rng.random_range(0.6..0.8), rng.random_range(0.8..1.0)],
-            coefficients,
-        }
-    }
-
-    /// Returns a service's p99 relative to its target, given the share of the worker's CPU that
-    /// each batch class uses.
-    pub fn p99(&self, service: usize, load: f64, batch_shares: &[f64; BATCH_CLASSES]) -> f64 {
-        let alone = self.base[service] / (1.0 - load.min(0.98)).powf(self.steepness[service]);
-        let pairs = self.coefficients[service].iter().zip(batch_shares);
-        let factors =
-            pairs.map(|(coefficient, share)| 1.0 + coefficient * share * (0.4 + 1.6 * load * load));
-        alone * factors.product::<f64>()
-    }
-
-    /// Returns the strength of a batch class's interference with a service class.
-    pub const fn coefficient(&self, service: usize, batch: usize) -> f64 {
-        self.coefficients[service][batch]
-    }
-}
-
-/// A batch job.
-#[derive(Clone, Debug)]
-pub struct BatchJob {
-    /// Number that identifies the job.
-    pub number: usize,
-    /// Batch class.
-    pub class: usize,
-    /// Resources that the job really uses.
-    pub demand: Size,
-    /// Resources that its submission declares.
-    pub declared: Size,
-    /// Unthrottled run time that the job needs, in seconds.
-    pub work_s: f64,
-    /// Completed part of [`work_s`](Self::work_s), in seconds.
-    pub done_s: f64,
-    /// Evictions so far.
-    pub evictions: u32,
-    /// Failures so far due to insufficient memory.
-    pub failures: u32,
-}
-
-/// A batch job on a worker.
-#[derive(Clone, Debug)]
-pub struct RunningJob {
-    /// The job itself.
-    pub job: BatchJob,
-    /// Resources reserved for the job; the worker enforces them as limits.
-    pub reserved: Size,
-    /// CPU limit in thousandths of the reserved CPU.
-    pub permille: f64,
-    /// Time from which the job makes progress, in seconds.
-    pub progress_from_s: u64,
-    /// Time at which the job stops, in seconds, if it is being evicted.
-    pub stops_at_s: Option<u64>,
-    window_cpu: f64,
-}
-
-impl RunningJob {
-    /// Starts a job at `now_s`.
-    pub fn new(job: BatchJob, reserved: Size, now_s: u64) -> Self {
-        let restart_delay = if job.evictions > 0 {
-            RESTART_DELAY_S
-        } else {
-            0
-        };
-        Self {
-            job,
-            reserved,
-            permille: 1000.0,
-            progress_from_s: now_s + restart_delay,
-            stops_at_s: None,
-            window_cpu: 0.0,
-        }
-    }
-
-    /// Returns the CPU the job uses, in thousandths of a core.
-    pub fn cpu(&self) -> f64 {
-        let limit = self.reserved.cpu_millis as f64 * self.permille / 1000.0;
-        limit.min(self.job.demand.cpu_millis as f64)
-    }
-}
-
 /// A service on a worker.
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -186,11 +83,20 @@
     pub jobs: Vec<RunningJob>,
 }
 
+/// What an entry of a usage report is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunId {
+    /// The batch job with this number.
+    Job(usize),
+    /// The service with this index on the reporting host.
+    Service(usize),
+}
+
 /// The entry of a usage report for one service or batch job.
 #[derive(Clone, Debug)]
 pub struct RunReport {
-    /// The number of a job as `Ok`, or the index of a service on its host as `Err`.
-    pub id: Result<usize, usize>,
+    /// The service or job that the entry is about.
+    pub id: RunId,
     /// Mean resource use over the window.
     pub usage: Size,
     /// The service's p99 relative to its target, with measurement noise; `None` for a job.
@@ -414,7 +320,7 @@
     for (index, service) in host.services.iter_mut().enumerate() {
         let deviation: f64 = (0..4).map(|_| noise.random_range(-0.866..0.866)).sum();
         runs.push(RunReport {
-            id: Err(index),
+            id: RunId::Service(index),
             usage: Size::new(
                 (service.window_load * SERVICE_RESERVATION.cpu_millis as f64) as u64,
                 SERVICE_RESERVATION.memory_mib / 2,
@@ -434,7 +340,7 @@
             .memory_mib
             .min(running.reserved.memory_mib);
         runs.push(RunReport {
-            id: Ok(running.job.number),
+            id: RunId::Job(running.job.number),
             usage: Size::new(running.window_cpu as u64, memory, 0),
             p99: None,
             progress_ms: (running.job.done_s * 1000.0) as u64,
--- a/crates/measure/src/policy/oracle.rs
+++ b/crates/measure/src/policy/oracle.rs
@@ -2,14 +2,15 @@
 
 use model::Size;
 
-use crate::policy::cluster::BatchJob;
+use crate::policy::batch_job::BatchJob;
+use crate::policy::batch_job::RunningJob;
 use crate::policy::cluster::HOST_CAPACITY;
 use crate::policy::cluster::Host;
-use crate::policy::cluster::Interference;
-use crate::policy::cluster::RunningJob;
 use crate::policy::cluster::SERVICE_RESERVATION;
+use crate::policy::cluster::Service;
 use crate::policy::cluster::SimulatedCluster;
 use crate::policy::cluster::batch_shares;
+use crate::policy::interference::Interference;
 
 /// Minimum net gain in batch CPU for a placement, as a fraction of the job's demand.
 const MIN_GAIN: f64 = 0.5;
@@ -125,8 +126,6 @@
 
 fn worst_p99(interference: &Interference, host: &Host) -> f64 {
     let batch_shares = batch_shares(host);
-    let p99_of = |service: &crate::policy::cluster::Service| {
-        interference.p99(service.class, service.load, &batch_shares)
-    };
+    let p99_of = |service: &Service| interference.p99(service.class, service.load, &batch_shares);
     host.services.iter().map(p99_of).fold(0.0, f64::max)
 }
--- a/crates/measure/src/policy/trial.rs
+++ b/crates/measure/src/policy/trial.rs
@@ -28,13 +28,16 @@
 use sched::input::WorkerSpec;
 
 use crate::policy::SEEDS;
+use crate::policy::batch_job::BatchJob;
+use crate::policy::batch_job::RunningJob;
 use crate::policy::cluster;
-use crate::policy::cluster::BatchJob;
 use crate::policy::cluster::Report;
+use crate::policy::cluster::RunId;
 use crate::policy::cluster::RunReport;
-use crate::policy::cluster::RunningJob;
 use crate::policy::cluster::Scenario;
 use crate::policy::cluster::SimulatedCluster;
+use crate::policy::interference::BATCH_CLASSES;
+use crate::policy::interference::SERVICE_CLASSES;
 use crate::policy::oracle;
 use crate::policy::tail_latency::TailLatency;
 
@@ -227,8 +230,8 @@
     fn report(&mut self, report: &Report, now: Mono) {
         let run_status = |run: &RunReport| RunStatus {
             task: match run.id {
-                Ok(number) => job_id(number),
-                Err(index) => service_id(report.host, index),
+                RunId::Job(number) => job_id(number),
+                RunId::Service(index) => service_id(report.host, index),
             },
             usage: run.usage,
             checkpoint: None,
@@ -359,8 +362,8 @@
         p99_target_us: (kind == Kind::Service).then_some(TARGET_US),
         max_per_rack: None,
     };
-    let services = (0..cluster::SERVICE_CLASSES).map(|at| (format!("s{at}"), Kind::Service));
-    let batches = (0..cluster::BATCH_CLASSES).map(|at| (format!("b{at}"), Kind::Batch));
+    let services = (0..SERVICE_CLASSES).map(|at| (format!("s{at}"), Kind::Service));
+    let batches = (0..BATCH_CLASSES).map(|at| (format!("b{at}"), Kind::Batch));
     let classes = services.chain(batches);
     let half = Half {
         title: String::new(),
