test(peer,lease,route): pin the names of messages, heartbeat rows and the state of the router

Cause: names that are seen outside the process must stay when a Rust name changes, and no test read `news` and `tell` of the messages between daemons, `beat` of the row of a daemon, or `held`, `passing` and `far_bytes` of the dump.

--- a/crates/lease/tests/all/main.rs
+++ b/crates/lease/tests/all/main.rs
@@ -5,3 +5,4 @@
 mod owner;
 mod ownership;
 mod requests;
+mod row_names;
--- a/crates/peer/tests/all/main.rs
+++ b/crates/peer/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod gossip;
 mod members;
 mod support;
+mod wire_names;
--- a/crates/route/tests/all/main.rs
+++ b/crates/route/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod executors;
 mod fixture;
 mod handover;
+mod report_names;
 mod slots;
 mod support;
