refactor(peer,lease,route): name the fields of messages, heartbeats and the router's state by their terms

Cause: `news` is the difference of the document between two daemons (`DocumentDelta`, elsewhere `delta`), `beat` a count of heartbeats, `held` the requests that the router calls parked, `passing` those that are being forwarded, `far_bytes` the bytes between regions, which the data path calls cross-region. The Rust names are now `delta`, `heartbeat_count`, `parked`, `forwarding` and `cross_region_bytes`; the names outside stay by `serde(rename)`, the metrics as they were.

--- a/crates/lease/src/liveness.rs
+++ b/crates/lease/src/liveness.rs
@@ -79,8 +79,8 @@
                 present: true,
             });
         observation.present = true;
-        let changed =
-            (observation.row.incarnation, observation.row.beat) != (row.incarnation, row.beat);
+        let heartbeat = |row: &MemberRow| (row.incarnation, row.heartbeat_count);
+        let changed = heartbeat(&observation.row) != heartbeat(&row);
         if changed {
             observation.changed_at = observed_time;
         }
--- a/crates/lease/src/record.rs
+++ b/crates/lease/src/record.rs
@@ -187,8 +187,9 @@
     pub daemon: DaemonId,
     /// The incarnation of the daemon.
     pub incarnation: Incarnation,
-    /// The heartbeat counter of this incarnation.
-    pub beat: u64,
+    /// The number of heartbeats that this incarnation has written.
+    #[serde(rename = "beat")]
+    pub heartbeat_count: u64,
     /// The half of the organisation that the daemon serves.
     pub half: HalfId,
     /// The region and data centre of the daemon.
--- a/crates/lease/tests/all/ownership.rs
+++ b/crates/lease/tests/all/ownership.rs
@@ -24,12 +24,12 @@
 
 const SEED: u64 = 20_261_203;
 
-fn member(daemon: &str, place: (&str, &str), beat: u64, draining: bool) -> MemberRow {
+fn member(daemon: &str, place: (&str, &str), heartbeat_count: u64, draining: bool) -> MemberRow {
     let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
     MemberRow {
         daemon: daemon.into(),
         incarnation: Incarnation(1),
-        beat,
+        heartbeat_count,
         half: "rsh".into(),
         place: Place::new(place.0, place.1),
         addresses: Addresses {
--- a/crates/node/src/document/propose.rs
+++ b/crates/node/src/document/propose.rs
@@ -141,9 +141,7 @@
         }
         Action::ReadMembers => return read_members(cx).await,
         Action::Write(write) => Some(Event::Written(rows::write(cx, &write).await)),
-        Action::Push { to, delta } => {
-            send_call(cx, &to, DocumentRequest::Push { news: delta }).await
-        }
+        Action::Push { to, delta } => send_call(cx, &to, DocumentRequest::Push { delta }).await,
         Action::Committed { to, ballot } => {
             send_call(cx, &to, DocumentRequest::Committed { ballot }).await
         }
@@ -172,7 +170,7 @@
     handle_event(
         cx,
         match call {
-            DocumentRequest::Push { news } => conf::accept::follower::Event::Pushed { delta: news },
+            DocumentRequest::Push { delta } => conf::accept::follower::Event::Pushed { delta },
             DocumentRequest::Committed { ballot } => {
                 conf::accept::follower::Event::Committed { ballot }
             }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -90,7 +90,7 @@
                 &cx,
                 Event::Answered {
                     sent,
-                    delta: answer.news,
+                    delta: answer.delta,
                 },
             );
         }
@@ -102,7 +102,7 @@
 pub fn respond(cx: &Arc<DaemonContext>, request: GossipRequest) -> GossipResponse {
     let now: Mono = cx.clock.now();
     let sender = request.exchange.from.clone();
-    let news = cx.follower().delta(&request.digest, now);
+    let delta = cx.follower().delta(&request.digest, now);
     cx.view()
         .contacts
         .insert(sender.clone(), (request.digest, now));
@@ -110,7 +110,7 @@
     let view = cx.view();
     GossipResponse {
         exchange: view.gossip.compose(&view.members, &sender, now),
-        news,
+        delta,
     }
 }
 
--- a/crates/node/src/heartbeat.rs
+++ b/crates/node/src/heartbeat.rs
@@ -92,7 +92,7 @@
     heartbeat.count += 1;
     let digest = cx.follower().digest();
     let row = MemberRow {
-        beat: heartbeat.count,
+        heartbeat_count: heartbeat.count,
         draining: *cx.stage.borrow() >= Stage::Draining,
         ballot: digest.ballot,
         in_force: digest.version,
--- a/crates/node/src/join.rs
+++ b/crates/node/src/join.rs
@@ -116,7 +116,7 @@
     MemberRow {
         daemon: settings.daemon.clone(),
         incarnation,
-        beat: 0,
+        heartbeat_count: 0,
         half: settings.half.clone(),
         place: settings.place.clone(),
         addresses,
--- a/crates/node/src/observe.rs
+++ b/crates/node/src/observe.rs
@@ -79,9 +79,14 @@
 
 /// Reports upstreams and refused requests.
 fn report_requests(metrics: &StatsdClient, report: &RouterReport, counters: &mut Counters) {
-    gauge(metrics, "requests.held", report.held as u64);
-    let far = ("link", "between-regions");
-    counters.report(metrics, "requests.far_bytes", far, report.far_bytes);
+    gauge(metrics, "requests.held", report.parked as u64);
+    let tag = ("link", "between-regions");
+    counters.report(
+        metrics,
+        "requests.far_bytes",
+        tag,
+        report.cross_region_bytes,
+    );
     for (upstream, status) in &report.upstreams {
         let tagged = |name: &str, value: u64| {
             metrics
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -36,7 +36,8 @@
     /// The heartbeats and summaries of the receiver.
     pub exchange: Exchange,
     /// The receiver's state of the document, without what the sender has according to its digest.
-    pub news: DocumentDelta,
+    #[serde(rename = "news")]
+    pub delta: DocumentDelta,
 }
 
 /// A step of a proposer in the acceptance of a document; the response is an [`Ack`].
@@ -46,7 +47,8 @@
     /// Stages a document.
     Push {
         /// The document to stage, under the ballot that it contains.
-        news: DocumentDelta,
+        #[serde(rename = "news")]
+        delta: DocumentDelta,
     },
     /// Activates the document that was staged under the ballot.
     Committed {
--- a/crates/peer/tests/all/connections.rs
+++ b/crates/peer/tests/all/connections.rs
@@ -33,7 +33,7 @@
     async fn gossip(&self, request: GossipRequest) -> RpcResult<GossipResponse> {
         Ok(GossipResponse {
             exchange: request.exchange,
-            news: news(),
+            delta: delta(),
         })
     }
 
@@ -67,7 +67,7 @@
     }
 }
 
-fn news() -> DocumentDelta {
+fn delta() -> DocumentDelta {
     DocumentDelta {
         ballot: RowVersion(5),
         pending: false,
@@ -105,7 +105,7 @@
         response,
         GossipResponse {
             exchange: request().exchange,
-            news: news()
+            delta: delta()
         }
     );
     let request = DocumentRequest::Committed {
--- a/crates/route/src/proxy/mod.rs
+++ b/crates/route/src/proxy/mod.rs
@@ -223,8 +223,8 @@
     #[must_use]
     pub fn report(&self) -> RouterReport {
         let mut report = self.inner.with_router(|router, _| router.report());
-        report.passing = self.inner.forwarding.load(Ordering::Acquire);
-        report.far_bytes = self.inner.cross_region_bytes.load(Ordering::Relaxed);
+        report.forwarding = self.inner.forwarding.load(Ordering::Acquire);
+        report.cross_region_bytes = self.inner.cross_region_bytes.load(Ordering::Relaxed);
         report
     }
 }
--- a/crates/route/src/report.rs
+++ b/crates/route/src/report.rs
@@ -70,13 +70,16 @@
     /// State of the upstreams by name.
     pub upstreams: BTreeMap<UpstreamId, UpstreamReport>,
     /// Number of requests that wait for a table update.
-    pub held: usize,
+    #[serde(rename = "held")]
+    pub parked: usize,
     /// Number of requests that are being forwarded to another daemon.
-    pub passing: usize,
+    #[serde(rename = "passing")]
+    pub forwarding: usize,
     /// Total number of refusals by reason.
     pub refused: BTreeMap<String, u64>,
     /// Total number of bytes that the data path has sent to or received from other regions.
-    pub far_bytes: u64,
+    #[serde(rename = "far_bytes")]
+    pub cross_region_bytes: u64,
 }
 
 impl RouterReport {
--- a/crates/route/src/router/dump.rs
+++ b/crates/route/src/router/dump.rs
@@ -17,7 +17,7 @@
             version: self.version,
             serving: self.serving,
             draining: self.draining,
-            held: self.parked.len(),
+            parked: self.parked.len(),
             refused: self.refused.clone(),
             ..RouterReport::default()
         };
