refactor(node): call the module of wait reasons by its name

Cause: `operators::held` has held wait reasons since these have a term. It is `operators::wait_reasons`; its one log line has the target of before, which the glossary lists.

--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -5,8 +5,8 @@
 //! response and never terminate the daemon.
 
 pub mod commands;
-pub mod held;
 pub mod queries;
+pub mod wait_reasons;
 
 use std::sync::Arc;
 
--- a/crates/node/src/operators/queries.rs
+++ b/crates/node/src/operators/queries.rs
@@ -36,7 +36,7 @@
 use crate::document::propose;
 use crate::operators::ApiError;
 use crate::operators::ApiResult;
-use crate::operators::held;
+use crate::operators::wait_reasons::fill_wait_reasons;
 use crate::shards::input::ShardStatus;
 use crate::shards::input::Snapshot;
 
@@ -275,7 +275,7 @@
                 .is_none_or(|class| *class == task.class)
     };
     let mut tasks: Vec<TaskView> = rows.into_iter().filter_map(read).filter(wanted).collect();
-    held::fill_wait_reasons(cx, &mut tasks).await;
+    fill_wait_reasons(cx, &mut tasks).await;
     Ok(TaskPage { tasks, next })
 }
 
--- a/crates/node/src/operators/held.rs
+++ b/crates/node/src/operators/wait_reasons.rs
@@ -69,7 +69,7 @@
         _ => Err("no answer".to_owned()),
     };
     answer.unwrap_or_else(|error| {
-        log::warn!(event = "held_unknown", error = error.as_str(); "");
+        log::warn!(target: "node::operators::held", event = "held_unknown", error = error.as_str(); "");
         BTreeMap::new()
     })
 }
