--- a/crates/route/src/proxy/mod.rs
+++ b/crates/route/src/proxy/mod.rs
@@ -10,9 +10,12 @@
 pub mod config;
 mod connection;
 mod exchange;
+mod forward;
 pub mod head;
 pub mod intent;
 pub mod reply;
+mod response;
+mod send;
 mod serve;
 pub mod server;
 mod wait;
@@ -220,8 +223,8 @@
     #[must_use]
     pub fn report(&self) -> RouterReport {
         let mut report = self.inner.with_router(|router, _| router.report());
-        report.passing = self.inner.forwarding.load(Ordering::Acquire);
-        report.far_bytes = self.inner.cross_region_bytes.load(Ordering::Relaxed);
+        report.forwarding = self.inner.forwarding.load(Ordering::Acquire);
+        report.cross_region_bytes = self.inner.cross_region_bytes.load(Ordering::Relaxed);
         report
     }
 }
