fix(dispatch): a host that lost the store does not read an unchanged document again

Cause: the version to follow from was forgotten on any error, although only a dropped history needs a read; the feed returns all changes after a version, so that a lost answer misses nothing. Test: a_host_that_lost_the_store_does_not_read_an_unchanged_document_again fails before (2 transfers instead of 1), passes now.

--- a/crates/dispatch/src/document/mod.rs
+++ b/crates/dispatch/src/document/mod.rs
@@ -1,12 +1,11 @@
 //! Keeps the operators' document up to date on each host.
 //!
 //! A host near the store follows the document there: a change comes into force when a waiting call
-//! returns it. Changes can be missed, for example when the store drops its history or a connection
-//! hangs, so the whole document is read again after every failed call. A host far from the store
-//! takes the document from the owner instead, compressed, because the link to the store's region is
-//! shared and a large document for each host would fill it; see "The document" in `docs/JOBS.md`.
-//! [`relay`] decides which of the two applies. A version lower than the one in force is never
-//! accepted.
+//! returns it. The whole document is read again only if the store has dropped its history. A host
+//! far from the store takes the document from the owner instead, compressed, because the link to
+//! the store's region is shared and a large document for each host would fill it; see "The
+//! document" in `docs/JOBS.md`. [`relay`] decides which of the two applies. A version lower than
+//! the one in force is never accepted.
 
 pub mod packed;
 pub mod relay;
@@ -158,8 +157,9 @@
     Ok(owner.info.store_version)
 }
 
-/// Follows the document in the store after a version, or reads it. Returns the version up to which
-/// it has been followed.
+/// Follows the document in the store after a version, or reads it if there is none. Returns the
+/// version up to which it has been followed, or `None` if changes after it can no longer be read. A
+/// call without an answer misses nothing: the next one asks for changes after the same version.
 async fn take_from_store(node: &Node, followed: Option<u64>) -> Option<u64> {
     let result = match followed {
         None => (node.dependencies.document.read)(()).await,
@@ -179,7 +179,7 @@
         Err(_) => {
             node.record_store_result(StoreCall::Document, false);
             tokio::time::sleep(RETRY_DELAY).await;
-            None
+            followed
         }
     }
 }
--- a/crates/dispatch/tests/all/document_relay.rs
+++ b/crates/dispatch/tests/all/document_relay.rs
@@ -108,6 +108,29 @@
     assert_eq!(back, SubmitOutcome::Accepted);
 }
 
+/// Each call to the store without an answer made a host read the whole document again, over links
+/// that were slow already.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_lost_the_store_does_not_read_an_unchanged_document_again() {
+    let world = started().await;
+    let owner = world.owner().expect("an owner");
+    let host = if owner == "near-1" {
+        "near-2"
+    } else {
+        "near-1"
+    };
+    let before = world.document.transfers(host);
+    world.host(host).store_fault.set(StoreFault::Silent);
+    world.advance(5 * SECOND).await;
+    world.host(host).store_fault.set(StoreFault::None);
+    world.advance(3 * SECOND).await;
+    assert_eq!(world.document.transfers(host), before);
+    world.document.change(plan(2, false));
+    world.advance(SECOND).await;
+    assert_in_force(&world, &[host], 2);
+    assert_eq!(world.document.transfers(host), before + 1);
+}
+
 #[test]
 fn the_owner_is_preferred_if_it_is_much_closer_to_the_store_and_current() {
     let cases = [
