fix(dispatch): a document from the owner is received for as long as it makes progress

Found in review; the same class of fault as the document's own: a limit on the whole of something large, for many receivers at once. Cause: a transfer had 2 s in all. 73 far hosts share the owner's link and the link between regions, so that they end together: either all in time or none, and then each asks the owner once more and reads the store's larger copy after that. Change: limits of 2 s until the answer begins, 1 s between two parts and 20 s in all (link::client::TimeLimits, in PeerCall).

--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -13,6 +13,7 @@
 use job::record::SubmissionRecord;
 use job::scheduler::JobState;
 use job::spec::JobSpec;
+use link::client::TimeLimits;
 use model::Map;
 use model::Mono;
 
@@ -285,7 +286,13 @@
         return owner.state(id);
     }
     let address = owner_address(node)?;
-    let reply = peers::send(node, &address, PeerRequest::State(id), OWNER_TIMEOUT).await?;
+    let reply = peers::send(
+        node,
+        &address,
+        PeerRequest::State(id),
+        TimeLimits::total(OWNER_TIMEOUT),
+    )
+    .await?;
     match reply {
         PeerResponse::State(Some(code)) => Some(job::record::decode_state(code)),
         _ => None,
@@ -348,7 +355,14 @@
         return Some(owner.pending());
     }
     let address = owner_address(node)?;
-    match peers::send(node, &address, PeerRequest::Pending, OWNER_TIMEOUT).await? {
+    match peers::send(
+        node,
+        &address,
+        PeerRequest::Pending,
+        TimeLimits::total(OWNER_TIMEOUT),
+    )
+    .await?
+    {
         PeerResponse::Pending(pending) => Some(pending),
         _ => None,
     }
--- a/crates/dispatch/src/dependencies.rs
+++ b/crates/dispatch/src/dependencies.rs
@@ -15,6 +15,7 @@
 use job::scheduler::Report;
 use job::scheduler::StartAnswer;
 use job::task::RunNumber;
+use link::client::TimeLimits;
 
 use crate::peers::PeerRequest;
 use crate::peers::PeerResponse;
@@ -103,8 +104,8 @@
     pub address: Arc<str>,
     /// The request.
     pub request: PeerRequest,
-    /// Time limit for the response.
-    pub timeout: Duration,
+    /// Time limits of the call.
+    pub limits: TimeLimits,
 }
 
 /// The store of versioned rows that holds all durable state.
--- a/crates/dispatch/src/document/mod.rs
+++ b/crates/dispatch/src/document/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use job::plan::Plan;
+use link::client::TimeLimits;
 use model::Mono;
 
 use self::packed::PackedPlan;
@@ -39,8 +40,14 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Interval at which a host that takes the document from the owner checks for a new version.
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time limit for receiving the document from the owner.
-const TRANSFER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time limits for receiving the document from the owner. Many hosts may receive a large document at
+/// once over the owner's link. A transfer that is given up is repeated and has used the link for
+/// nothing, so that one that makes progress goes on.
+pub const TRANSFER_LIMITS: TimeLimits = TimeLimits {
+    response: Duration::from_millis(2_000),
+    idle: Duration::from_millis(1_000),
+    total: Duration::from_secs(20),
+};
 /// Number of failed transfers after which a host reads the document from the store.
 const MAX_FAILED_TRANSFERS: u32 = 2;
 /// Interval at which a host that takes the document from the owner checks that the store answers.
@@ -149,7 +156,7 @@
         return Ok(owner.info.store_version);
     }
     let request = PeerRequest::Document;
-    let response = peers::send(node, &owner.address, request, TRANSFER_TIMEOUT).await;
+    let response = peers::send(node, &owner.address, request, TRANSFER_LIMITS).await;
     let Some(PeerResponse::Document(packed)) = response else {
         return Err(TransferFailed);
     };
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use link::client::TimeLimits;
 use model::Mono;
 
 use crate::dependencies::Range;
@@ -137,7 +138,13 @@
 }
 
 async fn is_alive(node: &Node, address: &Arc<str>, record: &OwnerRecord) -> bool {
-    let reply = peers::send(node, address, PeerRequest::Ping, PING_TIMEOUT).await;
+    let reply = peers::send(
+        node,
+        address,
+        PeerRequest::Ping,
+        TimeLimits::total(PING_TIMEOUT),
+    )
+    .await;
     let Some(PeerResponse::Pong(pong)) = reply else {
         return false;
     };
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -15,6 +15,7 @@
 use job::scheduler::Scheduler;
 use job::scheduler::Submission;
 use job::scheduler::Timing;
+use link::client::TimeLimits;
 use model::Map;
 use model::Mono;
 use model::Set;
@@ -175,9 +176,14 @@
     while !stopped && node.now() < assumed_lease_end && !owner.shutdown.is_cancelled() {
         // Any answer is sufficient: a later incarnation of the process does not extend the leases
         // of the earlier one.
-        stopped = peers::send(node, &address, request.clone(), SUPERSEDE_TIMEOUT)
-            .await
-            .is_some();
+        stopped = peers::send(
+            node,
+            &address,
+            request.clone(),
+            TimeLimits::total(SUPERSEDE_TIMEOUT),
+        )
+        .await
+        .is_some();
         if !stopped {
             tokio::time::sleep(SUPERSEDE_INTERVAL).await;
         }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -6,7 +6,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures::FutureExt;
@@ -102,12 +101,12 @@
     node: &Node,
     address: &Arc<str>,
     request: PeerRequest,
-    timeout: Duration,
+    limits: TimeLimits,
 ) -> Option<PeerResponse> {
     let call = PeerCall {
         address: address.clone(),
         request,
-        timeout,
+        limits,
     };
     (node.dependencies.peers.call)(call).await
 }
@@ -128,11 +127,7 @@
         .body(Full::new(Bytes::from(body)))
         .ok()?;
     let answer = client
-        .call(
-            &peer_call.address,
-            http_request,
-            TimeLimits::total(peer_call.timeout),
-        )
+        .call(&peer_call.address, http_request, peer_call.limits)
         .await
         .ok()?;
     if answer.status != StatusCode::OK {
--- a/crates/dispatch/tests/all/document_relay.rs
+++ b/crates/dispatch/tests/all/document_relay.rs
@@ -91,6 +91,22 @@
     }
 }
 
+/// The owner has reported the new version and stops before or while it sends the document.
+#[tokio::test(start_paused = true)]
+async fn a_changed_document_reaches_far_hosts_whenever_the_owner_freezes() {
+    for after_ms in (0..600).step_by(25) {
+        println!("the owner freezes after {after_ms} ms");
+        let world = started().await;
+        let owner = world.owner().expect("an owner");
+        world.document.change(plan(2, false));
+        world.advance(Duration::from_millis(after_ms)).await;
+        world.host(&owner).frozen.set(true);
+        let rest = APPLY_LIMIT - Duration::from_millis(after_ms);
+        world.advance(rest).await;
+        assert_in_force(&world, &FAR, 2);
+    }
+}
+
 /// A host that takes the document from the owner makes no other regular call to the store. It would
 /// refuse callers for good after a disruption if it did not check that the store answers again.
 #[tokio::test(start_paused = true)]
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -211,7 +211,7 @@
                     match host.filter(|host| !host.frozen.get()) {
                         Some(host) => Some(peers::respond(&host.node, &call.request)),
                         None => {
-                            tokio::time::sleep(call.timeout).await;
+                            tokio::time::sleep(call.limits.response).await;
                             None
                         }
                     }
