fix(job): an executor gets no more tasks than it can list ends

Found in review: an executor lists its 500 oldest unacknowledged ends. All ends after one that must not be acknowledged (end_withheld) stay in the list, until a lapse that ended something. After 500 of them every further run there ends unheard, and a full report releases no missing run either, so that its tasks count as running for good while placement goes on. Change: while an end is withheld, placement counts the ends that stay listed and the tasks assigned, and stops below 500 (Executor::accepts_tasks). The executor is then idle; nothing better is known as long as the end must not count. Test: an_executor_with_ends_that_are_not_acknowledged_gets_no_more_tasks... fails before (506 ends), passes now; all 100 tests of the crate pass, the model check among them.

--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -114,6 +114,10 @@
     pub tasks: u32,
 }
 
+/// The maximum number of ended runs in a report. A report that contains this many may be
+/// incomplete.
+pub(crate) const MAX_REPORTED_ENDS: usize = 500;
+
 /// A reading of an executor's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockReading {
@@ -169,7 +173,21 @@
     /// Returns whether new tasks may be placed on the executor.
     #[must_use]
     pub fn accepts_tasks(&self, now: Mono) -> bool {
-        self.listed && self.reachable && !self.listing.draining && now >= self.not_before
+        self.listed
+            && self.reachable
+            && !self.listing.draining
+            && now >= self.not_before
+            && self.can_list_another_end()
+    }
+
+    /// Returns whether the end of another run would appear in reports. All ends from the first
+    /// withheld one on stay in the executor's list.
+    fn can_list_another_end(&self) -> bool {
+        let Some(first) = self.withheld_ends.iter().min() else {
+            return true;
+        };
+        let listed = usize::try_from((self.ends_received + 1).saturating_sub(*first));
+        listed.is_ok_and(|listed| listed + self.tasks.len() + 1 < MAX_REPORTED_ENDS)
     }
 
     /// Returns whether the executor still lists ended runs that can be acknowledged to it.
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -12,6 +12,7 @@
 use super::Scheduler;
 use super::TaskKey;
 use crate::fleet::ExecutorKey;
+use crate::fleet::MAX_REPORTED_ENDS;
 use crate::id::TaskId;
 use crate::task::RunMetrics;
 use crate::task::RunNumber;
@@ -24,9 +25,6 @@
 const FAILED_JOBS_BEFORE_COOLDOWN: usize = 3;
 /// How long no task is placed on an executor where several distinct jobs have failed.
 const FAULTY_EXECUTOR_COOLDOWN: Duration = Duration::from_secs(4);
-/// The maximum number of ended runs in a report. A report that contains this many may be
-/// incomplete.
-const MAX_REPORTED_ENDS: usize = 500;
 /// The minimum time since the latest confirmation of a run, of its start or of its stop, before a
 /// run that should stop and is still reported as active is stopped again.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
--- a/crates/job/tests/all/late_ends.rs
+++ b/crates/job/tests/all/late_ends.rs
@@ -299,6 +299,38 @@
     assert_eq!(acknowledgement(&fixture, first), 6);
 }
 
+/// An executor lists at most 500 ends. All ends after one that must not be acknowledged stay in its
+/// list, so that further runs there would end unheard.
+#[test]
+fn an_executor_with_ends_that_are_not_acknowledged_gets_no_more_tasks_than_it_can_list_ends() {
+    let mut fixture = Fixture::new(2);
+    let (first, end) = restarted(&mut fixture, vec![step(1, 4, 1_000)], RunOutcome::Done);
+    let second = 3 - first;
+    fixture.report_rows(first, vec![], vec![end.clone()]);
+    fixture.store();
+    assert_eq!(acknowledgement(&fixture, first), end.sequence - 1);
+    let mut listed = vec![end];
+    let mut seconds_ends = 0;
+    for number in 2..200 {
+        fixture.submit(number, vec![step(16, 4, 1_000)]);
+        fixture.start_all();
+        for key in fixture.tasks_on(second) {
+            seconds_ends += 1;
+            let end = fixture.end(seconds_ends, key, RunOutcome::Done);
+            fixture.report(second, vec![end]);
+        }
+        for key in fixture.tasks_on(first) {
+            let sequence = listed[0].sequence + listed.len() as u64;
+            listed.push(fixture.end(sequence, key, RunOutcome::Done));
+        }
+        assert!(listed.len() <= 500, "{} ends", listed.len());
+        fixture.report_rows(first, vec![], listed.clone());
+        fixture.store();
+        fixture.pass(1_000);
+    }
+    assert!(listed.len() > 400, "{} ends", listed.len());
+}
+
 /// A gang of two tasks on two executors.
 fn gang() -> Vec<StepSpec> {
     vec![StepSpec {
