fix(job, dispatch): transactions are divided by size

Cause: a transaction held 90 rows whatever their size. (1) 90 jobs of 300 assigned tasks give 0.91 MB, 1.21 MB in Base64 (executors with names of two letters): more than the store accepts, so that the owner sends it again for good. (2) Over a link of 2 Mbit/s 90 jobs of 36 tasks would need over a second (by reckoning); the row stands still, pings report an old confirmation and others claim; after 1.5 s a copy follows while the first is on its way. Change: take_batch ends with the row that brings it to max_bytes; pacing::transaction_bytes allows 200 ms of the owner's link, between 24 kB and 400 kB. What is left follows in the next transaction at once. Tests: a_batch_of_wide_jobs_is_divided_by_size fails without a limit (rows of 10,112 bytes each, 90 of them), passes now; the sizes over links from 2 Mbit/s on. 101 tests of job and 49 of dispatch pass; clippy of job, dispatch and measure is clean.

--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -11,6 +11,7 @@
 use model::Mono;
 
 use super::Owner;
+use super::pacing;
 use crate::dependencies::Row;
 use crate::dependencies::RowId;
 use crate::dependencies::StoreError;
@@ -46,10 +47,10 @@
                 () = tokio::time::sleep(HEARTBEAT_INTERVAL) => {}
             }
             let releasing = self.releasing.get();
-            let batch = self
-                .scheduler
-                .borrow_mut()
-                .take_batch(MAX_JOBS_PER_TRANSACTION);
+            let batch = self.scheduler.borrow_mut().take_batch(
+                MAX_JOBS_PER_TRANSACTION,
+                pacing::transaction_bytes(self.node.identity.capacity.link_mbps),
+            );
             match self.commit(&batch, releasing).await {
                 CommitOutcome::Applied => self.on_committed(batch),
                 CommitOutcome::Superseded => {
--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -24,6 +24,14 @@
 /// not get new tasks for long.
 const LIST_INTERVAL: (Duration, Duration) =
     (Duration::from_millis(900), Duration::from_millis(1_600));
+/// The time for which a transaction may fill the link. One that takes longer is sent again while the
+/// first copy is on its way, and other hosts take an owner whose row stands still for dead.
+const TRANSACTION_LINK_TIME: Duration = Duration::from_millis(200);
+/// Minimum and maximum size of the values in a transaction, in bytes. The store accepts 1 MB with the
+/// values in Base64, and the last row may exceed this limit.
+const TRANSACTION_BYTES: (f64, f64) = (24_000.0, 400_000.0);
+/// The size of a value in Base64, as a multiple of its own.
+const BASE64_FACTOR: f64 = 4.0 / 3.0;
 /// Bytes a second of a link of 1 Mbit/s.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
@@ -71,6 +79,20 @@
     .clamp(min, max)
 }
 
+/// Returns the size of the values, in bytes, at which a transaction over a link of this speed is
+/// complete.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the size is a small positive number"
+)]
+pub fn transaction_bytes(link_mbps: f64) -> usize {
+    let sent = link_mbps * BYTES_PER_MBIT * TRANSACTION_LINK_TIME.as_secs_f64();
+    let (min, max) = TRANSACTION_BYTES;
+    (sent / BASE64_FACTOR).clamp(min, max) as usize
+}
+
 /// Limits the start commands in flight by how long answers take: additive increase while they are
 /// fast, multiplicative decrease when they are slow. Tasks beyond the window stay in the queue, in
 /// their order, instead of waiting in front of the link.
--- a/crates/dispatch/tests/all/pacing.rs
+++ b/crates/dispatch/tests/all/pacing.rs
@@ -6,6 +6,7 @@
 use dispatch::owner::pacing::CommandWindow;
 use dispatch::owner::pacing::list_interval;
 use dispatch::owner::pacing::poll_interval;
+use dispatch::owner::pacing::transaction_bytes;
 use model::Mono;
 
 use crate::world::World;
@@ -42,6 +43,21 @@
     assert!(list_interval(100_000, 0.1) <= Duration::from_secs(2));
 }
 
+#[test]
+fn a_transaction_takes_little_time_on_the_link_and_stays_below_the_size_that_the_store_accepts() {
+    let largest_row = 65_536;
+    for link_mbps in [2.0, 20.0, 200.0, 1_000.0, 100_000.0] {
+        let sent = transaction_bytes(link_mbps) * 4 / 3;
+        let bytes_per_ms = link_mbps * 125.0;
+        #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
+        let took_ms = sent as f64 / bytes_per_ms;
+        assert!(took_ms <= 200.0, "{link_mbps} Mbit/s: {took_ms} ms");
+        let rows_overhead = 90 * 200;
+        assert!(sent + largest_row * 4 / 3 + rows_overhead < 1_000_000);
+    }
+    assert!(transaction_bytes(0.1) > 0);
+}
+
 /// What became of the commands of a simulated load.
 #[derive(Default)]
 struct Outcome {
--- a/crates/job/src/scheduler/store.rs
+++ b/crates/job/src/scheduler/store.rs
@@ -65,16 +65,21 @@
         !self.dirty.is_empty() || self.retired.has_records() || !self.unstored_ends.is_empty()
     }
 
-    /// Returns a batch of up to `max_rows` rows to be written.
-    pub fn take_batch(&mut self, max_rows: usize) -> Batch {
+    /// Returns a batch of up to `max_rows` rows to be written, which ends with the row that brings it
+    /// to `max_bytes` of values.
+    pub fn take_batch(&mut self, max_rows: usize, max_bytes: usize) -> Batch {
         self.mark_unstored_ends();
-        let taken = self.dirty.len().min(max_rows);
-        let keys: Vec<JobKey> = self.dirty.drain(..taken).collect();
-        self.rows_taken += taken as u64;
         let mut batch = Batch::default();
-        for key in keys {
-            self.add_to_batch(key, &mut batch);
+        let mut taken = 0;
+        let mut bytes = 0;
+        while taken < max_rows
+            && bytes < max_bytes
+            && let Some(key) = self.dirty.pop_front()
+        {
+            taken += 1;
+            bytes += self.add_to_batch(key, &mut batch);
         }
+        self.rows_taken += taken as u64;
         batch.removed = self.retired.take_records(max_rows - taken);
         batch.acks = self.take_stored_ends();
         batch
@@ -113,9 +118,10 @@
         stored
     }
 
-    fn add_to_batch(&mut self, key: JobKey, batch: &mut Batch) {
+    /// Adds the row of a job. Returns the size of its value in bytes.
+    fn add_to_batch(&mut self, key: JobKey, batch: &mut Batch) -> usize {
         let Some(job) = self.jobs.get_mut(key) else {
-            return;
+            return 0;
         };
         job.dirty = false;
         batch.states.push((key, job.state));
@@ -129,7 +135,9 @@
         }
         let id = job.id;
         let row = record::encode(job, &self.fleet);
+        let bytes = row.len();
         batch.rows.push((id, row));
+        bytes
     }
 
     /// Processes the completion of a batch. Returns the jobs whose end was stored with it.
--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -140,7 +140,7 @@
 
     /// Returns a new owner that restores the only job from the record that this one would store.
     pub fn successor(&mut self) -> Self {
-        let batch = self.scheduler.take_batch(100);
+        let batch = self.scheduler.take_batch(100, usize::MAX);
         let [(id, row)] = &batch.rows[..] else {
             panic!("expected one row, got {}", batch.rows.len());
         };
@@ -198,7 +198,7 @@
 
     /// Stores all changes.
     pub fn store(&mut self) {
-        let batch = self.scheduler.take_batch(100);
+        let batch = self.scheduler.take_batch(100, usize::MAX);
         self.scheduler.batch_stored(batch, self.now);
     }
 
--- a/crates/job/tests/all/late_ends.rs
+++ b/crates/job/tests/all/late_ends.rs
@@ -377,7 +377,7 @@
     let key = fixture.scheduler.find(id).expect("known");
     let spec = fixture.scheduler.job(key).expect("known").spec.clone();
     fixture.scheduler.cancel(id);
-    let batch = fixture.scheduler.take_batch(10);
+    let batch = fixture.scheduler.take_batch(10, usize::MAX);
     let record: JobRecord = serde_json::from_slice(&batch.rows[0].1).expect("a valid record");
     let queue: Arc<str> = QUEUE.into();
     for (row_version, state) in [(1, JobState::Cancelled), (2, JobState::Queued)] {
--- a/crates/job/tests/all/lifecycle.rs
+++ b/crates/job/tests/all/lifecycle.rs
@@ -14,7 +14,7 @@
     let mut fixture = Fixture::new(1);
     fixture.submit(1, vec![step(1, 4, 1_000)]);
     assert_eq!(fixture.place(), 1);
-    let batch = fixture.scheduler.take_batch(100);
+    let batch = fixture.scheduler.take_batch(100, usize::MAX);
     assert!(fixture.scheduler.take_commands().is_empty());
     fixture.scheduler.batch_stored(batch, fixture.now);
     assert_eq!(fixture.scheduler.take_commands().len(), 1);
@@ -37,7 +37,7 @@
             .expect("listed")
             .ends_stored
     };
-    let batch = fixture.scheduler.take_batch(100);
+    let batch = fixture.scheduler.take_batch(100, usize::MAX);
     assert_eq!(ends_stored(&fixture), 0);
     fixture.scheduler.batch_stored(batch, fixture.now);
     assert_eq!(ends_stored(&fixture), 1);
@@ -133,7 +133,7 @@
     let mut fixture = Fixture::new(1);
     let job = fixture.submit(1, vec![step(1, 4, 1_000)]);
     fixture.place();
-    let batch = fixture.scheduler.take_batch(100);
+    let batch = fixture.scheduler.take_batch(100, usize::MAX);
     fixture.scheduler.cancel(job);
     fixture.scheduler.batch_stored(batch, fixture.now);
     assert!(fixture.scheduler.take_commands().is_empty());
@@ -262,7 +262,7 @@
     for number in 2..=40 {
         let job = fixture.submit(number, vec![step(1, 4, 1_000)]);
         fixture.scheduler.cancel(job);
-        let batch = fixture.scheduler.take_batch(1);
+        let batch = fixture.scheduler.take_batch(1, usize::MAX);
         fixture.scheduler.batch_stored(batch, fixture.now);
         fixture.submit(100 + number, vec![step(1, 4, 1_000)]);
         fixture.place();
@@ -278,10 +278,10 @@
     fixture.submit(1, vec![step(3, 4, 1_000)]);
     fixture.submit(2, vec![step(2, 4, 1_000)]);
     assert_eq!(fixture.place(), 5);
-    let first = fixture.scheduler.take_batch(1);
-    let second = fixture.scheduler.take_batch(1);
+    let first = fixture.scheduler.take_batch(1, usize::MAX);
+    let second = fixture.scheduler.take_batch(1, usize::MAX);
     assert_eq!(first.starts() + second.starts(), 5);
     fixture.scheduler.batch_stored(first, fixture.now);
     fixture.scheduler.batch_stored(second, fixture.now);
-    assert_eq!(fixture.scheduler.take_batch(1).starts(), 0);
+    assert_eq!(fixture.scheduler.take_batch(1, usize::MAX).starts(), 0);
 }
--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -109,7 +109,7 @@
     fn write(&mut self, host: usize) {
         let now = self.now;
         if let Some(owner) = &mut self.owners[host] {
-            let batch = owner.scheduler.take_batch(10);
+            let batch = owner.scheduler.take_batch(10, usize::MAX);
             owner.write = Some(Write {
                 expects: owner.row,
                 record: batch.rows.first().map(|(_, row)| row.clone()),
--- a/crates/job/tests/all/model/state.rs
+++ b/crates/job/tests/all/model/state.rs
@@ -299,7 +299,7 @@
         };
         owner.scheduler.place(now, 0);
         if mutation == Mutation::StartBeforeStore {
-            let batch = owner.scheduler.take_batch(10);
+            let batch = owner.scheduler.take_batch(10, usize::MAX);
             owner.scheduler.batch_stored(batch, now);
         }
         // Two equal commands are two attempts at the same one.
--- a/crates/job/tests/all/record.rs
+++ b/crates/job/tests/all/record.rs
@@ -3,6 +3,7 @@
 use job::scheduler::Command;
 use job::scheduler::JobState;
 use job::scheduler::RunOutcome;
+use job::scheduler::TaskKey;
 
 use crate::fixture::Fixture;
 use crate::fixture::LEASE;
@@ -91,10 +92,39 @@
             .collect();
         fixture.report(number, ends);
     }
-    let batch = fixture.scheduler.take_batch(100);
+    let batch = fixture.scheduler.take_batch(100, usize::MAX);
     assert!(
         batch.rows[0].1.len() < 20,
         "{} bytes",
         batch.rows[0].1.len()
     );
 }
+
+/// The store refuses a transaction of more than 1 MB, and over a narrow link a transaction that takes
+/// long is sent again while the first copy is on its way.
+#[test]
+fn a_batch_of_wide_jobs_is_divided_by_size() {
+    let mut fixture = Fixture::new(1);
+    let executor = fixture.executor(1);
+    for number in 1..=90 {
+        let id = fixture.submit(number, vec![step(300, 0, 1_000)]);
+        let job = fixture.scheduler.find(id).expect("known");
+        for slot in 0..300 {
+            let key = TaskKey { job, slot };
+            fixture.scheduler.assign(key, executor, fixture.now);
+        }
+    }
+    let (mut rows, mut starts) = (0, 0);
+    while fixture.scheduler.has_changes() {
+        let batch = fixture.scheduler.take_batch(90, 100_000);
+        let sizes: Vec<usize> = batch.rows.iter().map(|(_, row)| row.len()).collect();
+        let [earlier @ .., _] = &sizes[..] else {
+            panic!("an empty batch");
+        };
+        assert!(earlier.iter().sum::<usize>() < 100_000, "{sizes:?}");
+        rows += batch.rows.len();
+        starts += batch.starts();
+        fixture.scheduler.batch_stored(batch, fixture.now);
+    }
+    assert_eq!((rows, starts), (90, 27_000));
+}
--- a/crates/job/tests/all/retire.rs
+++ b/crates/job/tests/all/retire.rs
@@ -101,10 +101,14 @@
         "the job is no longer known"
     );
     assert_eq!(fixture.scheduler.len(), 1);
-    let batch = fixture.scheduler.take_batch(10);
+    let batch = fixture.scheduler.take_batch(10, usize::MAX);
     assert_eq!(batch.removed, removed);
     assert!(
-        fixture.scheduler.take_batch(10).removed.is_empty(),
+        fixture
+            .scheduler
+            .take_batch(10, usize::MAX)
+            .removed
+            .is_empty(),
         "each record is removed once"
     );
 }
--- a/crates/measure/src/fleet_load.rs
+++ b/crates/measure/src/fleet_load.rs
@@ -221,7 +221,7 @@
 
     fn store(&mut self) -> bool {
         let started = Instant::now();
-        let batch = self.scheduler.take_batch(90);
+        let batch = self.scheduler.take_batch(90, usize::MAX);
         let bytes: usize = batch.rows.iter().map(|(_, row)| row.len()).sum();
         let changed = !batch.rows.is_empty();
         self.scheduler.batch_stored(batch, Mono(self.now_ms));
--- a/crates/measure/src/jobs.rs
+++ b/crates/measure/src/jobs.rs
@@ -156,7 +156,7 @@
     fn store(&mut self) {
         let started = Instant::now();
         while self.scheduler.has_changes() {
-            let batch = self.scheduler.take_batch(90);
+            let batch = self.scheduler.take_batch(90, usize::MAX);
             for (_, row) in &batch.rows {
                 self.spent.record_bytes += row.len();
                 self.spent.records += 1;
