fix(dispatch): a host is far from the store only if it is by some milliseconds

Found in review: round trips are reported in whole milliseconds, so that an owner with 0.9 ms reports 0 and every host counts as far; with 1.9 ms reported as 1 hosts beside it do. All of them would take the document over the owner's one link for no benefit. Change: far is twice the owner's round trip and 5 ms more. Test: the table of the_owner_is_preferred_if... has three more cases and fails before (1 ms against 0), passes now; the 8 tests of document_relay pass.

--- a/crates/dispatch/src/document/relay.rs
+++ b/crates/dispatch/src/document/relay.rs
@@ -12,6 +12,9 @@
 
 /// A host is far from the store if its round trip is longer than the owner's by this factor.
 const FAR_FACTOR: u32 = 2;
+/// And by this much, because round trips within a region differ by a few milliseconds and are reported
+/// in whole ones.
+const FAR_DISTANCE: Duration = Duration::from_millis(5);
 /// The owner's document counts as current for this long after the store confirmed it to the owner.
 /// The owner's calls wait for changes for one second.
 const MAX_AGE: Duration = Duration::from_millis(1_600);
@@ -34,5 +37,7 @@
     let reported_age = Duration::from_millis(owner.info.age_ms);
     let age = reported_age + now.since(owner.reported_at);
     let owner_round_trip = Duration::from_millis(owner.info.store_round_trip_ms);
-    age <= MAX_AGE && round_trip >= owner_round_trip * FAR_FACTOR
+    let is_far = round_trip >= owner_round_trip * FAR_FACTOR
+        && round_trip >= owner_round_trip + FAR_DISTANCE;
+    is_far && age <= MAX_AGE
 }
--- a/crates/dispatch/tests/all/document_relay.rs
+++ b/crates/dispatch/tests/all/document_relay.rs
@@ -133,6 +133,10 @@
         (7, 6, 0, false),
         (44, 44, 0, false),
         (6, 44, 0, false),
+        // The store answers in less than a millisecond, and nobody is far from it.
+        (1, 0, 0, false),
+        (3, 1, 0, false),
+        (20, 0, 0, true),
     ];
     for (own_ms, owner_ms, age_ms, expected) in cases {
         let info = DocumentInfo {
