--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -13,6 +13,7 @@
 pub mod commands;
 pub mod commit;
 pub mod feeds;
+mod keep_claim;
 pub mod pacing;
 pub mod polls;
 mod starts;
--- a/crates/dispatch/tests/all/document_relay.rs
+++ b/crates/dispatch/tests/all/document_relay.rs
@@ -91,6 +91,22 @@
     }
 }
 
+/// The owner has reported the new version and stops before or while it sends the document.
+#[tokio::test(start_paused = true)]
+async fn a_changed_document_reaches_far_hosts_whenever_the_owner_freezes() {
+    for after_ms in (0..600).step_by(25) {
+        println!("the owner freezes after {after_ms} ms");
+        let world = started().await;
+        let owner = world.owner().expect("an owner");
+        world.document.change(plan(2, false));
+        world.advance(Duration::from_millis(after_ms)).await;
+        world.host(&owner).frozen.set(true);
+        let rest = APPLY_LIMIT - Duration::from_millis(after_ms);
+        world.advance(rest).await;
+        assert_in_force(&world, &FAR, 2);
+    }
+}
+
 /// A host that takes the document from the owner makes no other regular call to the store. It would
 /// refuse callers for good after a disruption if it did not check that the store answers again.
 #[tokio::test(start_paused = true)]
@@ -140,6 +156,10 @@
         (7, 6, 0, false),
         (44, 44, 0, false),
         (6, 44, 0, false),
+        // The store answers in less than a millisecond, and nobody is far from it.
+        (1, 0, 0, false),
+        (3, 1, 0, false),
+        (20, 0, 0, true),
     ];
     for (own_ms, owner_ms, age_ms, expected) in cases {
         let info = DocumentInfo {
