fix(dispatch): starts that hang are given up and their tasks go elsewhere

Cause: a start command without an answer was sent again for as long as its executor answered polls, so that a task never left an executor that lets starts hang, and new tasks were still placed there behind it.

Now a start is given up after three attempts without an answer: its run is stopped, and the task waits again once the next report does not list the run (the path of a refused start that may have been executed, which the model check covers). After two attempts in a row without an answer at an executor, whichever starts they were for, starts that were not sent yet go elsewhere at once and the executor gets no tasks for 1 s. A task avoids an executor that was too unhealthy to start it (`failed_on`), and a refusal no longer shortens a longer cooldown.

Three attempts rather than two, because a report comes up to 2 s after the start on narrow links and shows a run whose answer was lost.

Partial: where stops hang as well, nothing proves that the run cannot start, and the task stays until its lease lapses.

--- a/crates/dispatch/src/owner/command_slots.rs
+++ b/crates/dispatch/src/owner/command_slots.rs
@@ -1,5 +1,9 @@
 //! Limits the concurrent commands to an executor.
 
+use std::cell::Cell;
+use std::time::Duration;
+
+use model::Mono;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
@@ -9,6 +13,12 @@
 const MAX_CONCURRENT_COMMANDS: usize = 2;
 /// Maximum number of concurrent stops at one executor.
 const MAX_CONCURRENT_STOPS: usize = 2;
+/// Number of start attempts in a row without an answer after which starts count as hanging at an
+/// executor. One answer may be lost.
+const UNANSWERED_STARTS_BEFORE_HANG: u32 = 2;
+/// How long starts count as hanging after the last attempt without an answer. The next start after
+/// that time shows whether they still do.
+const HANG_DURATION: Duration = Duration::from_secs(1);
 
 /// The command slots of one executor.
 ///
@@ -19,6 +29,10 @@
     stops: Semaphore,
     /// Notified when starts that wait for a slot may no longer be wanted.
     starts_changed: Notify,
+    /// Number of start attempts without an answer since the last one with an answer.
+    unanswered_starts: Cell<u32>,
+    /// Until when starts count as hanging.
+    starts_hang_until: Cell<Mono>,
 }
 
 impl Default for CommandSlots {
@@ -27,6 +41,8 @@
             commands: Semaphore::new(MAX_CONCURRENT_COMMANDS),
             stops: Semaphore::new(MAX_CONCURRENT_STOPS),
             starts_changed: Notify::new(),
+            unanswered_starts: Cell::new(0),
+            starts_hang_until: Cell::new(Mono::ZERO),
         }
     }
 }
@@ -52,4 +68,28 @@
     pub fn starts_changed(&self) -> Notified<'_> {
         self.starts_changed.notified()
     }
+
+    /// Records that the executor answered a start.
+    pub fn record_answered_start(&self) {
+        self.unanswered_starts.set(0);
+        self.starts_hang_until.set(Mono::ZERO);
+    }
+
+    /// Records that the executor left a start without an answer. Returns until when starts count as
+    /// hanging, if they do.
+    pub fn record_unanswered_start(&self, now: Mono) -> Option<Mono> {
+        self.unanswered_starts.set(self.unanswered_starts.get() + 1);
+        if self.unanswered_starts.get() < UNANSWERED_STARTS_BEFORE_HANG {
+            return None;
+        }
+        let until = now.after(HANG_DURATION);
+        self.starts_hang_until.set(until);
+        self.notify_starts();
+        Some(until)
+    }
+
+    /// Returns whether starts hang at the executor.
+    pub fn starts_hang(&self, now: Mono) -> bool {
+        now < self.starts_hang_until.get()
+    }
 }
--- a/crates/dispatch/src/owner/command_trace.rs
+++ b/crates/dispatch/src/owner/command_trace.rs
@@ -61,7 +61,7 @@
     pub const OWNER_ENDED: Self = Self::Abandoned("owner_ended");
     /// The command is no longer wanted, or its run is known to be gone.
     pub const WITHDRAWN: Self = Self::Abandoned("withdrawn");
-    /// Too many attempts had no answer.
+    /// Too many attempts had no answer, or starts hang at the executor.
     pub const GIVEN_UP: Self = Self::Abandoned("given_up");
     /// The executor has seen a higher epoch.
     pub const FENCED: Self = Self::Answered("fenced");
@@ -125,10 +125,11 @@
         }
     }
 
-    /// Returns whether the end of the command is logged: it took long, an attempt had no answer, or
-    /// it was sent and ended without an answer.
+    /// Returns whether the end of the command is logged: it took long, an attempt had no answer, it
+    /// was sent and ended without an answer, or it was given up.
     fn is_logged(&self, end: CommandEnd, took: Duration) -> bool {
-        let abandoned = matches!(end, CommandEnd::Abandoned(_)) && self.attempts > 0;
+        let abandoned = matches!(end, CommandEnd::Abandoned(_))
+            && (self.attempts > 0 || end == CommandEnd::GIVEN_UP);
         took >= DELAYED_COMMAND || self.unanswered > 0 || abandoned
     }
 }
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -31,6 +31,10 @@
 /// Number of attempts to send a start before another executor is chosen.
 const MAX_START_ATTEMPTS: usize = 3;
 
+/// Number of attempts without an answer in a row before the run is stopped, so that another
+/// executor can be chosen once the stop is answered.
+const MAX_UNANSWERED_STARTS: usize = 3;
+
 /// A command to start a run.
 pub(super) struct StartRun {
     pub(super) key: TaskKey,
@@ -109,13 +113,18 @@
     ) -> CommandEnd {
         let command_slots = self.command_slots(start.executor);
         let mut failed_sends = 0;
+        let mut unanswered = 0;
         loop {
             let slot_awaited_since = self.now();
             let slot = self.wait_for_start_slot(start, &command_slots).await;
             trace.add_slot_wait(self.now().since(slot_awaited_since));
-            if slot.is_none() {
-                return self.withdraw_start(start);
-            }
+            let slot = match slot {
+                Ok(slot) => slot,
+                Err(end) => {
+                    self.abandon_start(start, end);
+                    return end;
+                }
+            };
             self.unsent_starts
                 .borrow_mut()
                 .remove(&(start.key, start.run));
@@ -125,6 +134,7 @@
             counted.release();
             let (answer, end) = match outcome {
                 CommandOutcome::Answered(answer) => {
+                    command_slots.record_answered_start();
                     (answer, CommandEnd::Answered(outcome_label(outcome)))
                 }
                 CommandOutcome::Fenced => return CommandEnd::FENCED,
@@ -136,54 +146,89 @@
                     }
                     (StartAnswer::Unhealthy, CommandEnd::GIVEN_UP)
                 }
-                CommandOutcome::Unanswered => (StartAnswer::Unanswered, CommandEnd::GIVEN_UP),
+                CommandOutcome::Unanswered => {
+                    unanswered += 1;
+                    self.record_unanswered_start(start, &command_slots);
+                    if unanswered < MAX_UNANSWERED_STARTS {
+                        tokio::time::sleep(RETRY_DELAY).await;
+                        continue;
+                    }
+                    (StartAnswer::Unhealthy, CommandEnd::GIVEN_UP)
+                }
             };
-            let now = self.now();
-            self.scheduler
-                .borrow_mut()
-                .start_answered(start.key, start.run, answer, now);
-            if answer != StartAnswer::Unanswered {
-                return end;
-            }
-            tokio::time::sleep(RETRY_DELAY).await;
+            self.record_start_answer(start, answer);
+            return end;
+        }
+    }
+
+    fn record_start_answer(&self, start: &StartRun, answer: StartAnswer) {
+        let now = self.now();
+        self.scheduler
+            .borrow_mut()
+            .start_answered(start.key, start.run, answer, now);
+    }
+
+    /// Records an attempt without an answer. If starts hang at the executor, it gets no more tasks
+    /// for a while, and those that wait for their first attempt go elsewhere.
+    fn record_unanswered_start(&self, start: &StartRun, command_slots: &CommandSlots) {
+        self.record_start_answer(start, StartAnswer::Unanswered);
+        if let Some(until) = command_slots.record_unanswered_start(self.now())
+            && let Some(executor) = self.scheduler.borrow_mut().fleet.get_mut(start.executor)
+        {
+            executor.not_before = executor.not_before.max(until);
         }
     }
 
-    /// Waits for a slot for one attempt. Returns `None` as soon as the start should not be sent.
+    /// Waits for a slot for one attempt. Returns an error as soon as the start should not be sent.
     async fn wait_for_start_slot<'s>(
         &self,
         start: &StartRun,
         command_slots: &'s CommandSlots,
-    ) -> Option<SemaphorePermit<'s>> {
+    ) -> Result<SemaphorePermit<'s>, CommandEnd> {
         let mut slot = pin!(command_slots.for_command());
         loop {
             let changed = command_slots.starts_changed();
-            if !self.may_send(start) {
-                return None;
-            }
+            self.check_start(start, command_slots)?;
             tokio::select! {
                 biased;
-                () = self.shutdown.cancelled() => return None,
-                slot = &mut slot => return slot.filter(|_| self.may_send(start)),
+                () = self.shutdown.cancelled() => return Err(CommandEnd::OWNER_ENDED),
+                slot = &mut slot => {
+                    self.check_start(start, command_slots)?;
+                    return slot.ok_or(CommandEnd::OWNER_ENDED);
+                }
                 () = changed => {}
             }
         }
     }
 
-    fn may_send(&self, start: &StartRun) -> bool {
+    /// Returns an error if a start should not be sent.
+    fn check_start(&self, start: &StartRun, slots: &CommandSlots) -> Result<(), CommandEnd> {
+        if self.shutdown.is_cancelled() {
+            return Err(CommandEnd::OWNER_ENDED);
+        }
         let scheduler = self.scheduler.borrow();
-        !self.shutdown.is_cancelled() && scheduler.is_start_wanted(start.key, start.run)
+        if !scheduler.is_start_wanted(start.key, start.run) {
+            return Err(CommandEnd::WITHDRAWN);
+        }
+        let unsent = self.unsent_starts.borrow();
+        if slots.starts_hang(self.now()) && unsent.contains(&(start.key, start.run)) {
+            return Err(CommandEnd::GIVEN_UP);
+        }
+        Ok(())
     }
 
-    fn withdraw_start(&self, start: &StartRun) -> CommandEnd {
-        if self.shutdown.is_cancelled() {
-            return CommandEnd::OWNER_ENDED;
+    /// Processes the end of a start that is not sent any more.
+    fn abandon_start(&self, start: &StartRun, end: CommandEnd) {
+        match end {
+            CommandEnd::WITHDRAWN => {
+                let now = self.now();
+                self.scheduler
+                    .borrow_mut()
+                    .withdraw_start(start.key, start.run, now);
+            }
+            CommandEnd::GIVEN_UP => self.record_start_answer(start, StartAnswer::Unhealthy),
+            _ => {}
         }
-        let now = self.now();
-        self.scheduler
-            .borrow_mut()
-            .withdraw_start(start.key, start.run, now);
-        CommandEnd::WITHDRAWN
     }
 
     async fn try_start(&self, start: &StartRun) -> CommandOutcome<StartAnswer> {
--- a/crates/dispatch/tests/all/command_logs.rs
+++ b/crates/dispatch/tests/all/command_logs.rs
@@ -118,6 +118,18 @@
     assert_eq!(metric(&world, "a", name), Some(1.0));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_start_that_is_given_up_tells_its_attempts() {
+    let world = started().await;
+    world.fleet.executor(1).hangs_starts.set(true);
+    submit(&world, 1).await;
+    world.advance(3 * SECOND).await;
+    let line = only_line("start_unanswered");
+    assert_eq!(line["outcome"], "given_up");
+    assert_eq!(line["attempts"], "3");
+    assert_eq!(line["unanswered"], "3");
+}
+
 /// Name of a fault, the function that begins or ends it, and the expected number of attempts
 /// without an answer.
 type StopFault = (&'static str, fn(&FakeExecutor, bool), &'static str);
--- a/crates/dispatch/tests/all/commands.rs
+++ b/crates/dispatch/tests/all/commands.rs
@@ -17,6 +17,9 @@
 const MAX_STOP_DELAY: Duration = Duration::from_secs(2);
 /// Maximum time from the cancellation of a job until a start that was never sent is withdrawn.
 const MAX_WITHDRAWAL_DELAY: Duration = Duration::from_millis(200);
+/// Maximum time until jobs of two short steps have succeeded although starts hang, or hung until
+/// now, at an executor.
+const MAX_DETOUR: Duration = Duration::from_secs(12);
 /// How long the tests wait for what does not happen in time.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
 
@@ -109,3 +112,35 @@
     world.advance(5 * SECOND).await;
     assert_eq!(sent(), sent_before);
 }
+
+#[tokio::test(start_paused = true)]
+async fn tasks_whose_starts_hang_run_on_another_executor() {
+    let world = World::new(2);
+    world.start("a");
+    world.advance(SECOND).await;
+    world.fleet.executor(1).hangs_starts.set(true);
+    let numbers: Vec<u64> = (1..=6).collect();
+    for number in &numbers {
+        world.submit("a", *number, job(2)).await;
+    }
+    let begin = Instant::now();
+    world.wait_until_succeeded("a", &numbers, MAX_DETOUR).await;
+    println!("all jobs succeeded after {:?}", begin.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_executor_whose_starts_no_longer_hang_is_used_again() {
+    let world = World::new(1);
+    world.start("a");
+    world.advance(SECOND).await;
+    world.fleet.executor(1).hangs_starts.set(true);
+    let numbers: Vec<u64> = (1..=6).collect();
+    for number in &numbers {
+        world.submit("a", *number, job(2)).await;
+    }
+    world.advance(8 * SECOND).await;
+    world.fleet.executor(1).hangs_starts.set(false);
+    let begin = Instant::now();
+    world.wait_until_succeeded("a", &numbers, MAX_DETOUR).await;
+    println!("all jobs succeeded after {:?}", begin.elapsed());
+}
--- a/crates/job/src/scheduler/commands.rs
+++ b/crates/job/src/scheduler/commands.rs
@@ -193,7 +193,11 @@
             }
             StartAnswer::NoRoom | StartAnswer::Unhealthy => {
                 if let Some(executor) = self.fleet.get_mut(executor) {
-                    executor.not_before = now.after(REFUSAL_COOLDOWN);
+                    let cooldown_until = now.after(REFUSAL_COOLDOWN);
+                    executor.not_before = executor.not_before.max(cooldown_until);
+                }
+                if answer == StartAnswer::Unhealthy {
+                    self.set_failed_on(key, executor);
                 }
                 self.start_refused(key, now);
             }
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -21,7 +21,8 @@
     pub failures: u32,
     /// The latest checkpoint.
     pub checkpoint: Option<Arc<str>>,
-    /// The executor of the latest failed or stalled run. Other executors are preferred.
+    /// The executor of the latest failed or stalled run, or the latest that was too unhealthy to start
+    /// one. Other executors are preferred.
     pub failed_on: Option<ExecutorKey>,
     /// The end of the task's backoff; it does not start earlier.
     pub not_before: Mono,
