--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -77,8 +77,8 @@
 
 /// The end of a start or stop command that took long or had no answer.
 pub struct CommandSummary<'e> {
-    /// Name of the event: by whether the run was to start or to stop, and by whether the last
-    /// attempt was answered.
+    /// Name of the event: by whether the run was to start or to stop, and by whether the command was
+    /// sent and its last attempt answered.
     pub event: &'e str,
     /// The task.
     pub task: TaskId,
--- a/crates/dispatch/src/owner/command_trace.rs
+++ b/crates/dispatch/src/owner/command_trace.rs
@@ -36,13 +36,16 @@
     }
 
     /// Returns the event of a log line. Lines are limited by event, so that the lines of one kind
-    /// of command, or of commands without an answer, do not displace the others.
-    const fn event(self, answered: bool) -> &'static str {
-        match (self, answered) {
-            (Self::Start, true) => "start_delayed",
-            (Self::Start, false) => "start_unanswered",
-            (Self::Stop, true) => "stop_delayed",
-            (Self::Stop, false) => "stop_unanswered",
+    /// of command, of commands without an answer, or of commands that were not sent do not displace
+    /// the others.
+    const fn event(self, end: CommandEnd, attempts: u32) -> &'static str {
+        match (self, end, attempts) {
+            (Self::Start, CommandEnd::Answered(_), _) => "start_delayed",
+            (Self::Start, CommandEnd::Abandoned(_), 0) => "start_unsent",
+            (Self::Start, CommandEnd::Abandoned(_), _) => "start_unanswered",
+            (Self::Stop, CommandEnd::Answered(_), _) => "stop_delayed",
+            (Self::Stop, CommandEnd::Abandoned(_), 0) => "stop_unsent",
+            (Self::Stop, CommandEnd::Abandoned(_), _) => "stop_unanswered",
         }
     }
 }
@@ -171,7 +174,7 @@
         let scheduler = self.scheduler.borrow();
         let executor = scheduler.fleet.get(trace.executor);
         events::command_ended(&CommandSummary {
-            event: trace.kind.event(answered),
+            event: trace.kind.event(end, trace.attempts),
             task: trace.task,
             run: trace.run,
             executor: executor.map_or("", |executor| &executor.listing.id),
--- a/crates/dispatch/tests/all/command_logs.rs
+++ b/crates/dispatch/tests/all/command_logs.rs
@@ -16,11 +16,13 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 /// The events of commands that took long or had no answer.
-const EVENTS: [&str; 4] = [
+const EVENTS: [&str; 6] = [
     "start_delayed",
     "start_unanswered",
+    "start_unsent",
     "stop_delayed",
     "stop_unanswered",
+    "stop_unsent",
 ];
 
 /// Returns a world with one host and one executor whose tasks take long.
@@ -130,6 +132,25 @@
     assert_eq!(line["unanswered"], "3");
 }
 
+#[tokio::test(start_paused = true)]
+async fn starts_that_are_not_sent_because_others_hang_have_an_event_of_their_own() {
+    let world = started().await;
+    world.fleet.executor(1).hangs_starts.set(true);
+    for number in 1..=6 {
+        submit(&world, number).await;
+    }
+    world.advance(SECOND).await;
+    let unsent = log_capture::lines("start_unsent");
+    // Two have a slot at first, and the third gets one before the second has had no answer.
+    assert_eq!(unsent.len(), 3, "{unsent:?}");
+    for line in unsent {
+        assert_eq!(line["outcome"], "given_up");
+        assert_eq!(line["attempts"], "0");
+        assert!(number(&line, "slot_ms") > 600, "{line:?}");
+    }
+    assert_eq!(log_capture::lines("start_unanswered"), Vec::new());
+}
+
 /// Name of a fault, the function that begins or ends it, and the expected number of attempts
 /// without an answer.
 type StopFault = (&'static str, fn(&FakeExecutor, bool), &'static str);
