fix(dispatch): the time limit for stops grows while they have no answer

Cause: a command was broken off after 0.7 s. Where answers take longer, as over a link that is full, each attempt was broken off and the next met the same limit, while polls, whose late answers are taken for 8 s, kept the leases alive.

Now the limit of the calls is named by the owner. For stops and CPU shares at an executor it doubles with each attempt without an answer, up to 2.8 s, and is 0.7 s again after an answer within 0.7 s. Starts keep the limit: their tasks go elsewhere after three attempts.

The new test has commands that take effect after a latency and not at all if they are broken off.

--- a/crates/dispatch/src/dependencies.rs
+++ b/crates/dispatch/src/dependencies.rs
@@ -268,6 +268,8 @@
     pub checkpoint: Option<Arc<str>>,
     /// The advisor's ticket for this executor, if the queue has an advisor.
     pub ticket: Option<Arc<str>>,
+    /// Time limit for the answer.
+    pub timeout: Duration,
 }
 
 /// A call that refers to one run.
@@ -279,6 +281,8 @@
     pub task: TaskId,
     /// Number of the run.
     pub run: RunNumber,
+    /// Time limit for the answer.
+    pub timeout: Duration,
 }
 
 /// A poll of all runs of an executor.
--- a/crates/dispatch/src/owner/command_slots.rs
+++ b/crates/dispatch/src/owner/command_slots.rs
@@ -9,10 +9,17 @@
 use tokio::sync::SemaphorePermit;
 use tokio::sync::futures::Notified;
 
+use crate::dependencies::CommandOutcome;
+
 /// Maximum number of concurrent starts and changes of CPU shares at one executor.
 const MAX_CONCURRENT_COMMANDS: usize = 2;
 /// Maximum number of concurrent stops at one executor.
 const MAX_CONCURRENT_STOPS: usize = 2;
+/// Time limit for the answer to a command; ten times the round trip within a region.
+pub const COMMAND_TIMEOUT: Duration = Duration::from_millis(700);
+/// How often the time limit of stops and of changes of CPU shares is doubled at most, once for each
+/// attempt in a row without an answer.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
 /// Number of start attempts in a row without an answer after which starts count as hanging at an
 /// executor. One answer may be lost.
 const UNANSWERED_STARTS_BEFORE_HANG: u32 = 2;
@@ -33,6 +40,8 @@
     unanswered_starts: Cell<u32>,
     /// Until when starts count as hanging.
     starts_hang_until: Cell<Mono>,
+    /// Number of doublings of the time limit for the next stop or change of a CPU share.
+    timeout_doublings: Cell<u32>,
 }
 
 impl Default for CommandSlots {
@@ -43,6 +52,7 @@
             starts_changed: Notify::new(),
             unanswered_starts: Cell::new(0),
             starts_hang_until: Cell::new(Mono::ZERO),
+            timeout_doublings: Cell::new(0),
         }
     }
 }
@@ -92,4 +102,27 @@
     pub fn starts_hang(&self, now: Mono) -> bool {
         now < self.starts_hang_until.get()
     }
+
+    /// Returns the time limit for the next stop or change of a CPU share.
+    ///
+    /// A call that is broken off may not be executed at all. Over a link that is full, answers may
+    /// take longer than the usual limit, and a command that is broken off each time never takes
+    /// effect. A start keeps to the limit, because its task can go elsewhere.
+    pub fn timeout(&self) -> Duration {
+        COMMAND_TIMEOUT * 2_u32.pow(self.timeout_doublings.get())
+    }
+
+    /// Adapts the time limit to the outcome of an attempt: longer without an answer, and the usual
+    /// one again after an answer that was in time for it.
+    pub fn record_attempt<T>(&self, outcome: &CommandOutcome<T>, took: Duration) {
+        match outcome {
+            CommandOutcome::Unanswered => {
+                let doublings = self.timeout_doublings.get() + 1;
+                self.timeout_doublings
+                    .set(doublings.min(MAX_TIMEOUT_DOUBLINGS));
+            }
+            CommandOutcome::Answered(_) if took < COMMAND_TIMEOUT => self.timeout_doublings.set(0),
+            _ => {}
+        }
+    }
 }
--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -190,7 +190,7 @@
             if stop.key.is_some_and(|key| !self.is_assigned(key, stop.run)) {
                 return CommandEnd::WITHDRAWN;
             }
-            let outcome = self.try_stop(stop).await;
+            let outcome = self.try_stop(stop, &command_slots).await;
             drop(slot);
             trace.count_attempt(&outcome);
             match outcome {
@@ -216,7 +216,7 @@
         }
     }
 
-    async fn try_stop(&self, stop: &StopRun) -> CommandOutcome<bool> {
+    async fn try_stop(&self, stop: &StopRun, slots: &CommandSlots) -> CommandOutcome<bool> {
         let Some(target) = self.target(stop.executor) else {
             return CommandOutcome::NotSent;
         };
@@ -224,8 +224,11 @@
             target,
             task: stop.task,
             run: stop.run,
+            timeout: slots.timeout(),
         };
+        let sent = self.now();
         let reply = (self.node.dependencies.executors.stop)(call).await;
+        slots.record_attempt(&reply.outcome, self.now().since(sent));
         self.record_reply(stop.executor, &reply)
     }
 
@@ -255,19 +258,22 @@
             let Some(target) = self.target(set_share.executor) else {
                 return;
             };
+            let command_slots = self.command_slots(set_share.executor);
             let call = RunRequest {
                 target,
                 task: set_share.task,
                 run: set_share.run,
+                timeout: command_slots.timeout(),
             };
             let sent = (self.node.dependencies.executors.set_cpu_share)((call, cpu_percent));
-            let command_slots = self.command_slots(set_share.executor);
             let slot = command_slots.for_command().await;
             if self.shutdown.is_cancelled() {
                 return;
             }
+            let sent_at = self.now();
             let reply = sent.await;
             drop(slot);
+            command_slots.record_attempt(&reply.outcome, self.now().since(sent_at));
             let pause = match self.record_reply(set_share.executor, &reply) {
                 CommandOutcome::Fenced | CommandOutcome::WrongExecutor => return,
                 CommandOutcome::Answered(_)
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -15,6 +15,7 @@
 use tokio::sync::SemaphorePermit;
 
 use super::Owner;
+use super::command_slots::COMMAND_TIMEOUT;
 use super::command_slots::CommandSlots;
 use super::command_trace::CommandEnd;
 use super::command_trace::CommandKind;
@@ -250,6 +251,7 @@
             lease_deadline_ms,
             checkpoint: start.checkpoint.clone(),
             ticket: start.ticket.clone(),
+            timeout: COMMAND_TIMEOUT,
         };
         let id = call.target.id.clone();
         let reply = (self.node.dependencies.executors.start)(call).await;
--- a/crates/dispatch/tests/all/commands.rs
+++ b/crates/dispatch/tests/all/commands.rs
@@ -144,3 +144,20 @@
     world.wait_until_succeeded("a", &numbers, MAX_DETOUR).await;
     println!("all jobs succeeded after {:?}", begin.elapsed());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_stop_over_a_slow_link_is_given_the_time_that_it_takes() {
+    for latency_ms in [100, 900, 1_500, 2_500] {
+        let world = with_hanging_starts(1).await;
+        let executor = world.fleet.executor(1);
+        let latency = Duration::from_millis(latency_ms);
+        executor.command_latency.set(Some(latency));
+        cancel(&world, 1).await;
+        let took = time_until(&world, |world| !world.fleet.executor(1).runs(first_task(1))).await;
+        println!("commands take {latency:?}: the stop took {took:?}");
+        assert!(
+            took <= MAX_STOP_DELAY + 2 * latency,
+            "{latency:?}: {took:?}"
+        );
+    }
+}
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -60,6 +60,9 @@
     pub answer_delay: Cell<Duration>,
     /// If set, commands are not answered and are executed after this delay.
     pub command_delay: Cell<Option<Duration>>,
+    /// If set, a command is executed and answered after this delay, and not executed at all if it is
+    /// broken off before.
+    pub command_latency: Cell<Option<Duration>>,
     /// Whether start commands are neither executed nor answered, while all else is.
     pub hangs_starts: Cell<bool>,
     /// The epochs of the start commands that were neither executed nor answered.
@@ -104,6 +107,7 @@
             cpu_shares: RefCell::default(),
             answer_delay: Cell::default(),
             command_delay: Cell::new(None),
+            command_latency: Cell::new(None),
             hangs_starts: Cell::new(false),
             hung_starts: RefCell::default(),
         });
@@ -349,19 +353,20 @@
     }
 }
 
-/// Time limit for the answer to a command.
-const COMMAND_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time until a poll fails.
+const POLL_FAILURE_DELAY: Duration = Duration::from_millis(700);
 
 /// Executes a command, immediately or with the configured delay.
 async fn command<T: 'static>(
     fleet: Rc<Fleet>,
     id: Arc<str>,
+    timeout: Duration,
     act: impl FnOnce(&Fleet, &FakeExecutor) -> CommandOutcome<T> + 'static,
 ) -> CommandReply<T> {
     tokio::time::sleep(CALL_DELAY).await;
     let executor = fleet.executors.borrow().get(&id).cloned();
     let Some(executor) = executor.filter(|executor| executor.reachable.get()) else {
-        tokio::time::sleep(COMMAND_TIMEOUT).await;
+        tokio::time::sleep(timeout).await;
         return without_clock(CommandOutcome::NotSent);
     };
     if let Some(delay) = executor.command_delay.get() {
@@ -369,30 +374,37 @@
             tokio::time::sleep(delay).await;
             act(&fleet, &executor);
         });
-        tokio::time::sleep(COMMAND_TIMEOUT).await;
+        tokio::time::sleep(timeout).await;
         return without_clock(CommandOutcome::Unanswered);
     }
+    if let Some(latency) = executor.command_latency.get() {
+        tokio::time::sleep(latency.min(timeout)).await;
+        if latency > timeout {
+            return without_clock(CommandOutcome::Unanswered);
+        }
+    }
     let outcome = act(&fleet, &executor);
     executor.reply(outcome)
 }
 
 async fn start(fleet: Rc<Fleet>, call: StartRequest) -> CommandReply<StartAnswer> {
     let id = call.target.id.clone();
+    let timeout = call.timeout;
     let executor = fleet.executors.borrow().get(&id).cloned();
     if let Some(executor) = executor.filter(|executor| executor.hangs_starts.get()) {
         executor.hung_starts.borrow_mut().push(call.target.epoch);
-        tokio::time::sleep(COMMAND_TIMEOUT).await;
+        tokio::time::sleep(timeout).await;
         return without_clock(CommandOutcome::Unanswered);
     }
     let act = move |fleet: &Fleet, executor: &FakeExecutor| executor.start(fleet, &call);
-    command(fleet, id, act).await
+    command(fleet, id, timeout, act).await
 }
 
 async fn poll(fleet: Rc<Fleet>, call: PollRequest) -> Result<Report, PollError> {
     tokio::time::sleep(CALL_DELAY).await;
     let executor = fleet.executors.borrow().get(&call.target.id).cloned();
     let Some(executor) = executor.filter(|executor| executor.reachable.get()) else {
-        tokio::time::sleep(COMMAND_TIMEOUT).await;
+        tokio::time::sleep(POLL_FAILURE_DELAY).await;
         return Err(PollError::Failed);
     };
     fleet.settle();
@@ -451,20 +463,25 @@
         start: Box::new(move |call: StartRequest| start(to_start.clone(), call).boxed_local()),
         stop: Box::new(move |call: RunRequest| {
             let id = call.target.id.clone();
-            command(to_stop.clone(), id, move |fleet, executor| {
+            command(to_stop.clone(), id, call.timeout, move |fleet, executor| {
                 executor.stop(fleet, &call)
             })
             .boxed_local()
         }),
         set_cpu_share: Box::new(move |(call, percent): (RunRequest, u32)| {
             let id = call.target.id.clone();
-            command(to_set_share.clone(), id, move |_, executor| {
-                let runs = executor.runs.borrow().contains_key(&call.task);
-                if runs {
-                    executor.cpu_shares.borrow_mut().insert(call.task, percent);
-                }
-                CommandOutcome::Answered(runs)
-            })
+            command(
+                to_set_share.clone(),
+                id,
+                call.timeout,
+                move |_, executor| {
+                    let runs = executor.runs.borrow().contains_key(&call.task);
+                    if runs {
+                        executor.cpu_shares.borrow_mut().insert(call.task, percent);
+                    }
+                    CommandOutcome::Answered(runs)
+                },
+            )
             .boxed_local()
         }),
         poll: Box::new(move |call| poll(to_poll.clone(), call).boxed_local()),
