--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -148,10 +148,15 @@
         if self.withdraw_unsent_start(&stop) {
             return;
         }
+        let pending = (stop.executor, stop.task, stop.run, stop.key.is_some());
+        if !self.pending_stops.borrow_mut().insert(pending) {
+            return;
+        }
         let now = self.now();
         let run = (stop.task, stop.run);
         let mut trace = CommandTrace::new(CommandKind::Stop, run, stop.executor, now);
         let end = self.stop_run(&stop, &mut trace).await;
+        self.pending_stops.borrow_mut().remove(&pending);
         self.record_command_end(&trace, end);
     }
 
@@ -185,7 +190,7 @@
             if stop.key.is_some_and(|key| !self.is_assigned(key, stop.run)) {
                 return CommandEnd::WITHDRAWN;
             }
-            let outcome = self.try_stop(stop).await;
+            let outcome = self.try_stop(stop, &command_slots).await;
             drop(slot);
             trace.count_attempt(&outcome);
             match outcome {
@@ -211,7 +216,7 @@
         }
     }
 
-    async fn try_stop(&self, stop: &StopRun) -> CommandOutcome<bool> {
+    async fn try_stop(&self, stop: &StopRun, slots: &CommandSlots) -> CommandOutcome<bool> {
         let Some(target) = self.target(stop.executor) else {
             return CommandOutcome::NotSent;
         };
@@ -219,8 +224,11 @@
             target,
             task: stop.task,
             run: stop.run,
+            timeout: slots.timeout(),
         };
+        let sent = self.now();
         let reply = (self.node.dependencies.executors.stop)(call).await;
+        slots.record_attempt(&reply.outcome, self.now().since(sent));
         self.record_reply(stop.executor, &reply)
     }
 
@@ -250,19 +258,22 @@
             let Some(target) = self.target(set_share.executor) else {
                 return;
             };
+            let command_slots = self.command_slots(set_share.executor);
             let call = RunRequest {
                 target,
                 task: set_share.task,
                 run: set_share.run,
+                timeout: command_slots.timeout(),
             };
             let sent = (self.node.dependencies.executors.set_cpu_share)((call, cpu_percent));
-            let command_slots = self.command_slots(set_share.executor);
             let slot = command_slots.for_command().await;
             if self.shutdown.is_cancelled() {
                 return;
             }
+            let sent_at = self.now();
             let reply = sent.await;
             drop(slot);
+            command_slots.record_attempt(&reply.outcome, self.now().since(sent_at));
             let pause = match self.record_reply(set_share.executor, &reply) {
                 CommandOutcome::Fenced | CommandOutcome::WrongExecutor => return,
                 CommandOutcome::Answered(_)
--- a/crates/dispatch/tests/all/command_logs.rs
+++ b/crates/dispatch/tests/all/command_logs.rs
@@ -16,11 +16,13 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 /// The events of commands that took long or had no answer.
-const EVENTS: [&str; 4] = [
+const EVENTS: [&str; 6] = [
     "start_delayed",
     "start_unanswered",
+    "start_unsent",
     "stop_delayed",
     "stop_unanswered",
+    "stop_unsent",
 ];
 
 /// Returns a world with one host and one executor whose tasks take long.
@@ -118,6 +120,37 @@
     assert_eq!(metric(&world, "a", name), Some(1.0));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_start_that_is_given_up_tells_its_attempts() {
+    let world = started().await;
+    world.fleet.executor(1).hangs_starts.set(true);
+    submit(&world, 1).await;
+    world.advance(3 * SECOND).await;
+    let line = only_line("start_unanswered");
+    assert_eq!(line["outcome"], "given_up");
+    assert_eq!(line["attempts"], "3");
+    assert_eq!(line["unanswered"], "3");
+}
+
+#[tokio::test(start_paused = true)]
+async fn starts_that_are_not_sent_because_others_hang_have_an_event_of_their_own() {
+    let world = started().await;
+    world.fleet.executor(1).hangs_starts.set(true);
+    for number in 1..=6 {
+        submit(&world, number).await;
+    }
+    world.advance(SECOND).await;
+    let unsent = log_capture::lines("start_unsent");
+    // Two have a slot at first, and the third gets one before the second has had no answer.
+    assert_eq!(unsent.len(), 3, "{unsent:?}");
+    for line in unsent {
+        assert_eq!(line["outcome"], "given_up");
+        assert_eq!(line["attempts"], "0");
+        assert!(number(&line, "slot_ms") > 600, "{line:?}");
+    }
+    assert_eq!(log_capture::lines("start_unanswered"), Vec::new());
+}
+
 /// Name of a fault, the function that begins or ends it, and the expected number of attempts
 /// without an answer.
 type StopFault = (&'static str, fn(&FakeExecutor, bool), &'static str);
@@ -149,10 +182,10 @@
         world.advance(Duration::from_millis(1_500)).await;
         set(&world.fleet.executor(1), false);
         world.advance(2 * SECOND).await;
-        let line = &log_capture::lines("stop_delayed")[0];
+        let line = only_line("stop_delayed");
         assert_eq!(line["outcome"], "stopped");
         assert_eq!(line["attempts"], "3");
         assert_eq!(line["unanswered"], unanswered);
-        assert!(number(line, "answer_ms") >= 1_000, "{line:?}");
+        assert!(number(&line, "answer_ms") >= 1_000, "{line:?}");
     }
 }
