test(job): the model check meets refusals at any moment and slow answers

An incident came from a case that the model check never met: a start command without an answer, a report that shows the run, its end, and then the refusal of a copy that was sent before the report. The model executed and answered each command in one step, so that no report could lie between, and its executors refused nothing that they could have done.

Now a command may be slow (sent, executed or refused, and answered in steps of their own, or given up), and an executor may refuse a start for want of room, as too late, unhealthy, invalid or without a ticket at any moment, whether it has the run or not; "superseded" it says when it is true.

Seconds are printed for each exploration.

--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -2,15 +2,9 @@
 
 use std::time::Duration;
 
-use job::id::TaskId;
-use job::scheduler::Command;
 use job::scheduler::RunOutcome;
-use job::scheduler::StartAnswer;
-use job::task::RunNumber;
 use model::Mono;
 
-use super::executor::Response;
-use super::state::LateCall;
 use super::state::LateWrite;
 use super::state::Mutation;
 use super::state::Owner;
@@ -48,6 +42,24 @@
                 self.budget.network -= 1;
                 self.send_late(host, at);
             }
+            Step::SendRefused(host, at, reason) => {
+                self.budget.refusals -= 1;
+                self.send_refused(host, at, reason);
+            }
+            Step::SendSlow(host, at) => {
+                self.budget.slow_calls -= 1;
+                self.send_slow(host, at);
+            }
+            Step::ExecuteSlow(at) => self.execute_slow(at, None),
+            Step::RefuseSlow(at, reason) => {
+                self.budget.refusals -= 1;
+                self.execute_slow(at, Some(reason));
+            }
+            Step::ReceiveSlow(at) => self.receive_slow(at),
+            Step::TimeOutSlow(at) => {
+                self.budget.network -= 1;
+                self.time_out_slow(at);
+            }
             Step::Deliver(at) => {
                 let late_call = self.late_calls.remove(at);
                 self.deliver(&late_call);
@@ -89,6 +101,7 @@
                 self.executors[at].restart(self.now);
                 // Commands that the previous process received and did not execute are lost with it.
                 self.late_calls.retain(|late_call| late_call.executor != at);
+                self.break_slow_calls(at);
             }
             Step::Disconnect(at) => {
                 self.budget.disconnects -= 1;
@@ -180,174 +193,6 @@
         }
     }
 
-    fn send(&mut self, host: usize, at: usize, answered: bool) {
-        let Some((command, late_call)) = self.prepare(host, at) else {
-            return;
-        };
-        if !self.executors[late_call.executor].reachable {
-            self.answer(host, at, &command, StartAnswer::Unanswered);
-            return;
-        }
-        let response = self.deliver(&late_call);
-        if !answered {
-            self.answer(host, at, &command, StartAnswer::Unanswered);
-            return;
-        }
-        let now = self.now;
-        let clock_ms = self.executors[late_call.executor].clock_ms(now);
-        if let Some(owner) = &mut self.owners[host] {
-            let key = owner.key(late_call.executor);
-            owner.scheduler.command_answered(key, clock_ms, now);
-        }
-        match response {
-            Response::Fenced => self.end_owner(host),
-            Response::Accepted => self.answer(host, at, &command, StartAnswer::Started),
-            Response::Superseded => self.answer(host, at, &command, StartAnswer::Superseded),
-            Response::TooLate => self.answer(host, at, &command, StartAnswer::TooLate),
-        }
-    }
-
-    fn send_late(&mut self, host: usize, at: usize) {
-        if let Some((command, late_call)) = self.prepare(host, at) {
-            self.late_calls.push(late_call);
-            self.answer(host, at, &command, StartAnswer::Unanswered);
-        }
-    }
-
-    /// Builds the call for a command, unless the command is obsolete or cannot be sent.
-    fn prepare(&mut self, host: usize, at: usize) -> Option<(Command, LateCall)> {
-        let now = self.now;
-        let owner = self.owners[host].as_mut()?;
-        let command = owner.commands.get(at)?.clone();
-        let call = |owner: &Owner, executor, task, run, deadline_ms| LateCall {
-            epoch: owner.epoch,
-            executor: owner.number(executor),
-            task,
-            run,
-            deadline_ms,
-        };
-        let late_call = match &command {
-            Command::Start {
-                key,
-                task,
-                run,
-                executor,
-                ..
-            } => {
-                if !owner.scheduler.is_start_wanted(*key, *run) {
-                    owner.scheduler.withdraw_start(*key, *run, now);
-                    owner.commands.remove(at);
-                    self.settle(host);
-                    return None;
-                }
-                let Some(deadline) = owner.scheduler.grant_lease(*executor, now) else {
-                    let answer = StartAnswer::Unhealthy;
-                    owner.scheduler.start_answered(*key, *run, answer, now);
-                    owner.commands.remove(at);
-                    self.settle(host);
-                    return None;
-                };
-                call(owner, *executor, *task, *run, Some(deadline))
-            }
-            Command::Stop {
-                key,
-                task,
-                run,
-                executor,
-            } => {
-                let obsolete = key.is_some_and(|key| {
-                    owner
-                        .scheduler
-                        .task(key)
-                        .is_none_or(|task| task.run != *run || task.assignment().is_none())
-                });
-                if obsolete {
-                    owner.commands.remove(at);
-                    return None;
-                }
-                call(owner, *executor, *task, *run, None)
-            }
-            Command::Throttle { .. } => {
-                owner.commands.remove(at);
-                return None;
-            }
-        };
-        Some((command, late_call))
-    }
-
-    /// Passes the result of a command to the owner. A command without an answer is sent again.
-    fn answer(&mut self, host: usize, at: usize, command: &Command, answer: StartAnswer) {
-        let now = self.now;
-        let treat_as_refused = self.mutation == Mutation::TreatUnansweredAsRefused;
-        let Some(owner) = &mut self.owners[host] else {
-            return;
-        };
-        let unanswered = answer == StartAnswer::Unanswered;
-        match command {
-            Command::Start { key, run, .. } => {
-                let answer = if treat_as_refused && unanswered {
-                    StartAnswer::Superseded
-                } else {
-                    answer
-                };
-                owner.scheduler.start_answered(*key, *run, answer, now);
-            }
-            Command::Stop {
-                key: Some(key),
-                run,
-                ..
-            } if !unanswered => owner.scheduler.stop_confirmed(*key, *run, now),
-            Command::Stop { .. } | Command::Throttle { .. } => {}
-        }
-        if !unanswered || treat_as_refused {
-            owner.commands.remove(at);
-        }
-        self.settle(host);
-    }
-
-    /// Delivers a command to its executor.
-    fn deliver(&mut self, late_call: &LateCall) -> Response {
-        let epochs = (late_call.epoch, self.mutation != Mutation::IgnoreEpochs);
-        let run = (late_call.task, late_call.run);
-        let now = self.now;
-        let executor = &mut self.executors[late_call.executor];
-        let Some(deadline_ms) = late_call.deadline_ms else {
-            return executor.stop(run, epochs);
-        };
-        let earlier = executor.running.get(&late_call.task).copied();
-        let response = executor.start(run, epochs, deadline_ms, now);
-        if response == Response::Accepted && earlier != Some(late_call.run) {
-            if earlier.is_some() {
-                self.record_violation(format!("{:?} runs twice on one executor", late_call.task));
-            }
-            self.check_start(late_call.executor, late_call.task, late_call.run);
-        }
-        response
-    }
-
-    /// Checks the invariants for the start of a task.
-    fn check_start(&mut self, at: usize, task: TaskId, run: RunNumber) {
-        let other = &self.executors[1 - at];
-        if other.running.contains_key(&task) {
-            self.record_violation(format!("{task:?} runs on both executors"));
-        }
-        if self.done.get(&task) == Some(&true) {
-            self.record_violation(format!("{task:?} starts after its end was acknowledged"));
-        }
-        if task.step == 1 && !self.done.contains_key(&super::state::task(0)) {
-            self.record_violation("the second step starts before the first has ended".to_owned());
-        }
-        if self.failed.get(&task).copied().unwrap_or(0) >= super::state::ATTEMPTS {
-            self.record_violation(format!(
-                "{task:?} starts after the maximum number of failures"
-            ));
-        }
-        let started_unix_ms = self.executors[at].started_unix_ms;
-        if !self.started.insert((at, started_unix_ms, task, run)) {
-            self.record_violation(format!("{task:?} starts twice as run {run}"));
-        }
-    }
-
     fn poll(&mut self, host: usize, at: usize, sent: Mono, delayed: bool) {
         let now = self.now;
         let epochs_checked = self.mutation != Mutation::IgnoreEpochs;
@@ -382,39 +227,6 @@
         }
     }
 
-    fn record_acknowledged(&mut self, at: usize, acknowledged: u64) {
-        let ends = self.executors[at].ended.clone();
-        let expired_ends = self.executors[at].expired_ends.clone();
-        for end in ends.iter().filter(|end| end.sequence <= acknowledged) {
-            if expired_ends.contains(&end.sequence) {
-                // No owner could learn of this end before the lease expired, so it does not count.
-                continue;
-            }
-            let Some(task) = end.task else { continue };
-            match end.outcome {
-                RunOutcome::Done => {
-                    self.check_acknowledged_end(task, end.run);
-                    self.done.insert(task, true);
-                }
-                RunOutcome::Failed => *self.failed.entry(task).or_default() += 1,
-                RunOutcome::Interrupted | RunOutcome::LeaseExpired => {}
-            }
-        }
-    }
-
-    /// Checks that a task was not started again after an end that counts.
-    fn check_acknowledged_end(&mut self, task: TaskId, run: RunNumber) {
-        let started_later = self
-            .started
-            .iter()
-            .any(|(_, _, other, later)| *other == task && *later > run);
-        if started_later {
-            self.record_violation(format!(
-                "the end of run {run} of {task:?} is acknowledged, but the task started again"
-            ));
-        }
-    }
-
     fn report(&mut self, host: usize) {
         let now = self.now;
         if let Some(owner) = &mut self.owners[host]
@@ -462,7 +274,8 @@
         self.settle(host);
     }
 
-    fn end_owner(&mut self, host: usize) {
+    pub(super) fn end_owner(&mut self, host: usize) {
+        self.forget_slow_calls(host);
         // A transaction that was sent may still be executed.
         if let Some(owner) = self.owners[host].take()
             && let Some(write) = owner.write.filter(|write| !write.applied)
--- a/crates/job/tests/all/model/executor.rs
+++ b/crates/job/tests/all/model/executor.rs
@@ -10,6 +10,7 @@
 use job::scheduler::EndedRun;
 use job::scheduler::Report;
 use job::scheduler::RunOutcome;
+use job::scheduler::StartAnswer;
 use job::task::RunMetrics;
 use job::task::RunNumber;
 use model::Mono;
@@ -51,6 +52,8 @@
     TooLate,
     /// The command was rejected: the executor has seen a higher epoch.
     Fenced,
+    /// The command was rejected for a reason that says nothing of earlier copies.
+    Refused(StartAnswer),
 }
 
 impl Executor {
@@ -118,6 +121,27 @@
         Response::Accepted
     }
 
+    /// Refuses a start command for a reason of its own, whether the run is there or not. A refusal
+    /// for want of room extends the lease.
+    pub fn refuse(
+        &mut self,
+        reason: StartAnswer,
+        (epoch, check_epoch): (u64, bool),
+        deadline_ms: u64,
+        now: Mono,
+    ) -> Response {
+        if reason == StartAnswer::Unhealthy {
+            return Response::Refused(reason);
+        }
+        if !self.accepts_epoch(epoch, check_epoch) {
+            return Response::Fenced;
+        }
+        if reason == StartAnswer::NoRoom {
+            self.extend_lease(deadline_ms, now);
+        }
+        Response::Refused(reason)
+    }
+
     /// Stops a run. A run that is not active can no longer start afterwards.
     pub fn stop(
         &mut self,
--- a/crates/job/tests/all/model/explore.rs
+++ b/crates/job/tests/all/model/explore.rs
@@ -154,6 +154,8 @@
             | Step::List(_)
             | Step::Supersede(_)
             | Step::Deliver(_)
+            | Step::ExecuteSlow(_)
+            | Step::ReceiveSlow(_)
             | Step::ApplyLate(_)
     )
 }
--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -8,17 +8,24 @@
 //! state, the job ends, its end is stored and no runs remain, once no more faults occur.
 
 mod apply;
+mod calls;
+mod check;
 mod executor;
 mod explore;
+mod refusals;
 mod state;
 mod step;
 
+use std::time::Instant;
+
 use self::explore::explore;
 use self::state::Budget;
 use self::state::Mutation;
 
 const NO_FAULTS: Budget = Budget {
     network: 0,
+    slow_calls: 0,
+    refusals: 0,
     polls: 0,
     takeovers: 0,
     crashes: 0,
@@ -32,10 +39,13 @@
 };
 
 fn assert_holds(name: &str, budget: Budget) {
+    let started = Instant::now();
     let exploration = explore(budget, Mutation::None);
     println!(
-        "{name}: {} states, depth {}",
-        exploration.states, exploration.depth
+        "{name}: {} states, depth {}, {:.1} s",
+        exploration.states,
+        exploration.depth,
+        started.elapsed().as_secs_f64()
     );
     assert_eq!(exploration.violation, None, "{name}");
     assert_eq!(exploration.stuck, None, "{name}");
@@ -46,6 +56,18 @@
     );
 }
 
+fn assert_violated(mutation: Mutation, budget: Budget) {
+    let started = Instant::now();
+    let exploration = explore(budget, mutation);
+    println!(
+        "{mutation:?}: {} states, {:.1} s, {:?}",
+        exploration.states,
+        started.elapsed().as_secs_f64(),
+        exploration.violation
+    );
+    assert!(exploration.violation.is_some(), "{mutation:?}");
+}
+
 /// One fault of each kind on its own.
 #[test]
 fn no_single_fault_violates_an_invariant() {
@@ -398,11 +420,6 @@
         ),
     ];
     for (mutation, budget) in cases {
-        let exploration = explore(budget, mutation);
-        println!(
-            "{mutation:?}: {} states, {:?}",
-            exploration.states, exploration.violation
-        );
-        assert!(exploration.violation.is_some(), "{mutation:?}");
+        assert_violated(mutation, budget);
     }
 }
--- a/crates/job/tests/all/model/state.rs
+++ b/crates/job/tests/all/model/state.rs
@@ -26,6 +26,7 @@
 use model::Mono;
 
 use super::executor::Executor;
+use super::executor::Response;
 use crate::fixture::LEASE;
 use crate::fixture::MAX_LEASE;
 use crate::fixture::QUEUE;
@@ -48,6 +49,10 @@
 pub struct Budget {
     /// Commands that are lost or delayed, or whose response is lost.
     pub network: u32,
+    /// Commands whose execution and whose answer take their time.
+    pub slow_calls: u32,
+    /// Start commands that an executor refuses for a reason of its own.
+    pub refusals: u32,
     /// Polls whose response is lost or overtaken.
     pub polls: u32,
     /// Takeovers by the other host, whether the owner is alive or not.
@@ -89,6 +94,12 @@
     IgnoreVersions,
     /// A command without a response counts as refused.
     TreatUnansweredAsRefused,
+    /// A refusal releases a task although an earlier copy of the command is unanswered.
+    ReleaseUnansweredOnRefusal,
+    /// A refusal releases a task although a report has shown its run.
+    ReleaseReportedOnRefusal,
+    /// A refusal because the run has ended releases a task although a report has shown its run.
+    ReleaseReportedOnSuperseded,
 }
 
 /// The contents of the store.
@@ -157,6 +168,17 @@
     pub deadline_ms: Option<u64>,
 }
 
+/// A command whose sender waits for the answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SlowCall {
+    /// The host that sent it.
+    pub host: usize,
+    pub command: Command,
+    pub call: LateCall,
+    /// The answer in flight, and the reading of the executor's clock that it contains.
+    pub response: Option<(Response, u64)>,
+}
+
 /// The complete state of the model.
 #[derive(Clone, Debug)]
 pub struct State {
@@ -165,6 +187,7 @@
     pub owners: [Option<Owner>; 2],
     pub executors: [Executor; 2],
     pub late_calls: Vec<LateCall>,
+    pub slow_calls: Vec<SlowCall>,
     pub late_writes: Vec<LateWrite>,
     pub budget: Budget,
     pub mutation: Mutation,
@@ -217,6 +240,7 @@
             owners: [None, None],
             executors: [Executor::new(), Executor::new()],
             late_calls: Vec::new(),
+            slow_calls: Vec::new(),
             late_writes: Vec::new(),
             budget,
             mutation,
@@ -325,6 +349,7 @@
         let rest = (
             &self.executors,
             &self.late_calls,
+            &self.slow_calls,
             &self.late_writes,
             &self.done,
             &self.failed,
--- a/crates/job/tests/all/model/step.rs
+++ b/crates/job/tests/all/model/step.rs
@@ -1,11 +1,24 @@
 //! The possible steps of the model.
 
+use job::scheduler::Command;
+use job::scheduler::StartAnswer;
+
 use super::state::State;
 
 /// The executor that gets the first task. Faults occur only here because the executors are
 /// interchangeable.
 const FAULTY: usize = 1;
 
+/// The reasons for which an executor may refuse a start command whatever it has done with earlier
+/// copies. "Superseded" is none of them: the executor of the model says so when it is true.
+const REFUSALS: [StartAnswer; 5] = [
+    StartAnswer::NoRoom,
+    StartAnswer::TooLate,
+    StartAnswer::Unhealthy,
+    StartAnswer::Invalid,
+    StartAnswer::NoTicket,
+];
+
 /// A step of the model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -27,6 +40,18 @@
     SendUnanswered(usize, usize),
     /// A command gets no response and remains in flight.
     SendLate(usize, usize),
+    /// A start command is refused and answered.
+    SendRefused(usize, usize, StartAnswer),
+    /// A command is sent, and executed and answered in later steps.
+    SendSlow(usize, usize),
+    /// A slow command is executed.
+    ExecuteSlow(usize),
+    /// A slow start command is refused.
+    RefuseSlow(usize, StartAnswer),
+    /// The answer to a slow command arrives.
+    ReceiveSlow(usize),
+    /// The sender of a slow command gives up waiting.
+    TimeOutSlow(usize),
     /// A late command arrives.
     Deliver(usize),
     /// An owner polls an executor.
@@ -73,6 +98,7 @@
         for at in 0..self.late_calls.len() {
             steps.push(Step::Deliver(at));
         }
+        self.steps_of_slow_calls(&mut steps);
         for at in 0..self.late_writes.len() {
             steps.push(Step::ApplyLate(at));
         }
@@ -105,6 +131,22 @@
         steps
     }
 
+    fn steps_of_slow_calls(&self, steps: &mut Vec<Step>) {
+        for (at, slow_call) in self.slow_calls.iter().enumerate() {
+            if slow_call.response.is_some() {
+                steps.push(Step::ReceiveSlow(at));
+            } else if self.executors[slow_call.call.executor].reachable {
+                steps.push(Step::ExecuteSlow(at));
+                if self.budget.refusals > 0 && slow_call.call.deadline_ms.is_some() {
+                    steps.extend(REFUSALS.map(|reason| Step::RefuseSlow(at, reason)));
+                }
+            }
+            if self.budget.network > 0 {
+                steps.push(Step::TimeOutSlow(at));
+            }
+        }
+    }
+
     fn steps_of_host(&self, host: usize, steps: &mut Vec<Step>) {
         let Some(owner) = &self.owners[host] else {
             let owned = self.owners.iter().any(Option::is_some);
@@ -124,8 +166,16 @@
             None if owner.scheduler.has_changes() => steps.push(Step::Write(host)),
             None => {}
         }
-        for at in 0..owner.commands.len() {
+        for (at, command) in owner.commands.iter().enumerate() {
             steps.push(Step::Send(host, at));
+            if self.budget.slow_calls > 0 {
+                steps.push(Step::SendSlow(host, at));
+            }
+            let reachable = self.executors[owner.number(command.executor())].reachable;
+            if self.budget.refusals > 0 && reachable && matches!(command, Command::Start { .. }) {
+                let refused = |reason| Step::SendRefused(host, at, reason);
+                steps.extend(REFUSALS.map(refused));
+            }
             if self.budget.network > 0 {
                 steps.push(Step::SendUnanswered(host, at));
                 steps.push(Step::SendLate(host, at));
