test(job): the model check delivers late reports in any order

An owner of the model had one slot for a late answer to a poll. The product awaits answers for 8 s and meanwhile takes the executor for unreachable and polls it again, so that several are in flight.

Now any number of reports may be in flight, they arrive in any order, an owner may take their executor for unreachable before, and it forgets them after 8 s. A late poll takes a millisecond, so that what happens before it is sent differs from what happens after it; before, a late report could release a run only after a pause. A smaller world with one task makes room for two late reports with another fault; in it answers are late at one executor only.

A mutation, a late report that counts as if its poll had been sent on its arrival, is found out (130 states: a task starts twice on one executor).

--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -5,6 +5,8 @@
 use job::scheduler::RunOutcome;
 use model::Mono;
 
+use super::state::LATE_ANSWER_TIMEOUT;
+use super::state::LateReport;
 use super::state::LateWrite;
 use super::state::Mutation;
 use super::state::Owner;
@@ -67,9 +69,12 @@
             Step::Poll(host, at) => self.poll(host, at, Mono(self.now.0 + 1), false),
             Step::PollLate(host, at) => {
                 self.budget.polls -= 1;
+                // What happens from now on happens after the poll was sent.
+                self.now = Mono(self.now.0 + 1);
                 self.poll(host, at, self.now, true);
             }
-            Step::Report(host) => self.report(host),
+            Step::Report(host, at) => self.report(host, at),
+            Step::ReportTimesOut(host, at) => self.report_times_out(host, at),
             Step::PollFails(host, at) => self.poll_fails(host, at),
             Step::ReceiveCancel(host) => {
                 if let Some(owner) = &mut self.owners[host] {
@@ -221,27 +226,45 @@
             self.end_owner(host);
             return;
         };
-        owner.report = Some((at, report, sent, acknowledged));
+        owner.reports.push(LateReport {
+            executor: at,
+            report,
+            sent,
+            acknowledged,
+            timed_out: false,
+        });
         if !delayed {
-            self.report(host);
+            let last = owner.reports.len() - 1;
+            self.report(host, last);
         }
     }
 
-    fn report(&mut self, host: usize) {
+    fn report(&mut self, host: usize, at: usize) {
         let now = self.now;
-        if let Some(owner) = &mut self.owners[host]
-            && let Some((at, report, sent, acknowledged)) = owner.report.take()
-        {
-            let key = owner.key(at);
-            owner.scheduler.report(key, &report, sent, now);
-            let started_unix_ms = report.started_unix_ms.unwrap_or_default();
+        if let Some(owner) = &mut self.owners[host] {
+            let late = owner.reports.remove(at);
+            let key = owner.key(late.executor);
+            let sent = match self.mutation {
+                Mutation::IgnorePollTimes => Mono(now.0 + 1),
+                _ => late.sent,
+            };
+            owner.scheduler.report(key, &late.report, sent, now);
+            let started_unix_ms = late.report.started_unix_ms.unwrap_or_default();
             owner
                 .scheduler
-                .acknowledgement_confirmed(key, started_unix_ms, acknowledged);
+                .acknowledgement_confirmed(key, started_unix_ms, late.acknowledged);
         }
         self.settle(host);
     }
 
+    fn report_times_out(&mut self, host: usize, at: usize) {
+        if let Some(owner) = &mut self.owners[host] {
+            owner.reports[at].timed_out = true;
+            let executor = owner.reports[at].executor;
+            self.poll_fails(host, executor);
+        }
+    }
+
     fn poll_fails(&mut self, host: usize, at: usize) {
         let now = self.now;
         if let Some(owner) = &mut self.owners[host] {
@@ -302,6 +325,8 @@
                 self.end_owner(host);
             }
             if let Some(owner) = &mut self.owners[host] {
+                let awaited = |late: &LateReport| now.since(late.sent) <= LATE_ANSWER_TIMEOUT;
+                owner.reports.retain(awaited);
                 owner.scheduler.tick(now);
             }
             self.settle(host);
--- /dev/null
+++ b/crates/job/tests/all/model/digest.rs
@@ -0,0 +1,171 @@
+//! The identity of a state: two states with the same digest are explored once.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use job::fleet::ClockReading;
+use job::fleet::Executor as KnownExecutor;
+use job::scheduler::Report;
+use job::scheduler::TaskKey;
+use model::Mono;
+
+use super::state::LateCall;
+use super::state::LateReport;
+use super::state::Owner;
+use super::state::SlowCall;
+use super::state::State;
+use super::state::job;
+
+/// Times that only leases and clocks depend on are rounded down to multiples of this, in
+/// milliseconds. A delayed poll takes a millisecond, so that events before it differ from events
+/// after it; leases do not depend on milliseconds, as each step of time is longer and no lease ends
+/// so close to one.
+const ROUNDING_MS: u64 = 100;
+
+const fn rounded(ms: u64) -> u64 {
+    ms - ms % ROUNDING_MS
+}
+
+const fn rounded_time(time: Mono) -> Mono {
+    Mono(rounded(time.0))
+}
+
+impl State {
+    /// Returns a hash of the state.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.now.hash(&mut hasher);
+        self.store.hash(&mut hasher);
+        self.budget.hash(&mut hasher);
+        let mut executors = self.executors.clone();
+        for executor in &mut executors {
+            executor.lease_until = rounded_time(executor.lease_until);
+        }
+        let late_calls: Vec<LateCall> = self.late_calls.iter().map(LateCall::rounded).collect();
+        let slow_calls: Vec<SlowCall> = self.slow_calls.iter().map(SlowCall::rounded).collect();
+        let rest = (
+            executors,
+            late_calls,
+            slow_calls,
+            &self.late_writes,
+            &self.done,
+            &self.failed,
+            &self.started,
+            &self.violation,
+        );
+        format!("{rest:?}").hash(&mut hasher);
+        for owner in &self.owners {
+            owner.as_ref().map(Owner::state_text).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+}
+
+impl LateCall {
+    fn rounded(&self) -> Self {
+        Self {
+            deadline_ms: self.deadline_ms.map(rounded),
+            ..self.clone()
+        }
+    }
+}
+
+impl SlowCall {
+    fn rounded(&self) -> Self {
+        Self {
+            call: self.call.rounded(),
+            response: self
+                .response
+                .map(|(response, clock_ms)| (response, rounded(clock_ms))),
+            ..self.clone()
+        }
+    }
+}
+
+impl LateReport {
+    fn rounded(&self) -> Self {
+        Self {
+            report: Report {
+                clock_ms: rounded(self.report.clock_ms),
+                ..self.report.clone()
+            },
+            ..self.clone()
+        }
+    }
+}
+
+impl Owner {
+    /// Returns everything that determines the owner's next actions, independent of the layout of
+    /// its maps.
+    fn state_text(&self) -> String {
+        let mut job = self
+            .scheduler
+            .find(job())
+            .and_then(|key| self.scheduler.job(key))
+            .cloned();
+        for task in job.iter_mut().flat_map(|job| &mut job.tasks) {
+            if let Some(assignment) = task.assignment_mut() {
+                assignment.assigned_at = rounded_time(assignment.assigned_at);
+            }
+        }
+        let executors: Vec<(KnownExecutor, Vec<TaskKey>)> = self
+            .scheduler
+            .fleet
+            .iter()
+            .map(|(_, executor)| {
+                let mut tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
+                tasks.sort();
+                let mut executor = executor.clone();
+                executor.tasks.clear();
+                executor.leases_expire_at = rounded_time(executor.leases_expire_at);
+                executor.clock = executor.clock.map(|clock| ClockReading {
+                    executor_ms: rounded(clock.executor_ms),
+                    at: rounded_time(clock.at),
+                });
+                executor.failing_since = executor.failing_since.map(rounded_time);
+                (executor, tasks)
+            })
+            .collect();
+        let scheduler = (job, executors, self.scheduler.state(super::state::job()));
+        let write = self.write.as_ref().map(|write| {
+            let sent = rounded_time(write.sent);
+            (
+                write.expects,
+                &write.record,
+                &write.batch,
+                write.applied,
+                sent,
+            )
+        });
+        let own = (
+            self.epoch,
+            self.row,
+            rounded_time(self.confirmed),
+            write,
+            &self.commands,
+        );
+        let reports: Vec<(LateReport, bool)> = self
+            .reports
+            .iter()
+            .map(|late| (late.rounded(), self.has_newer_clock(late)))
+            .collect();
+        let rest = (
+            reports,
+            self.assumed.map(rounded_time),
+            self.cancel_received,
+        );
+        format!(
+            "{scheduler:?} {own:?} {rest:?} {}",
+            self.scheduler.has_changes()
+        )
+    }
+
+    /// Returns whether the executor's clock was read after the poll of a late report was sent.
+    fn has_newer_clock(&self, late: &LateReport) -> bool {
+        let executor = self.scheduler.fleet.get(self.key(late.executor));
+        executor
+            .and_then(|executor| executor.clock)
+            .is_some_and(|clock| clock.at > late.sent)
+    }
+}
--- a/crates/job/tests/all/model/explore.rs
+++ b/crates/job/tests/all/model/explore.rs
@@ -9,6 +9,7 @@
 use super::state::Mutation;
 use super::state::State;
 use super::state::WAIT;
+use super::state::World;
 use super::state::job;
 use super::step::Step;
 
@@ -35,8 +36,8 @@
 }
 
 /// Explores all states within a budget of faults.
-pub fn explore(budget: Budget, mutation: Mutation) -> Exploration {
-    let first = State::new(budget, mutation);
+pub fn explore(world: World, budget: Budget, mutation: Mutation) -> Exploration {
+    let first = State::new(world, budget, mutation);
     let mut seen: Set<u64> = Set::default();
     seen.insert(first.digest());
     let mut queue = VecDeque::from([(first, None)]);
@@ -149,7 +150,7 @@
             | Step::Apply(_)
             | Step::WriteConfirmed(_)
             | Step::Send(_, _)
-            | Step::Report(_)
+            | Step::Report(_, _)
             | Step::ReceiveCancel(_)
             | Step::List(_)
             | Step::Supersede(_)
--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -10,8 +10,10 @@
 mod apply;
 mod calls;
 mod check;
+mod digest;
 mod executor;
 mod explore;
+mod late_reports;
 mod refusals;
 mod state;
 mod step;
@@ -21,6 +23,7 @@
 use self::explore::explore;
 use self::state::Budget;
 use self::state::Mutation;
+use self::state::World;
 
 const NO_FAULTS: Budget = Budget {
     network: 0,
@@ -39,10 +42,14 @@
 };
 
 fn assert_holds(name: &str, budget: Budget) {
+    assert_holds_in(World::TwoSteps, name, budget);
+}
+
+fn assert_holds_in(world: World, name: &str, budget: Budget) {
     let started = Instant::now();
-    let exploration = explore(budget, Mutation::None);
+    let exploration = explore(world, budget, Mutation::None);
     println!(
-        "{name}: {} states, depth {}, {:.1} s",
+        "{world:?}, {name}: {} states, depth {}, {:.1} s",
         exploration.states,
         exploration.depth,
         started.elapsed().as_secs_f64()
@@ -57,10 +64,14 @@
 }
 
 fn assert_violated(mutation: Mutation, budget: Budget) {
+    assert_violated_in(World::TwoSteps, mutation, budget);
+}
+
+fn assert_violated_in(world: World, mutation: Mutation, budget: Budget) {
     let started = Instant::now();
-    let exploration = explore(budget, mutation);
+    let exploration = explore(world, budget, mutation);
     println!(
-        "{mutation:?}: {} states, {:.1} s, {:?}",
+        "{world:?}, {mutation:?}: {} states, {:.1} s, {:?}",
         exploration.states,
         started.elapsed().as_secs_f64(),
         exploration.violation
--- a/crates/job/tests/all/model/state.rs
+++ b/crates/job/tests/all/model/state.rs
@@ -3,12 +3,9 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::sync::Arc;
 use std::time::Duration;
 
-use job::fleet::Executor as KnownExecutor;
 use job::fleet::ExecutorKey;
 use job::id::JobId;
 use job::id::TaskId;
@@ -18,7 +15,6 @@
 use job::scheduler::Report;
 use job::scheduler::Scheduler;
 use job::scheduler::Submission;
-use job::scheduler::TaskKey;
 use job::scheduler::Timing;
 use job::spec::JobSpec;
 use job::spec::StepSpec;
@@ -44,6 +40,18 @@
 /// The maximum number of failures of a task.
 pub const ATTEMPTS: u32 = 2;
 
+/// How long an owner awaits the answer to a poll, as in the crate `dispatch`.
+pub const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// The job of the model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum World {
+    /// Two steps of one task each; the second waits for the first.
+    TwoSteps,
+    /// One step of one task.
+    OneTask,
+}
+
 /// The remaining number of faults of each kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Budget {
@@ -53,7 +61,7 @@
     pub slow_calls: u32,
     /// Start commands that an executor refuses for a reason of its own.
     pub refusals: u32,
-    /// Polls whose response is lost or overtaken.
+    /// Polls whose response is lost, late or overtaken.
     pub polls: u32,
     /// Takeovers by the other host, whether the owner is alive or not.
     pub takeovers: u32,
@@ -100,6 +108,8 @@
     ReleaseReportedOnRefusal,
     /// A refusal because the run has ended releases a task although a report has shown its run.
     ReleaseReportedOnSuperseded,
+    /// A late report counts as if its poll had been sent when it arrives.
+    IgnorePollTimes,
 }
 
 /// The contents of the store.
@@ -148,14 +158,27 @@
     pub write: Option<Write>,
     /// Commands to be sent or sent again.
     pub commands: Vec<Command>,
-    /// A report in flight: its executor, when it was requested, and the sequence number up to which
-    /// ended runs were acknowledged by the poll.
-    pub report: Option<(usize, Report, Mono, u64)>,
+    /// Reports in flight. They may arrive in any order.
+    pub reports: Vec<LateReport>,
     /// The time until which the previous owner was assumed at the takeover to have granted leases.
     pub assumed: Option<Mono>,
     pub cancel_received: bool,
 }
 
+/// An answer to a poll that has not arrived.
+#[derive(Clone, Debug)]
+pub struct LateReport {
+    pub executor: usize,
+    pub report: Report,
+    /// When the poll was sent.
+    pub sent: Mono,
+    /// The sequence number up to which the poll acknowledged ended runs.
+    pub acknowledged: u64,
+    /// Whether the owner has taken the executor for unreachable since. It processes the report all
+    /// the same.
+    pub timed_out: bool,
+}
+
 /// A command that may still arrive.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LateCall {
@@ -189,6 +212,7 @@
     pub late_calls: Vec<LateCall>,
     pub slow_calls: Vec<SlowCall>,
     pub late_writes: Vec<LateWrite>,
+    pub world: World,
     pub budget: Budget,
     pub mutation: Mutation,
     /// Tasks that have succeeded, and whether the end was acknowledged.
@@ -213,18 +237,22 @@
     }
 }
 
-fn submission() -> Submission {
+fn submission(world: World) -> Submission {
     let second = StepSpec {
         after: vec![0],
         ..step(1, 1, 1_000)
     };
+    let steps = match world {
+        World::TwoSteps => vec![step(1, 1, 1_000), second],
+        World::OneTask => vec![step(1, 1, 1_000)],
+    };
     Submission {
         id: job(),
         queue: QUEUE.into(),
         age_ms: 0,
         spec: Arc::new(JobSpec {
             payload: "payload".into(),
-            steps: vec![step(1, 1, 1_000), second],
+            steps,
             repeat: None,
         }),
         row_version: 1,
@@ -233,7 +261,7 @@
 
 impl State {
     /// Creates a state in which the job is accepted and the first host has taken over.
-    pub fn new(budget: Budget, mutation: Mutation) -> Self {
+    pub fn new(world: World, budget: Budget, mutation: Mutation) -> Self {
         let mut state = Self {
             now: Mono(10_000),
             store: Store::default(),
@@ -242,6 +270,7 @@
             late_calls: Vec::new(),
             slow_calls: Vec::new(),
             late_writes: Vec::new(),
+            world,
             budget,
             mutation,
             done: BTreeMap::new(),
@@ -266,10 +295,10 @@
         match &self.store.record {
             Some(row) => {
                 let record: JobRecord = serde_json::from_slice(row).expect("a valid record");
-                scheduler.restore(submission(), &record, self.now);
+                scheduler.restore(submission(self.world), &record, self.now);
             }
             None => {
-                scheduler.submit(submission(), self.now);
+                scheduler.submit(submission(self.world), self.now);
             }
         }
         if self.store.cancelled {
@@ -292,7 +321,7 @@
             confirmed: self.now,
             write: None,
             commands: Vec::new(),
-            report: None,
+            reports: Vec::new(),
             assumed: (row.0 > 1).then_some(assumed),
             cancel_received: self.store.cancelled,
         });
@@ -339,66 +368,9 @@
     pub fn record_violation(&mut self, rule: String) {
         self.violation.get_or_insert(rule);
     }
-
-    /// Returns a hash of the state.
-    pub fn digest(&self) -> u64 {
-        let mut hasher = std::collections::hash_map::DefaultHasher::new();
-        self.now.hash(&mut hasher);
-        self.store.hash(&mut hasher);
-        self.budget.hash(&mut hasher);
-        let rest = (
-            &self.executors,
-            &self.late_calls,
-            &self.slow_calls,
-            &self.late_writes,
-            &self.done,
-            &self.failed,
-            &self.started,
-            &self.violation,
-        );
-        format!("{rest:?}").hash(&mut hasher);
-        for owner in &self.owners {
-            owner.as_ref().map(Owner::state_text).hash(&mut hasher);
-        }
-        hasher.finish()
-    }
 }
 
 impl Owner {
-    /// Returns everything that determines the owner's next actions, independent of the layout of
-    /// its maps.
-    fn state_text(&self) -> String {
-        let job = self
-            .scheduler
-            .find(job())
-            .and_then(|key| self.scheduler.job(key));
-        let executors: Vec<(KnownExecutor, Vec<TaskKey>)> = self
-            .scheduler
-            .fleet
-            .iter()
-            .map(|(_, executor)| {
-                let mut tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
-                tasks.sort();
-                let mut executor = executor.clone();
-                executor.tasks.clear();
-                (executor, tasks)
-            })
-            .collect();
-        let scheduler = (job, executors, self.scheduler.state(super::state::job()));
-        let own = (
-            self.epoch,
-            self.row,
-            self.confirmed,
-            &self.write,
-            &self.commands,
-        );
-        let rest = (&self.report, self.assumed, self.cancel_received);
-        format!(
-            "{scheduler:?} {own:?} {rest:?} {}",
-            self.scheduler.has_changes()
-        )
-    }
-
     /// Returns the index of an executor.
     pub fn number(&self, key: ExecutorKey) -> usize {
         let id = self
--- a/crates/job/tests/all/model/step.rs
+++ b/crates/job/tests/all/model/step.rs
@@ -4,6 +4,7 @@
 use job::scheduler::StartAnswer;
 
 use super::state::State;
+use super::state::World;
 
 /// The executor that gets the first task. Faults occur only here because the executors are
 /// interchangeable.
@@ -58,8 +59,10 @@
     Poll(usize, usize),
     /// An owner polls an executor, and the response is delayed.
     PollLate(usize, usize),
-    /// The delayed response arrives.
-    Report(usize),
+    /// A delayed response to a poll arrives.
+    Report(usize, usize),
+    /// An owner takes an executor for unreachable because of a delayed response.
+    ReportTimesOut(usize, usize),
     /// An owner polls an executor, and the response is lost or the executor is unreachable.
     PollFails(usize, usize),
     /// An owner learns that the job was cancelled.
@@ -181,8 +184,11 @@
                 steps.push(Step::SendLate(host, at));
             }
         }
-        if owner.report.is_some() {
-            steps.push(Step::Report(host));
+        for (at, report) in owner.reports.iter().enumerate() {
+            steps.push(Step::Report(host, at));
+            if !report.timed_out {
+                steps.push(Step::ReportTimesOut(host, at));
+            }
         }
         for at in 0..2 {
             let executor = owner.scheduler.fleet.get(owner.key(at));
@@ -198,7 +204,9 @@
             } else if executor.reachable {
                 steps.push(Step::PollFails(host, at));
             }
-            if self.budget.polls > 0 && owner.report.is_none() {
+            // In the small world, where more of them are in flight, answers are late at one executor.
+            let may_be_late = at == FAULTY || self.world == World::TwoSteps;
+            if self.budget.polls > 0 && may_be_late {
                 steps.push(Step::PollLate(host, at));
             }
             let known = executor
