test(job): the model check takes over in steps

A successor of the model claimed the executors, read the store and started in one step. The product claims, reads jobs, then records, then the list of executors, and only then acts, so that writes, cancellations and new incarnations lie between.

Now a takeover may be slow: claim, reads and start are steps of their own, with the list as read. The time of the claim, not of the start, begins what the successor assumes of the earlier owner, as in the product. A successor may crash on the way.

--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -18,6 +18,7 @@
 use super::state::job;
 use super::state::task;
 use super::step::Step;
+use super::takeover::Takeover;
 
 impl State {
     /// Applies a step to the state.
@@ -27,6 +28,17 @@
                 self.budget.takeovers = self.budget.takeovers.saturating_sub(1);
                 self.take_over(host);
             }
+            Step::Claim(host) => {
+                self.budget.slow_takeovers -= 1;
+                self.claim(host);
+            }
+            Step::ReadJobs(host) => self.read_jobs(host),
+            Step::ReadRecords(host) => self.read_records(host),
+            Step::Begin(host) => self.begin(host),
+            Step::AbandonTakeover(host) => {
+                self.budget.crashes -= 1;
+                self.takeovers[host] = None;
+            }
             Step::Write(host) => self.write(host),
             Step::Apply(host) => self.apply_write(host),
             Step::WriteConfirmed(host) => self.write_confirmed(host),
@@ -83,7 +95,7 @@
                 }
                 self.settle(host);
             }
-            Step::List(host) => self.list(host),
+            Step::List(host) => self.list_present(host),
             Step::Supersede(host) => self.supersede(host),
             Step::Done(at, step) => {
                 self.executors[at].end(task(step), RunOutcome::Done);
@@ -320,6 +332,10 @@
             executor.pass(now);
         }
         for host in 0..2 {
+            let too_old = |takeover: &Takeover| now.since(takeover.claimed) > STORE_TIMEOUT;
+            if self.takeovers[host].as_ref().is_some_and(too_old) {
+                self.takeovers[host] = None;
+            }
             let expired = |owner: &Owner| now.since(owner.confirmed) > STORE_TIMEOUT;
             if self.owners[host].as_ref().is_some_and(expired) {
                 self.end_owner(host);
--- a/crates/job/tests/all/model/digest.rs
+++ b/crates/job/tests/all/model/digest.rs
@@ -38,6 +38,7 @@
         self.now.hash(&mut hasher);
         self.store.hash(&mut hasher);
         self.budget.hash(&mut hasher);
+        self.takeovers.hash(&mut hasher);
         let mut executors = self.executors.clone();
         for executor in &mut executors {
             executor.lease_until = rounded_time(executor.lease_until);
--- a/crates/job/tests/all/model/explore.rs
+++ b/crates/job/tests/all/model/explore.rs
@@ -146,6 +146,9 @@
     matches!(
         step,
         Step::TakeOver(_)
+            | Step::ReadJobs(_)
+            | Step::ReadRecords(_)
+            | Step::Begin(_)
             | Step::Write(_)
             | Step::Apply(_)
             | Step::WriteConfirmed(_)
--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -17,6 +17,8 @@
 mod refusals;
 mod state;
 mod step;
+mod takeover;
+mod takeovers;
 
 use std::time::Instant;
 
@@ -31,6 +33,7 @@
     refusals: 0,
     polls: 0,
     takeovers: 0,
+    slow_takeovers: 0,
     crashes: 0,
     late_writes: 0,
     restarts: 0,
--- a/crates/job/tests/all/model/state.rs
+++ b/crates/job/tests/all/model/state.rs
@@ -3,32 +3,21 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use job::fleet::ExecutorKey;
 use job::id::JobId;
 use job::id::TaskId;
-use job::record::JobRecord;
 use job::scheduler::Batch;
 use job::scheduler::Command;
 use job::scheduler::Report;
 use job::scheduler::Scheduler;
-use job::scheduler::Submission;
-use job::scheduler::Timing;
-use job::spec::JobSpec;
-use job::spec::StepSpec;
 use job::task::RunNumber;
 use model::Mono;
 
 use super::executor::Executor;
 use super::executor::Response;
-use crate::fixture::LEASE;
-use crate::fixture::MAX_LEASE;
-use crate::fixture::QUEUE;
-use crate::fixture::listing;
-use crate::fixture::plan;
-use crate::fixture::step;
+use super::takeover::Takeover;
 
 /// A long delay: one exceeds the lease, three exceed every lease that a previous owner may have
 /// granted.
@@ -65,6 +54,8 @@
     pub polls: u32,
     /// Takeovers by the other host, whether the owner is alive or not.
     pub takeovers: u32,
+    /// Takeovers by the other host that take their time to read the store.
+    pub slow_takeovers: u32,
     /// Owners that crash.
     pub crashes: u32,
     /// Transactions that are executed late.
@@ -110,6 +101,8 @@
     ReleaseReportedOnSuperseded,
     /// A late report counts as if its poll had been sent when it arrives.
     IgnorePollTimes,
+    /// A new owner reads the store before it claims the executors.
+    ReadBeforeClaim,
 }
 
 /// The contents of the store.
@@ -208,6 +201,7 @@
     pub now: Mono,
     pub store: Store,
     pub owners: [Option<Owner>; 2],
+    pub takeovers: [Option<Takeover>; 2],
     pub executors: [Executor; 2],
     pub late_calls: Vec<LateCall>,
     pub slow_calls: Vec<SlowCall>,
@@ -237,28 +231,6 @@
     }
 }
 
-fn submission(world: World) -> Submission {
-    let second = StepSpec {
-        after: vec![0],
-        ..step(1, 1, 1_000)
-    };
-    let steps = match world {
-        World::TwoSteps => vec![step(1, 1, 1_000), second],
-        World::OneTask => vec![step(1, 1, 1_000)],
-    };
-    Submission {
-        id: job(),
-        queue: QUEUE.into(),
-        age_ms: 0,
-        spec: Arc::new(JobSpec {
-            payload: "payload".into(),
-            steps,
-            repeat: None,
-        }),
-        row_version: 1,
-    }
-}
-
 impl State {
     /// Creates a state in which the job is accepted and the first host has taken over.
     pub fn new(world: World, budget: Budget, mutation: Mutation) -> Self {
@@ -266,6 +238,7 @@
             now: Mono(10_000),
             store: Store::default(),
             owners: [None, None],
+            takeovers: [None, None],
             executors: [Executor::new(), Executor::new()],
             late_calls: Vec::new(),
             slow_calls: Vec::new(),
@@ -282,67 +255,6 @@
         state
     }
 
-    /// Lets a host take over the executors and read the store.
-    pub fn take_over(&mut self, host: usize) {
-        let row = (self.store.owner.0 + 1, self.store.owner.1 + 1);
-        self.store.owner = row;
-        let timing = Timing {
-            lease: LEASE,
-            max_lease: MAX_LEASE,
-            stop_timeout: Duration::from_millis(900),
-        };
-        let mut scheduler = Scheduler::new(plan(ATTEMPTS), timing);
-        match &self.store.record {
-            Some(row) => {
-                let record: JobRecord = serde_json::from_slice(row).expect("a valid record");
-                scheduler.restore(submission(self.world), &record, self.now);
-            }
-            None => {
-                scheduler.submit(submission(self.world), self.now);
-            }
-        }
-        if self.store.cancelled {
-            scheduler.cancel(job());
-        }
-        let lease = LEASE + LEASE / 49 + Duration::from_millis(300);
-        let assumed = match self.mutation {
-            Mutation::IgnoreLeases => self.now,
-            _ => self.now.after(STORE_TIMEOUT).after(lease),
-        };
-        let sends_until = match self.mutation {
-            Mutation::IgnorePreviousSender => self.now,
-            _ => self.now.after(STORE_TIMEOUT),
-        };
-        scheduler.inherit_leases(sends_until, assumed);
-        self.owners[host] = Some(Owner {
-            epoch: row.0,
-            scheduler,
-            row,
-            confirmed: self.now,
-            write: None,
-            commands: Vec::new(),
-            reports: Vec::new(),
-            assumed: (row.0 > 1).then_some(assumed),
-            cancel_received: self.store.cancelled,
-        });
-        self.list(host);
-    }
-
-    /// Passes the executor list to an owner.
-    pub fn list(&mut self, host: usize) {
-        let listings = (0..2)
-            .map(|at| {
-                let mut listing = listing(at + 1);
-                listing.started_unix_ms = self.executors[at].started_unix_ms;
-                (listing, self.executors[at].clock_ms(self.now))
-            })
-            .collect();
-        if let Some(owner) = &mut self.owners[host] {
-            owner.scheduler.update_executors(listings, self.now);
-        }
-        self.settle(host);
-    }
-
     /// Runs everything that an event has made possible.
     pub fn settle(&mut self, host: usize) {
         let now = self.now;
--- a/crates/job/tests/all/model/step.rs
+++ b/crates/job/tests/all/model/step.rs
@@ -5,6 +5,7 @@
 
 use super::state::State;
 use super::state::World;
+use super::takeover::Takeover;
 
 /// The executor that gets the first task. Faults occur only here because the executors are
 /// interchangeable.
@@ -25,6 +26,16 @@
 pub enum Step {
     /// A host takes over the executors.
     TakeOver(usize),
+    /// A host claims the executors and will read the store.
+    Claim(usize),
+    /// A host that takes over reads the accepted and cancelled jobs.
+    ReadJobs(usize),
+    /// A host that takes over reads the records and the list of executors.
+    ReadRecords(usize),
+    /// A host that has read the store acts as the owner.
+    Begin(usize),
+    /// A host crashes while it takes over.
+    AbandonTakeover(usize),
     /// An owner sends its changes to the store.
     Write(usize),
     /// The store executes the transaction.
@@ -150,9 +161,28 @@
         }
     }
 
+    fn steps_of_takeover(&self, host: usize, takeover: &Takeover, steps: &mut Vec<Step>) {
+        steps.push(match (takeover.cancelled, &takeover.record) {
+            (None, _) => Step::ReadJobs(host),
+            (_, None) => Step::ReadRecords(host),
+            _ => Step::Begin(host),
+        });
+        if self.budget.crashes > 0 {
+            steps.push(Step::AbandonTakeover(host));
+        }
+    }
+
     fn steps_of_host(&self, host: usize, steps: &mut Vec<Step>) {
         let Some(owner) = &self.owners[host] else {
-            let owned = self.owners.iter().any(Option::is_some);
+            if let Some(takeover) = &self.takeovers[host] {
+                self.steps_of_takeover(host, takeover, steps);
+                return;
+            }
+            let owned = self.owners.iter().any(Option::is_some)
+                || self.takeovers.iter().any(Option::is_some);
+            if self.budget.slow_takeovers > 0 {
+                steps.push(Step::Claim(host));
+            }
             if !owned || self.budget.takeovers > 0 {
                 steps.push(Step::TakeOver(host));
             }
