test(job): the model check covers gangs, long-running tasks, attempts and cancellations

The model knew jobs of two plain steps only. Now there are four worlds: two steps, one task, a gang of two members of which each fills more than half of an executor, and a long-running task. A member that lost the other is broken. - Long-running: the task runs again once no more faults occur, however it ended; after a cancellation nothing runs on. - Attempts: a start after the last failure violates the rule also if that failure is acknowledged later (before, only if it was acknowledged earlier). A gang fails once with a run. - Cancellation: no start command is sent by an owner that knows of it (known, not only stored). - A stored end of a job has a cause: succeeded after all steps, failed after that many failures, cancelled if it was. Rounds of the check for the end share what they have found (Set of digests after the first round).

--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -5,6 +5,7 @@
 use job::scheduler::RunOutcome;
 use model::Mono;
 
+use super::state::GANG_TIMEOUT;
 use super::state::LATE_ANSWER_TIMEOUT;
 use super::state::LateReport;
 use super::state::LateWrite;
@@ -14,9 +15,9 @@
 use super::state::STORE_TIMEOUT;
 use super::state::State;
 use super::state::WAIT;
+use super::state::World;
 use super::state::Write;
 use super::state::job;
-use super::state::task;
 use super::step::Step;
 use super::takeover::Takeover;
 
@@ -89,21 +90,30 @@
             Step::ReportTimesOut(host, at) => self.report_times_out(host, at),
             Step::PollFails(host, at) => self.poll_fails(host, at),
             Step::ReceiveCancel(host) => {
+                let ignored = self.mutation == Mutation::IgnoreCancellation;
                 if let Some(owner) = &mut self.owners[host] {
                     owner.cancel_received = true;
-                    owner.scheduler.cancel(job());
+                    if !ignored {
+                        owner.scheduler.cancel(job());
+                    }
                 }
                 self.settle(host);
             }
             Step::List(host) => self.list_present(host),
             Step::Supersede(host) => self.supersede(host),
-            Step::Done(at, step) => {
-                self.executors[at].end(task(step), RunOutcome::Done);
-                self.done.entry(task(step)).or_insert(false);
+            Step::Done(at, slot) => {
+                if self.world == World::LongRunning {
+                    self.budget.failures -= 1;
+                }
+                self.end_done(at, self.task(slot));
             }
-            Step::Fail(at, step) => {
+            Step::Fail(at, slot) => {
                 self.budget.failures -= 1;
-                self.executors[at].end(task(step), RunOutcome::Failed);
+                self.end_failed(at, self.task(slot));
+            }
+            Step::Break(at, slot) => {
+                let task = self.task(slot);
+                self.executors[at].end(task, RunOutcome::Interrupted);
             }
             Step::Cancel => {
                 self.budget.cancels -= 1;
@@ -156,8 +166,9 @@
             return false;
         }
         self.store.owner = (expects.0, expects.1 + 1);
-        if record.is_some() {
-            self.store.record = record;
+        if let Some(record) = record {
+            self.check_record(&record);
+            self.store.record = Some(record);
         }
         true
     }
@@ -234,10 +245,18 @@
         };
         let epochs = (owner.epoch, epochs_checked);
         let report = self.executors[at].poll(epochs, deadline_ms, acknowledged, now);
-        let Some(report) = report else {
+        let Some(mut report) = report else {
             self.end_owner(host);
             return;
         };
+        if self.mutation == Mutation::IgnoreFailures {
+            for end in &mut report.ended {
+                end.outcome = match end.outcome {
+                    RunOutcome::Failed => RunOutcome::Interrupted,
+                    outcome => outcome,
+                };
+            }
+        }
         owner.reports.push(LateReport {
             executor: at,
             report,
@@ -331,6 +350,9 @@
         for executor in &mut self.executors {
             executor.pass(now);
         }
+        if duration >= GANG_TIMEOUT {
+            self.end_incomplete_gangs();
+        }
         for host in 0..2 {
             let too_old = |takeover: &Takeover| now.since(takeover.claimed) > STORE_TIMEOUT;
             if self.takeovers[host].as_ref().is_some_and(too_old) {
--- a/crates/job/tests/all/model/calls.rs
+++ b/crates/job/tests/all/model/calls.rs
@@ -205,6 +205,9 @@
                 return None;
             }
         };
+        if late_call.deadline_ms.is_some() {
+            self.check_send(host);
+        }
         Some((command, late_call))
     }
 
--- a/crates/job/tests/all/model/digest.rs
+++ b/crates/job/tests/all/model/digest.rs
@@ -51,7 +51,11 @@
             slow_calls,
             &self.late_writes,
             &self.done,
-            &self.failed,
+            (
+                &self.failed,
+                &self.failures_acknowledged,
+                &self.failed_before,
+            ),
             &self.started,
             &self.violation,
         );
--- a/crates/job/tests/all/model/explore.rs
+++ b/crates/job/tests/all/model/explore.rs
@@ -1,8 +1,10 @@
 //! Explores all reachable states, and checks for each that the job ends once no more faults occur.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use job::scheduler::JobState;
+use job::task::RunNumber;
 use model::Set;
 
 use super::state::Budget;
@@ -11,6 +13,7 @@
 use super::state::WAIT;
 use super::state::World;
 use super::state::job;
+use super::state::slot;
 use super::step::Step;
 
 /// The number of rounds without faults within which the job has to end, from any state.
@@ -19,6 +22,10 @@
 /// The exploration is incomplete if it reaches more states than this.
 const MAX_STATES: usize = 150_000;
 
+/// The time between the rounds of a task that runs until its job is cancelled: its lease lasts from
+/// one round to the next.
+const SHORTER_THAN_LEASE: Duration = Duration::from_secs(2);
+
 /// The result of an exploration.
 #[derive(Debug, Default)]
 pub struct Exploration {
@@ -44,6 +51,7 @@
     let mut edges: Vec<(Option<usize>, Step)> = Vec::new();
     let mut depths: Vec<usize> = Vec::new();
     let mut exploration = Exploration::default();
+    let mut finishing: Set<u64> = Set::default();
     while let Some((state, from)) = queue.pop_front() {
         exploration.states += 1;
         if exploration.states > MAX_STATES {
@@ -53,7 +61,10 @@
             exploration.violation = Some((rule.clone(), path(&edges, from)));
             return exploration;
         }
-        if exploration.stuck.is_none() && mutation == Mutation::None && !terminates(state.clone()) {
+        if exploration.stuck.is_none()
+            && mutation.is_checked_at_the_end()
+            && !terminates(state.clone(), &mut finishing)
+        {
             exploration.stuck = Some(path(&edges, from));
         }
         for step in state.steps() {
@@ -81,24 +92,58 @@
     steps
 }
 
-/// Returns whether the job ends, its end is stored and no runs remain, once no more faults occur.
-fn terminates(mut state: State) -> bool {
+/// Returns whether the job ends, its end is stored and no runs remain, once no more faults occur. A
+/// long-running task has to run until the job is cancelled.
+fn terminates(mut state: State, finishing: &mut Set<u64>) -> bool {
     state.budget = Budget::default();
-    for _ in 0..ROUNDS {
+    let mut digest = 0;
+    for number in 0..ROUNDS {
         round(&mut state);
+        if state.violation.is_some() {
+            return false;
+        }
+        if number == 0 {
+            digest = state.digest();
+            if finishing.contains(&digest) {
+                return true;
+            }
+        }
         if is_finished(&state) {
-            return state.violation.is_none();
+            finishing.insert(digest);
+            return true;
+        }
+        if state.world == World::LongRunning && runs(&state) {
+            state.store.cancelled = true;
         }
     }
     false
 }
 
+/// Returns whether the task of a job that is not cancelled runs as its owner knows.
+fn runs(state: &State) -> bool {
+    let running: Vec<RunNumber> = state
+        .executors
+        .iter()
+        .flat_map(|executor| executor.running.values().copied())
+        .collect();
+    let known = state.owners.iter().flatten().any(|owner| {
+        let key = owner.scheduler.task_key(state.task(0));
+        let task = key.and_then(|key| owner.scheduler.task(key));
+        task.is_some_and(|task| task.assignment().is_some() && running == [task.run])
+    });
+    known && !state.store.cancelled
+}
+
 fn is_finished(state: &State) -> bool {
     let idle = state.executors.iter().all(|one| one.running.is_empty());
+    let world = state.world;
     let shown = state.owners.iter().flatten().any(|owner| {
         let state = owner.scheduler.state(job());
         let open = owner.scheduler.has_changes() || owner.write.is_some();
-        let ended = [JobState::Succeeded, JobState::Failed, JobState::Cancelled];
+        let ended: &[JobState] = match world {
+            World::LongRunning => &[JobState::Cancelled],
+            _ => &[JobState::Succeeded, JobState::Failed, JobState::Cancelled],
+        };
         state.is_some_and(|state| ended.contains(&state)) && !open
     });
     idle && shown
@@ -116,14 +161,19 @@
             None => break,
         }
     }
-    for at in 0..2 {
-        let running: Vec<u32> = state.executors[at]
-            .running
-            .keys()
-            .map(|task| task.step)
-            .collect();
-        for step in running {
-            state.apply(Step::Done(at, step));
+    if state.world != World::LongRunning {
+        for at in 0..2 {
+            for task in state.executors[at]
+                .running
+                .keys()
+                .copied()
+                .collect::<Vec<_>>()
+            {
+                let runs = state.executors[at].running.contains_key(&task);
+                if runs && state.is_at_work(at, task) {
+                    state.apply(Step::Done(at, slot(task)));
+                }
+            }
         }
     }
     for host in 0..2 {
@@ -139,7 +189,10 @@
             owner.confirmed = state.now;
         }
     }
-    state.pass(WAIT);
+    state.pass(match state.world {
+        World::LongRunning => SHORTER_THAN_LEASE,
+        World::TwoSteps | World::OneTask | World::Gang => WAIT,
+    });
 }
 
 const fn is_progress(step: &Step) -> bool {
--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -13,12 +13,15 @@
 mod digest;
 mod executor;
 mod explore;
+mod gangs;
 mod late_reports;
+mod long_running;
 mod refusals;
 mod state;
 mod step;
 mod takeover;
 mod takeovers;
+mod tasks;
 
 use std::time::Instant;
 
@@ -82,6 +85,18 @@
     assert!(exploration.violation.is_some(), "{mutation:?}");
 }
 
+fn assert_stuck_in(world: World, mutation: Mutation, budget: Budget) {
+    let started = Instant::now();
+    let exploration = explore(world, budget, mutation);
+    println!(
+        "{world:?}, {mutation:?}: {} states, {:.1} s, never ends after {:?}",
+        exploration.states,
+        started.elapsed().as_secs_f64(),
+        exploration.stuck
+    );
+    assert!(exploration.stuck.is_some(), "{mutation:?}");
+}
+
 /// One fault of each kind on its own.
 #[test]
 fn no_single_fault_violates_an_invariant() {
--- a/crates/job/tests/all/model/state.rs
+++ b/crates/job/tests/all/model/state.rs
@@ -32,6 +32,9 @@
 /// How long an owner awaits the answer to a poll, as in the crate `dispatch`.
 pub const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// How long a member of a gang waits for the others.
+pub const GANG_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The job of the model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum World {
@@ -39,6 +42,10 @@
     TwoSteps,
     /// One step of one task.
     OneTask,
+    /// One step of two tasks that only work together. Each fills more than half of an executor.
+    Gang,
+    /// One task that runs until the job is cancelled.
+    LongRunning,
 }
 
 /// The remaining number of faults of each kind.
@@ -103,6 +110,24 @@
     IgnorePollTimes,
     /// A new owner reads the store before it claims the executors.
     ReadBeforeClaim,
+    /// An owner stores a cancellation, but does not tell the scheduler.
+    IgnoreCancellation,
+    /// Failed runs are reported as interrupted.
+    IgnoreFailures,
+    /// The second member of a gang is not started.
+    LoseMemberStart,
+    /// A long-running task counts as one that ends.
+    IgnoreLongRunning,
+}
+
+impl Mutation {
+    /// Returns whether the mutation keeps a job from its end instead of breaking an invariant.
+    pub const fn is_checked_at_the_end(self) -> bool {
+        matches!(
+            self,
+            Self::None | Self::LoseMemberStart | Self::IgnoreLongRunning
+        )
+    }
 }
 
 /// The contents of the store.
@@ -209,12 +234,18 @@
     pub world: World,
     pub budget: Budget,
     pub mutation: Mutation,
-    /// Tasks that have succeeded, and whether the end was acknowledged.
-    pub done: BTreeMap<TaskId, bool>,
-    /// The number of acknowledged failures by task.
-    pub failed: BTreeMap<TaskId, u32>,
+    /// Steps whose task or gang has succeeded, and whether the end was acknowledged.
+    pub done: BTreeMap<u32, bool>,
+    /// Failed runs in the order of their ends.
+    pub failed: Vec<(TaskId, RunNumber)>,
+    /// Failed runs whose end was acknowledged.
+    pub failures_acknowledged: BTreeSet<(TaskId, RunNumber)>,
+    /// The number of runs that had failed before each start.
+    pub failed_before: BTreeMap<(TaskId, RunNumber), usize>,
     /// Runs that were started, by executor and incarnation, to detect runs that start twice.
     pub started: BTreeSet<(usize, u64, TaskId, RunNumber)>,
+    /// Whether no fault can occur that excuses a member of a gang that waits for the others in vain.
+    pub must_meet: bool,
     pub violation: Option<String>,
 }
 
@@ -222,12 +253,22 @@
     JobId::parse("00000000000000aa").expect("a valid job identifier")
 }
 
-pub fn task(step: u32) -> TaskId {
-    TaskId {
-        job: job(),
-        occurrence: 0,
-        step,
-        index: 0,
+/// Returns the number of a task among all tasks of the job. No step of the model but the last has
+/// more than one task.
+pub const fn slot(task: TaskId) -> u32 {
+    task.step + task.index
+}
+
+impl Budget {
+    /// Returns whether nothing can go wrong but what tasks and callers do themselves.
+    fn has_only_own_faults(self) -> bool {
+        let own = Self {
+            failures: self.failures,
+            cancels: self.cancels,
+            pauses: self.pauses,
+            ..Self::default()
+        };
+        self == own
     }
 }
 
@@ -247,8 +288,11 @@
             budget,
             mutation,
             done: BTreeMap::new(),
-            failed: BTreeMap::new(),
+            failed: Vec::new(),
+            failures_acknowledged: BTreeSet::new(),
+            failed_before: BTreeMap::new(),
             started: BTreeSet::new(),
+            must_meet: budget.has_only_own_faults(),
             violation: None,
         };
         state.take_over(0);
@@ -269,6 +313,10 @@
         }
         // Two equal commands are two attempts at the same one.
         for command in owner.scheduler.take_commands() {
+            let is_second = |command: &Command| matches!(command, Command::Start { task, .. } if task.index == 1);
+            if mutation == Mutation::LoseMemberStart && is_second(&command) {
+                continue;
+            }
             if !owner.commands.contains(&command) {
                 owner.commands.push(command);
             }
@@ -276,6 +324,20 @@
         owner.scheduler.take_events();
     }
 
+    /// Returns the identifier of a task.
+    pub fn task(&self, slot: u32) -> TaskId {
+        let (step, index) = match self.world {
+            World::Gang => (0, slot),
+            World::TwoSteps | World::OneTask | World::LongRunning => (slot, 0),
+        };
+        TaskId {
+            job: job(),
+            occurrence: 0,
+            step,
+            index,
+        }
+    }
+
     /// Records the violation of an invariant.
     pub fn record_violation(&mut self, rule: String) {
         self.violation.get_or_insert(rule);
--- a/crates/job/tests/all/model/step.rs
+++ b/crates/job/tests/all/model/step.rs
@@ -5,6 +5,7 @@
 
 use super::state::State;
 use super::state::World;
+use super::state::slot;
 use super::takeover::Takeover;
 
 /// The executor that gets the first task. Faults occur only here because the executors are
@@ -86,6 +87,8 @@
     Done(usize, u32),
     /// A task fails.
     Fail(usize, u32),
+    /// A member of a gang ends because another one has ended.
+    Break(usize, u32),
     /// The caller cancels the job.
     Cancel,
     /// An owner crashes.
@@ -119,9 +122,14 @@
         for at in 0..2 {
             let executor = &self.executors[at];
             for task in executor.running.keys() {
-                steps.push(Step::Done(at, task.step));
-                if self.budget.failures > 0 {
-                    steps.push(Step::Fail(at, task.step));
+                let ends_well = self.world != World::LongRunning || self.budget.failures > 0;
+                if ends_well && self.is_at_work(at, *task) {
+                    steps.push(Step::Done(at, slot(*task)));
+                }
+                if self.is_broken(at, *task) {
+                    steps.push(Step::Break(at, slot(*task)));
+                } else if self.budget.failures > 0 {
+                    steps.push(Step::Fail(at, slot(*task)));
                 }
             }
             if self.budget.restarts > 0 && at == FAULTY {
--- a/crates/job/tests/all/model/takeover.rs
+++ b/crates/job/tests/all/model/takeover.rs
@@ -42,7 +42,7 @@
     pub executors: Option<[(u64, u64); 2]>,
 }
 
-fn submission(world: World) -> Submission {
+fn submission(world: World, mutation: Mutation) -> Submission {
     let second = StepSpec {
         after: vec![0],
         ..step(1, 1, 1_000)
@@ -50,6 +50,14 @@
     let steps = match world {
         World::TwoSteps => vec![step(1, 1, 1_000), second],
         World::OneTask => vec![step(1, 1, 1_000)],
+        World::Gang => vec![StepSpec {
+            gang: true,
+            ..step(2, 40, 1_000)
+        }],
+        World::LongRunning => vec![StepSpec {
+            long_running: mutation != Mutation::IgnoreLongRunning,
+            ..step(1, 1, 0)
+        }],
     };
     Submission {
         id: job(),
@@ -128,10 +136,10 @@
         match takeover.record.flatten() {
             Some(row) => {
                 let record: JobRecord = serde_json::from_slice(&row).expect("a valid record");
-                scheduler.restore(submission(self.world), &record, self.now);
+                scheduler.restore(submission(self.world, self.mutation), &record, self.now);
             }
             None => {
-                scheduler.submit(submission(self.world), self.now);
+                scheduler.submit(submission(self.world, self.mutation), self.now);
             }
         }
         let cancelled = takeover.cancelled.unwrap_or_default();
