test(job): the model check knows an executor whose clock is 2% slow

All clocks of the model were exact, and time passed in steps of 0.5 and 6 s, so that the allowance for slow clocks (`fleet::ClockReading`) was never touched.

--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -143,6 +143,12 @@
                 self.budget.waits -= 1;
                 self.pass(WAIT);
             }
+            Step::Expire => {
+                self.budget.expiries -= 1;
+                if let Some(expiry) = self.next_expiry() {
+                    self.pass(expiry.since(self.now));
+                }
+            }
         }
     }
 
--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -10,6 +10,7 @@
 mod apply;
 mod calls;
 mod check;
+mod clocks;
 mod digest;
 mod executor;
 mod explore;
@@ -45,6 +46,7 @@
     cancels: 0,
     pauses: 0,
     waits: 0,
+    expiries: 0,
 };
 
 fn assert_holds(name: &str, budget: Budget) {
