fix(job, dispatch): a poll sent before the earlier owner stopped releases no inherited task

Cause, found by the model check with three faults (a late report, a restart, a takeover; the same with a slow takeover): Write, Apply, WriteConfirmed, TakeOver, PollLate, Restart, Send (by the earlier owner), Supersede, Report, Write, Apply, WriteConfirmed, Send: the task runs on both executors The successor's poll finds an executor without the run. The executor starts anew and forgets the successor's epoch, the earlier owner sends its start, and then it answers that it has stopped. `previous_owner_stopped` set the time until which it sends to zero, so that a report of a poll sent before counted as proof that the run cannot start any more. No answer has to be later than usual for it, only an executor that starts anew under its name while a poll of its earlier incarnation is on its way.

Now a poll counts if it was sent after the earlier owner stopped: when its answer arrived, or the claim if it had ended before. Ruled out as the place of the mend: the epoch (a new incarnation knows none), the incarnation in the report (it is the one in the record, which was true when the report was made).

Test: record.rs, a_poll_sent_before_the_previous_owner_stopped_releases_no_inherited_task, fails without the change: assertion `left == right` failed: the poll was sent before; left: 0, right: 1 With the change it passes, as do the explorations with takeovers (12 tests of `job` with these names) and the tests of `dispatch` (37 passed).

--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -137,6 +137,7 @@
     tokio::task::spawn_local(stop_earlier_owner(
         owner,
         claim.earlier,
+        claim.sent,
         assumed_lease_end,
         lease,
     ));
@@ -154,10 +155,12 @@
 }
 
 /// Makes sure that the earlier owner grants no more leases. Otherwise the successor has to assume
-/// that they were extended for as long as an owner may continue without confirmation.
+/// that they were extended for as long as an owner may continue without confirmation. An earlier owner
+/// that had ended before the claim, at `claimed`, has sent nothing since.
 async fn stop_earlier_owner(
     owner: Rc<Owner>,
     earlier: OwnerRecord,
+    claimed: Mono,
     assumed_lease_end: Mono,
     lease: Duration,
 ) {
@@ -177,11 +180,13 @@
         }
     }
     if stopped {
-        let until = node.now().after(lease);
+        let now = node.now();
+        let stopped_at = if is_over { claimed } else { now };
+        let until = now.after(lease);
         owner
             .scheduler
             .borrow_mut()
-            .previous_owner_stopped(until, assumed_lease_end);
+            .previous_owner_stopped(stopped_at, until, assumed_lease_end);
     }
 }
 
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -304,10 +304,15 @@
         }
     }
 
-    /// Records that the previous owner no longer sends commands, so that the leases it granted
-    /// expire by `until` instead of `assumed`.
-    pub fn previous_owner_stopped(&mut self, until: Mono, assumed: Mono) {
-        self.previous_owner_sends_until = Mono::ZERO;
+    /// Records that the previous owner sends no commands after `stopped`, so that the leases it
+    /// granted expire by `until` instead of `assumed`.
+    ///
+    /// A poll that was sent earlier does not prove that an inherited run cannot start any more: the
+    /// previous owner may have sent its command after the executor answered, and a restarted
+    /// executor would have accepted it.
+    pub fn previous_owner_stopped(&mut self, stopped: Mono, until: Mono, assumed: Mono) {
+        let sends_until = stopped.after(Duration::from_millis(1));
+        self.previous_owner_sends_until = self.previous_owner_sends_until.min(sends_until);
         for (_, executor) in self.fleet.iter_mut() {
             if executor.leases_expire_at == assumed && until < assumed {
                 executor.leases_expire_at = until;
--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -329,7 +329,7 @@
             let until = now
                 .after(lease + lease / 49)
                 .after(std::time::Duration::from_millis(300));
-            owner.scheduler.previous_owner_stopped(until, assumed);
+            owner.scheduler.previous_owner_stopped(now, until, assumed);
         }
         self.settle(host);
     }
--- a/crates/job/tests/all/record.rs
+++ b/crates/job/tests/all/record.rs
@@ -2,6 +2,7 @@
 
 use job::scheduler::Command;
 use job::scheduler::JobState;
+use job::scheduler::Report;
 use job::scheduler::RunOutcome;
 
 use crate::fixture::Fixture;
@@ -79,6 +80,35 @@
     assert_eq!(next.place(), 1);
 }
 
+/// A new incarnation of the executor does not know the epoch of the new owner, so that a command that
+/// the previous owner sent after the poll may have started the task.
+#[test]
+fn a_poll_sent_before_the_previous_owner_stopped_releases_no_inherited_task() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(1, vec![step(1, 4, 1_000)]);
+    fixture.place();
+    let mut next = fixture.successor();
+    let sends_until = next.now.after(LEASE * 2);
+    let until = next.now.after(LEASE * 3);
+    next.scheduler.inherit_leases(sends_until, until);
+    next.list(vec![listing(1)]);
+    let requested = next.now;
+    next.pass(20);
+    next.scheduler
+        .previous_owner_stopped(next.now, next.now.after(LEASE), until);
+    next.pass(20);
+    let empty = Report {
+        started_unix_ms: Some(1_000),
+        clock_ms: 500,
+        ..Report::default()
+    };
+    let executor = next.executor(1);
+    next.scheduler.report(executor, &empty, requested, next.now);
+    assert_eq!(next.tasks_on(1).len(), 1, "the poll was sent before");
+    next.report_rows(1, vec![], vec![]);
+    assert_eq!(next.tasks_on(1).len(), 0, "the poll was sent after");
+}
+
 #[test]
 fn the_record_of_an_ended_job_is_small() {
     let mut fixture = Fixture::new(4);
