--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -2,15 +2,12 @@
 
 use std::time::Duration;
 
-use job::id::TaskId;
-use job::scheduler::Command;
 use job::scheduler::RunOutcome;
-use job::scheduler::StartAnswer;
-use job::task::RunNumber;
 use model::Mono;
 
-use super::executor::Response;
-use super::state::LateCall;
+use super::state::GANG_TIMEOUT;
+use super::state::LATE_ANSWER_TIMEOUT;
+use super::state::LateReport;
 use super::state::LateWrite;
 use super::state::Mutation;
 use super::state::Owner;
@@ -18,10 +15,11 @@
 use super::state::STORE_TIMEOUT;
 use super::state::State;
 use super::state::WAIT;
+use super::state::World;
 use super::state::Write;
 use super::state::job;
-use super::state::task;
 use super::step::Step;
+use super::takeover::Takeover;
 
 impl State {
     /// Applies a step to the state.
@@ -31,6 +29,17 @@
                 self.budget.takeovers = self.budget.takeovers.saturating_sub(1);
                 self.take_over(host);
             }
+            Step::Claim(host) => {
+                self.budget.slow_takeovers -= 1;
+                self.claim(host);
+            }
+            Step::ReadJobs(host) => self.read_jobs(host),
+            Step::ReadRecords(host) => self.read_records(host),
+            Step::Begin(host) => self.begin(host),
+            Step::AbandonTakeover(host) => {
+                self.budget.crashes -= 1;
+                self.takeovers[host] = None;
+            }
             Step::Write(host) => self.write(host),
             Step::Apply(host) => self.apply_write(host),
             Step::WriteConfirmed(host) => self.write_confirmed(host),
@@ -48,6 +57,24 @@
                 self.budget.network -= 1;
                 self.send_late(host, at);
             }
+            Step::SendRefused(host, at, reason) => {
+                self.budget.refusals -= 1;
+                self.send_refused(host, at, reason);
+            }
+            Step::SendSlow(host, at) => {
+                self.budget.slow_calls -= 1;
+                self.send_slow(host, at);
+            }
+            Step::ExecuteSlow(at) => self.execute_slow(at, None),
+            Step::RefuseSlow(at, reason) => {
+                self.budget.refusals -= 1;
+                self.execute_slow(at, Some(reason));
+            }
+            Step::ReceiveSlow(at) => self.receive_slow(at),
+            Step::TimeOutSlow(at) => {
+                self.budget.network -= 1;
+                self.time_out_slow(at);
+            }
             Step::Deliver(at) => {
                 let late_call = self.late_calls.remove(at);
                 self.deliver(&late_call);
@@ -55,26 +82,38 @@
             Step::Poll(host, at) => self.poll(host, at, Mono(self.now.0 + 1), false),
             Step::PollLate(host, at) => {
                 self.budget.polls -= 1;
+                // What happens from now on happens after the poll was sent.
+                self.now = Mono(self.now.0 + 1);
                 self.poll(host, at, self.now, true);
             }
-            Step::Report(host) => self.report(host),
+            Step::Report(host, at) => self.report(host, at),
+            Step::ReportTimesOut(host, at) => self.report_times_out(host, at),
             Step::PollFails(host, at) => self.poll_fails(host, at),
             Step::ReceiveCancel(host) => {
+                let ignored = self.mutation == Mutation::IgnoreCancellation;
                 if let Some(owner) = &mut self.owners[host] {
                     owner.cancel_received = true;
-                    owner.scheduler.cancel(job());
+                    if !ignored {
+                        owner.scheduler.cancel(job());
+                    }
                 }
                 self.settle(host);
             }
-            Step::List(host) => self.list(host),
+            Step::List(host) => self.list_present(host),
             Step::Supersede(host) => self.supersede(host),
-            Step::Done(at, step) => {
-                self.executors[at].end(task(step), RunOutcome::Done);
-                self.done.entry(task(step)).or_insert(false);
+            Step::Done(at, slot) => {
+                if self.world == World::LongRunning {
+                    self.budget.failures -= 1;
+                }
+                self.end_done(at, self.task(slot));
             }
-            Step::Fail(at, step) => {
+            Step::Fail(at, slot) => {
                 self.budget.failures -= 1;
-                self.executors[at].end(task(step), RunOutcome::Failed);
+                self.end_failed(at, self.task(slot));
+            }
+            Step::Break(at, slot) => {
+                let task = self.task(slot);
+                self.executors[at].end(task, RunOutcome::Interrupted);
             }
             Step::Cancel => {
                 self.budget.cancels -= 1;
@@ -89,6 +128,7 @@
                 self.executors[at].restart(self.now);
                 // Commands that the previous process received and did not execute are lost with it.
                 self.late_calls.retain(|late_call| late_call.executor != at);
+                self.break_slow_calls(at);
             }
             Step::Disconnect(at) => {
                 self.budget.disconnects -= 1;
@@ -103,6 +143,12 @@
                 self.budget.waits -= 1;
                 self.pass(WAIT);
             }
+            Step::Expire => {
+                self.budget.expiries -= 1;
+                if let Some(expiry) = self.next_expiry() {
+                    self.pass(expiry.since(self.now));
+                }
+            }
         }
     }
 
@@ -126,8 +172,9 @@
             return false;
         }
         self.store.owner = (expects.0, expects.1 + 1);
-        if record.is_some() {
-            self.store.record = record;
+        if let Some(record) = record {
+            self.check_record(&record);
+            self.store.record = Some(record);
         }
         true
     }
@@ -180,174 +227,6 @@
         }
     }
 
-    fn send(&mut self, host: usize, at: usize, answered: bool) {
-        let Some((command, late_call)) = self.prepare(host, at) else {
-            return;
-        };
-        if !self.executors[late_call.executor].reachable {
-            self.answer(host, at, &command, StartAnswer::Unanswered);
-            return;
-        }
-        let response = self.deliver(&late_call);
-        if !answered {
-            self.answer(host, at, &command, StartAnswer::Unanswered);
-            return;
-        }
-        let now = self.now;
-        let clock_ms = self.executors[late_call.executor].clock_ms(now);
-        if let Some(owner) = &mut self.owners[host] {
-            let key = owner.key(late_call.executor);
-            owner.scheduler.command_answered(key, clock_ms, now);
-        }
-        match response {
-            Response::Fenced => self.end_owner(host),
-            Response::Accepted => self.answer(host, at, &command, StartAnswer::Started),
-            Response::Superseded => self.answer(host, at, &command, StartAnswer::Superseded),
-            Response::TooLate => self.answer(host, at, &command, StartAnswer::TooLate),
-        }
-    }
-
-    fn send_late(&mut self, host: usize, at: usize) {
-        if let Some((command, late_call)) = self.prepare(host, at) {
-            self.late_calls.push(late_call);
-            self.answer(host, at, &command, StartAnswer::Unanswered);
-        }
-    }
-
-    /// Builds the call for a command, unless the command is obsolete or cannot be sent.
-    fn prepare(&mut self, host: usize, at: usize) -> Option<(Command, LateCall)> {
-        let now = self.now;
-        let owner = self.owners[host].as_mut()?;
-        let command = owner.commands.get(at)?.clone();
-        let call = |owner: &Owner, executor, task, run, deadline_ms| LateCall {
-            epoch: owner.epoch,
-            executor: owner.number(executor),
-            task,
-            run,
-            deadline_ms,
-        };
-        let late_call = match &command {
-            Command::Start {
-                key,
-                task,
-                run,
-                executor,
-                ..
-            } => {
-                if !owner.scheduler.is_start_wanted(*key, *run) {
-                    owner.scheduler.withdraw_start(*key, *run, now);
-                    owner.commands.remove(at);
-                    self.settle(host);
-                    return None;
-                }
-                let Some(deadline) = owner.scheduler.grant_lease(*executor, now) else {
-                    let answer = StartAnswer::Unhealthy;
-                    owner.scheduler.start_answered(*key, *run, answer, now);
-                    owner.commands.remove(at);
-                    self.settle(host);
-                    return None;
-                };
-                call(owner, *executor, *task, *run, Some(deadline))
-            }
-            Command::Stop {
-                key,
-                task,
-                run,
-                executor,
-            } => {
-                let obsolete = key.is_some_and(|key| {
-                    owner
-                        .scheduler
-                        .task(key)
-                        .is_none_or(|task| task.run != *run || task.assignment().is_none())
-                });
-                if obsolete {
-                    owner.commands.remove(at);
-                    return None;
-                }
-                call(owner, *executor, *task, *run, None)
-            }
-            Command::Throttle { .. } => {
-                owner.commands.remove(at);
-                return None;
-            }
-        };
-        Some((command, late_call))
-    }
-
-    /// Passes the result of a command to the owner. A command without an answer is sent again.
-    fn answer(&mut self, host: usize, at: usize, command: &Command, answer: StartAnswer) {
-        let now = self.now;
-        let treat_as_refused = self.mutation == Mutation::TreatUnansweredAsRefused;
-        let Some(owner) = &mut self.owners[host] else {
-            return;
-        };
-        let unanswered = answer == StartAnswer::Unanswered;
-        match command {
-            Command::Start { key, run, .. } => {
-                let answer = if treat_as_refused && unanswered {
-                    StartAnswer::Superseded
-                } else {
-                    answer
-                };
-                owner.scheduler.start_answered(*key, *run, answer, now);
-            }
-            Command::Stop {
-                key: Some(key),
-                run,
-                ..
-            } if !unanswered => owner.scheduler.stop_confirmed(*key, *run, now),
-            Command::Stop { .. } | Command::Throttle { .. } => {}
-        }
-        if !unanswered || treat_as_refused {
-            owner.commands.remove(at);
-        }
-        self.settle(host);
-    }
-
-    /// Delivers a command to its executor.
-    fn deliver(&mut self, late_call: &LateCall) -> Response {
-        let epochs = (late_call.epoch, self.mutation != Mutation::IgnoreEpochs);
-        let run = (late_call.task, late_call.run);
-        let now = self.now;
-        let executor = &mut self.executors[late_call.executor];
-        let Some(deadline_ms) = late_call.deadline_ms else {
-            return executor.stop(run, epochs);
-        };
-        let earlier = executor.running.get(&late_call.task).copied();
-        let response = executor.start(run, epochs, deadline_ms, now);
-        if response == Response::Accepted && earlier != Some(late_call.run) {
-            if earlier.is_some() {
-                self.record_violation(format!("{:?} runs twice on one executor", late_call.task));
-            }
-            self.check_start(late_call.executor, late_call.task, late_call.run);
-        }
-        response
-    }
-
-    /// Checks the invariants for the start of a task.
-    fn check_start(&mut self, at: usize, task: TaskId, run: RunNumber) {
-        let other = &self.executors[1 - at];
-        if other.running.contains_key(&task) {
-            self.record_violation(format!("{task:?} runs on both executors"));
-        }
-        if self.done.get(&task) == Some(&true) {
-            self.record_violation(format!("{task:?} starts after its end was acknowledged"));
-        }
-        if task.step == 1 && !self.done.contains_key(&super::state::task(0)) {
-            self.record_violation("the second step starts before the first has ended".to_owned());
-        }
-        if self.failed.get(&task).copied().unwrap_or(0) >= super::state::ATTEMPTS {
-            self.record_violation(format!(
-                "{task:?} starts after the maximum number of failures"
-            ));
-        }
-        let started_unix_ms = self.executors[at].started_unix_ms;
-        if !self.started.insert((at, started_unix_ms, task, run)) {
-            self.record_violation(format!("{task:?} starts twice as run {run}"));
-        }
-    }
-
     fn poll(&mut self, host: usize, at: usize, sent: Mono, delayed: bool) {
         let now = self.now;
         let epochs_checked = self.mutation != Mutation::IgnoreEpochs;
@@ -372,64 +251,57 @@
         };
         let epochs = (owner.epoch, epochs_checked);
         let report = self.executors[at].poll(epochs, deadline_ms, acknowledged, now);
-        let Some(report) = report else {
+        let Some(mut report) = report else {
             self.end_owner(host);
             return;
         };
-        owner.report = Some((at, report, sent, acknowledged));
-        if !delayed {
-            self.report(host);
-        }
-    }
-
-    fn record_acknowledged(&mut self, at: usize, acknowledged: u64) {
-        let ends = self.executors[at].ended.clone();
-        let expired_ends = self.executors[at].expired_ends.clone();
-        for end in ends.iter().filter(|end| end.sequence <= acknowledged) {
-            if expired_ends.contains(&end.sequence) {
-                // No owner could learn of this end before the lease expired, so it does not count.
-                continue;
-            }
-            let Some(task) = end.task else { continue };
-            match end.outcome {
-                RunOutcome::Done => {
-                    self.check_acknowledged_end(task, end.run);
-                    self.done.insert(task, true);
-                }
-                RunOutcome::Failed => *self.failed.entry(task).or_default() += 1,
-                RunOutcome::Interrupted | RunOutcome::LeaseExpired => {}
+        if self.mutation == Mutation::IgnoreFailures {
+            for end in &mut report.ended {
+                end.outcome = match end.outcome {
+                    RunOutcome::Failed => RunOutcome::Interrupted,
+                    outcome => outcome,
+                };
             }
         }
-    }
-
-    /// Checks that a task was not started again after an end that counts.
-    fn check_acknowledged_end(&mut self, task: TaskId, run: RunNumber) {
-        let started_later = self
-            .started
-            .iter()
-            .any(|(_, _, other, later)| *other == task && *later > run);
-        if started_later {
-            self.record_violation(format!(
-                "the end of run {run} of {task:?} is acknowledged, but the task started again"
-            ));
+        owner.reports.push(LateReport {
+            executor: at,
+            report,
+            sent,
+            acknowledged,
+            timed_out: false,
+        });
+        if !delayed {
+            let last = owner.reports.len() - 1;
+            self.report(host, last);
         }
     }
 
-    fn report(&mut self, host: usize) {
+    fn report(&mut self, host: usize, at: usize) {
         let now = self.now;
-        if let Some(owner) = &mut self.owners[host]
-            && let Some((at, report, sent, acknowledged)) = owner.report.take()
-        {
-            let key = owner.key(at);
-            owner.scheduler.report(key, &report, sent, now);
-            let started_unix_ms = report.started_unix_ms.unwrap_or_default();
+        if let Some(owner) = &mut self.owners[host] {
+            let late = owner.reports.remove(at);
+            let key = owner.key(late.executor);
+            let sent = match self.mutation {
+                Mutation::IgnorePollTimes => Mono(now.0 + 1),
+                _ => late.sent,
+            };
+            owner.scheduler.report(key, &late.report, sent, now);
+            let started_unix_ms = late.report.started_unix_ms.unwrap_or_default();
             owner
                 .scheduler
-                .acknowledgement_confirmed(key, started_unix_ms, acknowledged);
+                .acknowledgement_confirmed(key, started_unix_ms, late.acknowledged);
         }
         self.settle(host);
     }
 
+    fn report_times_out(&mut self, host: usize, at: usize) {
+        if let Some(owner) = &mut self.owners[host] {
+            owner.reports[at].timed_out = true;
+            let executor = owner.reports[at].executor;
+            self.poll_fails(host, executor);
+        }
+    }
+
     fn poll_fails(&mut self, host: usize, at: usize) {
         let now = self.now;
         if let Some(owner) = &mut self.owners[host] {
@@ -457,12 +329,13 @@
             let until = now
                 .after(lease + lease / 49)
                 .after(std::time::Duration::from_millis(300));
-            owner.scheduler.previous_owner_stopped(until, assumed);
+            owner.scheduler.previous_owner_stopped(now, until, assumed);
         }
         self.settle(host);
     }
 
-    fn end_owner(&mut self, host: usize) {
+    pub(super) fn end_owner(&mut self, host: usize) {
+        self.forget_slow_calls(host);
         // A transaction that was sent may still be executed.
         if let Some(owner) = self.owners[host].take()
             && let Some(write) = owner.write.filter(|write| !write.applied)
@@ -483,12 +356,21 @@
         for executor in &mut self.executors {
             executor.pass(now);
         }
+        if duration >= GANG_TIMEOUT {
+            self.end_incomplete_gangs();
+        }
         for host in 0..2 {
+            let too_old = |takeover: &Takeover| now.since(takeover.claimed) > STORE_TIMEOUT;
+            if self.takeovers[host].as_ref().is_some_and(too_old) {
+                self.takeovers[host] = None;
+            }
             let expired = |owner: &Owner| now.since(owner.confirmed) > STORE_TIMEOUT;
             if self.owners[host].as_ref().is_some_and(expired) {
                 self.end_owner(host);
             }
             if let Some(owner) = &mut self.owners[host] {
+                let awaited = |late: &LateReport| now.since(late.sent) <= LATE_ANSWER_TIMEOUT;
+                owner.reports.retain(awaited);
                 owner.scheduler.tick(now);
             }
             self.settle(host);
--- a/crates/job/tests/all/model/executor.rs
+++ b/crates/job/tests/all/model/executor.rs
@@ -10,6 +10,7 @@
 use job::scheduler::EndedRun;
 use job::scheduler::Report;
 use job::scheduler::RunOutcome;
+use job::scheduler::StartAnswer;
 use job::task::RunMetrics;
 use job::task::RunNumber;
 use model::Mono;
@@ -37,6 +38,8 @@
     pub reachable: bool,
     /// When its clock was zero.
     pub clock_zero: Mono,
+    /// How fast its clock runs, in percent of the right speed.
+    pub clock_percent: u64,
     last_sequence: u64,
 }
 
@@ -51,6 +54,8 @@
     TooLate,
     /// The command was rejected: the executor has seen a higher epoch.
     Fenced,
+    /// The command was rejected for a reason that says nothing of earlier copies.
+    Refused(StartAnswer),
 }
 
 impl Executor {
@@ -65,6 +70,7 @@
             expired_ends: BTreeSet::new(),
             reachable: true,
             clock_zero: Mono::ZERO,
+            clock_percent: 100,
             last_sequence: 0,
         }
     }
@@ -81,13 +87,19 @@
 
     /// Returns the reading of its clock.
     pub const fn clock_ms(&self, now: Mono) -> u64 {
-        now.0 - self.clock_zero.0
+        (now.0 - self.clock_zero.0) * self.clock_percent / 100
+    }
+
+    /// Returns when its clock shows `clock_ms`.
+    const fn time_of(&self, clock_ms: u64) -> Mono {
+        Mono(self.clock_zero.0 + (clock_ms * 100).div_ceil(self.clock_percent))
     }
 
     /// Extends the lease to a time on its own clock, but not beyond the longest lease.
     fn extend_lease(&mut self, deadline_ms: u64, now: Mono) {
-        let until = Mono(self.clock_zero.0 + deadline_ms);
-        self.lease_until = self.lease_until.max(until.min(now.after(MAX_LEASE)));
+        let longest = self.clock_ms(now) + model::time::millis(MAX_LEASE);
+        let until = self.time_of(deadline_ms.min(longest));
+        self.lease_until = self.lease_until.max(until);
     }
 
     /// Starts a run.
@@ -118,6 +130,27 @@
         Response::Accepted
     }
 
+    /// Refuses a start command for a reason of its own, whether the run is there or not. A refusal
+    /// for want of room extends the lease.
+    pub fn refuse(
+        &mut self,
+        reason: StartAnswer,
+        (epoch, check_epoch): (u64, bool),
+        deadline_ms: u64,
+        now: Mono,
+    ) -> Response {
+        if reason == StartAnswer::Unhealthy {
+            return Response::Refused(reason);
+        }
+        if !self.accepts_epoch(epoch, check_epoch) {
+            return Response::Fenced;
+        }
+        if reason == StartAnswer::NoRoom {
+            self.extend_lease(deadline_ms, now);
+        }
+        Response::Refused(reason)
+    }
+
     /// Stops a run. A run that is not active can no longer start afterwards.
     pub fn stop(
         &mut self,
@@ -193,6 +226,7 @@
         *self = Self {
             started_unix_ms,
             clock_zero: now,
+            clock_percent: self.clock_percent,
             reachable: self.reachable,
             ..Self::new()
         };
--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -8,19 +8,36 @@
 //! state, the job ends, its end is stored and no runs remain, once no more faults occur.
 
 mod apply;
+mod calls;
+mod check;
+mod clocks;
+mod digest;
 mod executor;
 mod explore;
+mod gangs;
+mod late_reports;
+mod long_running;
+mod refusals;
 mod state;
 mod step;
+mod takeover;
+mod takeovers;
+mod tasks;
+
+use std::time::Instant;
 
 use self::explore::explore;
 use self::state::Budget;
 use self::state::Mutation;
+use self::state::World;
 
 const NO_FAULTS: Budget = Budget {
     network: 0,
+    slow_calls: 0,
+    refusals: 0,
     polls: 0,
     takeovers: 0,
+    slow_takeovers: 0,
     crashes: 0,
     late_writes: 0,
     restarts: 0,
@@ -29,13 +46,21 @@
     cancels: 0,
     pauses: 0,
     waits: 0,
+    expiries: 0,
 };
 
 fn assert_holds(name: &str, budget: Budget) {
-    let exploration = explore(budget, Mutation::None);
+    assert_holds_in(World::TwoSteps, name, budget);
+}
+
+fn assert_holds_in(world: World, name: &str, budget: Budget) {
+    let started = Instant::now();
+    let exploration = explore(world, budget, Mutation::None);
     println!(
-        "{name}: {} states, depth {}",
-        exploration.states, exploration.depth
+        "{world:?}, {name}: {} states, depth {}, {:.1} s",
+        exploration.states,
+        exploration.depth,
+        started.elapsed().as_secs_f64()
     );
     assert_eq!(exploration.violation, None, "{name}");
     assert_eq!(exploration.stuck, None, "{name}");
@@ -46,6 +71,34 @@
     );
 }
 
+fn assert_violated(mutation: Mutation, budget: Budget) {
+    assert_violated_in(World::TwoSteps, mutation, budget);
+}
+
+fn assert_violated_in(world: World, mutation: Mutation, budget: Budget) {
+    let started = Instant::now();
+    let exploration = explore(world, budget, mutation);
+    println!(
+        "{world:?}, {mutation:?}: {} states, {:.1} s, {:?}",
+        exploration.states,
+        started.elapsed().as_secs_f64(),
+        exploration.violation
+    );
+    assert!(exploration.violation.is_some(), "{mutation:?}");
+}
+
+fn assert_stuck_in(world: World, mutation: Mutation, budget: Budget) {
+    let started = Instant::now();
+    let exploration = explore(world, budget, mutation);
+    println!(
+        "{world:?}, {mutation:?}: {} states, {:.1} s, never ends after {:?}",
+        exploration.states,
+        started.elapsed().as_secs_f64(),
+        exploration.stuck
+    );
+    assert!(exploration.stuck.is_some(), "{mutation:?}");
+}
+
 /// One fault of each kind on its own.
 #[test]
 fn no_single_fault_violates_an_invariant() {
@@ -398,11 +451,6 @@
         ),
     ];
     for (mutation, budget) in cases {
-        let exploration = explore(budget, mutation);
-        println!(
-            "{mutation:?}: {} states, {:?}",
-            exploration.states, exploration.violation
-        );
-        assert!(exploration.violation.is_some(), "{mutation:?}");
+        assert_violated(mutation, budget);
     }
 }
--- a/crates/job/tests/all/model/state.rs
+++ b/crates/job/tests/all/model/state.rs
@@ -3,35 +3,22 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::hash::Hash;
-use std::hash::Hasher;
-use std::sync::Arc;
 use std::time::Duration;
 
-use job::fleet::Executor as KnownExecutor;
 use job::fleet::ExecutorKey;
 use job::id::JobId;
 use job::id::TaskId;
-use job::record::JobRecord;
 use job::scheduler::Batch;
 use job::scheduler::Command;
 use job::scheduler::Report;
 use job::scheduler::Scheduler;
-use job::scheduler::Submission;
-use job::scheduler::TaskKey;
-use job::scheduler::Timing;
-use job::spec::JobSpec;
-use job::spec::StepSpec;
 use job::task::RunNumber;
 use model::Mono;
 
 use super::executor::Executor;
-use crate::fixture::LEASE;
-use crate::fixture::MAX_LEASE;
-use crate::fixture::QUEUE;
-use crate::fixture::listing;
-use crate::fixture::plan;
-use crate::fixture::step;
+use super::executor::Response;
+use super::step::FAULTY;
+use super::takeover::Takeover;
 
 /// A long delay: one exceeds the lease, three exceed every lease that a previous owner may have
 /// granted.
@@ -43,15 +30,42 @@
 /// The maximum number of failures of a task.
 pub const ATTEMPTS: u32 = 2;
 
+/// How long an owner awaits the answer to a poll, as in the crate `dispatch`.
+pub const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// How long a member of a gang waits for the others.
+pub const GANG_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The job of the model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum World {
+    /// Two steps of one task each; the second waits for the first.
+    TwoSteps,
+    /// One step of one task.
+    OneTask,
+    /// One step of one task; the clock of the executor that gets it first is 2% slow.
+    SlowClock,
+    /// One step of two tasks that only work together. Each fills more than half of an executor.
+    Gang,
+    /// One task that runs until the job is cancelled.
+    LongRunning,
+}
+
 /// The remaining number of faults of each kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Budget {
     /// Commands that are lost or delayed, or whose response is lost.
     pub network: u32,
-    /// Polls whose response is lost or overtaken.
+    /// Commands whose execution and whose answer take their time.
+    pub slow_calls: u32,
+    /// Start commands that an executor refuses for a reason of its own.
+    pub refusals: u32,
+    /// Polls whose response is lost, late or overtaken.
     pub polls: u32,
     /// Takeovers by the other host, whether the owner is alive or not.
     pub takeovers: u32,
+    /// Takeovers by the other host that take their time to read the store.
+    pub slow_takeovers: u32,
     /// Owners that crash.
     pub crashes: u32,
     /// Transactions that are executed late.
@@ -68,6 +82,8 @@
     pub pauses: u32,
     /// Delays of [`WAIT`].
     pub waits: u32,
+    /// Delays that end when an owner takes a lease for expired.
+    pub expiries: u32,
 }
 
 /// A rule that the system violates, to show that the model detects it.
@@ -89,6 +105,36 @@
     IgnoreVersions,
     /// A command without a response counts as refused.
     TreatUnansweredAsRefused,
+    /// A refusal releases a task although an earlier copy of the command is unanswered.
+    ReleaseUnansweredOnRefusal,
+    /// A refusal releases a task although a report has shown its run.
+    ReleaseReportedOnRefusal,
+    /// A refusal because the run has ended releases a task although a report has shown its run.
+    ReleaseReportedOnSuperseded,
+    /// A late report counts as if its poll had been sent when it arrives.
+    IgnorePollTimes,
+    /// A new owner reads the store before it claims the executors.
+    ReadBeforeClaim,
+    /// An owner stores a cancellation, but does not tell the scheduler.
+    IgnoreCancellation,
+    /// Failed runs are reported as interrupted.
+    IgnoreFailures,
+    /// The second member of a gang is not started.
+    LoseMemberStart,
+    /// A long-running task counts as one that ends.
+    IgnoreLongRunning,
+    /// A slow clock is ten times slower than owners allow for.
+    SlowerClocks,
+}
+
+impl Mutation {
+    /// Returns whether the mutation keeps a job from its end instead of breaking an invariant.
+    pub const fn is_checked_at_the_end(self) -> bool {
+        matches!(
+            self,
+            Self::None | Self::LoseMemberStart | Self::IgnoreLongRunning
+        )
+    }
 }
 
 /// The contents of the store.
@@ -137,14 +183,27 @@
     pub write: Option<Write>,
     /// Commands to be sent or sent again.
     pub commands: Vec<Command>,
-    /// A report in flight: its executor, when it was requested, and the sequence number up to which
-    /// ended runs were acknowledged by the poll.
-    pub report: Option<(usize, Report, Mono, u64)>,
+    /// Reports in flight. They may arrive in any order.
+    pub reports: Vec<LateReport>,
     /// The time until which the previous owner was assumed at the takeover to have granted leases.
     pub assumed: Option<Mono>,
     pub cancel_received: bool,
 }
 
+/// An answer to a poll that has not arrived.
+#[derive(Clone, Debug)]
+pub struct LateReport {
+    pub executor: usize,
+    pub report: Report,
+    /// When the poll was sent.
+    pub sent: Mono,
+    /// The sequence number up to which the poll acknowledged ended runs.
+    pub acknowledged: u64,
+    /// Whether the owner has taken the executor for unreachable since. It processes the report all
+    /// the same.
+    pub timed_out: bool,
+}
+
 /// A command that may still arrive.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LateCall {
@@ -157,23 +216,43 @@
     pub deadline_ms: Option<u64>,
 }
 
+/// A command whose sender waits for the answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SlowCall {
+    /// The host that sent it.
+    pub host: usize,
+    pub command: Command,
+    pub call: LateCall,
+    /// The answer in flight, and the reading of the executor's clock that it contains.
+    pub response: Option<(Response, u64)>,
+}
+
 /// The complete state of the model.
 #[derive(Clone, Debug)]
 pub struct State {
     pub now: Mono,
     pub store: Store,
     pub owners: [Option<Owner>; 2],
+    pub takeovers: [Option<Takeover>; 2],
     pub executors: [Executor; 2],
     pub late_calls: Vec<LateCall>,
+    pub slow_calls: Vec<SlowCall>,
     pub late_writes: Vec<LateWrite>,
+    pub world: World,
     pub budget: Budget,
     pub mutation: Mutation,
-    /// Tasks that have succeeded, and whether the end was acknowledged.
-    pub done: BTreeMap<TaskId, bool>,
-    /// The number of acknowledged failures by task.
-    pub failed: BTreeMap<TaskId, u32>,
+    /// Steps whose task or gang has succeeded, and whether the end was acknowledged.
+    pub done: BTreeMap<u32, bool>,
+    /// Failed runs in the order of their ends.
+    pub failed: Vec<(TaskId, RunNumber)>,
+    /// Failed runs whose end was acknowledged.
+    pub failures_acknowledged: BTreeSet<(TaskId, RunNumber)>,
+    /// The number of runs that had failed before each start.
+    pub failed_before: BTreeMap<(TaskId, RunNumber), usize>,
     /// Runs that were started, by executor and incarnation, to detect runs that start twice.
     pub started: BTreeSet<(usize, u64, TaskId, RunNumber)>,
+    /// Whether no fault can occur that excuses a member of a gang that waits for the others in vain.
+    pub must_meet: bool,
     pub violation: Option<String>,
 }
 
@@ -181,115 +260,58 @@
     JobId::parse("00000000000000aa").expect("a valid job identifier")
 }
 
-pub fn task(step: u32) -> TaskId {
-    TaskId {
-        job: job(),
-        occurrence: 0,
-        step,
-        index: 0,
-    }
+/// Returns the number of a task among all tasks of the job. No step of the model but the last has
+/// more than one task.
+pub const fn slot(task: TaskId) -> u32 {
+    task.step + task.index
 }
 
-fn submission() -> Submission {
-    let second = StepSpec {
-        after: vec![0],
-        ..step(1, 1, 1_000)
-    };
-    Submission {
-        id: job(),
-        queue: QUEUE.into(),
-        age_ms: 0,
-        spec: Arc::new(JobSpec {
-            payload: "payload".into(),
-            steps: vec![step(1, 1, 1_000), second],
-            repeat: None,
-        }),
-        row_version: 1,
+impl Budget {
+    /// Returns whether nothing can go wrong but what tasks and callers do themselves.
+    fn has_only_own_faults(self) -> bool {
+        let own = Self {
+            failures: self.failures,
+            cancels: self.cancels,
+            pauses: self.pauses,
+            ..Self::default()
+        };
+        self == own
     }
 }
 
 impl State {
     /// Creates a state in which the job is accepted and the first host has taken over.
-    pub fn new(budget: Budget, mutation: Mutation) -> Self {
+    pub fn new(world: World, budget: Budget, mutation: Mutation) -> Self {
         let mut state = Self {
             now: Mono(10_000),
             store: Store::default(),
             owners: [None, None],
+            takeovers: [None, None],
             executors: [Executor::new(), Executor::new()],
             late_calls: Vec::new(),
+            slow_calls: Vec::new(),
             late_writes: Vec::new(),
+            world,
             budget,
             mutation,
             done: BTreeMap::new(),
-            failed: BTreeMap::new(),
+            failed: Vec::new(),
+            failures_acknowledged: BTreeSet::new(),
+            failed_before: BTreeMap::new(),
             started: BTreeSet::new(),
+            must_meet: budget.has_only_own_faults(),
             violation: None,
         };
+        if world == World::SlowClock {
+            state.executors[FAULTY].clock_percent = match mutation {
+                Mutation::SlowerClocks => 80,
+                _ => 98,
+            };
+        }
         state.take_over(0);
         state
     }
 
-    /// Lets a host take over the executors and read the store.
-    pub fn take_over(&mut self, host: usize) {
-        let row = (self.store.owner.0 + 1, self.store.owner.1 + 1);
-        self.store.owner = row;
-        let timing = Timing {
-            lease: LEASE,
-            max_lease: MAX_LEASE,
-            stop_timeout: Duration::from_millis(900),
-        };
-        let mut scheduler = Scheduler::new(plan(ATTEMPTS), timing);
-        match &self.store.record {
-            Some(row) => {
-                let record: JobRecord = serde_json::from_slice(row).expect("a valid record");
-                scheduler.restore(submission(), &record, self.now);
-            }
-            None => {
-                scheduler.submit(submission(), self.now);
-            }
-        }
-        if self.store.cancelled {
-            scheduler.cancel(job());
-        }
-        let lease = LEASE + LEASE / 49 + Duration::from_millis(300);
-        let assumed = match self.mutation {
-            Mutation::IgnoreLeases => self.now,
-            _ => self.now.after(STORE_TIMEOUT).after(lease),
-        };
-        let sends_until = match self.mutation {
-            Mutation::IgnorePreviousSender => self.now,
-            _ => self.now.after(STORE_TIMEOUT),
-        };
-        scheduler.inherit_leases(sends_until, assumed);
-        self.owners[host] = Some(Owner {
-            epoch: row.0,
-            scheduler,
-            row,
-            confirmed: self.now,
-            write: None,
-            commands: Vec::new(),
-            report: None,
-            assumed: (row.0 > 1).then_some(assumed),
-            cancel_received: self.store.cancelled,
-        });
-        self.list(host);
-    }
-
-    /// Passes the executor list to an owner.
-    pub fn list(&mut self, host: usize) {
-        let listings = (0..2)
-            .map(|at| {
-                let mut listing = listing(at + 1);
-                listing.started_unix_ms = self.executors[at].started_unix_ms;
-                (listing, self.executors[at].clock_ms(self.now))
-            })
-            .collect();
-        if let Some(owner) = &mut self.owners[host] {
-            owner.scheduler.update_executors(listings, self.now);
-        }
-        self.settle(host);
-    }
-
     /// Runs everything that an event has made possible.
     pub fn settle(&mut self, host: usize) {
         let now = self.now;
@@ -304,6 +326,10 @@
         }
         // Two equal commands are two attempts at the same one.
         for command in owner.scheduler.take_commands() {
+            let is_second = |command: &Command| matches!(command, Command::Start { task, .. } if task.index == 1);
+            if mutation == Mutation::LoseMemberStart && is_second(&command) {
+                continue;
+            }
             if !owner.commands.contains(&command) {
                 owner.commands.push(command);
             }
@@ -311,69 +337,27 @@
         owner.scheduler.take_events();
     }
 
+    /// Returns the identifier of a task.
+    pub fn task(&self, slot: u32) -> TaskId {
+        let (step, index) = match self.world {
+            World::Gang => (0, slot),
+            World::TwoSteps | World::OneTask | World::SlowClock | World::LongRunning => (slot, 0),
+        };
+        TaskId {
+            job: job(),
+            occurrence: 0,
+            step,
+            index,
+        }
+    }
+
     /// Records the violation of an invariant.
     pub fn record_violation(&mut self, rule: String) {
         self.violation.get_or_insert(rule);
     }
-
-    /// Returns a hash of the state.
-    pub fn digest(&self) -> u64 {
-        let mut hasher = std::collections::hash_map::DefaultHasher::new();
-        self.now.hash(&mut hasher);
-        self.store.hash(&mut hasher);
-        self.budget.hash(&mut hasher);
-        let rest = (
-            &self.executors,
-            &self.late_calls,
-            &self.late_writes,
-            &self.done,
-            &self.failed,
-            &self.started,
-            &self.violation,
-        );
-        format!("{rest:?}").hash(&mut hasher);
-        for owner in &self.owners {
-            owner.as_ref().map(Owner::state_text).hash(&mut hasher);
-        }
-        hasher.finish()
-    }
 }
 
 impl Owner {
-    /// Returns everything that determines the owner's next actions, independent of the layout of
-    /// its maps.
-    fn state_text(&self) -> String {
-        let job = self
-            .scheduler
-            .find(job())
-            .and_then(|key| self.scheduler.job(key));
-        let executors: Vec<(KnownExecutor, Vec<TaskKey>)> = self
-            .scheduler
-            .fleet
-            .iter()
-            .map(|(_, executor)| {
-                let mut tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
-                tasks.sort();
-                let mut executor = executor.clone();
-                executor.tasks.clear();
-                (executor, tasks)
-            })
-            .collect();
-        let scheduler = (job, executors, self.scheduler.state(super::state::job()));
-        let own = (
-            self.epoch,
-            self.row,
-            self.confirmed,
-            &self.write,
-            &self.commands,
-        );
-        let rest = (&self.report, self.assumed, self.cancel_received);
-        format!(
-            "{scheduler:?} {own:?} {rest:?} {}",
-            self.scheduler.has_changes()
-        )
-    }
-
     /// Returns the index of an executor.
     pub fn number(&self, key: ExecutorKey) -> usize {
         let id = self
