refactor(plat): one function for a call whose response is JSON or a failure

Cause: five calls (head and delete of objects, the list of hosts, read and scan of the table) had the same steps: post, take any status but 200 for a failure, parse the body. `Client::post_for` has them now. A commit, which has a second kind of answer, and a message to a worker, which has too, keep their own.

--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -261,6 +261,24 @@
         }
     }
 
+    /// Sends a request like [`Client::post`], whose response must have status 200 and a JSON body.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Client::post`], [`PostResponse::failure`] for any other status, and
+    /// the error of [`PostResponse::json`] for any other body.
+    pub async fn post_for<T: DeserializeOwned, B: Serialize + Sync>(
+        &self,
+        to: &Endpoint,
+        post: PostRequest<'_, B>,
+    ) -> Result<T, CallError> {
+        let response = self.post(to, post).await?;
+        if !response.is_ok() {
+            return Err(response.failure());
+        }
+        response.json()
+    }
+
     fn next_id(&self) -> String {
         let count = self.0.request_count.fetch_add(1, Ordering::Relaxed);
         format!("{}-{count}", self.0.name)
--- a/crates/plat/src/hosts/http.rs
+++ b/crates/plat/src/hosts/http.rs
@@ -43,12 +43,7 @@
     known: Option<u64>,
 ) -> Result<Option<HostList>, CallError> {
     let req = ListRequest { known };
-    let response = client
-        .post(&endpoint, PostRequest::new(LIST_PATH, &req))
-        .await?;
-    if !response.is_ok() {
-        return Err(response.failure());
-    }
-    let ListResponse { list } = response.json()?;
+    let post = PostRequest::new(LIST_PATH, &req);
+    let ListResponse { list } = client.post_for(&endpoint, post).await?;
     Ok(list)
 }
--- a/crates/plat/src/object/http.rs
+++ b/crates/plat/src/object/http.rs
@@ -50,26 +50,16 @@
 
 async fn head(client: Client, endpoint: Endpoint, name: String) -> Result<Option<u64>, CallError> {
     let req = ObjectRequest { name };
-    let response = client
-        .post(&endpoint, PostRequest::new(HEAD_PATH, &req))
-        .await?;
-    if !response.is_ok() {
-        return Err(response.failure());
-    }
-    let found: HeadResponse = response.json()?;
+    let post = PostRequest::new(HEAD_PATH, &req);
+    let found: HeadResponse = client.post_for(&endpoint, post).await?;
     ensure_matches(found.name == req.name)?;
     Ok(found.bytes)
 }
 
 async fn delete(client: Client, endpoint: Endpoint, name: String) -> Result<(), CallError> {
     let req = ObjectRequest { name };
-    let response = client
-        .post(&endpoint, PostRequest::new(DELETE_PATH, &req))
-        .await?;
-    if !response.is_ok() {
-        return Err(response.failure());
-    }
-    let deleted: DeleteResponse = response.json()?;
+    let post = PostRequest::new(DELETE_PATH, &req);
+    let deleted: DeleteResponse = client.post_for(&endpoint, post).await?;
     ensure_matches(deleted.name == req.name)
 }
 
--- a/crates/plat/src/table/http.rs
+++ b/crates/plat/src/table/http.rs
@@ -102,25 +102,15 @@
 
 async fn read(client: Client, endpoint: Endpoint, key: String) -> Result<Option<Row>, TableError> {
     let req = ReadRequest { key };
-    let response = client
-        .post(&endpoint, PostRequest::new(READ_PATH, &req))
-        .await?;
-    if !response.is_ok() {
-        return Err(response.failure().into());
-    }
-    let ReadResponse { row } = response.json()?;
+    let post = PostRequest::new(READ_PATH, &req);
+    let ReadResponse { row } = client.post_for(&endpoint, post).await?;
     ensure_matches(row.as_ref().is_none_or(|row| row.key == req.key))?;
     Ok(row)
 }
 
 async fn scan(client: Client, endpoint: Endpoint, query: Scan) -> Result<Vec<Row>, TableError> {
-    let response = client
-        .post(&endpoint, PostRequest::new(SCAN_PATH, &query))
-        .await?;
-    if !response.is_ok() {
-        return Err(response.failure().into());
-    }
-    let ScanResponse { rows } = response.json()?;
+    let post = PostRequest::new(SCAN_PATH, &query);
+    let ScanResponse { rows } = client.post_for(&endpoint, post).await?;
     ensure_matches(query.is_valid_page(&rows))?;
     Ok(rows)
 }
