docs(conf,fake,lease,measure,node,route): say more than the name, and use the terms of the glossary

Cause: some comments repeated the name that they stand on (`/// The task.`, `/// Images of services.`), some said node for a daemon; a few names were everyday words (`quiet` for a run without handovers, `one` for an executor, an upstream or a member, `is_quiet` for a quiescent state of the model). No name or text that leaves the process is among them; of types with a schema none was touched.

--- a/crates/conf/src/accept/follower.rs
+++ b/crates/conf/src/accept/follower.rs
@@ -53,7 +53,7 @@
     /// A proposer pushed a document to stage. The daemon did not ask for it, so it is no evidence
     /// that others receive this daemon's messages, and it does not extend the permission to serve.
     Pushed {
-        /// The staged document and what goes with it.
+        /// The staged document, its ballot, and what the proposer knows of the document in force.
         delta: DocumentDelta,
     },
     /// A proposer announced that the document staged under the ballot is in force.
--- a/crates/conf/src/api.rs
+++ b/crates/conf/src/api.rs
@@ -87,7 +87,7 @@
 /// The document in force.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DocumentView {
-    /// The version of the document.
+    /// The version under which it was accepted.
     pub version: DocVersion,
     /// The text as the operator sent it, comments included.
     pub text: String,
@@ -322,7 +322,7 @@
     pub max_failures: Option<u32>,
 }
 
-/// The state of a task.
+/// Where a task is in its lifecycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum TaskState {
--- a/crates/fake/src/worker/ledger.rs
+++ b/crates/fake/src/worker/ledger.rs
@@ -35,7 +35,7 @@
 pub enum RunEvent {
     /// A run was started.
     Started {
-        /// The task.
+        /// The task that the run belongs to.
         task: TaskId,
         /// The attempt of the task.
         attempt: Attempt,
@@ -46,7 +46,7 @@
     },
     /// A run ended, whether it succeeded, failed or was stopped.
     Ended {
-        /// The task.
+        /// The task whose run ended.
         task: TaskId,
         /// The time of the event.
         at: Mono,
@@ -58,12 +58,12 @@
     },
     /// A start was refused because it would have exceeded the capacity of the worker.
     Overcommitted {
-        /// The task.
+        /// The task that was not started.
         task: TaskId,
     },
     /// The checkpoint from which a run was to resume does not exist.
     CheckpointMissing {
-        /// The task.
+        /// The task, whose run starts from the beginning instead.
         task: TaskId,
     },
 }
--- a/crates/fake/src/worker/program.rs
+++ b/crates/fake/src/worker/program.rs
@@ -86,7 +86,7 @@
 /// The parameters with which a run is started.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunSpec {
-    /// The task.
+    /// The task that the run belongs to.
     pub task: TaskId,
     /// The attempt of the task.
     pub attempt: Attempt,
--- a/crates/lease/src/owner/txn.rs
+++ b/crates/lease/src/owner/txn.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct RowUpdate {
     pub task: TaskId,
-    /// The new row.
+    /// The row as the transaction writes it.
     pub row: TaskRow,
     /// For an assignment, the agent incarnation that may be sent the start command.
     pub agent_incarnation: Option<u32>,
--- a/crates/lease/src/spec/step.rs
+++ b/crates/lease/src/spec/step.rs
@@ -102,7 +102,7 @@
     for (worker, agent) in state.agents.iter().enumerate() {
         for ((task, attempt), run) in agent.runs() {
             // One task may end at any time, the other only while no call is in flight.
-            let may_end = task.as_str() == TASKS[0] || is_quiet(state);
+            let may_end = task.as_str() == TASKS[0] || is_quiescent(state);
             if run.state == RunState::Running && may_end {
                 steps.push(Step::Finish(worker, task.clone(), *attempt));
             }
@@ -116,7 +116,7 @@
     if !state.partitions.is_empty() {
         steps.push(Step::HealPartitions);
     }
-    if state.budget.waits > 0 && is_quiet(state) {
+    if state.budget.waits > 0 && is_quiescent(state) {
         steps.push(Step::Wait);
     }
     steps
@@ -130,7 +130,7 @@
 
 /// Returns whether no running daemon waits for an answer. Every call is answered or times out
 /// within one [`Step::Wait`], so that time passes only in such states.
-fn is_quiet(state: &ModelState) -> bool {
+fn is_quiescent(state: &ModelState) -> bool {
     let mut daemons = state.daemons.iter();
     !daemons
         .any(|daemon| has_calls(daemon) || (!daemon.paused && !daemon.delayed_answers.is_empty()))
--- a/crates/measure/src/capacity.rs
+++ b/crates/measure/src/capacity.rs
@@ -1,4 +1,4 @@
-//! Control overhead per node: network traffic and CPU time, their growth per worker, task and
+//! Control overhead per daemon: network traffic and CPU time, their growth per worker, task and
 //! daemon, and a prediction for the target size from the users' first letter.
 //!
 //! The threads of each daemon carry its name, so that the kernel accounts their CPU time separately
@@ -23,9 +23,9 @@
 use crate::system::plan::SystemSize;
 use crate::system::wait_until;
 
-/// Maximum CPU time that control may use on a node, in percent of a core; a users' requirement.
+/// Maximum CPU time that control may use at a daemon, in percent of a core; a users' requirement.
 const CONTROL_CORE_PERCENT: f64 = 3.0;
-/// Maximum control traffic of a node, in KB/s; a users' requirement.
+/// Maximum control traffic of a daemon, in KB/s; a users' requirement.
 const CONTROL_KB_PER_S: f64 = 14.0;
 /// The target size, with three entry hosts in each of the 8 data centres.
 const TARGET: Shape = Shape {
@@ -56,7 +56,7 @@
     daemons: f64,
 }
 
-/// Control overhead of one node.
+/// Control overhead of one daemon.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cost {
     kb_per_s: f64,
--- a/crates/measure/src/configuration.rs
+++ b/crates/measure/src/configuration.rs
@@ -133,7 +133,7 @@
     system.daemons[index].cx.follower().version()
 }
 
-/// Compares the latency of an upstream's requests during handovers with that of a quiet run.
+/// Compares the requests of an upstream during handovers with those of a run without handovers.
 async fn handover() -> Vec<Figure> {
     let system = plan::start(&SystemSize {
         daemons: 6,
@@ -141,26 +141,26 @@
     })
     .await;
     sleep(SETTLE_TIME).await;
-    let quiet = run_load(&system, 1, 0).await;
+    let without_handovers = run_load(&system, 1, 0).await;
     let with_handovers = run_load(&system, 2, 3).await;
-    let quiet_p99 = p99_ms(&quiet);
+    let without_handovers_p99 = p99_ms(&without_handovers);
     let with_handovers_p99 = p99_ms(&with_handovers);
     vec![
         Figure::at_most("handover-refused", as_f64(with_handovers.not_run), "1", 0.0)
-            .baseline(as_f64(quiet.not_run)),
+            .baseline(as_f64(without_handovers.not_run)),
         Figure::at_most("handover-unknown", as_f64(with_handovers.unknown), "1", 0.0)
-            .baseline(as_f64(quiet.unknown)),
+            .baseline(as_f64(without_handovers.unknown)),
         Figure::reported("handover-answered", as_f64(with_handovers.answered), "1")
-            .baseline(as_f64(quiet.answered)),
+            .baseline(as_f64(without_handovers.answered)),
         Figure::at_most(
             "handover-p99",
             with_handovers_p99,
             "ms",
-            quiet_p99 * P99_RATIO,
+            without_handovers_p99 * P99_RATIO,
         )
-        .baseline(quiet_p99),
+        .baseline(without_handovers_p99),
         Figure::reported("handover-p99.9", quantile_ms(&with_handovers, 0.999), "ms")
-            .baseline(quantile_ms(&quiet, 0.999)),
+            .baseline(quantile_ms(&without_handovers, 0.999)),
     ]
 }
 
--- a/crates/measure/src/fleet_load.rs
+++ b/crates/measure/src/fleet_load.rs
@@ -36,15 +36,15 @@
 use crate::job_load::mean_us;
 use crate::job_load::queue;
 
-/// Executors of the fleet.
+/// Number of executors of the fleet.
 const EXECUTORS: u32 = 1_800;
-/// Long-running jobs submitted before the load begins, of 24 tasks each.
+/// Number of long-running jobs, of 24 tasks each, that are submitted before the load begins.
 const SERVICES: u32 = 250;
-/// Queues of the document without jobs.
+/// Number of queues of the document to which no job is submitted.
 const UNUSED_QUEUES: u32 = 1_000;
-/// Images of services.
+/// Number of images from which the services are started.
 const SERVICE_IMAGES: u32 = 16;
-/// Images of best-effort tasks.
+/// Number of images from which the best-effort tasks are started.
 const BEST_EFFORT_IMAGES: u32 = 30;
 /// Simulated duration of the load, in milliseconds.
 const LOAD_MS: u64 = 6_000;
--- a/crates/measure/src/jobs.rs
+++ b/crates/measure/src/jobs.rs
@@ -31,13 +31,13 @@
 use crate::job_load::mean_us;
 use crate::job_load::queue;
 
-/// Executors of the users' largest deployment.
+/// Number of executors of the users' largest deployment.
 const EXECUTORS: u32 = 660;
-/// Jobs that each figure is averaged over.
+/// Number of jobs that each figure is averaged over.
 const JOBS: u32 = 2_000;
-/// Tasks of each job.
+/// Number of tasks of each job.
 const TASKS_PER_JOB: u32 = 8;
-/// Jobs that are open at a time.
+/// Number of jobs that are open at a time.
 const OPEN_JOBS: u32 = 40;
 
 /// Elapsed time per operation in seconds, with the number of operations.
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`placement`] and [`policy`] measure the placement and throttling of tasks.
 //! - [`jobs`] measures the decisions of a job owner.
 //! - [`configuration`] measures document changes and handovers.
-//! - [`capacity`] measures the control overhead per node as the system grows.
+//! - [`capacity`] measures the control overhead per daemon as the system grows.
 //! - [`logs`] measures the cost of a log line.
 //! - [`system`] starts the complete system in one process.
 
--- a/crates/measure/src/routing/cost.rs
+++ b/crates/measure/src/routing/cost.rs
@@ -22,7 +22,7 @@
 const TARGET_EXECUTORS: usize = 660;
 /// Target for the cost of all decisions about one request in microseconds, from issue 4.
 const TARGET_COST_US: f64 = 2.0;
-/// Maximum fraction of a core that the router's timer may use: a tenth of a node's control budget.
+/// Maximum fraction of a core that the router's timer may use: a tenth of a daemon's control budget.
 const TARGET_TICK_CORE: f64 = 0.003;
 const ROUNDS: usize = 7;
 const TIMER_TICKS: u32 = 2_000;
--- a/crates/measure/src/routing/policy.rs
+++ b/crates/measure/src/routing/policy.rs
@@ -45,7 +45,7 @@
     pub forward: bool,
     /// Whether slow requests are hedged.
     pub hedge: bool,
-    /// Limits of the router.
+    /// Timeouts, queue sizes and shares with which every router runs.
     pub limits: Limits,
 }
 
--- a/crates/measure/src/routing/tail_latency.rs
+++ b/crates/measure/src/routing/tail_latency.rs
@@ -19,7 +19,7 @@
 /// Maximum fraction of sends that may cross between regions while each region can serve its own
 /// load.
 const MAX_CROSS_REGION_FRACTION: f64 = 0.01;
-/// Control traffic budget of a node in bytes per second, from the users' first letter.
+/// Control traffic budget of a daemon in bytes per second, from the users' first letter.
 const CONTROL_BYTES_PER_S: f64 = 14_000.0;
 
 /// Runs all simulations and returns their figures.
--- a/crates/node/src/supervisor.rs
+++ b/crates/node/src/supervisor.rs
@@ -48,7 +48,7 @@
 /// Starts one run of a part; called again for each restart.
 pub type StartFn = Box<dyn Fn(CancellationToken) -> BoxFuture<'static, PartResult> + Send + Sync>;
 
-/// The status of a part.
+/// What a supervisor reports of a part, in the dump and on the console.
 #[derive(Clone, Debug, Serialize)]
 pub struct PartStatus {
     /// Path of the part, `supervisor/part`.
@@ -63,7 +63,7 @@
     pub last_error: Option<String>,
 }
 
-/// The state of a part.
+/// Where a part is between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PartState {
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -39,7 +39,7 @@
     }
 }
 
-/// Limits of the router.
+/// Timeouts, queue sizes and shares that bound what the router does.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Delay before slots gained by a membership change are used, so that their previous owner has
--- a/crates/route/src/router/admission.rs
+++ b/crates/route/src/router/admission.rs
@@ -372,7 +372,7 @@
         while let Some(ticket) = self
             .upstreams
             .get_mut(key)
-            .and_then(|one| one.queue.pop(now))
+            .and_then(|upstream| upstream.queue.pop(now))
         {
             let decision = self.refuse(RefusalReason::Isolated, DEFAULT_RETRY_AFTER);
             self.resolve(ticket, decision);
--- a/crates/route/src/router/dump.rs
+++ b/crates/route/src/router/dump.rs
@@ -84,7 +84,11 @@
     /// table update.
     #[must_use]
     pub fn unfinished(&self) -> usize {
-        let sent: u32 = self.upstreams.values().map(|one| one.in_flight).sum();
+        let sent: u32 = self
+            .upstreams
+            .values()
+            .map(|upstream| upstream.in_flight)
+            .sum();
         sent as usize + self.waiting.len()
     }
 
@@ -101,13 +105,13 @@
     pub fn released(&self) -> Vec<UpstreamId> {
         self.upstreams
             .values()
-            .filter(|one| {
+            .filter(|upstream| {
                 matches!(
-                    one.phase,
+                    upstream.phase,
                     HandoverPhase::Releasing | HandoverPhase::Released
                 )
             })
-            .map(|one| one.id.clone())
+            .map(|upstream| upstream.id.clone())
             .collect()
     }
 }
--- a/crates/route/src/router/tables.rs
+++ b/crates/route/src/router/tables.rs
@@ -201,7 +201,7 @@
         for upstream in self.upstreams.values_mut() {
             upstream.executor_count = 0;
         }
-        let in_service = |one: &&Executor| one.listed && !one.leaving;
+        let in_service = |executor: &&Executor| executor.listed && !executor.leaving;
         for executor in self.executors.values().filter(in_service) {
             self.upstreams[executor.upstream].executor_count += 1;
         }
@@ -230,7 +230,8 @@
             return false;
         }
         let division_inputs = |members: &[Member]| {
-            let input = |one: &Member| (one.id.clone(), one.half.clone(), one.place.clone());
+            let input =
+                |member: &Member| (member.id.clone(), member.half.clone(), member.place.clone());
             members.iter().map(input).collect::<Vec<_>>()
         };
         if division_inputs(&members) != division_inputs(&self.members) {
@@ -282,14 +283,14 @@
         for upstream in self.upstreams.values_mut() {
             upstream.slot_holders.clear();
         }
-        let owns_slots = |one: &Executor| one.quota > 0 || one.gained.is_some();
+        let owns_slots = |executor: &Executor| executor.quota > 0 || executor.gained.is_some();
         let with_own_slots: Set<UpstreamKey> = self
             .executors
             .values()
-            .filter(|one| owns_slots(one) && !one.cross_region)
-            .map(|one| one.upstream)
+            .filter(|executor| owns_slots(executor) && !executor.cross_region)
+            .map(|executor| executor.upstream)
             .collect();
-        for executor in self.executors.values().filter(|one| one.listed) {
+        for executor in self.executors.values().filter(|executor| executor.listed) {
             if with_own_slots.contains(&executor.upstream) {
                 continue;
             }
@@ -321,7 +322,7 @@
         let due: Vec<ExecutorKey> = self
             .executors
             .iter()
-            .filter(|(_, one)| one.gained.is_some_and(|(_, at)| at <= now))
+            .filter(|(_, executor)| executor.gained.is_some_and(|(_, at)| at <= now))
             .map(|(key, _)| key)
             .collect();
         for key in due {
