refactor(route): one function that ends loans of slots

Cause: lent and borrowed slots, returned or expired, were removed by four loops that differed in the counter of the executor and in the condition. `end_loans` takes both; each loan that ends still changes its executor once, in the order of before.

--- a/crates/route/src/router/loans.rs
+++ b/crates/route/src/router/loans.rs
@@ -4,7 +4,9 @@
 
 use model::Mono;
 use model::id::DaemonId;
+use slotmap::SlotMap;
 
+use super::Executor;
 use super::Router;
 use crate::key::ExecutorKey;
 use crate::key::UpstreamKey;
@@ -177,17 +179,12 @@
     }
 
     fn remove_lent(&mut self, peer: &DaemonId, key: UpstreamKey) {
-        let executors = &mut self.executors;
-        let mut changed = Vec::new();
-        self.lent.retain(|entry| {
-            let executor = &mut executors[entry.executor];
-            let ended = entry.peer == *peer && executor.upstream == key;
-            if ended {
-                executor.lent -= entry.count;
-                changed.push(entry.executor);
-            }
-            !ended
-        });
+        let changed = end_loans(
+            &mut self.lent,
+            &mut self.executors,
+            |executor| &mut executor.lent,
+            |entry, executor| entry.peer == *peer && executor.upstream == key,
+        );
         for executor in changed {
             self.refresh_executor(executor);
         }
@@ -221,17 +218,12 @@
     }
 
     fn remove_borrowed(&mut self, lender: &DaemonId, key: UpstreamKey) {
-        let executors = &mut self.executors;
-        let mut changed = Vec::new();
-        self.borrowed.retain(|entry| {
-            let executor = &mut executors[entry.executor];
-            let ended = entry.peer == *lender && executor.upstream == key;
-            if ended {
-                executor.borrowed -= entry.count;
-                changed.push(entry.executor);
-            }
-            !ended
-        });
+        let changed = end_loans(
+            &mut self.borrowed,
+            &mut self.executors,
+            |executor| &mut executor.borrowed,
+            |entry, executor| entry.peer == *lender && executor.upstream == key,
+        );
         for executor in changed {
             self.refresh_executor(executor);
         }
@@ -239,26 +231,43 @@
 
     pub(super) fn expire_loans(&mut self, now: Mono) {
         let executors = &mut self.executors;
-        let mut changed = Vec::new();
-        self.lent.retain(|entry| {
-            let ended = entry.expires_at <= now;
-            if ended {
-                executors[entry.executor].lent -= entry.count;
-                changed.push(entry.executor);
-            }
-            !ended
-        });
-        self.borrowed.retain(|entry| {
-            let ended = entry.expires_at <= now;
-            if ended {
-                executors[entry.executor].borrowed -= entry.count;
-                changed.push(entry.executor);
-            }
-            !ended
-        });
+        let expired = |entry: &LoanEntry, _: &Executor| entry.expires_at <= now;
+        let mut changed = end_loans(
+            &mut self.lent,
+            executors,
+            |executor| &mut executor.lent,
+            expired,
+        );
+        changed.extend(end_loans(
+            &mut self.borrowed,
+            executors,
+            |executor| &mut executor.borrowed,
+            expired,
+        ));
         for executor in changed {
             self.refresh_executor(executor);
             self.remove_if_unused(executor);
         }
     }
 }
+
+/// Removes the loans for which `ended` holds, subtracts their slots from those that `slots` counts at
+/// their executors, and returns these executors.
+fn end_loans(
+    loans: &mut Vec<LoanEntry>,
+    executors: &mut SlotMap<ExecutorKey, Executor>,
+    slots: impl Fn(&mut Executor) -> &mut u16,
+    ended: impl Fn(&LoanEntry, &Executor) -> bool,
+) -> Vec<ExecutorKey> {
+    let mut changed = Vec::new();
+    loans.retain(|entry| {
+        let executor = &mut executors[entry.executor];
+        let ended = ended(entry, executor);
+        if ended {
+            *slots(executor) -= entry.count;
+            changed.push(entry.executor);
+        }
+        !ended
+    });
+    changed
+}
