--- a/crates/route/src/router/mod.rs
+++ b/crates/route/src/router/mod.rs
@@ -5,9 +5,11 @@
 //! for example after a slot was freed, are collected for [`Router::take_resolved`].
 
 mod admission;
+mod division;
 mod dump;
 mod loans;
 mod peers;
+mod reevaluation;
 mod selection;
 mod tables;
 mod tick;
--- a/crates/route/src/router/tables.rs
+++ b/crates/route/src/router/tables.rs
@@ -15,29 +15,21 @@
 use super::Executor;
 use super::Router;
 use super::Upstream;
-use crate::decision::Decision;
-use crate::decision::RefusalReason;
 use crate::estimate::ExecutorLatency;
 use crate::estimate::ServiceTime;
 use crate::free_list::FreeList;
 use crate::health::Health;
 use crate::key::ExecutorKey;
-use crate::key::Ticket;
 use crate::key::UpstreamKey;
 use crate::queue::FairQueue;
 use crate::report::HandoverPhase;
 use crate::retry_budget::RetryBudget;
-use crate::slots::eligible_members;
-use crate::slots::quota;
 use crate::update::ActiveDocument;
 use crate::update::Member;
 use crate::update::RouteUpdate;
 
 /// Name of the document's entry whose weight all unknown callers share.
 const UNKNOWN_CALLERS: &str = "other";
-/// Retry-After value if the upstream of a waiting request was removed.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 impl Router {
     /// Applies an update of the tables and re-evaluates the waiting requests.
     pub fn update(&mut self, update: RouteUpdate, now: Mono) {
@@ -249,148 +241,6 @@
             }
         }
     }
-
-    /// Divides the slots of all executors again. Lost slots are not used from now on; gained ones
-    /// only after the settle delay, when their previous owner has received the change.
-    fn divide_slots(&mut self, now: Mono) {
-        let keys: Vec<ExecutorKey> = self.executors.keys().collect();
-        for key in keys {
-            let executor = &self.executors[key];
-            let upstream = &self.upstreams[executor.upstream];
-            let owned = upstream.half == self.cfg.half.as_str() && upstream.listed;
-            let share = if owned && executor.listed {
-                let eligible = eligible_members(&self.members, &upstream.half, &executor.place);
-                let eligible = eligible.into_iter();
-                quota(&executor.id, upstream.slots, &self.cfg.daemon, eligible)
-            } else {
-                0
-            };
-            let gains_usable_at = self.gains_usable_at;
-            let executor = &mut self.executors[key];
-            if share <= executor.quota || gains_usable_at <= now {
-                executor.quota = share;
-                executor.gained = None;
-            } else {
-                executor.gained = Some((share, gains_usable_at));
-            }
-            self.refresh_executor(key);
-        }
-        self.update_holders();
-    }
-
-    /// Determines which members own slots of the upstreams of which this daemon owns none.
-    fn update_holders(&mut self) {
-        for upstream in self.upstreams.values_mut() {
-            upstream.slot_holders.clear();
-        }
-        let owns_slots = |executor: &Executor| executor.quota > 0 || executor.gained.is_some();
-        let with_own_slots: Set<UpstreamKey> = self
-            .executors
-            .values()
-            .filter(|executor| owns_slots(executor) && !executor.cross_region)
-            .map(|executor| executor.upstream)
-            .collect();
-        for executor in self.executors.values().filter(|executor| executor.listed) {
-            if with_own_slots.contains(&executor.upstream) {
-                continue;
-            }
-            let upstream = &mut self.upstreams[executor.upstream];
-            let eligible = eligible_members(&self.members, &upstream.half, &executor.place);
-            for (at, member) in self.members.iter().enumerate() {
-                let owned_slots = || {
-                    quota(
-                        &executor.id,
-                        upstream.slots,
-                        &member.id,
-                        eligible.iter().copied(),
-                    )
-                };
-                if member.id != self.cfg.daemon
-                    && !upstream.slot_holders.contains(&at)
-                    && owned_slots() > 0
-                {
-                    upstream.slot_holders.push(at);
-                }
-            }
-        }
-    }
-
-    pub(super) fn apply_gained_slots(&mut self, now: Mono) {
-        if self.gains_usable_at > now {
-            return;
-        }
-        let due: Vec<ExecutorKey> = self
-            .executors
-            .iter()
-            .filter(|(_, executor)| executor.gained.is_some_and(|(_, at)| at <= now))
-            .map(|(key, _)| key)
-            .collect();
-        for key in due {
-            if let Some((share, _)) = self.executors[key].gained.take() {
-                self.executors[key].quota = share;
-                self.refresh_executor(key);
-            }
-        }
-    }
-
-    /// Decides again on the requests that wait for a table update, and on those queued for
-    /// upstreams that this daemon no longer serves or that have no executors.
-    fn reevaluate_waiting(&mut self, now: Mono) {
-        let mut tickets: Vec<Ticket> = std::mem::take(&mut self.parked);
-        for upstream in self.upstreams.values_mut() {
-            let serves = matches!(
-                upstream.phase,
-                HandoverPhase::Owned | HandoverPhase::Waiting
-            );
-            if !serves || !upstream.listed || upstream.executor_count == 0 {
-                while let Some(ticket) = upstream.queue.pop(now) {
-                    tickets.push(ticket);
-                }
-            }
-        }
-        for ticket in tickets {
-            self.reevaluate(ticket, now);
-        }
-        let keys: Vec<UpstreamKey> = self.upstreams.keys().collect();
-        for key in keys {
-            self.dispatch(key, now);
-        }
-    }
-
-    fn reevaluate(&mut self, ticket: Ticket, now: Mono) {
-        let Some(previous) = self.waiting.get(ticket) else {
-            return;
-        };
-        let (deadline, expires_at) = (previous.deadline, previous.expires_at);
-        let mut req = previous.route_request.clone();
-        if req.path.is_empty() {
-            let decision = self.refuse(RefusalReason::NoOwner, RETRY_AFTER);
-            return self.resolve(ticket, decision);
-        }
-        req.timeout = Some(deadline.since(now));
-        match self.route(&req, now) {
-            Decision::Wait(new) => self.reuse_ticket(ticket, new, expires_at),
-            decision => self.resolve(ticket, decision),
-        }
-    }
-
-    /// Keeps the original ticket of a waiting request that was admitted again under a new one.
-    fn reuse_ticket(&mut self, ticket: Ticket, new: Ticket, expires_at: Mono) {
-        let Some(mut waiting) = self.waiting.remove(new) else {
-            return;
-        };
-        match waiting.upstream {
-            Some(key) => self.upstreams[key]
-                .queue
-                .replace_ticket(waiting.position, ticket),
-            None => {
-                waiting.expires_at = waiting.expires_at.min(expires_at);
-                self.parked.retain(|parked| *parked != new);
-                self.parked.push(ticket);
-            }
-        }
-        self.waiting[ticket] = waiting;
-    }
 }
 
 impl Upstream {
