--- a/crates/lease/src/spec/explore.rs
+++ b/crates/lease/src/spec/explore.rs
@@ -10,10 +10,10 @@
 
 use super::budget::BrokenRule;
 use super::budget::Budget;
+use super::enabled::enabled;
 use super::state::ModelState;
 use super::step::Step;
 use super::step::apply;
-use super::step::enabled;
 use super::step::recovery_step;
 
 /// The maximum number of steps in which a simulated recovery has to reach a final state.
--- a/crates/lease/src/spec/mod.rs
+++ b/crates/lease/src/spec/mod.rs
@@ -8,6 +8,7 @@
 //! `docs/TASKS.md` lists the assumptions and results.
 
 mod budget;
+mod enabled;
 mod explore;
 mod rules;
 mod state;
