refactor(node): the console's status tables and list of tasks in files of their own

The tables of members, upstreams, handovers and shards, and the list of tasks with its filter, are `status_tables.rs` and `task_list.rs`. Functions were moved as they are.

--- a/crates/node/src/console/mod.rs
+++ b/crates/node/src/console/mod.rs
@@ -17,6 +17,8 @@
 pub mod session;
 pub mod session_context;
 pub mod state_pages;
+mod status_tables;
+mod task_list;
 
 use std::sync::Arc;
 use std::sync::Mutex;
--- a/crates/node/src/console/state_pages.rs
+++ b/crates/node/src/console/state_pages.rs
@@ -2,14 +2,7 @@
 
 use std::sync::Arc;
 
-use conf::api::HandoverView;
-use conf::api::MemberView;
-use conf::api::ShardView;
 use conf::api::StatusView;
-use conf::api::TaskQuery;
-use conf::api::TaskState;
-use conf::api::TaskView;
-use conf::api::UpstreamView;
 use http::StatusCode;
 use model::Size;
 use model::place::Place;
@@ -17,30 +10,21 @@
 use serde_json::Value;
 
 use crate::console::ConsoleError;
-use crate::console::console_path;
 use crate::console::form::Form;
 use crate::console::html::Element;
 use crate::console::html::el;
-use crate::console::html::link;
 use crate::console::page::Page;
-use crate::console::page::button;
 use crate::console::page::table;
 use crate::console::session_context::SessionContext;
+use crate::console::status_tables::handovers;
+use crate::console::status_tables::members;
+use crate::console::status_tables::shards;
+use crate::console::status_tables::upstreams;
+use crate::console::task_list::tasks;
 use crate::context::DaemonContext;
 use crate::operators::ApiError;
 use crate::operators::queries;
 
-/// The number of tasks on one page.
-const TASKS_PER_PAGE: u32 = 100;
-/// The task states that the list of tasks can be filtered by.
-const STATES: [TaskState; 5] = [
-    TaskState::Queued,
-    TaskState::Assigned,
-    TaskState::Succeeded,
-    TaskState::Failed,
-    TaskState::Cancelled,
-];
-
 impl From<ApiError> for ConsoleError {
     fn from(error: ApiError) -> Self {
         Self {
@@ -136,106 +120,11 @@
     }
 }
 
-fn place(place: &Place) -> String {
+/// Returns the region and the data centre as text.
+pub(super) fn place(place: &Place) -> String {
     format!("{}, {}", place.region, place.data_centre)
 }
 
-fn members(members: &[MemberView]) -> Element {
-    let row = |member: &MemberView| {
-        vec![
-            member.daemon.to_string(),
-            member.half.to_string(),
-            place(&member.place),
-            member.state.clone(),
-            member.version.to_string(),
-            member.silent_ms.to_string(),
-        ]
-    };
-    table(
-        "Daemons as this one sees them",
-        &[
-            "Daemon",
-            "Half",
-            "Place",
-            "State",
-            "Version",
-            "Silent for ms",
-        ],
-        members.iter().map(row).collect(),
-    )
-}
-
-fn upstreams(upstreams: &[UpstreamView]) -> Element {
-    let row = |upstream: &UpstreamView| {
-        vec![
-            upstream.upstream.to_string(),
-            upstream.half.to_string(),
-            upstream.executors.to_string(),
-            upstream.slots.to_string(),
-            upstream.busy.to_string(),
-            upstream
-                .handover
-                .as_ref()
-                .map_or("none", |handover| &handover.step)
-                .to_owned(),
-        ]
-    };
-    table(
-        "Upstreams; slots are those that this daemon may use",
-        &["Upstream", "Half", "Executors", "Slots", "Busy", "Handover"],
-        upstreams.iter().map(row).collect(),
-    )
-}
-
-fn handovers(status: &StatusView) -> Element {
-    let row = |(upstream, handover): (&UpstreamView, &HandoverView)| {
-        let waiting: Vec<&str> = handover
-            .waiting_for
-            .iter()
-            .map(|daemon| daemon.as_str())
-            .collect();
-        vec![
-            upstream.upstream.to_string(),
-            handover.from.to_string(),
-            handover.to.to_string(),
-            handover.step.clone(),
-            waiting.join(", "),
-        ]
-    };
-    let in_handover = |upstream: &'_ UpstreamView| upstream.handover.is_some();
-    let rows = status
-        .upstreams
-        .iter()
-        .filter(|upstream| in_handover(upstream));
-    let rows = rows.filter_map(|upstream| Some(row((upstream, upstream.handover.as_ref()?))));
-    table(
-        "Handovers in progress",
-        &["Upstream", "From", "To", "Step", "Waits for"],
-        rows.collect(),
-    )
-}
-
-fn shards(shards: &[ShardView]) -> Element {
-    let row = |shard: &ShardView| {
-        vec![
-            shard.shard.to_string(),
-            shard
-                .owner
-                .as_ref()
-                .map_or_else(|| "nobody".into(), ToString::to_string),
-            shard.epoch.to_string(),
-            shard.workers.to_string(),
-            shard.queued.to_string(),
-            shard.assigned.to_string(),
-        ]
-    };
-    table(
-        "Shards; queues and tasks are counted at the owner",
-        &["Shard", "Owner", "Epoch", "Workers", "Queued", "Assigned"],
-        shards.iter().map(row).collect(),
-    )
-}
-
 /// Renders the queues of the scheduler from its JSON snapshot.
 async fn queues(cx: &DaemonContext) -> Vec<Element> {
     let Some(snapshot) = cx.shards.snapshot().await else {
@@ -329,66 +218,6 @@
     ]
 }
 
-async fn tasks(cx: &DaemonContext, query: &Form) -> Result<Vec<Element>, ConsoleError> {
-    let requested = query.get("state").unwrap_or_default();
-    let state = STATES.into_iter().find(|state| state.as_str() == requested);
-    let after = query.get("after").ok().filter(|after| !after.is_empty());
-    let query = TaskQuery {
-        state,
-        after: after.map(str::to_owned),
-        limit: Some(TASKS_PER_PAGE),
-        ..TaskQuery::default()
-    };
-    let page = queries::tasks(cx, &query).await?;
-    let more = page.next.as_ref().map(|next| {
-        let next: String = form_urlencoded::byte_serialize(next.as_bytes()).collect();
-        let state_name = state.map_or("", TaskState::as_str);
-        let to = console_path(&format!("look/tasks?state={state_name}&after={next}"));
-        el("p").child(link(to, "Further tasks"))
-    });
-    let list = table(
-        "Tasks",
-        &[
-            "Task",
-            "State",
-            "Team",
-            "Class",
-            "Attempt",
-            "Shard",
-            "Worker",
-            "Evictions",
-            "Failures",
-            "Reason",
-        ],
-        page.tasks.iter().map(task).collect(),
-    );
-    let content = [state_form(state), list];
-    Ok(content.into_iter().chain(more).collect())
-}
-
-/// Returns the table row of a task. The attempt, evictions and failures of an ended task are not
-/// stored, so their cells are empty.
-fn task(task: &TaskView) -> Vec<String> {
-    let is_live = matches!(task.state, TaskState::Queued | TaskState::Assigned);
-    let count = |count: u32| match is_live {
-        true => count.to_string(),
-        false => String::new(),
-    };
-    let worker = task.worker.as_ref();
-    vec![
-        task.task.to_string(),
-        task.state.as_str().to_owned(),
-        task.team.to_string(),
-        task.class.to_string(),
-        count(task.attempt.0),
-        task.shard.to_string(),
-        worker.map(ToString::to_string).unwrap_or_default(),
-        count(task.evictions),
-        count(task.failures),
-        task.reason.clone().unwrap_or_default(),
-    ]
-}
-
 /// Renders the dump of the API as formatted JSON.
 async fn dump(cx: &Arc<DaemonContext>) -> Result<Vec<Element>, ConsoleError> {
     let dump = queries::dump(cx).await?;
@@ -399,30 +228,6 @@
     ])
 }
 
-/// Renders the form that filters the list of tasks. It changes no state and therefore uses GET.
-fn state_form(chosen: Option<TaskState>) -> Element {
-    let option = |value: &str, text: &str, selected: bool| {
-        el("option")
-            .attr("value", value)
-            .flag("selected", selected)
-            .text(text)
-    };
-    let default = option("", "queued and assigned", chosen.is_none());
-    let states = STATES.map(|state| option(state.as_str(), state.as_str(), chosen == Some(state)));
-    el("form")
-        .attr("method", "get")
-        .attr("action", console_path("look/tasks"))
-        .child(el("label").attr("for", "f-state").text("State"))
-        .child(
-            el("select")
-                .attr("id", "f-state")
-                .attr("name", "state")
-                .child(default)
-                .children(states),
-        )
-        .child(button("Show"))
-}
-
 fn parts(cx: &DaemonContext) -> Element {
     let rows = cx.board.all().into_iter().map(|part| {
         vec![
