fix(dispatch): a failed read of the document alone does not refuse callers

Found in review. What callers would see: 503 at once for as long as a host reads a large document again, 20 s a read at most, although the store answers its small calls in milliseconds. Cause: any failed call marks the store as failing, and callers are refused once it has not answered for 1.2 s; a refused caller makes no call, and on a quiet host nothing but the next read of the document ends that. Change: probe_store reads the small row each second on every host whose last call to the store failed, not only on far ones. Test: callers_are_not_refused_because_a_read_of_the_document_has_failed gives Refused for the second job before, passes now; the other 49 tests of the crate pass.

--- a/crates/dispatch/src/document/mod.rs
+++ b/crates/dispatch/src/document/mod.rs
@@ -49,7 +49,7 @@
 };
 /// Number of failed transfers after which a host reads the document from the store.
 const MAX_FAILED_TRANSFERS: u32 = 2;
-/// Interval at which a host that takes the document from the owner checks that the store answers.
+/// Interval at which a host checks that the store answers, if no other call tells it.
 const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// What a host knows about the document besides its contents.
@@ -206,12 +206,14 @@
     }
 }
 
-/// Checks regularly that the store answers, on a host that does not follow the document there. Other
-/// calls are not made, and callers are refused, while the store is considered unavailable.
+/// Checks regularly that the store answers, on a host that does not follow the document there, or
+/// whose last call failed: a read of a large document may take long or fail although the store
+/// answers. Other calls are not made, and callers are refused, while the store is considered
+/// unavailable.
 pub async fn probe_store(node: Rc<Node>) {
     loop {
         tokio::time::sleep(PROBE_INTERVAL).await;
-        if !node.document.is_relayed.get() {
+        if !node.document.is_relayed.get() && node.store_failing_since.get().is_none() {
             continue;
         }
         let range = Range {
--- a/crates/dispatch/tests/all/callers.rs
+++ b/crates/dispatch/tests/all/callers.rs
@@ -14,6 +14,7 @@
 use crate::world::World;
 use crate::world::job;
 use crate::world::job_id;
+use crate::world::plan;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -99,6 +100,21 @@
     assert_eq!(world.fleet.starts.get(), 4);
 }
 
+/// A host that reads a large document again and again, and whose small calls the store answers.
+#[tokio::test(start_paused = true)]
+async fn callers_are_not_refused_because_a_read_of_the_document_has_failed() {
+    let world = started().await;
+    let owner = world.owner().expect("an owner");
+    let host = if owner == "a" { "b" } else { "a" };
+    world.document.break_transfers_after(5 * SECOND);
+    world.document.change(plan(2, false));
+    for number in 1..=6 {
+        world.advance(3 * SECOND).await;
+        let outcome = world.submit(host, number, job(1)).await;
+        assert_eq!(outcome, SubmitOutcome::Accepted, "job {number}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_job_is_reported_missing_only_after_the_store_was_read() {
     let world = started().await;
--- a/crates/dispatch/tests/all/document.rs
+++ b/crates/dispatch/tests/all/document.rs
@@ -25,6 +25,8 @@
     store_version: Cell<u64>,
     changed: Notify,
     transfers: RefCell<BTreeMap<String, u32>>,
+    /// How long a transfer lasts before its connection breaks, or `None` if transfers succeed.
+    breaks_after: Cell<Option<Duration>>,
 }
 
 impl FakeDocument {
@@ -35,9 +37,23 @@
             store_version: Cell::new(1),
             changed: Notify::new(),
             transfers: RefCell::default(),
+            breaks_after: Cell::new(None),
         }
     }
 
+    /// Makes each transfer of the document to a host last this long and then fail.
+    pub fn break_transfers_after(&self, duration: Duration) {
+        self.breaks_after.set(Some(duration));
+    }
+
+    async fn transfer(&self) -> Result<(), StoreError> {
+        let Some(duration) = self.breaks_after.get() else {
+            return Ok(());
+        };
+        tokio::time::sleep(duration).await;
+        Err(StoreError::Unanswered)
+    }
+
     /// Replaces the document.
     pub fn change(&self, plan: Plan) {
         *self.plan.borrow_mut() = plan;
@@ -87,6 +103,7 @@
                 async move {
                     tokio::time::sleep(CALL_DELAY + distance).await;
                     answers(fault.get())?;
+                    document.transfer().await?;
                     Ok(document.send(&host))
                 }
                 .boxed_local()
@@ -98,6 +115,9 @@
                     tokio::time::sleep(CALL_DELAY + distance).await;
                     let update = document.follow(&host, after, wait).await;
                     answers(fault.get())?;
+                    if update.0.is_some() {
+                        document.transfer().await?;
+                    }
                     Ok(update)
                 }
                 .boxed_local()
