test(dispatch): answers to polls that take longer than a lease (known red)

An executor answers every poll after 6 s. The owner abandons its runs after 5.3 s; a late answer to an older poll makes the executor count as reachable again, and its tasks start anew before the answer that lists their ends has arrived: 14 starts of 4 tasks. Answers later than 8 s are thrown away altogether (LATE_ANSWER_TIMEOUT). For the list of known red tests.

--- a/crates/dispatch/tests/all/owners.rs
+++ b/crates/dispatch/tests/all/owners.rs
@@ -276,6 +276,24 @@
     assert_eq!(world.fleet.starts.get(), 4, "each task runs once");
 }
 
+/// Answers that take longer than a lease: the end of a run counts once an answer has listed it, and the
+/// task must not start again although the owner has not heard of it.
+#[tokio::test(start_paused = true)]
+async fn no_task_starts_again_while_answers_to_polls_take_longer_than_a_lease() {
+    let world = World::new(1);
+    world.start("a");
+    world.advance(SECOND).await;
+    let executor = world.fleet.executor(1);
+    executor.answer_delay.set(6 * SECOND);
+    world.submit("a", 1, job(2)).await;
+    world.advance(40 * SECOND).await;
+    assert!(
+        world.fleet.starts.get() <= 4,
+        "{} starts of 4 tasks",
+        world.fleet.starts.get()
+    );
+}
+
 /// Reads of many rows over a full link: other hosts took each successor for dead while it read, claimed
 /// in turn and read the same rows again.
 #[tokio::test(start_paused = true)]
