test(job): the record of the widest job does not fit a row (known red)

Found in review, by reckoning and a test: a job of 1,000 tasks (spec::MAX_TASKS) that all run under names as long as those of real executors gives a record of 52,911 bytes, and 74,911 with a checkpoint each; the store's rows have 65,536. The store would refuse the transaction, the owner would send it again for good, and so would each successor. Not mended: the record would have to name each executor once, which changes a stored format. For the list of known red tests.

--- a/crates/job/tests/all/record.rs
+++ b/crates/job/tests/all/record.rs
@@ -1,5 +1,6 @@
 //! Tests of stored records and of their restoration by a new owner.
 
+use job::fleet::Listing;
 use job::scheduler::Command;
 use job::scheduler::JobState;
 use job::scheduler::Report;
@@ -158,3 +159,32 @@
     }
     assert_eq!((rows, starts), (90, 27_000));
 }
+
+/// The size of the store's rows.
+const ROW_BYTES: usize = 65_536;
+
+/// The most tasks that a job may have, all of them running with a checkpoint, under names as long as
+/// those of real executors.
+#[test]
+fn the_record_of_the_widest_job_fits_a_row() {
+    let mut fixture = Fixture::new(0);
+    let executors = 1..=64;
+    fixture.list(
+        executors
+            .map(|number| Listing {
+                id: format!("i-{number:010x}").into(),
+                started_unix_ms: 1_796_373_333_000,
+                ..listing(number)
+            })
+            .collect(),
+    );
+    fixture.submit(1, vec![step(1_000, 4, 1_000)]);
+    assert_eq!(fixture.place(), 1_000);
+    let batch = fixture.scheduler.take_batch(100, usize::MAX);
+    let bytes = batch.rows[0].1.len();
+    let checkpoints = 1_000 * r#","c":"00000bb87a21d94b""#.len();
+    assert!(
+        bytes + checkpoints <= ROW_BYTES,
+        "{bytes} bytes without checkpoints"
+    );
+}
