--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -39,7 +39,7 @@
     pub status: StatusCode,
     /// The response headers.
     pub headers: HeaderMap,
-    /// The complete body, of at most 4 MiB.
+    /// The complete body.
     pub body: Bytes,
 }
 
