test(job): the model check explores three faults at a time in the small world

Faults were explored alone and in pairs. Of the 364 sets of three kinds of fault, 75 that lead to at most 2,500 states in the world of one task are explored in each run now; FIREFLYNOTCH_MODEL_FAULTS names another set, or all.

The mutation TrustEarlierPolls brings the mended fault back and is found out (69,851 states). The longest test of late reports is divided in two, with the same cases.

--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -329,7 +329,13 @@
             let until = now
                 .after(lease + lease / 49)
                 .after(std::time::Duration::from_millis(300));
-            owner.scheduler.previous_owner_stopped(now, until, assumed);
+            let stopped = match self.mutation {
+                Mutation::TrustEarlierPolls => Mono::ZERO,
+                _ => now,
+            };
+            owner
+                .scheduler
+                .previous_owner_stopped(stopped, until, assumed);
         }
         self.settle(host);
     }
--- a/crates/job/tests/all/model/late_reports.rs
+++ b/crates/job/tests/all/model/late_reports.rs
@@ -116,6 +116,16 @@
                 ..LATE_TWICE
             },
         ),
+    ];
+    for (name, budget) in cases {
+        assert_holds_in(World::OneTask, name, budget);
+    }
+}
+
+/// One late report with two more faults in the small world.
+#[test]
+fn no_late_report_with_two_faults_violates_an_invariant() {
+    let cases = [
         ("late report, waits", Budget { waits: 2, ..LATE }),
         (
             "late report, restart, wait",
--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -23,6 +23,7 @@
 mod takeover;
 mod takeovers;
 mod tasks;
+mod three_faults;
 
 use std::time::Instant;
 
--- a/crates/job/tests/all/model/state.rs
+++ b/crates/job/tests/all/model/state.rs
@@ -123,6 +123,8 @@
     LoseMemberStart,
     /// A long-running task counts as one that ends.
     IgnoreLongRunning,
+    /// A new owner that hears that the previous one has stopped trusts polls sent before.
+    TrustEarlierPolls,
     /// A slow clock is ten times slower than owners allow for.
     SlowerClocks,
 }
