test(job): known red: an acknowledged run may be repeated at a new incarnation by the earlier owner

Found by the model check with three faults (network, restart, takeover; the same with a slow takeover), 16,524 states: Write, Apply, WriteConfirmed, SendUnanswered (the run starts, the answer is lost), TakeOver, Done, Poll, Write, Apply, WriteConfirmed, Poll (the successor acknowledges the end), Restart, Send (the earlier owner repeats its command) violation: the task starts after its end was acknowledged The earlier owner lives and has not heard of its successor; an executor that starts anew has forgotten the successor's epoch and that the run has ended. The successor waits for the earlier owner before it takes an inherited run for one that never was, but not before it acknowledges the end of one.

Not mended here, because the mend is not small. If the successor acknowledges nothing on executors with inherited runs until the earlier owner has stopped, a host that was killed withholds acknowledgements for 10 s (MAX_UNCONFIRMED), in which polls return at once and repeat the ends. That asks for a shorter time during which an owner sends starts without the store, and `commands_until` of a takeover to match it; both are in `dispatch`.

--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod fixture;
 mod interference;
+mod known_red;
 mod late_ends;
 mod leases;
 mod lifecycle;
--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -15,6 +15,7 @@
 mod executor;
 mod explore;
 mod gangs;
+mod known_red;
 mod late_reports;
 mod long_running;
 mod refusals;
