--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -1,11 +1,10 @@
-//! Exhaustive model check of a small system: two hosts that can take over the executors, two
-//! executors, one job of two steps, and a limited number of faults. All orders of events are
-//! explored. The decisions are made by the scheduler under test; its environment follows
-//! `docs/JOBS.md`.
+//! Exhaustive model check of small systems: two hosts that can take over the executors, two executors,
+//! one job, and a limited number of faults. All orders of events are explored. The decisions are made
+//! by the scheduler under test; its environment follows `docs/JOBS.md`, which lists the faults and
+//! the invariants ([`check`]).
 //!
-//! Invariants: a task never runs on both executors, never runs after its end was acknowledged, and
-//! never runs after the maximum number of failures. The second step waits for the first. From every
-//! state, the job ends, its end is stored and no runs remain, once no more faults occur.
+//! [`state::World`] selects the job, [`state::Budget`] the faults. [`state::Mutation`] leaves out one
+//! rule that the product relies on, to show that the check notices.
 
 mod apply;
 mod calls;
