refactor(dispatch): where a document was read is a type, and the owner's row is named as a range once

From the read-through: a string told where the document came from, the range of the owner's row stood twice, two comments used everyday verbs. No change of behaviour.

--- a/crates/dispatch/src/document/mod.rs
+++ b/crates/dispatch/src/document/mod.rs
@@ -22,7 +22,6 @@
 
 use self::packed::PackedPlan;
 use self::relay::OwnerDocument;
-use crate::dependencies::Range;
 use crate::dependencies::StoreError;
 use crate::events;
 use crate::node::Node;
@@ -52,6 +51,26 @@
 /// Interval at which a host checks that the store answers, if no other call tells it.
 const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Where a host has read the document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// In the store.
+    Store,
+    /// At the owner.
+    Owner,
+}
+
+impl Origin {
+    /// Returns the value that logs show.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Owner => "owner",
+        }
+    }
+}
+
 /// What a host knows about the document besides its contents.
 #[derive(Debug, Default)]
 pub struct DocumentState {
@@ -160,7 +179,7 @@
         return Err(TransferFailed);
     };
     let plan = packed.unpack().ok_or(TransferFailed)?;
-    accept(node, plan, "owner");
+    accept(node, plan, Origin::Owner);
     Ok(owner.info.store_version)
 }
 
@@ -176,7 +195,7 @@
         Ok((plan, store_version)) => {
             node.record_store_result(StoreCall::Document, true);
             if let Some(plan) = plan {
-                accept(node, plan, "store");
+                accept(node, plan, Origin::Store);
             }
             let confirmed = (store_version, node.now());
             node.document.followed.set(Some(confirmed));
@@ -191,14 +210,13 @@
     }
 }
 
-/// Puts a document into force unless its version is already in force or older. `source` tells in
-/// the log where it was read.
-pub fn accept(node: &Node, plan: Plan, source: &str) {
+/// Puts a document into force unless its version is already in force or older.
+pub fn accept(node: &Node, plan: Plan, origin: Origin) {
     let current = node.plan().map_or(0, |plan| plan.version);
     if plan.version < current || (plan.version == current && current > 0) {
         return;
     }
-    events::document(plan.version, plan.queues.len(), source);
+    events::document(plan.version, plan.queues.len(), origin.as_str());
     let plan = Arc::new(plan);
     *node.plan.borrow_mut() = Some(plan.clone());
     if let Some(owner) = node.owner() {
@@ -216,14 +234,8 @@
         if !node.document.is_relayed.get() && node.store_failing_since.get().is_none() {
             continue;
         }
-        let range = Range {
-            table: rows::OWNER_TABLE,
-            part: rows::OWNED_PART,
-            from: rows::OWNER_KEY.to_owned(),
-            to: None,
-        };
         let started = node.now();
-        let result = (node.dependencies.store.read)(range).await;
+        let result = (node.dependencies.store.read)(rows::owner_row_range()).await;
         node.record_store_result(StoreCall::OwnerRow, result.is_ok());
         if result.is_ok() {
             node.document.record_round_trip(node.now().since(started));
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -12,7 +12,6 @@
 use link::client::TimeLimits;
 use model::Mono;
 
-use crate::dependencies::Range;
 use crate::dependencies::StoreError;
 use crate::dependencies::Transaction;
 use crate::events;
@@ -83,14 +82,8 @@
 }
 
 async fn read_owner_row(node: &Node) -> Result<Option<OwnerRow>, StoreError> {
-    let range = Range {
-        table: rows::OWNER_TABLE,
-        part: rows::OWNED_PART,
-        from: rows::OWNER_KEY.to_owned(),
-        to: None,
-    };
     let started = node.now();
-    let result = (node.dependencies.store.read)(range).await;
+    let result = (node.dependencies.store.read)(rows::owner_row_range()).await;
     node.record_store_result(StoreCall::OwnerRow, result.is_ok());
     let page = result?;
     node.document.record_round_trip(node.now().since(started));
--- a/crates/dispatch/src/owner/keep_claim.rs
+++ b/crates/dispatch/src/owner/keep_claim.rs
@@ -1,7 +1,7 @@
 //! Keeps a claim while its host reads the stored state.
 //!
-//! Other hosts take an owner whose row stands still for dead. Reading all jobs may take longer than
-//! that over a full link, and a further claim would only start the same reads again.
+//! Other hosts claim if the owner's row does not change for a while. Reading all jobs may take
+//! longer than that over a full link, and a further claim would only start the same reads again.
 
 use std::time::Duration;
 
--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -25,7 +25,7 @@
 const LIST_INTERVAL: (Duration, Duration) =
     (Duration::from_millis(900), Duration::from_millis(1_600));
 /// The time for which a transaction may fill the link. One that takes longer is sent again while the
-/// first copy is on its way, and other hosts take an owner whose row stands still for dead.
+/// first copy is on its way, and other hosts claim if the owner's row does not change.
 const TRANSACTION_LINK_TIME: Duration = Duration::from_millis(200);
 /// Minimum and maximum size of the values in a transaction, in bytes. The store accepts 1 MB with the
 /// values in Base64, and the last row may exceed this limit.
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::dependencies::Range;
 use crate::dependencies::RowId;
 
 /// Table with the owner's row.
@@ -70,6 +71,17 @@
     }
 }
 
+/// Returns the range that contains the owner's row, and no other.
+#[must_use]
+pub fn owner_row_range() -> Range {
+    Range {
+        table: OWNER_TABLE,
+        part: OWNED_PART,
+        from: OWNER_KEY.to_owned(),
+        to: None,
+    }
+}
+
 /// Returns the id of the row with the learned interference.
 #[must_use]
 pub fn interference_row_id() -> RowId {
--- a/crates/dispatch/tests/all/document_relay.rs
+++ b/crates/dispatch/tests/all/document_relay.rs
@@ -12,6 +12,7 @@
 use job::plan::Queue;
 use model::Mono;
 
+use crate::log_capture;
 use crate::store::StoreFault;
 use crate::world::World;
 use crate::world::job;
@@ -147,6 +148,31 @@
     assert_eq!(world.document.transfers(host), before + 1);
 }
 
+/// Hundreds of lines said that hosts had lost the store, and none that it was the document that they
+/// were reading.
+#[tokio::test(start_paused = true)]
+async fn the_log_tells_where_a_document_was_read_and_which_call_to_the_store_failed() {
+    log_capture::begin();
+    let world = started().await;
+    world.document.change(plan(2, false));
+    world.advance(SECOND).await;
+    let documents = log_capture::lines("document");
+    let of_version_2 = documents.iter().filter(|line| line["version"] == "2");
+    let mut sources: Vec<&str> = of_version_2.map(|line| line["source"].as_str()).collect();
+    sources.sort_unstable();
+    assert_eq!(sources, ["owner", "owner", "owner", "store", "store"]);
+    world.document.break_transfers_after(SECOND);
+    world.document.change(plan(3, false));
+    world.advance(3 * SECOND).await;
+    let dependencies = log_capture::lines("dependency");
+    let lost = dependencies
+        .iter()
+        .filter(|line| line["available"] == "false");
+    let mut calls: Vec<&str> = lost.map(|line| line["detail"].as_str()).collect();
+    calls.dedup();
+    assert_eq!(calls, ["document"]);
+}
+
 #[test]
 fn the_owner_is_preferred_if_it_is_much_closer_to_the_store_and_current() {
     let cases = [
