--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -13,4 +13,5 @@
 mod record;
 mod retire;
 mod stall;
+mod starvation;
 mod wait_reason;
--- a/crates/job/tests/all/wait_reason.rs
+++ b/crates/job/tests/all/wait_reason.rs
@@ -27,7 +27,7 @@
 
 impl Fixture {
     /// Returns why the first waiting task of the job's last waiting step does not start.
-    fn wait_reason(&self, id: JobId) -> Option<WaitReason> {
+    pub fn wait_reason(&self, id: JobId) -> Option<WaitReason> {
         let job = self.scheduler.job(self.scheduler.find(id)?)?;
         let steps = self.scheduler.waiting_steps(job, self.now, UNIX_MS);
         steps.last().map(|step| step.wait_reason.clone())
