feat(job, dispatch): a wait for interference names the images and the estimate

Jobs waited for 100 s with "it would disturb the services on each of 29 executors", and nothing told whether a service was over its target there or an estimate was too high, which one, how sure it was, or whether younger work went first.

The reason now says on how many executors a service is over its target, and of the others which service the task would disturb least: both images, by how much, and the standard deviation. A `held` line has the job's deadline outlook as `chance`. A new gauge, `oldest_wait_milliseconds`, gives the age of the oldest job that waits, by limit.

No decision changes.

--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -3,6 +3,7 @@
 
 use job::id::JobId;
 use job::id::TaskId;
+use job::wait_reason::WaitingStep;
 
 /// Logs that a job was accepted and stored after `took_ms`.
 pub fn accepted(id: JobId, queue: &str, took_ms: u64) {
@@ -52,9 +53,16 @@
     log::info!(event = "placed", job = id.as_str(), step, tasks, chance, slack_ms; "");
 }
 
-/// Logs why tasks of a step are blocked, for a job that has been open for `age_ms`.
-pub fn waiting(id: JobId, step: u32, tasks: u32, reason: &str, age_ms: u64) {
-    log::info!(event = "held", job = id.as_str(), step, tasks, reason, age_ms; "");
+/// Logs why tasks of a step are blocked, for a job that has been open for `age_ms`. `chance` is the
+/// deadline outlook of the job's first ready step, and empty if no step is ready.
+pub fn waiting(id: JobId, waiting: &WaitingStep, chance: &str, age_ms: u64) {
+    let WaitingStep {
+        step,
+        tasks,
+        reason,
+        ..
+    } = waiting;
+    log::info!(event = "held", job = id.as_str(), step, tasks, reason, chance, age_ms; "");
 }
 
 /// Logs at debug level that an executor started a run.
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -10,6 +10,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Metric;
@@ -41,6 +42,13 @@
     pub queue: String,
 }
 
+/// The `limit` label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LimitLabel {
+    /// Name of a wait reason, see [`job::wait_reason::WaitReason::limit`].
+    pub limit: &'static str,
+}
+
 /// The labels of a command's wait.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CommandWaitLabel {
@@ -94,6 +102,9 @@
     pub jobs_ended: Family<OutcomeLabel, Counter>,
     /// Time from the arrival of a job to its end.
     pub job_seconds: Histogram,
+    /// Age of the oldest job with a step that waits for a reason, in milliseconds. Covers the jobs
+    /// of the latest round of log lines.
+    pub oldest_wait_ms: Family<LimitLabel, Gauge>,
     /// Takeovers by this host.
     pub takeovers: Counter,
 }
@@ -118,6 +129,7 @@
             failed_runs: Counter::default(),
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
+            oldest_wait_ms: Family::default(),
             takeovers: Counter::default(),
         };
         metrics.register_all();
@@ -163,6 +175,12 @@
             &self.failed_runs,
         );
         register(registry, "jobs_ended", "Jobs that ended", &self.jobs_ended);
+        register(
+            registry,
+            "oldest_wait_milliseconds",
+            "Age of the oldest job that waits, by what its step waits for",
+            &self.oldest_wait_ms,
+        );
         register(
             registry,
             "takeovers",
--- a/crates/dispatch/tests/all/state.rs
+++ b/crates/dispatch/tests/all/state.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
+use dispatch::api;
 use dispatch::api::SubmitOutcome;
 use dispatch::dump;
 use job::spec::JobSpec;
 use job::spec::StepSpec;
 
+use crate::log_capture;
 use crate::world::World;
 use crate::world::job;
+use crate::world::job_id;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -104,3 +107,39 @@
     assert!(shown.owner.is_none());
     assert_eq!(shown.known_owner.map(|record| record.host), Some(owner));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_waits_has_a_log_line_and_a_metric_by_what_it_waits_for() {
+    log_capture::begin();
+    let world = started().await;
+    let labelled = JobSpec {
+        steps: vec![StepSpec {
+            label: Some("none-has-it".into()),
+            ..job(1).steps[0].clone()
+        }],
+        ..JobSpec::default()
+    };
+    assert_eq!(
+        world.submit("a", 1, labelled).await,
+        SubmitOutcome::Accepted
+    );
+    world.advance(9 * SECOND).await;
+    let line = log_capture::lines("held").pop().expect("a line");
+    assert_eq!(line["job"], job_id(1).as_str());
+    assert_eq!(
+        line["reason"],
+        "none of 2 executors has the label none-has-it"
+    );
+    assert_eq!(line["chance"], "late");
+    let owner = world.owner().expect("an owner");
+    let name = "fireflynotch_oldest_wait_milliseconds{limit=\"no_label\"}";
+    let age_ms: f64 = line["age_ms"].parse().expect("a number");
+    assert!(age_ms > 3_000.0, "{line:?}");
+    assert_eq!(metric(&world, &owner, name), Some(age_ms));
+
+    world
+        .run_on("a", api::cancel(&world.host("a").node, job_id(1)))
+        .await;
+    world.advance(6 * SECOND).await;
+    assert_eq!(metric(&world, &owner, name), None, "nothing waits");
+}
--- a/crates/job/src/wait_reason.rs
+++ b/crates/job/src/wait_reason/mod.rs
@@ -3,13 +3,16 @@
 //! The constraints are those of [`crate::placement`], checked one after the other. The first one
 //! that leaves no executor is reported. This module makes no scheduling decisions.
 
-use std::sync::Arc;
+mod interference;
+mod reason;
+
 use std::time::Duration;
 
-use derive_more::Display;
 use model::Mono;
-use serde::Serialize;
 
+pub use self::interference::LeastDisturbed;
+pub use self::reason::WaitReason;
+pub use self::reason::WaitingStep;
 use crate::fleet::Executor;
 use crate::fleet::ExecutorKey;
 use crate::plan::Queue;
@@ -25,184 +28,6 @@
 /// How long an assigned task may take to start before it is reported as overdue.
 pub const OVERDUE_START: Duration = Duration::from_secs(2);
 
-/// The reason why a task waits.
-#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize)]
-#[serde(tag = "limit", rename_all = "snake_case")]
-pub enum WaitReason {
-    /// The occurrence is not due yet.
-    #[display("due in {due_in_ms} ms")]
-    NotDue {
-        /// The time until it is due, in milliseconds.
-        #[serde(rename = "in_ms")]
-        due_in_ms: u64,
-    },
-    /// A step that it depends on has not ended.
-    #[display("step {step} has not ended")]
-    EarlierStep {
-        /// The index of that step.
-        step: u32,
-    },
-    /// The task is in backoff after a run that failed or was lost.
-    #[display("rests for {remaining_ms} ms after its last run")]
-    #[serde(rename = "rests")]
-    Backoff {
-        /// The remaining backoff, in milliseconds.
-        #[serde(rename = "for_ms")]
-        remaining_ms: u64,
-    },
-    /// The current document does not contain the queue.
-    #[display("queue {queue} is not in the document in force")]
-    NoQueue {
-        /// The name of the queue.
-        queue: String,
-    },
-    /// The queue's advisor has granted none of the executors that could take the task.
-    #[display("the advisor has granted none of {candidates} executors and denied {denied}")]
-    #[serde(rename = "advice")]
-    NotGranted {
-        /// The number of executors that could take the task.
-        #[serde(rename = "among")]
-        candidates: usize,
-        /// The number of these executors that the advisor has denied.
-        denied: usize,
-    },
-    /// No executor of the service accepts tasks.
-    #[display(
-        "none of the {listed} executors of {service} takes tasks: {unreachable} do not answer, {draining} leave, {cooling_down} rest"
-    )]
-    NoExecutor {
-        /// The name of the service.
-        service: String,
-        /// The number of listed executors of the service.
-        listed: usize,
-        /// The number of executors that do not answer.
-        #[serde(rename = "away")]
-        unreachable: usize,
-        /// The number of reachable executors that drain.
-        #[serde(rename = "leaving")]
-        draining: usize,
-        /// The number of executors in cooldown after refused starts or failures.
-        #[serde(rename = "resting")]
-        cooling_down: usize,
-    },
-    /// No executor that accepts tasks has the required label.
-    #[display("none of {candidates} executors has the label {label}")]
-    NoLabel {
-        /// The required label.
-        label: String,
-        /// The number of executors that accept tasks.
-        #[serde(rename = "among")]
-        candidates: usize,
-    },
-    /// Every executor runs the maximum number of tasks of the step.
-    #[display("each of {candidates} executors has the {max} tasks of the step that it may have")]
-    #[serde(rename = "most_per_executor")]
-    MaxPerExecutor {
-        /// The maximum number of tasks of the step on one executor.
-        #[serde(rename = "most")]
-        max: u32,
-        /// The number of executors that met the preceding constraints.
-        #[serde(rename = "among")]
-        candidates: usize,
-    },
-    /// The task exceeds the total capacity of every executor.
-    #[display("larger than each of {candidates} executors")]
-    TooLarge {
-        /// The number of executors that met the preceding constraints.
-        #[serde(rename = "among")]
-        candidates: usize,
-    },
-    /// No executor has enough free resources.
-    #[display("no room on any of {candidates} executors")]
-    #[serde(rename = "no_room")]
-    NoCapacity {
-        /// The number of executors that met the preceding constraints.
-        #[serde(rename = "among")]
-        candidates: usize,
-    },
-    /// All executors with enough free resources are reserved for other, long-running tasks.
-    #[display("each of {candidates} executors is kept for a task that lasts")]
-    #[serde(rename = "kept")]
-    Reserved {
-        /// The number of executors that met the preceding constraints.
-        #[serde(rename = "among")]
-        candidates: usize,
-    },
-    /// No executor has enough spare CPU for a best-effort task.
-    #[display("none of {candidates} executors has enough processors to spare")]
-    #[serde(rename = "no_spare")]
-    NoSpareCpu {
-        /// The number of executors that met the preceding constraints.
-        #[serde(rename = "among")]
-        candidates: usize,
-    },
-    /// On every executor, the task would raise the tail latency of a service too much, or a service
-    /// already exceeds its target.
-    #[display("it would disturb the services on each of {candidates} executors")]
-    #[serde(rename = "disturbs")]
-    Interference {
-        /// The number of executors that met the preceding constraints.
-        #[serde(rename = "among")]
-        candidates: usize,
-    },
-    /// Each task of the gang fits on its own, but not all of them together.
-    #[display("no room for all {tasks} tasks of the gang at once")]
-    Gang {
-        /// The number of tasks in the gang.
-        tasks: u32,
-    },
-    /// There are enough resources, and the task is due in the next placement round.
-    #[display("its turn is next")]
-    NextRound,
-    /// The task is assigned, and the store has not confirmed the assignment for a long time.
-    #[display("given to {executor}, which has not been stored for {waited_ms} ms")]
-    #[serde(rename = "unstored")]
-    NotStored {
-        /// The name of the executor.
-        executor: Arc<str>,
-        /// The time since the assignment, in milliseconds.
-        #[serde(rename = "for_ms")]
-        waited_ms: u64,
-    },
-    /// The task is assigned, and its start command waits for a command slot of the executor or for
-    /// the executor's first answer.
-    #[display("its start at {executor} has waited for {waited_ms} ms")]
-    #[serde(rename = "start_pending")]
-    StartPending {
-        /// The name of the executor.
-        executor: Arc<str>,
-        /// The time since the assignment, in milliseconds.
-        #[serde(rename = "for_ms")]
-        waited_ms: u64,
-    },
-    /// The task is assigned, and the executor has left at least one start command unanswered.
-    #[display("{executor} has not answered its start for {waited_ms} ms")]
-    #[serde(rename = "start_unanswered")]
-    StartUnanswered {
-        /// The name of the executor.
-        executor: Arc<str>,
-        /// The time since the assignment, in milliseconds.
-        #[serde(rename = "for_ms")]
-        waited_ms: u64,
-    },
-}
-
-/// A step with waiting tasks, and why they wait.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct WaitingStep {
-    /// The occurrence of the job.
-    pub occurrence: u32,
-    /// The index of the step.
-    pub step: u32,
-    /// The number of tasks that wait, or whose starts are overdue.
-    pub tasks: u32,
-    /// Why the first of these tasks does not start.
-    #[serde(flatten)]
-    pub wait_reason: WaitReason,
-    /// The reason as a sentence.
-    pub reason: String,
-}
-
 impl Scheduler {
     /// Returns the steps of a job that have waiting tasks, each with its wait reason, and after
     /// them the steps with overdue starts.
@@ -348,12 +173,13 @@
             return no_executor(&queue.service, &listed, now);
         }
         for constraint in self.constraints(key, job, step) {
-            let candidates = executors.len();
-            executors
+            let mut admitting = executors.clone();
+            admitting
                 .retain(|(executor_key, executor)| (constraint.admits)(*executor_key, executor));
-            if executors.is_empty() {
-                return (constraint.wait_reason)(candidates);
+            if admitting.is_empty() {
+                return (constraint.wait_reason)(&executors);
             }
+            executors = admitting;
         }
         if queue.advisor.is_some() {
             let candidates = executors.len();
@@ -384,31 +210,37 @@
             Constraint {
                 wait_reason: Box::new(move |candidates| WaitReason::NoLabel {
                     label: label.to_owned(),
-                    candidates,
+                    candidates: candidates.len(),
                 }),
                 admits: Box::new(move |_, executor| label.is_empty() || executor.has_label(label)),
             },
             Constraint {
                 wait_reason: Box::new(|candidates| WaitReason::MaxPerExecutor {
                     max: step.max_per_executor,
-                    candidates,
+                    candidates: candidates.len(),
                 }),
                 admits: Box::new(move |executor_key, _| {
                     self.within_max_per_executor(executor_key, job, key, step)
                 }),
             },
             Constraint {
-                wait_reason: Box::new(|candidates| WaitReason::TooLarge { candidates }),
+                wait_reason: Box::new(|candidates| WaitReason::TooLarge {
+                    candidates: candidates.len(),
+                }),
                 admits: Box::new(|_, executor| {
                     step.allocated_size().fits(&executor.listing.capacity)
                 }),
             },
             Constraint {
-                wait_reason: Box::new(|candidates| WaitReason::NoCapacity { candidates }),
+                wait_reason: Box::new(|candidates| WaitReason::NoCapacity {
+                    candidates: candidates.len(),
+                }),
                 admits: Box::new(|_, executor| step.allocated_size().fits(&executor.free())),
             },
             Constraint {
-                wait_reason: Box::new(|candidates| WaitReason::Reserved { candidates }),
+                wait_reason: Box::new(|candidates| WaitReason::Reserved {
+                    candidates: candidates.len(),
+                }),
                 admits: Box::new(move |_, executor| {
                     executor
                         .reservation
@@ -416,13 +248,15 @@
                 }),
             },
             Constraint {
-                wait_reason: Box::new(|candidates| WaitReason::NoSpareCpu { candidates }),
+                wait_reason: Box::new(|candidates| WaitReason::NoSpareCpu {
+                    candidates: candidates.len(),
+                }),
                 admits: Box::new(|_, executor| {
                     !step.best_effort || crate::placement::has_spare_cpu(executor, step)
                 }),
             },
             Constraint {
-                wait_reason: Box::new(|candidates| WaitReason::Interference { candidates }),
+                wait_reason: Box::new(|candidates| self.interference_reason(candidates, step)),
                 admits: Box::new(|_, executor| self.score(executor, step).is_some()),
             },
         ]
@@ -442,10 +276,13 @@
 /// Decides whether an executor meets a constraint.
 type Admits<'b> = Box<dyn Fn(ExecutorKey, &Executor) -> bool + 'b>;
 
+/// Builds the wait reason for a constraint that no executor meets.
+type Explains<'b> = Box<dyn Fn(&[(ExecutorKey, &Executor)]) -> WaitReason + 'b>;
+
 /// A placement constraint.
 struct Constraint<'b> {
-    /// Builds the wait reason for a constraint that none of the given number of executors meets.
-    wait_reason: Box<dyn Fn(usize) -> WaitReason + 'b>,
+    /// Builds the wait reason for a constraint that none of the given executors meets.
+    wait_reason: Explains<'b>,
     /// Decides whether an executor meets the constraint.
     admits: Admits<'b>,
 }
--- a/crates/job/tests/all/wait_reason.rs
+++ b/crates/job/tests/all/wait_reason.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use job::id::JobId;
+use job::interference::LearnedPair;
 use job::plan::Plan;
 use job::scheduler::Command;
 use job::scheduler::RunOutcome;
@@ -12,6 +13,7 @@
 use job::spec::JobSpec;
 use job::spec::Repeat;
 use job::spec::StepSpec;
+use job::wait_reason::LeastDisturbed;
 use job::wait_reason::WaitReason;
 use model::Size;
 
@@ -183,7 +185,11 @@
     fixture.place();
     assert_eq!(
         fixture.wait_reason(id),
-        Some(WaitReason::Interference { candidates: 1 })
+        Some(WaitReason::Interference {
+            candidates: 1,
+            over_target: 1,
+            least_disturbed: None,
+        })
     );
     let size = fixture
         .scheduler
@@ -197,6 +203,101 @@
     );
 }
 
+#[test]
+fn interference_names_the_images_the_estimate_and_its_deviation() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(1, vec![service(1, 40, "web"), service(1, 40, "mail")]);
+    fixture.start_all();
+    let learned = |service: &str, mean| LearnedPair {
+        service: service.into(),
+        best_effort: "batch".into(),
+        mean,
+        variance: 0.06,
+    };
+    let pairs = vec![learned("web", 4.0), learned("mail", 2.0)];
+    fixture.scheduler.interference.restore(&pairs);
+    let id = fixture.submit(2, vec![best_effort(1, 16, "batch")]);
+    fixture.place();
+    let reason = fixture.wait_reason(id).expect("the task waits");
+    // The task needs a quarter of an executor, and a restored variance is 0.1 larger.
+    assert_eq!(
+        reason,
+        WaitReason::Interference {
+            candidates: 2,
+            over_target: 0,
+            least_disturbed: Some(LeastDisturbed {
+                image: "batch".into(),
+                service: "mail".into(),
+                caused_thousandths: 500,
+                deviation_thousandths: 100,
+            }),
+        }
+    );
+    assert_eq!(
+        reason.to_string(),
+        "it would disturb the services on each of 2 executors: 0 are over a target, elsewhere \
+         batch disturbs mail least, by 500 thousandths (deviation 100)"
+    );
+}
+
+#[test]
+fn the_limit_has_the_same_name_in_metrics_and_in_dumps() {
+    let executor: Arc<str> = "e1".into();
+    let waited_ms = 2_000;
+    let candidates = 1;
+    let reasons = [
+        WaitReason::NotDue { due_in_ms: 1 },
+        WaitReason::EarlierStep { step: 0 },
+        WaitReason::Backoff { remaining_ms: 1 },
+        WaitReason::NoQueue {
+            queue: QUEUE.to_owned(),
+        },
+        WaitReason::NotGranted {
+            candidates,
+            denied: 1,
+        },
+        WaitReason::NoExecutor {
+            service: "service".to_owned(),
+            listed: 1,
+            unreachable: 1,
+            draining: 0,
+            cooling_down: 0,
+        },
+        WaitReason::NoLabel {
+            label: "fast".to_owned(),
+            candidates,
+        },
+        WaitReason::MaxPerExecutor { max: 1, candidates },
+        WaitReason::TooLarge { candidates },
+        WaitReason::NoCapacity { candidates },
+        WaitReason::Reserved { candidates },
+        WaitReason::NoSpareCpu { candidates },
+        WaitReason::Interference {
+            candidates,
+            over_target: 1,
+            least_disturbed: None,
+        },
+        WaitReason::Gang { tasks: 2 },
+        WaitReason::NextRound,
+        WaitReason::NotStored {
+            executor: executor.clone(),
+            waited_ms,
+        },
+        WaitReason::StartPending {
+            executor: executor.clone(),
+            waited_ms,
+        },
+        WaitReason::StartUnanswered {
+            executor,
+            waited_ms,
+        },
+    ];
+    for reason in reasons {
+        let dumped = serde_json::to_value(&reason).expect("the reason can be serialized");
+        assert_eq!(dumped["limit"], reason.limit(), "{reason:?}");
+    }
+}
+
 #[test]
 fn an_overdue_start_names_its_executor_and_what_it_waits_for() {
     let mut fixture = Fixture::new(1);
