test(job): short jobs are late while wide jobs fill the queue to the store

The replay has a store that takes 100 rows a second, short jobs with 1.5 s to spare and wide best-effort jobs whose runs end all the time.

The bound is that of the rule on sizes: one kind is served at least half as often as another.

--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -12,5 +12,6 @@
 mod placement;
 mod record;
 mod retire;
+mod scarce_store;
 mod stall;
 mod wait_reason;
