--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod record;
 mod retire;
+mod scarce_store;
 mod stall;
 mod starvation;
 mod wait_reason;
