fix(job): a job keeps its age although its owner has run for less

Cause: the arrival was a time on the owner's clock, which starts at 0 with the process, so that every older job seemed to have arrived when the process started. The class: a time before the start of a clock that cannot express it, clamped in silence.

Change: a job keeps when the owner learned of it and its age then; ranking, reservations, metrics, dump and log lines use the age. The other two such subtractions were in the ranking of occurrences, which now uses the time since the due time as well.

Evidence: the test failed before (left: InTime, right: TooLate). job 125 and dispatch 65 tests passed, the known red ones passed over.

--- a/crates/dispatch/src/dump.rs
+++ b/crates/dispatch/src/dump.rs
@@ -137,7 +137,7 @@
         job: job.id,
         queue: job.queue.to_string(),
         state: job.state.as_str(),
-        age_ms: millis_since(now, job.arrived),
+        age_ms: model::time::millis(job.age(now)),
         deadline_outlook: scheduler.deadline_outlook(job, now, unix_ms),
         blocked_steps: scheduler.waiting_steps(job, now, unix_ms),
     }
--- a/crates/dispatch/src/owner/waiting.rs
+++ b/crates/dispatch/src/owner/waiting.rs
@@ -38,7 +38,7 @@
     let now = owner.now();
     let waiting = scheduler
         .open_jobs()
-        .filter(|(_, job)| job.has_waiting_tasks() && now.since(job.arrived) >= MIN_WAIT);
+        .filter(|(_, job)| job.has_waiting_tasks() && job.age(now) >= MIN_WAIT);
     for (_, job) in waiting.take(MAX_JOBS) {
         let outlook = scheduler.deadline_outlook(job, now, unix_ms);
         let steps = scheduler.waiting_steps(job, now, unix_ms);
@@ -55,7 +55,7 @@
 }
 
 fn log_steps(owner: &Owner, job: &Job, steps: &[WaitingStep], outlook: &str) {
-    let age_ms = model::time::millis(owner.now().since(job.arrived));
+    let age_ms = model::time::millis(job.age(owner.now()));
     for step in steps {
         events::waiting(job.id, step, outlook, age_ms);
         let limit = step.wait_reason.limit();
--- a/crates/job/src/ranking.rs
+++ b/crates/job/src/ranking.rs
@@ -7,6 +7,7 @@
 //! Long-running tasks occupy resources for a long time and have less value for them than short
 //! tasks, so that they come after short work that can be in time. See "Order" in `docs/JOBS.md`.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -32,8 +33,8 @@
     /// The time in milliseconds until the latest start that meets the objective, or the time by
     /// which the objective will be missed.
     pub slack_ms: u64,
-    /// When the job arrived; makes the order deterministic.
-    pub arrived: Mono,
+    /// The job's age; of equal steps the oldest comes first.
+    pub age: Reverse<Duration>,
 }
 
 /// How a step relates to its objective when it starts now. Earlier variants are placed first.
@@ -65,43 +66,41 @@
     Duration::from_millis(job.spec.critical_path_ms()).mul_f64(stretch) + target
 }
 
-/// Returns the time from which an occurrence's objective is measured: when it was due, or when a
-/// job without repetition arrived.
-fn objective_start(job: &Job, occurrence: u32, now: Mono, unix_ms: u64) -> Mono {
+/// Returns the part of an occurrence's objective that has passed, in milliseconds: the time since it
+/// was due, or since a job without repetition arrived.
+fn elapsed_ms(job: &Job, occurrence: u32, now: Mono, unix_ms: u64) -> u64 {
     let Some(repeat) = job.spec.repeat else {
-        return job.arrived;
+        return model::time::millis(job.age(now));
     };
-    let ago_ms = unix_ms.saturating_sub(repeat.due_unix_ms(occurrence));
-    Mono(now.0.saturating_sub(ago_ms))
+    unix_ms.saturating_sub(repeat.due_unix_ms(occurrence))
 }
 
 /// Returns the rank of a step; `unix_ms` is the wall-clock time, by which occurrences are due.
 #[must_use]
 pub fn rank(scheduler: &Scheduler, job: &Job, ready: ReadyStep, now: Mono, unix_ms: u64) -> Rank {
-    let from = objective_start(job, ready.occurrence, now, unix_ms);
     let queue = scheduler.plan.queue(&job.queue);
     let objective_ms = model::time::millis(objective(scheduler, job));
     let priority = queue.map_or(u32::MAX, |queue| queue.priority);
     let step = &job.spec.steps[ready.step as usize];
-    let due = from.0 + objective_ms;
-    let late_until = from.0 + objective_ms * LATE_FACTOR;
-    let ends = now.0 + job.critical_path_from(ready.step);
+    let late_ms = objective_ms * LATE_FACTOR;
+    let ends_ms =
+        elapsed_ms(job, ready.occurrence, now, unix_ms) + job.critical_path_from(ready.step);
     let (outlook, slack_ms) = if step.long_running {
         (DeadlineOutlook::LongRunning, 0)
-    } else if ends <= due && step.best_effort {
-        (DeadlineOutlook::InTimeBestEffort, due - ends)
-    } else if ends <= due {
-        (DeadlineOutlook::InTime, due - ends)
-    } else if ends <= late_until {
-        (DeadlineOutlook::Late, ends - due)
+    } else if ends_ms <= objective_ms && step.best_effort {
+        (DeadlineOutlook::InTimeBestEffort, objective_ms - ends_ms)
+    } else if ends_ms <= objective_ms {
+        (DeadlineOutlook::InTime, objective_ms - ends_ms)
+    } else if ends_ms <= late_ms {
+        (DeadlineOutlook::Late, ends_ms - objective_ms)
     } else {
-        (DeadlineOutlook::TooLate, ends - due)
+        (DeadlineOutlook::TooLate, ends_ms - objective_ms)
     };
     Rank {
         outlook,
         priority,
         magnitude: job.remaining_work().max(1).ilog2(),
         slack_ms,
-        arrived: job.arrived,
+        age: Reverse(job.age(now)),
     }
 }
--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -75,7 +75,7 @@
         round: &mut Round,
         now: Mono,
     ) {
-        if !step.long_running || step.gang || now.since(self.waiting_since(key)) < RESERVE_AFTER {
+        if !step.long_running || step.gang || self.waited(key, now) < RESERVE_AFTER {
             return;
         }
         let limit = (self.fleet.len() * MAX_RESERVED_PERCENT / 100).max(1);
@@ -99,10 +99,14 @@
         }
     }
 
-    fn waiting_since(&self, key: TaskKey) -> Mono {
-        let arrived = self.job(key.job).map_or(Mono::ZERO, |job| job.arrived);
+    /// Returns the time since the task's job arrived or its latest backoff ended.
+    fn waited(&self, key: TaskKey, now: Mono) -> Duration {
+        let age = self.job(key.job).map_or(Duration::MAX, |job| job.age(now));
         let backoff_end = self.task(key).map_or(Mono::ZERO, |task| task.not_before);
-        arrived.max(backoff_end)
+        if backoff_end == Mono::ZERO {
+            return age;
+        }
+        age.min(now.since(backoff_end))
     }
 
     /// Returns whether a task would fit on an executor once the short tasks there have ended.
--- a/crates/job/src/scheduler/job.rs
+++ b/crates/job/src/scheduler/job.rs
@@ -1,6 +1,7 @@
 //! The state of a job.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use derive_more::Display;
 use model::Mono;
@@ -58,8 +59,10 @@
     pub queue: Arc<str>,
     /// The job's specification.
     pub spec: Arc<JobSpec>,
-    /// When the job arrived, on this owner's clock.
-    pub arrived: Mono,
+    /// When this owner learned of the job.
+    pub(super) submitted: Mono,
+    /// The job's age at that time. It may exceed the time for which the owner has run.
+    pub(super) age_when_submitted: Duration,
     /// The current state.
     pub state: JobState,
     /// The state as stored. Callers are told a final state only once it is stored.
@@ -84,6 +87,12 @@
         occurrence as usize * self.spec.steps.len() + step as usize
     }
 
+    /// Returns the time since the job arrived.
+    #[must_use]
+    pub fn age(&self, now: Mono) -> Duration {
+        now.since(self.submitted) + self.age_when_submitted
+    }
+
     /// Returns whether any task is waiting to be started.
     #[must_use]
     pub const fn has_waiting_tasks(&self) -> bool {
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -177,7 +177,8 @@
         let job = Job {
             id: submission.id,
             queue: submission.queue,
-            arrived: Mono(now.0.saturating_sub(submission.age_ms)),
+            submitted: now,
+            age_when_submitted: Duration::from_millis(submission.age_ms),
             state: JobState::Queued,
             stored_state: JobState::Queued,
             waiting: u32::try_from(tasks.len()).unwrap_or(u32::MAX),
--- a/crates/job/src/scheduler/store.rs
+++ b/crates/job/src/scheduler/store.rs
@@ -182,7 +182,7 @@
         newly_ended.then(|| EndedJob {
             id: job.id,
             state,
-            after_ms: model::time::millis(now.since(job.arrived)),
+            after_ms: model::time::millis(job.age(now)),
             objective_ms: model::time::millis(ranking::objective(self, job)),
         })
     }
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -160,7 +160,7 @@
             return;
         }
         job.state = JobState::Running;
-        let after_ms = model::time::millis(now.since(job.arrived));
+        let after_ms = model::time::millis(job.age(now));
         self.record_event(Event::JobStarted { job: key, after_ms });
     }
 
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the public interface of the crate.
 
 mod advice;
+mod age;
 mod fixture;
 mod interference;
 mod known_red;
