refactor(route): a further send names its reason instead of two booleans

Change: decision::Resend is NotReceived, Retry or Hedge and says of each whether it is withdrawn from the retry budget and whether it may wait for a slot; the proxy's Attempt::NotRun carries it in place of `sent`. resend and hedge_delay moved to router/resend.rs. The same combination as before at each of the five calls: (false, true) NotReceived, (true, true) Retry, (true, false) Hedge.

--- a/crates/measure/src/routing/simulation/sends.rs
+++ b/crates/measure/src/routing/simulation/sends.rs
@@ -3,6 +3,7 @@
 use rand::RngExt;
 use route::decision::Decision;
 use route::decision::Grant;
+use route::decision::Resend;
 use route::decision::SendOutcome;
 
 use super::CROSS_REGION_DELAY_US;
@@ -158,7 +159,7 @@
         };
         let now = self.mono();
         let exclude = [grant.executor];
-        match self.routers[daemon].resend(&grant, &exclude, true, true, now) {
+        match self.routers[daemon].resend(&grant, &exclude, Resend::Retry, now) {
             Some(Decision::Send(grant)) => self.send_granted(request, daemon, grant),
             Some(Decision::Wait(ticket)) => {
                 self.waiting[daemon].insert(ticket, request);
@@ -177,7 +178,7 @@
         };
         let now = self.mono();
         let exclude = [grant.executor];
-        let hedged = self.routers[daemon].resend(&grant, &exclude, true, false, now);
+        let hedged = self.routers[daemon].resend(&grant, &exclude, Resend::Hedge, now);
         if let Some(Decision::Send(grant)) = hedged {
             self.send_granted(request, daemon, grant);
         }
--- a/crates/route/src/decision.rs
+++ b/crates/route/src/decision.rs
@@ -49,6 +49,37 @@
     pub deadline: Mono,
 }
 
+/// Why a request that was admitted before is sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resend {
+    /// No executor has received the request, for example because the connection was refused.
+    NotReceived,
+    /// An executor received the request and refused it, or may have received it.
+    Retry,
+    /// The request is in progress at an executor that is slow to answer it.
+    Hedge,
+}
+
+impl Resend {
+    /// Returns whether the send is withdrawn from the retry budget.
+    #[must_use]
+    pub const fn charges_budget(self) -> bool {
+        match self {
+            Self::NotReceived => false,
+            Self::Retry | Self::Hedge => true,
+        }
+    }
+
+    /// Returns whether the request waits at the head of the queue if no slot is free.
+    #[must_use]
+    pub const fn may_wait(self) -> bool {
+        match self {
+            Self::NotReceived | Self::Retry => true,
+            Self::Hedge => false,
+        }
+    }
+}
+
 /// Another daemon that a request is forwarded to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
--- a/crates/route/src/proxy/send.rs
+++ b/crates/route/src/proxy/send.rs
@@ -26,6 +26,7 @@
 use super::serve::RETRY_AFTER;
 use crate::decision::Decision;
 use crate::decision::Grant;
+use crate::decision::Resend;
 use crate::decision::SendOutcome;
 use crate::key::ExecutorKey;
 
@@ -38,8 +39,8 @@
 enum Attempt {
     /// The head of a valid response has arrived.
     Response(Box<StartedResponse>, Grant),
-    /// The request was certainly not run. `sent` is set if an executor received and refused it.
-    NotRun { reason: String, sent: bool },
+    /// The request was certainly not run. It may be sent again as `resend`.
+    NotRun { reason: String, resend: Resend },
     /// The request may have been run.
     Unknown(String),
     /// There was no response before the deadline.
@@ -85,21 +86,21 @@
         loop {
             tried.push(grant.executor);
             let last = grant.clone();
-            let (charge_budget, failure) = match self.attempt(caller_request, grant).await {
+            let (resend, failure) = match self.attempt(caller_request, grant).await {
                 Attempt::Response(started, grant) => {
                     return (self.relay_response(*started, &grant), Outcome::Answered);
                 }
-                Attempt::NotRun { reason, sent } => {
+                Attempt::NotRun { reason, resend } => {
                     let status = StatusCode::SERVICE_UNAVAILABLE;
                     let reply = Reply::not_run(status, &reason).retry_after(RETRY_AFTER);
-                    (sent, (reply, Outcome::NotRun))
+                    (resend, (reply, Outcome::NotRun))
                 }
                 Attempt::Unknown(reason) => {
                     let reply = Reply::unknown(StatusCode::BAD_GATEWAY, &reason);
                     if !caller_request.is_replayable() {
                         return (reply, Outcome::Unknown);
                     }
-                    (true, (reply, Outcome::Unknown))
+                    (Resend::Retry, (reply, Outcome::Unknown))
                 }
                 Attempt::TimedOut => {
                     let reason = "no answer before the deadline";
@@ -114,7 +115,7 @@
             if tried.len() >= MAX_SENDS || !caller_request.has_body() {
                 return failure;
             }
-            match self.resend(&last, &tried, charge_budget).await {
+            match self.resend(&last, &tried, resend).await {
                 Some(next) => grant = next,
                 None => return failure,
             }
@@ -122,14 +123,9 @@
     }
 
     /// Requests another send from the router and waits for its slot.
-    async fn resend(
-        &self,
-        last: &Grant,
-        tried: &[ExecutorKey],
-        charge_budget: bool,
-    ) -> Option<Grant> {
+    async fn resend(&self, last: &Grant, tried: &[ExecutorKey], resend: Resend) -> Option<Grant> {
         let decision = self
-            .decide(|router, now| router.resend(last, tried, charge_budget, true, now))
+            .decide(|router, now| router.resend(last, tried, resend, now))
             .await
             .decision?;
         match decision {
@@ -149,7 +145,7 @@
         let Some(first) = self.start_send(caller_request, &grant) else {
             return Attempt::NotRun {
                 reason: "the body of the request is used up".to_owned(),
-                sent: false,
+                resend: Resend::NotReceived,
             };
         };
         let raced = async {
@@ -193,7 +189,7 @@
         }
         let exclude = [grant.executor];
         let other =
-            self.with_router(|router, now| router.resend(&grant, &exclude, true, false, now));
+            self.with_router(|router, now| router.resend(&grant, &exclude, Resend::Hedge, now));
         let Some(Decision::Send(other)) = other else {
             return (first.await, grant);
         };
@@ -221,7 +217,7 @@
                 caller_request.recover(request);
                 return Attempt::NotRun {
                     reason,
-                    sent: false,
+                    resend: Resend::NotReceived,
                 };
             }
             Err(SendError::Unknown(reason)) => return Attempt::Unknown(reason),
@@ -241,7 +237,7 @@
             ));
             return Attempt::NotRun {
                 reason: "the executor refused it".to_owned(),
-                sent: true,
+                resend: Resend::Retry,
             };
         }
         Attempt::Response(Box::new((response, exchange)), grant)
--- a/crates/route/src/router/admission.rs
+++ b/crates/route/src/router/admission.rs
@@ -12,7 +12,6 @@
 use crate::decision::RefusalReason;
 use crate::decision::RouteRequest;
 use crate::key::CallerKey;
-use crate::key::ExecutorKey;
 use crate::key::Ticket;
 use crate::key::UpstreamKey;
 use crate::report::HandoverPhase;
@@ -282,66 +281,6 @@
         Decision::Wait(ticket)
     }
 
-    /// Requests another send, as a retry or hedge, of a request that was admitted before.
-    ///
-    /// `charge_budget` withdraws the send from the retry budget. It is set if an executor may have
-    /// received the request before, but not after a refused connection. If no slot is free, the
-    /// request waits at the head of the queue where `allow_wait` is set.
-    pub fn resend(
-        &mut self,
-        grant: &Grant,
-        exclude: &[ExecutorKey],
-        charge_budget: bool,
-        allow_wait: bool,
-        now: Mono,
-    ) -> Option<Decision> {
-        let key = grant.upstream;
-        let upstream = self.upstreams.get(key)?;
-        let remaining = millis(grant.deadline, now);
-        if upstream.phase != HandoverPhase::Owned || remaining < upstream.service_time.mean_ms() {
-            return None;
-        }
-        if !self.may_serve(now) {
-            return None;
-        }
-        let upstream = &mut self.upstreams[key];
-        if charge_budget && !upstream.retry_budget.try_withdraw() {
-            return None;
-        }
-        if let Some(grant) = self.grant_primary(key, exclude, grant.deadline, now) {
-            return Some(Decision::Send(grant));
-        }
-        if !allow_wait {
-            return None;
-        }
-        let ticket = self.waiting.insert(WaitingRequest {
-            upstream: Some(key),
-            caller: self.unknown_callers,
-            position: (0, 0),
-            route_request: RouteRequest::default(),
-            deadline: grant.deadline,
-            expires_at: grant.deadline,
-            reason: RefusalReason::Deadline,
-            is_first_send: false,
-        });
-        self.waiting[ticket].position = self.upstreams[key].queue.push_front(ticket, now);
-        Some(Decision::Wait(ticket))
-    }
-
-    /// Returns how long to wait for a response before a hedge is sent to a second executor: longer
-    /// than most requests take, and at most half of the remaining time.
-    #[must_use]
-    pub fn hedge_delay(&self, grant: &Grant, now: Mono) -> Duration {
-        let half = grant.deadline.since(now) / 2;
-        let Some(upstream) = self.upstreams.get(grant.upstream) else {
-            return half;
-        };
-        match upstream.service_time.tail_ms() {
-            Some(ms) => half.min(Duration::from_secs_f64(ms / 1e3)),
-            None => half,
-        }
-    }
-
     /// Gives free slots to queued requests in queue order.
     pub(super) fn dispatch(&mut self, key: UpstreamKey, now: Mono) {
         if !self.may_serve(now) {
--- a/crates/route/src/router/mod.rs
+++ b/crates/route/src/router/mod.rs
@@ -10,6 +10,7 @@
 mod loans;
 mod peers;
 mod reevaluation;
+mod resend;
 mod selection;
 mod tables;
 mod tick;
--- a/crates/route/tests/all/admission.rs
+++ b/crates/route/tests/all/admission.rs
@@ -3,6 +3,7 @@
 use model::Mono;
 use route::decision::Decision;
 use route::decision::RefusalReason;
+use route::decision::Resend;
 use route::decision::RouteRequest;
 use route::decision::SendOutcome;
 
@@ -146,7 +147,7 @@
         loop {
             sends += 1;
             router.finish(&grant, SendOutcome::Broken, now);
-            match router.resend(&grant, &[grant.executor], true, false, now) {
+            match router.resend(&grant, &[grant.executor], Resend::Hedge, now) {
                 Some(Decision::Send(next)) => grant = next,
                 _ => break,
             }
