--- a/crates/fireflynotch/src/command.rs
+++ b/crates/fireflynotch/src/command.rs
@@ -11,11 +11,9 @@
 use conf::api::StatusView;
 use conf::api::Submission;
 use conf::api::TaskPage;
-use conf::api::TaskState;
 use conf::api::TaskView;
 use conf::check::Context;
 use conf::check::check;
-use conf::check::is_valid_name;
 use conf::finding::Finding;
 use conf::finding::any_error;
 use conf::report::Report;
@@ -42,6 +40,9 @@
 use crate::explain;
 use crate::http::CallFailure;
 use crate::http::Client;
+use crate::input::parse_name;
+use crate::input::parse_task_state;
+use crate::input::read_file;
 use crate::render;
 
 /// The address to use if neither an option nor the environment gives one.
@@ -193,7 +194,7 @@
     }
 
     fn apply_output(&self, reply: &ApplyReply, options: &Apply, text: &str) -> CommandOutput {
-        let output = self.print(reply, apply_reply_text);
+        let output = self.print(reply, render::apply_reply);
         match reply {
             ApplyReply::Accepted { pending, .. } if options.wait && !pending.is_empty() => {
                 output.with_exit(ExitStatus::NotDone)
@@ -305,49 +306,6 @@
     }
 }
 
-fn apply_reply_text(reply: &ApplyReply) -> String {
-    match reply {
-        ApplyReply::Accepted {
-            version,
-            changes,
-            in_force,
-            pending,
-            passed_over,
-        } => {
-            let mut text = format!("Accepted as version {version}.\n");
-            text.push_str(&render::changes(changes));
-            let lists = [
-                ("In force on", in_force),
-                ("Not yet known to be in force on", pending),
-                ("Passed over, because they cannot be serving:", passed_over),
-            ];
-            for (label, daemons) in lists.iter().filter(|(_, daemons)| !daemons.is_empty()) {
-                text.push_str(&format!("{label} {}\n", render::join_names(daemons)));
-            }
-            text
-        }
-        ApplyReply::Invalid { .. } => String::new(),
-        ApplyReply::Overtaken {
-            version,
-            by,
-            theirs,
-            conflicts,
-        } => {
-            let mut text = format!("Not applied: {by} came first with version {version}:\n");
-            text.push_str(&render::changes(theirs));
-            if !conflicts.is_empty() {
-                text.push_str("Both changed:\n");
-                text.push_str(&render::conflicts(conflicts));
-            }
-            text
-        }
-        ApplyReply::Unreachable { daemons } => format!(
-            "Not applied: {} may be serving and did not answer.\nIf a daemon is known to be dead, exclude it with `--without NAME`.\n",
-            render::join_names(daemons)
-        ),
-    }
-}
-
 /// Adds a report of the findings to standard error, and fails the command if one is an error.
 fn with_findings(
     mut output: CommandOutput,
@@ -381,27 +339,3 @@
     let text = serde_json::to_string(value).unwrap_or_default();
     format!("{text}\n")
 }
-
-fn read_file(path: &str) -> Result<String, CommandOutput> {
-    std::fs::read_to_string(path).map_err(|error| {
-        let message = format!("{path} cannot be read: {error}");
-        CommandOutput::error(ExitStatus::BadInput, &message)
-    })
-}
-
-fn parse_name(name: &str) -> Result<&str, CommandOutput> {
-    if is_valid_name(name) {
-        return Ok(name);
-    }
-    let message =
-        format!("`{name}` is not a valid name: use ASCII letters, digits, `-`, `_` or `.`");
-    Err(CommandOutput::error(ExitStatus::BadInput, &message))
-}
-
-fn parse_task_state(name: &str) -> Result<TaskState, CommandOutput> {
-    let state = serde_json::from_value(Value::from(name));
-    state.map_err(|_| {
-        let message = format!("`{name}` is not a task state; see `tasks --help`");
-        CommandOutput::error(ExitStatus::BadInput, &message)
-    })
-}
--- a/crates/fireflynotch/src/lib.rs
+++ b/crates/fireflynotch/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod exit;
 pub mod explain;
 pub mod http;
+mod input;
 pub mod render;
 pub mod table;
 
--- a/crates/fireflynotch/src/render.rs
+++ b/crates/fireflynotch/src/render.rs
@@ -1,5 +1,6 @@
 //! Plain-text rendering of API responses.
 
+use conf::api::ApplyReply;
 use conf::api::HandoverView;
 use conf::api::StatusView;
 use conf::api::TaskPage;
@@ -40,6 +41,51 @@
     names.join(", ")
 }
 
+/// Renders the outcome of `apply`, without the findings.
+#[must_use]
+pub fn apply_reply(reply: &ApplyReply) -> String {
+    match reply {
+        ApplyReply::Accepted {
+            version,
+            changes,
+            in_force,
+            pending,
+            passed_over,
+        } => {
+            let mut text = format!("Accepted as version {version}.\n");
+            text.push_str(&self::changes(changes));
+            let lists = [
+                ("In force on", in_force),
+                ("Not yet known to be in force on", pending),
+                ("Passed over, because they cannot be serving:", passed_over),
+            ];
+            for (label, daemons) in lists.iter().filter(|(_, daemons)| !daemons.is_empty()) {
+                text.push_str(&format!("{label} {}\n", join_names(daemons)));
+            }
+            text
+        }
+        ApplyReply::Invalid { .. } => String::new(),
+        ApplyReply::Overtaken {
+            version,
+            by,
+            theirs,
+            conflicts,
+        } => {
+            let mut text = format!("Not applied: {by} came first with version {version}:\n");
+            text.push_str(&self::changes(theirs));
+            if !conflicts.is_empty() {
+                text.push_str("Both changed:\n");
+                text.push_str(&self::conflicts(conflicts));
+            }
+            text
+        }
+        ApplyReply::Unreachable { daemons } => format!(
+            "Not applied: {} may be serving and did not answer.\nIf a daemon is known to be dead, exclude it with `--without NAME`.\n",
+            join_names(daemons)
+        ),
+    }
+}
+
 /// Renders the status of a daemon and of the cluster as it sees it.
 #[must_use]
 pub fn status(status: &StatusView) -> String {
