--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -158,6 +158,12 @@
         pacing::poll_interval(polled, self.node.identity.capacity.link_mbps)
     }
 
+    /// Returns how long an executor should wait before it answers, given the usual wait.
+    fn paced_wait(&self, usual: Duration) -> Duration {
+        let paced = self.poll_pace.get().wait(usual);
+        paced.max(self.poll_interval())
+    }
+
     fn has_unstored_ends(&self, key: ExecutorKey) -> bool {
         self.scheduler
             .borrow()
@@ -176,7 +182,7 @@
                 target,
                 lease_deadline_ms,
                 acknowledged: scheduler.acknowledgement(key),
-                wait: poll_wait(&scheduler, key).max(self.poll_interval()),
+                wait: self.paced_wait(poll_wait(&scheduler, key)),
                 timeout: LATE_ANSWER_TIMEOUT,
             }
         };
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod log_capture;
 mod owners;
 mod pacing;
+mod poll_pace;
 mod shares;
 mod state;
 mod store;
