refactor(job): the leases of executors have a file of their own

Change: grant_lease, inherit_leases, previous_owner_stopped and assume_max_lease moved word for word to scheduler/leases.rs; assume_max_lease is visible to the scheduler's other files.

--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -188,21 +188,6 @@
         true
     }
 
-    /// Extends the expiry of an executor's leases to the longest lease that an executor accepts. A
-    /// new incarnation may have received a deadline that was computed for the clock of the previous
-    /// one, so that only this maximum limits its lease.
-    fn assume_max_lease(&mut self, key: ExecutorKey, now: Mono) {
-        let longest = self.timing.max_lease;
-        if let Some(executor) = self.fleet.get_mut(key) {
-            let clock = ClockReading {
-                executor_ms: 0,
-                at: now,
-            };
-            let until = clock.deadline_passed_at(clock.deadline(now, longest));
-            executor.leases_expire_at = executor.leases_expire_at.max(until);
-        }
-    }
-
     /// Returns the sequence number up to which ended runs may be acknowledged to an executor.
     /// Returns 0 while a start command is in flight or the incarnation is uncertain, because a new
     /// incarnation would apply the number to its own ended runs.
@@ -274,52 +259,6 @@
         }
     }
 
-    /// Returns the deadline, on the executor's clock, of the lease that a call sent now grants.
-    ///
-    /// An unreachable executor is granted no lease: each attempt would extend the lease that has to
-    /// expire before its tasks may start elsewhere.
-    pub fn grant_lease(&mut self, key: ExecutorKey, now: Mono) -> Option<u64> {
-        let lease = self.timing.lease;
-        let executor = self.fleet.get_mut(key)?;
-        if !executor.reachable {
-            return None;
-        }
-        let clock = executor.clock?;
-        let deadline = clock.deadline(now, lease);
-        executor.leases_expire_at = executor
-            .leases_expire_at
-            .max(clock.deadline_passed_at(deadline));
-        Some(deadline)
-    }
-
-    /// Records that a previous owner may send commands until `sends_until`, and may have granted
-    /// leases that expire by `until`.
-    pub fn inherit_leases(&mut self, sends_until: Mono, until: Mono) {
-        self.previous_owner_sends_until = sends_until;
-        for (_, executor) in self.fleet.iter_mut() {
-            let inherited = executor.tasks.len();
-            if inherited > 0 && executor.leases_expire_at < until {
-                executor.leases_expire_at = until;
-            }
-        }
-    }
-
-    /// Records that the previous owner sends no commands after `stopped`, so that the leases it
-    /// granted expire by `until` instead of `assumed`.
-    ///
-    /// A poll that was sent earlier does not prove that an inherited run cannot start any more: the
-    /// previous owner may have sent its command after the executor answered, and a restarted
-    /// executor would have accepted it.
-    pub fn previous_owner_stopped(&mut self, stopped: Mono, until: Mono, assumed: Mono) {
-        let sends_until = stopped.after(Duration::from_millis(1));
-        self.previous_owner_sends_until = self.previous_owner_sends_until.min(sends_until);
-        for (_, executor) in self.fleet.iter_mut() {
-            if executor.leases_expire_at == assumed && until < assumed {
-                executor.leases_expire_at = until;
-            }
-        }
-    }
-
     /// Runs periodic work: releases the tasks of unreachable executors whose leases have expired,
     /// migrates tasks off draining executors, and removes ended jobs from memory.
     pub fn tick(&mut self, now: Mono) {
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod gang;
 mod job;
 mod late_end;
+mod leases;
 mod report;
 mod restore;
 mod retire;
