--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -16,4 +16,5 @@
 mod scarce_store;
 mod stall;
 mod starvation;
+mod store_order;
 mod wait_reason;
