--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -115,7 +115,8 @@
     /// Waits until reported ends are stored. Unacknowledged ends would be reported again, and the
     /// next poll would return at once.
     async fn wait_for_commit(&self, key: ExecutorKey) {
-        let limit = tokio::time::Instant::now() + MAX_COMMIT_WAIT;
+        let max_wait = self.poll_pace.get().wait(MAX_COMMIT_WAIT);
+        let limit = tokio::time::Instant::now() + max_wait;
         while self.has_unstored_ends(key) && !self.shutdown.is_cancelled() {
             let committed = self.committed.notified();
             if tokio::time::timeout_at(limit, committed).await.is_err() {
