--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -15,7 +15,6 @@
 pub mod feeds;
 mod keep_claim;
 pub mod pacing;
-pub mod poll_pace;
 pub mod polls;
 mod starts;
 pub mod takeover;
@@ -46,7 +45,6 @@
 
 use self::command_slots::CommandSlots;
 use self::pacing::CommandWindow;
-use self::poll_pace::PollPace;
 pub use self::takeover::Claim;
 pub use self::takeover::take_over;
 use crate::dependencies::Target;
@@ -111,8 +109,6 @@
     starts_in_flight: Cell<usize>,
     /// The number of tasks placed whose assignments are not stored.
     starts_unstored: Cell<usize>,
-    /// Lengthens the waits of polls while the owner is busy.
-    poll_pace: Cell<PollPace>,
     /// Limits requests to the advisor to one at a time.
     advisor_slot: Semaphore,
 }
@@ -229,18 +225,10 @@
         }
     }
 
-    fn record_timer_delay(&self, late: Duration) {
-        let mut pace = self.poll_pace.get();
-        pace.timer_fired(late);
-        self.poll_pace.set(pace);
-    }
-
     async fn tick(self: Rc<Self>) {
         while !self.shutdown.is_cancelled() {
-            let due = self.now().after(TICK_INTERVAL);
             tokio::time::sleep(TICK_INTERVAL).await;
             let now = self.now();
-            self.record_timer_delay(now.since(due));
             if now.since(self.confirmed_at.get()) > MAX_UNCONFIRMED {
                 self.end("the store has not confirmed the ownership for too long");
                 return;
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -115,8 +115,7 @@
     /// Waits until reported ends are stored. Unacknowledged ends would be reported again, and the
     /// next poll would return at once.
     async fn wait_for_commit(&self, key: ExecutorKey) {
-        let max_wait = self.poll_pace.get().wait(MAX_COMMIT_WAIT);
-        let limit = tokio::time::Instant::now() + max_wait;
+        let limit = tokio::time::Instant::now() + MAX_COMMIT_WAIT;
         while self.has_unstored_ends(key) && !self.shutdown.is_cancelled() {
             let committed = self.committed.notified();
             if tokio::time::timeout_at(limit, committed).await.is_err() {
@@ -159,12 +158,6 @@
         pacing::poll_interval(polled, self.node.identity.capacity.link_mbps)
     }
 
-    /// Returns how long an executor should wait before it answers, given the usual wait.
-    fn paced_wait(&self, usual: Duration) -> Duration {
-        let paced = self.poll_pace.get().wait(usual);
-        paced.max(self.poll_interval())
-    }
-
     fn has_unstored_ends(&self, key: ExecutorKey) -> bool {
         self.scheduler
             .borrow()
@@ -183,7 +176,7 @@
                 target,
                 lease_deadline_ms,
                 acknowledged: scheduler.acknowledgement(key),
-                wait: self.paced_wait(poll_wait(&scheduler, key)),
+                wait: poll_wait(&scheduler, key).max(self.poll_interval()),
                 timeout: LATE_ANSWER_TIMEOUT,
             }
         };
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -136,7 +136,6 @@
         pending_stops: RefCell::default(),
         polled_executors: RefCell::new(Set::default()),
         window: RefCell::default(),
-        poll_pace: Cell::default(),
         starts_in_flight: Cell::new(0),
         starts_unstored: Cell::new(0),
         advisor_slot: Semaphore::new(1),
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -12,7 +12,6 @@
 mod log_capture;
 mod owners;
 mod pacing;
-mod poll_pace;
 mod shares;
 mod state;
 mod store;
