test(conf): the cases and the model of the acceptance protocol are divided by concept

Cause: accept/state_machines.rs (460 lines) held cases of followers, of the quorum and of replies, one with tuples of six values that a comment explained; accept/world.rs (482) held both the state of the model and its steps. Two cases wrote the same proposal out. Change: followers.rs, quorum.rs and replies.rs with what they share in fixture.rs; the quorum's cases are a struct with named fields; the steps of the model are in steps.rs. Result: the largest of the files had 482 lines before, 368 (check.rs, unchanged but for an import) after; 37 tests and 19 assertions of the single cases before and after. Evidence: cargo test -p conf: 37 passed; the numbers of states and the depths that the model check prints are the same 18 lines before and after; clippy of the workspace, fmt, imports clean.

--- a/crates/conf/tests/all/accept.rs
+++ b/crates/conf/tests/all/accept.rs
@@ -3,5 +3,9 @@
 mod check;
 mod daemons;
 mod execute;
-mod state_machines;
+mod fixture;
+mod followers;
+mod quorum;
+mod replies;
+mod steps;
 mod world;
--- a/crates/conf/tests/all/accept/check.rs
+++ b/crates/conf/tests/all/accept/check.rs
@@ -8,10 +8,10 @@
 use model::Map;
 use pathfinding::directed::bfs::bfs;
 
+use super::steps::Step;
 use super::world::BrokenRule;
 use super::world::Budget;
 use super::world::DAEMONS;
-use super::world::Step;
 use super::world::TIMEOUTS;
 use super::world::World;
 use super::world::name;
--- a/crates/conf/tests/all/accept/execute.rs
+++ b/crates/conf/tests/all/accept/execute.rs
@@ -15,11 +15,11 @@
 use conf::accept::row::RowCheck;
 use conf::accept::row::Write;
 
+use super::steps::WriteOutcome;
 use super::world::BrokenRule;
 use super::world::DAEMONS;
 use super::world::Daemon;
 use super::world::World;
-use super::world::WriteOutcome;
 use super::world::name;
 use super::world::timeouts;
 
