test(dispatch): short jobs are late while the owner starts all wide jobs

The window of starts holds answers at 250 ms only.

The replay gives the owner's process one short turn each 20 ms, so that its timers and answers wait as they do on a processor that does not suffice.

--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod owners;
 mod pacing;
 mod shares;
+mod slow_processor;
 mod state;
 mod store;
 mod world;
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -54,6 +54,9 @@
     pub store_fault: Rc<Cell<StoreFault>>,
     /// Whether the process is frozen and answers no requests.
     pub frozen: Rc<Cell<bool>>,
+    /// If set, the processor runs a few dozen tasks of the process once in this interval, in
+    /// milliseconds, and all others wait.
+    pub slow_processor: Cell<Option<u64>>,
     tasks: LocalSet,
 }
 
@@ -64,6 +67,7 @@
     pub document: Rc<FakeDocument>,
     hosts: Rc<RefCell<BTreeMap<String, Rc<Host>>>>,
     incarnations: Cell<u64>,
+    elapsed_ms: Cell<u64>,
 }
 
 /// Returns a document of this version with one queue.
@@ -140,6 +144,7 @@
             document: Rc::new(FakeDocument::new(plan(1, false))),
             hosts: Rc::default(),
             incarnations: Cell::new(0),
+            elapsed_ms: Cell::new(0),
         }
     }
 
@@ -196,6 +201,7 @@
             node,
             store_fault,
             frozen: Rc::new(Cell::new(false)),
+            slow_processor: Cell::new(None),
             tasks,
         });
         self.hosts.borrow_mut().insert(name.to_owned(), host);
@@ -233,11 +239,18 @@
 
     /// Runs all processes that are not frozen for this duration.
     pub async fn advance(&self, duration: Duration) {
-        let end = tokio::time::Instant::now() + duration;
-        while tokio::time::Instant::now() < end {
+        let begin = tokio::time::Instant::now();
+        while begin.elapsed() < duration {
+            self.elapsed_ms.set(self.elapsed_ms.get() + 1);
             let hosts: Vec<Rc<Host>> = self.hosts.borrow().values().cloned().collect();
             for host in hosts.iter().filter(|host| !host.frozen.get()) {
-                host.tasks.run_until(yield_to_tasks()).await;
+                match host.slow_processor.get() {
+                    None => host.tasks.run_until(yield_to_tasks()).await,
+                    Some(interval) if self.elapsed_ms.get().is_multiple_of(interval) => {
+                        host.tasks.run_until(tokio::task::yield_now()).await;
+                    }
+                    Some(_) => {}
+                }
             }
             tokio::time::advance(Duration::from_millis(1)).await;
         }
