fix(dispatch): starts that can wait are paced by how late the owner's timers are

Cause, second of two: the owner took on all work that the window of starts let through, and that window only shrinks when answers take more than 250 ms. So its processor was always saturated, and submissions, placement, assignments, answers, ends and final states of all jobs waited in front of it alike. A short job passes it some eight times with about 1 s to spare. One kind bore it all because it alone has no time to wait; the work that filled the processor has several seconds.

Fix: how late the timer of the placement fires is the signal. The rate at which tasks that can wait (best-effort in time, late) are placed shrinks while that is more than 30 ms and grows otherwise; it is never below 100 tasks a second.

Evidence: short_jobs_are_in_time_while_the_owner_cannot_start_all_wide_jobs had 2 of 20 short and 107 of 300 wide jobs in time without the pace; with it 17 of 20 and 159 of 300.

--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -16,6 +16,7 @@
 mod keep_claim;
 pub mod pacing;
 pub mod polls;
+pub mod processor_pace;
 mod starts;
 pub mod takeover;
 mod telemetry;
@@ -30,6 +31,7 @@
 use job::fleet::ExecutorKey;
 use job::id::JobId;
 use job::id::TaskId;
+use job::placement::RoundBudget;
 use job::plan::Plan;
 use job::scheduler::JobState;
 use job::scheduler::Scheduler;
@@ -45,6 +47,7 @@
 
 use self::command_slots::CommandSlots;
 use self::pacing::CommandWindow;
+use self::processor_pace::ProcessorPace;
 pub use self::takeover::Claim;
 pub use self::takeover::take_over;
 use crate::dependencies::Target;
@@ -105,6 +108,8 @@
     polled_executors: RefCell<Set<ExecutorKey>>,
     /// Limits the start commands in flight.
     window: RefCell<CommandWindow>,
+    /// Limits the starts that can wait.
+    processor_pace: Cell<ProcessorPace>,
     /// The number of start commands that are being sent or await their answer.
     starts_in_flight: Cell<usize>,
     /// The number of tasks placed whose assignments are not stored.
@@ -199,18 +204,26 @@
                 () = self.shutdown.cancelled() => return,
                 () = self.placement_requested.notified() => {}
             }
-            tokio::time::sleep(pause).await;
+            let due = Instant::now() + pause;
+            tokio::time::sleep_until(due).await;
             if self.shutdown.is_cancelled() || self.releasing.get() {
                 return;
             }
             let started = Instant::now();
             let now = self.now();
             let in_flight = self.starts_in_flight.get() + self.starts_unstored.get();
-            let budget = self.window.borrow().free(in_flight);
-            let placed =
-                self.scheduler
-                    .borrow_mut()
-                    .place_up_to(budget, now, (self.node.unix_ms)());
+            let mut pace = self.processor_pace.get();
+            let budget = RoundBudget {
+                tasks: self.window.borrow().free(in_flight),
+                tasks_that_can_wait: pace.allowance(started.duration_since(due), now),
+            };
+            let used = self
+                .scheduler
+                .borrow_mut()
+                .place_within(budget, now, (self.node.unix_ms)());
+            pace.placed(used.tasks_that_can_wait);
+            self.processor_pace.set(pace);
+            let placed = used.tasks;
             self.starts_unstored
                 .set(self.starts_unstored.get() + placed);
             self.log_events();
--- /dev/null
+++ b/crates/dispatch/src/owner/processor_pace.rs
@@ -0,0 +1,111 @@
+//! How many tasks that can wait an owner starts, so that its processor keeps up.
+//!
+//! Answers the load of an owner whose processor does not suffice for all work that could start.
+//! Everything that it handles then waits in front of its processor: submissions, assignments,
+//! answers and ends. A job passes that queue many times, so that a short job is late after a few
+//! such waits, while most of the work in front of it has time. The decisions here are pure.
+
+use std::time::Duration;
+
+use model::Mono;
+
+/// How late timers are while the rate stays as it is. Later ones show that work waits for the
+/// processor.
+const TARGET_LAG: Duration = Duration::from_millis(30);
+/// Interval between two adaptations of the rate.
+const ADAPTATION_INTERVAL: Duration = Duration::from_millis(100);
+/// By which part the rate grows in an interval without lag. It shrinks by the same part at twice the
+/// target.
+const GAIN: f64 = 0.1;
+/// The factor by which the rate shrinks in an interval at most.
+const MIN_FACTOR: f64 = 0.8;
+/// Minimum and maximum rate, in tasks a second. The minimum lets all work progress however late the
+/// timers are; the maximum is no limit.
+const RATE: (f64, f64) = (100.0, 20_000.0);
+/// The rate at which a limit begins if less was placed before, in tasks a second.
+const SLOW_START_RATE: f64 = 1_000.0;
+/// The weight of the latest interval in a mean.
+const MEAN_WEIGHT: f64 = 0.25;
+/// The time for which an unused allowance is kept.
+const MAX_SAVED: Duration = Duration::from_millis(100);
+
+/// Limits the rate at which tasks that can wait are placed: the rate shrinks while timers are later
+/// than a target and grows while they are not. Work that would be late by waiting is not limited.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessorPace {
+    /// Tasks a second.
+    rate: f64,
+    /// The tasks that may be placed now; negative after a step of more tasks than that.
+    allowance: f64,
+    refilled_at: Mono,
+    adapted_at: Mono,
+    /// The sum of the lags in the current interval, and their number.
+    lags: (Duration, u32),
+    /// The tasks placed in the current interval.
+    placed: f64,
+    /// The mean of the tasks placed, in tasks a second.
+    mean_placed: f64,
+}
+
+impl Default for ProcessorPace {
+    fn default() -> Self {
+        Self {
+            rate: RATE.1,
+            allowance: 0.0,
+            refilled_at: Mono::ZERO,
+            adapted_at: Mono::ZERO,
+            lags: (Duration::ZERO, 0),
+            placed: 0.0,
+            mean_placed: 0.0,
+        }
+    }
+}
+
+impl ProcessorPace {
+    /// Returns how many tasks that can wait may be placed now, when the owner's timer was late by
+    /// `lag`.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the allowance is a small number"
+    )]
+    pub fn allowance(&mut self, lag: Duration, now: Mono) -> usize {
+        let (sum, number) = self.lags;
+        self.lags = (sum + lag, number + 1);
+        self.adapt(now);
+        let passed = now.since(self.refilled_at).min(MAX_SAVED);
+        self.refilled_at = now;
+        let most = self.rate * MAX_SAVED.as_secs_f64();
+        self.allowance = (self.allowance + self.rate * passed.as_secs_f64()).min(most);
+        self.allowance.max(0.0).ceil() as usize
+    }
+
+    /// Records the tasks that were placed with the latest allowance.
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    pub const fn placed(&mut self, tasks: usize) {
+        self.allowance -= tasks as f64;
+        self.placed += tasks as f64;
+    }
+
+    fn adapt(&mut self, now: Mono) {
+        let elapsed = now.since(self.adapted_at);
+        if elapsed < ADAPTATION_INTERVAL {
+            return;
+        }
+        let latest = self.placed / elapsed.as_secs_f64();
+        self.mean_placed += (latest - self.mean_placed) * MEAN_WEIGHT;
+        let (min, max) = RATE;
+        let (sum, number) = self.lags;
+        let lag = sum.checked_div(number).unwrap_or_default();
+        let excess = lag.as_secs_f64() / TARGET_LAG.as_secs_f64() - 1.0;
+        if excess > 0.0 {
+            // A rate above what was placed has limited nothing.
+            self.rate = self.rate.min(self.mean_placed.max(SLOW_START_RATE));
+        }
+        self.rate *= (1.0 - GAIN * excess).max(MIN_FACTOR);
+        self.rate = self.rate.clamp(min, max);
+        self.adapted_at = now;
+        self.lags = (Duration::ZERO, 0);
+        self.placed = 0.0;
+    }
+}
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -136,6 +136,7 @@
         pending_stops: RefCell::default(),
         polled_executors: RefCell::new(Set::default()),
         window: RefCell::default(),
+        processor_pace: Cell::default(),
         starts_in_flight: Cell::new(0),
         starts_unstored: Cell::new(0),
         advisor_slot: Semaphore::new(1),
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod log_capture;
 mod owners;
 mod pacing;
+mod processor_pace;
 mod shares;
 mod slow_processor;
 mod state;
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -35,6 +35,16 @@
 /// stays short.
 const MAX_TASKS_PER_ROUND: usize = 200;
 
+/// A number of tasks that are assigned in a round. A round ends after the step with which it
+/// reaches one of the limits, because gangs and steps are not divided.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoundBudget {
+    /// All tasks.
+    pub tasks: usize,
+    /// Those of them whose step can wait, see [`DeadlineOutlook::can_wait`].
+    pub tasks_that_can_wait: usize,
+}
+
 /// How well an executor suits a task. The fields are compared in order of declaration.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Preference {
@@ -65,9 +75,20 @@
     /// Like [`Self::place`], but ends after the step with which it has assigned at least `limit`
     /// tasks. Gangs and steps are not divided, so that slightly more may be assigned.
     pub fn place_up_to(&mut self, limit: usize, now: Mono, unix_ms: u64) -> usize {
-        let limit = limit.min(MAX_TASKS_PER_ROUND);
+        let budget = RoundBudget {
+            tasks: limit,
+            tasks_that_can_wait: limit,
+        };
+        self.place_within(budget, now, unix_ms).tasks
+    }
+
+    /// Assigns waiting tasks to executors in the order of their rank within a budget. Returns how
+    /// much of it was used, which may be slightly more.
+    pub fn place_within(&mut self, budget: RoundBudget, now: Mono, unix_ms: u64) -> RoundBudget {
+        let limit = budget.tasks.min(MAX_TASKS_PER_ROUND);
+        let mut used = RoundBudget::default();
         if limit == 0 {
-            return 0;
+            return used;
         }
         let mut round = Round::new(self.release_stale_reservations(now));
         let mut steps: Vec<(Rank, ReadyStep)> = self
@@ -78,8 +99,11 @@
             })
             .collect();
         steps.sort_by_key(|(rank, ready)| (*rank, ready.first_slot));
-        let mut placed = 0;
         for (rank, ready) in steps {
+            let can_wait = rank.outlook.can_wait();
+            if can_wait && used.tasks_that_can_wait >= budget.tasks_that_can_wait {
+                break;
+            }
             self.set_urgent(ready.job, rank.outlook == DeadlineOutlook::InTime);
             let tasks = self.place_step(ready, &mut round, now);
             if tasks > 0 {
@@ -90,12 +114,15 @@
                     rank,
                 });
             }
-            placed += tasks;
-            if placed >= limit {
+            used.tasks += tasks;
+            if can_wait {
+                used.tasks_that_can_wait += tasks;
+            }
+            if used.tasks >= limit {
                 break;
             }
         }
-        placed
+        used
     }
 
     fn place_step(&mut self, ready: ReadyStep, round: &mut Round, now: Mono) -> usize {
--- a/crates/job/src/ranking.rs
+++ b/crates/job/src/ranking.rs
@@ -56,6 +56,15 @@
     TooLate,
 }
 
+impl DeadlineOutlook {
+    /// Returns whether a step loses little if it starts some time later: best-effort work has more
+    /// time than the work that it fills in for, and late work has lost most of its value.
+    #[must_use]
+    pub const fn can_wait(self) -> bool {
+        matches!(self, Self::InTimeBestEffort | Self::Late | Self::TooLate)
+    }
+}
+
 /// Returns the time from its arrival within which a job should end.
 #[must_use]
 pub fn objective(scheduler: &Scheduler, job: &Job) -> Duration {
