feat(dispatch): the owner logs once a second what it did and what waits

owner_load, one line a second from the owner: how late its timers are, rounds and tasks placed by outlook, transactions with rows, bytes and duration, jobs and starts that wait to be stored, percentiles of the waits for the store, for slots and for answers, the window, polls, ends and the pauses before polls.

--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -156,3 +156,110 @@
 pub fn unreadable_row(table: &str, key: &str, error: &str) {
     log::warn!(event = "unreadable_row", table, key, error; "");
 }
+
+/// What the owner did in about a second, and what waits for it.
+pub struct LoadSummary {
+    /// The longest time by which a timer fired late, in milliseconds.
+    pub timer_delay_ms: u64,
+    /// Number of placement rounds.
+    pub rounds: u32,
+    /// Duration of the longest placement round, in milliseconds.
+    pub longest_round_ms: u64,
+    /// Number of tasks placed that could meet their objective.
+    pub in_time: usize,
+    /// Number of best-effort tasks placed that could meet their objective.
+    pub in_time_filling: usize,
+    /// Number of tasks placed that had to miss it.
+    pub late: usize,
+    /// Number of tasks placed that no longer had any value.
+    pub hopeless: usize,
+    /// Number of long-running tasks placed.
+    pub lasting: usize,
+    /// Median time from the arrival of a job to the placement of a step that could meet its objective, in
+    /// milliseconds.
+    pub in_time_wait_ms: u64,
+    /// The 90th percentile of that time.
+    pub in_time_wait_p90_ms: u64,
+    /// Number of jobs whose changes wait to be stored.
+    pub unstored_jobs: usize,
+    /// Number of tasks placed whose assignments are not stored.
+    pub unstored_starts: usize,
+    /// Number of transactions that took effect.
+    pub transactions: u32,
+    /// Number of rows of jobs in them.
+    pub rows: usize,
+    /// Size of these rows in bytes.
+    pub row_bytes: usize,
+    /// Median duration of a transaction, in milliseconds.
+    pub transaction_ms: u64,
+    /// Median time from the placement of a task that is not best-effort until it was stored, in
+    /// milliseconds.
+    pub store_ms: u64,
+    /// The 90th percentile of that time.
+    pub store_p90_ms: u64,
+    /// Median time from the placement of a best-effort task until it was stored, in milliseconds.
+    pub filling_store_ms: u64,
+    /// The 90th percentile of that time.
+    pub filling_store_p90_ms: u64,
+    /// The 90th percentile of the time for which start commands waited for a command slot, in
+    /// milliseconds.
+    pub slot_p90_ms: u64,
+    /// Median of the rest of the time until a start command was answered, in milliseconds.
+    pub answer_ms: u64,
+    /// The 90th percentile of that time.
+    pub answer_p90_ms: u64,
+    /// Number of start commands in flight.
+    pub starts_in_flight: usize,
+    /// Maximum number of start commands in flight.
+    pub window: usize,
+    /// Number of answered polls.
+    pub polls: u32,
+    /// Number of ends of runs that they reported.
+    pub ends: usize,
+    /// Median pause before a poll, in milliseconds.
+    pub poll_pause_ms: u64,
+    /// The 90th percentile of that pause.
+    pub poll_pause_p90_ms: u64,
+}
+
+/// Logs what the owner did in about a second, and what waits for it.
+pub fn owner_load(load: &LoadSummary) {
+    let LoadSummary {
+        timer_delay_ms,
+        rounds,
+        longest_round_ms,
+        in_time,
+        in_time_filling,
+        late,
+        hopeless,
+        lasting,
+        in_time_wait_ms,
+        in_time_wait_p90_ms,
+        unstored_jobs,
+        unstored_starts,
+        transactions,
+        rows,
+        row_bytes,
+        transaction_ms,
+        store_ms,
+        store_p90_ms,
+        filling_store_ms,
+        filling_store_p90_ms,
+        slot_p90_ms,
+        answer_ms,
+        answer_p90_ms,
+        starts_in_flight,
+        window,
+        polls,
+        ends,
+        poll_pause_ms,
+        poll_pause_p90_ms,
+    } = *load;
+    log::info!(
+        event = "owner_load", timer_delay_ms, rounds, longest_round_ms, in_time, in_time_filling,
+        late, hopeless, lasting, in_time_wait_ms, in_time_wait_p90_ms, unstored_jobs,
+        unstored_starts, transactions, rows, row_bytes, transaction_ms, store_ms, store_p90_ms,
+        filling_store_ms, filling_store_p90_ms, slot_p90_ms, answer_ms, answer_p90_ms,
+        starts_in_flight, window, polls, ends, poll_pause_ms, poll_pause_p90_ms; ""
+    );
+}
--- a/crates/dispatch/src/owner/command_trace.rs
+++ b/crates/dispatch/src/owner/command_trace.rs
@@ -8,6 +8,7 @@
 use model::Mono;
 
 use super::Owner;
+use super::load::StartTimes;
 use crate::dependencies::CommandOutcome;
 use crate::events;
 use crate::events::CommandSummary;
@@ -164,6 +165,15 @@
                 let histogram = metrics.command_seconds.get_or_create(&label);
                 histogram.observe(wait.as_secs_f64());
             }
+            if trace.kind == CommandKind::Start {
+                let times = StartTimes {
+                    store: stored,
+                    slot: trace.slot_wait,
+                    answer,
+                };
+                self.load
+                    .count_start(self.is_best_effort(trace.task), times);
+            }
         } else {
             let label = CommandOutcomeLabel { command, outcome };
             metrics.unanswered_commands.get_or_create(&label).inc();
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -51,8 +51,13 @@
                 MAX_JOBS_PER_TRANSACTION,
                 pacing::transaction_bytes(self.node.identity.capacity.link_mbps),
             );
+            let started = self.now();
             match self.commit(&batch, releasing).await {
-                CommitOutcome::Applied => self.on_committed(batch),
+                CommitOutcome::Applied => {
+                    let took = self.now().since(started);
+                    self.load.count_transaction(&batch, took);
+                    self.on_committed(batch);
+                }
                 CommitOutcome::Superseded => {
                     self.end("the store records another owner");
                     return;
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -14,6 +14,7 @@
 pub mod commit;
 pub mod feeds;
 mod keep_claim;
+mod load;
 pub mod pacing;
 pub mod polls;
 mod starts;
@@ -44,6 +45,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::command_slots::CommandSlots;
+use self::load::OwnerLoad;
 use self::pacing::CommandWindow;
 pub use self::takeover::Claim;
 pub use self::takeover::take_over;
@@ -109,6 +111,8 @@
     starts_in_flight: Cell<usize>,
     /// The number of tasks placed whose assignments are not stored.
     starts_unstored: Cell<usize>,
+    /// Counts what the owner does, for the log.
+    load: OwnerLoad,
     /// Limits requests to the advisor to one at a time.
     advisor_slot: Semaphore,
 }
@@ -221,14 +225,17 @@
             let took = started.elapsed();
             let metrics = &self.node.metrics;
             metrics.placement_seconds.observe(took.as_secs_f64());
+            self.load.count_round(took);
             pause = placement_pause(took);
         }
     }
 
     async fn tick(self: Rc<Self>) {
         while !self.shutdown.is_cancelled() {
+            let due = self.now().after(TICK_INTERVAL);
             tokio::time::sleep(TICK_INTERVAL).await;
             let now = self.now();
+            self.load.count_timer_delay(now.since(due));
             if now.since(self.confirmed_at.get()) > MAX_UNCONFIRMED {
                 self.end("the store has not confirmed the ownership for too long");
                 return;
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -77,8 +77,10 @@
 
 async fn poll_until_idle(owner: Rc<Owner>, key: ExecutorKey) {
     while !owner.shutdown.is_cancelled() && needs_poll(&owner.scheduler.borrow(), key) {
+        let paused_at = owner.now();
         owner.wait_for_commit(key).await;
         owner.wait_for_commands(key).await;
+        owner.load.count_poll_pause(owner.now().since(paused_at));
         if owner.shutdown.is_cancelled() {
             break;
         }
@@ -220,6 +222,7 @@
             acknowledged,
         } = poll;
         let now = self.now();
+        self.load.count_poll(report.ended.len());
         {
             let mut scheduler = self.scheduler.borrow_mut();
             let was_reachable = scheduler
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -28,6 +28,8 @@
 use super::cleanup;
 use super::feeds;
 use super::keep_claim;
+use super::load;
+use super::load::OwnerLoad;
 use super::waiting;
 use crate::dependencies::Page;
 use crate::dependencies::Range;
@@ -138,6 +140,7 @@
         window: RefCell::default(),
         starts_in_flight: Cell::new(0),
         starts_unstored: Cell::new(0),
+        load: OwnerLoad::default(),
         advisor_slot: Semaphore::new(1),
     });
     *node.owner.borrow_mut() = Some(owner.clone());
@@ -160,6 +163,7 @@
     tokio::task::spawn_local(feeds::follow_executors(owner.clone()));
     tokio::task::spawn_local(cleanup::run(owner.clone()));
     tokio::task::spawn_local(waiting::log_waiting_jobs(owner.clone()));
+    tokio::task::spawn_local(load::log_load(owner.clone()));
     owner.dispatch_pending();
 }
 
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod document_relay;
 mod executor;
 mod log_capture;
+mod owner_load;
 mod owners;
 mod pacing;
 mod shares;
--- a/crates/job/src/scheduler/store.rs
+++ b/crates/job/src/scheduler/store.rs
@@ -65,6 +65,12 @@
         !self.dirty.is_empty() || self.retired.has_records() || !self.unstored_ends.is_empty()
     }
 
+    /// Returns the number of jobs whose changes wait to be stored.
+    #[must_use]
+    pub fn unstored_jobs(&self) -> usize {
+        self.dirty.len()
+    }
+
     /// Returns a batch of up to `max_rows` rows to be written, which ends with the row that brings it
     /// to `max_bytes` of values.
     pub fn take_batch(&mut self, max_rows: usize, max_bytes: usize) -> Batch {
