--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the public interface of the crate.
 
 mod advice;
+mod age;
 mod fixture;
 mod interference;
 mod known_red;
@@ -12,5 +13,8 @@
 mod placement;
 mod record;
 mod retire;
+mod scarce_store;
 mod stall;
+mod starvation;
+mod store_order;
 mod wait_reason;
