--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -18,6 +18,9 @@
         let mut scheduler = self.scheduler.borrow_mut();
         let events = scheduler.take_events();
         for event in events {
+            if let Event::Placed { tasks, rank, .. } = &event {
+                self.load.count_placed(rank, *tasks);
+            }
             log_event(&scheduler, &self.node.metrics, &event);
         }
     }
--- a/crates/job/src/scheduler/store_queue.rs
+++ b/crates/job/src/scheduler/store_queue.rs
@@ -61,7 +61,12 @@
 
 impl StoreQueue {
     pub(super) fn is_empty(&self) -> bool {
-        self.urgent.jobs.is_empty() && self.other.jobs.is_empty()
+        self.len() == 0
+    }
+
+    /// Returns the number of turns that are to come. A job that waits in both lanes has two.
+    pub(super) fn len(&self) -> usize {
+        self.urgent.jobs.len() + self.other.jobs.len()
     }
 
     /// Adds a changed job, unless it already waits in a lane that is as early.
