--- a/crates/dispatch/src/owner/load.rs
+++ b/crates/dispatch/src/owner/load.rs
@@ -11,7 +11,6 @@
 use job::ranking::DeadlineOutlook;
 use job::ranking::Rank;
 use job::scheduler::Batch;
-use model::Mono;
 
 use super::Owner;
 use crate::events;
@@ -88,11 +87,11 @@
     }
 
     /// Counts tasks of a step that were placed.
-    pub(super) fn count_placed(&self, rank: &Rank, tasks: usize, now: Mono) {
+    pub(super) fn count_placed(&self, rank: &Rank, tasks: usize) {
         let mut counts = self.counts.borrow_mut();
         let placed = match rank.outlook {
             DeadlineOutlook::InTime => {
-                counts.in_time_wait.add(now.since(rank.arrived));
+                counts.in_time_wait.add(rank.age.0);
                 &mut counts.placed_in_time
             }
             DeadlineOutlook::LongRunning => &mut counts.placed_long_running,
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -17,10 +17,9 @@
     pub(super) fn log_events(&self) {
         let mut scheduler = self.scheduler.borrow_mut();
         let events = scheduler.take_events();
-        let now = self.now();
         for event in events {
             if let Event::Placed { tasks, rank, .. } = &event {
-                self.load.count_placed(rank, *tasks, now);
+                self.load.count_placed(rank, *tasks);
             }
             log_event(&scheduler, &self.node.metrics, &event);
         }
--- a/crates/job/src/scheduler/store.rs
+++ b/crates/job/src/scheduler/store.rs
@@ -66,7 +66,8 @@
         !self.dirty.is_empty() || self.retired.has_records() || !self.unstored_ends.is_empty()
     }
 
-    /// Returns the number of jobs whose changes wait to be stored.
+    /// Returns the number of jobs whose changes wait to be stored. One that became urgent meanwhile
+    /// may count twice.
     #[must_use]
     pub fn unstored_jobs(&self) -> usize {
         self.dirty.len()
--- a/crates/job/src/scheduler/store_queue.rs
+++ b/crates/job/src/scheduler/store_queue.rs
@@ -64,6 +64,11 @@
         self.urgent.jobs.is_empty() && self.other.jobs.is_empty()
     }
 
+    /// Returns the number of jobs that wait; one that waits in both lanes counts twice.
+    pub(super) fn len(&self) -> usize {
+        self.urgent.jobs.len() + self.other.jobs.len()
+    }
+
     /// Adds a changed job, unless it already waits in a lane that is as early.
     pub(super) fn add(&mut self, job: JobKey, is_urgent: bool, place: &mut StorePlace) {
         if place.urgent || (place.other && !is_urgent) {
