test(job): a late step never starts while best-effort work does not run out

`job::ranking` puts late work behind all best-effort work that is in time, which never runs out under overload.

The replay fails: the late step, which keeps partial value for 5 s more, has not started when 50 best-effort steps have.

--- a/crates/job/tests/all/overload.rs
+++ b/crates/job/tests/all/overload.rs
@@ -124,3 +124,23 @@
     assert!(!placed.has_waiting_tasks(), "the smaller job goes first");
     assert_eq!(fixture.scheduler.place_up_to(1, fixture.now, 0), 8);
 }
+
+/// SHORT at scale: once a step of a short job was late, it waited behind all best-effort work,
+/// which never ran out, until the job had no value left.
+#[test]
+fn a_late_step_starts_while_it_has_value_although_best_effort_work_never_runs_out() {
+    const OBJECTIVE_MS: u64 = 3_000;
+    const PATH_MS: u64 = 1_000;
+    const ROUND_MS: u64 = 100;
+    let mut fixture = Fixture::new(4);
+    let late = fixture.submit(1, vec![step(1, 1, PATH_MS)]);
+    let late = fixture.scheduler.find(late).expect("the job is known");
+    fixture.pass(OBJECTIVE_MS);
+    for round in 0..(2 * OBJECTIVE_MS - PATH_MS) / ROUND_MS {
+        fixture.submit(2 + round, vec![best_effort(1, 1, "fill")]);
+        fixture.scheduler.place_up_to(1, fixture.now, 0);
+        fixture.pass(ROUND_MS);
+    }
+    let job = fixture.scheduler.job(late).expect("the job is known");
+    assert!(!job.has_waiting_tasks(), "the late job still waits");
+}
