fix(dispatch): polls wait up to twice as long while the owner's timers are late

Cause: polls took the processor.

Fix: the wait grows with the mean lateness of the owner's timers, to twice the usual one at the target lag. An executor answers as soon as a run ends, so that ends are heard as early as before. Executors with a service over its target report as often as usual, because best-effort tasks have to be suspended in time.

Evidence: unit tests of both limits.

--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -6,6 +6,7 @@
 
 use job::fleet::ExecutorKey;
 use job::scheduler::Report;
+use job::scheduler::Scheduler;
 use model::Mono;
 
 use super::Owner;
@@ -67,7 +68,7 @@
 
 /// Returns whether an executor needs polls: it has tasks or ended runs to acknowledge, or it is
 /// listed but unreachable and may answer again.
-fn needs_poll(scheduler: &job::scheduler::Scheduler, key: ExecutorKey) -> bool {
+fn needs_poll(scheduler: &Scheduler, key: ExecutorKey) -> bool {
     scheduler.fleet.get(key).is_some_and(|executor| {
         let unreachable = executor.listed && !executor.reachable;
         let answers = !executor.listing.address.is_empty() && executor.clock.is_some();
@@ -158,6 +159,16 @@
         pacing::poll_interval(polled, self.node.identity.capacity.link_mbps)
     }
 
+    /// Returns how long an executor may wait for a run to end before it answers.
+    fn poll_wait(&self, scheduler: &Scheduler, key: ExecutorKey) -> Duration {
+        let usual = poll_wait(scheduler, key);
+        let executor = scheduler.fleet.get(key);
+        let is_over_target = executor.is_some_and(|executor| executor.over_target_since.is_some());
+        let pace = self.processor_pace.get();
+        pace.poll_wait(usual, is_over_target)
+            .max(self.poll_interval())
+    }
+
     fn has_unstored_ends(&self, key: ExecutorKey) -> bool {
         self.scheduler
             .borrow()
@@ -176,7 +187,7 @@
                 target,
                 lease_deadline_ms,
                 acknowledged: scheduler.acknowledgement(key),
-                wait: poll_wait(&scheduler, key).max(self.poll_interval()),
+                wait: self.poll_wait(&scheduler, key),
                 timeout: LATE_ANSWER_TIMEOUT,
             }
         };
@@ -256,7 +267,7 @@
     }
 }
 
-fn log_reachability(scheduler: &job::scheduler::Scheduler, key: ExecutorKey) {
+fn log_reachability(scheduler: &Scheduler, key: ExecutorKey) {
     if let Some(executor) = scheduler.fleet.get(key) {
         events::executor_reachability(
             &executor.listing.id,
@@ -266,7 +277,7 @@
     }
 }
 
-fn poll_wait(scheduler: &job::scheduler::Scheduler, key: ExecutorKey) -> Duration {
+fn poll_wait(scheduler: &Scheduler, key: ExecutorKey) -> Duration {
     let Some(executor) = scheduler.fleet.get(key) else {
         return POLL_WAIT;
     };
--- a/crates/dispatch/src/owner/processor_pace.rs
+++ b/crates/dispatch/src/owner/processor_pace.rs
@@ -26,6 +26,9 @@
 const SLOW_START_RATE: f64 = 1_000.0;
 /// The weight of the latest interval in a mean.
 const MEAN_WEIGHT: f64 = 0.25;
+/// By which factor polls wait longer at the target lag, and at most. A service over its target has to
+/// be noticed early enough to throttle the best-effort tasks beside it.
+const MAX_POLL_WAIT_FACTOR: f64 = 2.0;
 /// The time for which an unused allowance is kept.
 const MAX_SAVED: Duration = Duration::from_millis(100);
 
@@ -45,6 +48,8 @@
     placed: f64,
     /// The mean of the tasks placed, in tasks a second.
     mean_placed: f64,
+    /// The mean lag.
+    mean_lag: Duration,
 }
 
 impl Default for ProcessorPace {
@@ -57,6 +62,7 @@
             lags: (Duration::ZERO, 0),
             placed: 0.0,
             mean_placed: 0.0,
+            mean_lag: Duration::ZERO,
         }
     }
 }
@@ -87,6 +93,20 @@
         self.placed += tasks as f64;
     }
 
+    /// Returns how long an executor may wait for a run to end before it answers a poll, where
+    /// `usual` suffices without lag. Polls without an end are a large part of an owner's calls, and
+    /// what they tell is needed less than what they keep waiting, unless a service on the executor
+    /// exceeds its target.
+    #[must_use]
+    pub fn poll_wait(&self, usual: Duration, is_over_target: bool) -> Duration {
+        if is_over_target {
+            return usual;
+        }
+        let lag = self.mean_lag.as_secs_f64() / TARGET_LAG.as_secs_f64();
+        let factor = 1.0 + lag * (MAX_POLL_WAIT_FACTOR - 1.0);
+        usual.mul_f64(factor.min(MAX_POLL_WAIT_FACTOR))
+    }
+
     fn adapt(&mut self, now: Mono) {
         let elapsed = now.since(self.adapted_at);
         if elapsed < ADAPTATION_INTERVAL {
@@ -97,6 +117,7 @@
         let (min, max) = RATE;
         let (sum, number) = self.lags;
         let lag = sum.checked_div(number).unwrap_or_default();
+        self.mean_lag = self.mean_lag.mul_f64(1.0 - MEAN_WEIGHT) + lag.mul_f64(MEAN_WEIGHT);
         let excess = lag.as_secs_f64() / TARGET_LAG.as_secs_f64() - 1.0;
         if excess > 0.0 {
             // A rate above what was placed has limited nothing.
--- a/crates/dispatch/tests/all/processor_pace.rs
+++ b/crates/dispatch/tests/all/processor_pace.rs
@@ -52,3 +52,24 @@
     pace.placed(40);
     assert_eq!(pace.allowance(Duration::from_secs(1), Mono(10_020)), 0);
 }
+
+#[test]
+fn polls_wait_at_most_twice_as_long_while_timers_are_late() {
+    let usual = Duration::from_millis(500);
+    let mut pace = ProcessorPace::default();
+    assert_eq!(pace.poll_wait(usual, false), usual);
+    place_all(&mut pace, Duration::from_secs(1), 0, 10_000);
+    assert_eq!(pace.poll_wait(usual, false), usual * 2);
+    assert_eq!(pace.poll_wait(Duration::ZERO, false), Duration::ZERO);
+    place_all(&mut pace, Duration::ZERO, 10_000, 20_000);
+    assert!(pace.poll_wait(usual, false) < usual + Duration::from_millis(10));
+}
+
+/// HARM: best-effort tasks have to be suspended before a service is over its target for too long.
+#[test]
+fn polls_of_an_executor_with_a_service_over_its_target_wait_no_longer_however_late_timers_are() {
+    let usual = Duration::from_millis(500);
+    let mut pace = ProcessorPace::default();
+    place_all(&mut pace, Duration::from_secs(1), 0, 10_000);
+    assert_eq!(pace.poll_wait(usual, true), usual);
+}
