--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -8,18 +8,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::dependencies::AdvisorClient;
 use dispatch::dependencies::CommandOutcome;
 use dispatch::dependencies::CommandReply;
-use dispatch::dependencies::Executors;
-use dispatch::dependencies::GrantRequest;
-use dispatch::dependencies::PollError;
-use dispatch::dependencies::PollRequest;
 use dispatch::dependencies::RunRequest;
 use dispatch::dependencies::StartRequest;
 use dispatch::dependencies::Target;
-use futures::FutureExt;
-use job::advice::Grant;
 use job::fleet::Listing;
 use job::id::TaskId;
 use job::scheduler::ActiveRun;
@@ -31,13 +24,17 @@
 use model::Size;
 use tokio::time::Instant;
 
-/// Duration of a call to an executor.
-const CALL_DELAY: Duration = Duration::from_millis(2);
-/// Duration of a request to the advisor.
-const ADVICE_DELAY: Duration = Duration::from_millis(200);
 /// Default duration of a task.
 pub const TASK_DURATION: Duration = Duration::from_millis(600);
 
+/// An ended run that has not been acknowledged.
+struct UnacknowledgedEnd {
+    end: EndedRun,
+    at: Instant,
+    /// How often an expired lease had ended runs before.
+    lease_lapses: u64,
+}
+
 /// An executor with its lease, its runs and its ended runs.
 pub struct FakeExecutor {
     id: Arc<str>,
@@ -46,7 +43,7 @@
     lease_end: Cell<Instant>,
     runs: RefCell<BTreeMap<TaskId, (u64, Instant)>>,
     highest_run: RefCell<BTreeMap<TaskId, u64>>,
-    ended: RefCell<Vec<(EndedRun, Instant, u64)>>,
+    ended: RefCell<Vec<UnacknowledgedEnd>>,
     /// How often an expired lease has ended runs.
     lease_lapses: Cell<u64>,
     end_count: Cell<u64>,
@@ -119,6 +116,16 @@
         self.executors.borrow()[&*format!("e{number}")].clone()
     }
 
+    /// Returns the executor with this id.
+    pub fn find(&self, id: &str) -> Option<Rc<FakeExecutor>> {
+        self.executors.borrow().get(id).cloned()
+    }
+
+    /// Returns the executor with this id if calls reach it.
+    pub fn find_reachable(&self, id: &str) -> Option<Rc<FakeExecutor>> {
+        self.find(id).filter(|executor| executor.reachable.get())
+    }
+
     /// Returns the list of executors with the readings of their clocks.
     pub fn listings(&self) -> Vec<(Listing, u64)> {
         self.executors
@@ -128,14 +135,15 @@
             .collect()
     }
 
-    fn grants(&self, id: &str) -> bool {
+    /// Returns whether the advisor grants an executor.
+    pub fn grants(&self, id: &str) -> bool {
         let granted_executors = self.granted_executors.borrow();
         let names = granted_executors.as_ref();
         names.is_none_or(|names| names.iter().any(|name| name == id))
     }
 
     /// Ends all runs that are due on all executors.
-    fn settle(&self) {
+    pub fn settle(&self) {
         let executors: Vec<Rc<FakeExecutor>> = self.executors.borrow().values().cloned().collect();
         for executor in executors {
             executor.settle();
@@ -200,7 +208,7 @@
     }
 
     /// Ends runs that have completed or have lost their lease.
-    fn settle(&self) {
+    pub fn settle(&self) {
         let now = Instant::now();
         let lease_expired = self.lease_end.get() <= now;
         let mut killed = false;
@@ -235,11 +243,15 @@
             outcome,
             checkpoint: None,
         };
-        let entry = (end, Instant::now(), self.lease_lapses.get());
-        self.ended.borrow_mut().push(entry);
+        self.ended.borrow_mut().push(UnacknowledgedEnd {
+            end,
+            at: Instant::now(),
+            lease_lapses: self.lease_lapses.get(),
+        });
     }
 
-    fn accepts_epoch(&self, target: &Target) -> bool {
+    /// Returns whether a call is from the latest owner known here, and remembers its epoch.
+    pub fn accepts_epoch(&self, target: &Target) -> bool {
         if target.epoch < self.fencing_epoch.get() {
             return false;
         }
@@ -247,12 +259,14 @@
         true
     }
 
-    fn extend(&self, lease_deadline_ms: u64) {
+    /// Extends the lease.
+    pub fn extend(&self, lease_deadline_ms: u64) {
         let deadline = self.started_at + Duration::from_millis(lease_deadline_ms);
         self.lease_end.set(self.lease_end.get().max(deadline));
     }
 
-    fn start(&self, fleet: &Fleet, call: &StartRequest) -> CommandOutcome<StartAnswer> {
+    /// Executes a start command.
+    pub fn start(&self, fleet: &Fleet, call: &StartRequest) -> CommandOutcome<StartAnswer> {
         fleet.settle();
         if !self.accepts_epoch(&call.target) {
             return CommandOutcome::Fenced;
@@ -283,7 +297,8 @@
         CommandOutcome::Answered(StartAnswer::Started)
     }
 
-    fn stop(&self, fleet: &Fleet, call: &RunRequest) -> CommandOutcome<bool> {
+    /// Executes a stop command.
+    pub fn stop(&self, fleet: &Fleet, call: &RunRequest) -> CommandOutcome<bool> {
         fleet.settle();
         if !self.accepts_epoch(&call.target) {
             return CommandOutcome::Fenced;
@@ -298,20 +313,22 @@
         CommandOutcome::Answered(true)
     }
 
-    fn acknowledge(&self, fleet: &Fleet, sequence: u64) {
+    /// Removes the ended runs up to a sequence number.
+    pub fn acknowledge(&self, fleet: &Fleet, sequence: u64) {
         let mut ended = self.ended.borrow_mut();
-        for (end, at, lease_lapses) in ended.iter() {
-            let is_final =
-                end.outcome == RunOutcome::Done && *lease_lapses == self.lease_lapses.get();
-            if end.sequence <= sequence && is_final {
-                let task = end.task.expect("every fake end has a task id");
-                fleet.record_acknowledged(task, *at);
+        for ended in ended.iter().filter(|ended| ended.end.sequence <= sequence) {
+            let is_final = ended.end.outcome == RunOutcome::Done
+                && ended.lease_lapses == self.lease_lapses.get();
+            if is_final {
+                let task = ended.end.task.expect("every fake end has a task id");
+                fleet.record_acknowledged(task, ended.at);
             }
         }
-        ended.retain(|(end, _, _)| end.sequence > sequence);
+        ended.retain(|ended| ended.end.sequence > sequence);
     }
 
-    fn report(&self) -> Report {
+    /// Returns the report of a poll.
+    pub fn report(&self) -> Report {
         Report {
             started_unix_ms: Some(1),
             clock_ms: self.clock_ms(),
@@ -333,12 +350,13 @@
                 .ended
                 .borrow()
                 .iter()
-                .map(|(end, _, _)| end.clone())
+                .map(|ended| ended.end.clone())
                 .collect(),
         }
     }
 
-    fn reply<T>(&self, outcome: CommandOutcome<T>) -> CommandReply<T> {
+    /// Returns the answer to a command.
+    pub fn reply<T>(&self, outcome: CommandOutcome<T>) -> CommandReply<T> {
         CommandReply {
             outcome,
             clock_ms: Some(self.clock_ms()),
@@ -346,144 +364,7 @@
     }
 }
 
-const fn without_clock<T>(outcome: CommandOutcome<T>) -> CommandReply<T> {
-    CommandReply {
-        outcome,
-        clock_ms: None,
-    }
-}
-
-/// Time until a poll fails.
-const POLL_FAILURE_DELAY: Duration = Duration::from_millis(700);
-
-/// Executes a command, immediately or with the configured delay.
-async fn command<T: 'static>(
-    fleet: Rc<Fleet>,
-    id: Arc<str>,
-    timeout: Duration,
-    act: impl FnOnce(&Fleet, &FakeExecutor) -> CommandOutcome<T> + 'static,
-) -> CommandReply<T> {
-    tokio::time::sleep(CALL_DELAY).await;
-    let executor = fleet.executors.borrow().get(&id).cloned();
-    let Some(executor) = executor.filter(|executor| executor.reachable.get()) else {
-        tokio::time::sleep(timeout).await;
-        return without_clock(CommandOutcome::NotSent);
-    };
-    if let Some(delay) = executor.command_delay.get() {
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(delay).await;
-            act(&fleet, &executor);
-        });
-        tokio::time::sleep(timeout).await;
-        return without_clock(CommandOutcome::Unanswered);
-    }
-    if let Some(latency) = executor.command_latency.get() {
-        tokio::time::sleep(latency.min(timeout)).await;
-        if latency > timeout {
-            return without_clock(CommandOutcome::Unanswered);
-        }
-    }
-    let outcome = act(&fleet, &executor);
-    executor.reply(outcome)
-}
-
-async fn start(fleet: Rc<Fleet>, call: StartRequest) -> CommandReply<StartAnswer> {
-    let id = call.target.id.clone();
-    let timeout = call.timeout;
-    let executor = fleet.executors.borrow().get(&id).cloned();
-    if let Some(executor) = executor.filter(|executor| executor.hangs_starts.get()) {
-        executor.hung_starts.borrow_mut().push(call.target.epoch);
-        tokio::time::sleep(timeout).await;
-        return without_clock(CommandOutcome::Unanswered);
-    }
-    let act = move |fleet: &Fleet, executor: &FakeExecutor| executor.start(fleet, &call);
-    command(fleet, id, timeout, act).await
-}
-
-async fn poll(fleet: Rc<Fleet>, call: PollRequest) -> Result<Report, PollError> {
-    tokio::time::sleep(CALL_DELAY).await;
-    let executor = fleet.executors.borrow().get(&call.target.id).cloned();
-    let Some(executor) = executor.filter(|executor| executor.reachable.get()) else {
-        tokio::time::sleep(POLL_FAILURE_DELAY).await;
-        return Err(PollError::Failed);
-    };
-    fleet.settle();
-    if !executor.accepts_epoch(&call.target) {
-        return Err(PollError::Fenced);
-    }
-    executor.acknowledge(&fleet, call.acknowledged);
-    if let Some(lease_deadline_ms) = call.lease_deadline_ms {
-        executor.extend(lease_deadline_ms);
-    }
-    let limit = Instant::now() + call.wait;
-    loop {
-        fleet.settle();
-        let report = executor.report();
-        if !report.ended.is_empty() || Instant::now() >= limit {
-            let delay = executor.answer_delay.get();
-            let answer = tokio::time::timeout(call.timeout, tokio::time::sleep(delay));
-            return answer.await.map(|()| report).map_err(|_| PollError::Failed);
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 /// Returns the ticket that a start on an executor has to present.
-fn ticket(id: &str) -> Arc<str> {
+pub fn ticket(id: &str) -> Arc<str> {
     format!("ticket-{id}").into()
 }
-
-/// Returns an advisor that answers after `ADVICE_DELAY`.
-pub fn advisor(fleet: &Rc<Fleet>) -> AdvisorClient {
-    let fleet = fleet.clone();
-    AdvisorClient {
-        request: Box::new(move |call: GrantRequest| {
-            let fleet = fleet.clone();
-            async move {
-                fleet.advice_requests.set(fleet.advice_requests.get() + 1);
-                tokio::time::sleep(ADVICE_DELAY).await;
-                let names = call.executors.iter().filter(|id| fleet.grants(id));
-                Ok(names
-                    .map(|id| Grant {
-                        executor: id.clone(),
-                        ticket: ticket(id),
-                    })
-                    .collect())
-            }
-            .boxed_local()
-        }),
-    }
-}
-
-/// Returns the calls with which a host reaches the executors.
-pub fn executors(fleet: &Rc<Fleet>) -> Executors {
-    let (to_start, to_stop) = (fleet.clone(), fleet.clone());
-    let (to_set_share, to_poll) = (fleet.clone(), fleet.clone());
-    Executors {
-        start: Box::new(move |call: StartRequest| start(to_start.clone(), call).boxed_local()),
-        stop: Box::new(move |call: RunRequest| {
-            let id = call.target.id.clone();
-            command(to_stop.clone(), id, call.timeout, move |fleet, executor| {
-                executor.stop(fleet, &call)
-            })
-            .boxed_local()
-        }),
-        set_cpu_share: Box::new(move |(call, percent): (RunRequest, u32)| {
-            let id = call.target.id.clone();
-            command(
-                to_set_share.clone(),
-                id,
-                call.timeout,
-                move |_, executor| {
-                    let runs = executor.runs.borrow().contains_key(&call.task);
-                    if runs {
-                        executor.cpu_shares.borrow_mut().insert(call.task, percent);
-                    }
-                    CommandOutcome::Answered(runs)
-                },
-            )
-            .boxed_local()
-        }),
-        poll: Box::new(move |call| poll(to_poll.clone(), call).boxed_local()),
-    }
-}
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod document;
 mod document_relay;
 mod executor;
+mod executor_calls;
 mod log_capture;
 mod owners;
 mod pacing;
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -35,8 +35,8 @@
 
 use crate::document::FakeDocument;
 use crate::executor::Fleet;
-use crate::executor::advisor;
-use crate::executor::executors;
+use crate::executor_calls::advisor;
+use crate::executor_calls::executors;
 use crate::store::MemoryStore;
 use crate::store::StoreFault;
 use crate::store::store;
