fix(job): the conditions on an executor for a best-effort task age with the wait

Cause: conditions on the choice of an executor that nothing ends (class: starvation). A best-effort task started only where its image is estimated to raise no tail latency by more than 0.08, where no service exceeds its target and where CPU is left over. The estimate changes only while tasks of the image run, so that what is kept away from everywhere is never observed again; for an unknown image the assumed weight alone excludes each task with more than 0.27 of an executor. A service may be over its target for as long as it runs, and the mark stayed on an idle executor after the service had left, because idle executors are not polled.

Ruled out: that only learned weights are at fault (an unknown image waits as well), that it is a matter of rank (the steps wait on an otherwise idle fleet), and the order in the round alone: the rank of best-effort work can starve a larger task, and the same change ends that.

Fix: the conditions age (`job::relaxation`, a pure function of the wait, the executor and the time). From 4 s on the limit doubles each second; after 9 s only what counts against an executor's capacity matters. The wait counts for a quarter on executors more than half in use and where the job has a task on an executor. An executor receives one such task a second, half as often with each one that is still there. They start at the share that causes 0.08, suspended beside a service over its target, and are throttled to 0.5 of the target, so that job::throttle goes on to protect services; their CPU does not count against that of tasks that disturb nothing. Executors that need no relaxation go first. A demand that found no executor now rules out only demands that have waited no longer. The mark of a service over its target goes with the last service of its executor.

After a takeover the new owner does not know which tasks were placed so, and throttles them like the others.

--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -63,7 +63,8 @@
     pub batch_cpu_millis: u64,
     /// CPU in thousandths of a core allocated to long-running tasks.
     pub long_running_cpu_millis: u64,
-    /// CPU in thousandths of a core requested by best-effort tasks.
+    /// CPU in thousandths of a core requested by best-effort tasks, except those that were placed
+    /// under relaxed conditions, which give way to the others.
     pub best_effort_cpu_millis: u64,
     /// The services on the executor, by image.
     pub services: Vec<ServiceLoad>,
@@ -97,6 +98,10 @@
     pub throttled_at: Mono,
     /// Since when a service on the executor has exceeded its tail latency target.
     pub over_target_since: Option<Mono>,
+    /// When a best-effort task was last placed on the executor under relaxed conditions.
+    pub relaxed_at: Option<Mono>,
+    /// The number of tasks on the executor that were placed under relaxed conditions.
+    pub relaxed_tasks: u32,
     /// The measurements used for the latest interference estimate.
     pub baseline: crate::interference::Baseline,
     /// Distinct jobs that failed on the executor since the last run that succeeded there.
@@ -229,6 +234,9 @@
             load.tasks -= 1;
         }
         self.services.retain(|load| load.tasks > 0);
+        if self.services.is_empty() {
+            self.over_target_since = None;
+        }
     }
 
     /// Returns whether the executor has this label.
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod plan;
 pub mod ranking;
 pub mod record;
+mod relaxation;
 pub mod reservation;
 pub mod scheduler;
 pub mod spec;
--- /dev/null
+++ b/crates/job/src/placement/best_effort.rs
@@ -0,0 +1,85 @@
+//! Scores executors for best-effort tasks.
+
+use std::sync::Arc;
+
+use crate::fleet::Executor;
+use crate::interference::Interference;
+use crate::relaxation::Relaxation;
+use crate::spec::StepSpec;
+
+/// The percentage of its allocated CPU that a long-running task is assumed to use, because its
+/// actual usage is unknown when other tasks are placed beside it.
+const SERVICE_LOAD_PERCENT: u64 = 50;
+/// The maximum increase of a log tail latency that a best-effort task may cause where it is placed.
+pub(crate) const MAX_CAUSED_LOG: f64 = 0.08;
+/// The weight of caused tail latency against spare CPU in the score of an executor.
+const INTERFERENCE_COST: f64 = 4.0;
+/// The weight of a service that exceeds its target against spare CPU in the score of an executor.
+const OVER_TARGET_COST: f64 = 10.0;
+
+/// Scores an executor for a best-effort task: executors with more spare CPU and less interference
+/// are preferred. Returns `None` if the task would raise a tail latency too much or if a service
+/// exceeds its target.
+pub(super) fn best_effort_score(
+    interference: &Interference,
+    executor: &Executor,
+    step: &StepSpec,
+    relaxation: Relaxation,
+) -> Option<f64> {
+    let image = step.image.as_ref()?;
+    let caused = caused_log(interference, executor, image, step.size.cpu_millis);
+    let over_target = executor.over_target_since.is_some();
+    if caused > MAX_CAUSED_LOG * relaxation.limit_factor()
+        || (over_target && !relaxation.is_complete())
+    {
+        return None;
+    }
+    let over_target_cost = if over_target { OVER_TARGET_COST } else { 0.0 };
+    Some(spare_fraction(executor) - caused * INTERFERENCE_COST - over_target_cost)
+}
+
+/// Returns by how much a best-effort task that uses this CPU is estimated to raise the log tail
+/// latency of a service on an executor, for the service that it affects most.
+#[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
+pub(crate) fn caused_log(
+    interference: &Interference,
+    executor: &Executor,
+    image: &Arc<str>,
+    cpu_millis: u64,
+) -> f64 {
+    let cpu_fraction = cpu_millis as f64 / executor.listing.capacity.cpu_millis.max(1) as f64;
+    executor
+        .services
+        .iter()
+        .map(|service| interference.weight(&service.image, image) * cpu_fraction)
+        .fold(0.0, f64::max)
+}
+
+/// Returns whether an executor has the CPU that a best-effort task needs. Once the conditions do
+/// not count any more, the task may share it with other best-effort tasks.
+pub(crate) fn has_spare_cpu(executor: &Executor, step: &StepSpec, relaxation: Relaxation) -> bool {
+    if relaxation.is_complete() {
+        return cpu_left_by_others(executor) > 0;
+    }
+    spare_cpu(executor) >= step.size.cpu_millis
+}
+
+#[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
+pub(super) fn spare_fraction(executor: &Executor) -> f64 {
+    spare_cpu(executor) as f64 / executor.listing.capacity.cpu_millis.max(1) as f64
+}
+
+/// Returns the CPU in thousandths of a core that best-effort tasks can use beside the other tasks.
+const fn spare_cpu(executor: &Executor) -> u64 {
+    cpu_left_by_others(executor).saturating_sub(executor.best_effort_cpu_millis)
+}
+
+/// Returns the CPU in thousandths of a core that tasks that are not best-effort leave unused.
+const fn cpu_left_by_others(executor: &Executor) -> u64 {
+    let long_running_load = executor.long_running_cpu_millis * SERVICE_LOAD_PERCENT / 100;
+    executor
+        .listing
+        .capacity
+        .cpu_millis
+        .saturating_sub(executor.batch_cpu_millis + long_running_load)
+}
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Selects which waiting tasks start next, and on which executors.
 
+mod best_effort;
 mod pool;
 mod round;
 
@@ -8,6 +9,11 @@
 
 use model::Mono;
 
+pub(crate) use self::best_effort::MAX_CAUSED_LOG;
+use self::best_effort::best_effort_score;
+pub(crate) use self::best_effort::caused_log;
+pub(crate) use self::best_effort::has_spare_cpu;
+use self::best_effort::spare_fraction;
 use self::pool::CandidatePool;
 use self::round::Demand;
 pub(crate) use self::round::Round;
@@ -15,6 +21,7 @@
 use crate::fleet::ExecutorKey;
 use crate::ranking::Rank;
 use crate::ranking::rank;
+use crate::relaxation::Relaxation;
 use crate::scheduler::Event;
 use crate::scheduler::Job;
 use crate::scheduler::ReadyStep;
@@ -23,13 +30,6 @@
 use crate::spec::StepSpec;
 use crate::task::Phase;
 
-/// The percentage of its allocated CPU that a long-running task is assumed to use, because its
-/// actual usage is unknown when other tasks are placed beside it.
-const SERVICE_LOAD_PERCENT: u64 = 50;
-/// The maximum increase of a log tail latency that a best-effort task may cause where it is placed.
-const MAX_CAUSED_LOG: f64 = 0.08;
-/// The weight of caused tail latency against spare CPU in the score of an executor.
-const INTERFERENCE_COST: f64 = 4.0;
 /// A round ends after the step with which it has assigned at least this many tasks, so that a round
 /// stays short.
 const MAX_TASKS_PER_ROUND: usize = 200;
@@ -39,6 +39,8 @@
 pub(crate) struct Preference {
     /// Whether the task's latest failed or stalled run was not on this executor.
     not_failed_here: bool,
+    /// Whether the executor is suitable without relaxed conditions.
+    unrelaxed: bool,
     /// Whether the executor is in the rack of the step's data, or the step names no rack.
     near_data: bool,
     /// How well the task fits the executor; higher is better.
@@ -49,6 +51,7 @@
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
         self.not_failed_here
             .cmp(&other.not_failed_here)
+            .then(self.unrelaxed.cmp(&other.unrelaxed))
             .then(self.near_data.cmp(&other.near_data))
             .then(self.score.total_cmp(&other.score))
     }
@@ -109,7 +112,7 @@
             return 0;
         };
         let service = queue.service.clone();
-        let demand = Demand::new(queue, step);
+        let mut demand = Demand::new(queue, step);
         let mut pool = None;
         let mut placed = 0;
         for slot in ready.first_slot..ready.first_slot + step.count {
@@ -120,6 +123,10 @@
             if !self.may_start(key, now) {
                 continue;
             }
+            self.begin_wait(key, step, now);
+            if let Some(demand) = &mut demand {
+                demand.wait = self.counted_wait(key, step, now);
+            }
             let shared = demand
                 .as_ref()
                 .filter(|_| self.is_interchangeable(key, round));
@@ -142,7 +149,9 @@
                 self.reserve_executor_for(key, step, round, now);
                 break;
             };
+            let relaxed = self.needs_relaxation(executor, step);
             self.assign(key, executor, now);
+            self.record_relaxation(key, step, relaxed, now);
             placed += 1;
             if let Some(pool) = &mut pool
                 && let Some(preference) = self.assess(executor, &service, key, step, now)
@@ -169,6 +178,9 @@
         if keys.iter().any(|key| !self.may_start(*key, now)) {
             return 0;
         }
+        if let Some(first) = keys.first() {
+            self.begin_wait(*first, step, now);
+        }
         let mut placements = Vec::new();
         for key in &keys {
             let Some(executor) = self.best_executor(*key, step, now) else {
@@ -184,7 +196,14 @@
         if placements.len() < keys.len() {
             return 0;
         }
+        let relaxed: Vec<bool> = placements
+            .iter()
+            .map(|(_, executor)| self.needs_relaxation(*executor, step))
+            .collect();
         self.assign_gang(&placements, now);
+        for ((key, _), relaxed) in placements.iter().zip(relaxed) {
+            self.record_relaxation(*key, step, relaxed, now);
+        }
         placements.len()
     }
 
@@ -215,11 +234,14 @@
         let Some(service) = self.service_of(key) else {
             return Vec::new();
         };
+        let wait = self.counted_wait(key, step, now);
         let executors = self.fleet.iter();
         executors
             .filter_map(|(executor_key, executor)| {
+                let relaxation = wait.relaxation_on(executor, now);
+                let executor = (executor_key, executor);
                 let preference =
-                    self.preference((executor_key, executor), &service, key, step, now)?;
+                    self.preference(executor, &service, (key, step), relaxation, now)?;
                 Some((executor_key, preference))
             })
             .collect()
@@ -241,15 +263,23 @@
         now: Mono,
     ) -> Option<Preference> {
         let executor = self.fleet.get(executor_key)?;
-        self.preference((executor_key, executor), service, key, step, now)
+        let wait = self.counted_wait(key, step, now);
+        let relaxation = wait.relaxation_on(executor, now);
+        self.preference(
+            (executor_key, executor),
+            service,
+            (key, step),
+            relaxation,
+            now,
+        )
     }
 
     fn preference(
         &self,
         (executor_key, executor): (ExecutorKey, &Executor),
         service: &str,
-        key: TaskKey,
-        step: &StepSpec,
+        (key, step): (TaskKey, &StepSpec),
+        relaxation: Relaxation,
         now: Mono,
     ) -> Option<Preference> {
         // Most executors are full under load, so that this comes first.
@@ -259,6 +289,7 @@
         let job = self.job(key.job)?;
         let suitable = &*executor.listing.service == service
             && executor.accepts_tasks(now)
+            && (!step.best_effort || has_spare_cpu(executor, step, relaxation))
             && self.is_feasible(executor_key, executor, job, key, step);
         if !suitable {
             return None;
@@ -266,16 +297,22 @@
         let failed_on = self.task(key).and_then(|task| task.failed_on);
         Some(Preference {
             not_failed_here: Some(executor_key) != failed_on,
+            unrelaxed: relaxation == Relaxation::NONE || self.is_undisturbed(executor, step),
             near_data: near_data(executor, step),
-            score: self.score(executor, step)?,
+            score: self.score(executor, step, relaxation)?,
         })
     }
 
     /// Returns how well a task fits an executor, where higher is better, or `None` if the executor
     /// must not take it now.
-    pub(crate) fn score(&self, executor: &Executor, step: &StepSpec) -> Option<f64> {
+    pub(crate) fn score(
+        &self,
+        executor: &Executor,
+        step: &StepSpec,
+        relaxation: Relaxation,
+    ) -> Option<f64> {
         if step.best_effort {
-            self.best_effort_score(executor, step)
+            best_effort_score(&self.interference, executor, step, relaxation)
         } else if step.is_service() {
             Some(self.service_score(executor, step))
         } else {
@@ -283,24 +320,50 @@
         }
     }
 
-    /// Scores an executor for a best-effort task: executors with more spare CPU are preferred, and
-    /// executors where the task would raise a tail latency too much are excluded.
-    #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
-    fn best_effort_score(&self, executor: &Executor, step: &StepSpec) -> Option<f64> {
-        if executor.over_target_since.is_some() {
-            return None;
+    /// Returns whether an executor meets the conditions for a best-effort task without relaxation.
+    fn is_undisturbed(&self, executor: &Executor, step: &StepSpec) -> bool {
+        has_spare_cpu(executor, step, Relaxation::NONE)
+            && self.score(executor, step, Relaxation::NONE).is_some()
+    }
+
+    /// Records that a step with a waiting task is ready.
+    fn begin_wait(&mut self, key: TaskKey, step: &StepSpec, now: Mono) {
+        if step.best_effort
+            && let Some(job) = self.job_mut(key.job)
+        {
+            job.begin_wait(key.slot, now);
         }
-        let image = step.image.as_ref()?;
-        let cpu_fraction =
-            step.size.cpu_millis as f64 / executor.listing.capacity.cpu_millis.max(1) as f64;
-        let mut caused: f64 = 0.0;
-        for service in &executor.services {
-            caused = caused.max(self.interference.weight(&service.image, image) * cpu_fraction);
+    }
+
+    /// Returns whether the conditions for a best-effort task have to be relaxed for it on an
+    /// executor.
+    fn needs_relaxation(&self, executor_key: ExecutorKey, step: &StepSpec) -> bool {
+        let executor = self.fleet.get(executor_key);
+        step.best_effort && executor.is_some_and(|executor| !self.is_undisturbed(executor, step))
+    }
+
+    /// Records whether the conditions were relaxed for a best-effort task that was assigned. If
+    /// they were not, its step waits anew.
+    fn record_relaxation(&mut self, key: TaskKey, step: &StepSpec, relaxed: bool, now: Mono) {
+        if !step.best_effort {
+            return;
         }
-        if caused > MAX_CAUSED_LOG {
-            return None;
+        if !relaxed {
+            if let Some(job) = self.job_mut(key.job) {
+                job.restart_wait(key.slot, now);
+            }
+            return;
+        }
+        let Some(assignment) = self.assignment_mut(key) else {
+            return;
+        };
+        assignment.relaxed = true;
+        let executor = assignment.executor;
+        if let Some(executor) = self.fleet.get_mut(executor) {
+            executor.relaxed_at = Some(now);
+            executor.relaxed_tasks += 1;
+            executor.best_effort_cpu_millis -= step.size.cpu_millis;
         }
-        Some(spare_fraction(executor) - caused * INTERFERENCE_COST)
     }
 
     /// Scores an executor for a service task. Services with the same image are placed together, so
@@ -333,7 +396,6 @@
             && executor
                 .reservation
                 .is_none_or(|reservation| reservation.task == key)
-            && (!step.best_effort || has_spare_cpu(executor, step))
             && self.meets_constraints(executor_key, executor, job, key, step)
     }
 
@@ -387,20 +449,3 @@
         .as_ref()
         .is_none_or(|rack| executor.has_label(rack))
 }
-
-/// Returns the CPU in thousandths of a core that best-effort tasks can use beside the other tasks.
-fn spare_cpu(executor: &Executor) -> u64 {
-    let long_running_load = executor.long_running_cpu_millis * SERVICE_LOAD_PERCENT / 100;
-    executor.listing.capacity.cpu_millis.saturating_sub(
-        executor.batch_cpu_millis + long_running_load + executor.best_effort_cpu_millis,
-    )
-}
-
-#[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
-fn spare_fraction(executor: &Executor) -> f64 {
-    spare_cpu(executor) as f64 / executor.listing.capacity.cpu_millis.max(1) as f64
-}
-
-pub(crate) fn has_spare_cpu(executor: &Executor, step: &StepSpec) -> bool {
-    spare_cpu(executor) >= step.size.cpu_millis
-}
--- a/crates/job/src/placement/round.rs
+++ b/crates/job/src/placement/round.rs
@@ -8,6 +8,7 @@
 use model::Size;
 
 use crate::plan::Queue;
+use crate::relaxation::Wait;
 use crate::scheduler::TaskKey;
 use crate::spec::StepSpec;
 
@@ -32,6 +33,8 @@
     /// The CPU that has to be unused beside the other tasks, in thousandths of a core; 0 if the
     /// task is not best-effort.
     spare_cpu_millis: u64,
+    /// How long a best-effort task has waited, by which the conditions for it are relaxed.
+    pub(super) wait: Wait,
 }
 
 impl Round {
@@ -72,6 +75,7 @@
             } else {
                 0
             },
+            wait: Wait::NONE,
         })
     }
 
@@ -85,5 +89,6 @@
                 .is_none_or(|label| larger.label.as_ref() == Some(label))
             && self.allocated.fits(&larger.allocated)
             && self.spare_cpu_millis <= larger.spare_cpu_millis
+            && self.wait >= larger.wait
     }
 }
--- /dev/null
+++ b/crates/job/src/relaxation.rs
@@ -0,0 +1,128 @@
+//! Relaxes the conditions on an executor for best-effort tasks that wait (aging).
+//!
+//! A best-effort task starts where it disturbs no service and where there is CPU to spare. Nothing
+//! else ends these conditions: an estimate of interference changes only while tasks of the image
+//! run, and a service may exceed its target for as long as it runs. The conditions are therefore
+//! preferences. The longer a step waits, the less they count, until only the resources that are
+//! counted against the executor's capacity matter. How many tasks an executor receives in this way
+//! is limited, and each of them starts throttled, see [`crate::throttle`]. See "Tasks that fill" in
+//! `docs/JOBS.md`.
+
+use std::time::Duration;
+
+use model::Mono;
+
+use crate::fleet::Executor;
+use crate::scheduler::Scheduler;
+use crate::scheduler::TaskKey;
+use crate::spec::StepSpec;
+
+/// How long a step waits before its conditions are relaxed.
+const RELAX_AFTER: Duration = Duration::from_secs(4);
+/// The time from one level of relaxation to the next.
+const LEVEL_INTERVAL: Duration = Duration::from_secs(1);
+/// The level at which only resources that are counted against an executor's capacity matter.
+const LAST_LEVEL: u32 = 6;
+/// The wait counts for a fraction of one over this if another task of the job has an executor.
+const STARTED_JOB_DIVISOR: u32 = 4;
+/// The wait counts for a fraction of one over this on executors that are mostly in use, where a
+/// wait is expected.
+const BUSY_EXECUTOR_DIVISOR: u32 = 4;
+/// The minimum time between two tasks that an executor receives under relaxed conditions. It
+/// doubles with each such task that is still on the executor.
+const MIN_INTERVAL: Duration = Duration::from_secs(1);
+/// The maximum number of doublings of [`MIN_INTERVAL`].
+const MAX_INTERVAL_DOUBLINGS: u32 = 10;
+
+/// How long a step has waited for an executor, as far as it counts for relaxation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Wait(Duration);
+
+/// How far the conditions on an executor for a best-effort task are relaxed: 0 if they are not,
+/// [`LAST_LEVEL`] if they do not count any more.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Relaxation(u32);
+
+impl Wait {
+    /// No wait that counts.
+    pub(crate) const NONE: Self = Self(Duration::ZERO);
+
+    /// Returns how far the conditions are relaxed on an executor.
+    pub(crate) fn relaxation_on(self, executor: &Executor, now: Mono) -> Relaxation {
+        if self.0 < RELAX_AFTER || has_recent_relaxation(executor, now) {
+            return Relaxation::NONE;
+        }
+        let divisor = if is_mostly_in_use(executor) {
+            BUSY_EXECUTOR_DIVISOR
+        } else {
+            1
+        };
+        Relaxation::after(self.0 / divisor)
+    }
+}
+
+impl Relaxation {
+    /// The conditions are not relaxed.
+    pub(crate) const NONE: Self = Self(0);
+
+    fn after(waited: Duration) -> Self {
+        let Some(relaxed_for) = waited.checked_sub(RELAX_AFTER) else {
+            return Self::NONE;
+        };
+        let intervals = model::time::millis(relaxed_for) / model::time::millis(LEVEL_INTERVAL);
+        let level = u32::try_from(intervals + 1).unwrap_or(LAST_LEVEL);
+        Self(level.min(LAST_LEVEL))
+    }
+
+    /// Returns whether the conditions do not count any more.
+    pub(crate) const fn is_complete(self) -> bool {
+        self.0 >= LAST_LEVEL
+    }
+
+    /// Returns the factor by which limits are raised.
+    pub(crate) fn limit_factor(self) -> f64 {
+        if self.is_complete() {
+            f64::INFINITY
+        } else {
+            f64::from(1_u32 << self.0)
+        }
+    }
+}
+
+impl Scheduler {
+    /// Returns how long the step of a task has waited.
+    pub(crate) fn counted_wait(&self, key: TaskKey, step: &StepSpec, now: Mono) -> Wait {
+        if !step.best_effort {
+            return Wait::NONE;
+        }
+        let Some(job) = self.job(key.job) else {
+            return Wait::NONE;
+        };
+        let waited = job.waited(key.slot, now);
+        if waited < RELAX_AFTER {
+            return Wait::NONE;
+        }
+        let started = job.tasks.iter().any(|task| task.assignment().is_some());
+        Wait(if started {
+            waited / STARTED_JOB_DIVISOR
+        } else {
+            waited
+        })
+    }
+}
+
+/// Returns whether an executor has received a task under relaxed conditions too recently for
+/// another one.
+fn has_recent_relaxation(executor: &Executor, now: Mono) -> bool {
+    let doublings = executor.relaxed_tasks.min(MAX_INTERVAL_DOUBLINGS);
+    let interval = MIN_INTERVAL * (1 << doublings);
+    executor
+        .relaxed_at
+        .is_some_and(|relaxed_at| now.since(relaxed_at) < interval)
+}
+
+/// Returns whether more than half of a resource of an executor is allocated.
+fn is_mostly_in_use(executor: &Executor) -> bool {
+    let twice = executor.used + executor.used;
+    !twice.fits(&executor.listing.capacity)
+}
--- a/crates/job/src/scheduler/commands.rs
+++ b/crates/job/src/scheduler/commands.rs
@@ -245,6 +245,7 @@
             && matches!(assignment.start_state, StartState::Sent)
         {
             assignment.start_state = StartState::Confirmed(now);
+            self.throttle_at_start(key, now);
         }
         self.mark_job_started(key.job, now);
     }
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -419,6 +419,8 @@
         let cpu = step.size.cpu_millis;
         let (long_running, best_effort) = (step.long_running, step.best_effort);
         let service_image = step.image.clone().filter(|_| step.is_service());
+        let assignment = self.task(key).and_then(Task::assignment);
+        let relaxed = assignment.is_some_and(|assignment| assignment.relaxed);
         if let Some(executor) = self.fleet.get_mut(executor)
             && executor.tasks.remove(&key)
         {
@@ -426,7 +428,9 @@
                 executor.remove_service(image, cpu);
             }
             executor.used = executor.used.saturating_sub(&allocated_size);
-            if best_effort {
+            if relaxed {
+                executor.relaxed_tasks -= 1;
+            } else if best_effort {
                 executor.best_effort_cpu_millis =
                     executor.best_effort_cpu_millis.saturating_sub(cpu);
             } else if long_running {
--- a/crates/job/src/scheduler/job.rs
+++ b/crates/job/src/scheduler/job.rs
@@ -1,6 +1,7 @@
 //! The state of a job.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use derive_more::Display;
 use model::Mono;
@@ -68,6 +69,9 @@
     pub tasks: Vec<Task>,
     /// The number of tasks that have not succeeded, by occurrence and step.
     pub(super) unfinished: Vec<u32>,
+    /// Since when a task of a best-effort step waits for an executor, by occurrence and step;
+    /// `None` before it is ready and after an executor has lost a task of it.
+    pub(super) waits_since: Vec<Option<Mono>>,
     /// The number of waiting tasks.
     pub(super) waiting: u32,
     /// The version of the row that records the submission.
@@ -84,6 +88,47 @@
         occurrence as usize * self.spec.steps.len() + step as usize
     }
 
+    /// Returns for how long the step of a task has waited.
+    pub(crate) fn waited(&self, slot: u32, now: Mono) -> Duration {
+        let since = self.waits_since.get(self.group_of(slot));
+        since
+            .copied()
+            .flatten()
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Begins the wait of a task's step, unless it waits already.
+    pub(crate) fn begin_wait(&mut self, slot: u32, now: Mono) {
+        let group = self.group_of(slot);
+        if let Some(since) = self.waits_since.get_mut(group) {
+            since.get_or_insert(now);
+        }
+    }
+
+    /// Begins the wait of a task's step anew.
+    pub(crate) fn restart_wait(&mut self, slot: u32, now: Mono) {
+        let group = self.group_of(slot);
+        if let Some(since) = self.waits_since.get_mut(group) {
+            *since = Some(now);
+        }
+    }
+
+    /// Ends the wait of a task's step because a task of it has lost its executor.
+    pub(crate) fn end_wait(&mut self, slot: u32) {
+        let group = self.group_of(slot);
+        if let Some(since) = self.waits_since.get_mut(group) {
+            *since = None;
+        }
+    }
+
+    /// Returns the index of the counters of a task's step.
+    pub(super) fn group_of(&self, slot: u32) -> usize {
+        let located = self.locate(slot);
+        located.map_or(usize::MAX, |(occurrence, step, _)| {
+            self.group(occurrence, step)
+        })
+    }
+
     /// Returns whether any task is waiting to be started.
     #[must_use]
     pub const fn has_waiting_tasks(&self) -> bool {
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -182,6 +182,7 @@
             stored_state: JobState::Queued,
             waiting: u32::try_from(tasks.len()).unwrap_or(u32::MAX),
             tasks,
+            waits_since: vec![None; unfinished.len()],
             unfinished,
             spec,
             row_version: submission.row_version,
@@ -254,6 +255,10 @@
         self.jobs.get(key)
     }
 
+    pub(crate) fn job_mut(&mut self, key: JobKey) -> Option<&mut Job> {
+        self.jobs.get_mut(key)
+    }
+
     /// Returns the key of the job with this identifier.
     #[must_use]
     pub fn find(&self, id: JobId) -> Option<JobKey> {
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -277,9 +277,11 @@
         };
         self.update_checkpoint(key, run.checkpoint.as_ref());
         let mut stop_again = false;
+        let mut starts = false;
         if let Some(assignment) = self.task_mut(key).and_then(|task| task.assignment_mut()) {
             assignment.metrics = Some(run.metrics);
             assignment.start_unanswered = false;
+            starts = assignment.start_state == StartState::Sent;
             match assignment.start_state {
                 StartState::Sent | StartState::Inherited => {
                     assignment.start_state = StartState::Confirmed(now);
@@ -290,6 +292,9 @@
                 StartState::Storing => {}
             }
         }
+        if starts {
+            self.throttle_at_start(key, now);
+        }
         self.mark_job_started(key.job, now);
         if let Some(job) = self.jobs.get(key.job)
             && job.state.is_final()
--- a/crates/job/src/scheduler/restore.rs
+++ b/crates/job/src/scheduler/restore.rs
@@ -111,6 +111,7 @@
             cpu_percent: 100,
             cpu_percent_known: false,
             metrics: None,
+            relaxed: false,
             progress_sample: None,
         });
         self.allocate(key, executor);
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -78,6 +78,7 @@
             start_unanswered: false,
             cpu_percent: 100,
             cpu_percent_known: true,
+            relaxed: false,
             metrics: None,
             progress_sample: None,
         });
@@ -111,6 +112,7 @@
         }
         if let Some(job) = self.jobs.get_mut(key.job) {
             job.waiting += 1;
+            job.end_wait(key.slot);
         }
         self.mark_dirty(key.job);
     }
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -61,6 +61,8 @@
     pub cpu_percent: u32,
     /// Whether `cpu_percent` is certain; a previous owner may have assigned another share.
     pub cpu_percent_known: bool,
+    /// Whether the conditions for a best-effort task were relaxed when it was placed.
+    pub relaxed: bool,
     /// The metrics in the latest report that listed the run.
     pub metrics: Option<RunMetrics>,
     /// The progress at the latest stall check.
--- a/crates/job/src/throttle.rs
+++ b/crates/job/src/throttle.rs
@@ -11,12 +11,16 @@
 use model::Mono;
 
 use crate::fleet::ExecutorKey;
+use crate::placement::MAX_CAUSED_LOG;
+use crate::placement::caused_log;
 use crate::scheduler::Event;
 use crate::scheduler::Scheduler;
 use crate::scheduler::TaskKey;
 
 /// The setpoint of a tail latency, as a fraction of its target.
 const TARGET_FRACTION: f64 = 0.92;
+/// The same for tasks that were placed under relaxed conditions.
+const RELAXED_TARGET_FRACTION: f64 = 0.5;
 /// The minimum contribution to a log tail latency for which a task is throttled.
 const MIN_CAUSED_LOG: f64 = 0.03;
 /// Changes of a CPU share below this many percentage points are not sent, except changes to 0 or
@@ -46,6 +50,8 @@
     cpu_percent: u32,
     /// Whether the current share is certain, see [`crate::task::Assignment::cpu_percent_known`].
     cpu_percent_known: bool,
+    /// Whether the task was placed under relaxed conditions.
+    relaxed: bool,
     /// The fraction of the executor's CPU that the task uses when it is not throttled.
     full_use: f64,
 }
@@ -95,6 +101,40 @@
         }
     }
 
+    /// Limits the CPU share of a best-effort task that has just started to what its image causes
+    /// where it may be placed without waiting, until a report shows the effect. Beside a service
+    /// that exceeds its target, the task is suspended.
+    pub(crate) fn throttle_at_start(&mut self, key: TaskKey, now: Mono) {
+        let Some(cpu_percent) = self
+            .initial_cpu_percent(key)
+            .filter(|percent| *percent < 100)
+        else {
+            return;
+        };
+        self.set_cpu_share(key, cpu_percent);
+        self.record_event(Event::Throttled {
+            task: key,
+            cpu_percent,
+            over_target_for: Duration::ZERO,
+        });
+        let executor = self.task(key).and_then(|task| task.assignment());
+        let executor = executor.map(|assignment| assignment.executor);
+        if let Some(executor) = executor.and_then(|key| self.fleet.get_mut(key)) {
+            executor.throttled_at = now;
+        }
+    }
+
+    fn initial_cpu_percent(&self, key: TaskKey) -> Option<u32> {
+        let step = self.step(key).filter(|step| step.best_effort)?;
+        let image = step.image.as_ref()?;
+        let executor = self.fleet.get(self.task(key)?.assignment()?.executor)?;
+        if executor.over_target_since.is_some() {
+            return Some(0);
+        }
+        let caused = caused_log(&self.interference, executor, image, step.size.cpu_millis);
+        Some(rounded(MAX_CAUSED_LOG / caused.max(f64::EPSILON) * 100.0))
+    }
+
     /// Returns whether a tail latency exceeds its target and might meet it without the best-effort
     /// tasks. They are counted at full usage, because a recent throttle may not show in the newest
     /// report yet.
@@ -170,6 +210,7 @@
                     key: *key,
                     cpu_percent: assignment.cpu_percent,
                     cpu_percent_known: assignment.cpu_percent_known,
+                    relaxed: assignment.relaxed,
                     full_use: step.size.cpu_millis as f64 / capacity as f64,
                 })
             })
@@ -194,6 +235,11 @@
         tail_latencies: &[TailLatency],
     ) -> u32 {
         let mut cpu_percent = 100.0_f64;
+        let setpoint_log = if task.relaxed {
+            (RELAXED_TARGET_FRACTION / TARGET_FRACTION).ln()
+        } else {
+            0.0
+        };
         for tail_latency in tail_latencies {
             if self.pair_weight(tail_latency.key, task.key) * task.full_use < MIN_CAUSED_LOG {
                 continue;
@@ -211,8 +257,8 @@
                 .iter()
                 .map(|other| self.pair_weight(tail_latency.key, other.key) * other.full_use)
                 .sum();
-            let allowed =
-                (caused - tail_latency.log_excess) / caused_at_full_share.max(f64::EPSILON);
+            let log_excess = tail_latency.log_excess - setpoint_log;
+            let allowed = (caused - log_excess) / caused_at_full_share.max(f64::EPSILON);
             cpu_percent = cpu_percent.min(allowed * 100.0);
         }
         rounded(cpu_percent)
--- a/crates/job/src/wait_reason.rs
+++ b/crates/job/src/wait_reason.rs
@@ -347,7 +347,7 @@
         if executors.is_empty() {
             return no_executor(&queue.service, &listed, now);
         }
-        for constraint in self.constraints(key, job, step) {
+        for constraint in self.constraints(key, job, step, now) {
             let candidates = executors.len();
             executors
                 .retain(|(executor_key, executor)| (constraint.admits)(*executor_key, executor));
@@ -378,8 +378,10 @@
         key: TaskKey,
         job: &'b Job,
         step: &'b StepSpec,
+        now: Mono,
     ) -> Vec<Constraint<'b>> {
         let label = step.label.as_deref().unwrap_or_default();
+        let wait = self.counted_wait(key, step, now);
         vec![
             Constraint {
                 wait_reason: Box::new(move |candidates| WaitReason::NoLabel {
@@ -417,13 +419,17 @@
             },
             Constraint {
                 wait_reason: Box::new(|candidates| WaitReason::NoSpareCpu { candidates }),
-                admits: Box::new(|_, executor| {
-                    !step.best_effort || crate::placement::has_spare_cpu(executor, step)
+                admits: Box::new(move |_, executor| {
+                    let relaxation = wait.relaxation_on(executor, now);
+                    !step.best_effort || crate::placement::has_spare_cpu(executor, step, relaxation)
                 }),
             },
             Constraint {
                 wait_reason: Box::new(|candidates| WaitReason::Interference { candidates }),
-                admits: Box::new(|_, executor| self.score(executor, step).is_some()),
+                admits: Box::new(move |_, executor| {
+                    let relaxation = wait.relaxation_on(executor, now);
+                    self.score(executor, step, relaxation).is_some()
+                }),
             },
         ]
     }
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod overload;
 mod placement;
 mod record;
+mod relaxation;
 mod retire;
 mod stall;
 mod starvation;
--- a/crates/job/tests/all/starvation.rs
+++ b/crates/job/tests/all/starvation.rs
@@ -14,18 +14,18 @@
 use crate::fixture::service;
 
 /// The time between two reports of an executor.
-const REPORT_INTERVAL_MS: u64 = 500;
+pub const REPORT_INTERVAL_MS: u64 = 500;
 /// The time within which a step with free executors has to start, however unsuitable they are.
 const MAX_WAIT_MS: u64 = 10_000;
 /// A tail latency far below the target of the services in the tests.
-const LOW_TAIL_MS: u64 = 20;
+pub const LOW_TAIL_MS: u64 = 20;
 /// A tail latency above their target.
-const HIGH_TAIL_MS: u64 = 60;
+pub const HIGH_TAIL_MS: u64 = 60;
 
 impl Fixture {
     /// Reports the same tail latency for all service tasks, and for best-effort tasks the CPU that
     /// they use at their share.
-    fn report_all(&mut self, executors: usize, tail_ms: u64) {
+    pub fn report_all(&mut self, executors: usize, tail_ms: u64) {
         for number in 1..=executors {
             let rows = self
                 .tasks_on(number)
@@ -48,7 +48,7 @@
     }
 
     /// Returns whether any task of a job is assigned to an executor.
-    fn has_started(&self, id: JobId) -> bool {
+    pub fn has_started(&self, id: JobId) -> bool {
         let key = self.scheduler.find(id).expect("the job exists");
         let job = self.scheduler.job(key).expect("the job exists");
         job.tasks.iter().any(|task| task.assignment().is_some())
@@ -56,7 +56,7 @@
 
     /// Lets time pass with a report of each executor and a placement round twice a second, until a
     /// task of the job starts. Panics with the reason if that takes longer than [`MAX_WAIT_MS`].
-    fn expect_start(&mut self, id: JobId, executors: usize, tail_ms: u64) {
+    pub fn expect_start(&mut self, id: JobId, executors: usize, tail_ms: u64) {
         let submitted = self.now;
         loop {
             self.start_all();
@@ -86,7 +86,7 @@
 
 /// Two executors, each with a service of the image `web`. The scheduler has learned that tasks of
 /// the image `batch` raise its tail latency by a factor of more than two.
-fn fixture_with_learned_interference() -> Fixture {
+pub fn fixture_with_learned_interference() -> Fixture {
     let mut fixture = Fixture::new(2);
     fixture.submit(
         1,
