--- a/crates/job/src/scheduler/store.rs
+++ b/crates/job/src/scheduler/store.rs
@@ -66,8 +66,8 @@
         !self.dirty.is_empty() || self.retired.has_records() || !self.unstored_ends.is_empty()
     }
 
-    /// Returns the number of jobs whose changes wait to be stored. One that became urgent meanwhile
-    /// may count twice.
+    /// Returns the number of rows of jobs that wait to be stored. A job that has become urgent since
+    /// it changed counts twice.
     #[must_use]
     pub fn unstored_jobs(&self) -> usize {
         self.dirty.len()
