fix(job): late steps precede best-effort ones in each fourth round

What callers saw: short timed jobs of the large deployment that were late by any cause earned nothing at all, where late jobs should earn a part.

Fix: in each fourth placement round late steps that keep partial value come first among those that can wait.

--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -35,6 +35,10 @@
 /// stays short.
 const MAX_TASKS_PER_ROUND: usize = 200;
 
+/// In each round with this number, late steps that keep partial value precede best-effort steps that
+/// can be in time, so that none waits until it has no value.
+const LATE_ROUND_INTERVAL: u64 = 4;
+
 /// A number of tasks that are assigned in a round. A round ends after the step with which it
 /// reaches one of the limits, because gangs and steps are not divided.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -98,7 +102,17 @@
                 Some((rank(self, self.job(ready.job)?, ready, now, unix_ms), ready))
             })
             .collect();
-        steps.sort_by_key(|(rank, ready)| (*rank, ready.first_slot));
+        self.rounds += 1;
+        let late_first = self.rounds.is_multiple_of(LATE_ROUND_INTERVAL);
+        steps.sort_by_key(|(rank, ready)| {
+            let precedes = late_first && rank.outlook == DeadlineOutlook::Late;
+            let class = if precedes {
+                DeadlineOutlook::InTimeBestEffort
+            } else {
+                rank.outlook
+            };
+            (class, !precedes, *rank, ready.first_slot)
+        });
         for (rank, ready) in steps {
             let can_wait = rank.outlook.can_wait();
             if can_wait && used.tasks_that_can_wait >= budget.tasks_that_can_wait {
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -121,6 +121,8 @@
     unstored_ends: Vec<ExecutorKey>,
     /// The executors that may have to be polled.
     poll_candidates: Vec<ExecutorKey>,
+    /// The number of placement rounds so far.
+    pub(crate) rounds: u64,
     commands: Vec<Command>,
     events: Vec<Event>,
     retired: retire::RetiredJobs,
@@ -146,6 +148,7 @@
             dirty: StoreQueue::default(),
             unstored_ends: Vec::new(),
             poll_candidates: Vec::new(),
+            rounds: 0,
             commands: Vec::new(),
             events: Vec::new(),
             retired: retire::RetiredJobs::default(),
