fix(job): a best-effort step that names no image starts beside services

What callers would see: a best-effort step without an image is accepted and never starts while each executor runs a service, also after the conditions are relaxed.

Cause: interference is learned by pair of images, and a missing image was taken as unsuitable everywhere where it is placed, and as harmless where it is throttled.

Fix: it is treated as an image of which nothing is known: the assumed weight counts for placement, for throttling and for suspending. The estimate of a pair has one function for both bounds.

Evidence: a_best_effort_step_that_names_no_image_starts failed before (on: "waits for 10000 ms: it would disturb the services on each of 1 executors") and passes. cargo test -p job: 138 passed, the three known red passed over. The calls in tests name the images as `Some`; nothing else in them changed.

--- a/crates/job/src/interference.rs
+++ b/crates/job/src/interference.rs
@@ -100,28 +100,27 @@
     }
 
     /// Returns by how much the logarithm of a service's tail latency rises when the best-effort
-    /// image uses all CPU of an executor.
+    /// image uses all CPU of an executor. Nothing is known of tasks without an image.
     #[must_use]
-    pub fn weight(&self, service: &Arc<str>, best_effort: &Arc<str>) -> f64 {
-        let (Some(service), Some(best_effort)) =
-            (self.images.get(service), self.images.get(best_effort))
-        else {
-            return PRIOR_MEAN;
-        };
-        self.pairs
-            .get(&(*service, *best_effort))
-            .map_or(PRIOR_MEAN, |weight| weight.mean.max(0.0))
+    pub fn weight(&self, service: Option<&Arc<str>>, best_effort: Option<&Arc<str>>) -> f64 {
+        self.estimate(service, best_effort).mean.max(0.0)
     }
 
     /// Returns an upper bound of the pair's weight: its mean plus one standard deviation.
     #[must_use]
-    pub fn upper_bound(&self, service: &Arc<str>, best_effort: &Arc<str>) -> f64 {
-        let known = self.images.get(service).zip(self.images.get(best_effort));
-        let weight = known
+    pub fn upper_bound(&self, service: Option<&Arc<str>>, best_effort: Option<&Arc<str>>) -> f64 {
+        let weight = self.estimate(service, best_effort);
+        weight.mean.max(0.0) + weight.variance.sqrt()
+    }
+
+    fn estimate(&self, service: Option<&Arc<str>>, best_effort: Option<&Arc<str>>) -> Weight {
+        let service = service.and_then(|image| self.images.get(image));
+        let best_effort = best_effort.and_then(|image| self.images.get(image));
+        service
+            .zip(best_effort)
             .and_then(|(service, best_effort)| self.pairs.get(&(*service, *best_effort)))
             .copied()
-            .unwrap_or_default();
-        weight.mean.max(0.0) + weight.variance.sqrt()
+            .unwrap_or_default()
     }
 
     /// Returns the estimates of all observed pairs, sorted by image names.
--- a/crates/job/src/placement/best_effort.rs
+++ b/crates/job/src/placement/best_effort.rs
@@ -1,7 +1,5 @@
 //! Scores executors for best-effort tasks.
 
-use std::sync::Arc;
-
 use crate::fleet::Executor;
 use crate::interference::Interference;
 use crate::relaxation::Relaxation;
@@ -26,8 +24,7 @@
     step: &StepSpec,
     relaxation: Relaxation,
 ) -> Option<f64> {
-    let image = step.image.as_ref()?;
-    let caused = caused_log(interference, executor, image, step.size.cpu_millis);
+    let caused = caused_log(interference, executor, step);
     let over_target = executor.over_target_since.is_some();
     if caused > MAX_CAUSED_LOG * relaxation.limit_factor()
         || (over_target && !relaxation.is_complete())
@@ -38,20 +35,17 @@
     Some(spare_fraction(executor) - caused * INTERFERENCE_COST - over_target_cost)
 }
 
-/// Returns by how much a best-effort task that uses this CPU is estimated to raise the log tail
-/// latency of a service on an executor, for the service that it affects most.
+/// Returns by how much a best-effort task that uses all the CPU it asks for is estimated to raise the
+/// log tail latency of a service on an executor, for the service that it affects most.
 #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
-pub(crate) fn caused_log(
-    interference: &Interference,
-    executor: &Executor,
-    image: &Arc<str>,
-    cpu_millis: u64,
-) -> f64 {
-    let cpu_fraction = cpu_millis as f64 / executor.listing.capacity.cpu_millis.max(1) as f64;
+pub(crate) fn caused_log(interference: &Interference, executor: &Executor, step: &StepSpec) -> f64 {
+    let capacity = executor.listing.capacity.cpu_millis.max(1);
+    let cpu_fraction = step.size.cpu_millis as f64 / capacity as f64;
+    let image = step.image.as_ref();
     executor
         .services
         .iter()
-        .map(|service| interference.weight(&service.image, image) * cpu_fraction)
+        .map(|service| interference.weight(Some(&service.image), image) * cpu_fraction)
         .fold(0.0, f64::max)
 }
 
--- a/crates/job/src/throttle.rs
+++ b/crates/job/src/throttle.rs
@@ -126,12 +126,11 @@
 
     fn initial_cpu_percent(&self, key: TaskKey) -> Option<u32> {
         let step = self.step(key).filter(|step| step.best_effort)?;
-        let image = step.image.as_ref()?;
         let executor = self.fleet.get(self.task(key)?.assignment()?.executor)?;
         if executor.over_target_since.is_some() {
             return Some(0);
         }
-        let caused = caused_log(&self.interference, executor, image, step.size.cpu_millis);
+        let caused = caused_log(&self.interference, executor, step);
         Some(rounded(MAX_CAUSED_LOG / caused.max(f64::EPSILON) * 100.0))
     }
 
@@ -147,8 +146,10 @@
         let may_cause: f64 = best_effort_tasks
             .iter()
             .filter_map(|task| {
-                let image = self.step(task.key)?.image.as_ref()?;
-                let weight = self.interference.upper_bound(&tail_latency.image, image);
+                let image = self.step(task.key)?.image.as_ref();
+                let weight = self
+                    .interference
+                    .upper_bound(Some(&tail_latency.image), image);
                 Some(weight * task.full_use)
             })
             .sum();
@@ -220,10 +221,7 @@
     /// Returns the interference weight of the images of two tasks.
     fn pair_weight(&self, service: TaskKey, best_effort: TaskKey) -> f64 {
         let image = |key| self.step(key).and_then(|step| step.image.as_ref());
-        match (image(service), image(best_effort)) {
-            (Some(service), Some(best_effort)) => self.interference.weight(service, best_effort),
-            _ => 0.0,
-        }
+        self.interference.weight(image(service), image(best_effort))
     }
 
     /// Returns the CPU share at which all tail latencies are at their setpoint, if the shares of
--- a/crates/job/tests/all/interference.rs
+++ b/crates/job/tests/all/interference.rs
@@ -56,7 +56,7 @@
     fixture
         .scheduler
         .interference
-        .weight(&service, &best_effort)
+        .weight(Some(&service), Some(&best_effort))
 }
 
 fn fixture() -> Fixture {
--- a/crates/job/tests/all/relaxation.rs
+++ b/crates/job/tests/all/relaxation.rs
@@ -96,7 +96,7 @@
     let weight = fixture
         .scheduler
         .interference
-        .weight(&"web".into(), &"batch".into());
+        .weight(Some(&"web".into()), Some(&"batch".into()));
     let shares = fixture.take_cpu_shares();
     let [share] = shares[..] else {
         panic!("expected one share, got {shares:?}");
--- a/crates/job/tests/all/starvation.rs
+++ b/crates/job/tests/all/starvation.rs
@@ -106,7 +106,7 @@
     let weight = fixture
         .scheduler
         .interference
-        .weight(&"web".into(), &"batch".into());
+        .weight(Some(&"web".into()), Some(&"batch".into()));
     assert!(weight > 2.0, "weight {weight}");
     fixture.scheduler.cancel(known);
     fixture.store();
@@ -264,3 +264,16 @@
         fixture.start_all();
     }
 }
+
+#[test]
+fn a_best_effort_step_that_names_no_image_starts() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(1, vec![service(1, 12, "web")]);
+    fixture.start_all();
+    let unnamed = StepSpec {
+        image: None,
+        ..best_effort(1, 4, "batch")
+    };
+    let id = fixture.submit(2, vec![unnamed]);
+    fixture.expect_start(id, 1, LOW_TAIL_MS);
+}
