--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -121,6 +121,8 @@
     unstored_ends: Vec<ExecutorKey>,
     /// The executors that may have to be polled.
     poll_candidates: Vec<ExecutorKey>,
+    /// The number of placement rounds so far.
+    pub(crate) rounds: u64,
     commands: Vec<Command>,
     events: Vec<Event>,
     retired: retire::RetiredJobs,
@@ -146,6 +148,7 @@
             dirty: StoreQueue::default(),
             unstored_ends: Vec::new(),
             poll_candidates: Vec::new(),
+            rounds: 0,
             commands: Vec::new(),
             events: Vec::new(),
             retired: retire::RetiredJobs::default(),
@@ -184,6 +187,7 @@
             stored_state: JobState::Queued,
             waiting: u32::try_from(tasks.len()).unwrap_or(u32::MAX),
             tasks,
+            waits_since: vec![None; unfinished.len()],
             unfinished,
             spec,
             row_version: submission.row_version,
@@ -258,6 +262,10 @@
         self.jobs.get(key)
     }
 
+    pub(crate) fn job_mut(&mut self, key: JobKey) -> Option<&mut Job> {
+        self.jobs.get_mut(key)
+    }
+
     /// Returns the key of the job with this identifier.
     #[must_use]
     pub fn find(&self, id: JobId) -> Option<JobKey> {
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod overload;
 mod placement;
 mod record;
+mod relaxation;
 mod retire;
 mod scarce_store;
 mod stall;
