--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -111,9 +111,7 @@
             } else {
                 rank.outlook
             };
-            let size_neutral = late_first && rank.outlook.can_wait();
-            let slack_ms = if size_neutral { rank.slack_ms } else { 0 };
-            (class, !precedes, slack_ms, *rank, ready.first_slot)
+            (class, !precedes, *rank, ready.first_slot)
         });
         for (rank, ready) in steps {
             let can_wait = rank.outlook.can_wait();
