--- a/crates/job/src/wait_reason/interference.rs
+++ b/crates/job/src/wait_reason/interference.rs
@@ -12,13 +12,16 @@
 use crate::scheduler::Scheduler;
 use crate::spec::StepSpec;
 
+/// Stands for the image of a step that names none.
+const NO_IMAGE: &str = "a task without an image";
+
 /// The service that a best-effort task would disturb least, and the estimate of by how much.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize)]
 #[display(
     "{image} disturbs {service} least, by {caused_thousandths} thousandths (deviation {deviation_thousandths})"
 )]
 pub struct LeastDisturbed {
-    /// The image of the task.
+    /// The image of the task, or a text that it names none.
     pub image: Arc<str>,
     /// The image of the service.
     pub service: Arc<str>,
@@ -51,14 +54,14 @@
     /// Returns the service on an executor that a best-effort task would disturb most.
     #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
     fn most_disturbed(&self, executor: &Executor, step: &StepSpec) -> Option<LeastDisturbed> {
-        let image = step.image.as_ref()?;
+        let image = step.image.as_ref();
         let capacity = executor.listing.capacity.cpu_millis.max(1) as f64;
         let cpu_fraction = step.size.cpu_millis as f64 / capacity;
         let services = executor.services.iter().map(|service| {
-            let weight = self.interference.weight(&service.image, image);
-            let deviation = self.interference.upper_bound(&service.image, image) - weight;
+            let weight = self.interference.weight(Some(&service.image), image);
+            let deviation = self.interference.upper_bound(Some(&service.image), image) - weight;
             LeastDisturbed {
-                image: image.clone(),
+                image: image.cloned().unwrap_or_else(|| NO_IMAGE.into()),
                 service: service.image.clone(),
                 caused_thousandths: thousandths(weight * cpu_fraction),
                 deviation_thousandths: thousandths(deviation * cpu_fraction),
