test(job): a large short task that is starved by small ones, listed as known red

Short tasks are spread over all executors, so that a task that needs nearly a whole one finds none, for ever, while a quarter of the CPU is in use.

--- a/crates/job/tests/all/known_red.rs
+++ b/crates/job/tests/all/known_red.rs
@@ -33,3 +33,34 @@
         .previous_owner_stopped(next.now, next.now.after(LEASE), until);
     assert_eq!(next.scheduler.acknowledgement(executor), 1);
 }
+
+/// Small tasks go to the executors with the most free CPU, so that each executor always runs some of
+/// them and none ever has room for a task that needs nearly all of it.
+#[test]
+fn a_large_short_task_is_not_starved_by_a_continuous_stream_of_small_ones() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(100, vec![step(4, 8, 1_000)]);
+    fixture.start_all();
+    fixture.submit(1, vec![step(1, 60, 1_000)]);
+    let mut ended = [0, 0];
+    for number in 0..60 {
+        fixture.pass(500);
+        fixture.submit(200 + number, vec![step(1, 8, 1_000)]);
+        let index = usize::from(number % 2 == 1);
+        let oldest = fixture.tasks_on(index + 1).into_iter().min_by_key(|key| {
+            let task = fixture.scheduler.task(*key);
+            task.and_then(|task| Some(task.assignment()?.assigned_at))
+        });
+        ended[index] += 1;
+        let oldest = oldest.expect("tasks run");
+        let end = fixture.end(ended[index], oldest, RunOutcome::Done);
+        fixture.report(index + 1, vec![end]);
+        fixture.start_all();
+        let tasks = [fixture.tasks_on(1), fixture.tasks_on(2)].concat();
+        let mut sizes = tasks.iter().filter_map(|key| fixture.scheduler.step(*key));
+        if sizes.any(|step| step.size.cpu_millis == 60_000) {
+            return;
+        }
+    }
+    panic!("waits for 30 s while a quarter of the CPU is in use");
+}
