test(job): a job with running tasks keeps others that wait as long from their first task, known red

Once several jobs have waited for longer than 36 s, all of them are relaxed alike, whether a task of theirs runs or not, and the first step in the order takes each place that an executor has under relaxed conditions: of four jobs of 8 tasks three have none 10 s after two executors take tasks again. The bound is that of the starvation tests.

--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod age;
+mod fair_start;
 mod fixture;
 mod interference;
 mod known_red;
