fix(job): only rounds for tasks that can wait count towards the one that late steps begin

Cause: rounds were counted also while the pace allows no task that can wait, as after a wide step. If tasks that can wait had only every second, fourth or eighth round, the round for late steps could always be one without any.

Fix: a round counts if its budget has tasks that can wait.

Evidence: a_late_step_starts_however_the_rounds_for_tasks_that_can_wait_are_spaced failed before and passes.

--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -105,7 +105,9 @@
                 Some((rank(self, self.job(ready.job)?, ready, now, unix_ms), ready))
             })
             .collect();
-        self.rounds += 1;
+        if budget.tasks_that_can_wait > 0 {
+            self.rounds += 1;
+        }
         let late_first = self.rounds.is_multiple_of(LATE_ROUND_INTERVAL);
         steps.sort_by_key(|(rank, ready)| {
             let precedes = late_first && rank.outlook == DeadlineOutlook::Late;
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -121,7 +121,7 @@
     unstored_ends: Vec<ExecutorKey>,
     /// The executors that may have to be polled.
     poll_candidates: Vec<ExecutorKey>,
-    /// The number of placement rounds so far.
+    /// The number of placement rounds so far whose budget had tasks that can wait.
     pub(crate) rounds: u64,
     commands: Vec<Command>,
     events: Vec<Event>,
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod interference;
 mod known_red;
 mod late_ends;
+mod late_rounds;
 mod leases;
 mod lifecycle;
 mod model;
