fix(job, dispatch): executors with tasks placed under relaxed conditions are polled as often as others

What callers would see: a service over its response time is noticed up to half a second later (a second with the longer waits while timers are late) exactly where best-effort tasks disturb it most.

Cause: an executor is polled twice as often if best-effort tasks run beside long-running ones, told by the CPU that best-effort tasks request.

Fix: Executor::is_mixed counts them as well.

Evidence: an_executor_with_a_disturbing_task_beside_a_service_counts_as_mixed failed with the former condition and passes.

--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -294,7 +294,7 @@
     if first_poll {
         return Duration::ZERO;
     }
-    if executor.long_running_cpu_millis > 0 && executor.best_effort_cpu_millis > 0 {
+    if executor.is_mixed() {
         return MIXED_POLL_WAIT;
     }
     POLL_WAIT
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -239,6 +239,13 @@
         }
     }
 
+    /// Returns whether best-effort tasks run beside long-running ones.
+    #[must_use]
+    pub const fn is_mixed(&self) -> bool {
+        let has_best_effort = self.best_effort_cpu_millis > 0 || self.relaxed_tasks > 0;
+        self.long_running_cpu_millis > 0 && has_best_effort
+    }
+
     /// Returns whether the executor has this label.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -19,4 +19,5 @@
 mod stall;
 mod starvation;
 mod store_order;
+mod suspension;
 mod wait_reason;
