test(job): best-effort steps that wait for ever for a turn or for CPU, listed as known red

The class of the incident, a condition on the start or progress of best-effort work that nothing ends, still acts in two places:

- A task placed under relaxed conditions is held to half of a service's target.
Beside a service whose own tail is above that but within its target it has share 0 for as long as the service runs, keeps its memory, and doubles the interval of relaxed starts on its executor.
Share 0 in each report of 60 s at 35 of 50 ms.
- An executor has one relaxed start in an interval, and it goes by rank: smaller steps that never run out take each turn.

--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod fixture;
 mod interference;
 mod known_red;
+mod larger_steps;
 mod late_ends;
 mod late_rounds;
 mod leases;
