--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod fixture;
 mod interference;
 mod known_red;
+mod larger_steps;
 mod late_ends;
 mod late_rounds;
 mod leases;
