fix(job): a task that was placed under relaxed conditions keeps the share that it starts with

What callers would see: a best-effort task that has begun after a long wait and never goes on.

Cause: the lower setpoint for such tasks has no end while the service's own load keeps its tail there.

Change: such a task keeps the share that it starts with, which is estimated to raise no tail by more than the limit for tasks placed without a wait, while the usual setpoint allows it.

--- a/crates/job/src/throttle.rs
+++ b/crates/job/src/throttle.rs
@@ -224,20 +224,36 @@
         self.interference.weight(image(service), image(best_effort))
     }
 
-    /// Returns the CPU share at which all tail latencies are at their setpoint, if the shares of
-    /// all tasks that increase them change by the same factor.
+    /// Returns the CPU share of a task. Tasks that were placed under relaxed conditions have a lower
+    /// setpoint, but keep the share that they start with while the usual setpoint allows it, so that
+    /// they end.
     fn target_cpu_percent(
         &self,
         task: &BestEffortTask,
         all: &[BestEffortTask],
         tail_latencies: &[TailLatency],
+    ) -> u32 {
+        let usual = self.cpu_percent_at(0.0, task, all, tail_latencies);
+        if !task.relaxed {
+            return usual;
+        }
+        let setpoint_log = (RELAXED_TARGET_FRACTION / TARGET_FRACTION).ln();
+        let lower = self.cpu_percent_at(setpoint_log, task, all, tail_latencies);
+        let initial = self.initial_cpu_percent(task.key).unwrap_or(0);
+        lower.max(initial.min(usual))
+    }
+
+    /// Returns the CPU share at which all tail latencies are at a setpoint, if the shares of all
+    /// tasks that increase them change by the same factor. `setpoint_log` is the logarithm of the
+    /// setpoint relative to the usual one.
+    fn cpu_percent_at(
+        &self,
+        setpoint_log: f64,
+        task: &BestEffortTask,
+        all: &[BestEffortTask],
+        tail_latencies: &[TailLatency],
     ) -> u32 {
         let mut cpu_percent = 100.0_f64;
-        let setpoint_log = if task.relaxed {
-            (RELAXED_TARGET_FRACTION / TARGET_FRACTION).ln()
-        } else {
-            0.0
-        };
         for tail_latency in tail_latencies {
             if self.pair_weight(tail_latency.key, task.key) * task.full_use < MIN_CAUSED_LOG {
                 continue;
