fix(job): jobs without a task on an executor go first under relaxed conditions

Cause: once a wait was long, jobs with and without a running task were relaxed alike, so that the first step in the order took the turn of each executor, of which there are few.

Change: while a job without a task on an executor waits for relaxed conditions, jobs with one get none. The order of a round moved to a file of its own.

--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Selects which waiting tasks start next, and on which executors.
 
 mod best_effort;
+mod order;
 mod pool;
 mod round;
 
@@ -20,8 +21,6 @@
 use crate::fleet::Executor;
 use crate::fleet::ExecutorKey;
 use crate::ranking::DeadlineOutlook;
-use crate::ranking::Rank;
-use crate::ranking::rank;
 use crate::relaxation::Relaxation;
 use crate::scheduler::Event;
 use crate::scheduler::Job;
@@ -35,10 +34,6 @@
 /// stays short.
 const MAX_TASKS_PER_ROUND: usize = 200;
 
-/// In each round with this number, late steps that keep partial value precede best-effort steps that
-/// can be in time, so that none waits until it has no value.
-const LATE_ROUND_INTERVAL: u64 = 4;
-
 /// A number of tasks that are assigned in a round. A round ends after the step with which it
 /// reaches one of the limits, because gangs and steps are not divided.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -98,26 +93,11 @@
             return used;
         }
         let mut round = Round::new(self.release_stale_reservations(now));
-        let mut steps: Vec<(Rank, ReadyStep)> = self
-            .ready_steps(unix_ms)
-            .into_iter()
-            .filter_map(|ready| {
-                Some((rank(self, self.job(ready.job)?, ready, now, unix_ms), ready))
-            })
-            .collect();
         if budget.tasks_that_can_wait > 0 {
             self.rounds += 1;
         }
-        let late_first = self.rounds.is_multiple_of(LATE_ROUND_INTERVAL);
-        steps.sort_by_key(|(rank, ready)| {
-            let precedes = late_first && rank.outlook == DeadlineOutlook::Late;
-            let class = if precedes {
-                DeadlineOutlook::InTimeBestEffort
-            } else {
-                rank.outlook
-            };
-            (class, !precedes, *rank, ready.first_slot)
-        });
+        let steps = self.steps_in_order(now, unix_ms);
+        self.find_unstarted_jobs(&steps, now);
         for (rank, ready) in steps {
             let can_wait = rank.outlook.can_wait();
             if can_wait && used.tasks_that_can_wait >= budget.tasks_that_can_wait {
--- a/crates/job/src/relaxation.rs
+++ b/crates/job/src/relaxation.rs
@@ -13,6 +13,8 @@
 use model::Mono;
 
 use crate::fleet::Executor;
+use crate::ranking::Rank;
+use crate::scheduler::ReadyStep;
 use crate::scheduler::Scheduler;
 use crate::scheduler::TaskKey;
 use crate::spec::StepSpec;
@@ -23,7 +25,8 @@
 const LEVEL_INTERVAL: Duration = Duration::from_secs(1);
 /// The level at which only resources that are counted against an executor's capacity matter.
 const LAST_LEVEL: u32 = 6;
-/// The wait counts for a fraction of one over this if another task of the job has an executor.
+/// The wait counts for a fraction of one over this if another task of the job has an executor, and
+/// not at all while jobs without one wait.
 const STARTED_JOB_DIVISOR: u32 = 4;
 /// The wait counts for a fraction of one over this on executors that are mostly in use, where a
 /// wait is expected.
@@ -102,12 +105,27 @@
         if waited < RELAX_AFTER {
             return Wait::NONE;
         }
-        let started = job.tasks.iter().any(|task| task.assignment().is_some());
-        Wait(if started {
-            waited / STARTED_JOB_DIVISOR
-        } else {
-            waited
-        })
+        if !job.has_assigned_tasks() {
+            return Wait(waited);
+        }
+        if self.unstarted_jobs_wait {
+            return Wait::NONE;
+        }
+        Wait(waited / STARTED_JOB_DIVISOR)
+    }
+
+    /// Records whether any of these steps waits for relaxed conditions and belongs to a job without
+    /// a task on an executor. Such jobs go first, because executors receive few tasks in this way.
+    pub(crate) fn find_unstarted_jobs(&mut self, steps: &[(Rank, ReadyStep)], now: Mono) {
+        self.unstarted_jobs_wait = steps.iter().any(|(_, ready)| {
+            let Some(job) = self.job(ready.job) else {
+                return false;
+            };
+            let is_best_effort = job.spec.steps[ready.step as usize].best_effort;
+            is_best_effort
+                && job.waited(ready.first_slot, now) >= RELAX_AFTER
+                && !job.has_assigned_tasks()
+        });
     }
 }
 
--- a/crates/job/src/scheduler/job.rs
+++ b/crates/job/src/scheduler/job.rs
@@ -142,6 +142,11 @@
         })
     }
 
+    /// Returns whether any task has an executor.
+    pub(crate) fn has_assigned_tasks(&self) -> bool {
+        self.tasks.iter().any(|task| task.assignment().is_some())
+    }
+
     /// Returns whether any task is waiting to be started.
     #[must_use]
     pub const fn has_waiting_tasks(&self) -> bool {
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -123,6 +123,8 @@
     poll_candidates: Vec<ExecutorKey>,
     /// The number of placement rounds so far whose budget had tasks that can wait.
     pub(crate) rounds: u64,
+    /// Whether best-effort steps of jobs without a task on an executor wait for relaxed conditions.
+    pub(crate) unstarted_jobs_wait: bool,
     commands: Vec<Command>,
     events: Vec<Event>,
     retired: retire::RetiredJobs,
@@ -149,6 +151,7 @@
             unstored_ends: Vec::new(),
             poll_candidates: Vec::new(),
             rounds: 0,
+            unstarted_jobs_wait: false,
             commands: Vec::new(),
             events: Vec::new(),
             retired: retire::RetiredJobs::default(),
