--- a/crates/dispatch/src/owner/processor_pace.rs
+++ b/crates/dispatch/src/owner/processor_pace.rs
@@ -19,9 +19,10 @@
 const GAIN: f64 = 0.1;
 /// The factor by which the rate shrinks in an interval at most.
 const MIN_FACTOR: f64 = 0.8;
-/// Minimum and maximum rate, in tasks a second. The minimum lets all work progress however late the
-/// timers are; the maximum is no limit.
-const RATE: (f64, f64) = (100.0, 20_000.0);
+/// Minimum rate, in tasks a second. It lets all work progress however late the timers are.
+const MIN_RATE: f64 = 100.0;
+/// Maximum rate, in tasks a second. It is more than any owner places.
+const MAX_RATE: f64 = 20_000.0;
 /// The rate at which a limit begins if less was placed before, in tasks a second.
 const SLOW_START_RATE: f64 = 1_000.0;
 /// The weight of the latest interval in a mean.
@@ -42,8 +43,8 @@
     allowance: f64,
     refilled_at: Mono,
     adapted_at: Mono,
-    /// The sum of the lags in the current interval, and their number.
-    lags: (Duration, u32),
+    /// The lags in the current interval.
+    lags: Lags,
     /// The tasks placed in the current interval.
     placed: f64,
     /// The mean of the tasks placed, in tasks a second.
@@ -52,14 +53,32 @@
     mean_lag: Duration,
 }
 
+/// How late timers were in an interval.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lags {
+    sum: Duration,
+    number: u32,
+}
+
+impl Lags {
+    fn add(&mut self, lag: Duration) {
+        self.sum += lag;
+        self.number += 1;
+    }
+
+    fn mean(&self) -> Duration {
+        self.sum.checked_div(self.number).unwrap_or_default()
+    }
+}
+
 impl Default for ProcessorPace {
     fn default() -> Self {
         Self {
-            rate: RATE.1,
+            rate: MAX_RATE,
             allowance: 0.0,
             refilled_at: Mono::ZERO,
             adapted_at: Mono::ZERO,
-            lags: (Duration::ZERO, 0),
+            lags: Lags::default(),
             placed: 0.0,
             mean_placed: 0.0,
             mean_lag: Duration::ZERO,
@@ -76,8 +95,7 @@
         reason = "the allowance is a small number"
     )]
     pub fn allowance(&mut self, lag: Duration, now: Mono) -> usize {
-        let (sum, number) = self.lags;
-        self.lags = (sum + lag, number + 1);
+        self.lags.add(lag);
         self.adapt(now);
         let passed = now.since(self.refilled_at).min(MAX_SAVED);
         self.refilled_at = now;
@@ -114,9 +132,7 @@
         }
         let latest = self.placed / elapsed.as_secs_f64();
         self.mean_placed += (latest - self.mean_placed) * MEAN_WEIGHT;
-        let (min, max) = RATE;
-        let (sum, number) = self.lags;
-        let lag = sum.checked_div(number).unwrap_or_default();
+        let lag = self.lags.mean();
         self.mean_lag = self.mean_lag.mul_f64(1.0 - MEAN_WEIGHT) + lag.mul_f64(MEAN_WEIGHT);
         let excess = lag.as_secs_f64() / TARGET_LAG.as_secs_f64() - 1.0;
         if excess > 0.0 {
@@ -124,9 +140,9 @@
             self.rate = self.rate.min(self.mean_placed.max(SLOW_START_RATE));
         }
         self.rate *= (1.0 - GAIN * excess).max(MIN_FACTOR);
-        self.rate = self.rate.clamp(min, max);
+        self.rate = self.rate.clamp(MIN_RATE, MAX_RATE);
         self.adapted_at = now;
-        self.lags = (Duration::ZERO, 0);
+        self.lags = Lags::default();
         self.placed = 0.0;
     }
 }
--- a/crates/job/src/ranking.rs
+++ b/crates/job/src/ranking.rs
@@ -28,7 +28,7 @@
     pub outlook: DeadlineOutlook,
     /// Whether the job no longer has any value and has a task on an executor. Those without one go
     /// first, so that each accepted job proceeds.
-    pub has_turn: bool,
+    pub has_started: bool,
     /// The priority of the queue; 0 is the highest.
     pub priority: u32,
     /// The base-2 logarithm of the job's remaining work, rounded down.
@@ -65,7 +65,7 @@
     /// without a task on an executor it is one, because others like it wait for their first.
     #[must_use]
     pub fn max_tasks(&self) -> u32 {
-        if self.outlook == DeadlineOutlook::TooLate && !self.has_turn {
+        if self.outlook == DeadlineOutlook::TooLate && !self.has_started {
             1
         } else {
             u32::MAX
@@ -123,7 +123,7 @@
     };
     Rank {
         outlook,
-        has_turn: outlook == DeadlineOutlook::TooLate && job.has_assigned_tasks(),
+        has_started: outlook == DeadlineOutlook::TooLate && job.has_assigned_tasks(),
         priority,
         magnitude: job.remaining_work().max(1).ilog2(),
         slack_ms,
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -260,7 +260,7 @@
     }
 
     /// Runs periodic work: releases the tasks of unreachable executors whose leases have expired,
-    /// migrates tasks off draining executors, removes ended jobs from memory, and finds out which
+    /// migrates tasks off draining executors, removes ended jobs from memory, and records which
     /// services have free capacity.
     pub fn tick(&mut self, now: Mono) {
         self.retire(now);
