--- a/crates/job/src/placement/best_effort.rs
+++ b/crates/job/src/placement/best_effort.rs
@@ -1,8 +1,14 @@
-//! Scores executors for best-effort tasks.
+//! Scores executors for best-effort tasks, and records the waits of such tasks and for which of them
+//! the conditions were relaxed.
+
+use model::Mono;
 
 use crate::fleet::Executor;
+use crate::fleet::ExecutorKey;
 use crate::interference::Interference;
 use crate::relaxation::Relaxation;
+use crate::scheduler::Scheduler;
+use crate::scheduler::TaskKey;
 use crate::spec::StepSpec;
 
 /// The percentage of its allocated CPU that a long-running task is assumed to use, because its
@@ -15,6 +21,60 @@
 /// The weight of a service that exceeds its target against spare CPU in the score of an executor.
 const OVER_TARGET_COST: f64 = 10.0;
 
+impl Scheduler {
+    /// Returns whether an executor meets the conditions for a best-effort task without relaxation.
+    pub(super) fn is_undisturbed(&self, executor: &Executor, step: &StepSpec) -> bool {
+        has_spare_cpu(executor, step, Relaxation::NONE)
+            && self.score(executor, step, Relaxation::NONE).is_some()
+    }
+
+    /// Records that a step with a waiting task is ready.
+    pub(super) fn begin_wait(&mut self, key: TaskKey, step: &StepSpec, now: Mono) {
+        if step.best_effort
+            && let Some(job) = self.job_mut(key.job)
+        {
+            job.begin_wait(key.slot, now);
+        }
+    }
+
+    /// Returns whether the conditions for a best-effort task have to be relaxed for it on an
+    /// executor.
+    pub(super) fn needs_relaxation(&self, executor_key: ExecutorKey, step: &StepSpec) -> bool {
+        let executor = self.fleet.get(executor_key);
+        step.best_effort && executor.is_some_and(|executor| !self.is_undisturbed(executor, step))
+    }
+
+    /// Records whether the conditions were relaxed for a best-effort task that was assigned. If
+    /// they were not, its step waits anew.
+    pub(super) fn record_relaxation(
+        &mut self,
+        key: TaskKey,
+        step: &StepSpec,
+        relaxed: bool,
+        now: Mono,
+    ) {
+        if !step.best_effort {
+            return;
+        }
+        if !relaxed {
+            if let Some(job) = self.job_mut(key.job) {
+                job.restart_wait(key.slot, now);
+            }
+            return;
+        }
+        let Some(assignment) = self.assignment_mut(key) else {
+            return;
+        };
+        assignment.relaxed = true;
+        let executor = assignment.executor;
+        if let Some(executor) = self.fleet.get_mut(executor) {
+            executor.relaxed_at = Some(now);
+            executor.relaxed_tasks += 1;
+            executor.best_effort_cpu_millis -= step.size.cpu_millis;
+        }
+    }
+}
+
 /// Scores an executor for a best-effort task: executors with more spare CPU and less interference
 /// are preferred. Returns `None` if the task would raise a tail latency too much or if a service
 /// exceeds its target.
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -354,52 +354,6 @@
         }
     }
 
-    /// Returns whether an executor meets the conditions for a best-effort task without relaxation.
-    fn is_undisturbed(&self, executor: &Executor, step: &StepSpec) -> bool {
-        has_spare_cpu(executor, step, Relaxation::NONE)
-            && self.score(executor, step, Relaxation::NONE).is_some()
-    }
-
-    /// Records that a step with a waiting task is ready.
-    fn begin_wait(&mut self, key: TaskKey, step: &StepSpec, now: Mono) {
-        if step.best_effort
-            && let Some(job) = self.job_mut(key.job)
-        {
-            job.begin_wait(key.slot, now);
-        }
-    }
-
-    /// Returns whether the conditions for a best-effort task have to be relaxed for it on an
-    /// executor.
-    fn needs_relaxation(&self, executor_key: ExecutorKey, step: &StepSpec) -> bool {
-        let executor = self.fleet.get(executor_key);
-        step.best_effort && executor.is_some_and(|executor| !self.is_undisturbed(executor, step))
-    }
-
-    /// Records whether the conditions were relaxed for a best-effort task that was assigned. If
-    /// they were not, its step waits anew.
-    fn record_relaxation(&mut self, key: TaskKey, step: &StepSpec, relaxed: bool, now: Mono) {
-        if !step.best_effort {
-            return;
-        }
-        if !relaxed {
-            if let Some(job) = self.job_mut(key.job) {
-                job.restart_wait(key.slot, now);
-            }
-            return;
-        }
-        let Some(assignment) = self.assignment_mut(key) else {
-            return;
-        };
-        assignment.relaxed = true;
-        let executor = assignment.executor;
-        if let Some(executor) = self.fleet.get_mut(executor) {
-            executor.relaxed_at = Some(now);
-            executor.relaxed_tasks += 1;
-            executor.best_effort_cpu_millis -= step.size.cpu_millis;
-        }
-    }
-
     /// Scores an executor for a service task. Services with the same image are placed together, so
     /// that each best-effort image finds executors where it causes no interference, and services
     /// are packed, so that some executors run none.
