--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -2,10 +2,13 @@
 
 mod advice;
 mod age;
+mod fair_start;
 mod fixture;
 mod interference;
 mod known_red;
+mod larger_steps;
 mod late_ends;
+mod late_rounds;
 mod leases;
 mod lifecycle;
 mod model;
@@ -18,4 +21,5 @@
 mod stall;
 mod starvation;
 mod store_order;
+mod suspension;
 mod wait_reason;
