--- a/crates/job/src/relaxation.rs
+++ b/crates/job/src/relaxation.rs
@@ -8,12 +8,16 @@
 //! is limited, and each of them starts throttled, see [`crate::throttle`]. See "Tasks that fill" in
 //! `docs/JOBS.md`.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use model::Map;
 use model::Mono;
+use model::Size;
 
 use crate::fleet::Executor;
 use crate::ranking::Rank;
+use crate::scheduler::Job;
 use crate::scheduler::ReadyStep;
 use crate::scheduler::Scheduler;
 use crate::scheduler::TaskKey;
@@ -37,6 +41,17 @@
 /// The maximum number of doublings of [`MIN_INTERVAL`].
 const MAX_INTERVAL_DOUBLINGS: u32 = 10;
 
+/// The factor by which a wait counts if less than half of the service's capacity is allocated: there
+/// is room for the step, and only the services beside it are a reason to wait.
+const IDLE_SERVICE_FACTOR: u32 = 4;
+
+/// Resources of one or more executors.
+#[derive(Clone, Copy, Debug, Default)]
+struct Allocation {
+    used: Size,
+    capacity: Size,
+}
+
 /// How long a step has waited for an executor, as far as it counts for relaxation.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Wait(Duration);
@@ -46,6 +61,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Relaxation(u32);
 
+impl Allocation {
+    /// Returns whether at most half of each resource is allocated.
+    fn is_below_half(self) -> bool {
+        (self.used + self.used).fits(&self.capacity)
+    }
+}
+
 impl Wait {
     /// No wait that counts.
     pub(crate) const NONE: Self = Self(Duration::ZERO);
@@ -101,7 +123,7 @@
         let Some(job) = self.job(key.job) else {
             return Wait::NONE;
         };
-        let waited = job.waited(key.slot, now);
+        let waited = self.scaled_wait(job, key.slot, now);
         if waited < RELAX_AFTER {
             return Wait::NONE;
         }
@@ -114,6 +136,33 @@
         Wait(waited / STARTED_JOB_DIVISOR)
     }
 
+    /// Returns how long the step of a task has waited, several times as long if most of its service's
+    /// capacity is free.
+    fn scaled_wait(&self, job: &Job, slot: u32, now: Mono) -> Duration {
+        let waited = job.waited(slot, now);
+        let queue = self.plan.queue(&job.queue);
+        if queue.is_some_and(|queue| self.idle_services.contains(&queue.service)) {
+            waited * IDLE_SERVICE_FACTOR
+        } else {
+            waited
+        }
+    }
+
+    /// Records the services of whose executors' capacity less than half is allocated.
+    pub(crate) fn find_idle_services(&mut self) {
+        let mut totals: Map<Arc<str>, Allocation> = Map::default();
+        let listed = self.fleet.iter().filter(|(_, executor)| executor.listed);
+        for (_, executor) in listed {
+            let total = totals.entry(executor.listing.service.clone()).or_default();
+            total.used += executor.used;
+            total.capacity += executor.listing.capacity;
+        }
+        let idle = totals
+            .into_iter()
+            .filter(|(_, total)| total.is_below_half());
+        self.idle_services = idle.map(|(service, _)| service).collect();
+    }
+
     /// Records whether any of these steps waits for relaxed conditions and belongs to a job without
     /// a task on an executor. Such jobs go first, because executors receive few tasks in this way.
     pub(crate) fn find_unstarted_jobs(&mut self, steps: &[(Rank, ReadyStep)], now: Mono) {
@@ -123,7 +172,7 @@
             };
             let is_best_effort = job.spec.steps[ready.step as usize].best_effort;
             is_best_effort
-                && job.waited(ready.first_slot, now) >= RELAX_AFTER
+                && self.scaled_wait(job, ready.first_slot, now) >= RELAX_AFTER
                 && !job.has_assigned_tasks()
         });
     }
@@ -141,6 +190,9 @@
 
 /// Returns whether more than half of a resource of an executor is allocated.
 fn is_mostly_in_use(executor: &Executor) -> bool {
-    let twice = executor.used + executor.used;
-    !twice.fits(&executor.listing.capacity)
+    let allocation = Allocation {
+        used: executor.used,
+        capacity: executor.listing.capacity,
+    };
+    !allocation.is_below_half()
 }
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -260,9 +260,11 @@
     }
 
     /// Runs periodic work: releases the tasks of unreachable executors whose leases have expired,
-    /// migrates tasks off draining executors, and removes ended jobs from memory.
+    /// migrates tasks off draining executors, removes ended jobs from memory, and finds out which
+    /// services have free capacity.
     pub fn tick(&mut self, now: Mono) {
         self.retire(now);
+        self.find_idle_services();
         let expired: Vec<TaskKey> = self
             .fleet
             .iter()
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 
 use model::Map;
 use model::Mono;
+use model::Set;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
@@ -125,6 +126,9 @@
     pub(crate) rounds: u64,
     /// Whether best-effort steps of jobs without a task on an executor wait for relaxed conditions.
     pub(crate) unstarted_jobs_wait: bool,
+    /// The services that less than half of the capacity of their executors was allocated to at the
+    /// last [`Self::tick`].
+    pub(crate) idle_services: Set<Arc<str>>,
     commands: Vec<Command>,
     events: Vec<Event>,
     retired: retire::RetiredJobs,
@@ -152,6 +156,7 @@
             poll_candidates: Vec::new(),
             rounds: 0,
             unstarted_jobs_wait: false,
+            idle_services: Set::default(),
             commands: Vec::new(),
             events: Vec::new(),
             retired: retire::RetiredJobs::default(),
--- a/crates/job/tests/all/relaxation.rs
+++ b/crates/job/tests/all/relaxation.rs
@@ -172,3 +172,17 @@
     }
     panic!("the oldest step does not start");
 }
+
+/// LOST: a job counts as lost that has nothing running for 3 s while most of the capacity is free.
+#[test]
+fn a_best_effort_step_starts_within_three_seconds_while_most_of_the_capacity_is_free() {
+    let mut fixture = fixture_with_learned_interference();
+    let id = fixture.submit(3, vec![best_effort(1, 4, "batch")]);
+    for _ in 0..PATIENCE_MS / REPORT_INTERVAL_MS {
+        fixture.scheduler.tick(fixture.now);
+        fixture.start_all();
+        fixture.pass(REPORT_INTERVAL_MS);
+        fixture.report_all(2, LOW_TAIL_MS);
+    }
+    assert!(fixture.has_started(id), "{:?}", fixture.wait_reason(id));
+}
