--- a/crates/job/tests/all/known_red.rs
+++ b/crates/job/tests/all/known_red.rs
@@ -4,8 +4,11 @@
 
 use crate::fixture::Fixture;
 use crate::fixture::LEASE;
+use crate::fixture::best_effort;
 use crate::fixture::listing;
+use crate::fixture::service;
 use crate::fixture::step;
+use crate::starvation::REPORT_INTERVAL_MS;
 
 /// While the previous owner may still repeat its start command, an executor that starts anew would
 /// accept it, and a task whose end was acknowledged would start again.
@@ -64,3 +67,30 @@
     }
     panic!("waits for 30 s while a quarter of the CPU is in use");
 }
+
+/// HARM: the time after which best-effort tasks are suspended begins anew with one report under the
+/// target, which the noise of reports gives beside a tail just over it.
+#[test]
+fn best_effort_tasks_are_suspended_although_single_reports_show_a_tail_just_under_its_target() {
+    const JUST_OVER_MS: u64 = 55;
+    const JUST_UNDER_MS: u64 = 49;
+    let mut fixture = Fixture::new(1);
+    fixture.submit(1, vec![service(1, 12, "web")]);
+    fixture.submit(2, vec![best_effort(1, 4, "batch")]);
+    fixture.start_all();
+    let is_suspended = |fixture: &Fixture| {
+        let tasks = fixture.tasks_on(1);
+        let mut tasks = tasks.iter().filter_map(|key| fixture.scheduler.task(*key));
+        tasks.any(|task| task.assignment().is_some_and(|it| it.cpu_percent == 0))
+    };
+    for _ in 0..4 {
+        for tail_ms in [JUST_OVER_MS, JUST_OVER_MS, JUST_UNDER_MS] {
+            fixture.pass(REPORT_INTERVAL_MS);
+            fixture.report_all(1, tail_ms);
+            if is_suspended(&fixture) {
+                return;
+            }
+        }
+    }
+    panic!("not suspended within 6 s");
+}
