--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Selects which waiting tasks start next, and on which executors.
 
 mod best_effort;
+mod order;
 mod pool;
 mod round;
 
@@ -20,8 +21,6 @@
 use crate::fleet::Executor;
 use crate::fleet::ExecutorKey;
 use crate::ranking::DeadlineOutlook;
-use crate::ranking::Rank;
-use crate::ranking::rank;
 use crate::relaxation::Relaxation;
 use crate::scheduler::Event;
 use crate::scheduler::Job;
@@ -94,21 +93,18 @@
             return used;
         }
         let mut round = Round::new(self.release_stale_reservations(now));
-        let mut steps: Vec<(Rank, ReadyStep)> = self
-            .ready_steps(unix_ms)
-            .into_iter()
-            .filter_map(|ready| {
-                Some((rank(self, self.job(ready.job)?, ready, now, unix_ms), ready))
-            })
-            .collect();
-        steps.sort_by_key(|(rank, ready)| (*rank, ready.first_slot));
+        if budget.tasks_that_can_wait > 0 {
+            self.rounds += 1;
+        }
+        let steps = self.steps_in_order(now, unix_ms);
+        self.find_unstarted_jobs(&steps, now);
         for (rank, ready) in steps {
             let can_wait = rank.outlook.can_wait();
             if can_wait && used.tasks_that_can_wait >= budget.tasks_that_can_wait {
                 break;
             }
             self.set_urgent(ready.job, rank.outlook == DeadlineOutlook::InTime);
-            let tasks = self.place_step(ready, &mut round, now);
+            let tasks = self.place_step(ready, rank.max_tasks(), &mut round, now);
             if tasks > 0 {
                 self.record_event(Event::Placed {
                     job: ready.job,
@@ -128,7 +124,13 @@
         used
     }
 
-    fn place_step(&mut self, ready: ReadyStep, round: &mut Round, now: Mono) -> usize {
+    fn place_step(
+        &mut self,
+        ready: ReadyStep,
+        max_tasks: u32,
+        round: &mut Round,
+        now: Mono,
+    ) -> usize {
         let Some(job) = self.job(ready.job) else {
             return 0;
         };
@@ -182,6 +184,9 @@
             self.assign(key, executor, now);
             self.record_relaxation(key, step, relaxed, now);
             placed += 1;
+            if placed >= max_tasks as usize {
+                break;
+            }
             if let Some(pool) = &mut pool
                 && let Some(preference) = self.assess(executor, &service, key, step, now)
             {
--- a/crates/job/src/throttle.rs
+++ b/crates/job/src/throttle.rs
@@ -126,12 +126,11 @@
 
     fn initial_cpu_percent(&self, key: TaskKey) -> Option<u32> {
         let step = self.step(key).filter(|step| step.best_effort)?;
-        let image = step.image.as_ref()?;
         let executor = self.fleet.get(self.task(key)?.assignment()?.executor)?;
         if executor.over_target_since.is_some() {
             return Some(0);
         }
-        let caused = caused_log(&self.interference, executor, image, step.size.cpu_millis);
+        let caused = caused_log(&self.interference, executor, step);
         Some(rounded(MAX_CAUSED_LOG / caused.max(f64::EPSILON) * 100.0))
     }
 
@@ -147,8 +146,10 @@
         let may_cause: f64 = best_effort_tasks
             .iter()
             .filter_map(|task| {
-                let image = self.step(task.key)?.image.as_ref()?;
-                let weight = self.interference.upper_bound(&tail_latency.image, image);
+                let image = self.step(task.key)?.image.as_ref();
+                let weight = self
+                    .interference
+                    .upper_bound(Some(&tail_latency.image), image);
                 Some(weight * task.full_use)
             })
             .sum();
@@ -220,26 +221,39 @@
     /// Returns the interference weight of the images of two tasks.
     fn pair_weight(&self, service: TaskKey, best_effort: TaskKey) -> f64 {
         let image = |key| self.step(key).and_then(|step| step.image.as_ref());
-        match (image(service), image(best_effort)) {
-            (Some(service), Some(best_effort)) => self.interference.weight(service, best_effort),
-            _ => 0.0,
-        }
+        self.interference.weight(image(service), image(best_effort))
     }
 
-    /// Returns the CPU share at which all tail latencies are at their setpoint, if the shares of
-    /// all tasks that increase them change by the same factor.
+    /// Returns the CPU share of a task. Tasks that were placed under relaxed conditions have a lower
+    /// setpoint, but keep the share that they start with while the usual setpoint allows it, so that
+    /// they end.
     fn target_cpu_percent(
         &self,
         task: &BestEffortTask,
         all: &[BestEffortTask],
         tail_latencies: &[TailLatency],
+    ) -> u32 {
+        let usual = self.cpu_percent_at(0.0, task, all, tail_latencies);
+        if !task.relaxed {
+            return usual;
+        }
+        let setpoint_log = (RELAXED_TARGET_FRACTION / TARGET_FRACTION).ln();
+        let lower = self.cpu_percent_at(setpoint_log, task, all, tail_latencies);
+        let initial = self.initial_cpu_percent(task.key).unwrap_or(0);
+        lower.max(initial.min(usual))
+    }
+
+    /// Returns the CPU share at which all tail latencies are at a setpoint, if the shares of all
+    /// tasks that increase them change by the same factor. `setpoint_log` is the logarithm of the
+    /// setpoint relative to the usual one.
+    fn cpu_percent_at(
+        &self,
+        setpoint_log: f64,
+        task: &BestEffortTask,
+        all: &[BestEffortTask],
+        tail_latencies: &[TailLatency],
     ) -> u32 {
         let mut cpu_percent = 100.0_f64;
-        let setpoint_log = if task.relaxed {
-            (RELAXED_TARGET_FRACTION / TARGET_FRACTION).ln()
-        } else {
-            0.0
-        };
         for tail_latency in tail_latencies {
             if self.pair_weight(tail_latency.key, task.key) * task.full_use < MIN_CAUSED_LOG {
                 continue;
