--- a/crates/job/tests/all/known_red.rs
+++ b/crates/job/tests/all/known_red.rs
@@ -1,6 +1,7 @@
 //! Tests that fail because of a fault that is not mended. `KNOWN-RED.txt` lists each.
 
 use job::scheduler::RunOutcome;
+use job::spec::StepSpec;
 
 use crate::fixture::Fixture;
 use crate::fixture::LEASE;
@@ -8,7 +9,9 @@
 use crate::fixture::listing;
 use crate::fixture::service;
 use crate::fixture::step;
+use crate::starvation::LOW_TAIL_MS;
 use crate::starvation::REPORT_INTERVAL_MS;
+use crate::starvation::fixture_with_learned_interference;
 
 /// While the previous owner may still repeat its start command, an executor that starts anew would
 /// accept it, and a task whose end was acknowledged would start again.
@@ -94,3 +97,27 @@
     }
     panic!("not suspended within 6 s");
 }
+
+/// LOST: while any job without a task waits, jobs with one get no relaxed conditions. A job that no
+/// executor can take waits for ever.
+#[test]
+fn a_job_that_no_executor_can_take_does_not_keep_the_second_task_of_another_waiting() {
+    let impossible = StepSpec {
+        label: Some("none-has-it".into()),
+        ..best_effort(1, 4, "batch")
+    };
+    let mut fixture = fixture_with_learned_interference();
+    fixture.submit(3, vec![impossible]);
+    let id = fixture.submit(4, vec![best_effort(2, 16, "batch")]);
+    for _ in 0..120_000 / REPORT_INTERVAL_MS {
+        fixture.start_all();
+        let job = fixture.scheduler.find(id).expect("the job exists");
+        let job = fixture.scheduler.job(job).expect("the job exists");
+        if job.tasks.iter().all(|task| task.assignment().is_some()) {
+            return;
+        }
+        fixture.pass(REPORT_INTERVAL_MS);
+        fixture.report_all(2, LOW_TAIL_MS);
+    }
+    panic!("a task still waits after 120 s");
+}
