--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -137,10 +137,17 @@
     log::info!(event = "run_failed", job, step, index, run, executor, failures, attempts; "");
 }
 
-/// Logs that a run was lost and its task is queued again.
-pub fn run_lost(task: TaskId, run: u64, executor: &str, why: &str) {
+/// Logs that a run was lost and its task is queued again. `seen_ms` is how long the executor was
+/// heard of after it had confirmed the run.
+pub fn run_lost(task: TaskId, run: u64, executor: &str, why: &str, seen_ms: u64) {
     let (job, step, index) = (task.job.as_str(), task.step, task.index);
-    log::info!(event = "run_lost", job, step, index, run, executor, why; "");
+    log::info!(event = "run_lost", job, step, index, run, executor, why, seen_ms; "");
+}
+
+/// Logs that the process of an unreachable executor has ended, because a later one is listed at its
+/// address, with the number of tasks that were assigned to it.
+pub fn executor_replaced(id: &str, successor: &str, tasks: usize) {
+    log::info!(event = "executor_replaced", id, successor, tasks; "");
 }
 
 /// Logs that an end is not acknowledged, because its run was abandoned when its lease expired and
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -116,6 +116,7 @@
             run,
             executor,
             reason,
+            seen_ms,
         } => {
             let outcome = reason.as_str();
             metrics
@@ -123,9 +124,21 @@
                 .get_or_create(&OutcomeLabel { outcome })
                 .inc();
             if let Some(id) = scheduler.task_id(*task) {
-                events::run_lost(id, *run, executor_name(scheduler, *executor), outcome);
+                let executor = executor_name(scheduler, *executor);
+                events::run_lost(id, *run, executor, outcome, *seen_ms);
             }
         }
+        Event::ExecutorReplaced {
+            executor,
+            successor,
+            tasks,
+        } => {
+            let (executor, successor) = (
+                executor_name(scheduler, *executor),
+                executor_name(scheduler, *successor),
+            );
+            events::executor_replaced(executor, successor, *tasks);
+        }
     }
 }
 
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -51,6 +51,10 @@
     pub listed: bool,
     /// Whether the last call to the executor was answered.
     pub reachable: bool,
+    /// When the executor last answered a command or a poll.
+    pub answered_at: Mono,
+    /// Whether a later process is listed at the executor's address, so that this one has ended.
+    pub is_replaced: bool,
     /// When calls to the executor began to fail; `None` if the last one succeeded.
     pub failing_since: Option<Mono>,
     /// The end of the executor's cooldown; no task is placed on it earlier.
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -76,6 +76,15 @@
         /// How the run ended.
         outcome: RunOutcome,
     },
+    /// A later process is listed at the address of an unreachable executor.
+    ExecutorReplaced {
+        /// The executor whose process has ended.
+        executor: ExecutorKey,
+        /// The executor that the later process is.
+        successor: ExecutorKey,
+        /// The number of tasks assigned to the earlier one.
+        tasks: usize,
+    },
     /// A run was lost, and its task waits for another start.
     RunLost {
         /// The task.
@@ -86,6 +95,9 @@
         executor: ExecutorKey,
         /// The reason for the loss.
         reason: LossReason,
+        /// The time from the confirmation of the run to the latest answer of the executor, in
+        /// milliseconds; 0 if the run was not confirmed.
+        seen_ms: u64,
     },
 }
 
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -30,6 +30,7 @@
             .filter(|(_, executor)| !executor.listed && executor.tasks.is_empty())
             .map(|(key, _)| key)
             .collect();
+        self.find_replaced_executors();
         for key in removed {
             self.fleet.remove(key);
         }
@@ -84,6 +85,7 @@
             at: now,
         };
         let known = executor.clock.replace(reading);
+        executor.answered_at = now;
         executor.reachable = true;
         executor.failing_since = None;
         if known.is_some_and(|known| !known.is_continued_by(&reading)) {
@@ -110,6 +112,7 @@
             return false;
         }
         executor.reachable = true;
+        executor.answered_at = now;
         executor.failing_since = None;
         if executor
             .incarnation_uncertain_since
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod job;
 mod late_end;
 mod leases;
+mod replacement;
 mod report;
 mod restore;
 mod retire;
--- /dev/null
+++ b/crates/job/src/scheduler/replacement.rs
@@ -0,0 +1,68 @@
+//! Executors whose process has ended and was followed by another one at the same address.
+//!
+//! A process that crashed and one that cannot be reached are alike at first: both are silent. A
+//! later process at the same address is what tells them apart, because two processes cannot listen
+//! there at the same time.
+
+use std::sync::Arc;
+
+use model::Map;
+
+use super::Event;
+use super::Scheduler;
+use crate::fleet::Executor;
+use crate::fleet::ExecutorKey;
+
+impl Scheduler {
+    /// Records which unreachable executors have been replaced, according to the newest executor
+    /// list.
+    pub(super) fn find_replaced_executors(&mut self) {
+        let newest = self.newest_by_address();
+        let replaced: Vec<(ExecutorKey, ExecutorKey)> = self
+            .fleet
+            .iter()
+            .filter(|(_, executor)| !executor.reachable && !executor.is_replaced)
+            .filter_map(|(key, executor)| {
+                let successor = *newest.get(&executor.listing.address)?;
+                let later = self.fleet.get(successor)?;
+                is_followed_by(executor, later).then_some((key, successor))
+            })
+            .collect();
+        for (key, successor) in replaced {
+            let Some(executor) = self.fleet.get_mut(key) else {
+                continue;
+            };
+            executor.is_replaced = true;
+            let tasks = executor.tasks.len();
+            self.record_event(Event::ExecutorReplaced {
+                executor: key,
+                successor,
+                tasks,
+            });
+        }
+    }
+
+    /// Returns the listed executor that started last at each address.
+    fn newest_by_address(&self) -> Map<Arc<str>, ExecutorKey> {
+        let mut newest: Map<Arc<str>, (u64, ExecutorKey)> = Map::default();
+        let listed = self.fleet.iter().filter(|(_, executor)| executor.listed);
+        for (key, executor) in listed {
+            let started = executor.listing.started_unix_ms;
+            let entry = newest
+                .entry(executor.listing.address.clone())
+                .or_insert((started, key));
+            if started > entry.0 {
+                *entry = (started, key);
+            }
+        }
+        newest
+            .into_iter()
+            .map(|(address, (_, key))| (address, key))
+            .collect()
+    }
+}
+
+fn is_followed_by(executor: &Executor, later: &Executor) -> bool {
+    executor.listing.id != later.listing.id
+        && executor.listing.started_unix_ms < later.listing.started_unix_ms
+}
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -1,6 +1,8 @@
 //! State changes of tasks and jobs: a task is assigned, released or completed, and a job starts or
 //! ends.
 
+use std::time::Duration;
+
 use model::Mono;
 
 use super::Event;
@@ -23,11 +25,13 @@
             .task(key)
             .and_then(|task| Some((task.run, task.assignment()?.executor)));
         if let Some((run, executor)) = current {
+            let seen = self.seen_active(key);
             self.record_event(Event::RunLost {
                 task: key,
                 run,
                 executor,
                 reason,
+                seen_ms: model::time::millis(seen),
             });
         }
         match reason {
@@ -40,6 +44,18 @@
         }
     }
 
+    /// Returns the time from the confirmation of a task's run to the latest answer of its executor.
+    fn seen_active(&self, key: TaskKey) -> Duration {
+        let Some(assignment) = self.task(key).and_then(Task::assignment) else {
+            return Duration::ZERO;
+        };
+        let executor = self.fleet.get(assignment.executor);
+        match (assignment.start_state, executor) {
+            (StartState::Confirmed(since), Some(executor)) => executor.answered_at.since(since),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns the assignment of a task for modification.
     pub fn assignment_mut(&mut self, key: TaskKey) -> Option<&mut Assignment> {
         self.task_mut(key)?.assignment_mut()
