--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -145,15 +145,7 @@
             panic!("expected one row, got {}", batch.rows.len());
         };
         let record: JobRecord = serde_json::from_slice(row).expect("a valid record");
-        let key = self.scheduler.find(*id).expect("the job exists");
-        let job = self.scheduler.job(key).expect("the job exists");
-        let submission = Submission {
-            id: *id,
-            queue: QUEUE.into(),
-            age_ms: 0,
-            spec: job.spec.clone(),
-            row_version: 1,
-        };
+        let submission = self.submission(*id);
         let mut next = Self {
             scheduler: Scheduler::new(plan(2), self.scheduler.timing),
             now: Mono(500),
@@ -162,6 +154,19 @@
         next
     }
 
+    /// Returns the submission of a job as a successor reads it.
+    pub fn submission(&self, id: JobId) -> Submission {
+        let key = self.scheduler.find(id).expect("the job exists");
+        let job = self.scheduler.job(key).expect("the job exists");
+        Submission {
+            id,
+            queue: QUEUE.into(),
+            age_ms: 0,
+            spec: job.spec.clone(),
+            row_version: 1,
+        }
+    }
+
     /// Passes an executor list to the scheduler.
     pub fn list(&mut self, listings: Vec<Listing>) {
         let listings = listings.into_iter().map(|listing| (listing, 500)).collect();
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -2,6 +2,8 @@
 
 mod advice;
 mod age;
+mod crash_world;
+mod crashes;
 mod fair_start;
 mod fixture;
 mod interference;
