--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -24,13 +24,13 @@
         for (listing, clock_ms) in listings {
             self.update_executor(listing, clock_ms, now);
         }
+        self.find_replaced_executors(now);
         let removed: Vec<ExecutorKey> = self
             .fleet
             .iter()
             .filter(|(_, executor)| !executor.listed && executor.tasks.is_empty())
             .map(|(key, _)| key)
             .collect();
-        self.find_replaced_executors();
         for key in removed {
             self.fleet.remove(key);
         }
@@ -87,6 +87,7 @@
         let known = executor.clock.replace(reading);
         executor.answered_at = now;
         executor.reachable = true;
+        executor.is_replaced = false;
         executor.failing_since = None;
         if known.is_some_and(|known| !known.is_continued_by(&reading)) {
             executor.incarnation_uncertain_since.get_or_insert(now);
@@ -112,6 +113,7 @@
             return false;
         }
         executor.reachable = true;
+        executor.is_replaced = false;
         executor.answered_at = now;
         executor.failing_since = None;
         if executor
@@ -278,6 +280,7 @@
         for key in expired {
             self.lose_run(key, LossReason::LeaseExpired, now);
         }
+        self.release_replaced(now);
         let migrating: Vec<TaskKey> = self
             .fleet
             .iter()
@@ -290,7 +293,7 @@
         }
     }
 
-    fn is_storing(&self, key: TaskKey) -> bool {
+    pub(super) fn is_storing(&self, key: TaskKey) -> bool {
         self.task(key)
             .and_then(|task| task.assignment())
             .is_none_or(|assignment| assignment.start_state == StartState::Storing)
--- a/crates/job/src/scheduler/replacement.rs
+++ b/crates/job/src/scheduler/replacement.rs
@@ -7,16 +7,20 @@
 use std::sync::Arc;
 
 use model::Map;
+use model::Mono;
 
 use super::Event;
+use super::LossReason;
 use super::Scheduler;
+use super::TaskKey;
 use crate::fleet::Executor;
 use crate::fleet::ExecutorKey;
 
 impl Scheduler {
-    /// Records which unreachable executors have been replaced, according to the newest executor
-    /// list.
-    pub(super) fn find_replaced_executors(&mut self) {
+    /// Finds the unreachable executors that have been replaced, according to the newest executor
+    /// list, and releases their tasks. Nothing runs there any more, and no command can start
+    /// anything, because it names the executor that it is for.
+    pub(super) fn find_replaced_executors(&mut self, now: Mono) {
         let newest = self.newest_by_address();
         let replaced: Vec<(ExecutorKey, ExecutorKey)> = self
             .fleet
@@ -40,6 +44,22 @@
                 tasks,
             });
         }
+        self.release_replaced(now);
+    }
+
+    /// Releases the tasks of replaced executors. A task whose assignment is being stored is released
+    /// after that.
+    pub(super) fn release_replaced(&mut self, now: Mono) {
+        let lost: Vec<TaskKey> = self
+            .fleet
+            .iter()
+            .filter(|(_, executor)| executor.is_replaced)
+            .flat_map(|(_, executor)| executor.tasks.iter().copied())
+            .filter(|key| !self.is_storing(*key))
+            .collect();
+        for key in lost {
+            self.lose_run(key, LossReason::ExecutorRestarted, now);
+        }
     }
 
     /// Returns the listed executor that started last at each address.
