--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -144,6 +144,18 @@
     log::info!(event = "run_lost", job, step, index, run, executor, why, seen_ms; "");
 }
 
+/// Logs that an executor has crashed, with the number of tasks that may have caused it.
+pub fn executor_crashed(id: &str, suspects: usize) {
+    log::info!(event = "executor_crashed", id, suspects; "");
+}
+
+/// Logs that a job fails because this number of executors have crashed in a row under one of its
+/// tasks.
+pub fn task_given_up(task: TaskId, executor: &str, crashes: u32) {
+    let (job, step, index) = (task.job.as_str(), task.step, task.index);
+    log::warn!(event = "task_given_up", job, step, index, executor, crashes; "");
+}
+
 /// Logs that the process of an unreachable executor has ended, because a later one is listed at its
 /// address, with the number of tasks that were assigned to it.
 pub fn executor_replaced(id: &str, successor: &str, tasks: usize) {
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -98,6 +98,8 @@
     pub lost_runs: Family<OutcomeLabel, Counter>,
     /// Failed runs.
     pub failed_runs: Counter,
+    /// Tasks that were given up because executors crashed under them.
+    pub tasks_given_up: Counter,
     /// Ended jobs by final state.
     pub jobs_ended: Family<OutcomeLabel, Counter>,
     /// Time from the arrival of a job to its end.
@@ -127,6 +129,7 @@
             run_ends: Family::default(),
             lost_runs: Family::default(),
             failed_runs: Counter::default(),
+            tasks_given_up: Counter::default(),
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
             oldest_wait_ms: Family::default(),
@@ -174,6 +177,12 @@
             "Runs that failed",
             &self.failed_runs,
         );
+        register(
+            registry,
+            "tasks_given_up",
+            "Tasks that were given up because executors crashed under them",
+            &self.tasks_given_up,
+        );
         register(registry, "jobs_ended", "Jobs that ended", &self.jobs_ended);
         register(
             registry,
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -128,6 +128,19 @@
                 events::run_lost(id, *run, executor, outcome, *seen_ms);
             }
         }
+        Event::ExecutorCrashed { executor, suspects } => {
+            events::executor_crashed(executor_name(scheduler, *executor), *suspects);
+        }
+        Event::TaskGivenUp {
+            task,
+            executor,
+            crashes,
+        } => {
+            metrics.tasks_given_up.inc();
+            if let Some(id) = scheduler.task_id(*task) {
+                events::task_given_up(id, executor_name(scheduler, *executor), *crashes);
+            }
+        }
         Event::ExecutorReplaced {
             executor,
             successor,
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -55,6 +55,10 @@
     pub answered_at: Mono,
     /// Whether a later process is listed at the executor's address, so that this one has ended.
     pub is_replaced: bool,
+    /// Runs that were lost while the executor was silent and that may have crashed it.
+    pub unexplained_losses: Vec<crate::scheduler::UnexplainedLoss>,
+    /// The number of tasks on the executor under which executors have crashed before.
+    pub suspected_tasks: u32,
     /// When calls to the executor began to fail; `None` if the last one succeeded.
     pub failing_since: Option<Mono>,
     /// The end of the executor's cooldown; no task is placed on it earlier.
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -1,11 +1,13 @@
 //! Selects which waiting tasks start next, and on which executors.
 
 mod best_effort;
+mod isolation;
 mod order;
 mod pool;
 mod round;
 
 use std::cmp::Ordering;
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use model::Mono;
@@ -49,6 +51,8 @@
 pub(crate) struct Preference {
     /// Whether the task's latest failed or stalled run was not on this executor.
     not_failed_here: bool,
+    /// How bad it is to start the task beside those on the executor, if one of them may crash it.
+    exposure: Reverse<usize>,
     /// Whether the executor is suitable without relaxed conditions.
     unrelaxed: bool,
     /// Whether the executor is in the rack of the step's data, or the step names no rack.
@@ -61,6 +65,7 @@
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
         self.not_failed_here
             .cmp(&other.not_failed_here)
+            .then(self.exposure.cmp(&other.exposure))
             .then(self.unrelaxed.cmp(&other.unrelaxed))
             .then(self.near_data.cmp(&other.near_data))
             .then(self.score.total_cmp(&other.score))
@@ -178,6 +183,9 @@
             let Some(executor) = executor else {
                 self.request_advice(ready, key, now);
                 self.reserve_executor_for(key, step, round, now);
+                if self.is_isolated(key, step) {
+                    continue;
+                }
                 break;
             };
             let relaxed = self.needs_relaxation(executor, step);
@@ -198,8 +206,10 @@
 
     /// Returns whether a task suits every executor as well as the other tasks of its step do.
     fn is_interchangeable(&self, key: TaskKey, round: &Round) -> bool {
-        let failed = self.task(key).is_some_and(|task| task.failed_on.is_some());
-        !failed && !round.reserved.contains(&key)
+        let is_special = self
+            .task(key)
+            .is_some_and(|task| task.failed_on.is_some() || task.crashes > 0);
+        !is_special && !round.reserved.contains(&key)
     }
 
     fn place_gang(&mut self, ready: ReadyStep, step: &StepSpec, now: Mono) -> usize {
@@ -331,6 +341,7 @@
         let failed_on = self.task(key).and_then(|task| task.failed_on);
         Some(Preference {
             not_failed_here: Some(executor_key) != failed_on,
+            exposure: Reverse(self.exposure(key, step, executor)?),
             unrelaxed: relaxation == Relaxation::NONE || self.is_undisturbed(executor, step),
             near_data: near_data(executor, step),
             score: self.score(executor, step, relaxation)?,
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -62,12 +62,19 @@
     /// How many runs of the task have failed.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub failures: u32,
+    /// How many executors in a row have crashed soon after they may have started the task.
+    #[serde(rename = "x", default, skip_serializing_if = "is_zero")]
+    pub crashes: u32,
     /// The executor that the task is assigned to, if any.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub executor: Option<Arc<str>>,
     /// The incarnation of that executor: its start time in milliseconds since 1970.
     #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
     pub executor_started_unix_ms: Option<u64>,
+    /// The address of that executor, if executors have crashed under the task. It tells a successor
+    /// whether this one has crashed as well.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<Arc<str>>,
     /// The task's latest checkpoint.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Arc<str>>,
@@ -133,8 +140,10 @@
                 slot,
                 run: task.run,
                 failures: task.failures,
+                crashes: task.crashes,
                 executor: None,
                 executor_started_unix_ms: None,
+                address: None,
                 checkpoint: task.checkpoint.clone(),
             }),
             Phase::Assigned(assignment) => {
@@ -143,9 +152,13 @@
                     slot,
                     run: task.run,
                     failures: task.failures,
+                    crashes: task.crashes,
                     executor: executor.map(|executor| executor.listing.id.clone()),
                     executor_started_unix_ms: executor
                         .map(|executor| executor.listing.started_unix_ms),
+                    address: executor
+                        .filter(|_| task.crashes > 0)
+                        .map(|executor| executor.listing.address.clone()),
                     checkpoint: task.checkpoint.clone(),
                 });
             }
--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -66,7 +66,8 @@
             .collect()
     }
 
-    /// Reserves an executor for a long-running task that has waited too long for free resources.
+    /// Reserves an executor for a task that has waited too long for one: a long-running task for free
+    /// resources, an isolated one for an executor where no other task is new.
     /// The executor that lacks least is chosen.
     pub(crate) fn reserve_executor_for(
         &mut self,
@@ -75,7 +76,8 @@
         round: &mut Round,
         now: Mono,
     ) {
-        if !step.long_running || step.gang || self.waited(key, now) < RESERVE_AFTER {
+        let qualifies = step.long_running || self.is_isolated(key, step);
+        if !qualifies || step.gang || self.waited(key, now) < RESERVE_AFTER {
             return;
         }
         let limit = (self.fleet.len() * MAX_RESERVED_PERCENT / 100).max(1);
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -85,6 +85,22 @@
         /// The number of tasks assigned to the earlier one.
         tasks: usize,
     },
+    /// An executor has crashed, and tasks that it had just started are suspected.
+    ExecutorCrashed {
+        /// The executor.
+        executor: ExecutorKey,
+        /// The number of suspected tasks.
+        suspects: usize,
+    },
+    /// A job fails because executors crash under one of its tasks.
+    TaskGivenUp {
+        /// The task.
+        task: TaskKey,
+        /// The executor that crashed last.
+        executor: ExecutorKey,
+        /// The number of executors that have crashed in a row.
+        crashes: u32,
+    },
     /// A run was lost, and its task waits for another start.
     RunLost {
         /// The task.
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -24,16 +24,20 @@
         for (listing, clock_ms) in listings {
             self.update_executor(listing, clock_ms, now);
         }
-        self.find_replaced_executors(now);
         let removed: Vec<ExecutorKey> = self
             .fleet
             .iter()
             .filter(|(_, executor)| !executor.listed && executor.tasks.is_empty())
+            .filter(|(_, executor)| {
+                let mut losses = executor.unexplained_losses.iter();
+                executor.is_replaced || !losses.any(|loss| loss.is_open(now))
+            })
             .map(|(key, _)| key)
             .collect();
         for key in removed {
             self.fleet.remove(key);
         }
+        self.find_replaced_executors(now);
     }
 
     fn update_executor(&mut self, listing: Listing, clock_ms: u64, now: Mono) {
@@ -51,7 +55,10 @@
             .get(key)
             .is_some_and(|executor| !executor.tasks.is_empty());
         if !has_tasks {
-            self.begin_incarnation(key, started_unix_ms);
+            if self.begin_incarnation(key, started_unix_ms) {
+                let suspects = self.take_unexplained_losses(key);
+                self.count_crash(key, &suspects);
+            }
         } else if started_unix_ms > known {
             self.announce_incarnation(key, started_unix_ms, now);
         }
@@ -88,6 +95,7 @@
         executor.answered_at = now;
         executor.reachable = true;
         executor.is_replaced = false;
+        executor.unexplained_losses.clear();
         executor.failing_since = None;
         if known.is_some_and(|known| !known.is_continued_by(&reading)) {
             executor.incarnation_uncertain_since.get_or_insert(now);
@@ -123,6 +131,8 @@
             executor.incarnation_uncertain_since = None;
         }
         let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
+        let mut suspects = self.suspects_missing_in(key, report);
+        suspects.extend(self.take_unexplained_losses(key));
         if self.begin_incarnation(key, started_unix_ms) && earlier != 0 {
             self.assume_max_lease(key, now);
         }
@@ -141,10 +151,23 @@
             for task in tasks {
                 self.lose_with_incarnation(task, report, sent, now);
             }
+            self.count_crash(key, &suspects);
         }
         true
     }
 
+    /// Returns the tasks that may have crashed an earlier incarnation of an executor and that a report
+    /// of the present one does not contain.
+    fn suspects_missing_in(&self, key: ExecutorKey, report: &Report) -> Vec<TaskKey> {
+        let mut suspects = self.suspects_on(key);
+        suspects.retain(|key| {
+            let run = self.task(*key).map(|task| task.run);
+            let id = self.task_id(*key).zip(run);
+            id.is_some_and(|(id, run)| !report.contains(id, run))
+        });
+        suspects
+    }
+
     /// Records that the executor list contains a new incarnation. Only a poll shows which tasks it
     /// runs.
     fn announce_incarnation(&mut self, key: ExecutorKey, started_unix_ms: u64, now: Mono) {
@@ -278,6 +301,7 @@
             .filter(|key| !self.is_storing(*key))
             .collect();
         for key in expired {
+            self.record_unexplained_loss(key, now);
             self.lose_run(key, LossReason::LeaseExpired, now);
         }
         self.release_replaced(now);
@@ -340,10 +364,12 @@
         let cpu = step.size.cpu_millis;
         let (long_running, best_effort) = (step.long_running, step.best_effort);
         let service_image = step.image.clone().filter(|_| step.is_service());
+        let is_suspected = self.task(key).is_some_and(|task| task.crashes > 0);
         self.poll_candidates.push(executor);
         if let Some(executor) = self.fleet.get_mut(executor) {
             executor.tasks.insert(key);
             executor.used += allocated_size;
+            executor.suspected_tasks += u32::from(is_suspected);
             if let Some(image) = &service_image {
                 executor.add_service(image, cpu);
             }
@@ -368,6 +394,7 @@
         let service_image = step.image.clone().filter(|_| step.is_service());
         let assignment = self.task(key).and_then(Task::assignment);
         let relaxed = assignment.is_some_and(|assignment| assignment.relaxed);
+        let is_suspected = self.task(key).is_some_and(|task| task.crashes > 0);
         if let Some(executor) = self.fleet.get_mut(executor)
             && executor.tasks.remove(&key)
         {
@@ -375,6 +402,7 @@
                 executor.remove_service(image, cpu);
             }
             executor.used = executor.used.saturating_sub(&allocated_size);
+            executor.suspected_tasks -= u32::from(is_suspected);
             if relaxed {
                 executor.relaxed_tasks -= 1;
             } else if best_effort {
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 //! to their executor only once the rows that they changed are stored. See `docs/JOBS.md`.
 
 mod commands;
+mod crashes;
 mod event;
 mod executors;
 mod gang;
@@ -32,6 +33,7 @@
 
 pub use self::commands::Command;
 pub use self::commands::StartAnswer;
+pub use self::crashes::UnexplainedLoss;
 pub use self::event::Event;
 pub use self::event::LossReason;
 pub use self::job::Job;
--- a/crates/job/src/scheduler/replacement.rs
+++ b/crates/job/src/scheduler/replacement.rs
@@ -38,13 +38,19 @@
             };
             executor.is_replaced = true;
             let tasks = executor.tasks.len();
+            let drained = executor.listing.draining;
             self.record_event(Event::ExecutorReplaced {
                 executor: key,
                 successor,
                 tasks,
             });
+            let mut suspects = self.suspects_on(key);
+            suspects.extend(self.take_unexplained_losses(key));
+            self.release_replaced(now);
+            if !drained {
+                self.count_crash(key, &suspects);
+            }
         }
-        self.release_replaced(now);
     }
 
     /// Releases the tasks of replaced executors. A task whose assignment is being stored is released
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -117,7 +117,7 @@
             self.handle_ended(executor, end, now);
         }
         for run in &report.running {
-            self.handle_running(executor, run, now);
+            self.handle_running(executor, run, sent, now);
         }
         self.release_missing_runs(executor, report, sent, now);
     }
@@ -149,6 +149,9 @@
             outcome: end.outcome,
         });
         self.update_checkpoint(key, end.checkpoint.as_ref());
+        if matches!(end.outcome, RunOutcome::Done | RunOutcome::Failed) {
+            self.clear_of_suspicion(key);
+        }
         match end.outcome {
             RunOutcome::Done => self.handle_done(key, executor, now),
             RunOutcome::Failed => self.handle_failed(key, executor, now),
@@ -261,7 +264,7 @@
         self.lose_run(key, LossReason::Interrupted, now);
     }
 
-    fn handle_running(&mut self, executor: ExecutorKey, run: &ActiveRun, now: Mono) {
+    fn handle_running(&mut self, executor: ExecutorKey, run: &ActiveRun, sent: Mono, now: Mono) {
         let Some(task_id) = run.task else {
             return;
         };
@@ -278,6 +281,7 @@
         self.update_checkpoint(key, run.checkpoint.as_ref());
         let mut stop_again = false;
         let mut starts = false;
+        let mut confirmed = now;
         if let Some(assignment) = self.task_mut(key).and_then(|task| task.assignment_mut()) {
             assignment.metrics = Some(run.metrics);
             assignment.start_unanswered = false;
@@ -287,6 +291,7 @@
                     assignment.start_state = StartState::Confirmed(now);
                 }
                 StartState::Confirmed(since) => {
+                    confirmed = since;
                     stop_again = assignment.stopping && now.since(since) > STOP_RETRY_INTERVAL;
                 }
                 StartState::Storing => {}
@@ -295,6 +300,7 @@
         if starts {
             self.throttle_at_start(key, now);
         }
+        self.clear_after(key, confirmed, sent);
         self.mark_job_started(key.job, now);
         if let Some(job) = self.jobs.get(key.job)
             && job.state.is_final()
--- a/crates/job/src/scheduler/restore.rs
+++ b/crates/job/src/scheduler/restore.rs
@@ -92,12 +92,16 @@
             && executor.listing.started_unix_ms == 0
         {
             executor.listing.started_unix_ms = started_unix_ms;
+            if let Some(address) = &record.address {
+                executor.listing.address = address.clone();
+            }
         }
         let Some(task) = self.task_mut(key) else {
             return;
         };
         task.run = record.run;
         task.failures = record.failures;
+        task.crashes = record.crashes;
         task.checkpoint.clone_from(&record.checkpoint);
         let Some(executor) = executor else {
             return;
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -22,6 +22,10 @@
     pub unstarted_runs: RunNumber,
     /// How many runs have failed.
     pub failures: u32,
+    /// How many executors in a row have crashed soon after they may have started the task.
+    pub crashes: u32,
+    /// The latest run that has shown that it does not crash its executor; 0 if there is none.
+    pub cleared_run: RunNumber,
     /// The latest checkpoint.
     pub checkpoint: Option<Arc<str>>,
     /// The executor of the latest failed or stalled run, or the latest that was too unhealthy to start
--- a/crates/job/src/wait_reason/mod.rs
+++ b/crates/job/src/wait_reason/mod.rs
@@ -249,6 +249,12 @@
                         .is_none_or(|reservation| reservation.task == key)
                 }),
             },
+            Constraint {
+                wait_reason: Box::new(|candidates| WaitReason::Isolated {
+                    candidates: candidates.len(),
+                }),
+                admits: Box::new(move |_, executor| self.exposure(key, step, executor).is_some()),
+            },
             Constraint {
                 wait_reason: Box::new(|candidates| WaitReason::NoSpareCpu {
                     candidates: candidates.len(),
--- a/crates/job/src/wait_reason/reason.rs
+++ b/crates/job/src/wait_reason/reason.rs
@@ -110,6 +110,14 @@
         #[serde(rename = "among")]
         candidates: usize,
     },
+    /// Every executor has runs that have just started, or that may crash it, so that the task must
+    /// not start beside them.
+    #[display("executors have crashed under it or under tasks on each of {candidates} executors")]
+    Isolated {
+        /// The number of executors that met the preceding constraints.
+        #[serde(rename = "among")]
+        candidates: usize,
+    },
     /// No executor has enough spare CPU for a best-effort task.
     #[display("none of {candidates} executors has enough processors to spare")]
     #[serde(rename = "no_spare")]
@@ -194,6 +202,7 @@
             Self::TooLarge { .. } => "too_large",
             Self::NoCapacity { .. } => "no_room",
             Self::Reserved { .. } => "kept",
+            Self::Isolated { .. } => "isolated",
             Self::NoSpareCpu { .. } => "no_spare",
             Self::Interference { .. } => "disturbs",
             Self::Gang { .. } => "gang",
--- a/crates/job/tests/all/crash_world.rs
+++ b/crates/job/tests/all/crash_world.rs
@@ -345,6 +345,9 @@
     fn start(&mut self, place: usize, key: TaskKey, run: u64) -> StartAnswer {
         *self.starts.entry(key).or_default() += 1;
         let now = self.fixture.now;
+        if let Some(executor) = self.key_of(place) {
+            self.fixture.scheduler.grant_lease(executor, now);
+        }
         self.places[place].runs.push((key, run, now));
         let job = self.fixture.scheduler.job(key.job).expect("the job exists");
         if self.deadly.contains(&(job.id, key.slot)) {
--- a/crates/job/tests/all/crashes.rs
+++ b/crates/job/tests/all/crashes.rs
@@ -4,6 +4,7 @@
 use job::scheduler::JobState;
 use job::scheduler::TaskKey;
 use job::spec::StepSpec;
+use job::wait_reason::WaitReason;
 
 use crate::crash_world::CrashWorld;
 use crate::crash_world::Return;
@@ -179,3 +180,43 @@
     assert_eq!(world.fixture.scheduler.state(job), Some(JobState::Failed));
     assert_given_up_in_time(&world, key);
 }
+
+#[test]
+fn tasks_that_are_placed_together_again_after_a_crash_are_not_given_up() {
+    let mut world = CrashWorld::new(10, Return::Renamed(AWAY_MS));
+    // Services of one image are packed, and a deadly one is among them.
+    let sound: Vec<JobId> = (1..=6)
+        .map(|number| world.submit(number, vec![service(4, 2, "image")]))
+        .collect();
+    let deadly = world.submit(7, vec![service(1, 2, "image")]);
+    let key = world.make_deadly(deadly, 0);
+    world.run(60_000);
+    let state = world.fixture.scheduler.state(deadly);
+    assert_eq!(state, Some(JobState::Failed));
+    assert_given_up_in_time(&world, key);
+    for job in sound {
+        let state = world.fixture.scheduler.state(job);
+        assert_eq!(state, Some(JobState::Running), "{job}");
+    }
+}
+
+#[test]
+fn a_task_that_waits_to_start_alone_says_so() {
+    let mut world = CrashWorld::new(1, Return::Renamed(AWAY_MS));
+    let job = world.submit(1, vec![step(1, 4, 600)]);
+    let key = world.make_deadly(job, 0);
+    while world.crashes.get(&key) != Some(&2) {
+        world.run(100);
+    }
+    let services = world.submit(2, vec![service(2, 4, "image")]);
+    let first = first_task(&world, services);
+    while !world.is_running(first) {
+        world.run(100);
+    }
+    let (scheduler, now) = (&world.fixture.scheduler, world.fixture.now);
+    let reason = scheduler.wait_reason(key, now, 0);
+    assert_eq!(reason, Some(WaitReason::Isolated { candidates: 1 }));
+    world.run(20_000);
+    let state = world.fixture.scheduler.state(job);
+    assert_eq!(state, Some(JobState::Failed));
+}
