--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -333,6 +333,7 @@
         let job = self.job(key.job)?;
         let suitable = &*executor.listing.service == service
             && executor.accepts_tasks(now)
+            && self.knows_capacity(service, now)
             && (!step.best_effort || has_spare_cpu(executor, step, relaxation))
             && self.is_feasible(executor_key, executor, job, key, step);
         if !suitable {
--- a/crates/job/src/scheduler/commands.rs
+++ b/crates/job/src/scheduler/commands.rs
@@ -138,17 +138,17 @@
     }
 
     /// Returns whether a start command should still be sent. It should not once its task is to stop,
-    /// or its executor drains or has been replaced.
+    /// its executor drains or has been replaced, or it no longer fits on an executor that would execute
+    /// it nevertheless.
     #[must_use]
     pub fn is_start_wanted(&self, key: TaskKey, run: RunNumber) -> bool {
         let Some(assignment) = self.unconfirmed_start(key, run) else {
             return false;
         };
-        let leaving = self
-            .fleet
-            .get(assignment.executor)
-            .is_none_or(|executor| executor.listing.draining || executor.is_replaced);
-        !assignment.stopping && !leaving
+        let unsuitable = self.fleet.get(assignment.executor).is_none_or(|executor| {
+            executor.listing.draining || executor.is_replaced || self.is_overcommitted(executor)
+        });
+        !assignment.stopping && !unsuitable
     }
 
     /// Withdraws a start command that should no longer be sent. If it was sent before without a
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -18,6 +18,7 @@
     /// Processes the whole executor list; each entry comes with the executor's clock in
     /// milliseconds.
     pub fn update_executors(&mut self, listings: Vec<(Listing, u64)>, now: Mono) {
+        self.listed_at = now;
         for (_, executor) in self.fleet.iter_mut() {
             executor.listed = false;
         }
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! command is released only once the row with the assignment is stored. Ended runs are acknowledged
 //! to their executor only once the rows that they changed are stored. See `docs/JOBS.md`.
 
+mod capacity;
 mod commands;
 mod crashes;
 mod event;
@@ -139,6 +140,8 @@
     pub(crate) advice_requests: Vec<AdviceRequest>,
     /// Until when the previous owner may still send commands.
     previous_owner_sends_until: Mono,
+    /// When the newest executor list arrived.
+    listed_at: Mono,
 }
 
 impl Scheduler {
@@ -166,6 +169,7 @@
             advice: AdviceCache::default(),
             advice_requests: Vec::new(),
             previous_owner_sends_until: Mono::ZERO,
+            listed_at: Mono::ZERO,
         }
     }
 
--- a/crates/job/src/wait_reason/mod.rs
+++ b/crates/job/src/wait_reason/mod.rs
@@ -172,6 +172,10 @@
         if executors.is_empty() {
             return no_executor(&queue.service, &listed, now);
         }
+        if !self.knows_capacity(&queue.service, now) {
+            let age_ms = model::time::millis(self.list_age(now));
+            return WaitReason::OldList { age_ms };
+        }
         for constraint in self.constraints(key, job, step, now) {
             let mut admitting = executors.clone();
             admitting
--- a/crates/job/src/wait_reason/reason.rs
+++ b/crates/job/src/wait_reason/reason.rs
@@ -67,6 +67,12 @@
         #[serde(rename = "resting")]
         cooling_down: usize,
     },
+    /// The executor list is too old to tell the free resources of executors that execute every start.
+    #[display("the list of executors is {age_ms} ms old")]
+    OldList {
+        /// The age of the list, in milliseconds.
+        age_ms: u64,
+    },
     /// No executor that accepts tasks has the required label.
     #[display("none of {candidates} executors has the label {label}")]
     NoLabel {
@@ -197,6 +203,7 @@
             Self::NoQueue { .. } => "no_queue",
             Self::NotGranted { .. } => "advice",
             Self::NoExecutor { .. } => "no_executor",
+            Self::OldList { .. } => "old_list",
             Self::NoLabel { .. } => "no_label",
             Self::MaxPerExecutor { .. } => "most_per_executor",
             Self::TooLarge { .. } => "too_large",
--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -56,7 +56,10 @@
         advisor: None,
     };
     let mut services = Map::default();
-    services.insert("service".into(), Service::default());
+    let service = Service {
+        refuses_overcommit: true,
+    };
+    services.insert("service".into(), service);
     Arc::new(Plan {
         version: 1,
         queues: vec![queue].into(),
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod age;
+mod capacity;
 mod crash_world;
 mod crashes;
 mod fair_start;
