--- a/crates/job/src/ranking.rs
+++ b/crates/job/src/ranking.rs
@@ -88,7 +88,9 @@
     let queue = scheduler.plan.queue(&job.queue);
     let stretch = queue.map_or(1.0, |queue| queue.stretch.max(1.0));
     let target = queue.map_or(Duration::ZERO, |queue| queue.target);
-    Duration::from_millis(job.spec.critical_path_ms()).mul_f64(stretch) + target
+    let path = Duration::from_millis(job.spec.critical_path_ms());
+    let scaled = Duration::try_from_secs_f64(path.as_secs_f64() * stretch);
+    scaled.unwrap_or(Duration::MAX).saturating_add(target)
 }
 
 /// Returns the part of an occurrence's objective that has passed, in milliseconds: the time since it
@@ -107,9 +109,9 @@
     let objective_ms = model::time::millis(objective(scheduler, job));
     let priority = queue.map_or(u32::MAX, |queue| queue.priority);
     let step = &job.spec.steps[ready.step as usize];
-    let late_ms = objective_ms * LATE_FACTOR;
-    let ends_ms =
-        elapsed_ms(job, ready.occurrence, now, unix_ms) + job.critical_path_from(ready.step);
+    let late_ms = objective_ms.saturating_mul(LATE_FACTOR);
+    let elapsed_ms = elapsed_ms(job, ready.occurrence, now, unix_ms);
+    let ends_ms = elapsed_ms.saturating_add(job.critical_path_from(ready.step));
     let (outlook, slack_ms) = if step.long_running {
         (DeadlineOutlook::LongRunning, 0)
     } else if ends_ms <= objective_ms && step.best_effort {
--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -146,8 +146,12 @@
 /// needs.
 fn shortage(needed: &Size, executor: &Executor) -> u64 {
     let missing = needed.saturating_sub(&executor.free());
-    let thousandths =
-        |missing: u64, needed: u64| (missing * 1_000).checked_div(needed).unwrap_or(0);
+    let thousandths = |missing: u64, needed: u64| {
+        missing
+            .saturating_mul(1_000)
+            .checked_div(needed)
+            .unwrap_or(0)
+    };
     thousandths(missing.cpu_millis, needed.cpu_millis)
         .max(thousandths(missing.memory_mib, needed.memory_mib))
         .max(thousandths(missing.accelerators, needed.accelerators))
--- a/crates/job/src/scheduler/job.rs
+++ b/crates/job/src/scheduler/job.rs
@@ -217,9 +217,11 @@
             .iter()
             .zip(steps)
             .map(|(unfinished, step)| {
-                u64::from(*unfinished) * step.size.cpu_millis * step.estimate_ms
+                u64::from(*unfinished)
+                    .saturating_mul(step.size.cpu_millis)
+                    .saturating_mul(step.estimate_ms)
             })
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 
     /// Returns the estimated duration from the start of this step to the end of the job, in
@@ -228,7 +230,7 @@
     pub fn critical_path_from(&self, step: u32) -> u64 {
         let mut longest = vec![0_u64; self.spec.steps.len()];
         for (index, spec) in self.spec.steps.iter().enumerate().rev() {
-            longest[index] += spec.estimate_ms;
+            longest[index] = longest[index].saturating_add(spec.estimate_ms);
             for after in &spec.after {
                 let before = *after as usize;
                 longest[before] = longest[before].max(longest[index]);
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the public interface of the crate.
 
+mod absurd_figures;
 mod advice;
 mod age;
 mod capacity;
--- a/crates/model/src/size.rs
+++ b/crates/model/src/size.rs
@@ -1,7 +1,8 @@
 //! Resource amounts: the capacity of a worker or the demand of a task.
 
-use derive_more::Add;
-use derive_more::AddAssign;
+use std::ops::Add;
+use std::ops::AddAssign;
+
 use derive_more::Display;
 use derive_more::Sum;
 use schemars::JsonSchema;
@@ -18,8 +19,6 @@
     PartialEq,
     Eq,
     Hash,
-    Add,
-    AddAssign,
     Sum,
     Serialize,
     Deserialize,
@@ -118,3 +117,22 @@
             .max(fraction(self.accelerators, total.accelerators))
     }
 }
+
+impl Add for Size {
+    type Output = Self;
+
+    /// Adds in every dimension, with the highest number as the upper bound.
+    fn add(self, other: Self) -> Self {
+        Self::new(
+            self.cpu_millis.saturating_add(other.cpu_millis),
+            self.memory_mib.saturating_add(other.memory_mib),
+            self.accelerators.saturating_add(other.accelerators),
+        )
+    }
+}
+
+impl AddAssign for Size {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
