--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -39,6 +39,8 @@
 const SUSPECT_READ_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// How long a host does not claim after a part of its owner panicked, so that another host does.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_secs(3);
 /// Number of round trips to the store that a host waits before it claims, so that a host close to
 /// the store wins.
 const ROUND_TRIPS_BEFORE_CLAIM: u32 = 6;
@@ -68,6 +70,9 @@
         if let Some(owner) = node.owner() {
             owner.ended().await;
             *node.owner.borrow_mut() = None;
+            if owner.has_failed() {
+                tokio::time::sleep(PAUSE_AFTER_FAILURE).await;
+            }
             continue;
         }
         let started = node.now();
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -37,6 +37,11 @@
     log::info!(event = "takeover", epoch, earlier, jobs, inherited, took_ms; "");
 }
 
+/// Logs an unexpected error that ended a part of the process.
+pub fn panicked(part: &str, error: &str) {
+    log::error!(event = "panicked", part, error; "");
+}
+
 /// Logs that this host no longer owns the executors, with the reason.
 pub fn owner_ended(epoch: u64, reason: &str) {
     log::info!(event = "owner_ended", epoch, reason; "");
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod peers;
 pub mod rows;
 pub mod store_call;
+mod supervise;
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -21,6 +21,7 @@
 use crate::owner::Owner;
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
+use crate::supervise::restart_after_panic;
 
 /// The identity of a process.
 #[derive(Clone, Debug)]
@@ -193,9 +194,15 @@
 
     /// Starts the background tasks that run until the process ends.
     pub fn start(self: &Rc<Self>) {
-        tokio::task::spawn_local(crate::document::follow(self.clone()));
-        tokio::task::spawn_local(crate::document::probe_store(self.clone()));
-        tokio::task::spawn_local(crate::election::run(self.clone()));
+        let node = self.clone();
+        let document = move || crate::document::follow(node.clone());
+        tokio::task::spawn_local(restart_after_panic("document", document));
+        let node = self.clone();
+        let probe = move || crate::document::probe_store(node.clone());
+        tokio::task::spawn_local(restart_after_panic("store_probe", probe));
+        let node = self.clone();
+        let election = move || crate::election::run(node.clone());
+        tokio::task::spawn_local(restart_after_panic("election", election));
     }
 
     /// Shuts down gracefully: the host reports that it is not ready and releases the executors.
--- a/crates/dispatch/src/owner/advice.rs
+++ b/crates/dispatch/src/owner/advice.rs
@@ -10,6 +10,7 @@
 use crate::dependencies::GrantRequest;
 use crate::events;
 use crate::metrics::OutcomeLabel;
+use crate::supervise::spawn_part;
 
 /// Sends all pending requests to the advisor.
 pub fn request_pending(owner: &Rc<Owner>) {
@@ -18,7 +19,7 @@
     }
     let requests = owner.scheduler.borrow_mut().take_advice_requests();
     for advice_request in requests {
-        tokio::task::spawn_local(request(owner.clone(), advice_request));
+        spawn_part(owner, "advice", request(owner.clone(), advice_request));
     }
 }
 
--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -23,6 +23,7 @@
 use crate::dependencies::CommandOutcome;
 use crate::dependencies::CommandReply;
 use crate::dependencies::RunRequest;
+use crate::supervise::spawn_part;
 
 /// Delay before a command is sent again.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -41,7 +42,7 @@
     }
     let commands = owner.scheduler.borrow_mut().take_commands();
     for command in commands {
-        tokio::task::spawn_local(execute(owner.clone(), command));
+        spawn_part(owner, "commands", execute(owner.clone(), command));
     }
 }
 
@@ -217,7 +218,8 @@
     }
 
     async fn try_stop(&self, stop: &StopRun, slots: &CommandSlots) -> CommandOutcome<bool> {
-        let Some(target) = self.target(stop.executor) else {
+        let target = self.target(stop.executor).filter(|_| self.may_act());
+        let Some(target) = target else {
             return CommandOutcome::NotSent;
         };
         let call = RunRequest {
@@ -267,7 +269,7 @@
             };
             let sent = (self.node.dependencies.executors.set_cpu_share)((call, cpu_percent));
             let slot = command_slots.for_command().await;
-            if self.shutdown.is_cancelled() {
+            if !self.may_act() {
                 return;
             }
             let sent_at = self.now();
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -97,6 +97,8 @@
     placement_requested: Notify,
     /// Cancelled when the ownership ends.
     shutdown: CancellationToken,
+    /// Whether a part of the owner panicked.
+    failed: Cell<bool>,
     /// Whether the next transaction releases the executors.
     releasing: Cell<bool>,
     /// Limits the concurrent commands to each executor.
@@ -167,6 +169,28 @@
         }
     }
 
+    /// Ends the ownership because a part of the owner panicked.
+    pub fn fail(&self) {
+        self.failed.set(true);
+        self.end("a part of the owner panicked");
+    }
+
+    /// Returns whether the ownership ended because a part of the owner panicked.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        self.failed.get()
+    }
+
+    /// Returns whether this host may act as the owner, and ends the ownership if the store has not
+    /// confirmed it for too long. This is checked before each message to an executor, because after
+    /// a pause of the process the timers that are due fire in any order.
+    fn may_act(&self) -> bool {
+        if self.now().since(self.confirmed_at.get()) > MAX_UNCONFIRMED {
+            self.end("the store has not confirmed the ownership for too long");
+        }
+        !self.shutdown.is_cancelled()
+    }
+
     /// Releases the executors: no lease is granted after the store has recorded the release.
     pub async fn release(&self) {
         self.releasing.set(true);
@@ -249,8 +273,7 @@
             tokio::time::sleep(TICK_INTERVAL).await;
             let now = self.now();
             self.load.count_timer_delay(now.since(due));
-            if now.since(self.confirmed_at.get()) > MAX_UNCONFIRMED {
-                self.end("the store has not confirmed the ownership for too long");
+            if !self.may_act() {
                 return;
             }
             self.scheduler.borrow_mut().tick(now);
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -15,6 +15,7 @@
 use crate::dependencies::PollError;
 use crate::dependencies::PollRequest;
 use crate::events;
+use crate::supervise::spawn_part;
 
 /// How long an executor waits for a run to end before it answers.
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
@@ -61,7 +62,7 @@
     for key in candidates {
         let needed = needs_poll(&owner.scheduler.borrow(), key);
         if needed && owner.polled_executors.borrow_mut().insert(key) {
-            tokio::task::spawn_local(poll_until_idle(owner.clone(), key));
+            spawn_part(owner, "polls", poll_until_idle(owner.clone(), key));
         }
     }
 }
@@ -180,6 +181,9 @@
     }
 
     async fn poll_once(self: &Rc<Self>, key: ExecutorKey) -> Result<(), PollError> {
+        if !self.may_act() {
+            return Err(PollError::Failed);
+        }
         let target = self.target(key).ok_or(PollError::Failed)?;
         let sent = self.now();
         let call = {
@@ -204,7 +208,11 @@
             self.process_report(poll, &answer?);
             return Ok(());
         }
-        tokio::task::spawn_local(self.clone().await_late_answer(poll, answer));
+        spawn_part(
+            self,
+            "late_answer",
+            self.clone().await_late_answer(poll, answer),
+        );
         Err(PollError::Failed)
     }
 
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -233,7 +233,8 @@
     }
 
     async fn try_start(&self, start: &StartRun) -> CommandOutcome<StartAnswer> {
-        let Some(target) = self.target(start.executor) else {
+        let target = self.target(start.executor).filter(|_| self.may_act());
+        let Some(target) = target else {
             return CommandOutcome::NotSent;
         };
         let now = self.now();
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -43,6 +43,7 @@
 use crate::rows::JobsKey;
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
+use crate::supervise::spawn_part;
 
 /// Delay before the stored state is read again.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -132,6 +133,7 @@
         committed: Notify::new(),
         placement_requested: Notify::new(),
         shutdown: CancellationToken::new(),
+        failed: Cell::new(false),
         releasing: Cell::new(false),
         command_slots: RefCell::new(Map::default()),
         unsent_starts: RefCell::default(),
@@ -147,24 +149,26 @@
     *node.owner.borrow_mut() = Some(owner.clone());
     *node.known_owner.borrow_mut() = Some(kept.record);
     spawn_tasks(&owner, stored.jobs_version);
-    tokio::task::spawn_local(stop_earlier_owner(
-        owner,
+    let stop = stop_earlier_owner(
+        owner.clone(),
         claim.earlier,
         claim.sent,
         assumed_lease_end,
         lease,
-    ));
+    );
+    spawn_part(&owner, "stop_earlier_owner", stop);
 }
 
 fn spawn_tasks(owner: &Rc<Owner>, jobs_version: u64) {
-    tokio::task::spawn_local(owner.clone().run_commits());
-    tokio::task::spawn_local(owner.clone().run_placement());
-    tokio::task::spawn_local(owner.clone().tick());
-    tokio::task::spawn_local(feeds::follow_jobs(owner.clone(), jobs_version));
-    tokio::task::spawn_local(feeds::follow_executors(owner.clone()));
-    tokio::task::spawn_local(cleanup::run(owner.clone()));
-    tokio::task::spawn_local(waiting::log_waiting_jobs(owner.clone()));
-    tokio::task::spawn_local(load::log_load(owner.clone()));
+    let own = || owner.clone();
+    spawn_part(owner, "commits", own().run_commits());
+    spawn_part(owner, "placement", own().run_placement());
+    spawn_part(owner, "tick", own().tick());
+    spawn_part(owner, "jobs", feeds::follow_jobs(own(), jobs_version));
+    spawn_part(owner, "executors", feeds::follow_executors(own()));
+    spawn_part(owner, "cleanup", cleanup::run(own()));
+    spawn_part(owner, "waiting", waiting::log_waiting_jobs(own()));
+    spawn_part(owner, "load", load::log_load(own()));
     owner.dispatch_pending();
 }
 
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -78,6 +78,12 @@
     pub starts: Cell<u64>,
     /// The executors that the advisor grants, or `None` without an advisor.
     pub granted_executors: RefCell<Option<Vec<String>>>,
+    /// Whether the next answer with the list of executors makes its reader panic.
+    pub list_panics: Cell<bool>,
+    /// Whether the next answer to a poll makes its reader panic.
+    pub poll_panics: Cell<bool>,
+    /// Number of calls that hosts have sent to executors.
+    pub calls: Cell<u64>,
     /// Number of requests to the advisor.
     pub advice_requests: Cell<u64>,
     /// Descriptions of observed violations.
@@ -127,7 +133,12 @@
     }
 
     /// Returns the list of executors with the readings of their clocks.
+    ///
+    /// # Panics
+    ///
+    /// Panics once if the test asks for it.
     pub fn listings(&self) -> Vec<(Listing, u64)> {
+        assert!(!self.list_panics.take(), "the list makes its reader panic");
         self.executors
             .borrow()
             .values()
--- a/crates/dispatch/tests/all/executor_calls.rs
+++ b/crates/dispatch/tests/all/executor_calls.rs
@@ -45,6 +45,7 @@
     timeout: Duration,
     act: impl FnOnce(&Fleet, &FakeExecutor) -> CommandOutcome<T> + 'static,
 ) -> CommandReply<T> {
+    fleet.calls.set(fleet.calls.get() + 1);
     tokio::time::sleep(CALL_DELAY).await;
     let Some(executor) = fleet.find_reachable(&id) else {
         tokio::time::sleep(timeout).await;
@@ -73,6 +74,7 @@
     let timeout = call.timeout;
     let executor = fleet.find(&id);
     if let Some(executor) = executor.filter(|executor| executor.hangs_starts.get()) {
+        fleet.calls.set(fleet.calls.get() + 1);
         executor.hung_starts.borrow_mut().push(call.target.epoch);
         tokio::time::sleep(timeout).await;
         return without_clock(CommandOutcome::Unanswered);
@@ -82,7 +84,12 @@
 }
 
 async fn poll(fleet: Rc<Fleet>, call: PollRequest) -> Result<Report, PollError> {
+    fleet.calls.set(fleet.calls.get() + 1);
     tokio::time::sleep(CALL_DELAY).await;
+    assert!(
+        !fleet.poll_panics.take(),
+        "the report makes its reader panic"
+    );
     let Some(executor) = fleet.find_reachable(&call.target.id) else {
         tokio::time::sleep(POLL_FAILURE_DELAY).await;
         return Err(PollError::Failed);
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -14,6 +14,8 @@
 mod owner_load;
 mod owners;
 mod pacing;
+mod panics;
+mod pauses;
 mod processor_pace;
 mod shares;
 mod slow_processor;
