--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -351,10 +351,16 @@
     }
 }
 
-/// Parses an accepted job; returns `None` and logs the row if that fails.
+/// Parses an accepted job; returns `None` and logs the row if that fails or the job is not valid.
 pub(super) fn parse_submission(node: &Node, id: JobId, row: &Row) -> Option<Submission> {
     let value = row.value.as_deref()?;
-    match serde_json::from_slice::<SubmissionRecord>(value) {
+    let record = serde_json::from_slice::<SubmissionRecord>(value)
+        .map_err(|error| error.to_string())
+        .and_then(|record| match record.spec.check() {
+            Ok(()) => Ok(record),
+            Err(invalid) => Err(invalid.to_string()),
+        });
+    match record {
         Ok(record) => Some(Submission {
             id,
             queue: record.queue,
@@ -363,7 +369,7 @@
             row_version: row.version,
         }),
         Err(error) => {
-            events::unreadable_row(rows::JOBS_TABLE, &row.key, &error.to_string());
+            events::unreadable_row(rows::JOBS_TABLE, &row.key, &error);
             None
         }
     }
--- a/crates/job/src/scheduler/restore.rs
+++ b/crates/job/src/scheduler/restore.rs
@@ -57,6 +57,8 @@
         if let Some(job) = self.jobs.get_mut(key) {
             job.state = record.state();
             job.abandoned.clone_from(&record.abandoned);
+            let tasks = job.tasks.len();
+            job.abandoned.retain(|run| (run.slot as usize) < tasks);
             job.stored_state = job.state;
             job.waiting = u32::try_from(
                 job.tasks
@@ -69,7 +71,12 @@
         self.stop_remaining_tasks(key);
     }
 
+    /// Marks a task as succeeded. A record that names a task which the job does not have, or names one
+    /// twice, must not end the takeover, because it would end each one.
     fn restore_done(&mut self, key: TaskKey) {
+        if !self.is_restorable(key) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
@@ -86,6 +93,9 @@
             job,
             slot: record.slot,
         };
+        if !self.is_restorable(key) {
+            return;
+        }
         let executor = record.executor.as_ref().map(|id| self.fleet.intern(id));
         if let (Some(executor), Some(started_unix_ms)) = (executor, record.executor_started_unix_ms)
             && let Some(executor) = self.fleet.get_mut(executor)
@@ -121,6 +131,12 @@
         self.allocate(key, executor);
     }
 
+    /// Returns whether a job has the task and nothing was restored for it yet.
+    fn is_restorable(&self, key: TaskKey) -> bool {
+        let task = self.task(key);
+        task.is_some_and(|task| task.phase == Phase::Waiting && task.run == 0)
+    }
+
     /// Stops the tasks of an ended job that are still assigned.
     fn stop_remaining_tasks(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(key) else {
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod leases;
 mod lifecycle;
 mod model;
+mod odd_records;
 mod overload;
 mod placement;
 mod record;
