--- a/crates/job/src/scheduler/replacement.rs
+++ b/crates/job/src/scheduler/replacement.rs
@@ -21,11 +21,15 @@
     /// list, and releases their tasks. Nothing runs there any more, and no command can start
     /// anything, because it names the executor that it is for.
     pub(super) fn find_replaced_executors(&mut self, now: Mono) {
+        let is_silent = |executor: &Executor| !executor.reachable && !executor.is_replaced;
+        if !self.fleet.iter().any(|(_, executor)| is_silent(executor)) {
+            return;
+        }
         let newest = self.newest_by_address();
         let replaced: Vec<(ExecutorKey, ExecutorKey)> = self
             .fleet
             .iter()
-            .filter(|(_, executor)| !executor.reachable && !executor.is_replaced)
+            .filter(|(_, executor)| is_silent(executor))
             .filter_map(|(key, executor)| {
                 let successor = *newest.get(&executor.listing.address)?;
                 let later = self.fleet.get(successor)?;
