refactor(job): incarnations, allocation, gangs and constraints in files of their own

scheduler/executors.rs (420 lines) and placement/mod.rs (451) had grown past what a newcomer reads at once.

--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -1,6 +1,8 @@
 //! Selects which waiting tasks start next, and on which executors.
 
 mod best_effort;
+mod constraints;
+mod gang;
 mod isolation;
 mod order;
 mod pool;
@@ -17,6 +19,7 @@
 pub(crate) use self::best_effort::caused_log;
 pub(crate) use self::best_effort::has_spare_cpu;
 use self::best_effort::spare_fraction;
+use self::constraints::near_data;
 use self::pool::CandidatePool;
 use self::round::Demand;
 pub(crate) use self::round::Round;
@@ -25,7 +28,6 @@
 use crate::ranking::DeadlineOutlook;
 use crate::relaxation::Relaxation;
 use crate::scheduler::Event;
-use crate::scheduler::Job;
 use crate::scheduler::ReadyStep;
 use crate::scheduler::Scheduler;
 use crate::scheduler::TaskKey;
@@ -212,45 +214,6 @@
         !is_special && !round.reserved.contains(&key)
     }
 
-    fn place_gang(&mut self, ready: ReadyStep, step: &StepSpec, now: Mono) -> usize {
-        let keys: Vec<TaskKey> = (ready.first_slot..ready.first_slot + step.count)
-            .map(|slot| TaskKey {
-                job: ready.job,
-                slot,
-            })
-            .collect();
-        if keys.iter().any(|key| !self.may_start(*key, now)) {
-            return 0;
-        }
-        if let Some(first) = keys.first() {
-            self.begin_wait(*first, step, now);
-        }
-        let mut placements = Vec::new();
-        for key in &keys {
-            let Some(executor) = self.best_executor(*key, step, now) else {
-                self.request_advice(ready, *key, now);
-                break;
-            };
-            self.allocate(*key, executor);
-            placements.push((*key, executor));
-        }
-        for (key, executor) in &placements {
-            self.deallocate(*key, *executor);
-        }
-        if placements.len() < keys.len() {
-            return 0;
-        }
-        let relaxed: Vec<bool> = placements
-            .iter()
-            .map(|(_, executor)| self.needs_relaxation(*executor, step))
-            .collect();
-        self.assign_gang(&placements, now);
-        for ((key, _), relaxed) in placements.iter().zip(relaxed) {
-            self.record_relaxation(*key, step, relaxed, now);
-        }
-        placements.len()
-    }
-
     fn may_start(&self, key: TaskKey, now: Mono) -> bool {
         self.task(key)
             .is_some_and(|task| task.phase == Phase::Waiting && now >= task.not_before)
@@ -383,69 +346,4 @@
         let capacity = executor.listing.capacity.cpu_millis.max(1) as f64;
         (same_image as f64 - other_images as f64) / capacity
     }
-
-    fn is_feasible(
-        &self,
-        executor_key: ExecutorKey,
-        executor: &Executor,
-        job: &Job,
-        key: TaskKey,
-        step: &StepSpec,
-    ) -> bool {
-        step.allocated_size().fits(&executor.free())
-            && executor
-                .reservation
-                .is_none_or(|reservation| reservation.task == key)
-            && self.meets_constraints(executor_key, executor, job, key, step)
-    }
-
-    /// Returns whether an executor satisfies the step's placement constraints, regardless of its
-    /// free resources.
-    pub(crate) fn meets_constraints(
-        &self,
-        executor_key: ExecutorKey,
-        executor: &Executor,
-        job: &Job,
-        key: TaskKey,
-        step: &StepSpec,
-    ) -> bool {
-        let label = step.label.as_ref();
-        label.is_none_or(|label| executor.has_label(label))
-            && self.within_max_per_executor(executor_key, job, key, step)
-    }
-
-    pub(crate) fn within_max_per_executor(
-        &self,
-        executor_key: ExecutorKey,
-        job: &Job,
-        key: TaskKey,
-        step: &StepSpec,
-    ) -> bool {
-        step.max_per_executor == 0
-            || self.step_tasks_on(executor_key, job, key) < step.max_per_executor
-    }
-
-    /// Returns how many tasks of the same step and occurrence are on an executor.
-    fn step_tasks_on(&self, executor_key: ExecutorKey, job: &Job, key: TaskKey) -> u32 {
-        let Some(location) = job.locate(key.slot) else {
-            return 0;
-        };
-        let Some(executor) = self.fleet.get(executor_key) else {
-            return 0;
-        };
-        let same_step = executor
-            .tasks
-            .iter()
-            .filter(|other| other.job == key.job)
-            .filter_map(|other| job.locate(other.slot))
-            .filter(|other| (other.0, other.1) == (location.0, location.1))
-            .count();
-        u32::try_from(same_step).unwrap_or(u32::MAX)
-    }
-}
-
-fn near_data(executor: &Executor, step: &StepSpec) -> bool {
-    step.data_rack
-        .as_ref()
-        .is_none_or(|rack| executor.has_label(rack))
 }
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -1,11 +1,10 @@
-//! Executors that join, drain, restart or become unreachable.
+//! Executors that are listed, answer, drain or become unreachable.
 
 use std::time::Duration;
 
 use model::Mono;
 
 use super::LossReason;
-use super::Report;
 use super::Scheduler;
 use super::TaskKey;
 use crate::fleet::ClockReading;
@@ -104,83 +103,6 @@
         }
     }
 
-    /// Processes the incarnation in a report that was requested at `sent`. Returns `false` if the
-    /// report must be ignored because it is from an earlier incarnation.
-    pub(super) fn accept_report(
-        &mut self,
-        key: ExecutorKey,
-        report: &Report,
-        sent: Mono,
-        now: Mono,
-    ) -> bool {
-        let Some(executor) = self.fleet.get_mut(key) else {
-            return false;
-        };
-        let earlier = executor.listing.started_unix_ms;
-        let started_unix_ms = report.started_unix_ms.unwrap_or(earlier);
-        if started_unix_ms < earlier {
-            return false;
-        }
-        executor.reachable = true;
-        executor.is_replaced = false;
-        executor.answered_at = now;
-        executor.failing_since = None;
-        if executor
-            .incarnation_uncertain_since
-            .is_some_and(|since| since < sent)
-        {
-            executor.incarnation_uncertain_since = None;
-        }
-        let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
-        let mut suspects = self.suspects_missing_in(key, report);
-        suspects.extend(self.take_unexplained_losses(key));
-        if self.begin_incarnation(key, started_unix_ms) && earlier != 0 {
-            self.assume_max_lease(key, now);
-        }
-        if let Some(executor) = self.fleet.get_mut(key) {
-            // The reading in a late report may be seconds old. Leases computed from it would be too
-            // short.
-            let has_newer = executor.clock.is_some_and(|clock| clock.at > sent);
-            if !has_newer {
-                executor.clock = Some(ClockReading {
-                    executor_ms: report.clock_ms,
-                    at: now,
-                });
-            }
-        }
-        if earlier != 0 && started_unix_ms > earlier {
-            for task in tasks {
-                self.lose_with_incarnation(task, report, sent, now);
-            }
-            self.count_crash(key, &suspects);
-        }
-        true
-    }
-
-    /// Returns the tasks that may have crashed an earlier incarnation of an executor and that a report
-    /// of the present one does not contain.
-    fn suspects_missing_in(&self, key: ExecutorKey, report: &Report) -> Vec<TaskKey> {
-        let mut suspects = self.suspects_on(key);
-        suspects.retain(|key| {
-            let run = self.task(*key).map(|task| task.run);
-            let id = self.task_id(*key).zip(run);
-            id.is_some_and(|(id, run)| !report.contains(id, run))
-        });
-        suspects
-    }
-
-    /// Records that the executor list contains a new incarnation. Only a poll shows which tasks it
-    /// runs.
-    fn announce_incarnation(&mut self, key: ExecutorKey, started_unix_ms: u64, now: Mono) {
-        let Some(executor) = self.fleet.get_mut(key) else {
-            return;
-        };
-        if started_unix_ms > executor.announced_start_unix_ms {
-            executor.announced_start_unix_ms = started_unix_ms;
-            self.assume_max_lease(key, now);
-        }
-    }
-
     /// Records that an executor has received the acknowledgement of its ended runs up to
     /// `sequence`.
     pub fn acknowledgement_confirmed(
@@ -196,27 +118,6 @@
         }
     }
 
-    /// Starts a new incarnation of an executor and discards the state of the previous one. Returns
-    /// `false` if the incarnation is not newer.
-    fn begin_incarnation(&mut self, key: ExecutorKey, started_unix_ms: u64) -> bool {
-        let Some(executor) = self.fleet.get_mut(key) else {
-            return false;
-        };
-        if started_unix_ms <= executor.listing.started_unix_ms {
-            return false;
-        }
-        executor.listing.started_unix_ms = started_unix_ms;
-        executor.clock = None;
-        executor.ends_acknowledged = 0;
-        executor.ends_stored = 0;
-        executor.ends_received = 0;
-        executor.unstored_ends = None;
-        executor.withheld_ends.clear();
-        executor.failed_jobs.clear();
-        executor.failing_since = None;
-        true
-    }
-
     /// Returns the sequence number up to which ended runs may be acknowledged to an executor.
     /// Returns 0 while a start command is in flight or the incarnation is uncertain, because a new
     /// incarnation would apply the number to its own ended runs.
@@ -241,38 +142,6 @@
         executor.ends_acknowledgeable()
     }
 
-    /// Releases a task that a new incarnation of its executor does not run. A start command sent to
-    /// the previous incarnation may still reach the new one; such a run is stopped there first. A
-    /// start that was confirmed after the report was requested may have been confirmed by the new
-    /// incarnation.
-    fn lose_with_incarnation(&mut self, key: TaskKey, report: &Report, sent: Mono, now: Mono) {
-        let Some(id) = self.task_id(key) else {
-            return;
-        };
-        let Some((run, assignment)) = self
-            .task(key)
-            .and_then(|task| Some((task.run, task.assignment()?)))
-        else {
-            return;
-        };
-        if report.contains(id, run) {
-            return;
-        }
-        let may_arrive = assignment.start_state == StartState::Sent || assignment.start_unanswered;
-        match assignment.start_state {
-            StartState::Storing => {}
-            StartState::Confirmed(since) if since >= sent => {}
-            _ if may_arrive => {
-                // A confirmation by the previous incarnation does not apply to the new one.
-                if let Some(assignment) = self.assignment_mut(key) {
-                    assignment.start_state = StartState::Sent;
-                }
-                self.stop(key);
-            }
-            _ => self.lose_run(key, LossReason::ExecutorRestarted, now),
-        }
-    }
-
     /// Removes and returns the executors that may have to be polled because of changes since the
     /// last call. An executor may be listed more than once.
     pub fn take_poll_candidates(&mut self) -> Vec<ExecutorKey> {
@@ -355,66 +224,4 @@
         let remaining = expected.saturating_sub(now.since(assignment.assigned_at));
         remaining > time_left && remaining > self.timing.stop_timeout
     }
-
-    /// Allocates the resources of a task on an executor.
-    pub(crate) fn allocate(&mut self, key: TaskKey, executor: ExecutorKey) {
-        let Some(step) = self.step(key) else {
-            return;
-        };
-        let allocated_size = step.allocated_size();
-        let cpu = step.size.cpu_millis;
-        let (long_running, best_effort) = (step.long_running, step.best_effort);
-        let service_image = step.image.clone().filter(|_| step.is_service());
-        let is_suspected = self.task(key).is_some_and(|task| task.crashes > 0);
-        self.poll_candidates.push(executor);
-        if let Some(executor) = self.fleet.get_mut(executor) {
-            executor.tasks.insert(key);
-            executor.used += allocated_size;
-            executor.suspected_tasks += u32::from(is_suspected);
-            if let Some(image) = &service_image {
-                executor.add_service(image, cpu);
-            }
-            if best_effort {
-                executor.best_effort_cpu_millis += cpu;
-            } else if long_running {
-                executor.long_running_cpu_millis += cpu;
-            } else {
-                executor.batch_cpu_millis += cpu;
-            }
-        }
-    }
-
-    /// Frees the resources of a task on an executor.
-    pub(crate) fn deallocate(&mut self, key: TaskKey, executor: ExecutorKey) {
-        let Some(step) = self.step(key) else {
-            return;
-        };
-        let allocated_size = step.allocated_size();
-        let cpu = step.size.cpu_millis;
-        let (long_running, best_effort) = (step.long_running, step.best_effort);
-        let service_image = step.image.clone().filter(|_| step.is_service());
-        let assignment = self.task(key).and_then(Task::assignment);
-        let relaxed = assignment.is_some_and(|assignment| assignment.relaxed);
-        let is_suspected = self.task(key).is_some_and(|task| task.crashes > 0);
-        if let Some(executor) = self.fleet.get_mut(executor)
-            && executor.tasks.remove(&key)
-        {
-            if let Some(image) = &service_image {
-                executor.remove_service(image, cpu);
-            }
-            executor.used = executor.used.saturating_sub(&allocated_size);
-            executor.suspected_tasks -= u32::from(is_suspected);
-            if relaxed {
-                executor.relaxed_tasks -= 1;
-            } else if best_effort {
-                executor.best_effort_cpu_millis =
-                    executor.best_effort_cpu_millis.saturating_sub(cpu);
-            } else if long_running {
-                executor.long_running_cpu_millis =
-                    executor.long_running_cpu_millis.saturating_sub(cpu);
-            } else {
-                executor.batch_cpu_millis = executor.batch_cpu_millis.saturating_sub(cpu);
-            }
-        }
-    }
 }
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -6,12 +6,14 @@
 //! command is released only once the row with the assignment is stored. Ended runs are acknowledged
 //! to their executor only once the rows that they changed are stored. See `docs/JOBS.md`.
 
+mod allocation;
 mod capacity;
 mod commands;
 mod crashes;
 mod event;
 mod executors;
 mod gang;
+mod incarnation;
 mod job;
 mod late_end;
 mod leases;
