test(job,dispatch): the usual faults of the model check and the world of log tests stand once

Sets of faults and assertions are the same: 13 usual ones in gangs and long_running each, beside their own.

--- a/crates/dispatch/tests/all/command_logs.rs
+++ b/crates/dispatch/tests/all/command_logs.rs
@@ -3,15 +3,15 @@
 use std::time::Duration;
 
 use dispatch::api;
-use dispatch::api::SubmitOutcome;
 
 use crate::executor::FakeExecutor;
 use crate::log_capture;
 use crate::log_capture::Fields;
+use crate::log_capture::started;
+use crate::log_capture::submit;
 use crate::state::metric;
 use crate::store::StoreFault;
 use crate::world::World;
-use crate::world::job;
 use crate::world::job_id;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -25,21 +25,6 @@
     "stop_unsent",
 ];
 
-/// Returns a world with one host and one executor whose tasks take long.
-async fn started() -> World {
-    log_capture::begin();
-    let world = World::new(1);
-    world.fleet.executor(1).task_duration.set(60 * SECOND);
-    world.start("a");
-    world.advance(SECOND).await;
-    world
-}
-
-async fn submit(world: &World, number: u64) {
-    let submitted = world.submit("a", number, job(1)).await;
-    assert_eq!(submitted, SubmitOutcome::Accepted);
-}
-
 async fn cancel(world: &World, number: u64) {
     let node = world.host("a").node.clone();
     world.run_on("a", api::cancel(&node, job_id(number))).await;
--- a/crates/dispatch/tests/all/log_capture.rs
+++ b/crates/dispatch/tests/all/log_capture.rs
@@ -3,7 +3,9 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::sync::Once;
+use std::time::Duration;
 
+use dispatch::api::SubmitOutcome;
 use log::Log;
 use log::Metadata;
 use log::Record;
@@ -12,6 +14,9 @@
 use log::kv::Value;
 use log::kv::VisitSource;
 
+use crate::world::World;
+use crate::world::job;
+
 /// The fields of a log line.
 pub type Fields = BTreeMap<String, String>;
 
@@ -65,3 +70,20 @@
         named.cloned().collect()
     })
 }
+
+/// Captures lines and returns a world with an owner and one executor whose tasks take long.
+pub async fn started() -> World {
+    begin();
+    let world = World::new(1);
+    let executor = world.fleet.executor(1);
+    executor.task_duration.set(Duration::from_secs(60));
+    world.start("a");
+    world.advance(Duration::from_secs(1)).await;
+    world
+}
+
+/// Submits a job of two steps with one task each.
+pub async fn submit(world: &World, number: u64) {
+    let submitted = world.submit("a", number, job(1)).await;
+    assert_eq!(submitted, SubmitOutcome::Accepted);
+}
--- a/crates/dispatch/tests/all/owner_load.rs
+++ b/crates/dispatch/tests/all/owner_load.rs
@@ -2,31 +2,14 @@
 
 use std::time::Duration;
 
-use dispatch::api::SubmitOutcome;
-
 use crate::log_capture;
 use crate::log_capture::Fields;
+use crate::log_capture::started;
+use crate::log_capture::submit;
 use crate::store::StoreFault;
-use crate::world::World;
-use crate::world::job;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Returns a world with an owner and one executor whose tasks take long.
-async fn started() -> World {
-    log_capture::begin();
-    let world = World::new(1);
-    world.fleet.executor(1).task_duration.set(60 * SECOND);
-    world.start("a");
-    world.advance(SECOND).await;
-    world
-}
-
-async fn submit(world: &World, number: u64) {
-    let submitted = world.submit("a", number, job(1)).await;
-    assert_eq!(submitted, SubmitOutcome::Accepted);
-}
-
 fn number(line: &Fields, name: &str) -> u64 {
     line[name].parse().expect("the field is a number")
 }
--- a/crates/job/tests/all/model/gangs.rs
+++ b/crates/job/tests/all/model/gangs.rs
@@ -2,6 +2,7 @@
 //! different runs, and without faults of the system none waits for the other in vain.
 
 use super::NO_FAULTS;
+use super::USUAL_FAULTS;
 use super::assert_each_holds_in;
 use super::assert_holds_in;
 use super::assert_stuck_in;
@@ -14,20 +15,8 @@
 #[test]
 fn no_fault_breaks_a_gang() {
     assert_holds_in(World::Gang, "none", NO_FAULTS);
+    assert_each_holds_in(World::Gang, &USUAL_FAULTS);
     let sets = [
-        "network, pause",
-        "slow call",
-        "refusal, pause",
-        "late report",
-        "takeover",
-        "slow takeover",
-        "crash",
-        "late write",
-        "restart",
-        "disconnect",
-        "disconnect, wait",
-        "cancel",
-        "wait, wait",
         "failure, failure, pause",
         "failure, cancel",
         "failure, crash",
--- a/crates/job/tests/all/model/long_running.rs
+++ b/crates/job/tests/all/model/long_running.rs
@@ -2,6 +2,7 @@
 //! cancellation nothing starts and nothing runs on.
 
 use super::NO_FAULTS;
+use super::USUAL_FAULTS;
 use super::assert_each_holds_in;
 use super::assert_holds_in;
 use super::assert_stuck_in;
@@ -14,20 +15,8 @@
 #[test]
 fn no_fault_ends_a_long_running_task() {
     assert_holds_in(World::LongRunning, "none", NO_FAULTS);
+    assert_each_holds_in(World::LongRunning, &USUAL_FAULTS);
     let sets = [
-        "network, pause",
-        "slow call",
-        "refusal, pause",
-        "late report",
-        "takeover",
-        "slow takeover",
-        "crash",
-        "late write",
-        "restart",
-        "disconnect",
-        "disconnect, wait",
-        "cancel",
-        "wait, wait",
         "failure, pause",
         "failure, failure, failure, pause, pause, pause",
         "cancel, network",
--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -52,6 +52,23 @@
     expiries: 0,
 };
 
+/// Faults that come in each world, most of them alone.
+const USUAL_FAULTS: [&str; 13] = [
+    "network, pause",
+    "slow call",
+    "refusal, pause",
+    "late report",
+    "takeover",
+    "slow takeover",
+    "crash",
+    "late write",
+    "restart",
+    "disconnect",
+    "disconnect, wait",
+    "cancel",
+    "wait, wait",
+];
+
 /// Explores the world with each of the sets of faults.
 fn assert_each_holds_in(world: World, sets: &[&str]) {
     for set in sets {
