--- a/crates/job/src/placement/constraints.rs
+++ b/crates/job/src/placement/constraints.rs
@@ -8,7 +8,7 @@
 use crate::spec::StepSpec;
 
 impl Scheduler {
-    pub(super) fn is_feasible(
+    pub(crate) fn is_feasible(
         &self,
         executor_key: ExecutorKey,
         executor: &Executor,
--- a/crates/job/src/ranking.rs
+++ b/crates/job/src/ranking.rs
@@ -31,6 +31,9 @@
     pub has_started: bool,
     /// The priority of the queue; 0 is the highest.
     pub priority: u32,
+    /// How late a job without value is, in milliseconds, and 0 for all others. Its size and what is
+    /// left of it decide nothing any more, and the latest goes first, so that none waits for ever.
+    pub overdue_ms: Reverse<u64>,
     /// The base-2 logarithm of the job's remaining work, rounded down.
     pub magnitude: u32,
     /// The time in milliseconds until the latest start that meets the objective, or the time by
@@ -127,6 +130,11 @@
         outlook,
         has_started: outlook == DeadlineOutlook::TooLate && job.has_assigned_tasks(),
         priority,
+        overdue_ms: Reverse(if outlook == DeadlineOutlook::TooLate {
+            slack_ms
+        } else {
+            0
+        }),
         magnitude: job.remaining_work().max(1).ilog2(),
         slack_ms,
         age: Reverse(job.age(now)),
--- a/crates/job/src/relaxation.rs
+++ b/crates/job/src/relaxation.rs
@@ -16,6 +16,7 @@
 use model::Size;
 
 use crate::fleet::Executor;
+use crate::placement::has_spare_cpu;
 use crate::ranking::Rank;
 use crate::scheduler::Job;
 use crate::scheduler::ReadyStep;
@@ -32,6 +33,9 @@
 /// The wait counts for a fraction of one over this if another task of the job has an executor, and
 /// not at all while jobs without one wait.
 const STARTED_JOB_DIVISOR: u32 = 4;
+/// A step whose job has no task on an executor has its turn once it has waited for one over this of
+/// the longest such wait, so that newer steps do not take each turn.
+const TURN_DIVISOR: u32 = 2;
 /// The wait counts for a fraction of one over this on executors that are mostly in use, where a
 /// wait is expected.
 const BUSY_EXECUTOR_DIVISOR: u32 = 4;
@@ -89,6 +93,8 @@
 impl Relaxation {
     /// The conditions are not relaxed.
     pub(crate) const NONE: Self = Self(0);
+    /// The conditions do not count.
+    const COMPLETE: Self = Self(LAST_LEVEL);
 
     fn after(waited: Duration) -> Self {
         let Some(relaxed_for) = waited.checked_sub(RELAX_AFTER) else {
@@ -127,10 +133,12 @@
         if waited < RELAX_AFTER {
             return Wait::NONE;
         }
+        let longest = self.longest_unstarted_wait(job);
         if !job.has_assigned_tasks() {
-            return Wait(waited);
+            let is_due = waited * TURN_DIVISOR >= longest;
+            return if is_due { Wait(waited) } else { Wait::NONE };
         }
-        if self.unstarted_jobs_wait {
+        if longest >= RELAX_AFTER {
             return Wait::NONE;
         }
         Wait(waited / STARTED_JOB_DIVISOR)
@@ -163,18 +171,66 @@
         self.idle_services = idle.map(|(service, _)| service).collect();
     }
 
-    /// Records whether any of these steps waits for relaxed conditions and belongs to a job without
-    /// a task on an executor. Such jobs go first, because executors receive few tasks in this way.
+    /// Returns the longest wait of a job without a task on an executor in the service of this job.
+    fn longest_unstarted_wait(&self, job: &Job) -> Duration {
+        let queue = self.plan.queue(&job.queue);
+        let longest = queue.and_then(|queue| self.unstarted_waits.get(&queue.service));
+        longest.copied().unwrap_or(Duration::ZERO)
+    }
+
+    /// Records for each service how long the best-effort step has waited that has waited longest of
+    /// those whose job has no task on an executor. Such jobs go first, because executors receive few
+    /// tasks under relaxed conditions. A step that no executor has room for keeps none waiting.
     pub(crate) fn find_unstarted_jobs(&mut self, steps: &[(Rank, ReadyStep)], now: Mono) {
-        self.unstarted_jobs_wait = steps.iter().any(|(_, ready)| {
-            let Some(job) = self.job(ready.job) else {
-                return false;
+        let mut longest: Map<Arc<str>, Duration> = Map::default();
+        for (_, ready) in steps {
+            let Some((service, waited)) = self.unstarted_wait(*ready, now) else {
+                continue;
             };
-            let is_best_effort = job.spec.steps[ready.step as usize].best_effort;
-            is_best_effort
-                && self.scaled_wait(job, ready.first_slot, now) >= RELAX_AFTER
-                && !job.has_assigned_tasks()
+            let known = longest.get(&service).copied().unwrap_or(Duration::ZERO);
+            if waited > known && self.has_room_for(*ready, &service, now) {
+                longest.insert(service, waited);
+            }
+        }
+        self.unstarted_waits = longest;
+    }
+
+    /// Returns the service of a best-effort step and how long it has waited, if its job has no task
+    /// on an executor.
+    fn unstarted_wait(&self, ready: ReadyStep, now: Mono) -> Option<(Arc<str>, Duration)> {
+        let job = self.job(ready.job)?;
+        let step = job.spec.steps.get(ready.step as usize)?;
+        if !step.best_effort || job.has_assigned_tasks() {
+            return None;
+        }
+        let queue = self.plan.queue(&job.queue)?;
+        let waited = self.scaled_wait(job, ready.first_slot, now);
+        Some((queue.service.clone(), waited))
+    }
+
+    /// Returns whether enough executors of a service have room for a best-effort step, whatever it
+    /// disturbs there: one, or as many as a gang needs.
+    fn has_room_for(&self, ready: ReadyStep, service: &str, now: Mono) -> bool {
+        let Some(job) = self.job(ready.job) else {
+            return false;
+        };
+        let step = &job.spec.steps[ready.step as usize];
+        let key = TaskKey {
+            job: ready.job,
+            slot: ready.first_slot,
+        };
+        let needed = if step.gang && step.max_per_executor > 0 {
+            step.count.div_ceil(step.max_per_executor) as usize
+        } else {
+            1
+        };
+        let executors = self.fleet.iter().filter(|(executor_key, executor)| {
+            &*executor.listing.service == service
+                && executor.accepts_tasks(now)
+                && has_spare_cpu(executor, step, Relaxation::COMPLETE)
+                && self.is_feasible(*executor_key, executor, job, key, step)
         });
+        executors.take(needed).count() == needed
     }
 }
 
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -130,8 +130,9 @@
     poll_candidates: Vec<ExecutorKey>,
     /// The number of placement rounds so far whose budget had tasks that can wait.
     pub(crate) rounds: u64,
-    /// Whether best-effort steps of jobs without a task on an executor wait for relaxed conditions.
-    pub(crate) unstarted_jobs_wait: bool,
+    /// How long the best-effort step has waited that has waited longest of those whose job has no
+    /// task on an executor, by service.
+    pub(crate) unstarted_waits: Map<Arc<str>, Duration>,
     /// The services that less than half of the capacity of their executors was allocated to at the
     /// last [`Self::tick`].
     pub(crate) idle_services: Set<Arc<str>>,
@@ -163,7 +164,7 @@
             unstored_ends: Vec::new(),
             poll_candidates: Vec::new(),
             rounds: 0,
-            unstarted_jobs_wait: false,
+            unstarted_waits: Map::default(),
             idle_services: Set::default(),
             commands: Vec::new(),
             events: Vec::new(),
