--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -106,6 +106,8 @@
     pub throttled_at: Mono,
     /// Since when a service on the executor has exceeded its tail latency target.
     pub over_target_since: Option<Mono>,
+    /// How many reports in a row have shown no tail latency over its target.
+    pub reports_under_target: u32,
     /// When a best-effort task was last placed on the executor under relaxed conditions.
     pub relaxed_at: Option<Mono>,
     /// The number of tasks on the executor that were placed under relaxed conditions.
--- a/crates/job/src/throttle.rs
+++ b/crates/job/src/throttle.rs
@@ -36,6 +36,11 @@
 /// suspended, whatever the estimate for each of them, provided that together they may be the cause.
 const SUSPEND_AFTER: Duration = Duration::from_millis(1_900);
 
+/// How many reports in a row have to show a tail latency between its setpoint and its target, before
+/// the target counts as met. Reports are rough, so that one of them may show a tail just over its
+/// target as met.
+const REPORTS_UNDER_TARGET: u32 = 2;
+
 /// The tail latency of a service task on an executor.
 struct TailLatency {
     key: TaskKey,
@@ -66,10 +71,11 @@
         let settled = now.since(executor.throttled_at) >= SETTLE_TIME;
         let tail_latencies = self.tail_latencies(&keys);
         let best_effort_tasks = self.best_effort_tasks_on(executor_key, &keys);
-        let over_target = tail_latencies
+        let highest = tail_latencies
             .iter()
-            .any(|tail_latency| tail_latency.log_excess + TARGET_FRACTION.ln() > 0.0);
-        let over_target_for = self.over_target_duration(executor_key, over_target, now);
+            .map(|tail_latency| tail_latency.log_excess)
+            .fold(f64::NEG_INFINITY, f64::max);
+        let over_target_for = self.over_target_duration(executor_key, highest, now);
         if best_effort_tasks.is_empty() {
             return;
         }
@@ -157,21 +163,27 @@
     }
 
     /// Tracks whether any tail latency exceeds its target and returns for how long this has been
-    /// so.
+    /// so. `log_excess` is that of the highest one.
     fn over_target_duration(
         &mut self,
         executor_key: ExecutorKey,
-        over_target: bool,
+        log_excess: f64,
         now: Mono,
     ) -> Duration {
         let Some(executor) = self.fleet.get_mut(executor_key) else {
             return Duration::ZERO;
         };
-        if !over_target {
+        if log_excess + TARGET_FRACTION.ln() > 0.0 {
+            executor.reports_under_target = 0;
+            return now.since(*executor.over_target_since.get_or_insert(now));
+        }
+        executor.reports_under_target += 1;
+        if log_excess <= 0.0 || executor.reports_under_target >= REPORTS_UNDER_TARGET {
             executor.over_target_since = None;
-            return Duration::ZERO;
         }
-        now.since(*executor.over_target_since.get_or_insert(now))
+        executor
+            .over_target_since
+            .map_or(Duration::ZERO, |since| now.since(since))
     }
 
     #[expect(clippy::cast_precision_loss, reason = "values are far below 2^52")]
