--- a/crates/job/src/placement/isolation.rs
+++ b/crates/job/src/placement/isolation.rs
@@ -18,11 +18,6 @@
 const NEW_RUN_FACTOR: usize = 1_000;
 
 impl Scheduler {
-    /// Returns how many crashes a task is suspected of.
-    pub(crate) fn crashes(&self, key: TaskKey) -> u32 {
-        self.task(key).map_or(0, |task| task.crashes)
-    }
-
     /// Returns whether a task has to start alone.
     pub(crate) fn is_isolated(&self, key: TaskKey, step: &StepSpec) -> bool {
         !step.gang && self.crashes(key) >= ISOLATED_FROM
--- a/crates/job/src/scheduler/crashes.rs
+++ b/crates/job/src/scheduler/crashes.rs
@@ -49,6 +49,11 @@
 }
 
 impl Scheduler {
+    /// Returns how many crashes a task is suspected of.
+    pub(crate) fn crashes(&self, key: TaskKey) -> u32 {
+        self.task(key).map_or(0, |task| task.crashes)
+    }
+
     /// Records that a report that was requested at `sent` shows a run that was confirmed at
     /// `confirmed`.
     pub(super) fn clear_after(&mut self, key: TaskKey, confirmed: Mono, sent: Mono) {
