--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -38,6 +38,8 @@
 /// An executor with its lease, its runs and its ended runs.
 pub struct FakeExecutor {
     id: Arc<str>,
+    address: Arc<str>,
+    started_unix_ms: u64,
     started_at: Instant,
     fencing_epoch: Cell<u64>,
     lease_end: Cell<Instant>,
@@ -93,10 +95,25 @@
 impl Fleet {
     /// Adds the executor with this number.
     pub fn add(&self, number: usize) {
-        let id: Arc<str> = format!("e{number}").into();
+        let id = format!("e{number}");
+        self.insert(&id, &id, 1);
+    }
+
+    /// Replaces the process of an executor, which crashes, by one under another name at the same
+    /// address.
+    pub fn replace(&self, number: usize, id: &str) {
+        let earlier = format!("e{number}");
+        self.executors.borrow_mut().remove(&*earlier);
+        self.insert(id, &earlier, 2);
+    }
+
+    fn insert(&self, id: &str, address: &str, started_unix_ms: u64) {
+        let id: Arc<str> = id.into();
         let now = Instant::now();
         let executor = Rc::new(FakeExecutor {
             id: id.clone(),
+            address: address.into(),
+            started_unix_ms,
             started_at: now,
             fencing_epoch: Cell::new(0),
             lease_end: Cell::new(now),
@@ -197,12 +214,12 @@
     fn listing(&self) -> Listing {
         Listing {
             id: self.id.clone(),
-            address: self.id.clone(),
+            address: self.address.clone(),
             service: "service".into(),
             data_centre: "dc".into(),
             labels: Vec::new(),
             capacity: Size::new(64_000, 256_000, 0),
-            started_unix_ms: 1,
+            started_unix_ms: self.started_unix_ms,
             draining: false,
             drain_remaining: None,
         }
@@ -341,7 +358,7 @@
     /// Returns the report of a poll.
     pub fn report(&self) -> Report {
         Report {
-            started_unix_ms: Some(1),
+            started_unix_ms: Some(self.started_unix_ms),
             clock_ms: self.clock_ms(),
             running: self
                 .runs
--- a/crates/dispatch/tests/all/owners.rs
+++ b/crates/dispatch/tests/all/owners.rs
@@ -336,3 +336,27 @@
         .wait_until_succeeded(host, &[1, 2, 3], 15 * SECOND)
         .await;
 }
+
+/// The lease of a crashed executor has not expired yet when the process that follows it is listed.
+#[tokio::test(start_paused = true)]
+async fn tasks_of_a_crashed_executor_start_again_before_its_lease_expires() {
+    let world = World::new(2);
+    world.start("a");
+    world.advance(SECOND).await;
+    for number in 1..=2 {
+        world.fleet.executor(number).task_duration.set(60 * SECOND);
+    }
+    world.submit("a", 1, job(8)).await;
+    world.advance(SECOND).await;
+    assert_eq!(world.fleet.starts.get(), 8);
+    world.fleet.replace(1, "e1-after-its-crash");
+    world.advance(4 * SECOND).await;
+    assert!(world.fleet.starts.get() > 8, "nothing has started again");
+    world.assert_no_violations();
+    let successor = world.fleet.find("e1-after-its-crash");
+    let others = [successor, world.fleet.find("e2")];
+    for executor in others.into_iter().flatten() {
+        executor.task_duration.set(SECOND);
+    }
+    world.wait_until_succeeded("a", &[1], 20 * SECOND).await;
+}
