--- a/crates/dispatch/tests/all/owners.rs
+++ b/crates/dispatch/tests/all/owners.rs
@@ -4,6 +4,7 @@
 
 use dispatch::api::SubmitOutcome;
 
+use crate::log_capture;
 use crate::store::StoreFault;
 use crate::world::World;
 use crate::world::job;
@@ -349,9 +350,12 @@
     world.submit("a", 1, job(8)).await;
     world.advance(SECOND).await;
     assert_eq!(world.fleet.starts.get(), 8);
+    log_capture::begin();
     world.fleet.replace(1, "e1-after-its-crash");
-    world.advance(4 * SECOND).await;
-    assert!(world.fleet.starts.get() > 8, "nothing has started again");
+    world.advance(3 * SECOND).await;
+    let lost = log_capture::lines("run_lost");
+    let lost_there = lost.iter().filter(|line| line["executor"] == "e1");
+    assert_eq!(lost_there.count(), 4, "{lost:?}");
     world.assert_no_violations();
     let successor = world.fleet.find("e1-after-its-crash");
     let others = [successor, world.fleet.find("e2")];
