--- a/crates/job/src/scheduler/crashes.rs
+++ b/crates/job/src/scheduler/crashes.rs
@@ -17,6 +17,7 @@
 use crate::fleet::ExecutorKey;
 use crate::task::RunKnowledge;
 use crate::task::RunNumber;
+use crate::task::StartState;
 
 /// How long an executor has to go on after it has started a run, to show that the run does not crash
 /// it.
@@ -85,14 +86,19 @@
         suspects
     }
 
-    /// Returns whether a task's current run may have started and is not cleared.
+    /// Returns whether a task's current run may have started and is not cleared. A run of a previous
+    /// owner may have been cleared by that one, so that only tasks suspected before count.
     pub(super) fn is_suspect(&self, key: TaskKey) -> bool {
-        self.task(key).is_some_and(|task| {
-            let may_have_started = task
-                .assignment()
-                .is_some_and(|assignment| assignment.knowledge() != RunKnowledge::NotStarted);
-            may_have_started && task.cleared_run != task.run
-        })
+        let Some(task) = self.task(key) else {
+            return false;
+        };
+        let Some(assignment) = task.assignment() else {
+            return false;
+        };
+        let may_be_new = assignment.start_state != StartState::Inherited || task.crashes > 0;
+        may_be_new
+            && assignment.knowledge() != RunKnowledge::NotStarted
+            && task.cleared_run != task.run
     }
 
     /// Records that the lease of a run has expired on a silent executor, which may have crashed.
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -282,10 +282,12 @@
         let mut stop_again = false;
         let mut starts = false;
         let mut confirmed = now;
+        let mut inherited = false;
         if let Some(assignment) = self.task_mut(key).and_then(|task| task.assignment_mut()) {
             assignment.metrics = Some(run.metrics);
             assignment.start_unanswered = false;
             starts = assignment.start_state == StartState::Sent;
+            inherited = assignment.start_state == StartState::Inherited;
             match assignment.start_state {
                 StartState::Sent | StartState::Inherited => {
                     assignment.start_state = StartState::Confirmed(now);
@@ -300,6 +302,10 @@
         if starts {
             self.throttle_at_start(key, now);
         }
+        if inherited {
+            // The executor has gone on for as long as the takeover has taken.
+            self.clear_of_suspicion(key);
+        }
         self.clear_after(key, confirmed, sent);
         self.mark_job_started(key.job, now);
         if let Some(job) = self.jobs.get(key.job)
--- a/crates/job/tests/all/crash_world.rs
+++ b/crates/job/tests/all/crash_world.rs
@@ -182,6 +182,17 @@
         }
     }
 
+    /// Lets time pass until a condition holds. Panics if that takes longer than `limit_ms`.
+    pub fn run_until(&mut self, limit_ms: u64, condition: impl Fn(&Self) -> bool) {
+        for _ in 0..limit_ms / STEP_MS {
+            if condition(self) {
+                return;
+            }
+            self.step();
+        }
+        panic!("the condition does not hold within {limit_ms} ms");
+    }
+
     fn step(&mut self) {
         self.fixture.pass(STEP_MS);
         let now = self.fixture.now;
--- a/crates/job/tests/all/crashes.rs
+++ b/crates/job/tests/all/crashes.rs
@@ -157,6 +157,22 @@
     assert_given_up_in_time(&world, key);
 }
 
+#[test]
+fn a_run_of_an_earlier_owner_is_not_suspected_of_a_crash_after_the_takeover() {
+    let mut world = CrashWorld::new(12, Return::Renamed(AWAY_MS));
+    let job = world.submit(1, vec![service(1, 4, "image")]);
+    let key = first_task(&world, job);
+    for _ in 0..6 {
+        world.run_until(10_000, |world| world.is_running(key));
+        world.run(600);
+        world.take_over();
+        world.crash_below(key);
+        world.run(100);
+    }
+    let state = world.fixture.scheduler.state(job);
+    assert!(state.is_some_and(|state| !state.is_final()), "{state:?}");
+}
+
 #[test]
 fn a_crash_that_is_known_only_after_the_lease_has_lapsed_counts() {
     let mut world = CrashWorld::new(12, Return::Renamed(8_000));
@@ -205,14 +221,10 @@
     let mut world = CrashWorld::new(1, Return::Renamed(AWAY_MS));
     let job = world.submit(1, vec![step(1, 4, 600)]);
     let key = world.make_deadly(job, 0);
-    while world.crashes.get(&key) != Some(&2) {
-        world.run(100);
-    }
+    world.run_until(30_000, |world| world.crashes.get(&key) == Some(&2));
     let services = world.submit(2, vec![service(2, 4, "image")]);
     let first = first_task(&world, services);
-    while !world.is_running(first) {
-        world.run(100);
-    }
+    world.run_until(10_000, |world| world.is_running(first));
     let (scheduler, now) = (&world.fixture.scheduler, world.fixture.now);
     let reason = scheduler.wait_reason(key, now, 0);
     assert_eq!(reason, Some(WaitReason::Isolated { candidates: 1 }));
