--- a/crates/job/tests/all/crashes.rs
+++ b/crates/job/tests/all/crashes.rs
@@ -99,6 +99,18 @@
     assert!(world.starts.get(&key).is_some_and(|starts| *starts > 3));
 }
 
+/// Known red: only a successor under another name is checked for an announced departure.
+#[test]
+fn a_drained_executor_that_returns_under_its_name_has_not_crashed() {
+    let mut world = CrashWorld::new(12, Return::SameName(AWAY_MS));
+    let job = world.submit(1, vec![step(1, 4, 100)]);
+    world.make_deadly(job, 0);
+    world.drain_all_when_they_end();
+    world.run(20_000);
+    let state = world.fixture.scheduler.state(job);
+    assert_eq!(state, Some(JobState::Running));
+}
+
 #[test]
 fn a_task_that_ran_on_for_a_while_before_each_crash_is_not_given_up() {
     let mut world = CrashWorld::new(12, Return::Renamed(AWAY_MS));
