--- a/crates/dispatch/tests/all/document.rs
+++ b/crates/dispatch/tests/all/document.rs
@@ -29,6 +29,8 @@
     transfers: RefCell<BTreeMap<String, u32>>,
     /// How long a transfer lasts before its connection breaks, or `None` if transfers succeed.
     breaks_after: Cell<Option<Duration>>,
+    /// How long a transfer lasts that succeeds.
+    transfer_time: Cell<Duration>,
     /// The host that gets no answers.
     silent_for: RefCell<Option<String>>,
 }
@@ -42,6 +44,7 @@
             changed: Notify::new(),
             transfers: RefCell::default(),
             breaks_after: Cell::new(None),
+            transfer_time: Cell::default(),
             silent_for: RefCell::default(),
         }
     }
@@ -51,6 +54,11 @@
         self.breaks_after.set(Some(duration));
     }
 
+    /// Makes each transfer of the document last this long.
+    pub fn transfers_last(&self, duration: Duration) {
+        self.transfer_time.set(duration);
+    }
+
     /// Gives no more answers to a host.
     pub fn silence_for(&self, host: &str) {
         *self.silent_for.borrow_mut() = Some(host.to_owned());
@@ -66,6 +74,10 @@
 
     async fn transfer(&self) -> Result<(), StoreError> {
         let Some(duration) = self.breaks_after.get() else {
+            let duration = self.transfer_time.get();
+            if !duration.is_zero() {
+                tokio::time::sleep(duration).await;
+            }
             return Ok(());
         };
         tokio::time::sleep(duration).await;
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod executor_calls;
 mod log_capture;
 mod lost_answers;
+mod owner_choice;
 mod owner_load;
 mod owners;
 mod pacing;
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -155,6 +155,15 @@
 
     /// Starts the process of a host whose calls to the store take `distance` longer.
     pub fn start_at(&self, name: &str, distance: Duration) {
+        let capacity = HostCapacity {
+            cores: 1.0,
+            link_mbps: 1_000.0,
+        };
+        self.start_with(name, distance, capacity);
+    }
+
+    /// Starts the process of a host of this capacity whose calls to the store take `distance` longer.
+    pub fn start_with(&self, name: &str, distance: Duration, capacity: HostCapacity) {
         self.incarnations.set(self.incarnations.get() + 1);
         let store_fault = Rc::new(Cell::new(StoreFault::None));
         let fleet = self.fleet.clone();
@@ -179,10 +188,7 @@
             host: name.to_owned(),
             incarnation: self.incarnations.get(),
             peer_address: name.to_owned(),
-            capacity: HostCapacity {
-                cores: 1.0,
-                link_mbps: 1_000.0,
-            },
+            capacity,
         };
         let timing = Timing {
             lease: Duration::from_secs(5),
--- a/crates/job/tests/all/known_red.rs
+++ b/crates/job/tests/all/known_red.rs
@@ -1,5 +1,6 @@
 //! Tests that fail because of a fault that is not mended. `KNOWN-RED.txt` lists each.
 
+use job::placement::RoundBudget;
 use job::scheduler::RunOutcome;
 use job::spec::StepSpec;
 
@@ -121,3 +122,32 @@
     }
     panic!("a task still waits after 120 s");
 }
+
+/// LOST with an owner that can't keep up: of the few tasks that it starts, timed work takes all, and
+/// services never begin although most of the capacity is free.
+#[test]
+fn services_begin_while_timed_work_takes_all_starts_that_the_owner_can_make() {
+    const ROUND_MS: u64 = 20;
+    const SERVICES: u64 = 10;
+    // A job with room may be without a task for 3 s, if the 4 s before are calm as well.
+    const MAX_WAIT_MS: u64 = 7_000;
+    let mut fixture = Fixture::new(20);
+    let services: Vec<_> = (1..=SERVICES)
+        .map(|number| fixture.submit(number, vec![service(2, 4, "web")]))
+        .collect();
+    let budget = RoundBudget {
+        tasks: 1,
+        tasks_that_can_wait: 1,
+    };
+    for round in 0..MAX_WAIT_MS / ROUND_MS {
+        fixture.submit(100 + round, vec![step(1, 1, 1_000)]);
+        fixture.scheduler.place_within(budget, fixture.now, 0);
+        fixture.pass(ROUND_MS);
+    }
+    let begun = services.iter().filter(|id| {
+        let job = fixture.scheduler.find(**id).expect("the job is known");
+        let job = fixture.scheduler.job(job).expect("the job is known");
+        job.tasks.iter().any(|task| task.assignment().is_some())
+    });
+    assert_eq!(begun.count() as u64, SERVICES, "services that have begun");
+}
