--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -199,6 +199,9 @@
 /// Tries to become the owner in succession of `earlier`.
 async fn claim(node: &Rc<Node>, earlier: &OwnerRecord, version: u64) {
     if node.draining.is_cancelled() || node.plan().is_none() {
+        if !node.draining.is_cancelled() {
+            events::claim_postponed();
+        }
         tokio::time::sleep(RETRY_DELAY).await;
         return;
     }
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -33,6 +33,12 @@
     log::info!(event = "document", version, queues, source; "");
 }
 
+/// Logs that the wait for a claim of the ownership has ended before the document was there, so that
+/// it begins anew.
+pub fn claim_postponed() {
+    log::info!(event = "claim_postponed"; "");
+}
+
 /// Logs a takeover: the epoch, the earlier owner, the stored jobs and the inherited tasks.
 pub fn takeover(epoch: u64, earlier: &str, jobs: usize, inherited: usize, took_ms: u64) {
     log::info!(event = "takeover", epoch, earlier, jobs, inherited, took_ms; "");
@@ -215,6 +221,10 @@
     pub timer_delay_ms: u64,
     /// Number of placement rounds.
     pub rounds: u32,
+    /// Number of those in which no start fitted into the window.
+    pub full_rounds: u32,
+    /// Duration of all placement rounds together, in milliseconds.
+    pub rounds_ms: u64,
     /// Duration of the longest placement round, in milliseconds.
     pub longest_round_ms: u64,
     /// Number of tasks placed that could meet their objective.
@@ -279,6 +289,8 @@
     let LoadSummary {
         timer_delay_ms,
         rounds,
+        full_rounds,
+        rounds_ms,
         longest_round_ms,
         in_time,
         in_time_filling,
@@ -308,8 +320,8 @@
         poll_pause_p90_ms,
     } = *load;
     log::info!(
-        event = "owner_load", timer_delay_ms, rounds, longest_round_ms, in_time, in_time_filling,
-        late, hopeless, lasting, in_time_wait_ms, in_time_wait_p90_ms, unstored_jobs,
+        event = "owner_load", timer_delay_ms, rounds, full_rounds, rounds_ms, longest_round_ms, in_time,
+        in_time_filling, late, hopeless, lasting, in_time_wait_ms, in_time_wait_p90_ms, unstored_jobs,
         unstored_starts, transactions, rows, row_bytes, transaction_ms, store_ms, store_p90_ms,
         filling_store_ms, filling_store_p90_ms, slot_p90_ms, answer_ms, answer_p90_ms,
         starts_in_flight, window, polls, ends, poll_pause_ms, poll_pause_p90_ms; ""
--- a/crates/dispatch/src/owner/load.rs
+++ b/crates/dispatch/src/owner/load.rs
@@ -31,6 +31,8 @@
 #[derive(Default)]
 struct Counts {
     rounds: u32,
+    full_rounds: u32,
+    in_rounds: Duration,
     longest_round: Duration,
     placed_in_time: usize,
     placed_best_effort: usize,
@@ -85,9 +87,15 @@
     pub(super) fn count_round(&self, took: Duration) {
         let mut counts = self.counts.borrow_mut();
         counts.rounds += 1;
+        counts.in_rounds += took;
         counts.longest_round = counts.longest_round.max(took);
     }
 
+    /// Counts a round in which no start fits into the window.
+    pub(super) fn count_full_round(&self) {
+        self.counts.borrow_mut().full_rounds += 1;
+    }
+
     /// Counts tasks of a step that were placed.
     pub(super) fn count_placed(&self, rank: &Rank, tasks: usize) {
         let mut counts = self.counts.borrow_mut();
@@ -163,6 +171,8 @@
         events::owner_load(&LoadSummary {
             timer_delay_ms: model::time::millis(counts.timer_delay),
             rounds: counts.rounds,
+            full_rounds: counts.full_rounds,
+            rounds_ms: model::time::millis(counts.in_rounds),
             longest_round_ms: model::time::millis(counts.longest_round),
             in_time: counts.placed_in_time,
             in_time_filling: counts.placed_best_effort,
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -245,6 +245,9 @@
                 tasks: self.window.borrow().free(in_flight),
                 tasks_that_can_wait: pace.allowance(started.duration_since(due), now),
             };
+            if budget.tasks == 0 {
+                self.load.count_full_round();
+            }
             let used = self
                 .scheduler
                 .borrow_mut()
