--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -58,6 +58,9 @@
 /// name.
 const MAX_JITTER_MS: u64 = 120;
 
+/// Logged for a claim that was not sent, because the host has no document yet or is draining.
+const NOT_READY: &str = "not_ready";
+
 /// The owner's row with its version.
 struct OwnerRow {
     record: OwnerRecord,
@@ -110,8 +113,9 @@
 
 async fn monitor_owner(node: &Rc<Node>, row: Option<OwnerRow>, round_trip: Duration) {
     let Some(row) = row else {
-        tokio::time::sleep(claim_delay(node, round_trip)).await;
-        claim(node, &OwnerRecord::default(), 0).await;
+        let delay = claim_delay(node, round_trip);
+        tokio::time::sleep(delay).await;
+        claim_and_log(node, &OwnerRecord::default(), 0, (round_trip, delay)).await;
         return;
     };
     *node.known_owner.borrow_mut() = Some(row.record.clone());
@@ -119,23 +123,31 @@
         .set(node.highest_epoch.get().max(row.record.epoch));
     let own_earlier_incarnation = node.identity.is_own_record(&row.record);
     if own_earlier_incarnation || row.record.released {
-        if !own_earlier_incarnation {
-            tokio::time::sleep(claim_delay(node, round_trip)).await;
-        }
-        claim(node, &row.record, row.version).await;
+        let delay = if own_earlier_incarnation {
+            Duration::ZERO
+        } else {
+            claim_delay(node, round_trip)
+        };
+        tokio::time::sleep(delay).await;
+        claim_and_log(node, &row.record, row.version, (round_trip, delay)).await;
         return;
     }
     let address: Arc<str> = row.record.address.as_str().into();
-    while is_alive(node, &address, &row.record).await {
+    let suspicion = loop {
+        if let Err(suspicion) = check(node, &address, &row.record).await {
+            break suspicion;
+        }
         tokio::time::sleep(PING_INTERVAL).await;
         if node.draining.is_cancelled() {
             return;
         }
-    }
+    };
+    events::owner_suspected(row.record.epoch, &row.record.host, suspicion);
     watch_suspect(node, row, round_trip).await;
 }
 
-async fn is_alive(node: &Node, address: &Arc<str>, record: &OwnerRecord) -> bool {
+/// Pings the owner. Returns why it is suspected, with the value that logs show.
+async fn check(node: &Node, address: &Arc<str>, record: &OwnerRecord) -> Result<(), &'static str> {
     let reply = peers::send(
         node,
         address,
@@ -144,13 +156,19 @@
     )
     .await;
     let Some(PeerResponse::Pong(pong)) = reply else {
-        return false;
+        return Err("no_answer");
     };
     let is_owner = pong.epoch == record.epoch && pong.incarnation == record.incarnation;
     if is_owner && let Some(info) = pong.document {
         node.document.record_owner(address, info, node.now());
     }
-    is_owner && pong.confirmed_ms <= MAX_CONFIRMATION_AGE_MS
+    if !is_owner {
+        return Err("not_owner");
+    }
+    if pong.confirmed_ms > MAX_CONFIRMATION_AGE_MS {
+        return Err("unconfirmed");
+    }
+    Ok(())
 }
 
 /// Reads the row of a suspected owner until it changes or has stayed unchanged for long enough.
@@ -169,7 +187,7 @@
         match since {
             Some((version, at)) if version == row.version => {
                 if node.now().since(at) >= wait {
-                    claim(node, &row.record, row.version).await;
+                    claim_and_log(node, &row.record, row.version, (round_trip, wait)).await;
                     return;
                 }
             }
@@ -196,11 +214,38 @@
     Duration::from_millis(hash % MAX_JITTER_MS)
 }
 
-/// Tries to become the owner in succession of `earlier`.
-async fn claim(node: &Rc<Node>, earlier: &OwnerRecord, version: u64) {
+/// Claims the ownership in succession of `earlier`, and takes over if the claim succeeds. Logs the
+/// outcome with the round trip to the store and the delay that led to it.
+async fn claim_and_log(
+    node: &Rc<Node>,
+    earlier: &OwnerRecord,
+    version: u64,
+    (round_trip, delay): (Duration, Duration),
+) {
+    let result = claim(node, earlier, version).await;
+    let outcome = result.as_ref().map_or_else(|outcome| *outcome, |_| "won");
+    events::claim(
+        earlier.epoch,
+        outcome,
+        model::time::millis(round_trip),
+        model::time::millis(delay),
+    );
+    match result {
+        Ok(claim) => owner::take_over(node, claim).await,
+        Err(NOT_READY) => tokio::time::sleep(RETRY_DELAY).await,
+        Err(_) => {}
+    }
+}
+
+/// Tries to become the owner in succession of `earlier`. Returns why it failed, with the value that
+/// logs show.
+async fn claim(
+    node: &Rc<Node>,
+    earlier: &OwnerRecord,
+    version: u64,
+) -> Result<Claim, &'static str> {
     if node.draining.is_cancelled() || node.plan().is_none() {
-        tokio::time::sleep(RETRY_DELAY).await;
-        return;
+        return Err(NOT_READY);
     }
     let record = OwnerRecord {
         epoch: earlier.epoch.max(node.highest_epoch.get()) + 1,
@@ -210,9 +255,7 @@
         transaction: 0,
         released: false,
     };
-    let Ok(value) = serde_json::to_vec(&record) else {
-        return;
-    };
+    let value = serde_json::to_vec(&record).map_err(|_| "invalid")?;
     let transaction = Transaction {
         expect: vec![(rows::owner_row_id(), version)],
         puts: vec![(rows::owner_row_id(), value)],
@@ -224,15 +267,15 @@
         Ok(version) => version,
         Err(StoreError::Unanswered) => match read_owner_row(node).await {
             Ok(Some(row)) if row.record == record => row.version,
-            _ => return,
+            _ => return Err("unanswered"),
         },
-        Err(_) => return,
+        Err(StoreError::Conflict { .. }) => return Err("lost"),
+        Err(_) => return Err("failed"),
     };
-    let claim = Claim {
+    Ok(Claim {
         record,
         earlier: earlier.clone(),
         version,
         sent,
-    };
-    owner::take_over(node, claim).await;
+    })
 }
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -38,6 +38,17 @@
     log::info!(event = "takeover", epoch, earlier, jobs, inherited, took_ms; "");
 }
 
+/// Logs a claim of the ownership in succession of an epoch: its outcome, the round trip to the store
+/// and the delay before it.
+pub fn claim(earlier_epoch: u64, outcome: &str, round_trip_ms: u64, delay_ms: u64) {
+    log::info!(event = "claim", earlier_epoch, outcome, round_trip_ms, delay_ms; "");
+}
+
+/// Logs that this host suspects the owner of being dead, with the reason.
+pub fn owner_suspected(epoch: u64, owner: &str, reason: &str) {
+    log::info!(event = "owner_suspected", epoch, owner, reason; "");
+}
+
 /// Logs an unexpected error that ended a part of the process.
 pub fn panicked(part: &str, error: &str) {
     log::error!(event = "panicked", part, error; "");
