--- a/crates/dispatch/tests/all/document.rs
+++ b/crates/dispatch/tests/all/document.rs
@@ -31,6 +31,8 @@
     breaks_after: Cell<Option<Duration>>,
     /// The host that gets no answers.
     silent_for: RefCell<Option<String>>,
+    /// How much longer a read takes for a host.
+    read_delays: RefCell<BTreeMap<String, Duration>>,
 }
 
 impl FakeDocument {
@@ -43,6 +45,7 @@
             transfers: RefCell::default(),
             breaks_after: Cell::new(None),
             silent_for: RefCell::default(),
+            read_delays: RefCell::default(),
         }
     }
 
@@ -56,6 +59,17 @@
         *self.silent_for.borrow_mut() = Some(host.to_owned());
     }
 
+    /// Makes each read of the whole document by a host take this much longer.
+    pub fn delay_reads_for(&self, host: &str, delay: Duration) {
+        let mut read_delays = self.read_delays.borrow_mut();
+        read_delays.insert(host.to_owned(), delay);
+    }
+
+    fn read_delay(&self, host: &str) -> Duration {
+        let read_delays = self.read_delays.borrow();
+        read_delays.get(host).copied().unwrap_or_default()
+    }
+
     async fn answer(&self, host: &str) -> Result<(), StoreError> {
         if self.silent_for.borrow().as_deref() != Some(host) {
             return Ok(());
@@ -119,7 +133,7 @@
                 let (document, host) = (read_document.clone(), read_host.clone());
                 let fault = read_fault.clone();
                 async move {
-                    tokio::time::sleep(CALL_DELAY + distance).await;
+                    tokio::time::sleep(CALL_DELAY + distance + document.read_delay(&host)).await;
                     answers(fault.get())?;
                     document.answer(&host).await?;
                     document.transfer().await?;
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -23,4 +23,5 @@
 mod slow_processor;
 mod state;
 mod store;
+mod weak_owner;
 mod world;
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -41,6 +41,11 @@
 use crate::store::StoreFault;
 use crate::store::store;
 
+/// The capacity of a host unless a test sets another.
+pub const CAPACITY: HostCapacity = HostCapacity {
+    cores: 1.0,
+    link_mbps: 1_000.0,
+};
 /// How long the hosts retain the state of an ended job.
 pub const RETENTION: Duration = Duration::from_secs(10);
 /// Name of the only queue.
@@ -155,6 +160,11 @@
 
     /// Starts the process of a host whose calls to the store take `distance` longer.
     pub fn start_at(&self, name: &str, distance: Duration) {
+        self.start_with(name, distance, CAPACITY);
+    }
+
+    /// Starts the process of a host of this capacity whose calls to the store take `distance` longer.
+    pub fn start_with(&self, name: &str, distance: Duration, capacity: HostCapacity) {
         self.incarnations.set(self.incarnations.get() + 1);
         let store_fault = Rc::new(Cell::new(StoreFault::None));
         let fleet = self.fleet.clone();
@@ -179,10 +189,7 @@
             host: name.to_owned(),
             incarnation: self.incarnations.get(),
             peer_address: name.to_owned(),
-            capacity: HostCapacity {
-                cores: 1.0,
-                link_mbps: 1_000.0,
-            },
+            capacity,
         };
         let timing = Timing {
             lease: Duration::from_secs(5),
