--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -33,17 +33,22 @@
     log::info!(event = "document", version, queues, source; "");
 }
 
-/// Logs that the wait for a claim of the ownership has ended before the document was there, so that
-/// it begins anew.
-pub fn claim_postponed() {
-    log::info!(event = "claim_postponed"; "");
-}
-
 /// Logs a takeover: the epoch, the earlier owner, the stored jobs and the inherited tasks.
 pub fn takeover(epoch: u64, earlier: &str, jobs: usize, inherited: usize, took_ms: u64) {
     log::info!(event = "takeover", epoch, earlier, jobs, inherited, took_ms; "");
 }
 
+/// Logs a claim of the ownership in succession of an epoch: its outcome, the round trip to the store
+/// and the delay before it.
+pub fn claim(earlier_epoch: u64, outcome: &str, round_trip_ms: u64, delay_ms: u64) {
+    log::info!(event = "claim", earlier_epoch, outcome, round_trip_ms, delay_ms; "");
+}
+
+/// Logs that this host suspects the owner of being dead, with the reason.
+pub fn owner_suspected(epoch: u64, owner: &str, reason: &str) {
+    log::info!(event = "owner_suspected", epoch, owner, reason; "");
+}
+
 /// Logs an unexpected error that ended a part of the process.
 pub fn panicked(part: &str, error: &str) {
     log::error!(event = "panicked", part, error; "");
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -41,6 +41,11 @@
 use crate::store::StoreFault;
 use crate::store::store;
 
+/// The capacity of a host unless a test sets another.
+pub const CAPACITY: HostCapacity = HostCapacity {
+    cores: 1.0,
+    link_mbps: 1_000.0,
+};
 /// How long the hosts retain the state of an ended job.
 pub const RETENTION: Duration = Duration::from_secs(10);
 /// Name of the only queue.
@@ -155,11 +160,7 @@
 
     /// Starts the process of a host whose calls to the store take `distance` longer.
     pub fn start_at(&self, name: &str, distance: Duration) {
-        let capacity = HostCapacity {
-            cores: 1.0,
-            link_mbps: 1_000.0,
-        };
-        self.start_with(name, distance, capacity);
+        self.start_with(name, distance, CAPACITY);
     }
 
     /// Starts the process of a host of this capacity whose calls to the store take `distance` longer.
