--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -41,19 +41,21 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// How long a host does not claim after a part of its owner panicked, so that another host does.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_secs(3);
+/// Interval of checks whether a host that could claim has a document.
+const DOCUMENT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of round trips to the store that a host waits before it claims, so that a host close to
 /// the store wins.
 const ROUND_TRIPS_BEFORE_CLAIM: u32 = 6;
-/// Delay of a host with one core before it claims. It is inversely proportional to the number of
-/// cores, so that a powerful host becomes the owner.
-const CORE_DELAY: Duration = Duration::from_millis(60);
-/// Delay of a host with a link of `LINK_DELAY_MBPS`; it is inversely proportional to the link
-/// speed.
-const LINK_DELAY: Duration = Duration::from_millis(20);
-/// Link speed to which `LINK_DELAY` refers, in Mbit/s.
-const LINK_DELAY_MBPS: f64 = 100.0;
+/// Delay before a claim for each halving of the capacity below that of `REFERENCE_CORES` and
+/// `REFERENCE_MBPS`, so that a powerful host becomes the owner. It depends on the ratio of two
+/// hosts alone, however slow both are.
+const HALVING_DELAY: Duration = Duration::from_millis(120);
+/// Number of cores from which on a host is not delayed for its processor.
+const REFERENCE_CORES: f64 = 1.0;
+/// Speed of the link from which on a host is not delayed for its link, in Mbit/s.
+const REFERENCE_MBPS: f64 = 200.0;
 /// Upper limit of the delay for low capacity.
-const MAX_CAPACITY_DELAY: Duration = Duration::from_millis(900);
+const MAX_CAPACITY_DELAY: Duration = Duration::from_millis(1_200);
 /// Upper limit of the delay that separates hosts with equal round trips, derived from the host
 /// name.
 const MAX_JITTER_MS: u64 = 120;
@@ -113,6 +115,7 @@
 
 async fn monitor_owner(node: &Rc<Node>, row: Option<OwnerRow>, round_trip: Duration) {
     let Some(row) = row else {
+        wait_for_document(node).await;
         let delay = claim_delay(node, round_trip);
         tokio::time::sleep(delay).await;
         claim_and_log(node, &OwnerRecord::default(), 0, (round_trip, delay)).await;
@@ -123,6 +126,7 @@
         .set(node.highest_epoch.get().max(row.record.epoch));
     let own_earlier_incarnation = node.identity.is_own_record(&row.record);
     if own_earlier_incarnation || row.record.released {
+        wait_for_document(node).await;
         let delay = if own_earlier_incarnation {
             Duration::ZERO
         } else {
@@ -146,6 +150,14 @@
     watch_suspect(node, row, round_trip).await;
 }
 
+/// Waits until the host has a document, without which it cannot own the executors. The delay of a
+/// claim begins afterwards: it is to compare the hosts, and all wait for the document alike.
+async fn wait_for_document(node: &Node) {
+    while node.plan().is_none() && !node.draining.is_cancelled() {
+        tokio::time::sleep(DOCUMENT_CHECK_INTERVAL).await;
+    }
+}
+
 /// Pings the owner. Returns why it is suspected, with the value that logs show.
 async fn check(node: &Node, address: &Arc<str>, record: &OwnerRecord) -> Result<(), &'static str> {
     let reply = peers::send(
@@ -204,9 +216,15 @@
 
 /// Returns how long a host of this capacity waits before it claims.
 fn capacity_delay(capacity: HostCapacity) -> Duration {
-    let cores = CORE_DELAY.as_secs_f64() / capacity.cores.max(f64::EPSILON);
-    let link = LINK_DELAY.as_secs_f64() * LINK_DELAY_MBPS / capacity.link_mbps.max(f64::EPSILON);
-    Duration::from_secs_f64((cores + link).min(MAX_CAPACITY_DELAY.as_secs_f64()))
+    let cores = halvings(REFERENCE_CORES, capacity.cores);
+    let link = halvings(REFERENCE_MBPS, capacity.link_mbps);
+    let delay = HALVING_DELAY.as_secs_f64() * (cores + link);
+    Duration::from_secs_f64(delay.min(MAX_CAPACITY_DELAY.as_secs_f64()))
+}
+
+/// Returns how often `reference` has to be halved to reach `value`; 0 for larger values.
+fn halvings(reference: f64, value: f64) -> f64 {
+    (reference / value.max(f64::MIN_POSITIVE)).log2().max(0.0)
 }
 
 fn jitter(node: &Node) -> Duration {
