--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -204,6 +204,12 @@
     log::info!(event = "executor", id, reachable, tasks; "");
 }
 
+/// Logs an answer to a poll that came after the executor counted as unreachable, with the time since the
+/// poll was sent and the number of ends that it lists.
+pub fn late_answer(id: &str, took_ms: u64, ends: usize) {
+    log::info!(event = "late_answer", id, took_ms, ends; "");
+}
+
 /// Logs a row that cannot be read and is skipped.
 pub fn unreadable_row(table: &str, key: &str, error: &str) {
     log::warn!(event = "unreadable_row", table, key, error; "");
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -228,12 +228,23 @@
             answer = answer => answer,
         };
         match answer {
-            Ok(report) => self.process_report(poll, &report),
+            Ok(report) => {
+                self.log_late_answer(poll, &report);
+                self.process_report(poll, &report);
+            }
             Err(PollError::Fenced) => self.end("an executor has seen a higher epoch"),
             Err(PollError::WrongExecutor | PollError::Failed) => {}
         }
     }
 
+    fn log_late_answer(&self, poll: SentPoll, report: &Report) {
+        let took = self.now().since(poll.sent);
+        if let Some(executor) = self.scheduler.borrow().fleet.get(poll.executor) {
+            let took_ms = model::time::millis(took);
+            events::late_answer(&executor.listing.id, took_ms, report.ended.len());
+        }
+    }
+
     fn process_report(self: &Rc<Self>, poll: SentPoll, report: &Report) {
         let SentPoll {
             executor: key,
--- a/crates/dispatch/tests/all/owners.rs
+++ b/crates/dispatch/tests/all/owners.rs
@@ -272,9 +272,12 @@
     world.advance(SECOND).await;
     let executor = world.fleet.executor(1);
     executor.answer_delay.set(2 * SECOND);
+    log_capture::begin();
     world.submit("a", 1, job(2)).await;
     world.wait_until_succeeded("a", &[1], 30 * SECOND).await;
     assert_eq!(world.fleet.starts.get(), 4, "each task runs once");
+    let late = log_capture::lines("late_answer");
+    assert!(late.iter().any(|line| line["ends"] == "2"), "{late:?}");
 }
 
 /// Answers that take longer than a lease: the end of a run counts once an answer has listed it, and the
