--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -24,6 +24,8 @@
 use model::Size;
 use tokio::time::Instant;
 
+use crate::relay::Relay;
+
 /// Default duration of a task.
 pub const TASK_DURATION: Duration = Duration::from_millis(600);
 
@@ -94,6 +96,8 @@
     pub calls: Cell<u64>,
     /// Number of requests to the advisor.
     pub advice_requests: Cell<u64>,
+    /// Carries calls to executors.
+    pub relay: Relay,
     /// Descriptions of observed violations.
     pub violations: RefCell<Vec<String>>,
 }
@@ -113,6 +117,13 @@
         self.insert(id, &earlier, 2);
     }
 
+    /// Lets an executor crash and start anew under its name. What ran there is gone.
+    pub fn restart(&self, number: usize) {
+        let earlier = self.executor(number);
+        let (id, address) = (earlier.id.clone(), earlier.address.clone());
+        self.insert(&id, &address, earlier.started_unix_ms + 1);
+    }
+
     fn insert(&self, id: &str, address: &str, started_unix_ms: u64) {
         let id: Arc<str> = id.into();
         let now = Instant::now();
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -18,6 +18,8 @@
 mod panics;
 mod pauses;
 mod processor_pace;
+mod relay;
+mod relayed_calls;
 mod restarts;
 mod shares;
 mod slow_processor;
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -37,6 +37,7 @@
 use crate::executor::Fleet;
 use crate::executor_calls::advisor;
 use crate::executor_calls::executors;
+use crate::relay::relayed;
 use crate::store::MemoryStore;
 use crate::store::StoreFault;
 use crate::store::store;
@@ -170,7 +171,7 @@
                     async move { Ok(fleet.listings()) }.boxed_local()
                 }),
             },
-            executors: executors(&self.fleet),
+            executors: relayed(&self.fleet, executors(&self.fleet)),
             advisor: advisor(&self.fleet),
             peers: self.peers(),
             logs: Box::new(LogCounts::default),
@@ -232,6 +233,11 @@
         self.hosts.borrow()[name].clone()
     }
 
+    /// Returns whether the process of a host runs.
+    pub fn host_exists(&self, name: &str) -> bool {
+        self.hosts.borrow().contains_key(name)
+    }
+
     /// Kills the process of a host.
     pub fn kill(&self, name: &str) {
         self.hosts.borrow_mut().remove(name);
@@ -252,6 +258,7 @@
                     Some(_) => {}
                 }
             }
+            self.fleet.relay.deliver(&self.fleet);
             tokio::time::advance(Duration::from_millis(1)).await;
         }
     }
