--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -37,6 +37,8 @@
 
 /// Answers to commands that take longer than this show that the owner sends too much.
 const SLOW_ANSWER: Duration = Duration::from_millis(250);
+/// How often a command waits for the owner's processor: before it is sent and once it is answered.
+const WAITS_PER_COMMAND: u32 = 2;
 /// The window of a new owner, in commands. It doubles with each round of fast answers.
 const INITIAL_WINDOW: f64 = 128.0;
 /// The largest window, in commands.
@@ -112,9 +114,12 @@
 }
 
 impl CommandWindow {
-    /// Processes an answer that took this long. Commands without an answer are not counted: their
-    /// executor may be cut off, which is no reason to send less to others.
-    pub fn answered(&mut self, took: Duration, now: Mono) {
+    /// Processes an answer that took this long, with how late the owner's own timers are. A command and
+    /// its answer both wait for the owner's processor, which says nothing about link or executors.
+    /// Commands without an answer are not counted: their executor may be cut off, which is no reason
+    /// to send less to others.
+    pub fn answered(&mut self, took: Duration, own_lag: Duration, now: Mono) {
+        let took = took.saturating_sub(own_lag * WAITS_PER_COMMAND);
         if took <= SLOW_ANSWER {
             self.limit = (self.limit + 1.0).min(MAX_WINDOW);
         } else if now.since(self.decreased_at) >= DECREASE_INTERVAL {
--- a/crates/dispatch/src/owner/processor_pace.rs
+++ b/crates/dispatch/src/owner/processor_pace.rs
@@ -125,6 +125,12 @@
         usual.mul_f64(factor.min(MAX_POLL_WAIT_FACTOR))
     }
 
+    /// Returns how late the owner's timers are in the mean.
+    #[must_use]
+    pub const fn lag(&self) -> Duration {
+        self.mean_lag
+    }
+
     fn adapt(&mut self, now: Mono) {
         let elapsed = now.since(self.adapted_at);
         if elapsed < ADAPTATION_INTERVAL {
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -260,7 +260,10 @@
         let answered_at = self.now();
         if matches!(outcome, CommandOutcome::Answered(_)) {
             let took = answered_at.since(now);
-            self.window.borrow_mut().answered(took, answered_at);
+            let own_lag = self.processor_pace.get().lag();
+            self.window
+                .borrow_mut()
+                .answered(took, own_lag, answered_at);
         }
         if matches!(outcome, CommandOutcome::Answered(StartAnswer::Started)) {
             let took = model::time::millis(self.now().since(now));
--- a/crates/dispatch/tests/all/pacing.rs
+++ b/crates/dispatch/tests/all/pacing.rs
@@ -88,7 +88,7 @@
                 outcome.late += 1;
             }
             if let Some(window) = &mut window {
-                window.answered(Duration::from_millis(took_ms), Mono(now_ms));
+                window.answered(Duration::from_millis(took_ms), Duration::ZERO, Mono(now_ms));
             }
         }
     }
@@ -118,15 +118,38 @@
 fn the_window_opens_again_after_an_overload() {
     let mut window = CommandWindow::default();
     for number in 1..=200 {
-        window.answered(Duration::from_secs(2), Mono(number * 1_000));
+        window.answered(Duration::from_secs(2), Duration::ZERO, Mono(number * 1_000));
     }
     assert_eq!(window.free(0), 16, "some commands are always sent");
     for number in 0..5_000 {
-        window.answered(Duration::from_millis(5), Mono(300_000 + number));
+        window.answered(
+            Duration::from_millis(5),
+            Duration::ZERO,
+            Mono(300_000 + number),
+        );
     }
     assert!(window.free(0) > 4_000);
 }
 
+/// LOST at a third of the processors: an owner that was late by itself took its executors for slow,
+/// and then started less than they would have taken.
+#[test]
+fn answers_that_waited_for_the_owner_itself_do_not_reduce_the_window() {
+    let mut window = CommandWindow::default();
+    let before = window.free(0);
+    let own_lag = Duration::from_millis(170);
+    for number in 0..100 {
+        let now = Mono(number * 1_000);
+        window.answered(Duration::from_millis(300), own_lag, now);
+    }
+    assert!(window.free(0) > before);
+    for number in 100..200 {
+        let now = Mono(number * 1_000);
+        window.answered(Duration::from_millis(700), own_lag, now);
+    }
+    assert_eq!(window.free(0), 16, "slow executors reduce it all the same");
+}
+
 /// Most of the executors leave commands unanswered when more work arrives than the window holds.
 #[tokio::test(start_paused = true)]
 async fn starts_without_an_answer_do_not_hold_up_those_on_other_executors() {
