--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -107,7 +107,7 @@
         for (rank, ready) in steps {
             let can_wait = rank.outlook.can_wait();
             if can_wait && used.tasks_that_can_wait >= budget.tasks_that_can_wait {
-                break;
+                continue;
             }
             self.set_urgent(ready.job, rank.outlook == DeadlineOutlook::InTime);
             let tasks = self.place_step(ready, &rank, &mut round, now);
@@ -128,6 +128,7 @@
                 break;
             }
         }
+        self.record_exhaustion(used.tasks >= limit);
         self.set_shortages(shortages);
         used
     }
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -132,6 +132,9 @@
     poll_candidates: Vec<ExecutorKey>,
     /// The number of placement rounds so far whose budget had tasks that can wait.
     pub(crate) rounds: u64,
+    /// How many rounds in a row before this one used up their budgets, less one; `None` if the latest
+    /// did not.
+    pub(crate) exhausted_rounds: Option<u64>,
     /// How long the best-effort step has waited that has waited longest of those whose job has no
     /// task on an executor, by service.
     pub(crate) unstarted_waits: Map<Arc<str>, Duration>,
@@ -176,6 +179,7 @@
             unstored_ends: Vec::new(),
             poll_candidates: Vec::new(),
             rounds: 0,
+            exhausted_rounds: None,
             unstarted_waits: Map::default(),
             idle_services: Set::default(),
             shortages: Shortages::default(),
