--- a/crates/dispatch/src/dependencies.rs
+++ b/crates/dispatch/src/dependencies.rs
@@ -16,6 +16,10 @@
 use job::scheduler::StartAnswer;
 use job::task::RunNumber;
 use link::client::TimeLimits;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 
 use crate::peers::PeerRequest;
 use crate::peers::PeerResponse;
@@ -39,6 +43,8 @@
     pub advisor: AdvisorClient,
     /// Calls to the other hosts.
     pub peers: PeerClient,
+    /// Connections to the relays on the other hosts.
+    pub relays: RelayConnector,
     /// Returns what this process has logged so far.
     pub logs: Box<dyn Fn() -> LogCounts>,
 }
@@ -98,7 +104,7 @@
 }
 
 /// A request to another host, with its address.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PeerCall {
     /// Address at which the host listens for its peers.
     pub address: Arc<str>,
@@ -108,6 +114,17 @@
     pub limits: TimeLimits,
 }
 
+/// Opens connections to relays.
+pub struct RelayConnector {
+    /// Connects to the relay at an address.
+    pub connect: Call<Arc<str>, std::io::Result<Box<dyn ByteStream>>>,
+}
+
+/// A connection that carries bytes both ways.
+pub trait ByteStream: AsyncRead + AsyncWrite + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> ByteStream for T {}
+
 /// The store of versioned rows that holds all durable state.
 pub struct Store {
     /// Applies a transaction atomically; returns a version that is not lower than that of the rows
@@ -242,7 +259,7 @@
 }
 
 /// The executor that a call is addressed to, and the epoch that authorizes it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// Network address.
     pub address: Arc<str>,
@@ -253,7 +270,7 @@
 }
 
 /// A command to start a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartRequest {
     /// The executor to call, and the epoch of the owner.
     pub target: Target,
@@ -274,7 +291,7 @@
 }
 
 /// A call that refers to one run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunRequest {
     /// The executor to call, and the epoch of the owner.
     pub target: Target,
@@ -287,7 +304,7 @@
 }
 
 /// A poll of all runs of an executor.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PollRequest {
     /// The executor to call, and the epoch of the owner.
     pub target: Target,
@@ -302,7 +319,7 @@
 }
 
 /// The reply of an executor to a command.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommandReply<T> {
     /// The outcome of the command.
     pub outcome: CommandOutcome<T>,
@@ -312,7 +329,7 @@
 }
 
 /// The outcome of a command.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CommandOutcome<T> {
     /// The executor processed the command.
     Answered(T),
@@ -324,10 +341,13 @@
     NotSent,
     /// No answer; the command may have been executed, or may still be executed later.
     Unanswered,
+    /// The relay that carried the command was lost. The command may have been executed, and nothing is
+    /// known about the executor.
+    RelayFailed,
 }
 
 /// Why a poll returned no report.
-#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PollError {
     /// The executor has seen a higher epoch.
     #[display("the executor obeys a higher epoch")]
@@ -338,4 +358,8 @@
     /// There was no usable answer.
     #[display("the executor did not answer")]
     Failed,
+    /// The relay that carries the poll was lost or received it too late. Nothing is known about the
+    /// executor.
+    #[display("the relay failed")]
+    RelayFailed,
 }
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -163,7 +163,7 @@
     let reply = peers::send(
         node,
         address,
-        PeerRequest::Ping,
+        PeerRequest::Ping(node.identity.info()),
         TimeLimits::total(PING_TIMEOUT),
     )
     .await;
@@ -272,6 +272,7 @@
         address: node.identity.peer_address.clone(),
         transaction: 0,
         released: false,
+        relays: false,
     };
     let value = serde_json::to_vec(&record).map_err(|_| "invalid")?;
     let transaction = Transaction {
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -54,6 +54,19 @@
     log::error!(event = "panicked", part, error; "");
 }
 
+/// Logs that the owner's connection to a relay ended, with the error if it failed.
+pub fn relay_closed(relay: &str, error: Option<&std::io::Error>) {
+    let error = error.map_or_else(String::new, ToString::to_string);
+    log::info!(event = "relay_closed", relay, error = error.as_str(); "");
+}
+
+/// Logs that this host no longer relays calls for the owner of an epoch, with the error if the
+/// connection failed.
+pub fn relay_session_ended(epoch: u64, error: Option<&std::io::Error>) {
+    let error = error.map_or_else(String::new, ToString::to_string);
+    log::info!(event = "relay_session_ended", epoch, error = error.as_str(); "");
+}
+
 /// Logs that this host no longer owns the executors, with the reason.
 pub fn owner_ended(epoch: u64, reason: &str) {
     log::info!(event = "owner_ended", epoch, reason; "");
@@ -285,6 +298,8 @@
     pub starts_in_flight: usize,
     /// Maximum number of start commands in flight.
     pub window: usize,
+    /// Number of relays that take calls.
+    pub relays: usize,
     /// Number of answered polls.
     pub polls: u32,
     /// Number of ends of runs that they reported.
@@ -325,6 +340,7 @@
         answer_p90_ms,
         starts_in_flight,
         window,
+        relays,
         polls,
         ends,
         poll_pause_ms,
@@ -335,7 +351,7 @@
         in_time_filling, late, hopeless, lasting, in_time_wait_ms, in_time_wait_p90_ms, unstored_jobs,
         unstored_starts, transactions, rows, row_bytes, transaction_ms, store_ms, store_p90_ms,
         filling_store_ms, filling_store_p90_ms, slot_p90_ms, answer_ms, answer_p90_ms,
-        starts_in_flight, window, polls, ends, poll_pause_ms, poll_pause_p90_ms; ""
+        starts_in_flight, window, relays, polls, ends, poll_pause_ms, poll_pause_p90_ms; ""
     );
 }
 
--- /dev/null
+++ b/crates/dispatch/src/hosts.rs
@@ -0,0 +1,77 @@
+//! The hosts that are known to live, because they ping the owner.
+//!
+//! Nothing durable depends on them: they only say who may carry calls for the owner, and whether a
+//! stronger host could own the executors.
+
+use std::cell::RefCell;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::Map;
+use model::Mono;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::node::HostCapacity;
+
+/// A host counts as gone if it has not pinged for this long.
+const EXPIRY: Duration = Duration::from_millis(1_500);
+
+/// What a host reports about itself with each ping.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HostInfo {
+    /// Address at which the host accepts calls to relay.
+    pub relay_address: Arc<str>,
+    /// Data centre of the host.
+    pub data_centre: Arc<str>,
+    /// Capacity of the host.
+    pub capacity: HostCapacity,
+}
+
+/// A host that has pinged.
+#[derive(Clone, Debug)]
+struct KnownHost {
+    info: HostInfo,
+    /// Time of the first ping in a row.
+    first_seen: Mono,
+    /// Time of the latest ping.
+    last_seen: Mono,
+}
+
+/// The hosts that have pinged this one, by the addresses of their relays.
+#[derive(Debug, Default)]
+pub struct KnownHosts {
+    hosts: RefCell<Map<Arc<str>, KnownHost>>,
+}
+
+impl KnownHosts {
+    /// Records a ping.
+    pub fn record(&self, info: &HostInfo, now: Mono) {
+        let mut hosts = self.hosts.borrow_mut();
+        let known = hosts
+            .entry(info.relay_address.clone())
+            .or_insert_with(|| KnownHost {
+                info: info.clone(),
+                first_seen: now,
+                last_seen: now,
+            });
+        if now.since(known.last_seen) > EXPIRY {
+            known.first_seen = now;
+        }
+        known.last_seen = now;
+        if known.info != *info {
+            known.info = info.clone();
+        }
+    }
+
+    /// Returns the hosts that live, and for how long each has done so without a gap.
+    #[must_use]
+    pub fn alive(&self, now: Mono) -> Vec<(HostInfo, Duration)> {
+        let mut hosts = self.hosts.borrow_mut();
+        hosts.retain(|_, known| now.since(known.last_seen) <= EXPIRY);
+        hosts
+            .values()
+            .map(|known| (known.info.clone(), known.last_seen.since(known.first_seen)))
+            .collect()
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,7 +3,8 @@
 //! Every host runs a [`node::Node`]. [`api`] serves callers; a job is stored before its acceptance
 //! is reported. One host at a time owns the executors: [`election`] decides which one, and
 //! [`owner`] starts and stops tasks as the scheduler of the crate `job` decides. External services
-//! are injected as closures ([`dependencies`]); [`metrics`] and [`dump`] expose the state of the
+//! are injected as closures ([`dependencies`]); [`relay`] lets other hosts call executors for the
+//! owner; [`metrics`] and [`dump`] expose the state of the
 //! process. `docs/JOBS.md` explains the design and how a takeover works.
 
 pub mod api;
@@ -12,10 +13,12 @@
 pub mod dump;
 pub mod election;
 pub mod events;
+pub mod hosts;
 pub mod metrics;
 pub mod node;
 pub mod owner;
 pub mod peers;
+pub mod relay;
 pub mod rows;
 pub mod store_call;
 mod supervise;
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -12,13 +12,18 @@
 use model::Clock;
 use model::Map;
 use model::Mono;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio_util::sync::CancellationToken;
 
 use crate::dependencies::Dependencies;
 use crate::document::DocumentState;
+use crate::hosts::HostInfo;
+use crate::hosts::KnownHosts;
 use crate::metrics::Metrics;
 use crate::metrics::OutcomeLabel;
 use crate::owner::Owner;
+use crate::relay::server::CurrentSession;
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
 use crate::supervise::restart_after_panic;
@@ -30,13 +35,27 @@
     pub host: String,
     /// Incarnation of the process; it differs after each restart.
     pub incarnation: u64,
+    /// Data centre of the host.
+    pub data_centre: Arc<str>,
     /// Address at which the process listens for its peers.
     pub peer_address: String,
+    /// Address at which the process accepts calls to relay.
+    pub relay_address: Arc<str>,
     /// Capacity of the host.
     pub capacity: HostCapacity,
 }
 
 impl Identity {
+    /// Returns what the host reports about itself to the owner.
+    #[must_use]
+    pub fn info(&self) -> HostInfo {
+        HostInfo {
+            relay_address: self.relay_address.clone(),
+            data_centre: self.data_centre.clone(),
+            capacity: self.capacity,
+        }
+    }
+
     /// Returns whether an owner record was written by this process or by an earlier incarnation of
     /// it, which has ended. A process with the same host name at another address may still be
     /// running.
@@ -47,7 +66,7 @@
 }
 
 /// The capacity of a host.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostCapacity {
     /// Available processor time, in cores.
     pub cores: f64,
@@ -82,6 +101,9 @@
     pub clock: Clock,
     /// Returns the wall-clock time in milliseconds since the Unix epoch.
     pub unix_ms: fn() -> u64,
+    /// Returns the time for which the machine has been suspended, in milliseconds, which the monotonic
+    /// clock does not count.
+    pub suspended_ms: fn() -> u64,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// The document in force, or `None` until one has been read.
@@ -90,6 +112,10 @@
     pub owner: RefCell<Option<Rc<Owner>>>,
     /// The last owner record that this host has read or written.
     pub known_owner: RefCell<Option<OwnerRecord>>,
+    /// The hosts that ping this one.
+    pub known_hosts: KnownHosts,
+    /// The owner for which this host relays calls.
+    pub relay_session: CurrentSession,
     /// The highest epoch known to this host.
     pub highest_epoch: Cell<u64>,
     /// Time of the first failure since the store last answered; `None` while it answers.
@@ -114,6 +140,7 @@
         dependencies: Dependencies,
         timing: Timing,
         unix_ms: fn() -> u64,
+        suspended_ms: fn() -> u64,
     ) -> Rc<Self> {
         Rc::new(Self {
             identity,
@@ -121,10 +148,13 @@
             timing,
             clock: Clock::start(),
             unix_ms,
+            suspended_ms,
             metrics: Metrics::default(),
             plan: RefCell::new(None),
             owner: RefCell::new(None),
             known_owner: RefCell::new(None),
+            known_hosts: KnownHosts::default(),
+            relay_session: CurrentSession::default(),
             highest_epoch: Cell::new(0),
             store_failing_since: Cell::new(None),
             store_answered_at: Cell::new(Mono::ZERO),
@@ -140,6 +170,13 @@
         self.clock.now()
     }
 
+    /// Returns the time since the process started in milliseconds, with the time for which the machine
+    /// was suspended.
+    #[must_use]
+    pub fn uptime_ms(&self) -> u64 {
+        self.now().0 + (self.suspended_ms)()
+    }
+
     /// Returns the document in force.
     #[must_use]
     pub fn plan(&self) -> Option<Arc<Plan>> {
--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -14,6 +14,7 @@
 use job::task::RunNumber;
 
 use super::Owner;
+use super::calls::RELAY_RETRY_DELAY;
 use super::command_slots::CommandSlots;
 use super::command_trace::CommandEnd;
 use super::command_trace::CommandKind;
@@ -208,6 +209,10 @@
                 CommandOutcome::WrongExecutor
                 | CommandOutcome::NotSent
                 | CommandOutcome::Unanswered => {}
+                CommandOutcome::RelayFailed => {
+                    tokio::time::sleep(RELAY_RETRY_DELAY).await;
+                    continue;
+                }
             }
             attempts += 1;
             if stop.key.is_none() && attempts >= MAX_STRAY_STOP_ATTEMPTS {
@@ -229,7 +234,7 @@
             timeout: slots.timeout(),
         };
         let sent = self.now();
-        let reply = (self.node.dependencies.executors.stop)(call).await;
+        let reply = self.call_stop(stop.executor, call).await;
         slots.record_attempt(&reply.outcome, self.now().since(sent));
         self.record_reply(stop.executor, &reply)
     }
@@ -267,7 +272,7 @@
                 run: set_share.run,
                 timeout: command_slots.timeout(),
             };
-            let sent = (self.node.dependencies.executors.set_cpu_share)((call, cpu_percent));
+            let sent = self.call_set_cpu_share(set_share.executor, call, cpu_percent);
             let slot = command_slots.for_command().await;
             if !self.may_act() {
                 return;
@@ -284,7 +289,7 @@
                     return;
                 }
                 CommandOutcome::Answered(_) => SHARE_RESEND_INTERVAL,
-                CommandOutcome::Unanswered => {
+                CommandOutcome::Unanswered | CommandOutcome::RelayFailed => {
                     resend_until = Some(self.now().after(MAX_COMMAND_DELAY));
                     RETRY_DELAY
                 }
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -99,6 +99,7 @@
         let record = OwnerRecord {
             transaction: transaction_number,
             released,
+            relays: self.record.borrow().relays || self.relays_wanted.get(),
             ..self.record.borrow().clone()
         };
         let Ok(value) = serde_json::to_vec(&record) else {
--- a/crates/dispatch/src/owner/load.rs
+++ b/crates/dispatch/src/owner/load.rs
@@ -196,6 +196,7 @@
             answer_p90_ms,
             starts_in_flight: self.starts_in_flight.get(),
             window: self.window.borrow().free(0),
+            relays: self.relays.ready_relays(),
             polls: counts.polls,
             ends: counts.ends,
             poll_pause_ms,
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -7,6 +7,7 @@
 //! changed. All of them stop once another owner has taken over.
 
 mod advice;
+mod calls;
 mod cleanup;
 mod command_slots;
 mod command_trace;
@@ -55,6 +56,7 @@
 use crate::dependencies::Target;
 use crate::events;
 use crate::node::Node;
+use crate::relay::pool::RelayPool;
 use crate::rows::OwnerRecord;
 
 /// How long an owner continues without a confirmation from the store. A successor that cannot reach
@@ -118,6 +120,10 @@
     starts_in_flight: Cell<usize>,
     /// The number of tasks placed whose assignments are not stored.
     starts_unstored: Cell<usize>,
+    /// The hosts that call executors for the owner.
+    relays: RelayPool,
+    /// Whether the owner's row is to say that calls go by way of relays.
+    relays_wanted: Cell<bool>,
     /// Counts what the owner does, for the log.
     load: OwnerLoad,
     /// Limits requests to the advisor to one at a time.
--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -9,7 +9,9 @@
 use model::Mono;
 
 /// Size of a poll and its answer with all headers, in bytes.
-const POLL_BYTES: f64 = 1_500.0;
+pub const POLL_BYTES: f64 = 1_500.0;
+/// The same on the owner's link if a relay carries the poll, in bytes.
+pub const RELAYED_POLL_BYTES: f64 = 500.0;
 /// Part of the link that polls may use.
 const POLL_LINK_SHARE: f64 = 0.5;
 /// Intervals between polls up to this one need no delay.
@@ -56,12 +58,12 @@
     Duration::from_secs_f64((bytes / bytes_per_second).min(60.0))
 }
 
-/// Returns the minimum interval between two polls of an executor, if `executors` are polled over a
-/// link of this speed; zero if the link is wide enough.
+/// Returns the minimum interval between two polls of an executor, if `executors` are polled with so
+/// many bytes each over a link of this speed; zero if the link is wide enough.
 #[must_use]
 #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
-pub fn poll_interval(executors: usize, link_mbps: f64) -> Duration {
-    let needed = interval(executors as f64 * POLL_BYTES, link_mbps, POLL_LINK_SHARE);
+pub fn poll_interval(executors: usize, poll_bytes: f64, link_mbps: f64) -> Duration {
+    let needed = interval(executors as f64 * poll_bytes, link_mbps, POLL_LINK_SHARE);
     if needed <= UNPACED_POLL_INTERVAL {
         return Duration::ZERO;
     }
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -10,6 +10,7 @@
 use model::Mono;
 
 use super::Owner;
+use super::calls::RELAY_RETRY_DELAY;
 use super::pacing;
 use crate::dependencies::CallFuture;
 use crate::dependencies::PollError;
@@ -39,6 +40,9 @@
 const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Delay after a failed poll.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// How long after its latest answer an executor still counts as reachable while relays fail. Each
+/// poll extends its leases, which have to lapse before its tasks may start elsewhere.
+const MAX_RELAY_SILENCE: Duration = Duration::from_millis(2_500);
 
 /// Starts polling the executors that need it because of recent changes.
 pub fn ensure(owner: &Rc<Owner>) {
@@ -93,7 +97,11 @@
             }
             Ok(()) => {}
             Err(PollError::Fenced) => owner.end("an executor has seen a higher epoch"),
-            Err(PollError::WrongExecutor | PollError::Failed) => {
+            Err(PollError::RelayFailed) if owner.has_answered_lately(key) => {
+                tokio::time::sleep(RELAY_RETRY_DELAY).await;
+            }
+            Err(PollError::WrongExecutor | PollError::Failed | PollError::RelayFailed) => {
+                owner.relays.bypass(key, owner.now());
                 owner.record_poll_failure(key);
                 tokio::time::sleep(RETRY_DELAY).await;
             }
@@ -150,6 +158,15 @@
         })
     }
 
+    /// Returns whether an executor has answered so recently that the failure of a relay says nothing
+    /// about it.
+    fn has_answered_lately(&self, key: ExecutorKey) -> bool {
+        let now = self.now();
+        let scheduler = self.scheduler.borrow();
+        let executor = scheduler.fleet.get(key);
+        executor.is_some_and(|executor| now.since(executor.answered_at) <= MAX_RELAY_SILENCE)
+    }
+
     fn has_withheld_ends(&self, key: ExecutorKey) -> bool {
         let scheduler = self.scheduler.borrow();
         let executor = scheduler.fleet.get(key);
@@ -159,7 +176,13 @@
     /// Returns the minimum interval between two polls of an executor.
     fn poll_interval(&self) -> Duration {
         let polled = self.polled_executors.borrow().len();
-        pacing::poll_interval(polled, self.node.identity.capacity.link_mbps)
+        let poll_bytes = if self.relays.are_in_use() {
+            pacing::RELAYED_POLL_BYTES
+        } else {
+            pacing::POLL_BYTES
+        };
+        let link_mbps = self.node.identity.capacity.link_mbps;
+        pacing::poll_interval(polled, poll_bytes, link_mbps)
     }
 
     /// Returns how long an executor may wait for a run to end before it answers.
@@ -203,7 +226,7 @@
             acknowledged: call.acknowledged,
         };
         let expected_within = call.wait + ANSWER_MARGIN;
-        let mut answer = (self.node.dependencies.executors.poll)(call);
+        let mut answer = self.call_poll(key, call);
         if let Ok(answer) = tokio::time::timeout(expected_within, &mut answer).await {
             self.process_report(poll, &answer?);
             return Ok(());
@@ -233,7 +256,7 @@
                 self.process_report(poll, &report);
             }
             Err(PollError::Fenced) => self.end("an executor has seen a higher epoch"),
-            Err(PollError::WrongExecutor | PollError::Failed) => {}
+            Err(PollError::WrongExecutor | PollError::Failed | PollError::RelayFailed) => {}
         }
     }
 
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -15,6 +15,7 @@
 use tokio::sync::SemaphorePermit;
 
 use super::Owner;
+use super::calls::RELAY_RETRY_DELAY;
 use super::command_slots::COMMAND_TIMEOUT;
 use super::command_slots::CommandSlots;
 use super::command_trace::CommandEnd;
@@ -147,6 +148,11 @@
                     }
                     (StartAnswer::Unhealthy, CommandEnd::GIVEN_UP)
                 }
+                CommandOutcome::RelayFailed => {
+                    self.record_start_answer(start, StartAnswer::Unanswered);
+                    tokio::time::sleep(RELAY_RETRY_DELAY).await;
+                    continue;
+                }
                 CommandOutcome::Unanswered => {
                     unanswered += 1;
                     self.record_unanswered_start(start, &command_slots);
@@ -255,7 +261,7 @@
             timeout: COMMAND_TIMEOUT,
         };
         let id = call.target.id.clone();
-        let reply = (self.node.dependencies.executors.start)(call).await;
+        let reply = self.call_start(start.executor, call).await;
         let outcome = self.record_reply(start.executor, &reply);
         let answered_at = self.now();
         if matches!(outcome, CommandOutcome::Answered(_)) {
@@ -292,6 +298,7 @@
         CommandOutcome::Fenced => "fenced",
         CommandOutcome::WrongExecutor => "elsewhere",
         CommandOutcome::NotSent => "not_sent",
+        CommandOutcome::RelayFailed => "relay_failed",
         CommandOutcome::Answered(StartAnswer::Unanswered) | CommandOutcome::Unanswered => {
             "unanswered"
         }
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -25,6 +25,7 @@
 
 use super::MAX_UNCONFIRMED;
 use super::Owner;
+use super::calls;
 use super::cleanup;
 use super::feeds;
 use super::keep_claim;
@@ -39,6 +40,8 @@
 use crate::node::Node;
 use crate::peers;
 use crate::peers::PeerRequest;
+use crate::relay;
+use crate::relay::pool::RelayPool;
 use crate::rows;
 use crate::rows::JobsKey;
 use crate::rows::OwnerRecord;
@@ -105,7 +108,8 @@
         .map(|(_, executor)| executor.tasks.len())
         .sum();
     let lease = node.timing.lease + node.timing.lease / CLOCK_DRIFT_DIVISOR + LEASE_MARGIN;
-    let commands_until = claim.sent.after(MAX_UNCONFIRMED);
+    let call_delay = relay_delay(&claim.earlier);
+    let commands_until = claim.sent.after(MAX_UNCONFIRMED).after(call_delay);
     let assumed_lease_end = commands_until.after(lease);
     scheduler.inherit_leases(commands_until, assumed_lease_end);
     if let Ok(list) = (node.dependencies.executor_list.read)(()).await {
@@ -143,6 +147,8 @@
         processor_pace: Cell::default(),
         starts_in_flight: Cell::new(0),
         starts_unstored: Cell::new(0),
+        relays: RelayPool::default(),
+        relays_wanted: Cell::new(false),
         load: OwnerLoad::default(),
         advisor_slot: Semaphore::new(1),
     });
@@ -166,6 +172,7 @@
     spawn_part(owner, "tick", own().tick());
     spawn_part(owner, "jobs", feeds::follow_jobs(own(), jobs_version));
     spawn_part(owner, "executors", feeds::follow_executors(own()));
+    spawn_part(owner, "relays", calls::maintain_relays(own()));
     spawn_part(owner, "cleanup", cleanup::run(own()));
     spawn_part(owner, "waiting", waiting::log_waiting_jobs(own()));
     spawn_part(owner, "load", load::log_load(own()));
@@ -205,6 +212,7 @@
     if stopped {
         let now = node.now();
         let stopped_at = if is_over { claimed } else { now };
+        let stopped_at = stopped_at.after(relay_delay(&earlier));
         let until = now.after(lease);
         owner
             .scheduler
@@ -213,6 +221,15 @@
     }
 }
 
+/// Returns how long calls of an earlier owner may still be carried out after it has ended.
+const fn relay_delay(earlier: &OwnerRecord) -> Duration {
+    if earlier.relays {
+        relay::MAX_CALL_DELAY
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Reads the stored state and keeps the claim meanwhile. Returns the state, the claim as last written
 /// and when the store last confirmed it.
 ///
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -28,6 +28,7 @@
 use crate::dependencies::PeerClient;
 use crate::document;
 use crate::document::packed::PackedPlan;
+use crate::hosts::HostInfo;
 use crate::node::Node;
 
 /// Maximum size of a message, in bytes.
@@ -36,11 +37,12 @@
 const PATH: &str = "/peer";
 
 /// A request to another host.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerRequest {
-    /// Asks for the incarnation of the process and whether it owns the executors.
-    Ping,
+    /// Reports that the host lives, and asks for the incarnation of the process and whether it owns
+    /// the executors.
+    Ping(HostInfo),
     /// Asks for the state of a job.
     State(JobId),
     /// Asks for the number of jobs per queue that have not started.
@@ -165,7 +167,10 @@
 pub fn respond(node: &Node, request: &PeerRequest) -> PeerResponse {
     let owner = node.owner();
     match request {
-        PeerRequest::Ping => PeerResponse::Pong(pong(node)),
+        PeerRequest::Ping(info) => {
+            node.known_hosts.record(info, node.now());
+            PeerResponse::Pong(pong(node))
+        }
         PeerRequest::Superseded(epoch) => {
             if let Some(owner) = owner.filter(|owner| owner.epoch < *epoch) {
                 owner.end("another owner announced its takeover");
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -59,6 +59,10 @@
     pub transaction: u64,
     /// Whether the owner has released the executors and grants no more leases.
     pub released: bool,
+    /// Whether the owner has sent calls by way of relays, which may hold them for a while after it has
+    /// ended.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub relays: bool,
 }
 
 /// Returns the id of the owner's row.
--- a/crates/dispatch/tests/all/pacing.rs
+++ b/crates/dispatch/tests/all/pacing.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dispatch::owner::pacing::CommandWindow;
+use dispatch::owner::pacing::POLL_BYTES;
 use dispatch::owner::pacing::list_interval;
 use dispatch::owner::pacing::poll_interval;
 use dispatch::owner::pacing::transaction_bytes;
@@ -21,8 +22,8 @@
 
 #[test]
 fn a_wide_link_needs_no_pacing() {
-    assert_eq!(poll_interval(66, 1_000.0), Duration::ZERO);
-    assert_eq!(poll_interval(500, 200.0), Duration::ZERO);
+    assert_eq!(poll_interval(66, POLL_BYTES, 1_000.0), Duration::ZERO);
+    assert_eq!(poll_interval(500, POLL_BYTES, 200.0), Duration::ZERO);
     assert_eq!(list_interval(66, 1_000.0), Duration::from_millis(900));
 }
 
@@ -30,7 +31,7 @@
 fn the_poll_interval_grows_with_the_executors_and_stays_below_half_of_a_lease() {
     let mut previous = Duration::ZERO;
     for executors in [50, 100, 200, 1_000, 100_000] {
-        let interval = poll_interval(executors, 2.0);
+        let interval = poll_interval(executors, POLL_BYTES, 2.0);
         assert!(interval >= previous, "{executors} executors: {interval:?}");
         assert!(interval < Duration::from_millis(2_500));
         previous = interval;
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -10,16 +10,19 @@
 use dispatch::api;
 use dispatch::api::JobLookup;
 use dispatch::api::SubmitOutcome;
+use dispatch::dependencies::ByteStream;
 use dispatch::dependencies::Dependencies;
 use dispatch::dependencies::ExecutorList;
 use dispatch::dependencies::LogCounts;
 use dispatch::dependencies::PeerCall;
 use dispatch::dependencies::PeerClient;
+use dispatch::dependencies::RelayConnector;
 use dispatch::node::HostCapacity;
 use dispatch::node::Identity;
 use dispatch::node::Node;
 use dispatch::node::Timing;
 use dispatch::peers;
+use dispatch::relay::server;
 use futures::FutureExt;
 use job::id::JobId;
 use job::plan::Advisor;
@@ -49,6 +52,10 @@
 };
 /// How long the hosts retain the state of an ended job.
 pub const RETENTION: Duration = Duration::from_secs(10);
+/// Data centre of all hosts and executors.
+pub const DATA_CENTRE: &str = "dc";
+/// What a connection between an owner and a relay holds in each direction, in bytes.
+const RELAY_BUFFER_BYTES: usize = 1 << 20;
 /// Name of the only queue.
 pub const QUEUE: &str = "queue";
 
@@ -184,12 +191,15 @@
             executors: relayed(&self.fleet, executors(&self.fleet)),
             advisor: advisor(&self.fleet),
             peers: self.peers(),
+            relays: self.relays(),
             logs: Box::new(LogCounts::default),
         };
         let identity = Identity {
             host: name.to_owned(),
             incarnation: self.incarnations.get(),
+            data_centre: DATA_CENTRE.into(),
             peer_address: name.to_owned(),
+            relay_address: name.into(),
             capacity,
         };
         let timing = Timing {
@@ -199,7 +209,7 @@
             shutdown_grace: Duration::from_secs(6),
             retention: RETENTION,
         };
-        let node = Node::new(identity, dependencies, timing, || 1_000_000);
+        let node = Node::new(identity, dependencies, timing, || 1_000_000, || 0);
         let tasks = LocalSet::new();
         {
             let _entered = tasks.enter();
@@ -235,6 +245,24 @@
         }
     }
 
+    /// Returns connections between the hosts, without a delay.
+    fn relays(&self) -> RelayConnector {
+        let hosts = self.hosts.clone();
+        RelayConnector {
+            connect: Box::new(move |address: Arc<str>| {
+                let host = hosts.borrow().get(&*address).cloned();
+                async move {
+                    let host = host.ok_or(std::io::ErrorKind::ConnectionRefused)?;
+                    let (near, far) = tokio::io::duplex(RELAY_BUFFER_BYTES);
+                    host.tasks
+                        .spawn_local(server::serve(host.node.clone(), Box::new(far)));
+                    Ok::<Box<dyn ByteStream>, std::io::Error>(Box::new(near))
+                }
+                .boxed_local()
+            }),
+        }
+    }
+
     /// Returns a host.
     pub fn host(&self, name: &str) -> Rc<Host> {
         self.hosts.borrow()[name].clone()
--- a/crates/job/src/id.rs
+++ b/crates/job/src/id.rs
@@ -1,14 +1,19 @@
 //! Identifiers of jobs and their tasks.
 
+use std::fmt::Formatter;
+
 use derive_more::Display;
 use derive_more::Error;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::Serializer;
+use serde::de;
+use serde::de::Visitor;
 
 /// The identifier of a job: 16 hexadecimal digits chosen by the caller.
-#[derive(Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[display("{}", self.as_str())]
-#[serde(try_from = "String", into = "String")]
 pub struct JobId([u8; 16]);
 
 /// The error for a text that is not a job identifier.
@@ -58,8 +63,35 @@
     }
 }
 
+impl Serialize for JobId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.as_str())
+    }
+}
+
+impl<'de> Deserialize<'de> for JobId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_str(JobIdVisitor)
+    }
+}
+
+/// Parses a text without a copy of it, because a report of an executor names hundreds of jobs.
+struct JobIdVisitor;
+
+impl Visitor<'_> for JobIdVisitor {
+    type Value = JobId;
+
+    fn expecting(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str("16 hexadecimal digits")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<JobId, E> {
+        JobId::parse(text).map_err(E::custom)
+    }
+}
+
 /// Identifies a task by its job, occurrence, step and index within the step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskId {
     /// The job that the task belongs to.
     pub job: JobId,
--- a/crates/job/src/scheduler/commands.rs
+++ b/crates/job/src/scheduler/commands.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use model::Mono;
+use serde::Deserialize;
+use serde::Serialize;
 
 use super::CooldownReason;
 use super::Event;
@@ -82,7 +84,7 @@
 }
 
 /// An executor's response to a start command.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartAnswer {
     /// The run exists on the executor.
     Started,
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use model::Mono;
+use serde::Deserialize;
+use serde::Serialize;
 
 use super::Command;
 use super::CooldownReason;
@@ -31,7 +33,7 @@
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// An executor's response to a poll.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The start time of the executor's incarnation, in milliseconds since 1970; `None` if the
     /// response does not contain it.
@@ -45,7 +47,7 @@
 }
 
 /// An active run in a report.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ActiveRun {
     /// The task, or `None` if its name cannot be parsed.
     pub task: Option<TaskId>,
@@ -58,7 +60,7 @@
 }
 
 /// An ended run in a report.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndedRun {
     /// The sequence number in the executor's list of ended runs.
     pub sequence: u64,
@@ -73,7 +75,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunOutcome {
     /// The run succeeded.
     Done,
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use model::Mono;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::fleet::ExecutorKey;
 use crate::stall::ProgressSample;
@@ -99,7 +101,7 @@
 }
 
 /// Metrics of a run in an executor's report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunMetrics {
     /// The progress in percent; 100 for a long-running task that is fully operational.
     pub progress: u32,
