--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -15,6 +15,7 @@
 use crate::dependencies::StoreError;
 use crate::dependencies::Transaction;
 use crate::events;
+use crate::hosts::SUCCESSOR_PING_INTERVAL;
 use crate::node::HostCapacity;
 use crate::node::Node;
 use crate::owner;
@@ -26,8 +27,8 @@
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
 
-/// Interval between pings of the owner.
-const PING_INTERVAL: Duration = Duration::from_millis(300);
+/// Maximum interval between pings of the owner.
+const MAX_PING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit for the answer to a ping.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// An owner is suspected if the store has not confirmed it for this long.
@@ -138,10 +139,11 @@
     }
     let address: Arc<str> = row.record.address.as_str().into();
     let suspicion = loop {
-        if let Err(suspicion) = check(node, &address, &row.record).await {
-            break suspicion;
-        }
-        tokio::time::sleep(PING_INTERVAL).await;
+        let interval = match check(node, &address, &row.record).await {
+            Ok(interval) => interval,
+            Err(suspicion) => break suspicion,
+        };
+        tokio::time::sleep(interval).await;
         if node.draining.is_cancelled() {
             return;
         }
@@ -158,8 +160,16 @@
     }
 }
 
-/// Pings the owner. Returns why it is suspected, with the value that logs show.
-async fn check(node: &Node, address: &Arc<str>, record: &OwnerRecord) -> Result<(), &'static str> {
+/// Pings the owner. Returns the time until the next ping.
+///
+/// # Errors
+///
+/// Returns why the owner is suspected, with the value that logs show.
+async fn check(
+    node: &Node,
+    address: &Arc<str>,
+    record: &OwnerRecord,
+) -> Result<Duration, &'static str> {
     let reply = peers::send(
         node,
         address,
@@ -180,7 +190,10 @@
     if pong.confirmed_ms > MAX_CONFIRMATION_AGE_MS {
         return Err("unconfirmed");
     }
-    Ok(())
+    let interval = pong.ping_interval_ms.map(Duration::from_millis);
+    Ok(interval.map_or(SUCCESSOR_PING_INTERVAL, |interval| {
+        interval.min(MAX_PING_INTERVAL)
+    }))
 }
 
 /// Reads the row of a suspected owner until it changes or has stayed unchanged for long enough.
--- a/crates/dispatch/src/hosts.rs
+++ b/crates/dispatch/src/hosts.rs
@@ -15,7 +15,15 @@
 use crate::node::HostCapacity;
 
 /// A host counts as gone if it has not pinged for this long.
-const EXPIRY: Duration = Duration::from_millis(1_500);
+const EXPIRY: Duration = Duration::from_millis(2_000);
+
+/// Number of hosts that ping the owner often.
+const LIKELY_SUCCESSORS: usize = 12;
+/// Interval between pings of these hosts, and of a host that does not know whether it is one.
+pub const SUCCESSOR_PING_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval between pings of the other hosts. The owner's document info has to be current enough for
+/// hosts that take the document from it.
+const PING_INTERVAL: Duration = Duration::from_millis(800);
 
 /// What a host reports about itself with each ping.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -45,6 +53,26 @@
 }
 
 impl KnownHosts {
+    /// Returns how long a host waits before its next ping. The strongest hosts, which are likely to
+    /// succeed the owner, notice soon that it is gone; with many hosts, pings of all at that rate
+    /// would take a part of the owner's processor and link that grows with their number.
+    #[must_use]
+    pub fn ping_interval(&self, info: &HostInfo) -> Duration {
+        let hosts = self.hosts.borrow();
+        let is_stronger = |other: &HostInfo| {
+            let cores = other.capacity.cores.total_cmp(&info.capacity.cores);
+            cores
+                .then_with(|| info.relay_address.cmp(&other.relay_address))
+                .is_gt()
+        };
+        let stronger = hosts.values().filter(|known| is_stronger(&known.info));
+        if stronger.count() < LIKELY_SUCCESSORS {
+            SUCCESSOR_PING_INTERVAL
+        } else {
+            PING_INTERVAL
+        }
+    }
+
     /// Records a ping.
     pub fn record(&self, info: &HostInfo, now: Mono) {
         let mut hosts = self.hosts.borrow_mut();
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -80,6 +80,9 @@
     pub epoch: u64,
     /// Time since the store last confirmed the ownership, in milliseconds.
     pub confirmed_ms: u64,
+    /// How long the asking host waits before its next ping, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ping_interval_ms: Option<u64>,
     /// The document of the process; `None` from earlier releases and before it has one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub document: Option<DocumentInfo>,
@@ -169,7 +172,11 @@
     match request {
         PeerRequest::Ping(info) => {
             node.known_hosts.record(info, node.now());
-            PeerResponse::Pong(pong(node))
+            let interval = node.known_hosts.ping_interval(info);
+            PeerResponse::Pong(Pong {
+                ping_interval_ms: Some(model::time::millis(interval)),
+                ..pong(node)
+            })
         }
         PeerRequest::Superseded(epoch) => {
             if let Some(owner) = owner.filter(|owner| owner.epoch < *epoch) {
@@ -197,6 +204,7 @@
         confirmed_ms: owner.map_or(0, |owner| {
             model::time::millis(node.now().since(owner.confirmed_at()))
         }),
+        ping_interval_ms: None,
         document: document::info(node),
     }
 }
