--- a/crates/dispatch/src/document/mod.rs
+++ b/crates/dispatch/src/document/mod.rs
@@ -94,6 +94,12 @@
         self.store_round_trip.set(Some(shortest.min(round_trip)));
     }
 
+    /// Returns the shortest round trip to the store measured so far.
+    #[must_use]
+    pub fn store_round_trip(&self) -> Option<Duration> {
+        self.store_round_trip.get()
+    }
+
     /// Records what the owner at `address` reports about its document.
     pub fn record_owner(&self, address: &Arc<str>, info: DocumentInfo, now: Mono) {
         *self.owner.borrow_mut() = Some(OwnerDocument {
--- a/crates/dispatch/src/document/relay.rs
+++ b/crates/dispatch/src/document/relay.rs
@@ -37,7 +37,11 @@
     let reported_age = Duration::from_millis(owner.info.age_ms);
     let age = reported_age + now.since(owner.reported_at);
     let owner_round_trip = Duration::from_millis(owner.info.store_round_trip_ms);
-    let is_far = round_trip >= owner_round_trip * FAR_FACTOR
-        && round_trip >= owner_round_trip + FAR_DISTANCE;
-    is_far && age <= MAX_AGE
+    is_far(round_trip, owner_round_trip) && age <= MAX_AGE
+}
+
+/// Returns whether a host with this round trip to the store is much farther from it than the owner.
+#[must_use]
+pub fn is_far(round_trip: Duration, owner_round_trip: Duration) -> bool {
+    round_trip >= owner_round_trip * FAR_FACTOR && round_trip >= owner_round_trip + FAR_DISTANCE
 }
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -15,6 +15,8 @@
 use crate::dependencies::StoreError;
 use crate::dependencies::Transaction;
 use crate::events;
+use crate::handover;
+use crate::handover::ClaimTurn;
 use crate::hosts::SUCCESSOR_PING_INTERVAL;
 use crate::node::HostCapacity;
 use crate::node::Node;
@@ -23,6 +25,7 @@
 use crate::peers;
 use crate::peers::PeerRequest;
 use crate::peers::PeerResponse;
+use crate::peers::Pong;
 use crate::rows;
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
@@ -77,6 +80,7 @@
             owner.ended().await;
             *node.owner.borrow_mut() = None;
             if owner.has_failed() {
+                node.owner_failed_at.set(Some(node.now()));
                 tokio::time::sleep(PAUSE_AFTER_FAILURE).await;
             }
             continue;
@@ -125,25 +129,31 @@
     *node.known_owner.borrow_mut() = Some(row.record.clone());
     node.highest_epoch
         .set(node.highest_epoch.get().max(row.record.epoch));
-    let own_earlier_incarnation = node.identity.is_own_record(&row.record);
-    if own_earlier_incarnation || row.record.released {
+    observe(node, &row.record);
+    if node.identity.is_own_record(&row.record) || row.record.released {
         wait_for_document(node).await;
-        let delay = if own_earlier_incarnation {
-            Duration::ZERO
-        } else {
-            claim_delay(node, round_trip)
+        let delay = match handover::claim_turn(&node.identity, &row.record) {
+            ClaimTurn::Now => Duration::ZERO,
+            ClaimTurn::After(wait) => wait + claim_delay(node, round_trip),
         };
         tokio::time::sleep(delay).await;
         claim_and_log(node, &row.record, row.version, (round_trip, delay)).await;
         return;
     }
     let address: Arc<str> = row.record.address.as_str().into();
+    let mut accepts_reports = false;
     let suspicion = loop {
-        let interval = match check(node, &address, &row.record).await {
-            Ok(interval) => interval,
+        let request = if accepts_reports {
+            PeerRequest::Report(node.report())
+        } else {
+            PeerRequest::Ping
+        };
+        let pong = match check(node, &address, &row.record, request).await {
+            Ok(pong) => pong,
             Err(suspicion) => break suspicion,
         };
-        tokio::time::sleep(interval).await;
+        accepts_reports = pong.accepts_reports;
+        tokio::time::sleep(ping_interval(&pong)).await;
         if node.draining.is_cancelled() {
             return;
         }
@@ -152,6 +162,12 @@
     watch_suspect(node, row, round_trip).await;
 }
 
+/// Records an owner, so that a hand-over that was not followed is not tried again soon.
+fn observe(node: &Node, record: &OwnerRecord) {
+    let mut handovers = node.handovers.borrow_mut();
+    handovers.observe(record, &node.identity.host, node.now());
+}
+
 /// Waits until the host has a document, without which it cannot own the executors. The delay of a
 /// claim begins afterwards: it is to compare the hosts, and all wait for the document alike.
 async fn wait_for_document(node: &Node) {
@@ -160,7 +176,7 @@
     }
 }
 
-/// Pings the owner. Returns the time until the next ping.
+/// Pings the owner with this request.
 ///
 /// # Errors
 ///
@@ -169,14 +185,9 @@
     node: &Node,
     address: &Arc<str>,
     record: &OwnerRecord,
-) -> Result<Duration, &'static str> {
-    let reply = peers::send(
-        node,
-        address,
-        PeerRequest::Ping(node.identity.info()),
-        TimeLimits::total(PING_TIMEOUT),
-    )
-    .await;
+    request: PeerRequest,
+) -> Result<Pong, &'static str> {
+    let reply = peers::send(node, address, request, TimeLimits::total(PING_TIMEOUT)).await;
     let Some(PeerResponse::Pong(pong)) = reply else {
         return Err("no_answer");
     };
@@ -190,10 +201,15 @@
     if pong.confirmed_ms > MAX_CONFIRMATION_AGE_MS {
         return Err("unconfirmed");
     }
+    Ok(pong)
+}
+
+/// Returns the time until the next ping, as the owner asks for it.
+fn ping_interval(pong: &Pong) -> Duration {
     let interval = pong.ping_interval_ms.map(Duration::from_millis);
-    Ok(interval.map_or(SUCCESSOR_PING_INTERVAL, |interval| {
-        interval.min(MAX_PING_INTERVAL)
-    }))
+    interval
+        .unwrap_or(SUCCESSOR_PING_INTERVAL)
+        .min(MAX_PING_INTERVAL)
 }
 
 /// Reads the row of a suspected owner until it changes or has stayed unchanged for long enough.
@@ -235,6 +251,14 @@
     Duration::from_secs_f64(delay.min(MAX_CAPACITY_DELAY.as_secs_f64()))
 }
 
+/// Returns the part of a capacity that matters for an owner.
+pub(crate) fn useful(capacity: HostCapacity) -> HostCapacity {
+    HostCapacity {
+        cores: capacity.cores.min(REFERENCE_CORES),
+        link_mbps: capacity.link_mbps.min(REFERENCE_MBPS),
+    }
+}
+
 /// Returns how often `reference` has to be halved to reach `value`; 0 for larger values.
 fn halvings(reference: f64, value: f64) -> f64 {
     (reference / value.max(f64::MIN_POSITIVE)).log2().max(0.0)
@@ -262,7 +286,10 @@
         model::time::millis(delay),
     );
     match result {
-        Ok(claim) => owner::take_over(node, claim).await,
+        Ok(claim) => {
+            observe(node, &claim.record);
+            owner::take_over(node, claim).await;
+        }
         Err(NOT_READY) => tokio::time::sleep(RETRY_DELAY).await,
         Err(_) => {}
     }
@@ -286,6 +313,7 @@
         transaction: 0,
         released: false,
         relays: false,
+        successor: None,
     };
     let value = serde_json::to_vec(&record).map_err(|_| "invalid")?;
     let transaction = Transaction {
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -44,6 +44,11 @@
     log::info!(event = "claim", earlier_epoch, outcome, round_trip_ms, delay_ms; "");
 }
 
+/// Logs that this host hands the ownership over to a stronger one.
+pub fn handover(epoch: u64, successor: &str) {
+    log::info!(event = "handover", epoch, successor; "");
+}
+
 /// Logs that this host suspects the owner of being dead, with the reason.
 pub fn owner_suspected(epoch: u64, owner: &str, reason: &str) {
     log::info!(event = "owner_suspected", epoch, owner, reason; "");
--- a/crates/dispatch/src/hosts.rs
+++ b/crates/dispatch/src/hosts.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::handover::Candidate;
 use crate::node::HostCapacity;
 
 /// A host counts as gone if it has not pinged for this long.
@@ -25,9 +26,12 @@
 /// hosts that take the document from it.
 const PING_INTERVAL: Duration = Duration::from_millis(800);
 
-/// What a host reports about itself with each ping.
+/// What a host reports about itself with each ping. It does not change while the process lives; see
+/// [`HostStatus`] for what does.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostInfo {
+    /// Name of the host.
+    pub host: Arc<str>,
     /// Address at which the host accepts calls to relay.
     pub relay_address: Arc<str>,
     /// Data centre of the host.
@@ -36,6 +40,28 @@
     pub capacity: HostCapacity,
 }
 
+/// Whether a host could own the executors.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostStatus {
+    /// Whether the host has a document, the store has answered it lately, it is not draining, and
+    /// no part of it panicked lately while it owned the executors.
+    #[serde(default)]
+    pub ready: bool,
+    /// The host's shortest round trip to the store, in milliseconds.
+    #[serde(default)]
+    pub store_round_trip_ms: u64,
+}
+
+/// What a host sends with each ping.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HostReport {
+    /// What does not change while the process lives.
+    pub info: HostInfo,
+    /// Whether the host could own the executors.
+    #[serde(default)]
+    pub status: HostStatus,
+}
+
 /// A host that has pinged.
 #[derive(Clone, Debug)]
 struct KnownHost {
@@ -44,6 +70,10 @@
     first_seen: Mono,
     /// Time of the latest ping.
     last_seen: Mono,
+    /// The latest status.
+    status: HostStatus,
+    /// Time of the first ping in a row that says that the host is ready.
+    ready_since: Option<Mono>,
 }
 
 /// The hosts that have pinged this one, by the addresses of their relays.
@@ -74,7 +104,8 @@
     }
 
     /// Records a ping.
-    pub fn record(&self, info: &HostInfo, now: Mono) {
+    pub fn record(&self, report: &HostReport, now: Mono) {
+        let HostReport { info, status } = report;
         let mut hosts = self.hosts.borrow_mut();
         let known = hosts
             .entry(info.relay_address.clone())
@@ -82,11 +113,16 @@
                 info: info.clone(),
                 first_seen: now,
                 last_seen: now,
+                status: *status,
+                ready_since: None,
             });
         if now.since(known.last_seen) > EXPIRY {
             known.first_seen = now;
+            known.ready_since = None;
         }
         known.last_seen = now;
+        known.status = *status;
+        known.ready_since = status.ready.then(|| known.ready_since.unwrap_or(now));
         if known.info != *info {
             known.info = info.clone();
         }
@@ -102,4 +138,21 @@
             .map(|known| (known.info.clone(), known.last_seen.since(known.first_seen)))
             .collect()
     }
+
+    /// Returns the hosts that live as candidates for the ownership.
+    #[must_use]
+    pub fn candidates(&self, now: Mono) -> Vec<Candidate> {
+        let hosts = self.hosts.borrow();
+        let alive = hosts
+            .values()
+            .filter(|known| now.since(known.last_seen) <= EXPIRY);
+        alive
+            .map(|known| Candidate {
+                host: known.info.host.clone(),
+                capacity: known.info.capacity,
+                ready_for: known.ready_since.map(|since| known.last_seen.since(since)),
+                store_round_trip: Duration::from_millis(known.status.store_round_trip_ms),
+            })
+            .collect()
+    }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dump;
 pub mod election;
 pub mod events;
+pub mod handover;
 pub mod hosts;
 pub mod metrics;
 pub mod node;
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -18,7 +18,10 @@
 
 use crate::dependencies::Dependencies;
 use crate::document::DocumentState;
+use crate::handover::Handovers;
 use crate::hosts::HostInfo;
+use crate::hosts::HostReport;
+use crate::hosts::HostStatus;
 use crate::hosts::KnownHosts;
 use crate::metrics::Metrics;
 use crate::metrics::OutcomeLabel;
@@ -28,6 +31,12 @@
 use crate::store_call::StoreCall;
 use crate::supervise::restart_after_panic;
 
+/// A host is ready to own the executors only if the store has answered within this time. Calls that
+/// follow the document wait for changes for one second.
+const MAX_STORE_AGE: Duration = Duration::from_millis(1_600);
+/// How long a host does not report that it is ready after a part of its owner panicked.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_secs(60);
+
 /// The identity of a process.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -50,6 +59,7 @@
     #[must_use]
     pub fn info(&self) -> HostInfo {
         HostInfo {
+            host: self.host.as_str().into(),
             relay_address: self.relay_address.clone(),
             data_centre: self.data_centre.clone(),
             capacity: self.capacity,
@@ -114,6 +124,10 @@
     pub known_owner: RefCell<Option<OwnerRecord>>,
     /// The hosts that ping this one.
     pub known_hosts: KnownHosts,
+    /// The hand-overs of the ownership by this process.
+    pub handovers: RefCell<Handovers>,
+    /// When a part of the owner last panicked in this process.
+    pub owner_failed_at: Cell<Option<Mono>>,
     /// The owner for which this host relays calls.
     pub relay_session: CurrentSession,
     /// The highest epoch known to this host.
@@ -154,6 +168,8 @@
             owner: RefCell::new(None),
             known_owner: RefCell::new(None),
             known_hosts: KnownHosts::default(),
+            handovers: RefCell::default(),
+            owner_failed_at: Cell::new(None),
             relay_session: CurrentSession::default(),
             highest_epoch: Cell::new(0),
             store_failing_since: Cell::new(None),
@@ -195,6 +211,29 @@
         !self.draining.is_cancelled() && self.plan.borrow().is_some()
     }
 
+    /// Returns what this host sends with each ping.
+    #[must_use]
+    pub fn report(&self) -> HostReport {
+        let round_trip = self.document.store_round_trip();
+        HostReport {
+            info: self.identity.info(),
+            status: HostStatus {
+                ready: round_trip.is_some() && self.could_own(),
+                store_round_trip_ms: round_trip.map_or(0, model::time::millis),
+            },
+        }
+    }
+
+    /// Returns whether this host could own the executors.
+    fn could_own(&self) -> bool {
+        let now = self.now();
+        let store_answers = self.store_failing_since.get().is_none()
+            && now.since(self.store_answered_at.get()) <= MAX_STORE_AGE;
+        let failed_at = self.owner_failed_at.get();
+        let has_failed = failed_at.is_some_and(|at| now.since(at) < PAUSE_AFTER_FAILURE);
+        self.is_ready() && store_answers && !has_failed
+    }
+
     /// Records whether the store answered a call, and logs when it becomes unavailable, with the
     /// call that failed, or available.
     pub fn record_store_result(&self, call: StoreCall, answered: bool) {
--- a/crates/dispatch/src/owner/calls.rs
+++ b/crates/dispatch/src/owner/calls.rs
@@ -112,6 +112,9 @@
     }
 
     fn review_relays(self: &Rc<Self>) {
+        if !self.may_send() {
+            return;
+        }
         let now = self.now();
         let hosts = self.node.known_hosts.alive(now).into_iter();
         let hosts: Vec<HostInfo> = hosts.map(|(info, _)| info).collect();
--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -38,7 +38,7 @@
 
 /// Sends all pending commands.
 pub fn send_pending(owner: &Rc<Owner>) {
-    if owner.shutdown.is_cancelled() {
+    if !owner.may_send() {
         return;
     }
     let commands = owner.scheduler.borrow_mut().take_commands();
@@ -186,7 +186,7 @@
             let slot_awaited_since = self.now();
             let slot = command_slots.for_stop().await;
             trace.add_slot_wait(self.now().since(slot_awaited_since));
-            if self.shutdown.is_cancelled() {
+            if !self.may_send() {
                 return CommandEnd::OWNER_ENDED;
             }
             if stop.key.is_some_and(|key| !self.is_assigned(key, stop.run)) {
@@ -223,7 +223,7 @@
     }
 
     async fn try_stop(&self, stop: &StopRun, slots: &CommandSlots) -> CommandOutcome<bool> {
-        let target = self.target(stop.executor).filter(|_| self.may_act());
+        let target = self.target(stop.executor).filter(|_| self.may_send());
         let Some(target) = target else {
             return CommandOutcome::NotSent;
         };
@@ -274,7 +274,7 @@
             };
             let sent = self.call_set_cpu_share(set_share.executor, call, cpu_percent);
             let slot = command_slots.for_command().await;
-            if !self.may_act() {
+            if !self.may_send() {
                 return;
             }
             let sent_at = self.now();
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -12,6 +12,7 @@
 
 use super::Owner;
 use super::pacing;
+use super::release::Release;
 use crate::dependencies::Row;
 use crate::dependencies::RowId;
 use crate::dependencies::StoreError;
@@ -46,13 +47,16 @@
                 () = self.commit_requested.notified() => {}
                 () = tokio::time::sleep(HEARTBEAT_INTERVAL) => {}
             }
-            let releasing = self.releasing.get();
+            let release = self.due_release();
+            if let Some(release) = &release {
+                self.begin_release(release);
+            }
             let batch = self.scheduler.borrow_mut().take_batch(
                 MAX_JOBS_PER_TRANSACTION,
                 pacing::transaction_bytes(self.node.identity.capacity.link_mbps),
             );
             let started = self.now();
-            match self.commit(&batch, releasing).await {
+            match self.commit(&batch, release.as_ref()).await {
                 CommitOutcome::Applied => {
                     let took = self.now().since(started);
                     self.load.count_transaction(&batch, took);
@@ -64,8 +68,8 @@
                 }
                 CommitOutcome::Stopped => return,
             }
-            if releasing {
-                self.end("released on shutdown");
+            if let Some(release) = release {
+                self.end(release.reason.as_str());
                 return;
             }
         }
@@ -94,11 +98,12 @@
         self.dispatch_pending();
     }
 
-    async fn commit(&self, batch: &Batch, released: bool) -> CommitOutcome {
+    async fn commit(&self, batch: &Batch, release: Option<&Release>) -> CommitOutcome {
         let transaction_number = self.record.borrow().transaction + 1;
         let record = OwnerRecord {
             transaction: transaction_number,
-            released,
+            released: release.is_some(),
+            successor: release.and_then(Release::successor),
             relays: self.record.borrow().relays || self.relays_wanted.get(),
             ..self.record.borrow().clone()
         };
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -19,6 +19,7 @@
 pub mod pacing;
 pub mod polls;
 pub mod processor_pace;
+mod release;
 mod starts;
 pub mod takeover;
 mod telemetry;
@@ -101,7 +102,12 @@
     shutdown: CancellationToken,
     /// Whether a part of the owner panicked.
     failed: Cell<bool>,
-    /// Whether the next transaction releases the executors.
+    /// When this host took over.
+    owned_since: Mono,
+    /// Whether the next transaction releases the executors because the process shuts down.
+    stopping: Cell<bool>,
+    /// Whether the transaction that releases the executors has been sent. It may have taken effect
+    /// although its answer was lost, so that nothing is sent to executors from then on.
     releasing: Cell<bool>,
     /// Limits the concurrent commands to each executor.
     command_slots: RefCell<Map<ExecutorKey, Rc<CommandSlots>>>,
@@ -197,9 +203,16 @@
         !self.shutdown.is_cancelled()
     }
 
-    /// Releases the executors: no lease is granted after the store has recorded the release.
+    /// Returns whether messages to executors may be sent. Once the release may have been recorded, a
+    /// successor counts on it that none follows.
+    fn may_send(&self) -> bool {
+        self.may_act() && !self.releasing.get()
+    }
+
+    /// Releases the executors on shutdown: no lease is granted after the store has recorded the
+    /// release.
     pub async fn release(&self) {
-        self.releasing.set(true);
+        self.stopping.set(true);
         self.commit_requested.notify_one();
         self.ended().await;
     }
@@ -240,7 +253,7 @@
             }
             let due = Instant::now() + pause;
             tokio::time::sleep_until(due).await;
-            if self.shutdown.is_cancelled() || self.releasing.get() {
+            if self.shutdown.is_cancelled() || self.stopping.get() || self.releasing.get() {
                 return;
             }
             let started = Instant::now();
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -60,7 +60,7 @@
 }
 
 fn start(owner: &Rc<Owner>, candidates: Vec<ExecutorKey>) {
-    if owner.shutdown.is_cancelled() {
+    if !owner.may_send() {
         return;
     }
     for key in candidates {
@@ -82,12 +82,12 @@
 }
 
 async fn poll_until_idle(owner: Rc<Owner>, key: ExecutorKey) {
-    while !owner.shutdown.is_cancelled() && needs_poll(&owner.scheduler.borrow(), key) {
+    while owner.may_send() && needs_poll(&owner.scheduler.borrow(), key) {
         let paused_at = owner.now();
         owner.wait_for_commit(key).await;
         owner.wait_for_commands(key).await;
         owner.load.count_poll_pause(owner.now().since(paused_at));
-        if owner.shutdown.is_cancelled() {
+        if !owner.may_send() {
             break;
         }
         let polled_at = tokio::time::Instant::now();
@@ -204,7 +204,7 @@
     }
 
     async fn poll_once(self: &Rc<Self>, key: ExecutorKey) -> Result<(), PollError> {
-        if !self.may_act() {
+        if !self.may_send() {
             return Err(PollError::Failed);
         }
         let target = self.target(key).ok_or(PollError::Failed)?;
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -210,7 +210,7 @@
 
     /// Returns an error if a start should not be sent.
     fn check_start(&self, start: &StartRun, slots: &CommandSlots) -> Result<(), CommandEnd> {
-        if self.shutdown.is_cancelled() {
+        if !self.may_send() {
             return Err(CommandEnd::OWNER_ENDED);
         }
         let scheduler = self.scheduler.borrow();
@@ -239,7 +239,7 @@
     }
 
     async fn try_start(&self, start: &StartRun) -> CommandOutcome<StartAnswer> {
-        let target = self.target(start.executor).filter(|_| self.may_act());
+        let target = self.target(start.executor).filter(|_| self.may_send());
         let Some(target) = target else {
             return CommandOutcome::NotSent;
         };
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -138,6 +138,8 @@
         placement_requested: Notify::new(),
         shutdown: CancellationToken::new(),
         failed: Cell::new(false),
+        owned_since: node.now(),
+        stopping: Cell::new(false),
         releasing: Cell::new(false),
         command_slots: RefCell::new(Map::default()),
         unsent_starts: RefCell::default(),
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -28,7 +28,7 @@
 use crate::dependencies::PeerClient;
 use crate::document;
 use crate::document::packed::PackedPlan;
-use crate::hosts::HostInfo;
+use crate::hosts::HostReport;
 use crate::node::Node;
 
 /// Maximum size of a message, in bytes.
@@ -40,9 +40,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerRequest {
-    /// Reports that the host lives, and asks for the incarnation of the process and whether it owns
-    /// the executors.
-    Ping(HostInfo),
+    /// Asks for the incarnation of the process and whether it owns the executors.
+    Ping,
+    /// The same, and reports that the host lives. Earlier releases do not know it, so that it is sent
+    /// only to an owner that [accepts it](Pong::accepts_reports).
+    Report(HostReport),
     /// Asks for the state of a job.
     State(JobId),
     /// Asks for the number of jobs per queue that have not started.
@@ -86,6 +88,9 @@
     /// The document of the process; `None` from earlier releases and before it has one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub document: Option<DocumentInfo>,
+    /// Whether the process accepts [`PeerRequest::Report`].
+    #[serde(default)]
+    pub accepts_reports: bool,
 }
 
 /// What a host reports about its document.
@@ -170,9 +175,10 @@
 pub fn respond(node: &Node, request: &PeerRequest) -> PeerResponse {
     let owner = node.owner();
     match request {
-        PeerRequest::Ping(info) => {
-            node.known_hosts.record(info, node.now());
-            let interval = node.known_hosts.ping_interval(info);
+        PeerRequest::Ping => PeerResponse::Pong(pong(node)),
+        PeerRequest::Report(report) => {
+            node.known_hosts.record(report, node.now());
+            let interval = node.known_hosts.ping_interval(&report.info);
             PeerResponse::Pong(Pong {
                 ping_interval_ms: Some(model::time::millis(interval)),
                 ..pong(node)
@@ -206,5 +212,6 @@
         }),
         ping_interval_ms: None,
         document: document::info(node),
+        accepts_reports: true,
     }
 }
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -63,6 +63,10 @@
     /// ended.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub relays: bool,
+    /// Name of the host that claims first after the release; others wait longer. `None` from earlier
+    /// releases, and while the executors are not released.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub successor: Option<String>,
 }
 
 /// Returns the id of the owner's row.
--- a/crates/dispatch/tests/all/document.rs
+++ b/crates/dispatch/tests/all/document.rs
@@ -175,6 +175,9 @@
 const fn answers(fault: StoreFault) -> Result<(), StoreError> {
     match fault {
         StoreFault::Refuses | StoreFault::Silent => Err(StoreError::Unanswered),
-        StoreFault::None | StoreFault::LosesAnswers | StoreFault::DelaysWrites(_) => Ok(()),
+        StoreFault::None
+        | StoreFault::LosesAnswers
+        | StoreFault::LosesAnswersToReleases
+        | StoreFault::DelaysWrites(_) => Ok(()),
     }
 }
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod document_relay;
 mod executor;
 mod executor_calls;
+mod handover;
 mod log_capture;
 mod lost_answers;
 mod owner_choice;
--- a/crates/dispatch/tests/all/store.rs
+++ b/crates/dispatch/tests/all/store.rs
@@ -15,6 +15,7 @@
 use dispatch::dependencies::StoreError;
 use dispatch::dependencies::Transaction;
 use dispatch::rows;
+use dispatch::rows::OwnerRecord;
 use futures::FutureExt;
 use tokio::sync::Notify;
 
@@ -35,6 +36,8 @@
     Silent,
     /// Writes are applied but not answered.
     LosesAnswers,
+    /// The same for the write that releases the executors, while others are answered.
+    LosesAnswersToReleases,
     /// Writes are not answered, and are applied after this delay if their expectations still hold.
     DelaysWrites(Duration),
 }
@@ -224,7 +227,10 @@
             tokio::time::sleep(TIMEOUT).await;
             Err(StoreError::Unanswered)
         }
-        StoreFault::None | StoreFault::LosesAnswers | StoreFault::DelaysWrites(_) => Ok(()),
+        StoreFault::None
+        | StoreFault::LosesAnswers
+        | StoreFault::LosesAnswersToReleases
+        | StoreFault::DelaysWrites(_) => Ok(()),
     }
 }
 
@@ -244,9 +250,24 @@
     }
     reachable(fault).await?;
     let result = memory.apply(&transaction);
-    if fault == StoreFault::LosesAnswers {
+    let loses_answer = match fault {
+        StoreFault::LosesAnswersToReleases => releases_executors(&transaction),
+        _ => fault == StoreFault::LosesAnswers,
+    };
+    if loses_answer {
         tokio::time::sleep(TIMEOUT).await;
         return Err(StoreError::Unanswered);
     }
     result
 }
+
+/// Returns whether a transaction releases the executors.
+fn releases_executors(transaction: &Transaction) -> bool {
+    let owner_row = transaction
+        .puts
+        .iter()
+        .find(|(row_id, _)| row_id.table == rows::OWNER_TABLE);
+    owner_row.is_some_and(|(_, value)| {
+        serde_json::from_slice(value).is_ok_and(|record: OwnerRecord| record.released)
+    })
+}
