--- a/crates/measure/src/fleet_load.rs
+++ b/crates/measure/src/fleet_load.rs
@@ -25,6 +25,7 @@
 use job::scheduler::StartAnswer;
 use job::scheduler::Timing;
 use job::spec::StepSpec;
+use job::task::Phase;
 use job::task::RunMetrics;
 use job::task::RunNumber;
 use model::Map;
@@ -38,8 +39,6 @@
 
 /// Number of executors of the fleet.
 const EXECUTORS: u32 = 1_800;
-/// Number of long-running jobs, of 24 tasks each, that are submitted before the load begins.
-const SERVICES: u32 = 250;
 /// Number of queues of the document to which no job is submitted.
 const UNUSED_QUEUES: u32 = 1_000;
 /// Number of images from which the services are started.
@@ -48,10 +47,33 @@
 const BEST_EFFORT_IMAGES: u32 = 30;
 /// Simulated duration of the load, in milliseconds.
 const LOAD_MS: u64 = 6_000;
-/// Interval between two jobs, in milliseconds, at the load that the fleet can complete.
-const JOB_INTERVAL_MS: u64 = 22;
-/// Interval between placement rounds, in milliseconds.
-const PLACEMENT_INTERVAL_MS: u64 = 4;
+/// The load that the fleet can complete.
+const STEADY: Mix = Mix {
+    name: "1x",
+    services: 250,
+    service_size: Size::new(13_000, 26_000, 0),
+    job_interval_ms: 22,
+    placement_interval_ms: 4,
+    batch,
+};
+/// Three times the load that the fleet can complete.
+const OVERLOAD: Mix = Mix {
+    name: "3x",
+    job_interval_ms: STEADY.job_interval_ms / 3,
+    ..STEADY
+};
+/// Services hold four fifths of the CPU, tasks are of many sizes, and hundreds of steps wait, so that
+/// rounds are few and long.
+const DENSE: Mix = Mix {
+    name: "dense",
+    services: 600,
+    service_size: Size::new(6_500, 13_000, 0),
+    job_interval_ms: 8,
+    placement_interval_ms: 50,
+    batch: varied_batch,
+};
+/// Interval between two executor lists, in milliseconds. Nothing is placed by an old one.
+const LISTING_INTERVAL_MS: u64 = 1_000;
 /// Interval between transactions, in milliseconds.
 const STORE_INTERVAL_MS: u64 = 10;
 /// Maximum interval between polls of an executor, in milliseconds.
@@ -72,16 +94,35 @@
     reports: u32,
     ends: u32,
     record_bytes: usize,
+    /// Ready steps with waiting tasks at the begin of the rounds.
+    waiting_steps: u32,
 }
 
-/// Runs the measurement at the load that the fleet can complete and at three times that load.
+/// The work that the fleet receives.
+#[derive(Clone, Copy)]
+struct Mix {
+    /// Name in the figures.
+    name: &'static str,
+    /// Number of long-running jobs, of 24 tasks each, that are submitted before the load begins.
+    services: u32,
+    /// Size of a task of a long-running job.
+    service_size: Size,
+    /// Interval between two other jobs, in milliseconds.
+    job_interval_ms: u64,
+    /// Interval between placement rounds, in milliseconds.
+    placement_interval_ms: u64,
+    /// Returns a step of a job that arrives at this time, in milliseconds.
+    batch: fn(u64) -> StepSpec,
+}
+
+/// Runs the measurement with each mix.
 #[must_use]
 pub fn run() -> Vec<Figure> {
     let mut figures = Vec::new();
-    for (name, interval_ms) in [("1x", JOB_INTERVAL_MS), ("3x", JOB_INTERVAL_MS / 3)] {
-        let mut load = Load::new();
-        load.run(interval_ms);
-        figures.extend(load.figures(name));
+    for mix in [STEADY, OVERLOAD, DENSE] {
+        let mut load = Load::new(mix);
+        load.run();
+        figures.extend(load.figures());
     }
     figures
 }
@@ -96,6 +137,7 @@
 }
 
 struct Load {
+    mix: Mix,
     scheduler: Scheduler,
     now_ms: u64,
     executors: Map<ExecutorKey, SimulatedExecutor>,
@@ -103,17 +145,17 @@
 }
 
 impl Load {
-    fn new() -> Self {
+    fn new(mix: Mix) -> Self {
         let timing = Timing {
             lease: Duration::from_secs(5),
             max_lease: Duration::from_secs(6),
             stop_timeout: Duration::from_millis(200),
         };
         let mut scheduler = Scheduler::new(plan(), timing);
-        let listings = (0..EXECUTORS).map(|number| (listing(number), 1)).collect();
-        scheduler.update_executors(listings, Mono(1));
+        scheduler.update_executors(listings(), Mono(1));
         let keys: Vec<ExecutorKey> = scheduler.fleet.iter().map(|(key, _)| key).collect();
         let mut load = Self {
+            mix,
             scheduler,
             now_ms: 1,
             executors: keys
@@ -122,8 +164,9 @@
                 .collect(),
             spent: Spent::default(),
         };
-        for number in 0..SERVICES {
-            load.submit(u64::from(number), services(number));
+        for number in 0..mix.services {
+            let step = services(number, mix.service_size);
+            load.submit(u64::from(number), step);
         }
         while load.place() > 0 {}
         while load.store() {}
@@ -132,14 +175,20 @@
         load
     }
 
-    fn run(&mut self, job_interval_ms: u64) {
+    fn run(&mut self) {
+        let mix = self.mix;
         let end = self.now_ms + LOAD_MS;
         while self.now_ms < end {
             self.now_ms += 1;
-            if self.now_ms.is_multiple_of(job_interval_ms) {
-                self.submit(1_000_000 + self.now_ms, batch(self.now_ms));
+            if self.now_ms.is_multiple_of(LISTING_INTERVAL_MS) {
+                self.scheduler
+                    .update_executors(listings(), Mono(self.now_ms));
             }
-            if self.now_ms.is_multiple_of(PLACEMENT_INTERVAL_MS) {
+            if self.now_ms.is_multiple_of(mix.job_interval_ms) {
+                self.submit(1_000_000 + self.now_ms, (mix.batch)(self.now_ms));
+            }
+            if self.now_ms.is_multiple_of(mix.placement_interval_ms) {
+                self.count_waiting_steps();
                 self.place();
             }
             if self.now_ms.is_multiple_of(STORE_INTERVAL_MS) {
@@ -152,7 +201,8 @@
         }
     }
 
-    fn figures(&self, load: &str) -> Vec<Figure> {
+    fn figures(&self) -> Vec<Figure> {
+        let load = self.mix.name;
         let spent = &self.spent;
         let total = spent.placing + spent.storing + spent.starting + spent.reporting;
         let seconds = Duration::from_millis(LOAD_MS).as_secs_f64();
@@ -163,6 +213,11 @@
             figure("starts", f64::from(spent.starts) / seconds, "1/s"),
             figure("ends", f64::from(spent.ends) / seconds, "1/s"),
             figure("reports", f64::from(spent.reports) / seconds, "1/s"),
+            figure(
+                "waiting-steps",
+                f64::from(spent.waiting_steps) / f64::from(spent.rounds),
+                "1",
+            ),
             figure("round", mean_us(spent.placing, spent.rounds), "us"),
             figure(
                 "placing-a-start",
@@ -199,6 +254,21 @@
         self.scheduler.submit(submission, Mono(self.now_ms));
     }
 
+    fn count_waiting_steps(&mut self) {
+        let mut waiting = self.scheduler.ready_steps(0);
+        waiting.retain(|ready| {
+            let job = self.scheduler.job(ready.job);
+            let first = ready.first_slot as usize;
+            job.is_some_and(|job| {
+                let count = job.spec.steps[ready.step as usize].count as usize;
+                job.tasks[first..first + count]
+                    .iter()
+                    .any(|task| task.phase == Phase::Waiting)
+            })
+        });
+        self.spent.waiting_steps += u32::try_from(waiting.len()).unwrap_or(u32::MAX);
+    }
+
     fn place(&mut self) -> usize {
         let started = Instant::now();
         let placed = self.scheduler.place(Mono(self.now_ms), 0);
@@ -355,6 +425,10 @@
     })
 }
 
+fn listings() -> Vec<(Listing, u64)> {
+    (0..EXECUTORS).map(|number| (listing(number), 1)).collect()
+}
+
 fn listing(number: u32) -> Listing {
     Listing {
         id: format!("i-{number:010x}").into(),
@@ -368,10 +442,10 @@
     }
 }
 
-fn services(number: u32) -> StepSpec {
+fn services(number: u32, size: Size) -> StepSpec {
     StepSpec {
         count: 24,
-        size: Size::new(13_000, 26_000, 0),
+        size,
         long_running: true,
         image: Some(format!("service-{}", number % SERVICE_IMAGES).into()),
         tail_latency_target_ms: 50,
@@ -392,3 +466,19 @@
         ..StepSpec::default()
     }
 }
+
+/// Like [`batch`], of 1 to 30 tasks and of sizes that differ from job to job, half of them
+/// best-effort.
+fn varied_batch(now_ms: u64) -> StepSpec {
+    let varied = now_ms.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+    let best_effort = varied.is_multiple_of(2);
+    let image = format!("fill-{}", varied % u64::from(BEST_EFFORT_IMAGES));
+    let cpu_millis = 1_000 + varied % 23 * 500;
+    StepSpec {
+        count: u32::try_from(1 + varied % 30).unwrap_or(1),
+        size: Size::new(cpu_millis, cpu_millis * 2, 0),
+        best_effort,
+        image: best_effort.then(|| image.into()),
+        ..batch(now_ms)
+    }
+}
