--- a/crates/job/src/placement/gang.rs
+++ b/crates/job/src/placement/gang.rs
@@ -2,13 +2,20 @@
 
 use model::Mono;
 
+use super::room::RoomIndex;
 use crate::scheduler::ReadyStep;
 use crate::scheduler::Scheduler;
 use crate::scheduler::TaskKey;
 use crate::spec::StepSpec;
 
 impl Scheduler {
-    pub(super) fn place_gang(&mut self, ready: ReadyStep, step: &StepSpec, now: Mono) -> usize {
+    pub(super) fn place_gang(
+        &mut self,
+        ready: ReadyStep,
+        step: &StepSpec,
+        room: &RoomIndex,
+        now: Mono,
+    ) -> usize {
         let keys: Vec<TaskKey> = (ready.first_slot..ready.first_slot + step.count)
             .map(|slot| TaskKey {
                 job: ready.job,
@@ -23,7 +30,7 @@
         }
         let mut placements = Vec::new();
         for key in &keys {
-            let Some(executor) = self.best_executor(*key, step, now) else {
+            let Some(executor) = self.best_executor(*key, step, room, now) else {
                 self.request_advice(ready, *key, now);
                 break;
             };
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod isolation;
 mod order;
 mod pool;
+mod room;
 mod round;
 mod score;
 mod step;
@@ -20,11 +21,13 @@
 pub(crate) use self::best_effort::caused_log;
 pub(crate) use self::best_effort::has_spare_cpu;
 use self::constraints::near_data;
+pub(crate) use self::room::RoomIndex;
 pub(crate) use self::round::Round;
 use crate::fleet::Executor;
 use crate::fleet::ExecutorKey;
 use crate::ranking::DeadlineOutlook;
 use crate::relaxation::Relaxation;
+use crate::relaxation::Wait;
 use crate::scheduler::Event;
 use crate::scheduler::Scheduler;
 use crate::scheduler::TaskKey;
@@ -62,6 +65,11 @@
 }
 
 impl Preference {
+    /// Returns whether only a higher score could make another executor better.
+    fn is_limited_by_score_only(&self) -> bool {
+        self.not_failed_here && self.exposure.0 == 0 && self.unrelaxed && self.near_data
+    }
+
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
         self.not_failed_here
             .cmp(&other.not_failed_here)
@@ -103,7 +111,7 @@
         }
         let mut shortages = Shortages::default();
         let steps = self.steps_in_order(now, unix_ms);
-        self.find_unstarted_jobs(&steps, now);
+        self.find_unstarted_jobs(&steps, &round.room, now);
         for (rank, ready) in steps {
             let can_wait = rank.outlook.can_wait();
             if can_wait && used.tasks_that_can_wait >= budget.tasks_that_can_wait {
@@ -147,15 +155,23 @@
             .is_some_and(|task| task.phase == Phase::Waiting && now >= task.not_before)
     }
 
-    fn best_executor(&self, key: TaskKey, step: &StepSpec, now: Mono) -> Option<ExecutorKey> {
+    fn best_executor(
+        &self,
+        key: TaskKey,
+        step: &StepSpec,
+        room: &RoomIndex,
+        now: Mono,
+    ) -> Option<ExecutorKey> {
         let job = self.job(key.job)?;
         let has_advisor = self.plan.queue(&job.queue)?.advisor.is_some();
-        let candidates = self.candidates(key, step, now).into_iter();
+        let candidates = self.candidates_with_room(key, step, room, now).into_iter();
         candidates
             .filter(|(executor_key, _)| {
                 !has_advisor || self.ticket(key, *executor_key, now).is_some()
             })
-            .max_by(|(_, left), (_, right)| left.compare(right))
+            .max_by(|(left_key, left), (right_key, right)| {
+                left.compare(right).then(left_key.cmp(right_key))
+            })
             .map(|(executor_key, _)| executor_key)
     }
 
@@ -182,6 +198,32 @@
             .collect()
     }
 
+    /// Like [`Self::candidates`], in a placement round.
+    fn candidates_with_room(
+        &self,
+        key: TaskKey,
+        step: &StepSpec,
+        room: &RoomIndex,
+        now: Mono,
+    ) -> Vec<(ExecutorKey, Preference)> {
+        let Some(service) = self.service_of(key) else {
+            return Vec::new();
+        };
+        let wait = self.counted_wait(key, step, now);
+        let executors = room.with_room(&self.fleet, &service, (step, wait), now);
+        executors
+            .into_iter()
+            .filter_map(|executor_key| {
+                let executor = self.fleet.get(executor_key)?;
+                let relaxation = wait.relaxation_on(executor, now);
+                let executor = (executor_key, executor);
+                let preference =
+                    self.preference(executor, &service, (key, step), relaxation, now)?;
+                Some((executor_key, preference))
+            })
+            .collect()
+    }
+
     /// Returns the service whose executors run the queue of a task.
     fn service_of(&self, key: TaskKey) -> Option<Arc<str>> {
         let queue = self.plan.queue(&self.job(key.job)?.queue)?;
@@ -197,8 +239,20 @@
         step: &StepSpec,
         now: Mono,
     ) -> Option<Preference> {
-        let executor = self.fleet.get(executor_key)?;
         let wait = self.counted_wait(key, step, now);
+        self.assess_after(wait, executor_key, service, (key, step), now)
+    }
+
+    /// Like [`Self::assess`], for a step that has waited that long.
+    fn assess_after(
+        &self,
+        wait: Wait,
+        executor_key: ExecutorKey,
+        service: &str,
+        (key, step): (TaskKey, &StepSpec),
+        now: Mono,
+    ) -> Option<Preference> {
+        let executor = self.fleet.get(executor_key)?;
         let relaxation = wait.relaxation_on(executor, now);
         self.preference(
             (executor_key, executor),
--- a/crates/job/src/placement/round.rs
+++ b/crates/job/src/placement/round.rs
@@ -9,6 +9,7 @@
 use model::Set;
 use model::Size;
 
+use super::room::RoomIndex;
 use crate::fleet::ExecutorKey;
 use crate::plan::Queue;
 use crate::relaxation::Wait;
@@ -19,6 +20,8 @@
 /// The state of one placement round.
 #[derive(Debug)]
 pub(crate) struct Round {
+    /// What is free on the executors.
+    pub(crate) room: RoomIndex,
     /// Needs for which no executor was found.
     unmet: Vec<Demand>,
     /// The tasks that an executor is reserved for, with their executors.
@@ -47,6 +50,7 @@
     /// Starts a round in which executors are reserved for these tasks.
     pub(super) fn new(reserved: Map<TaskKey, ExecutorKey>) -> Self {
         Self {
+            room: RoomIndex::default(),
             unmet: Vec::new(),
             reserved_jobs: reserved.keys().map(|key| key.job).collect(),
             reserved,
--- a/crates/job/src/placement/score.rs
+++ b/crates/job/src/placement/score.rs
@@ -4,6 +4,7 @@
 use super::best_effort::spare_fraction;
 use crate::fleet::Executor;
 use crate::relaxation::Relaxation;
+use crate::relaxation::Wait;
 use crate::scheduler::Scheduler;
 use crate::short_work::is_kept;
 use crate::spec::StepSpec;
@@ -45,6 +46,14 @@
     }
 }
 
+/// Returns whether the score of an executor for a task whose step has waited that long is at most its
+/// spare CPU, except for short work on executors that are kept for it, and decides between executors
+/// that are equal otherwise.
+pub(super) fn is_bounded_by_spare_cpu(step: &StepSpec, wait: Wait) -> bool {
+    let is_scored_by_spare_cpu = step.best_effort || !step.is_service();
+    is_scored_by_spare_cpu && step.data_rack.is_none() && !wait.relaxes()
+}
+
 /// Scores an executor for a short task that is not best-effort: executors with the most spare CPU
 /// first, but those kept for short work before them and the fullest of these first, so that large
 /// tasks find room on the others.
--- a/crates/job/src/placement/step.rs
+++ b/crates/job/src/placement/step.rs
@@ -5,8 +5,10 @@
 use model::Mono;
 
 use super::pool::CandidatePool;
+use super::room::Need;
 use super::round::Demand;
 use super::round::Round;
+use super::score::is_bounded_by_spare_cpu;
 use crate::fleet::ExecutorKey;
 use crate::plan::Queue;
 use crate::ranking::DeadlineOutlook;
@@ -51,7 +53,7 @@
         let spec = job.spec.clone();
         let step = &spec.steps[ready.step as usize];
         if step.gang {
-            return self.place_gang(ready, step, now);
+            return self.place_gang(ready, step, &round.room, now);
         }
         let Some(queue) = self.plan.queue(&job.queue) else {
             return 0;
@@ -106,9 +108,11 @@
         }
         let shared = choice.demand.as_ref();
         let Some(demand) = shared.filter(|_| self.is_interchangeable(key)) else {
-            return self.best_executor(key, step, now);
+            return self.best_executor(key, step, &round.room, now);
         };
-        let assess = |executor| self.assess(executor, &choice.service, key, step, now);
+        let wait = demand.wait;
+        let assess =
+            |executor| self.assess_after(wait, executor, &choice.service, (key, step), now);
         let reserved = round.reserved.get(&key).copied();
         if let Some(reserved) = reserved.filter(|executor| assess(*executor).is_some()) {
             return Some(reserved);
@@ -116,9 +120,14 @@
         if round.is_unmet(demand) {
             return None;
         }
-        let pool = choice
-            .pool
-            .get_or_insert_with(|| CandidatePool::new(self.candidates(key, step, now)));
+        let pool = choice.pool.get_or_insert_with(|| {
+            if is_bounded_by_spare_cpu(step, wait) {
+                let rooms = round.room.of_service(&self.fleet, &choice.service, now);
+                CandidatePool::bounded(rooms, Need::new(step, wait), !step.best_effort, assess)
+            } else {
+                CandidatePool::new(self.candidates_with_room(key, step, &round.room, now))
+            }
+        });
         let best = pool.take_best(assess);
         if best.is_none() {
             round.add_unmet(demand.clone());
--- a/crates/job/src/relaxation.rs
+++ b/crates/job/src/relaxation.rs
@@ -16,6 +16,7 @@
 use model::Size;
 
 use crate::fleet::Executor;
+use crate::placement::RoomIndex;
 use crate::placement::has_spare_cpu;
 use crate::ranking::Rank;
 use crate::scheduler::Job;
@@ -76,9 +77,17 @@
     /// No wait that counts.
     pub(crate) const NONE: Self = Self(Duration::ZERO);
 
+    /// A wait after which the conditions do not count.
+    const ENDLESS: Self = Self(Duration::MAX);
+
+    /// Returns whether the conditions are relaxed on any executor.
+    pub(crate) fn relaxes(self) -> bool {
+        self.0 >= RELAX_AFTER
+    }
+
     /// Returns how far the conditions are relaxed on an executor.
     pub(crate) fn relaxation_on(self, executor: &Executor, now: Mono) -> Relaxation {
-        if self.0 < RELAX_AFTER || has_recent_relaxation(executor, now) {
+        if !self.relaxes() || has_recent_relaxation(executor, now) {
             return Relaxation::NONE;
         }
         let divisor = if is_mostly_in_use(executor) {
@@ -181,14 +190,19 @@
     /// Records for each service how long the best-effort step has waited that has waited longest of
     /// those whose job has no task on an executor. Such jobs go first, because executors receive few
     /// tasks under relaxed conditions. A step that no executor has room for keeps none waiting.
-    pub(crate) fn find_unstarted_jobs(&mut self, steps: &[(Rank, ReadyStep)], now: Mono) {
+    pub(crate) fn find_unstarted_jobs(
+        &mut self,
+        steps: &[(Rank, ReadyStep)],
+        room: &RoomIndex,
+        now: Mono,
+    ) {
         let mut longest: Map<Arc<str>, Duration> = Map::default();
         for (_, ready) in steps {
             let Some((service, waited)) = self.unstarted_wait(*ready, now) else {
                 continue;
             };
             let known = longest.get(&service).copied().unwrap_or(Duration::ZERO);
-            if waited > known && self.has_room_for(*ready, &service, now) {
+            if waited > known && self.has_room_for(*ready, &service, room, now) {
                 longest.insert(service, waited);
             }
         }
@@ -210,7 +224,7 @@
 
     /// Returns whether enough executors of a service have room for a best-effort step, whatever it
     /// disturbs there: one, or as many as a gang needs.
-    fn has_room_for(&self, ready: ReadyStep, service: &str, now: Mono) -> bool {
+    fn has_room_for(&self, ready: ReadyStep, service: &str, room: &RoomIndex, now: Mono) -> bool {
         let Some(job) = self.job(ready.job) else {
             return false;
         };
@@ -224,11 +238,13 @@
         } else {
             1
         };
-        let executors = self.fleet.iter().filter(|(executor_key, executor)| {
-            &*executor.listing.service == service
-                && executor.accepts_tasks(now)
-                && has_spare_cpu(executor, step, Relaxation::COMPLETE)
-                && self.is_feasible(*executor_key, executor, job, key, step)
+        let executors = room.with_room(&self.fleet, service, (step, Wait::ENDLESS), now);
+        let executors = executors.iter().filter(|executor_key| {
+            self.fleet.get(**executor_key).is_some_and(|executor| {
+                executor.accepts_tasks(now)
+                    && has_spare_cpu(executor, step, Relaxation::COMPLETE)
+                    && self.is_feasible(**executor_key, executor, job, key, step)
+            })
         });
         executors.take(needed).count() == needed
     }
--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -40,31 +40,34 @@
     /// Removes reservations that have expired or whose task or executor no longer qualifies. Returns
     /// the tasks for which an executor is still reserved, with their executors.
     pub(crate) fn release_stale_reservations(&mut self, now: Mono) -> Map<TaskKey, ExecutorKey> {
-        let stale: Vec<ExecutorKey> = self
-            .fleet
-            .iter()
-            .filter(|(_, executor)| {
-                executor.reservation.is_some_and(|reservation| {
-                    let is_waiting = self
-                        .task(reservation.task)
-                        .is_some_and(|task| task.phase == Phase::Waiting);
-                    let open = self
-                        .job(reservation.task.job)
-                        .is_some_and(|job| !job.state.is_final());
-                    now >= reservation.until || !is_waiting || !open || !executor.accepts_tasks(now)
-                })
-            })
-            .map(|(key, _)| key)
+        let executors = self.fleet.iter();
+        let reservations: Vec<(ExecutorKey, Reservation)> = executors
+            .filter_map(|(key, executor)| Some((key, executor.reservation?)))
             .collect();
-        for key in stale {
-            if let Some(executor) = self.fleet.get_mut(key) {
+        let mut reserved = Map::default();
+        for (key, reservation) in reservations {
+            if !self.is_stale(key, reservation, now) {
+                reserved.insert(reservation.task, key);
+            } else if let Some(executor) = self.fleet.get_mut(key) {
                 executor.reservation = None;
             }
         }
-        let executors = self.fleet.iter();
-        executors
-            .filter_map(|(key, executor)| Some((executor.reservation?.task, key)))
-            .collect()
+        reserved
+    }
+
+    /// Returns whether a reservation has expired or its task or executor no longer qualifies.
+    fn is_stale(&self, executor: ExecutorKey, reservation: Reservation, now: Mono) -> bool {
+        let is_waiting = self
+            .task(reservation.task)
+            .is_some_and(|task| task.phase == Phase::Waiting);
+        let open = self
+            .job(reservation.task.job)
+            .is_some_and(|job| !job.state.is_final());
+        let accepts_tasks = self
+            .fleet
+            .get(executor)
+            .is_some_and(|executor| executor.accepts_tasks(now));
+        now >= reservation.until || !is_waiting || !open || !accepts_tasks
     }
 
     /// Reserves an executor for a task that has waited too long for one: a long-running task for free
--- a/crates/job/src/scheduler/capacity.rs
+++ b/crates/job/src/scheduler/capacity.rs
@@ -22,7 +22,7 @@
     /// Returns whether the free resources of a service's executors are known well enough to place a
     /// task there.
     pub(crate) fn knows_capacity(&self, service: &str, now: Mono) -> bool {
-        self.refuses_overcommit(service) || self.list_age(now) <= MAX_LIST_AGE
+        self.list_age(now) <= MAX_LIST_AGE || self.refuses_overcommit(service)
     }
 
     /// Returns whether the tasks assigned to an executor exceed its capacity although it would
