--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -10,6 +10,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::interference::ImageKey;
 use crate::scheduler::TaskKey;
 
 new_key_type! {
@@ -129,6 +130,8 @@
 pub struct ServiceLoad {
     /// The image.
     pub image: Arc<str>,
+    /// The image's identifier in the estimates of interference.
+    pub key: ImageKey,
     /// The CPU in thousandths of a core allocated to the tasks.
     pub cpu_millis: u64,
     /// The number of tasks.
@@ -230,7 +233,7 @@
     }
 
     /// Adds a service task to the loads by image.
-    pub(crate) fn add_service(&mut self, image: &Arc<str>, cpu_millis: u64) {
+    pub(crate) fn add_service(&mut self, image: &Arc<str>, key: ImageKey, cpu_millis: u64) {
         let known = self.services.iter_mut().find(|load| load.image == *image);
         if let Some(load) = known {
             load.cpu_millis += cpu_millis;
@@ -238,6 +241,7 @@
         } else {
             self.services.push(ServiceLoad {
                 image: image.clone(),
+                key,
                 cpu_millis,
                 tasks: 1,
             });
--- a/crates/job/src/interference.rs
+++ b/crates/job/src/interference.rs
@@ -95,6 +95,9 @@
 impl Interference {
     /// Returns the identifier of an image, assigning one if the image is new.
     pub fn intern_image(&mut self, name: &Arc<str>) -> ImageKey {
+        if let Some(key) = self.images.get(name) {
+            return *key;
+        }
         let next = ImageKey(u16::try_from(self.images.len()).unwrap_or(u16::MAX));
         *self.images.entry(name.clone()).or_insert(next)
     }
@@ -106,6 +109,17 @@
         self.estimate(service, best_effort).mean.max(0.0)
     }
 
+    /// Returns the identifier of an image, or `None` if nothing is known of it.
+    pub(crate) fn image_key(&self, name: &Arc<str>) -> Option<ImageKey> {
+        self.images.get(name).copied()
+    }
+
+    /// Like [`Self::weight`], for a best-effort image of which something may be known.
+    pub(crate) fn weight_of(&self, service: ImageKey, best_effort: Option<ImageKey>) -> f64 {
+        let weight = best_effort.and_then(|best_effort| self.pairs.get(&(service, best_effort)));
+        weight.copied().unwrap_or_default().mean.max(0.0)
+    }
+
     /// Returns an upper bound of the pair's weight: its mean plus one standard deviation.
     #[must_use]
     pub fn upper_bound(&self, service: Option<&Arc<str>>, best_effort: Option<&Arc<str>>) -> f64 {
--- a/crates/job/src/placement/best_effort.rs
+++ b/crates/job/src/placement/best_effort.rs
@@ -101,11 +101,15 @@
 pub(crate) fn caused_log(interference: &Interference, executor: &Executor, step: &StepSpec) -> f64 {
     let capacity = executor.listing.capacity.cpu_millis.max(1);
     let cpu_fraction = step.size.cpu_millis as f64 / capacity as f64;
+    if executor.services.is_empty() {
+        return 0.0;
+    }
     let image = step.image.as_ref();
+    let image = image.and_then(|image| interference.image_key(image));
     executor
         .services
         .iter()
-        .map(|service| interference.weight(Some(&service.image), image) * cpu_fraction)
+        .map(|service| interference.weight_of(service.key, image) * cpu_fraction)
         .fold(0.0, f64::max)
 }
 
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -33,7 +33,6 @@
 use crate::scheduler::TaskKey;
 use crate::short_work::Shortages;
 use crate::spec::StepSpec;
-use crate::task::Phase;
 
 /// A round ends after the step with which it has assigned at least this many tasks, so that a round
 /// stays short.
@@ -151,8 +150,7 @@
 
     /// Returns whether a task waits for nothing but an executor.
     pub(crate) fn may_start(&self, key: TaskKey, now: Mono) -> bool {
-        self.task(key)
-            .is_some_and(|task| task.phase == Phase::Waiting && now >= task.not_before)
+        self.task(key).is_some_and(|task| task.may_start(now))
     }
 
     fn best_executor(
--- a/crates/job/src/scheduler/allocation.rs
+++ b/crates/job/src/scheduler/allocation.rs
@@ -16,13 +16,17 @@
         let (long_running, best_effort) = (step.long_running, step.best_effort);
         let service_image = step.image.clone().filter(|_| step.is_service());
         let is_suspected = self.task(key).is_some_and(|task| task.crashes > 0);
+        let service_image = service_image.map(|image| {
+            let key = self.interference.intern_image(&image);
+            (image, key)
+        });
         self.poll_candidates.push(executor);
         if let Some(executor) = self.fleet.get_mut(executor) {
             executor.tasks.insert(key);
             executor.used += allocated_size;
             executor.suspected_tasks += u32::from(is_suspected);
-            if let Some(image) = &service_image {
-                executor.add_service(image, cpu);
+            if let Some((image, key)) = &service_image {
+                executor.add_service(image, *key, cpu);
             }
             if best_effort {
                 executor.best_effort_cpu_millis += cpu;
--- a/crates/job/src/short_work.rs
+++ b/crates/job/src/short_work.rs
@@ -100,11 +100,13 @@
         };
         let step = &job.spec.steps[ready.step as usize];
         let slots = ready.first_slot..ready.first_slot + step.count;
-        let keys = slots.map(|slot| TaskKey {
-            job: ready.job,
-            slot,
-        });
-        for task in keys.filter(|key| self.may_start(*key, now)) {
+        let startable = slots.zip(job.tasks.iter().skip(ready.first_slot as usize));
+        let startable = startable.filter(|(_, task)| task.may_start(now));
+        for (slot, _) in startable {
+            let task = TaskKey {
+                job: ready.job,
+                slot,
+            };
             let shortage = shortages.entry(queue.service.clone()).or_insert(Shortage {
                 task,
                 since: now,
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -131,6 +131,11 @@
         self.run.saturating_sub(self.unstarted_runs)
     }
 
+    /// Returns whether the task waits for nothing but an executor.
+    pub(crate) fn may_start(&self, now: Mono) -> bool {
+        self.phase == Phase::Waiting && now >= self.not_before
+    }
+
     /// Returns the task's assignment, if it has one.
     #[must_use]
     pub const fn assignment(&self) -> Option<&Assignment> {
