--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -337,6 +337,33 @@
         self.executors.iter_mut()
     }
 
+    /// Adds up something of the listed executors, by service.
+    pub(crate) fn sum_by_service<T: Default>(
+        &self,
+        mut add: impl FnMut(&mut T, &Executor),
+    ) -> Vec<(Arc<str>, T)> {
+        let mut sums: Vec<(Arc<str>, T)> = Vec::new();
+        let mut positions: Map<&str, usize> = Map::default();
+        let mut latest: Option<(&str, usize)> = None;
+        for (_, executor) in self.iter().filter(|(_, executor)| executor.listed) {
+            let service = &executor.listing.service;
+            // Neighbours mostly belong to one service.
+            let known = latest.filter(|(name, _)| *name == &**service);
+            let position = known.map_or_else(
+                || {
+                    *positions.entry(service).or_insert_with(|| {
+                        sums.push((service.clone(), T::default()));
+                        sums.len() - 1
+                    })
+                },
+                |(_, position)| position,
+            );
+            latest = Some((service, position));
+            add(&mut sums[position].1, executor);
+        }
+        sums
+    }
+
     /// Removes an executor. The caller ensures that it is no longer listed and has no tasks.
     pub fn remove(&mut self, key: ExecutorKey) {
         if let Some(executor) = self.executors.remove(key) {
--- a/crates/job/src/relaxation.rs
+++ b/crates/job/src/relaxation.rs
@@ -167,13 +167,12 @@
 
     /// Records the services of whose executors' capacity less than half is allocated.
     pub(crate) fn find_idle_services(&mut self) {
-        let mut totals: Map<Arc<str>, Allocation> = Map::default();
-        let listed = self.fleet.iter().filter(|(_, executor)| executor.listed);
-        for (_, executor) in listed {
-            let total = totals.entry(executor.listing.service.clone()).or_default();
-            total.used += executor.used;
-            total.capacity += executor.listing.capacity;
-        }
+        let totals = self
+            .fleet
+            .sum_by_service(|total: &mut Allocation, executor| {
+                total.used += executor.used;
+                total.capacity += executor.listing.capacity;
+            });
         let idle = totals
             .into_iter()
             .filter(|(_, total)| total.is_below_half());
--- a/crates/job/src/short_work.rs
+++ b/crates/job/src/short_work.rs
@@ -248,17 +248,10 @@
 
     /// Updates the mean demand of short work: what it uses, and what it needs and does not find.
     fn observe_short_demand(&mut self) {
-        let mut demand: Map<Arc<str>, u64> = Map::default();
-        let executors = self.fleet.iter().map(|(_, executor)| executor);
-        for executor in executors.filter(|executor| executor.listed) {
-            let service = &executor.listing.service;
-            match demand.get_mut(service) {
-                Some(used) => *used += executor.batch_cpu_millis,
-                None => {
-                    demand.insert(service.clone(), executor.batch_cpu_millis);
-                }
-            }
-        }
+        let used = self.fleet.sum_by_service(|used: &mut u64, executor| {
+            *used += executor.batch_cpu_millis;
+        });
+        let mut demand: Map<Arc<str>, u64> = used.into_iter().collect();
         for (service, shortage) in &self.shortages {
             let service = demand.entry(service.clone()).or_default();
             *service = service.saturating_add(shortage.cpu_millis);
--- a/crates/measure/src/fleet_load.rs
+++ b/crates/measure/src/fleet_load.rs
@@ -86,6 +86,8 @@
 struct Spent {
     placing: f64,
     rounds: u32,
+    ticking: f64,
+    ticks: u32,
     storing: f64,
     transactions: u32,
     starting: f64,
@@ -194,7 +196,7 @@
             if self.now_ms.is_multiple_of(STORE_INTERVAL_MS) {
                 self.store();
                 self.send_starts();
-                self.scheduler.tick(Mono(self.now_ms));
+                self.tick();
             }
             self.poll();
             self.scheduler.take_events();
@@ -229,6 +231,7 @@
                 mean_us(spent.storing, spent.transactions),
                 "us",
             ),
+            figure("tick", mean_us(spent.ticking, spent.ticks), "us"),
             figure("records", bytes / seconds / 1e6, "MB/s"),
             figure(
                 "answer-to-a-start",
@@ -269,6 +272,13 @@
         self.spent.waiting_steps += u32::try_from(waiting.len()).unwrap_or(u32::MAX);
     }
 
+    fn tick(&mut self) {
+        let started = Instant::now();
+        self.scheduler.tick(Mono(self.now_ms));
+        self.spent.ticking += started.elapsed().as_secs_f64();
+        self.spent.ticks += 1;
+    }
+
     fn place(&mut self) -> usize {
         let started = Instant::now();
         let placed = self.scheduler.place(Mono(self.now_ms), 0);
