--- a/crates/dispatch/src/relay/server.rs
+++ b/crates/dispatch/src/relay/server.rs
@@ -59,6 +59,7 @@
     let mut session = Session {
         node: node.clone(),
         outbox: outbox.clone(),
+        epoch: 0,
         end: None,
         ended: end.clone(),
         payloads: ReceivedPayloads::default(),
@@ -77,6 +78,8 @@
 struct Session {
     node: Rc<Node>,
     outbox: Rc<Outbox<Response>>,
+    /// Epoch of the owner.
+    epoch: u64,
     /// Cancelled when another owner opens a session; `None` before this one is opened.
     end: Option<CancellationToken>,
     /// Cancelled when this session ends.
@@ -105,6 +108,7 @@
     fn process_request(&mut self, request: Request, is_late: bool) -> bool {
         if let Request::Hello { epoch } = request {
             let known = self.node.highest_epoch.get();
+            self.epoch = epoch;
             self.end = self.node.relay_session.begin(epoch, known);
             let Some(end) = self.end.clone() else {
                 return false;
@@ -116,7 +120,7 @@
             });
             return true;
         }
-        if self.end.is_none() {
+        if self.end.is_none() || self.epoch < self.node.highest_epoch.get() {
             return false;
         }
         match request {
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -24,6 +24,7 @@
 use model::Size;
 use tokio::time::Instant;
 
+use crate::by_caller::Callers;
 use crate::relay::Relay;
 
 /// Default duration of a task.
@@ -96,6 +97,8 @@
     pub calls: Cell<u64>,
     /// Number of requests to the advisor.
     pub advice_requests: Cell<u64>,
+    /// The calls by the hosts that send them.
+    pub callers: Callers,
     /// Carries calls to executors.
     pub relay: Relay,
     /// Descriptions of observed violations.
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of complete hosts on a paused clock, with a store and executors that simulate faults.
 
 mod advice;
+mod by_caller;
 mod callers;
 mod chaos;
 mod cleanup;
@@ -21,6 +22,8 @@
 mod pauses;
 mod processor_pace;
 mod relay;
+mod relay_assignment;
+mod relay_sessions;
 mod relayed_calls;
 mod restarts;
 mod shares;
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -34,8 +34,10 @@
 use job::spec::StepSpec;
 use model::Map;
 use model::Size;
+use tokio::io::DuplexStream;
 use tokio::task::LocalSet;
 
+use crate::by_caller::called_by;
 use crate::document::FakeDocument;
 use crate::executor::Fleet;
 use crate::executor_calls::advisor;
@@ -73,6 +75,16 @@
     tasks: LocalSet,
 }
 
+impl Host {
+    /// Opens a connection over which this host relays calls.
+    pub fn accept_relay(&self) -> DuplexStream {
+        let (near, far) = tokio::io::duplex(RELAY_BUFFER_BYTES);
+        self.tasks
+            .spawn_local(server::serve(self.node.clone(), Box::new(far)));
+        near
+    }
+}
+
 /// The whole simulated system.
 pub struct World {
     pub store: Rc<MemoryStore>,
@@ -188,7 +200,11 @@
                     async move { Ok(fleet.listings()) }.boxed_local()
                 }),
             },
-            executors: relayed(&self.fleet, executors(&self.fleet)),
+            executors: called_by(
+                &self.fleet,
+                name,
+                relayed(&self.fleet, executors(&self.fleet)),
+            ),
             advisor: advisor(&self.fleet),
             peers: self.peers(),
             relays: self.relays(),
@@ -253,10 +269,7 @@
                 let host = hosts.borrow().get(&*address).cloned();
                 async move {
                     let host = host.ok_or(std::io::ErrorKind::ConnectionRefused)?;
-                    let (near, far) = tokio::io::duplex(RELAY_BUFFER_BYTES);
-                    host.tasks
-                        .spawn_local(server::serve(host.node.clone(), Box::new(far)));
-                    Ok::<Box<dyn ByteStream>, std::io::Error>(Box::new(near))
+                    Ok::<Box<dyn ByteStream>, std::io::Error>(Box::new(host.accept_relay()))
                 }
                 .boxed_local()
             }),
