--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -82,6 +82,7 @@
 }
 
 async fn poll_until_idle(owner: Rc<Owner>, key: ExecutorKey) {
+    let begun = owner.now();
     while owner.may_send() && needs_poll(&owner.scheduler.borrow(), key) {
         let paused_at = owner.now();
         owner.wait_for_commit(key).await;
@@ -97,7 +98,7 @@
             }
             Ok(()) => {}
             Err(PollError::Fenced) => owner.end("an executor has seen a higher epoch"),
-            Err(PollError::RelayFailed) if owner.has_answered_lately(key) => {
+            Err(PollError::RelayFailed) if owner.has_answered_lately(key, begun) => {
                 tokio::time::sleep(RELAY_RETRY_DELAY).await;
             }
             Err(PollError::WrongExecutor | PollError::Failed | PollError::RelayFailed) => {
@@ -159,12 +160,13 @@
     }
 
     /// Returns whether an executor has answered so recently that the failure of a relay says nothing
-    /// about it.
-    fn has_answered_lately(&self, key: ExecutorKey) -> bool {
+    /// about it. One that was idle was not asked before its polls have begun.
+    fn has_answered_lately(&self, key: ExecutorKey, begun: Mono) -> bool {
         let now = self.now();
         let scheduler = self.scheduler.borrow();
         let executor = scheduler.fleet.get(key);
-        executor.is_some_and(|executor| now.since(executor.answered_at) <= MAX_RELAY_SILENCE)
+        executor
+            .is_some_and(|executor| now.since(executor.answered_at.max(begun)) <= MAX_RELAY_SILENCE)
     }
 
     fn has_withheld_ends(&self, key: ExecutorKey) -> bool {
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -25,6 +25,7 @@
 mod relay_assignment;
 mod relay_sessions;
 mod relayed_calls;
+mod relays;
 mod restarts;
 mod shares;
 mod slow_processor;
