--- a/crates/dispatch/src/owner/calls.rs
+++ b/crates/dispatch/src/owner/calls.rs
@@ -12,6 +12,7 @@
 
 use super::Owner;
 use crate::dependencies::CallFuture;
+use crate::dependencies::CommandOutcome;
 use crate::dependencies::CommandReply;
 use crate::dependencies::PollError;
 use crate::dependencies::PollRequest;
@@ -30,6 +31,9 @@
 /// Starts go by way of relays only if the store has confirmed the ownership within this time: a relay
 /// that reaches the store is bound to cancellations that an owner without it does not know.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(1);
+/// A relay that has tried to reach an executor for this long in vain may be cut off from it. A call that
+/// was not sent for its age is answered earlier.
+const MIN_CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Interval at which the choice of relays follows the hosts and executors.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -41,7 +45,16 @@
     ) -> CommandReply<StartAnswer> {
         let relay = self.relay(key, &request.target);
         match relay.filter(|_| self.is_confirmed_lately()) {
-            Some(relay) => relay.start(request).await,
+            Some(relay) => {
+                let sent = self.now();
+                let reply = relay.start(request).await;
+                let now = self.now();
+                let found_no_way = reply.outcome == CommandOutcome::NotSent;
+                if found_no_way && now.since(sent) >= MIN_CONNECT_TIME {
+                    self.relays.bypass(key, now);
+                }
+                reply
+            }
             None => (self.node.dependencies.executors.start)(request).await,
         }
     }
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -102,9 +102,14 @@
                 tokio::time::sleep(RELAY_RETRY_DELAY).await;
             }
             Err(PollError::WrongExecutor | PollError::Failed | PollError::RelayFailed) => {
-                owner.relays.bypass(key, owner.now());
-                owner.record_poll_failure(key);
-                tokio::time::sleep(RETRY_DELAY).await;
+                let had_relay = owner.relays.bypass(key, owner.now());
+                if had_relay && owner.has_answered_lately(key, begun) {
+                    // Asked directly, the executor may answer: only its path to the relay may be cut.
+                    tokio::time::sleep(RELAY_RETRY_DELAY).await;
+                } else {
+                    owner.record_poll_failure(key);
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
             }
         }
         let interval = owner.poll_interval();
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -157,6 +157,9 @@
                     unanswered += 1;
                     self.record_unanswered_start(start, &command_slots);
                     if unanswered < MAX_UNANSWERED_STARTS {
+                        if unanswered + 1 == MAX_UNANSWERED_STARTS {
+                            self.relays.bypass(start.executor, self.now());
+                        }
                         tokio::time::sleep(RETRY_DELAY).await;
                         continue;
                     }
--- a/crates/dispatch/src/relay/pool.rs
+++ b/crates/dispatch/src/relay/pool.rs
@@ -56,12 +56,15 @@
         self.ready.get() > 0
     }
 
-    /// Sends the calls to an executor directly for a while, if its relay carried them so far.
-    pub fn bypass(&self, key: ExecutorKey, now: Mono) {
-        if self.routes.borrow_mut().remove(&key).is_some() {
+    /// Sends the calls to an executor directly for a while, if a relay carried them so far. Returns
+    /// whether that is so.
+    pub fn bypass(&self, key: ExecutorKey, now: Mono) -> bool {
+        let had_relay = self.routes.borrow_mut().remove(&key).is_some();
+        if had_relay {
             let until = now.after(BYPASS_TIME);
             self.bypassed_until.borrow_mut().insert(key, until);
         }
+        had_relay
     }
 
     fn is_bypassed(&self, key: ExecutorKey, now: Mono) -> bool {
--- a/crates/dispatch/tests/all/relays.rs
+++ b/crates/dispatch/tests/all/relays.rs
@@ -303,3 +303,65 @@
         }
     }
 }
+
+/// Cuts the paths of relays to an executor while runs start, go on and end. Returns what went wrong.
+async fn cut_paths(all_relays: bool, after_ms: u64, cut: Duration) -> Vec<String> {
+    let (world, owner) = started(EXECUTORS, THREE).await;
+    let mut relays = others(THREE, &owner);
+    if !all_relays {
+        relays.truncate(1);
+    }
+    for number in 1..=EXECUTORS {
+        let executor = world.fleet.executor(number);
+        executor.task_duration.set(4 * SECOND);
+    }
+    for number in 1..=3 {
+        let spec = long_job(TASKS, 4 * SECOND);
+        world.submit(&owner, number, spec).await;
+    }
+    world.advance(Duration::from_millis(after_ms)).await;
+    let set_cut = |is_cut| {
+        for relay in &relays {
+            for number in 1..=EXECUTORS {
+                let executor = format!("e{number}");
+                world.fleet.callers.cut(relay, &executor, is_cut);
+            }
+        }
+    };
+    set_cut(true);
+    world.advance(cut).await;
+    set_cut(false);
+    world
+        .wait_until_succeeded(&owner, &[1, 2, 3], 20 * SECOND)
+        .await;
+    let mut wrong = Vec::new();
+    let starts = world.fleet.starts.get();
+    if starts != 24 {
+        wrong.push(format!("{starts} starts of 24 tasks"));
+    }
+    for line in log_capture::lines("run_lost") {
+        wrong.push(format!("{line:?}"));
+    }
+    wrong
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cut_between_relays_and_executors_that_live_loses_no_run() {
+    let mut all = Vec::new();
+    for (all_relays, after_ms, cut) in [
+        (false, 4, 10 * SECOND),
+        (true, 4, 3 * SECOND),
+        (false, 1_500, 10 * SECOND),
+        (true, 1_500, 3 * SECOND),
+        (false, 3_900, SECOND),
+        (true, 3_900, 3 * SECOND),
+    ] {
+        let wrong = cut_paths(all_relays, after_ms, cut).await;
+        if !wrong.is_empty() {
+            all.push(format!(
+                "all relays {all_relays}, cut for {cut:?} after {after_ms} ms: {wrong:?}"
+            ));
+        }
+    }
+    assert!(all.is_empty(), "{} cases: {all:#?}", all.len());
+}
