--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod relay_assignment;
 mod relay_sessions;
+mod relay_takeover;
 mod relayed_calls;
 mod relays;
 mod restarts;
