--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod processor_pace;
 mod relay;
 mod relay_assignment;
+mod relay_routes;
 mod relay_sessions;
 mod relay_takeover;
 mod relayed_calls;
--- a/crates/dispatch/tests/all/relay_assignment.rs
+++ b/crates/dispatch/tests/all/relay_assignment.rs
@@ -34,13 +34,15 @@
             },
         });
         let hosts = hosts.collect();
-        let demands = DATA_CENTRES.into_iter().filter_map(|name| {
-            bool::arbitrary(random).then(|| Demand {
-                data_centre: name.into(),
-                executors: usize::from(u16::arbitrary(random) % 3_000) + 1,
-            })
-        });
-        let demands = demands.collect();
+        let mut demands = Vec::new();
+        for name in DATA_CENTRES {
+            if bool::arbitrary(random) {
+                demands.push(Demand {
+                    data_centre: name.into(),
+                    executors: usize::from(u16::arbitrary(random) % 3_000) + 1,
+                });
+            }
+        }
         Self { hosts, demands }
     }
 }
--- a/crates/dispatch/tests/all/relays.rs
+++ b/crates/dispatch/tests/all/relays.rs
@@ -217,6 +217,7 @@
     }
     world.host(&owner).frozen.set(true);
     world.advance(3 * SECOND).await;
+    world.fleet.callers.recorded.set(true);
     world.host(&owner).frozen.set(false);
     world.advance(SECOND / 5).await;
     for host in &rest {
@@ -227,6 +228,11 @@
     }
     let host = world.owner().expect("an owner");
     assert_eq!(host == owner, !succeeded, "the owner is {host}");
+    let epoch = world.host(&host).node.owner().expect("the owner").epoch;
+    let starts = world.fleet.callers.starts.borrow().clone();
+    for start in starts.iter().filter(|start| start.target.epoch < epoch) {
+        panic!("a start of a superseded owner: {start:?}");
+    }
     world.wait_until_succeeded(&host, &[1, 2], 2 * LIMIT).await;
     submit(&world, &host, &[3]).await;
     world.wait_until_succeeded(&host, &[3], LIMIT).await;
