--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod reservation;
 pub mod scheduler;
 mod short_work;
+mod size_share;
 pub mod spec;
 pub mod stall;
 pub mod task;
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -112,6 +112,7 @@
             self.set_urgent(ready.job, rank.outlook == DeadlineOutlook::InTime);
             let tasks = self.place_step(ready, &rank, &mut round, now);
             self.add_shortage(&mut shortages, &rank, ready, now);
+            self.charge_size_class(ready, &rank, tasks);
             if tasks > 0 {
                 self.record_event(Event::Placed {
                     job: ready.job,
--- a/crates/job/src/placement/order.rs
+++ b/crates/job/src/placement/order.rs
@@ -34,6 +34,6 @@
                 rank.outlook == DeadlineOutlook::LongRunning && self.is_interrupted(ready.job);
             (class, !precedes, !is_interrupted, *rank, ready.first_slot)
         });
-        steps
+        self.share_by_size(steps)
     }
 }
--- a/crates/job/src/scheduler/job.rs
+++ b/crates/job/src/scheduler/job.rs
@@ -64,6 +64,8 @@
     pub(super) submitted: Mono,
     /// The job's age at that time. It may exceed the time for which the owner has run.
     pub(super) age_when_submitted: Duration,
+    /// The estimated work of all tasks, in thousandths of a core times milliseconds.
+    pub(crate) work: u64,
     /// The current state.
     pub state: JobState,
     /// The state as stored. Callers are told a final state only once it is stored.
@@ -90,6 +92,16 @@
 }
 
 impl Job {
+    /// Returns whether a task is on an executor or has ended.
+    pub(crate) fn has_begun(&self) -> bool {
+        (self.waiting as usize) < self.tasks.len()
+    }
+
+    /// Returns the number of waiting tasks.
+    pub(crate) const fn waiting(&self) -> u32 {
+        self.waiting
+    }
+
     /// Returns the index of a step's counter in `unfinished`.
     pub(super) fn group(&self, occurrence: u32, step: u32) -> usize {
         occurrence as usize * self.spec.steps.len() + step as usize
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -65,6 +65,7 @@
 use crate::interference::Interference;
 use crate::plan::Plan;
 use crate::short_work::Shortages;
+use crate::size_share::SizeShare;
 use crate::spec::StepSpec;
 use crate::task::StartState;
 use crate::task::Task;
@@ -140,6 +141,8 @@
     pub(crate) idle_services: Set<Arc<str>>,
     /// The short work that has found no room in the latest placement round, by service.
     pub(crate) shortages: Shortages,
+    /// The turns of jobs of different sizes.
+    pub(crate) size_share: SizeShare,
     /// Until when no more executors are kept for short work because none was suitable.
     pub(crate) keep_not_before: Mono,
     /// The mean CPU that short work needs, in thousandths of a core, by service.
@@ -179,6 +182,7 @@
             unstarted_waits: Map::default(),
             idle_services: Set::default(),
             shortages: Shortages::default(),
+            size_share: SizeShare::default(),
             keep_not_before: Mono::ZERO,
             short_demand: Map::default(),
             interrupted_since: Map::default(),
@@ -213,7 +217,8 @@
             unfinished.extend(spec.steps.iter().map(|step| step.count));
         }
         let tasks = vec![Task::default(); spec.task_count()];
-        let job = Job {
+        let mut job = Job {
+            work: 0,
             id: submission.id,
             queue: submission.queue,
             submitted: now,
@@ -231,6 +236,8 @@
             dirty: false,
             store_place: StorePlace::default(),
         };
+        job.work = job.remaining_work();
+        self.size_share.add_job(&job.queue, job.work);
         let id = job.id;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
