--- a/crates/job/src/size_share.rs
+++ b/crates/job/src/size_share.rs
@@ -24,14 +24,9 @@
 /// The part of a queue's jobs that is smaller than those of the second class, and of the third, in
 /// percent.
 const QUANTILES: [usize; CLASSES - 1] = [70, 90];
-/// By how much a whole job of each class advances the pass of its class. It is the inverse of the
-/// class's part of the arrivals and of its weight: of two classes that are both short, the larger jobs
-/// are served at 0.8 or 0.7 of the rate of the smallest.
-const STRIDES: [u64; CLASSES] = [
-    100_000_000 / 70,
-    100_000_000 / (20 * 80 / 100),
-    100_000_000 / (10 * 70 / 100),
-];
+/// By how much a whole job of each class advances the pass of its class: the inverse of the class's
+/// part of the arrivals, so that classes that are all short are served at the same rate.
+const STRIDES: [u64; CLASSES] = [100_000_000 / 70, 100_000_000 / 20, 100_000_000 / 10];
 /// By how much a pass is behind the furthest one at most: a class that had nothing to place, or found
 /// no room, does not take everything once it has.
 const MAX_CREDIT: u64 = 2 * STRIDES[CLASSES - 1];
