--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -78,7 +78,9 @@
         now: Mono,
     ) {
         let waits_for_others = self.has_interrupted_services() && !self.is_interrupted_service(key);
-        let qualifies = (step.long_running && !waits_for_others) || self.is_isolated(key, step);
+        let is_short = !step.long_running && !step.best_effort;
+        let qualifies =
+            is_short || (step.long_running && !waits_for_others) || self.is_isolated(key, step);
         if !qualifies || step.gang || self.waited(key, now) < RESERVE_AFTER {
             return;
         }
