--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -38,6 +38,17 @@
     log::info!(event = "takeover", epoch, earlier, jobs, inherited, took_ms; "");
 }
 
+/// Logs a claim of the ownership in succession of an epoch: its outcome, the round trip to the store
+/// and the delay before it.
+pub fn claim(earlier_epoch: u64, outcome: &str, round_trip_ms: u64, delay_ms: u64) {
+    log::info!(event = "claim", earlier_epoch, outcome, round_trip_ms, delay_ms; "");
+}
+
+/// Logs that this host suspects the owner of being dead, with the reason.
+pub fn owner_suspected(epoch: u64, owner: &str, reason: &str) {
+    log::info!(event = "owner_suspected", epoch, owner, reason; "");
+}
+
 /// Logs an unexpected error that ended a part of the process.
 pub fn panicked(part: &str, error: &str) {
     log::error!(event = "panicked", part, error; "");
@@ -204,6 +215,12 @@
     log::info!(event = "executor", id, reachable, tasks; "");
 }
 
+/// Logs an answer to a poll that came after the executor counted as unreachable, with the time since the
+/// poll was sent and the number of ends that it lists.
+pub fn late_answer(id: &str, took_ms: u64, ends: usize) {
+    log::info!(event = "late_answer", id, took_ms, ends; "");
+}
+
 /// Logs a row that cannot be read and is skipped.
 pub fn unreadable_row(table: &str, key: &str, error: &str) {
     log::warn!(event = "unreadable_row", table, key, error; "");
@@ -215,6 +232,10 @@
     pub timer_delay_ms: u64,
     /// Number of placement rounds.
     pub rounds: u32,
+    /// Number of those in which no start fitted into the window.
+    pub full_rounds: u32,
+    /// Duration of all placement rounds together, in milliseconds.
+    pub rounds_ms: u64,
     /// Duration of the longest placement round, in milliseconds.
     pub longest_round_ms: u64,
     /// Number of tasks placed that could meet their objective.
@@ -279,6 +300,8 @@
     let LoadSummary {
         timer_delay_ms,
         rounds,
+        full_rounds,
+        rounds_ms,
         longest_round_ms,
         in_time,
         in_time_filling,
@@ -308,8 +331,8 @@
         poll_pause_p90_ms,
     } = *load;
     log::info!(
-        event = "owner_load", timer_delay_ms, rounds, longest_round_ms, in_time, in_time_filling,
-        late, hopeless, lasting, in_time_wait_ms, in_time_wait_p90_ms, unstored_jobs,
+        event = "owner_load", timer_delay_ms, rounds, full_rounds, rounds_ms, longest_round_ms, in_time,
+        in_time_filling, late, hopeless, lasting, in_time_wait_ms, in_time_wait_p90_ms, unstored_jobs,
         unstored_starts, transactions, rows, row_bytes, transaction_ms, store_ms, store_p90_ms,
         filling_store_ms, filling_store_p90_ms, slot_p90_ms, answer_ms, answer_p90_ms,
         starts_in_flight, window, polls, ends, poll_pause_ms, poll_pause_p90_ms; ""
--- a/crates/dispatch/tests/all/document.rs
+++ b/crates/dispatch/tests/all/document.rs
@@ -29,8 +29,12 @@
     transfers: RefCell<BTreeMap<String, u32>>,
     /// How long a transfer lasts before its connection breaks, or `None` if transfers succeed.
     breaks_after: Cell<Option<Duration>>,
+    /// How long a transfer lasts that succeeds.
+    transfer_time: Cell<Duration>,
     /// The host that gets no answers.
     silent_for: RefCell<Option<String>>,
+    /// How much longer a read takes for a host.
+    read_delays: RefCell<BTreeMap<String, Duration>>,
 }
 
 impl FakeDocument {
@@ -42,7 +46,9 @@
             changed: Notify::new(),
             transfers: RefCell::default(),
             breaks_after: Cell::new(None),
+            transfer_time: Cell::default(),
             silent_for: RefCell::default(),
+            read_delays: RefCell::default(),
         }
     }
 
@@ -51,11 +57,27 @@
         self.breaks_after.set(Some(duration));
     }
 
+    /// Makes each transfer of the document last this long.
+    pub fn transfers_last(&self, duration: Duration) {
+        self.transfer_time.set(duration);
+    }
+
     /// Gives no more answers to a host.
     pub fn silence_for(&self, host: &str) {
         *self.silent_for.borrow_mut() = Some(host.to_owned());
     }
 
+    /// Makes each read of the whole document by a host take this much longer.
+    pub fn delay_reads_for(&self, host: &str, delay: Duration) {
+        let mut read_delays = self.read_delays.borrow_mut();
+        read_delays.insert(host.to_owned(), delay);
+    }
+
+    fn read_delay(&self, host: &str) -> Duration {
+        let read_delays = self.read_delays.borrow();
+        read_delays.get(host).copied().unwrap_or_default()
+    }
+
     async fn answer(&self, host: &str) -> Result<(), StoreError> {
         if self.silent_for.borrow().as_deref() != Some(host) {
             return Ok(());
@@ -66,6 +88,10 @@
 
     async fn transfer(&self) -> Result<(), StoreError> {
         let Some(duration) = self.breaks_after.get() else {
+            let duration = self.transfer_time.get();
+            if !duration.is_zero() {
+                tokio::time::sleep(duration).await;
+            }
             return Ok(());
         };
         tokio::time::sleep(duration).await;
@@ -119,7 +145,7 @@
                 let (document, host) = (read_document.clone(), read_host.clone());
                 let fault = read_fault.clone();
                 async move {
-                    tokio::time::sleep(CALL_DELAY + distance).await;
+                    tokio::time::sleep(CALL_DELAY + distance + document.read_delay(&host)).await;
                     answers(fault.get())?;
                     document.answer(&host).await?;
                     document.transfer().await?;
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -37,10 +37,16 @@
 use crate::executor::Fleet;
 use crate::executor_calls::advisor;
 use crate::executor_calls::executors;
+use crate::relay::relayed;
 use crate::store::MemoryStore;
 use crate::store::StoreFault;
 use crate::store::store;
 
+/// The capacity of a host unless a test sets another.
+pub const CAPACITY: HostCapacity = HostCapacity {
+    cores: 1.0,
+    link_mbps: 1_000.0,
+};
 /// How long the hosts retain the state of an ended job.
 pub const RETENTION: Duration = Duration::from_secs(10);
 /// Name of the only queue.
@@ -155,6 +161,11 @@
 
     /// Starts the process of a host whose calls to the store take `distance` longer.
     pub fn start_at(&self, name: &str, distance: Duration) {
+        self.start_with(name, distance, CAPACITY);
+    }
+
+    /// Starts the process of a host of this capacity whose calls to the store take `distance` longer.
+    pub fn start_with(&self, name: &str, distance: Duration, capacity: HostCapacity) {
         self.incarnations.set(self.incarnations.get() + 1);
         let store_fault = Rc::new(Cell::new(StoreFault::None));
         let fleet = self.fleet.clone();
@@ -170,7 +181,7 @@
                     async move { Ok(fleet.listings()) }.boxed_local()
                 }),
             },
-            executors: executors(&self.fleet),
+            executors: relayed(&self.fleet, executors(&self.fleet)),
             advisor: advisor(&self.fleet),
             peers: self.peers(),
             logs: Box::new(LogCounts::default),
@@ -179,10 +190,7 @@
             host: name.to_owned(),
             incarnation: self.incarnations.get(),
             peer_address: name.to_owned(),
-            capacity: HostCapacity {
-                cores: 1.0,
-                link_mbps: 1_000.0,
-            },
+            capacity,
         };
         let timing = Timing {
             lease: Duration::from_secs(5),
@@ -232,6 +240,11 @@
         self.hosts.borrow()[name].clone()
     }
 
+    /// Returns whether the process of a host runs.
+    pub fn host_exists(&self, name: &str) -> bool {
+        self.hosts.borrow().contains_key(name)
+    }
+
     /// Kills the process of a host.
     pub fn kill(&self, name: &str) {
         self.hosts.borrow_mut().remove(name);
@@ -252,6 +265,7 @@
                     Some(_) => {}
                 }
             }
+            self.fleet.relay.deliver(&self.fleet);
             tokio::time::advance(Duration::from_millis(1)).await;
         }
     }
