--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -104,15 +104,20 @@
         let mut shortages = Shortages::default();
         let steps = self.steps_in_order(now, unix_ms);
         self.find_unstarted_jobs(&steps, now);
+        let mut is_short = false;
+        let mut untried = steps.len();
         for (rank, ready) in steps {
             let can_wait = rank.outlook.can_wait();
+            untried -= 1;
             if can_wait && used.tasks_that_can_wait >= budget.tasks_that_can_wait {
+                is_short = true;
                 continue;
             }
             self.set_urgent(ready.job, rank.outlook == DeadlineOutlook::InTime);
             let tasks = self.place_step(ready, &rank, &mut round, now);
             self.add_shortage(&mut shortages, &rank, ready, now);
             self.charge_size_class(ready, &rank, tasks);
+            is_short = is_short || self.is_short_of(ready, &rank, now);
             if tasks > 0 {
                 self.record_event(Event::Placed {
                     job: ready.job,
@@ -129,6 +134,7 @@
                 break;
             }
         }
+        self.set_short(is_short || untried > 0);
         self.record_exhaustion(used.tasks >= limit);
         self.set_shortages(shortages);
         used
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -241,7 +241,7 @@
             store_place: StorePlace::default(),
         };
         job.work = job.remaining_work();
-        self.size_share.add_job(&job.queue, job.work);
+        self.size_share.add_job(&job.queue, &job.spec, job.work);
         let id = job.id;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
--- a/crates/job/src/scheduler/retire.rs
+++ b/crates/job/src/scheduler/retire.rs
@@ -137,6 +137,7 @@
         };
         self.by_id.remove(&job.id);
         self.advice.forget(key);
+        self.size_share.remove_job(&job.queue, &job.spec);
         self.open.retain(|open| *open != key);
         let retired_job = RetiredJob {
             state: job.stored_state,
--- a/crates/job/tests/all/size_share.rs
+++ b/crates/job/tests/all/size_share.rs
@@ -3,6 +3,8 @@
 
 use job::placement::RoundBudget;
 
+use crate::fixture::Fixture;
+use crate::fixture::step;
 use crate::stream_world::Served;
 use crate::stream_world::Stream;
 use crate::stream_world::StreamWorld;
@@ -10,6 +12,10 @@
 /// What no stream of the tests uses up.
 const PLENTY: usize = 10_000;
 const SEEDS: [u64; 3] = [1, 2, 3];
+/// The number of the last small job, of the first one of the next class, and of the largest.
+const SMALL: u64 = 21;
+const LARGE: u64 = 22;
+const LARGEST: u64 = 26;
 
 /// Short jobs that need about twice the CPU of all executors.
 const SHORT_OF_CPU: Stream = Stream {
@@ -78,3 +84,43 @@
         ..SHORT_OF_CPU
     });
 }
+
+/// Submits jobs of one task each, the larger ones last.
+fn submit_jobs_of_three_sizes(fixture: &mut Fixture) {
+    for number in 1..=LARGEST {
+        let run_ms = match number {
+            1..=SMALL => 1_000,
+            LARGE..LARGEST => 2_000,
+            _ => 8_000,
+        };
+        fixture.submit(number, vec![step(1, 1, run_ms)]);
+    }
+}
+
+/// Places this many tasks. Returns how long each of them runs.
+fn place(fixture: &mut Fixture, tasks: usize) -> Vec<u64> {
+    let before = fixture.tasks_on(1);
+    fixture.scheduler.place_up_to(tasks, fixture.now, 0);
+    let keys = fixture.tasks_on(1).into_iter();
+    let placed = keys.filter(|key| !before.contains(key));
+    let steps = placed.filter_map(|key| fixture.scheduler.step(key));
+    let mut runs: Vec<u64> = steps.map(|step| step.estimate_ms).collect();
+    runs.sort_unstable();
+    runs
+}
+
+#[test]
+fn smaller_jobs_go_first_until_something_is_short() {
+    let mut fixture = Fixture::new(1);
+    fixture.place();
+    submit_jobs_of_three_sizes(&mut fixture);
+    assert_eq!(place(&mut fixture, 3), [1_000, 1_000, 1_000]);
+    assert_eq!(place(&mut fixture, 3), [1_000, 2_000, 8_000]);
+}
+
+#[test]
+fn a_successor_begins_with_shares() {
+    let mut fixture = Fixture::new(1);
+    submit_jobs_of_three_sizes(&mut fixture);
+    assert_eq!(place(&mut fixture, 3), [1_000, 2_000, 8_000]);
+}
