--- a/crates/job/src/placement/round.rs
+++ b/crates/job/src/placement/round.rs
@@ -25,6 +25,9 @@
     pub(crate) reserved: Map<TaskKey, ExecutorKey>,
     /// The jobs of these tasks when the round began.
     pub(super) reserved_jobs: Set<JobKey>,
+    /// Whether an executor was looked for to be reserved for short work. That takes a scan of all
+    /// executors, and hundreds of steps may wait.
+    pub(crate) has_reserved_for_short_work: bool,
 }
 
 /// What a task needs from its executor.
@@ -50,6 +53,7 @@
             unmet: Vec::new(),
             reserved_jobs: reserved.keys().map(|key| key.job).collect(),
             reserved,
+            has_reserved_for_short_work: false,
         }
     }
 
--- a/crates/job/src/placement/step.rs
+++ b/crates/job/src/placement/step.rs
@@ -72,7 +72,7 @@
             self.begin_wait(key, step, now);
             let Some(executor) = self.choose_executor(key, step, &mut choice, round, now) else {
                 self.request_advice(ready, key, now);
-                self.reserve_executor_for(key, step, round, now);
+                self.reserve_executor_for(key, step, rank.outlook, round, now);
                 if self.is_isolated(key, step) {
                     continue;
                 }
--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -1,7 +1,7 @@
-//! Reserves executors for long-running tasks that find no free resources.
+//! Reserves executors for tasks that find no free resources.
 //!
-//! Without reservations, a continuous stream of short tasks takes each fragment of capacity as soon
-//! as it is freed. A larger long-running task then starves for as long as the load lasts, although
+//! Without reservations, a continuous stream of small short tasks takes each fragment of capacity as
+//! soon as it is freed. A larger task then starves for as long as the load lasts, although
 //! many times the resources that it needs become free every second. While an executor is reserved
 //! for such a task, no other task starts there.
 
@@ -14,6 +14,7 @@
 use crate::fleet::Executor;
 use crate::fleet::ExecutorKey;
 use crate::placement::Round;
+use crate::ranking::DeadlineOutlook;
 use crate::scheduler::Scheduler;
 use crate::scheduler::TaskKey;
 use crate::spec::StepSpec;
@@ -67,18 +68,21 @@
             .collect()
     }
 
-    /// Reserves an executor for a task that has waited too long for one: a long-running task for free
-    /// resources, an isolated one for an executor where no other task is new.
-    /// The executor that lacks least is chosen.
+    /// Reserves an executor for a task that has waited too long for one: a long-running task, or a
+    /// short one that has value, for free resources; an isolated one for an executor where no other
+    /// task is new. The executor that lacks least is chosen.
     pub(crate) fn reserve_executor_for(
         &mut self,
         key: TaskKey,
         step: &StepSpec,
+        outlook: DeadlineOutlook,
         round: &mut Round,
         now: Mono,
     ) {
         let waits_for_others = self.has_interrupted_services() && !self.is_interrupted_service(key);
-        let is_short = !step.long_running && !step.best_effort;
+        let is_short = matches!(outlook, DeadlineOutlook::InTime | DeadlineOutlook::Late)
+            && !step.best_effort
+            && !round.has_reserved_for_short_work;
         let qualifies =
             is_short || (step.long_running && !waits_for_others) || self.is_isolated(key, step);
         if !qualifies || step.gang || self.waited(key, now) < RESERVE_AFTER {
@@ -88,6 +92,7 @@
         if round.reserved.contains_key(&key) || round.reserved.len() >= limit {
             return;
         }
+        round.has_reserved_for_short_work |= is_short;
         let best = self
             .fleet
             .iter()
