--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -114,6 +114,7 @@
                 continue;
             }
             self.set_urgent(ready.job, rank.outlook == DeadlineOutlook::InTime);
+            self.expect_short_work(ready, &rank, now);
             let tasks = self.place_step(ready, &rank, &mut round, now);
             self.add_shortage(&mut shortages, &rank, ready, now);
             self.charge_size_class(ready, &rank, tasks);
--- a/crates/job/src/scheduler/job.rs
+++ b/crates/job/src/scheduler/job.rs
@@ -122,12 +122,15 @@
             .map_or(Duration::ZERO, |since| now.since(since))
     }
 
-    /// Begins the wait of a task's step, unless it waits already.
-    pub(crate) fn begin_wait(&mut self, slot: u32, now: Mono) {
+    /// Begins the wait of a task's step, unless it waits already. Returns whether it did not.
+    pub(crate) fn begin_wait(&mut self, slot: u32, now: Mono) -> bool {
         let group = self.group_of(slot);
-        if let Some(since) = self.waits_since.get_mut(group) {
-            since.get_or_insert(now);
-        }
+        let Some(since) = self.waits_since.get_mut(group) else {
+            return false;
+        };
+        let begins = since.is_none();
+        since.get_or_insert(now);
+        begins
     }
 
     /// Begins the wait of a task's step anew.
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -64,6 +64,8 @@
 use crate::id::TaskId;
 use crate::interference::Interference;
 use crate::plan::Plan;
+use crate::short_work::ExpectedShortWork;
+use crate::short_work::ShortDemand;
 use crate::short_work::Shortages;
 use crate::size_share::SizeShare;
 use crate::spec::StepSpec;
@@ -149,7 +151,9 @@
     /// Until when no more executors are kept for short work because none was suitable.
     pub(crate) keep_not_before: Mono,
     /// The mean CPU that short work needs, in thousandths of a core, by service.
-    pub(crate) short_demand: Map<Arc<str>, u64>,
+    pub(crate) short_demand: Map<Arc<str>, ShortDemand>,
+    /// The short work that would run now if all had started as soon as it was ready.
+    pub(crate) expected_short_work: Vec<ExpectedShortWork>,
     /// Since when each long-running task that had a run is without one.
     pub(crate) interrupted_since: Map<TaskKey, Mono>,
     /// The jobs of these tasks.
@@ -189,6 +193,7 @@
             size_share: SizeShare::default(),
             keep_not_before: Mono::ZERO,
             short_demand: Map::default(),
+            expected_short_work: Vec::new(),
             interrupted_since: Map::default(),
             interrupted_jobs: Set::default(),
             commands: Vec::new(),
--- a/crates/job/src/short_work.rs
+++ b/crates/job/src/short_work.rs
@@ -77,6 +77,37 @@
     freed: Size,
 }
 
+/// Short work of a step that became ready.
+#[derive(Clone, Debug)]
+pub(crate) struct ExpectedShortWork {
+    service: Arc<str>,
+    cpu_millis: u64,
+    /// When it would end if it had started at once.
+    until: Mono,
+}
+
+/// The mean CPU that short work of a service needs, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ShortDemand {
+    /// What runs uses.
+    used: u64,
+    /// What would run if all work started as soon as it is ready. Work that waits counts for as long
+    /// as it takes, however long it waits.
+    expected: u64,
+}
+
+impl ShortDemand {
+    /// Less runs while there is no room, and estimates may be too low.
+    fn cpu_millis(&self) -> u64 {
+        self.used.max(self.expected)
+    }
+}
+
+/// Returns the mean with one more observation.
+const fn smoothed(mean: u64, observed: u64) -> u64 {
+    mean - mean / DEMAND_SMOOTHING + observed / DEMAND_SMOOTHING
+}
+
 /// The shortages of short work, by service.
 pub(crate) type Shortages = Map<Arc<str>, Shortage>;
 
@@ -138,7 +169,7 @@
     /// Gives back executors that short work does not use, and keeps others while it finds no room.
     pub(crate) fn keep_executors_for_short_work(&mut self, now: Mono) {
         self.give_back_unused_executors(now);
-        self.observe_short_demand();
+        self.observe_short_demand(now);
         let shortages: Vec<(Arc<str>, Shortage)> = self
             .shortages
             .iter()
@@ -161,7 +192,10 @@
 
     fn keep_executors_of(&mut self, service: &str, shortage: Shortage, now: Mono) {
         let mut cpu = self.service_cpu(service, now);
-        let demand = self.short_demand.get(service).copied().unwrap_or(0);
+        let demand = self
+            .short_demand
+            .get(service)
+            .map_or(0, ShortDemand::cpu_millis);
         let owed = (demand / 100 * OWED_PERCENT).min(cpu.all / MAX_OWED_DIVISOR);
         let limit = cpu.all.saturating_sub(owed + cpu.all / FRAGMENTS_DIVISOR);
         let is_met = cpu.coming >= shortage.cpu_millis || cpu.long_running <= limit;
@@ -244,26 +278,61 @@
         cpu
     }
 
-    /// Updates the mean demand of short work: what it uses, and what it needs and does not find.
-    fn observe_short_demand(&mut self) {
-        let mut demand: Map<Arc<str>, u64> = Map::default();
+    /// Counts the tasks of a step that can be in time, if the step is ready for the first time.
+    pub(crate) fn expect_short_work(&mut self, ready: ReadyStep, rank: &Rank, now: Mono) {
+        if rank.outlook != DeadlineOutlook::InTime {
+            return;
+        }
+        let Some(job) = self.job_mut(ready.job) else {
+            return;
+        };
+        if !job.begin_wait(ready.first_slot, now) {
+            return;
+        }
+        let (spec, queue) = (job.spec.clone(), job.queue.clone());
+        let Some(queue) = self.plan.queue(&queue) else {
+            return;
+        };
+        let service = queue.service.clone();
+        let step = &spec.steps[ready.step as usize];
+        let slots = ready.first_slot..ready.first_slot + step.count;
+        let keys = slots.map(|slot| TaskKey {
+            job: ready.job,
+            slot,
+        });
+        let tasks = keys.filter(|key| self.may_start(*key, now)).count();
+        let tasks = u64::try_from(tasks).unwrap_or(u64::MAX);
+        self.expected_short_work.push(ExpectedShortWork {
+            service,
+            cpu_millis: tasks.saturating_mul(step.size.cpu_millis),
+            until: now.after(Duration::from_millis(step.estimate_ms)),
+        });
+    }
+
+    /// Updates the mean demand of short work.
+    fn observe_short_demand(&mut self, now: Mono) {
+        let mut observed: Map<Arc<str>, ShortDemand> = Map::default();
         let executors = self.fleet.iter().map(|(_, executor)| executor);
         for executor in executors.filter(|executor| executor.listed) {
             let service = &executor.listing.service;
-            match demand.get_mut(service) {
-                Some(used) => *used += executor.batch_cpu_millis,
+            match observed.get_mut(service) {
+                Some(demand) => demand.used += executor.batch_cpu_millis,
                 None => {
-                    demand.insert(service.clone(), executor.batch_cpu_millis);
+                    let used = executor.batch_cpu_millis;
+                    let demand = ShortDemand { used, expected: 0 };
+                    observed.insert(service.clone(), demand);
                 }
             }
         }
-        for (service, shortage) in &self.shortages {
-            let service = demand.entry(service.clone()).or_default();
-            *service = service.saturating_add(shortage.cpu_millis);
+        self.expected_short_work.retain(|work| now < work.until);
+        for work in &self.expected_short_work {
+            let demand = observed.entry(work.service.clone()).or_default();
+            demand.expected = demand.expected.saturating_add(work.cpu_millis);
         }
-        for (service, observed) in demand {
+        for (service, observed) in observed {
             let mean = self.short_demand.entry(service).or_default();
-            *mean = *mean - *mean / DEMAND_SMOOTHING + observed / DEMAND_SMOOTHING;
+            mean.used = smoothed(mean.used, observed.used);
+            mean.expected = smoothed(mean.expected, observed.expected);
         }
     }
 
