--- a/crates/dispatch/tests/all/relay_assignment.rs
+++ b/crates/dispatch/tests/all/relay_assignment.rs
@@ -26,6 +26,7 @@
     fn arbitrary(random: &mut Gen) -> Self {
         let count = usize::arbitrary(random) % 40;
         let hosts = (0..count).map(|number| HostInfo {
+            host: format!("host-{number}").into(),
             relay_address: format!("host-{number}").into(),
             data_centre: (*random.choose(&DATA_CENTRES).expect("a name")).into(),
             capacity: HostCapacity {
@@ -159,6 +160,7 @@
     const EXECUTORS: u32 = 6_000;
     let hosts: Vec<HostInfo> = (0..6)
         .map(|number| HostInfo {
+            host: format!("host-{number}").into(),
             relay_address: format!("host-{number}").into(),
             data_centre: "north".into(),
             capacity: HostCapacity {
--- a/crates/dispatch/tests/all/relay_routes.rs
+++ b/crates/dispatch/tests/all/relay_routes.rs
@@ -63,6 +63,7 @@
 
 fn info((address, data_centre): (&str, &str)) -> HostInfo {
     HostInfo {
+        host: address.into(),
         relay_address: address.into(),
         data_centre: data_centre.into(),
         capacity: CAPACITY,
--- a/crates/job/src/placement/order.rs
+++ b/crates/job/src/placement/order.rs
@@ -56,7 +56,7 @@
                 ready.first_slot,
             )
         });
-        steps
+        self.share_by_size(steps)
     }
 
     /// Returns the kind of work that goes first in this round, if it has a turn.
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -64,7 +64,10 @@
 use crate::id::TaskId;
 use crate::interference::Interference;
 use crate::plan::Plan;
+use crate::short_work::ExpectedShortWork;
+use crate::short_work::ShortDemand;
 use crate::short_work::Shortages;
+use crate::size_share::SizeShare;
 use crate::spec::StepSpec;
 use crate::task::StartState;
 use crate::task::Task;
@@ -143,10 +146,14 @@
     pub(crate) idle_services: Set<Arc<str>>,
     /// The short work that has found no room in the latest placement round, by service.
     pub(crate) shortages: Shortages,
+    /// The turns of jobs of different sizes.
+    pub(crate) size_share: SizeShare,
     /// Until when no more executors are kept for short work because none was suitable.
     pub(crate) keep_not_before: Mono,
     /// The mean CPU that short work needs, in thousandths of a core, by service.
-    pub(crate) short_demand: Map<Arc<str>, u64>,
+    pub(crate) short_demand: Map<Arc<str>, ShortDemand>,
+    /// The short work that would run now if all had started as soon as it was ready.
+    pub(crate) expected_short_work: Vec<ExpectedShortWork>,
     /// Since when each long-running task that had a run is without one.
     pub(crate) interrupted_since: Map<TaskKey, Mono>,
     /// The jobs of these tasks.
@@ -183,8 +190,10 @@
             unstarted_waits: Map::default(),
             idle_services: Set::default(),
             shortages: Shortages::default(),
+            size_share: SizeShare::default(),
             keep_not_before: Mono::ZERO,
             short_demand: Map::default(),
+            expected_short_work: Vec::new(),
             interrupted_since: Map::default(),
             interrupted_jobs: Set::default(),
             commands: Vec::new(),
@@ -217,7 +226,8 @@
             unfinished.extend(spec.steps.iter().map(|step| step.count));
         }
         let tasks = vec![Task::default(); spec.task_count()];
-        let job = Job {
+        let mut job = Job {
+            work: 0,
             id: submission.id,
             queue: submission.queue,
             submitted: now,
@@ -235,6 +245,8 @@
             dirty: false,
             store_place: StorePlace::default(),
         };
+        job.work = job.remaining_work();
+        self.size_share.add_job(&job.queue, &job.spec, job.work);
         let id = job.id;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
