--- a/crates/job/src/placement/room.rs
+++ b/crates/job/src/placement/room.rs
@@ -18,11 +18,14 @@
 use crate::short_work::is_kept;
 use crate::spec::StepSpec;
 
+/// The name of a service and what is free on its executors.
+type ServiceRooms = (Arc<str>, Arc<[Room]>);
+
 /// What is free on the executors that accept tasks, by service. It is found out when a step of the
 /// round first needs it.
 #[derive(Debug, Default)]
 pub(crate) struct RoomIndex {
-    services: OnceCell<Vec<(Arc<str>, Arc<[Room]>)>>,
+    services: OnceCell<Vec<ServiceRooms>>,
 }
 
 /// What is free on one executor.
@@ -91,7 +94,7 @@
 }
 
 /// Returns what is free on the executors, by service; those with the most spare CPU come first.
-fn rooms_by_service(fleet: &Fleet, now: Mono) -> Vec<(Arc<str>, Arc<[Room]>)> {
+fn rooms_by_service(fleet: &Fleet, now: Mono) -> Vec<ServiceRooms> {
     let mut services: Vec<(Arc<str>, Vec<Room>)> = Vec::new();
     for (key, executor) in fleet.iter().filter(|(_, one)| one.accepts_tasks(now)) {
         let room = Room {
