--- a/crates/dispatch/tests/all/handover.rs
+++ b/crates/dispatch/tests/all/handover.rs
@@ -102,18 +102,28 @@
 
 #[tokio::test(start_paused = true)]
 async fn nothing_is_sent_after_a_release_on_shutdown_whose_answer_was_lost() {
-    let world = with_weak_owner().await;
-    let weak = world.host(WEAK);
-    weak.store_fault.set(StoreFault::LosesAnswersToReleases);
-    let node = weak.node.clone();
-    world
-        .run_on(WEAK, async move {
-            tokio::task::spawn_local(async move { node.drain().await });
-        })
-        .await;
-    wait_for_release(&world, SECOND).await;
-    world.host(STRONG).frozen.set(true);
-    assert_silent_after_release(&world).await;
+    for starts_hang in [false, true] {
+        let world = with_weak_owner().await;
+        let weak = world.host(WEAK);
+        weak.store_fault.set(StoreFault::LosesAnswersToReleases);
+        for number in [1, 2] {
+            world.fleet.executor(number).hangs_starts.set(starts_hang);
+        }
+        // Starts that are not answered are repeated.
+        world.submit(WEAK, 2, job(2)).await;
+        world.advance(SECOND / 5).await;
+        let node = weak.node.clone();
+        world
+            .run_on(WEAK, async move {
+                tokio::task::spawn_local(async move { node.drain().await });
+            })
+            .await;
+        wait_for_release(&world, SECOND).await;
+        world.host(STRONG).frozen.set(true);
+        let hung = world.fleet.executor(1).hung_starts.borrow().len();
+        assert_eq!(hung > 0, starts_hang);
+        assert_silent_after_release(&world).await;
+    }
 }
 
 #[tokio::test(start_paused = true)]
@@ -147,7 +157,7 @@
 #[tokio::test(start_paused = true)]
 async fn other_hosts_follow_if_the_named_one_is_lost_before_it_claims() {
     let world = with_weak_owner().await;
-    start_weak(&world, "other");
+    world.start_with("other", Duration::ZERO, capacity(0.4, 200.0));
     let released = wait_for_release(&world, RELEASED).await;
     world.host(STRONG).frozen.set(true);
     world.advance(SECOND).await;
