--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -134,7 +134,12 @@
         wait_for_document(node).await;
         let delay = match handover::claim_turn(&node.identity, &row.record) {
             ClaimTurn::Now => Duration::ZERO,
-            ClaimTurn::After(wait) => wait + claim_delay(node, round_trip),
+            ClaimTurn::After(wait) => {
+                if is_followed_within(node, row.version, wait).await {
+                    return;
+                }
+                claim_delay(node, round_trip)
+            }
         };
         tokio::time::sleep(delay).await;
         claim_and_log(node, &row.record, row.version, (round_trip, delay)).await;
@@ -149,6 +154,11 @@
             PeerRequest::Ping
         };
         let pong = match check(node, &address, &row.record, request).await {
+            Ok(pong) if pong.accepts_reports && !accepts_reports => {
+                // A new owner may need the report at once.
+                accepts_reports = true;
+                continue;
+            }
             Ok(pong) => pong,
             Err(suspicion) => break suspicion,
         };
@@ -162,6 +172,21 @@
     watch_suspect(node, row, round_trip).await;
 }
 
+/// Waits for so long for the successor that the released row names. Returns whether the row has
+/// changed.
+async fn is_followed_within(node: &Node, version: u64, wait: Duration) -> bool {
+    let end = node.now().after(wait);
+    while node.now() < end && !node.draining.is_cancelled() {
+        tokio::time::sleep(SUSPECT_READ_INTERVAL).await;
+        if let Ok(Some(row)) = read_owner_row(node).await
+            && row.version != version
+        {
+            return true;
+        }
+    }
+    false
+}
+
 /// Records an owner, so that a hand-over that was not followed is not tried again soon.
 fn observe(node: &Node, record: &OwnerRecord) {
     let mut handovers = node.handovers.borrow_mut();
--- a/crates/dispatch/src/handover.rs
+++ b/crates/dispatch/src/handover.rs
@@ -67,23 +67,30 @@
     if owner.owned_for < MIN_OWNED || owner.unconfirmed_for > MAX_UNCONFIRMED {
         return None;
     }
-    strongest_ready_host(owner.store_round_trip, candidates, |candidate| {
-        is_much_stronger(candidate.capacity, owner.capacity)
-    })
+    strongest_ready_host(
+        owner.store_round_trip,
+        candidates,
+        |candidate, ready_for| {
+            ready_for >= MIN_READY && is_much_stronger(candidate.capacity, owner.capacity)
+        },
+    )
 }
 
 /// Returns the strongest of the hosts that are ready, not much farther from the store than the owner
-/// and `suitable`.
+/// and `suitable`, which is told for how long a host has been ready.
 pub fn strongest_ready_host(
     owner_round_trip: Duration,
     candidates: &[Candidate],
-    suitable: impl Fn(&Candidate) -> bool,
+    suitable: impl Fn(&Candidate, Duration) -> bool,
 ) -> Option<&Candidate> {
     candidates
         .iter()
-        .filter(|candidate| candidate.ready_for.is_some_and(|time| time >= MIN_READY))
         .filter(|candidate| !relay::is_far(candidate.store_round_trip, owner_round_trip))
-        .filter(|candidate| suitable(candidate))
+        .filter(|candidate| {
+            candidate
+                .ready_for
+                .is_some_and(|time| suitable(candidate, time))
+        })
         .max_by(|left, right| {
             strength(left.capacity)
                 .total_cmp(&strength(right.capacity))
--- a/crates/dispatch/src/owner/release.rs
+++ b/crates/dispatch/src/owner/release.rs
@@ -50,7 +50,7 @@
         let store_round_trip = self.node.document.store_round_trip();
         if self.stopping.get() {
             let successor = store_round_trip.and_then(|round_trip| {
-                handover::strongest_ready_host(round_trip, &candidates, |_| true)
+                handover::strongest_ready_host(round_trip, &candidates, |_, _| true)
             });
             return Some(Release {
                 reason: ReleaseReason::Shutdown,
