--- a/crates/dispatch/src/handover.rs
+++ b/crates/dispatch/src/handover.rs
@@ -77,7 +77,7 @@
 }
 
 /// Returns the strongest of the hosts that are ready, not much farther from the store than the owner
-/// and `suitable`, which is told for how long a host has been ready.
+/// and `suitable`, which receives for how long a host has been ready.
 pub fn strongest_ready_host(
     owner_round_trip: Duration,
     candidates: &[Candidate],
--- a/crates/dispatch/src/relay/assignment.rs
+++ b/crates/dispatch/src/relay/assignment.rs
@@ -1,7 +1,7 @@
 //! Decides which hosts relay the calls to which executors.
 //!
-//! Answers the load of an owner whose processor or link does not suffice for the calls to all
-//! executors, while other hosts are idle. The functions here are pure.
+//! The load that this answers: the calls to all executors exceed the processor or the link of the
+//! owner, while other hosts are idle. The functions here are pure.
 
 use std::sync::Arc;
 
--- a/crates/dispatch/src/relay/mod.rs
+++ b/crates/dispatch/src/relay/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! The calls to hundreds of executors exceed the processor and the link of one host, while the other
 //! hosts are idle. The owner therefore decides and sends its calls in batches to relays, which carry
-//! them out and return the answers in batches. A relay keeps no state about runs: to the owner it is
-//! a part of the network that may delay, lose or repeat nothing but a call that the network could
-//! have delayed or lost as well. See "Relays" in `docs/JOBS.md`.
+//! them out and return the answers in batches. A relay keeps no state about runs. To the owner it is
+//! a part of the network: a call that a relay delays or loses is handled like one that the network
+//! delayed or lost. See "Relays" in `docs/JOBS.md`.
 //!
 //! [`pool`] is the owner's side: [`assignment`] decides which hosts relay the calls to which
 //! executors, and [`link`] is the connection to one of them. [`server`] is the relay's side.
