--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -307,7 +307,7 @@
 }
 
 /// How long an executor is cut off.
-const CUT_TIME: Duration = Duration::from_millis(9_000);
+const CUT_TIME: Duration = Duration::from_millis(5_500);
 
 /// An executor is cut off once. Later it runs many short tasks that only it may run.
 fn cut(has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, String> {
