--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -D warnings -o target/review/standins review/standins/main.rs
+rustc --edition 2024 -O -D warnings -o target/review/standins review/standins.rs
--- a/review/standins/cases.rs
+++ b/review/cases.rs
@@ -199,7 +199,7 @@
             return Ok(Verdict::Held(text));
         }
         if Instant::now() > deadline {
-            return Ok(Verdict::Broken(format!("{text}; it has not ended")));
+            return Err(format!("{text}; it has not ended"));
         }
         pause(1_000);
     }
@@ -211,6 +211,8 @@
 const LATE_BY: Duration = Duration::from_millis(5_800);
 /// `cancel_ms` of the settings.
 const CANCEL: Duration = Duration::from_millis(3_000);
+/// `stable_window_ms` of the settings.
+const STABLE: Duration = Duration::from_millis(4_000);
 
 /// Clients that got no acceptance cancel their jobs, and the store does the writes later.
 fn late(has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, String> {
@@ -257,10 +259,15 @@
     for (job, at) in &cancelled {
         let summary = deployment.jobs.summary(job);
         let (status, state) = deployment.state(&ROUTE, job);
+        // The store is stable again a while after the disruption.
+        let stable = begins
+            .lock()
+            .unwrap()
+            .map(|begun| begun + LOSS_TIME + STABLE);
         let late_starts = summary
             .starts
             .iter()
-            .filter(|start| **start > *at + CANCEL)
+            .filter(|start| **start > *at + CANCEL && stable.is_none_or(|from| **start > from))
             .count();
         if late_starts > 0 {
             let last = summary
@@ -281,7 +288,7 @@
     }
 }
 
-/// Hands a job in once. A client without an acceptance cancels it and leaves; so does each third
+/// Hands a job in once. A client without an acceptance cancels it and leaves; so does each ninth
 /// client in any case. Returns the job and when its cancelling was answered with 2xx or 410.
 fn hand_in_or_cancel(deployment: &Deployment, number: u64) -> Option<(String, Instant)> {
     pause(60 * number);
@@ -291,7 +298,7 @@
     let answer = deployment.call("POST", &path, &body);
     if let Some((200..=299, _)) = answer {
         deployment.jobs.accepted(&job);
-        if number % 3 != 2 {
+        if number % 9 != 8 {
             return None;
         }
     }
@@ -406,33 +413,46 @@
     }
 }
 
-/// How many times as long the large tasks take as the others.
-const LONG_FACTOR: u64 = 12;
-
-/// Every second job takes 12 times as long as the others, and says so. One executor may run them.
+/// How many times as long some jobs take.
+const LONG_FACTOR: u64 = 20;
+/// Number of jobs that come within the time in which some of them take long.
+const MIXED_JOBS: u64 = 120;
+/// One job in this many takes long.
+const LONG_INTERVAL: u64 = 20;
+/// For 3 s one job in 20 takes 20 times as long as usual, some two minutes, and says so. Later, in a
+/// calm system, only sound short jobs come.
 fn long(has_trouble: bool, record: &Arc<Record>) -> Result<Verdict, String> {
     let labels = ["b", "a", "a", "a", "a", "a"];
     let deployment = Deployment::start(3, &labels, &[ROUTE], record, Box::new(usual))?;
     pause(2_000);
-    let ids: Vec<String> = (0..14).map(id).collect();
-    for (number, job) in ids.iter().enumerate() {
-        let is_long = has_trouble && number % 2 == 0;
-        let work_ms = 20_000 * if is_long { LONG_FACTOR } else { 1 };
-        let step = Step {
-            count: 1,
-            cpu: 2_000,
-            mem_mb: 2_048,
-            estimated_ms: work_ms,
-            work_ms,
-            label: String::from("b"),
-            ..Step::default()
-        };
-        deployment.submit(&ROUTE, job, vec![step]);
-        pause(1_700);
+    let mut long_jobs = Vec::new();
+    for number in 0..MIXED_JOBS {
+        if number % LONG_INTERVAL == 0 {
+            let usual_ms = 5_300 + 12 * number;
+            let work_ms = usual_ms * if has_trouble { LONG_FACTOR } else { 1 };
+            let step = Step {
+                count: 1,
+                cpu: 2_000,
+                mem_mb: 2_048,
+                estimated_ms: work_ms,
+                work_ms,
+                label: String::from("b"),
+                ..Step::default()
+            };
+            deployment.submit(&ROUTE, &id(number), vec![step]);
+            long_jobs.push(id(number));
+        } else {
+            deployment.submit(&ROUTE, &id(number), short_job());
+        }
+        pause(18);
     }
-    pause(16_000);
-    let verdict = judge_stalls(&deployment, &ids)?;
-    for job in &ids {
+    record.add("the last job that takes long has come");
+    std::thread::sleep(STABLE);
+    deployment.jobs.forget_stalls();
+    record.add("the system is calm");
+    let short_jobs = send_short_jobs(&deployment, 1_000, 40);
+    let verdict = judge_stalls(&deployment, &[long_jobs.clone(), short_jobs].concat())?;
+    for job in &long_jobs {
         let summary = deployment.jobs.summary(job);
         record.add(&format!(
             "{job}: {} of {} tasks done after {} runs, of which {} ended `failed`",
--- a/review/standins/job.rs
+++ b/review/job.rs
@@ -226,6 +226,14 @@
         }
     }
 
+    /// Begins the measure of waits anew.
+    pub fn forget_stalls(&self) {
+        for job in self.jobs.lock().unwrap().values_mut() {
+            job.stalled_since = None;
+            job.longest_stall_ms = 0;
+        }
+    }
+
     /// Measures for how long accepted jobs have nothing running while a task's turn has come, there
     /// is room for it twice over on one executor with its label, and less than half of the service is in use.
     pub fn watch(&self, free: &[Room], is_half_free: bool) {
