fix(job): judge progress by what is expected of a task, and spare healthy executors

Reports round progress down to whole percent. A task of more than 100 s often gains none within 1 s, was taken for stalled, stopped and restarted, and its executor rested for 2.5 s each time.

A lack of progress now counts after eight times the time in which one percent is expected, the rate counts the rounding in the task's favour, and a task is stopped three times at most (in its record, so that the count outlasts owners). An executor rests only if tasks of two jobs stalled there while none progressed; after one stall other executors are preferred.

--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -203,6 +203,13 @@
     log::info!(event = "executor_rests", id, job, step, index, why; "");
 }
 
+/// Logs that a run is stopped because it made too little progress, how often that happened to its task,
+/// and whether the task or the executor is the cause.
+pub fn run_stalled(task: TaskId, executor: &str, stalls: u32, cause: &str) {
+    let (job, step, index) = (task.job.as_str(), task.step, task.index);
+    log::info!(event = "run_stalled", job, step, index, executor, stalls, cause; "");
+}
+
 /// Logs that a job fails because this number of executors have crashed in a row under one of its
 /// tasks.
 pub fn task_given_up(task: TaskId, executor: &str, crashes: u32) {
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -96,6 +96,8 @@
     pub run_ends: Family<OutcomeLabel, Counter>,
     /// Lost runs by cause.
     pub lost_runs: Family<OutcomeLabel, Counter>,
+    /// Runs that were stopped because they made too little progress, by cause.
+    pub stalled_runs: Family<OutcomeLabel, Counter>,
     /// Failed runs.
     pub failed_runs: Counter,
     /// Tasks that were given up because executors crashed under them.
@@ -128,6 +130,7 @@
             advice: Family::default(),
             run_ends: Family::default(),
             lost_runs: Family::default(),
+            stalled_runs: Family::default(),
             failed_runs: Counter::default(),
             tasks_given_up: Counter::default(),
             jobs_ended: Family::default(),
@@ -171,6 +174,12 @@
             "Runs that were lost",
             &self.lost_runs,
         );
+        register(
+            registry,
+            "stalled_runs",
+            "Runs that were stopped because they made too little progress",
+            &self.stalled_runs,
+        );
         register(
             registry,
             "failed_runs",
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -153,6 +153,22 @@
                 events::cooldown_started(executor_name(scheduler, *executor), id, reason.as_str());
             }
         }
+        Event::RunStalled {
+            task,
+            executor,
+            stalls,
+            cause,
+        } => {
+            let outcome = cause.as_str();
+            metrics
+                .stalled_runs
+                .get_or_create(&OutcomeLabel { outcome })
+                .inc();
+            if let Some(id) = scheduler.task_id(*task) {
+                let executor = executor_name(scheduler, *executor);
+                events::run_stalled(id, executor, *stalls, outcome);
+            }
+        }
         Event::TaskGivenUp {
             task,
             executor,
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -121,6 +121,8 @@
     pub relaxed_tasks: u32,
     /// The measurements used for the latest interference estimate.
     pub baseline: crate::interference::Baseline,
+    /// The stalls on the executor.
+    pub stalls: crate::fault_attribution::StallEvidence,
     /// Distinct jobs that failed on the executor since the last run that succeeded there.
     pub failed_jobs: Vec<crate::scheduler::JobKey>,
 }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod advice;
 pub mod durations;
+pub mod fault_attribution;
 pub mod fleet;
 pub mod id;
 pub mod interference;
--- a/crates/job/src/placement/constraints.rs
+++ b/crates/job/src/placement/constraints.rs
@@ -92,7 +92,7 @@
 }
 
 /// Returns whether an executor is in the rack of a step's data, or the step names none.
-pub(super) fn near_data(executor: &Executor, step: &StepSpec) -> bool {
+pub(crate) fn near_data(executor: &Executor, step: &StepSpec) -> bool {
     step.data_rack
         .as_ref()
         .is_none_or(|rack| executor.has_label(rack))
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) use self::best_effort::MAX_CAUSED_LOG;
 pub(crate) use self::best_effort::caused_log;
 pub(crate) use self::best_effort::has_spare_cpu;
-use self::constraints::near_data;
+pub(crate) use self::constraints::near_data;
 pub(crate) use self::room::RoomIndex;
 pub(crate) use self::round::Round;
 use crate::fleet::Executor;
@@ -53,6 +53,8 @@
 pub(crate) struct Preference {
     /// Whether the task's latest failed or stalled run was not on this executor.
     not_failed_here: bool,
+    /// Whether no task has stalled on the executor recently.
+    not_suspected: bool,
     /// How bad it is to start the task beside those on the executor, if one of them may crash it.
     exposure: Reverse<usize>,
     /// Whether the executor is suitable without relaxed conditions.
@@ -66,12 +68,17 @@
 impl Preference {
     /// Returns whether only a higher score could make another executor better.
     fn is_limited_by_score_only(&self) -> bool {
-        self.not_failed_here && self.exposure.0 == 0 && self.unrelaxed && self.near_data
+        self.not_failed_here
+            && self.not_suspected
+            && self.exposure.0 == 0
+            && self.unrelaxed
+            && self.near_data
     }
 
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
         self.not_failed_here
             .cmp(&other.not_failed_here)
+            .then(self.not_suspected.cmp(&other.not_suspected))
             .then(self.exposure.cmp(&other.exposure))
             .then(self.unrelaxed.cmp(&other.unrelaxed))
             .then(self.near_data.cmp(&other.near_data))
@@ -293,6 +300,7 @@
         let failed_on = self.task(key).and_then(|task| task.failed_on);
         Some(Preference {
             not_failed_here: Some(executor_key) != failed_on,
+            not_suspected: !executor.stalls.is_suspected(now),
             exposure: Reverse(self.exposure(key, step, executor)?),
             unrelaxed: relaxation == Relaxation::NONE || self.is_undisturbed(executor, step),
             near_data: near_data(executor, step),
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -62,6 +62,9 @@
     /// How many runs of the task have failed.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub failures: u32,
+    /// How often a run of the task was stopped because its progress had stalled.
+    #[serde(rename = "l", default, skip_serializing_if = "is_zero")]
+    pub stalls: u32,
     /// How many executors in a row have crashed soon after they may have started the task.
     #[serde(rename = "x", default, skip_serializing_if = "is_zero")]
     pub crashes: u32,
@@ -140,6 +143,7 @@
                 slot,
                 run: task.run,
                 failures: task.failures,
+                stalls: task.stalls,
                 crashes: task.crashes,
                 executor: None,
                 executor_started_unix_ms: None,
@@ -152,6 +156,7 @@
                     slot,
                     run: task.run,
                     failures: task.failures,
+                    stalls: task.stalls,
                     crashes: task.crashes,
                     executor: executor.map(|executor| executor.listing.id.clone()),
                     executor_started_unix_ms: executor
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -5,6 +5,7 @@
 use super::JobKey;
 use super::RunOutcome;
 use super::TaskKey;
+use crate::fault_attribution::StallCause;
 use crate::fleet::ExecutorKey;
 use crate::id::TaskId;
 use crate::ranking::Rank;
@@ -117,6 +118,17 @@
         /// What happened to the run.
         reason: CooldownReason,
     },
+    /// A run is stopped because its progress has stalled.
+    RunStalled {
+        /// The task.
+        task: TaskKey,
+        /// The executor of the run.
+        executor: ExecutorKey,
+        /// How often the task was stopped for a stall, this time included.
+        stalls: u32,
+        /// The cause of the stall.
+        cause: StallCause,
+    },
     /// A job fails because executors crash under one of its tasks.
     TaskGivenUp {
         /// The task.
@@ -145,7 +157,7 @@
 /// The reason why no task is placed on an executor for some time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CooldownReason {
-    /// A task made too little progress there.
+    /// Tasks of several jobs made too little progress there.
     Stalled,
     /// Runs of several distinct jobs failed there in a row.
     Failures,
--- a/crates/job/src/scheduler/restore.rs
+++ b/crates/job/src/scheduler/restore.rs
@@ -111,6 +111,7 @@
         };
         task.run = record.run;
         task.failures = record.failures;
+        task.stalls = record.stalls;
         task.crashes = record.crashes;
         task.checkpoint.clone_from(&record.checkpoint);
         let Some(executor) = executor else {
@@ -127,7 +128,7 @@
             cpu_percent_known: false,
             metrics: None,
             relaxed: false,
-            progress_sample: None,
+            progress: None,
         });
         self.allocate(key, executor);
     }
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -68,6 +68,17 @@
         }
     }
 
+    /// Counts a stop of a task because its progress has stalled. Returns how many there were.
+    pub(crate) fn count_stall(&mut self, key: TaskKey) -> u32 {
+        let Some(task) = self.task_mut(key) else {
+            return 0;
+        };
+        task.stalls += 1;
+        let stalls = task.stalls;
+        self.mark_dirty(key.job);
+        stalls
+    }
+
     /// Allocates resources and assigns a task to an executor. The start command is sent once the
     /// row is stored.
     pub fn assign(&mut self, key: TaskKey, executor: ExecutorKey, now: Mono) {
@@ -96,7 +107,7 @@
             cpu_percent_known: true,
             relaxed: false,
             metrics: None,
-            progress_sample: None,
+            progress: None,
         });
         self.allocate(key, executor);
         if let Some(job) = self.jobs.get_mut(key.job) {
--- a/crates/job/src/stall.rs
+++ b/crates/job/src/stall.rs
@@ -3,13 +3,15 @@
 //! Some executors hang or become several times slower while they continue to answer calls. A task
 //! on such an executor would be late, and a new run of it elsewhere would end earlier. The task is
 //! therefore stopped and started again elsewhere. Long-running tasks and gangs are not checked. See
-//! "Slow executors" in `docs/JOBS.md`.
+//! "Slow executors" in `docs/JOBS.md` and `docs/design/fault-attribution.md`.
 
 use std::time::Duration;
 
 use model::Mono;
 
+use crate::fault_attribution::StallCause;
 use crate::fleet::ExecutorKey;
+use crate::placement::near_data;
 use crate::scheduler::CooldownReason;
 use crate::scheduler::Event;
 use crate::scheduler::Scheduler;
@@ -18,69 +20,123 @@
 /// The minimum time between two reports for an assessment; progress over a shorter time is too
 /// small.
 const MIN_INTERVAL: Duration = Duration::from_millis(450);
-/// A task without any progress for this long is stalled.
+/// The minimum gain in percent after which a new interval begins. Over a smaller one the rounding of
+/// the reported progress hides how fast a task is.
+const MIN_GAIN: u32 = 4;
+/// A task without any progress for less than this is not stalled.
 const NO_PROGRESS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A task without any progress for less than this multiple of the time in which one percent is expected
+/// is not stalled. Estimates can be off by a factor of two, and reports round progress down.
+const NO_PROGRESS_FACTOR: u32 = 8;
 /// A task is too slow when its remaining time exceeds this multiple of the expected duration of a
 /// whole run, plus [`RESTART_COST`].
-const SLOWDOWN_FACTOR: u64 = 2;
+const SLOWDOWN_FACTOR: u32 = 2;
+/// How much longer a task may take that is not near its data or the other tasks of its step.
+const REMOTE_FACTOR: u32 = 3;
 /// The time it takes to stop a task and start it again.
 const RESTART_COST: Duration = Duration::from_millis(400);
-/// How long no task is placed on an executor after a task stalled there.
+/// How long no task is placed on an executor that tasks of several jobs stalled on.
 const EXECUTOR_COOLDOWN: Duration = Duration::from_millis(2_500);
 /// Tasks with a lower CPU share, in percent, are not checked, because they are throttled.
 const MIN_CPU_PERCENT: u32 = 100;
+/// How often a task is stopped because it stalled. A task that has stalled this often is slow for a
+/// reason of its own, and each further restart would only discard its progress.
+const MAX_STALL_STOPS: u32 = 3;
 
-/// A task's progress at the time of its latest assessment.
+/// A task's progress in a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProgressSample {
-    /// The progress in percent.
+    /// The progress in percent, rounded down.
     pub progress: u32,
     /// When the progress was reported.
     pub at: Mono,
 }
 
-/// The assessment of a task's progress between two reports.
+/// The progress of a run over the interval that is being assessed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProgressWindow {
+    /// The progress at the start of the interval.
+    pub start: ProgressSample,
+    /// The highest progress, with the first report of it.
+    pub latest: ProgressSample,
+}
+
+/// What is expected of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expectation {
+    /// The duration of a whole run; zero if nothing is known about it.
+    pub duration: Duration,
+    /// Whether a low rate of progress counts as stalled, and not only a complete lack of it.
+    pub compare_rate: bool,
+}
+
+/// The assessment of a task's progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// There is not enough information yet.
     Undecided,
-    /// The task progresses as expected, or a restart would not help.
+    /// The task progresses as expected.
     Healthy,
+    /// The task is slower than expected, but a restart would not help.
+    Slow,
     /// The task makes no progress, or is too slow.
     Stalled,
 }
 
-/// Assesses a task's progress since the sample `earlier`. `expected` is the expected duration of a
-/// whole run. Without `compare_rate`, only a complete lack of progress counts as stalled.
-#[must_use]
-pub fn assess_progress(
-    earlier: ProgressSample,
-    progress: u32,
-    expected: Duration,
-    compare_rate: bool,
-    now: Mono,
-) -> Verdict {
-    let interval = now.since(earlier.at);
-    if interval < MIN_INTERVAL {
-        return Verdict::Undecided;
+impl ProgressWindow {
+    /// Creates a window that starts with a sample.
+    #[must_use]
+    pub const fn new(sample: ProgressSample) -> Self {
+        Self {
+            start: sample,
+            latest: sample,
+        }
     }
-    let gained = progress.saturating_sub(earlier.progress);
-    if gained == 0 {
-        return if interval >= NO_PROGRESS_TIMEOUT {
+
+    /// Assesses the progress up to a further sample.
+    #[must_use]
+    pub fn assess(&self, current: ProgressSample, expected: Expectation) -> Verdict {
+        if current.progress <= self.latest.progress
+            && current.at.since(self.latest.at) >= no_progress_timeout(expected.duration)
+        {
+            return Verdict::Stalled;
+        }
+        let interval = current.at.since(self.start.at);
+        let gained = current.progress.saturating_sub(self.start.progress);
+        if interval < MIN_INTERVAL || gained == 0 {
+            return Verdict::Undecided;
+        }
+        // Both ends of the interval are rounded down, so that nearly one percent more may be gained.
+        let left = 100_u32.saturating_sub(current.progress);
+        let remaining = interval.saturating_mul(left) / (gained + 1);
+        let limit = expected.duration.saturating_mul(SLOWDOWN_FACTOR) + RESTART_COST;
+        if expected.compare_rate && remaining > limit {
             Verdict::Stalled
-        } else {
+        } else if gained < MIN_GAIN {
             Verdict::Undecided
-        };
+        } else if interval.saturating_mul(100) / gained <= limit {
+            Verdict::Healthy
+        } else {
+            Verdict::Slow
+        }
     }
-    let remaining = interval * (100_u32.saturating_sub(progress)) / gained;
-    let limit = expected * u32::try_from(SLOWDOWN_FACTOR).unwrap_or(1) + RESTART_COST;
-    if compare_rate && remaining > limit {
-        Verdict::Stalled
-    } else {
-        Verdict::Healthy
+
+    /// Adds a sample with its verdict.
+    pub fn add(&mut self, sample: ProgressSample, verdict: Verdict) {
+        if sample.progress > self.latest.progress {
+            self.latest = sample;
+        }
+        if matches!(verdict, Verdict::Healthy | Verdict::Slow) {
+            self.start = sample;
+        }
     }
 }
 
+/// Returns how long a task may gain no percent that is expected to take this long in all.
+fn no_progress_timeout(expected: Duration) -> Duration {
+    NO_PROGRESS_TIMEOUT.max((expected / 100).saturating_mul(NO_PROGRESS_FACTOR))
+}
+
 impl Scheduler {
     /// Stops tasks on an executor whose progress in the newest report has stalled.
     pub fn stop_stalled(&mut self, executor_key: ExecutorKey, now: Mono) {
@@ -88,60 +144,95 @@
             return;
         };
         let keys: Vec<TaskKey> = executor.tasks.iter().copied().collect();
+        let mut stalled = Vec::new();
         for key in keys {
-            if self.is_stalled(key, now) {
-                self.start_cooldown(executor_key, key, now);
-                self.stop(key);
+            if let Some(since) = self.stalled_since(executor_key, key, now) {
+                stalled.push((key, since));
             }
         }
+        for (key, since) in stalled {
+            self.stop_stalled_task(executor_key, key, since, now);
+        }
     }
 
-    fn is_stalled(&mut self, key: TaskKey, now: Mono) -> bool {
-        let Some(job) = self.job(key.job) else {
-            return false;
-        };
-        let Some(step) = self.step(key) else {
-            return false;
-        };
-        if step.long_running || step.gang {
-            return false;
-        }
-        let expected = Duration::from_millis(self.durations.expected_ms(&job.queue, step));
-        let compare_rate = !step.best_effort;
-        let Some(assignment) = self.assignment_mut(key) else {
-            return false;
-        };
-        let Some(metrics) = assignment.metrics else {
-            return false;
-        };
+    /// Assesses a task's progress in the newest report. Returns since when it is stalled, if it is.
+    fn stalled_since(
+        &mut self,
+        executor_key: ExecutorKey,
+        key: TaskKey,
+        now: Mono,
+    ) -> Option<Mono> {
+        let expected = self.expected_progress(executor_key, key)?;
+        let assignment = self.assignment_mut(key)?;
+        let metrics = assignment.metrics?;
         if assignment.stopping || assignment.cpu_percent < MIN_CPU_PERCENT {
-            assignment.progress_sample = None;
-            return false;
+            assignment.progress = None;
+            return None;
         }
         let current = ProgressSample {
             progress: metrics.progress,
             at: now,
         };
-        let earlier = *assignment.progress_sample.get_or_insert(current);
-        match assess_progress(earlier, metrics.progress, expected, compare_rate, now) {
-            Verdict::Undecided => false,
-            Verdict::Healthy => {
-                assignment.progress_sample = Some(current);
-                false
-            }
-            Verdict::Stalled => true,
+        let window = assignment
+            .progress
+            .get_or_insert(ProgressWindow::new(current));
+        let verdict = window.assess(current, expected);
+        window.add(current, verdict);
+        let since = window.start.at;
+        if verdict == Verdict::Healthy
+            && expected.compare_rate
+            && let Some(executor) = self.fleet.get_mut(executor_key)
+        {
+            executor.stalls.record_progress(now);
+        }
+        (verdict == Verdict::Stalled).then_some(since)
+    }
+
+    /// Returns what is expected of a task, or `None` if its progress is not assessed.
+    fn expected_progress(&self, executor_key: ExecutorKey, key: TaskKey) -> Option<Expectation> {
+        let job = self.job(key.job)?;
+        let step = self.step(key)?;
+        if step.long_running || step.gang || self.task(key)?.stalls >= MAX_STALL_STOPS {
+            return None;
         }
+        let executor = self.fleet.get(executor_key)?;
+        // The learned duration is a mean over all tasks of the queue, of which some take far longer.
+        let usual_ms = self.durations.expected_ms(&job.queue, step);
+        let usual = Duration::from_millis(usual_ms.max(step.estimate_ms));
+        let is_near = !step.same_rack && near_data(executor, step);
+        Some(Expectation {
+            duration: usual.saturating_mul(if is_near { 1 } else { REMOTE_FACTOR }),
+            compare_rate: !step.best_effort && !usual.is_zero(),
+        })
     }
 
-    fn start_cooldown(&mut self, executor_key: ExecutorKey, key: TaskKey, now: Mono) {
-        if let Some(executor) = self.fleet.get_mut(executor_key) {
+    fn stop_stalled_task(
+        &mut self,
+        executor_key: ExecutorKey,
+        key: TaskKey,
+        since: Mono,
+        now: Mono,
+    ) {
+        let Some(executor) = self.fleet.get_mut(executor_key) else {
+            return;
+        };
+        let cause = executor.stalls.record_stall(key.job, since, now);
+        if cause == StallCause::Executor {
             executor.not_before = executor.not_before.max(now.after(EXECUTOR_COOLDOWN));
+            self.record_event(Event::CooldownStarted {
+                executor: executor_key,
+                task: key,
+                reason: CooldownReason::Stalled,
+            });
         }
-        self.record_event(Event::CooldownStarted {
-            executor: executor_key,
+        let stalls = self.count_stall(key);
+        self.record_event(Event::RunStalled {
             task: key,
-            reason: CooldownReason::Stalled,
+            executor: executor_key,
+            stalls,
+            cause,
         });
         self.set_failed_on(key, executor_key);
+        self.stop(key);
     }
 }
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::fleet::ExecutorKey;
-use crate::stall::ProgressSample;
+use crate::stall::ProgressWindow;
 
 /// The number of a run of a task. It increases with each start of the task, across owners.
 pub type RunNumber = u64;
@@ -24,6 +24,8 @@
     pub unstarted_runs: RunNumber,
     /// How many runs have failed.
     pub failures: u32,
+    /// How often a run was stopped because its progress had stalled.
+    pub stalls: u32,
     /// How many executors in a row have crashed soon after they may have started the task.
     pub crashes: u32,
     /// The latest run that has shown that it does not crash its executor; 0 if there is none.
@@ -71,8 +73,8 @@
     pub relaxed: bool,
     /// The metrics in the latest report that listed the run.
     pub metrics: Option<RunMetrics>,
-    /// The progress at the latest stall check.
-    pub progress_sample: Option<ProgressSample>,
+    /// The progress over the interval that is assessed for a stall; `None` before the first report.
+    pub progress: Option<ProgressWindow>,
 }
 
 /// The state of a start command.
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod crash_world;
 mod crashes;
 mod fair_start;
+mod fault_attribution;
 mod fixture;
 mod interference;
 mod known_red;
--- a/crates/job/tests/all/odd_records.rs
+++ b/crates/job/tests/all/odd_records.rs
@@ -42,6 +42,7 @@
         slot: slot(rng),
         run: rng.random_range(0..4),
         failures: rng.random_range(0..4),
+        stalls: rng.random_range(0..4),
         crashes: rng.random_range(0..6),
         executor: executor.then(|| format!("e{}", rng.random_range(1..6)).into()),
         executor_started_unix_ms: rng.random_bool(0.5).then(|| rng.random_range(0..3_000)),
