--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -119,6 +119,12 @@
     log::debug!(event = "paced", job, step, index, executor, percent, over_for_ms; "");
 }
 
+/// Logs at debug level that a best-effort task leaves an executor on which it was throttled.
+pub fn task_moved(task: TaskId, executor: &str, throttled_ms: u64) {
+    let (job, step, index) = (task.job.as_str(), task.step, task.index);
+    log::debug!(event = "task_moved", job, step, index, executor, throttled_ms; "");
+}
+
 /// The end of a start or stop command that took long or had no answer.
 pub struct CommandSummary<'e> {
     /// Name of the event: by whether the run was to start or to stop, and by whether the command was
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -100,6 +100,8 @@
     pub stalled_runs: Family<OutcomeLabel, Counter>,
     /// Failed runs.
     pub failed_runs: Counter,
+    /// Best-effort tasks that left an executor on which they were throttled.
+    pub moved_tasks: Counter,
     /// Tasks that were given up because executors crashed under them.
     pub tasks_given_up: Counter,
     /// Ended jobs by final state.
@@ -132,6 +134,7 @@
             lost_runs: Family::default(),
             stalled_runs: Family::default(),
             failed_runs: Counter::default(),
+            moved_tasks: Counter::default(),
             tasks_given_up: Counter::default(),
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
@@ -186,6 +189,12 @@
             "Runs that failed",
             &self.failed_runs,
         );
+        register(
+            registry,
+            "moved_tasks",
+            "Best-effort tasks that left an executor on which they were throttled",
+            &self.moved_tasks,
+        );
         register(
             registry,
             "tasks_given_up",
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -297,6 +297,7 @@
             );
             scheduler.learn_interference(key, now);
             scheduler.throttle_after_report(key, now);
+            scheduler.move_throttled(key, now);
             scheduler.stop_stalled(key, now);
             if !was_reachable {
                 log_reachability(&scheduler, key);
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -84,6 +84,17 @@
                 );
             }
         }
+        Event::Moved {
+            task,
+            executor,
+            throttled_for,
+        } => {
+            metrics.moved_tasks.inc();
+            if let Some(id) = scheduler.task_id(*task) {
+                let executor = executor_name(scheduler, *executor);
+                events::task_moved(id, executor, model::time::millis(*throttled_for));
+            }
+        }
         Event::RunFailed {
             task,
             run,
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod id;
 pub mod interference;
+pub mod migration;
 pub mod placement;
 pub mod plan;
 mod preemption;
--- a/crates/job/src/placement/best_effort.rs
+++ b/crates/job/src/placement/best_effort.rs
@@ -7,6 +7,7 @@
 use crate::fleet::ExecutorKey;
 use crate::interference::Interference;
 use crate::relaxation::Relaxation;
+use crate::relaxation::Wait;
 use crate::scheduler::Scheduler;
 use crate::scheduler::TaskKey;
 use crate::spec::StepSpec;
@@ -28,6 +29,25 @@
             && self.score(executor, step, Relaxation::NONE).is_some()
     }
 
+    /// Returns whether an executor other than `except` takes a best-effort task now without relaxed
+    /// conditions.
+    pub(crate) fn has_undisturbed_executor(
+        &self,
+        key: TaskKey,
+        except: ExecutorKey,
+        now: Mono,
+    ) -> bool {
+        let Some((step, service)) = self.step(key).zip(self.service_of(key)) else {
+            return false;
+        };
+        self.fleet.iter().any(|(executor_key, _)| {
+            executor_key != except
+                && self
+                    .assess_after(Wait::NONE, executor_key, &service, (key, step), now)
+                    .is_some_and(|preference| preference.unrelaxed)
+        })
+    }
+
     /// Records that a step with a waiting task is ready.
     pub(super) fn begin_wait(&mut self, key: TaskKey, step: &StepSpec, now: Mono) {
         if step.best_effort
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -52,6 +52,15 @@
         /// How long a tail latency on the executor has exceeded its target.
         over_target_for: Duration,
     },
+    /// A throttled best-effort task is stopped, so that it starts on another executor.
+    Moved {
+        /// The task.
+        task: TaskKey,
+        /// The executor that it leaves.
+        executor: ExecutorKey,
+        /// How long its CPU share was low.
+        throttled_for: Duration,
+    },
     /// A run of a task failed.
     RunFailed {
         /// The task.
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -150,6 +150,8 @@
     pub(crate) size_share: SizeShare,
     /// Until when no more executors are kept for short work because none was suitable.
     pub(crate) keep_not_before: Mono,
+    /// Until when no throttled task is moved to another executor.
+    pub(crate) move_not_before: Mono,
     /// The mean CPU that short work needs, in thousandths of a core, by service.
     pub(crate) short_demand: Map<Arc<str>, ShortDemand>,
     /// The short work that would run now if all had started as soon as it was ready.
@@ -192,6 +194,7 @@
             shortages: Shortages::default(),
             size_share: SizeShare::default(),
             keep_not_before: Mono::ZERO,
+            move_not_before: Mono::ZERO,
             short_demand: Map::default(),
             expected_short_work: Vec::new(),
             interrupted_since: Map::default(),
--- a/crates/job/src/scheduler/restore.rs
+++ b/crates/job/src/scheduler/restore.rs
@@ -129,6 +129,7 @@
             metrics: None,
             relaxed: false,
             progress: None,
+            throttled_since: None,
         });
         self.allocate(key, executor);
     }
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -106,6 +106,7 @@
             cpu_percent: 100,
             cpu_percent_known: true,
             relaxed: false,
+            throttled_since: None,
             metrics: None,
             progress: None,
         });
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -71,6 +71,8 @@
     pub cpu_percent_known: bool,
     /// Whether the conditions for a best-effort task were relaxed when it was placed.
     pub relaxed: bool,
+    /// Since when the CPU share of a best-effort task has been low, as of the latest report.
+    pub throttled_since: Option<Mono>,
     /// The metrics in the latest report that listed the run.
     pub metrics: Option<RunMetrics>,
     /// The progress over the interval that is assessed for a stall; `None` before the first report.
--- a/crates/measure/src/fleet_load.rs
+++ b/crates/measure/src/fleet_load.rs
@@ -360,6 +360,7 @@
                 .acknowledgement_confirmed(*key, 1_000, acknowledged);
             self.scheduler.learn_interference(*key, now);
             self.scheduler.throttle_after_report(*key, now);
+            self.scheduler.move_throttled(*key, now);
             self.scheduler.stop_stalled(*key, now);
             self.spent.reporting += started.elapsed().as_secs_f64();
             self.spent.reports += 1;
--- a/crates/measure/src/jobs.rs
+++ b/crates/measure/src/jobs.rs
@@ -232,6 +232,7 @@
                 self.scheduler.report(*executor, report, self.now, self.now);
                 self.scheduler.learn_interference(*executor, self.now);
                 self.scheduler.throttle_after_report(*executor, self.now);
+                self.scheduler.move_throttled(*executor, self.now);
                 self.scheduler.stop_stalled(*executor, self.now);
                 self.spent.polls += 1;
             }
