--- a/crates/job/src/scheduler/restore.rs
+++ b/crates/job/src/scheduler/restore.rs
@@ -128,6 +128,7 @@
             cpu_percent_known: false,
             metrics: None,
             relaxed: false,
+            is_slow_by_itself: false,
             progress: None,
             throttled_since: None,
         });
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -108,6 +108,7 @@
             relaxed: false,
             throttled_since: None,
             metrics: None,
+            is_slow_by_itself: false,
             progress: None,
         });
         self.allocate(key, executor);
--- a/crates/job/src/stall.rs
+++ b/crates/job/src/stall.rs
@@ -79,7 +79,9 @@
     Healthy,
     /// The task is slower than expected, but a restart would not help.
     Slow,
-    /// The task makes no progress, or is too slow.
+    /// The task is so slow that another run would end earlier, if the executor is the cause.
+    TooSlow,
+    /// The task makes no progress.
     Stalled,
 }
 
@@ -111,7 +113,7 @@
         let remaining = interval.saturating_mul(left) / (gained + 1);
         let limit = expected.duration.saturating_mul(SLOWDOWN_FACTOR) + RESTART_COST;
         if expected.compare_rate && remaining > limit {
-            Verdict::Stalled
+            Verdict::TooSlow
         } else if gained < MIN_GAIN {
             Verdict::Undecided
         } else if interval.saturating_mul(100) / gained <= limit {
@@ -146,24 +148,26 @@
         let keys: Vec<TaskKey> = executor.tasks.iter().copied().collect();
         let mut stalled = Vec::new();
         for key in keys {
-            if let Some(since) = self.stalled_since(executor_key, key, now) {
-                stalled.push((key, since));
+            if let Some((verdict, since)) = self.assess_progress(executor_key, key, now) {
+                stalled.push((key, verdict, since));
             }
         }
-        for (key, since) in stalled {
-            self.stop_stalled_task(executor_key, key, since, now);
+        for (key, verdict, since) in stalled {
+            self.handle_stall(executor_key, key, (verdict, since), now);
         }
     }
 
-    /// Assesses a task's progress in the newest report. Returns since when it is stalled, if it is.
-    fn stalled_since(
+    /// Assesses a task's progress in the newest report. Returns the verdict if the task is stalled or
+    /// too slow, and since when.
+    fn assess_progress(
         &mut self,
         executor_key: ExecutorKey,
         key: TaskKey,
         now: Mono,
-    ) -> Option<Mono> {
-        let expected = self.expected_progress(executor_key, key)?;
+    ) -> Option<(Verdict, Mono)> {
+        let mut expected = self.expected_progress(executor_key, key)?;
         let assignment = self.assignment_mut(key)?;
+        expected.compare_rate &= !assignment.is_slow_by_itself;
         let metrics = assignment.metrics?;
         if assignment.stopping || assignment.cpu_percent < MIN_CPU_PERCENT {
             assignment.progress = None;
@@ -185,14 +189,15 @@
         {
             executor.stalls.record_progress(now);
         }
-        (verdict == Verdict::Stalled).then_some(since)
+        matches!(verdict, Verdict::TooSlow | Verdict::Stalled).then_some((verdict, since))
     }
 
     /// Returns what is expected of a task, or `None` if its progress is not assessed.
     fn expected_progress(&self, executor_key: ExecutorKey, key: TaskKey) -> Option<Expectation> {
         let job = self.job(key.job)?;
         let step = self.step(key)?;
-        if step.long_running || step.gang || self.task(key)?.stalls >= MAX_STALL_STOPS {
+        let stalls = self.task(key)?.stalls;
+        if step.long_running || step.gang || stalls >= MAX_STALL_STOPS {
             return None;
         }
         let executor = self.fleet.get(executor_key)?;
@@ -202,21 +207,30 @@
         let is_near = !step.same_rack && near_data(executor, step);
         Some(Expectation {
             duration: usual.saturating_mul(if is_near { 1 } else { REMOTE_FACTOR }),
-            compare_rate: !step.best_effort && !usual.is_zero(),
+            // A task that is slow on a second executor as well is slow by itself.
+            compare_rate: !step.best_effort && !usual.is_zero() && stalls == 0,
         })
     }
 
-    fn stop_stalled_task(
+    /// Stops a task that is stalled or too slow, unless it is slow by itself: a few tasks in a hundred
+    /// take several times as long as others like them, and would again.
+    fn handle_stall(
         &mut self,
         executor_key: ExecutorKey,
         key: TaskKey,
-        since: Mono,
+        (verdict, since): (Verdict, Mono),
         now: Mono,
     ) {
         let Some(executor) = self.fleet.get_mut(executor_key) else {
             return;
         };
         let cause = executor.stalls.record_stall(key.job, since, now);
+        if verdict == Verdict::TooSlow && cause == StallCause::Task {
+            if let Some(assignment) = self.assignment_mut(key) {
+                assignment.is_slow_by_itself = true;
+            }
+            return;
+        }
         if cause == StallCause::Executor {
             executor.not_before = executor.not_before.max(now.after(EXECUTOR_COOLDOWN));
             self.record_event(Event::CooldownStarted {
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -75,6 +75,8 @@
     pub throttled_since: Option<Mono>,
     /// The metrics in the latest report that listed the run.
     pub metrics: Option<RunMetrics>,
+    /// Whether the run is slow although others on the executor progress as expected.
+    pub is_slow_by_itself: bool,
     /// The progress over the interval that is assessed for a stall; `None` before the first report.
     pub progress: Option<ProgressWindow>,
 }
--- a/crates/job/tests/all/fault_attribution.rs
+++ b/crates/job/tests/all/fault_attribution.rs
@@ -253,3 +253,36 @@
     fixture.start_all();
     assert_eq!(tasks_of(&fixture, id), 0);
 }
+
+/// Returns the progress of a task that takes `real_ms`.
+const fn percent(ms: u64, real_ms: u64) -> u64 {
+    ms * 100 / real_ms
+}
+
+/// Guards against a straggler that is stopped over and over: of some images, a few tasks in a hundred
+/// take seven times as long as the rest, wherever they run.
+#[test]
+fn a_straggler_is_not_stopped_while_others_on_its_executor_progress() {
+    let mut fixture = Fixture::new(1);
+    let straggler = fixture.submit(1, vec![step(1, 2, 1_000)]);
+    fixture.submit(2, vec![step(4, 2, 9_000)]);
+    fixture.start_all();
+    let job = fixture.scheduler.find(straggler);
+    let progress = |key: TaskKey, ms| {
+        let real_ms = if Some(key.job) == job { 7_000 } else { 9_000 };
+        percent(ms, real_ms)
+    };
+    let stops = run_for(&mut fixture, 6_500, &progress);
+    assert_eq!(stops, []);
+}
+
+/// Guards against the same where the straggler is alone on its executor, so that its first stop may
+/// have had a reason.
+#[test]
+fn a_straggler_that_is_alone_is_stopped_once() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(1, vec![step(1, 2, 1_000)]);
+    fixture.start_all();
+    let stops = run_for(&mut fixture, 7_500, &|_, ms| percent(ms, 7_000));
+    assert_eq!(stops.len(), 1, "{stops:?}");
+}
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod late_rounds;
 mod leases;
 mod lifecycle;
+mod migration;
 mod model;
 mod odd_records;
 mod overload;
