fix(job): jobs keep the terms of their acceptance while their queue is absent

A queue that the newest document lacks counted as one with a single attempt and no priority or target, so that one failure in that time failed the job. The submission's row now holds the terms of the queue (optional field k). They are in force while the document lacks the queue, for the owner and each successor. Jobs of earlier releases have none stored: they keep those that the owner saw, and do not fail while it saw none. A start that waits to be sent is withdrawn while the queue is absent.

--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -13,6 +13,7 @@
 use job::record::SubmissionRecord;
 use job::scheduler::JobState;
 use job::spec::JobSpec;
+use job::terms::Terms;
 use link::client::TimeLimits;
 use model::Map;
 use model::Mono;
@@ -116,6 +117,9 @@
         queue: queue.clone(),
         accepted_unix_ms: (node.unix_ms)(),
         spec: Arc::new(spec),
+        terms: node
+            .plan()
+            .and_then(|plan| plan.queue(queue).map(Terms::from)),
     };
     let outcome = if node.store_is_unavailable(STORE_UNAVAILABLE_AFTER) {
         SubmitOutcome::Refused
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -166,8 +166,8 @@
     );
 }
 
-/// Logs that a run failed, with the failures so far and the attempts allowed.
-pub fn run_failed(task: TaskId, run: u64, executor: &str, failures: u32, attempts: u32) {
+/// Logs that a run failed, with the failures so far and the attempts allowed, if they are known.
+pub fn run_failed(task: TaskId, run: u64, executor: &str, failures: u32, attempts: Option<u32>) {
     let (job, step, index) = (task.job.as_str(), task.step, task.index);
     log::info!(event = "run_failed", job, step, index, run, executor, failures, attempts; "");
 }
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -386,6 +386,7 @@
             age_ms: (node.unix_ms)().saturating_sub(record.accepted_unix_ms),
             spec: record.spec,
             row_version: row.version,
+            terms: record.terms,
         }),
         Err(error) => {
             events::unreadable_row(rows::JOBS_TABLE, &row.key, &error);
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -62,6 +62,8 @@
     pub reachable: Cell<bool>,
     /// Duration of the tasks on this executor.
     pub task_duration: Cell<Duration>,
+    /// Whether runs that are due end as failed.
+    pub fails_runs: Cell<bool>,
     /// The CPU share that was last set for each task.
     pub cpu_shares: RefCell<BTreeMap<TaskId, u32>>,
     /// How much later than usual the answer to a poll arrives.
@@ -147,6 +149,7 @@
             starts: Cell::new(0),
             reachable: Cell::new(true),
             task_duration: Cell::new(TASK_DURATION),
+            fails_runs: Cell::new(false),
             cpu_shares: RefCell::default(),
             answer_delay: Cell::default(),
             command_delay: Cell::new(None),
@@ -281,7 +284,12 @@
         for (task, run, since) in runs {
             let ends = since + self.task_duration.get();
             if ends <= now && ends <= self.lease_end.get() {
-                self.end(task, run, RunOutcome::Done);
+                let outcome = if self.fails_runs.get() {
+                    RunOutcome::Failed
+                } else {
+                    RunOutcome::Done
+                };
+                self.end(task, run, outcome);
             } else if lease_expired {
                 self.end(task, run, RunOutcome::LeaseExpired);
                 killed = true;
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod spec;
 pub mod stall;
 pub mod task;
+pub mod terms;
 pub mod throttle;
 mod turns;
 pub mod usage;
--- a/crates/job/src/preemption.rs
+++ b/crates/job/src/preemption.rs
@@ -60,10 +60,8 @@
 
     /// Returns the priority of a task's queue, where 0 is the highest.
     fn priority_of(&self, key: TaskKey) -> u32 {
-        let queue = self
-            .job(key.job)
-            .and_then(|job| self.plan.queue(&job.queue));
-        queue.map_or(u32::MAX, |queue| queue.priority)
+        let terms = self.job(key.job).and_then(|job| self.terms(job));
+        terms.map_or(u32::MAX, |terms| terms.priority)
     }
 
     /// Returns whether the step of a task allows that it is unavailable as well as those of its tasks
--- a/crates/job/src/ranking.rs
+++ b/crates/job/src/ranking.rs
@@ -88,9 +88,9 @@
 /// Returns the time from its arrival within which a job should end.
 #[must_use]
 pub fn objective(scheduler: &Scheduler, job: &Job) -> Duration {
-    let queue = scheduler.plan.queue(&job.queue);
-    let stretch = queue.map_or(1.0, |queue| queue.stretch.max(1.0));
-    let target = queue.map_or(Duration::ZERO, |queue| queue.target);
+    let terms = scheduler.terms(job);
+    let stretch = terms.map_or(1.0, |terms| terms.stretch.max(1.0));
+    let target = terms.map_or(Duration::ZERO, |terms| terms.target());
     let path = Duration::from_millis(job.spec.critical_path_ms());
     let scaled = Duration::try_from_secs_f64(path.as_secs_f64() * stretch);
     scaled.unwrap_or(Duration::MAX).saturating_add(target)
@@ -108,9 +108,9 @@
 /// Returns the rank of a step; `unix_ms` is the wall-clock time, by which occurrences are due.
 #[must_use]
 pub fn rank(scheduler: &Scheduler, job: &Job, ready: ReadyStep, now: Mono, unix_ms: u64) -> Rank {
-    let queue = scheduler.plan.queue(&job.queue);
     let objective_ms = model::time::millis(objective(scheduler, job));
-    let priority = queue.map_or(u32::MAX, |queue| queue.priority);
+    let terms = scheduler.terms(job);
+    let priority = terms.map_or(u32::MAX, |terms| terms.priority);
     let step = &job.spec.steps[ready.step as usize];
     let late_ms = objective_ms.saturating_mul(LATE_FACTOR);
     let elapsed_ms = elapsed_ms(job, ready.occurrence, now, unix_ms);
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -14,6 +14,7 @@
 use crate::spec::JobSpec;
 use crate::task::Phase;
 use crate::task::RunNumber;
+use crate::terms::Terms;
 
 /// A job as an entry host stores it before it confirms the submission to the caller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -27,6 +28,9 @@
     /// The specification of the job.
     #[serde(rename = "j")]
     pub spec: Arc<JobSpec>,
+    /// The terms of the queue when the job was accepted; `None` in records of earlier releases.
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<Terms>,
 }
 
 /// The state of a job as its owner stores it.
--- a/crates/job/src/scheduler/commands.rs
+++ b/crates/job/src/scheduler/commands.rs
@@ -142,7 +142,7 @@
     }
 
     /// Returns whether a start command should still be sent. It should not once its task is to stop,
-    /// its executor drains or has been replaced, or it no longer fits on an executor that would execute
+    /// the document lacks its queue, its executor drains or has been replaced, or it no longer fits on an executor that would execute
     /// it nevertheless.
     #[must_use]
     pub fn is_start_wanted(&self, key: TaskKey, run: RunNumber) -> bool {
@@ -152,7 +152,10 @@
         let unsuitable = self.fleet.get(assignment.executor).is_none_or(|executor| {
             executor.listing.draining || executor.is_replaced || self.is_overcommitted(executor)
         });
-        !assignment.stopping && !unsuitable
+        let has_queue = self
+            .job(key.job)
+            .is_some_and(|job| self.plan.queue(&job.queue).is_some());
+        has_queue && !assignment.stopping && !unsuitable
     }
 
     /// Withdraws a start command that should no longer be sent. If it was sent before without a
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -62,8 +62,8 @@
         executor: ExecutorKey,
         /// The number of the task's failed runs, or of its gang's.
         failures: u32,
-        /// The number of failures at which the job fails.
-        attempts: u32,
+        /// The number of failures at which the job fails, if it is known.
+        attempts: Option<u32>,
     },
     /// The end of an abandoned run was reported after a later start of the task, so that it is not
     /// acknowledged.
--- a/crates/job/src/scheduler/job.rs
+++ b/crates/job/src/scheduler/job.rs
@@ -14,6 +14,7 @@
 use crate::spec::JobSpec;
 use crate::spec::StepSpec;
 use crate::task::Task;
+use crate::terms::Terms;
 
 /// The state of a job.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -60,6 +61,9 @@
     pub queue: Arc<str>,
     /// The job's specification.
     pub spec: Arc<JobSpec>,
+    /// The terms under which the job was accepted, in force while the document lacks its queue. Of a
+    /// job of an earlier release, those that its queue had when this owner learned of it.
+    pub(super) terms: Option<Terms>,
     /// When this owner learned of the job.
     pub(super) submitted: Mono,
     /// The job's age at that time. It may exceed the time for which the owner has run.
--- a/crates/job/src/scheduler/late_end.rs
+++ b/crates/job/src/scheduler/late_end.rs
@@ -106,7 +106,10 @@
     /// Counts a failure of an abandoned run. Returns `false` if a later run was started that would
     /// not have been with this failure.
     fn count_abandoned_failure(&mut self, key: TaskKey, run: RunNumber, now: Mono) -> bool {
-        let exhausted = self.failures(key) + 1 >= self.attempts(key);
+        let failures = self.failures(key) + 1;
+        let exhausted = self
+            .attempts(key)
+            .is_some_and(|attempts| failures >= attempts);
         let accepted = self.may_accept_late_end(key, run);
         if exhausted && !accepted {
             return false;
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -71,6 +71,7 @@
 use crate::spec::StepSpec;
 use crate::task::StartState;
 use crate::task::Task;
+use crate::terms::Terms;
 
 new_key_type! {
     /// Identifies a job in the [`Scheduler`].
@@ -226,8 +227,11 @@
             unfinished.extend(spec.steps.iter().map(|step| step.count));
         }
         let tasks = vec![Task::default(); spec.task_count()];
+        let terms = submission.terms;
+        let terms = terms.or_else(|| self.plan.queue(&submission.queue).map(Terms::from));
         let mut job = Job {
             work: 0,
+            terms,
             id: submission.id,
             queue: submission.queue,
             submitted: now,
@@ -363,6 +367,12 @@
         self.jobs.get(key.job)?.tasks.get(key.slot as usize)
     }
 
+    /// Returns the terms of a job, or `None` if neither the document nor the job's submission has them.
+    #[must_use]
+    pub fn terms(&self, job: &Job) -> Option<Terms> {
+        Terms::in_force(self.plan.queue(&job.queue), job.terms)
+    }
+
     /// Returns the specification of the step that a task belongs to.
     #[must_use]
     pub fn step(&self, key: TaskKey) -> Option<&StepSpec> {
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -238,7 +238,8 @@
             .jobs
             .get(key.job)
             .is_some_and(|job| !job.state.is_final());
-        if !long_running && open && failures >= attempts {
+        let exhausted = attempts.is_some_and(|attempts| failures >= attempts);
+        if !long_running && open && exhausted {
             self.end_job(key.job, JobState::Failed);
         }
     }
@@ -262,10 +263,11 @@
         }
     }
 
-    pub(super) fn attempts(&self, key: TaskKey) -> u32 {
-        self.job(key.job)
-            .and_then(|job| self.plan.queue(&job.queue))
-            .map_or(1, |queue| queue.attempts.max(1))
+    /// Returns how many runs of a task may fail before its job fails, or `None` if the terms of the
+    /// job are not known.
+    pub(super) fn attempts(&self, key: TaskKey) -> Option<u32> {
+        let terms = self.terms(self.job(key.job)?)?;
+        Some(terms.attempts.max(1))
     }
 
     fn handle_interrupted(&mut self, key: TaskKey, now: Mono) {
--- a/crates/job/src/scheduler/restore.rs
+++ b/crates/job/src/scheduler/restore.rs
@@ -15,6 +15,7 @@
 use crate::task::Assignment;
 use crate::task::Phase;
 use crate::task::StartState;
+use crate::terms::Terms;
 
 /// A submitted job.
 #[derive(Clone, Debug)]
@@ -29,6 +30,8 @@
     pub spec: Arc<JobSpec>,
     /// The version of the row that records the submission.
     pub row_version: u64,
+    /// The terms of the queue when the job was accepted, if they are stored.
+    pub terms: Option<Terms>,
 }
 
 impl Scheduler {
--- a/crates/job/tests/all/age.rs
+++ b/crates/job/tests/all/age.rs
@@ -33,6 +33,7 @@
             ..JobSpec::default()
         }),
         row_version: 1,
+        terms: None,
     };
     let now = fixture.now;
     let key = fixture
--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -167,6 +167,7 @@
             age_ms: 0,
             spec: job.spec.clone(),
             row_version: 1,
+            terms: None,
         }
     }
 
@@ -189,6 +190,7 @@
             queue: QUEUE.into(),
             age_ms: 0,
             row_version: number,
+            terms: None,
             spec: Arc::new(JobSpec {
                 payload: "payload".into(),
                 steps,
--- a/crates/job/tests/all/late_ends.rs
+++ b/crates/job/tests/all/late_ends.rs
@@ -371,6 +371,7 @@
             age_ms: 0,
             spec: spec.clone(),
             row_version,
+            terms: None,
         };
         let mut next = Scheduler::new(plan(2), fixture.scheduler.timing);
         next.restore(submission, &record, Mono(500));
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the public interface of the crate.
 
+mod absent_queue;
 mod absurd_figures;
 mod advice;
 mod age;
--- a/crates/job/tests/all/model/takeover.rs
+++ b/crates/job/tests/all/model/takeover.rs
@@ -69,6 +69,7 @@
             repeat: None,
         }),
         row_version: 1,
+        terms: None,
     }
 }
 
--- a/crates/job/tests/all/odd_records.rs
+++ b/crates/job/tests/all/odd_records.rs
@@ -96,6 +96,7 @@
             age_ms: 0,
             spec: Arc::new(spec(&mut rng)),
             row_version: 1,
+            terms: None,
         };
         let record = record(&mut rng);
         let now = fixture.now;
--- a/crates/job/tests/all/placement.rs
+++ b/crates/job/tests/all/placement.rs
@@ -192,6 +192,7 @@
         age_ms: 100_000,
         spec: Arc::new(spec),
         row_version: 1,
+        terms: None,
     };
     fixture.now = Mono(200_000);
     let key = fixture
--- a/crates/job/tests/all/preemption.rs
+++ b/crates/job/tests/all/preemption.rs
@@ -60,6 +60,7 @@
         queue: queue.into(),
         age_ms: 0,
         row_version: 2,
+        terms: None,
         spec: Arc::new(JobSpec {
             payload: "payload".into(),
             steps: vec![step(2, 20, 1_000)],
--- a/crates/job/tests/all/retire.rs
+++ b/crates/job/tests/all/retire.rs
@@ -143,6 +143,7 @@
             ..JobSpec::default()
         }),
         row_version: 99,
+        terms: None,
     };
     assert!(fixture.scheduler.submit(resubmitted, fixture.now).is_some());
     assert_eq!(fixture.scheduler.state(id), Some(JobState::Queued));
--- a/crates/job/tests/all/wait_reason.rs
+++ b/crates/job/tests/all/wait_reason.rs
@@ -152,6 +152,7 @@
         age_ms: 0,
         spec: Arc::new(spec),
         row_version: 1,
+        terms: None,
     };
     fixture.scheduler.submit(submission, fixture.now);
     assert_eq!(
--- a/crates/measure/src/job_load.rs
+++ b/crates/measure/src/job_load.rs
@@ -37,6 +37,7 @@
             repeat: None,
         }),
         row_version: number,
+        terms: None,
     }
 }
 
