fix(job): a run of a gang that failed counts once

The failures of all members were added up, so that a gang with two members on a faulty executor was failed after one of two attempts. Each run of a gang now counts once, by its number, which the member that counts it keeps in its record (optional field g): a successor and a late end do not count it again.

--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -66,6 +66,9 @@
     /// How many runs of the task have failed.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub failures: u32,
+    /// The runs that this member of a gang counts as failed; empty in records of earlier releases.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_gang_runs: Vec<RunNumber>,
     /// How often a run of the task was stopped because its progress had stalled.
     #[serde(rename = "l", default, skip_serializing_if = "is_zero")]
     pub stalls: u32,
@@ -147,6 +150,7 @@
                 slot,
                 run: task.run,
                 failures: task.failures,
+                failed_gang_runs: task.failed_gang_runs.clone(),
                 stalls: task.stalls,
                 crashes: task.crashes,
                 executor: None,
@@ -160,6 +164,7 @@
                     slot,
                     run: task.run,
                     failures: task.failures,
+                    failed_gang_runs: task.failed_gang_runs.clone(),
                     stalls: task.stalls,
                     crashes: task.crashes,
                     executor: executor.map(|executor| executor.listing.id.clone()),
--- a/crates/job/src/scheduler/gang.rs
+++ b/crates/job/src/scheduler/gang.rs
@@ -3,6 +3,7 @@
 use super::Scheduler;
 use super::TaskKey;
 use crate::task::Phase;
+use crate::task::RunNumber;
 
 impl Scheduler {
     /// Returns all tasks of the step that a task belongs to.
@@ -28,7 +29,30 @@
         }
     }
 
-    /// Returns the number of failed runs of a task, or of all members of its gang.
+    /// Counts the failure of a run. A run of a gang counts once, however many members fail in it.
+    pub(super) fn count_failure(&mut self, key: TaskKey, run: RunNumber) {
+        if self.is_failure_counted(key, run) {
+            return;
+        }
+        let is_gang = self.step(key).is_some_and(|step| step.gang);
+        if let Some(task) = self.task_mut(key) {
+            task.failures += 1;
+            if is_gang {
+                task.failed_gang_runs.push(run);
+            }
+        }
+    }
+
+    /// Returns whether a run of a gang has failed in another member.
+    pub(super) fn is_failure_counted(&self, key: TaskKey, run: RunNumber) -> bool {
+        self.step(key).is_some_and(|step| step.gang)
+            && self.members(key).into_iter().any(|member| {
+                self.task(member)
+                    .is_some_and(|task| task.failed_gang_runs.contains(&run))
+            })
+    }
+
+    /// Returns the number of failed runs of a task, or of its gang.
     pub(super) fn failures(&self, key: TaskKey) -> u32 {
         if !self.step(key).is_some_and(|step| step.gang) {
             return self.task(key).map_or(0, |task| task.failures);
--- a/crates/job/src/scheduler/late_end.rs
+++ b/crates/job/src/scheduler/late_end.rs
@@ -106,7 +106,8 @@
     /// Counts a failure of an abandoned run. Returns `false` if a later run was started that would
     /// not have been with this failure.
     fn count_abandoned_failure(&mut self, key: TaskKey, run: RunNumber, now: Mono) -> bool {
-        let failures = self.failures(key) + 1;
+        let is_new = !self.is_failure_counted(key, run);
+        let failures = self.failures(key) + u32::from(is_new);
         let exhausted = self
             .attempts(key)
             .is_some_and(|attempts| failures >= attempts);
@@ -114,9 +115,7 @@
         if exhausted && !accepted {
             return false;
         }
-        if let Some(task) = self.task_mut(key) {
-            task.failures += 1;
-        }
+        self.count_failure(key, run);
         self.mark_dirty(key.job);
         if exhausted {
             self.release(key, now);
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -218,15 +218,13 @@
 
     fn handle_failed(&mut self, key: TaskKey, executor: ExecutorKey, now: Mono) {
         self.record_executor_failure(key, executor, now);
-        if let Some(task) = self.task_mut(key) {
-            task.failures += 1;
-            task.failed_on = Some(executor);
-        }
+        let run = self.task(key).map_or(0, |task| task.run);
+        self.count_failure(key, run);
+        self.set_failed_on(key, executor);
         let long_running = self.step(key).is_some_and(|step| step.long_running);
         self.release(key, now.after(FAILURE_BACKOFF));
         let attempts = self.attempts(key);
         let failures = self.failures(key);
-        let run = self.task(key).map_or(0, |task| task.run);
         self.record_event(Event::RunFailed {
             task: key,
             run,
--- a/crates/job/src/scheduler/restore.rs
+++ b/crates/job/src/scheduler/restore.rs
@@ -114,6 +114,7 @@
         };
         task.run = record.run;
         task.failures = record.failures;
+        task.failed_gang_runs.clone_from(&record.failed_gang_runs);
         task.stalls = record.stalls;
         task.crashes = record.crashes;
         task.checkpoint.clone_from(&record.checkpoint);
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod fair_start;
 mod fault_attribution;
 mod fixture;
+mod gang_failures;
 mod interference;
 mod known_red;
 mod larger_steps;
--- a/crates/job/tests/all/odd_records.rs
+++ b/crates/job/tests/all/odd_records.rs
@@ -42,6 +42,7 @@
         slot: slot(rng),
         run: rng.random_range(0..4),
         failures: rng.random_range(0..4),
+        failed_gang_runs: (0..rng.random_range(0..3)).collect(),
         stalls: rng.random_range(0..4),
         crashes: rng.random_range(0..6),
         executor: executor.then(|| format!("e{}", rng.random_range(1..6)).into()),
