--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -14,6 +14,7 @@
 use crate::spec::JobSpec;
 use crate::task::Phase;
 use crate::task::RunNumber;
+use crate::terms::Terms;
 
 /// A job as an entry host stores it before it confirms the submission to the caller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -27,6 +28,9 @@
     /// The specification of the job.
     #[serde(rename = "j")]
     pub spec: Arc<JobSpec>,
+    /// The terms of the queue when the job was accepted; `None` in records of earlier releases.
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<Terms>,
 }
 
 /// The state of a job as its owner stores it.
@@ -62,6 +66,9 @@
     /// How many runs of the task have failed.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub failures: u32,
+    /// The runs that this member of a gang counts as failed; empty in records of earlier releases.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_gang_runs: Vec<RunNumber>,
     /// How often a run of the task was stopped because its progress had stalled.
     #[serde(rename = "l", default, skip_serializing_if = "is_zero")]
     pub stalls: u32,
@@ -143,6 +150,7 @@
                 slot,
                 run: task.run,
                 failures: task.failures,
+                failed_gang_runs: task.failed_gang_runs.clone(),
                 stalls: task.stalls,
                 crashes: task.crashes,
                 executor: None,
@@ -156,6 +164,7 @@
                     slot,
                     run: task.run,
                     failures: task.failures,
+                    failed_gang_runs: task.failed_gang_runs.clone(),
                     stalls: task.stalls,
                     crashes: task.crashes,
                     executor: executor.map(|executor| executor.listing.id.clone()),
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -218,15 +218,13 @@
 
     fn handle_failed(&mut self, key: TaskKey, executor: ExecutorKey, now: Mono) {
         self.record_executor_failure(key, executor, now);
-        if let Some(task) = self.task_mut(key) {
-            task.failures += 1;
-            task.failed_on = Some(executor);
-        }
+        let run = self.task(key).map_or(0, |task| task.run);
+        self.count_failure(key, run);
+        self.set_failed_on(key, executor);
         let long_running = self.step(key).is_some_and(|step| step.long_running);
         self.release(key, now.after(FAILURE_BACKOFF));
         let attempts = self.attempts(key);
         let failures = self.failures(key);
-        let run = self.task(key).map_or(0, |task| task.run);
         self.record_event(Event::RunFailed {
             task: key,
             run,
@@ -238,7 +236,8 @@
             .jobs
             .get(key.job)
             .is_some_and(|job| !job.state.is_final());
-        if !long_running && open && failures >= attempts {
+        let exhausted = attempts.is_some_and(|attempts| failures >= attempts);
+        if !long_running && open && exhausted {
             self.end_job(key.job, JobState::Failed);
         }
     }
@@ -262,10 +261,11 @@
         }
     }
 
-    pub(super) fn attempts(&self, key: TaskKey) -> u32 {
-        self.job(key.job)
-            .and_then(|job| self.plan.queue(&job.queue))
-            .map_or(1, |queue| queue.attempts.max(1))
+    /// Returns how many runs of a task may fail before its job fails, or `None` if the terms of the
+    /// job are not known.
+    pub(super) fn attempts(&self, key: TaskKey) -> Option<u32> {
+        let terms = self.terms(self.job(key.job)?)?;
+        Some(terms.attempts.max(1))
     }
 
     fn handle_interrupted(&mut self, key: TaskKey, now: Mono) {
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the public interface of the crate.
 
+mod absent_queue;
 mod absurd_figures;
 mod advice;
 mod age;
@@ -9,6 +10,7 @@
 mod fair_start;
 mod fault_attribution;
 mod fixture;
+mod gang_failures;
 mod interference;
 mod known_red;
 mod larger_steps;
