fix(dispatch): a row that the store refuses stops nothing else

Cause: the record of a job of 1,000 tasks with checkpoints had 74,911 bytes, more than a row of the store. The owner repeated the refused transaction for ever, and each successor built the same row. The row with the learned interference had no limit either (140,545 bytes with 24 and 24 images), nor had a submission whose steps name all earlier ones.

Change: records that do not fit as JSON are written in a compact encoding, and leave out the longest checkpoints before they exceed a row. Learned pairs of which least is known are left out. A submission that exceeds a row is answered with 400 and the limit. A refused transaction is divided until the refused row is alone; its job is set aside, and all else is stored. row_bytes comes from the settings. The test of the widest record estimated checkpoints as JSON; it now reports 1,000 of them, on 64 and on 1,000 executors.

--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use job::id::JobId;
-use job::record::JobRecord;
+use job::record;
 use job::record::SubmissionRecord;
 use job::scheduler::JobState;
 use job::spec::JobSpec;
@@ -65,6 +65,13 @@
     Refused,
     /// The job may have been stored, or may still be stored later.
     Unknown,
+    /// The job is not stored because its row would be larger than the store's rows.
+    TooLarge {
+        /// The size of the row in bytes.
+        bytes: usize,
+        /// The largest size that is accepted, in bytes.
+        max_bytes: usize,
+    },
 }
 
 impl SubmitOutcome {
@@ -76,6 +83,7 @@
             Self::NameTaken => "name_taken",
             Self::Refused => "store_away",
             Self::Unknown => "outcome_unknown",
+            Self::TooLarge { .. } => "too_large",
         }
     }
 }
@@ -150,6 +158,7 @@
         SubmitOutcome::NameTaken => events::refused(id, queue, outcome.as_str(), 409, took),
         SubmitOutcome::Refused => events::refused(id, queue, outcome.as_str(), 503, took),
         SubmitOutcome::Unknown => events::refused(id, queue, outcome.as_str(), 504, took),
+        SubmitOutcome::TooLarge { .. } => events::refused(id, queue, outcome.as_str(), 400, took),
     }
     outcome
 }
@@ -163,6 +172,13 @@
     let Ok(value) = serde_json::to_vec(record) else {
         return SubmitOutcome::Refused;
     };
+    let max_bytes = node.dependencies.store.max_value_bytes();
+    if value.len() > max_bytes {
+        return SubmitOutcome::TooLarge {
+            bytes: value.len(),
+            max_bytes,
+        };
+    }
     let mut may_be_stored = false;
     loop {
         let transaction = Transaction {
@@ -294,7 +310,7 @@
     )
     .await?;
     match reply {
-        PeerResponse::State(Some(code)) => Some(job::record::decode_state(code)),
+        PeerResponse::State(Some(code)) => Some(record::decode_state(code)),
         _ => None,
     }
 }
@@ -340,7 +356,7 @@
         .rows
         .iter()
         .filter_map(|row| row.value.as_deref())
-        .find_map(|value| serde_json::from_slice::<JobRecord>(value).ok())
+        .find_map(|value| record::decode(value).ok())
         .map_or(JobState::Queued, |record| record.state());
     if cancelled && !recorded.is_final() {
         return JobLookup::State(JobState::Cancelled);
--- a/crates/dispatch/src/dependencies.rs
+++ b/crates/dispatch/src/dependencies.rs
@@ -26,6 +26,10 @@
 
 /// The future that a call returns.
 pub type CallFuture<T> = LocalBoxFuture<'static, T>;
+/// The size of the store's rows unless the settings say otherwise, in bytes.
+pub const DEFAULT_ROW_BYTES: usize = 65_536;
+/// The part of a row that is kept free is its size divided by this number.
+const ROW_MARGIN_DIVISOR: usize = 16;
 /// An asynchronous call to an external service.
 pub type Call<A, T> = Box<dyn Fn(A) -> CallFuture<T>>;
 
@@ -134,6 +138,16 @@
     pub read: Call<Range, Result<Page, StoreError>>,
     /// Waits for rows of a table that changed after a version.
     pub follow: Call<FollowRequest, Result<Page, StoreError>>,
+    /// The largest value of a row that the store accepts, in bytes.
+    pub row_bytes: usize,
+}
+
+impl Store {
+    /// Returns the largest value that this program writes, in bytes. The rest is a margin.
+    #[must_use]
+    pub const fn max_value_bytes(&self) -> usize {
+        self.row_bytes - self.row_bytes / ROW_MARGIN_DIVISOR
+    }
 }
 
 /// Identifies a row.
--- a/crates/dispatch/src/dump.rs
+++ b/crates/dispatch/src/dump.rs
@@ -62,6 +62,9 @@
     pub queue: String,
     /// State as shown to callers.
     pub state: &'static str,
+    /// Whether the store refuses the record of the job, so that none of its tasks starts.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub set_aside: bool,
     /// Time since its arrival, in milliseconds.
     pub age_ms: u64,
     /// Whether the first ready step can still meet the objective of the job when it starts now;
@@ -137,6 +140,7 @@
         job: job.id,
         queue: job.queue.to_string(),
         state: job.state.as_str(),
+        set_aside: job.set_aside,
         age_ms: model::time::millis(job.age(now)),
         deadline_outlook: scheduler.deadline_outlook(job, now, unix_ms),
         blocked_steps: scheduler.waiting_steps(job, now, unix_ms),
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -239,6 +239,21 @@
     log::info!(event = "late_answer", id, took_ms, ends; "");
 }
 
+/// Logs a row that the store refuses for good, so that it is not written.
+pub fn refused_row(table: &str, key: &str) {
+    log::error!(event = "refused_row", table, key; "");
+}
+
+/// Logs that a job is set aside because the store refuses its record.
+pub fn job_set_aside(id: JobId) {
+    log::error!(event = "job_set_aside", job = id.as_str(); "");
+}
+
+/// Logs that checkpoints were left out of the record of a job so that it fits a row.
+pub fn checkpoints_omitted(id: JobId, checkpoints: usize) {
+    log::warn!(event = "checkpoints_omitted", job = id.as_str(), checkpoints; "");
+}
+
 /// Logs a row that cannot be read and is skipped.
 pub fn unreadable_row(table: &str, key: &str, error: &str) {
     log::warn!(event = "unreadable_row", table, key, error; "");
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -42,6 +42,13 @@
     pub queue: String,
 }
 
+/// The `table` label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TableLabel {
+    /// Name of a table of the store, a constant of the code.
+    pub table: &'static str,
+}
+
 /// The `limit` label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LimitLabel {
@@ -107,6 +114,8 @@
     /// Age of the oldest job with a step that waits for a reason, in milliseconds. Covers the jobs
     /// of the latest round of log lines.
     pub oldest_wait_ms: Family<LimitLabel, Gauge>,
+    /// Rows that the store refused for good, by table.
+    pub refused_rows: Family<TableLabel, Counter>,
     /// Takeovers by this host.
     pub takeovers: Counter,
 }
@@ -133,6 +142,7 @@
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
             oldest_wait_ms: Family::default(),
+            refused_rows: Family::default(),
             takeovers: Counter::default(),
         };
         metrics.register_all();
@@ -190,6 +200,12 @@
             "Age of the oldest job that waits, by what its step waits for",
             &self.oldest_wait_ms,
         );
+        register(
+            registry,
+            "refused_rows",
+            "Rows that the store refused for good",
+            &self.refused_rows,
+        );
         register(
             registry,
             "takeovers",
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -30,12 +30,17 @@
 /// Interval at which the learned interference is stored for a successor.
 const LEARNED_INTERVAL: Duration = Duration::from_secs(3);
 /// Delay before a transaction is sent again.
-const RETRY_DELAY: Duration = Duration::from_millis(60);
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(60);
 
 /// The outcome of a transaction.
-enum CommitOutcome {
+pub(super) enum CommitOutcome {
+    /// The rows are stored.
     Applied,
+    /// The store refuses the transaction for good; nothing was stored.
+    Rejected,
+    /// Another host owns the executors.
     Superseded,
+    /// The ownership ended before the outcome was known.
     Stopped,
 }
 
@@ -55,18 +60,8 @@
                 MAX_JOBS_PER_TRANSACTION,
                 pacing::transaction_bytes(self.node.identity.capacity.link_mbps),
             );
-            let started = self.now();
-            match self.commit(&batch, release.as_ref()).await {
-                CommitOutcome::Applied => {
-                    let took = self.now().since(started);
-                    self.load.count_transaction(&batch, took);
-                    self.on_committed(batch);
-                }
-                CommitOutcome::Superseded => {
-                    self.end("the store records another owner");
-                    return;
-                }
-                CommitOutcome::Stopped => return,
+            if !self.store_batch(batch, release.as_ref()).await {
+                return;
             }
             if let Some(release) = release {
                 self.end(release.reason.as_str());
@@ -75,7 +70,7 @@
         }
     }
 
-    fn on_committed(self: &Rc<Self>, batch: Batch) {
+    pub(super) fn on_committed(self: &Rc<Self>, batch: Batch) {
         let now = self.now();
         let stored = self.starts_unstored.get().saturating_sub(batch.starts());
         let ended = self.scheduler.borrow_mut().batch_stored(batch, now);
@@ -98,7 +93,12 @@
         self.dispatch_pending();
     }
 
-    async fn commit(&self, batch: &Batch, release: Option<&Release>) -> CommitOutcome {
+    pub(super) async fn commit(
+        &self,
+        batch: &Batch,
+        interference: Option<(RowId, Vec<u8>)>,
+        release: Option<&Release>,
+    ) -> CommitOutcome {
         let transaction_number = self.record.borrow().transaction + 1;
         let record = OwnerRecord {
             transaction: transaction_number,
@@ -117,7 +117,7 @@
                 .iter()
                 .map(|(id, row)| (rows::run_row_id(*id), row.clone())),
         );
-        puts.extend(self.interference_row());
+        puts.extend(interference);
         let removes: Vec<RowId> = batch
             .removed
             .iter()
@@ -147,6 +147,7 @@
                     ConflictCause::Earlier(version) => self.row_version.set(version),
                     ConflictCause::OtherOwner => return CommitOutcome::Superseded,
                 },
+                Err(StoreError::Protocol) => return CommitOutcome::Rejected,
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
             if self.shutdown.is_cancelled() {
@@ -156,12 +157,15 @@
     }
 
     /// Returns the row with the learned interference if it is due to be stored.
-    fn interference_row(&self) -> Option<(RowId, Vec<u8>)> {
+    pub(super) fn interference_row(&self) -> Option<(RowId, Vec<u8>)> {
         let now = self.now();
-        if now.since(self.interference_stored_at.get()) < LEARNED_INTERVAL {
+        let is_due = now.since(self.interference_stored_at.get()) >= LEARNED_INTERVAL;
+        if !is_due || self.interference_refused.get() {
             return None;
         }
-        let learned = self.scheduler.borrow().interference.learned();
+        let max_bytes = self.node.dependencies.store.max_value_bytes();
+        let interference = &self.scheduler.borrow().interference;
+        let learned = interference.learned_within(max_bytes);
         if learned.is_empty() {
             return None;
         }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -19,6 +19,7 @@
 pub mod pacing;
 pub mod polls;
 pub mod processor_pace;
+mod refused;
 mod release;
 mod starts;
 pub mod takeover;
@@ -90,6 +91,8 @@
     confirmed_at: Cell<Mono>,
     /// When the learned interference was last stored.
     interference_stored_at: Cell<Mono>,
+    /// Whether the store refuses the row with the learned interference.
+    interference_refused: Cell<bool>,
     /// When the store last answered a request for new jobs.
     jobs_synced_at: Cell<Mono>,
     /// Wakes the task that stores changes.
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -10,6 +10,7 @@
 use futures::future::join_all;
 use job::id::JobId;
 use job::interference::LearnedPair;
+use job::record;
 use job::record::JobRecord;
 use job::record::SubmissionRecord;
 use job::scheduler::Scheduler;
@@ -101,6 +102,7 @@
         stop_timeout: node.timing.stop_timeout,
     };
     let mut scheduler = Scheduler::new(plan, timing);
+    scheduler.max_record_bytes = node.dependencies.store.max_value_bytes();
     restore(node, &mut scheduler, &stored);
     let inherited = scheduler
         .fleet
@@ -132,6 +134,7 @@
         row_version: Cell::new(kept.version),
         confirmed_at: Cell::new(confirmed_at),
         interference_stored_at: Cell::new(claim.sent),
+        interference_refused: Cell::new(false),
         jobs_synced_at: Cell::new(node.now()),
         commit_requested: Notify::new(),
         committed: Notify::new(),
@@ -361,10 +364,10 @@
 
 fn parse_job_record(row: &Row) -> Option<(JobId, JobRecord)> {
     let id = JobId::parse(&row.key).ok()?;
-    match serde_json::from_slice(row.value.as_deref()?) {
+    match record::decode(row.value.as_deref()?) {
         Ok(record) => Some((id, record)),
         Err(error) => {
-            events::unreadable_row(rows::RUNS_TABLE, &row.key, &error.to_string());
+            events::unreadable_row(rows::RUNS_TABLE, &row.key, &error);
             None
         }
     }
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -111,6 +111,16 @@
             let executor = executor_name(scheduler, *executor);
             events::end_withheld(*task, *run, executor, outcome.as_str());
         }
+        Event::JobSetAside { job } => {
+            if let Some(job) = scheduler.job(*job) {
+                events::job_set_aside(job.id);
+            }
+        }
+        Event::CheckpointsOmitted { job, checkpoints } => {
+            if let Some(job) = scheduler.job(*job) {
+                events::checkpoints_omitted(job.id, *checkpoints);
+            }
+        }
         Event::RunLost {
             task,
             run,
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -8,6 +8,9 @@
 //! | `jobs` | `jobs-`digit | job | the job as submitted | the host that accepted it |
 //! | `jobs` | `jobs-`digit | job + `-cancel` | the cancellation | the host that received it |
 //!
+//! No row exceeds `Store::max_value_bytes`: submissions are refused, records of jobs are compact, and
+//! learned pairs are left out. See `docs/design/bounded-rows.md`.
+//!
 //! Each transaction of the owner expects the previous version of the owner's row and writes the row
 //! again. Therefore a delayed copy of a transaction has no effect, and a successor that sees the
 //! row change knows that the owner is alive.
--- a/crates/dispatch/tests/all/callers.rs
+++ b/crates/dispatch/tests/all/callers.rs
@@ -54,6 +54,7 @@
             SubmitOutcome::Accepted => assert!(is_stored(&world, 1)),
             SubmitOutcome::Refused => assert!(!is_stored(&world, 1), "{fault:?}"),
             SubmitOutcome::Unknown | SubmitOutcome::NameTaken => {}
+            SubmitOutcome::TooLarge { .. } => panic!("{fault:?}: the job is small"),
         }
     }
 }
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod panics;
 mod pauses;
 mod processor_pace;
+mod refused_rows;
 mod relay;
 mod relay_assignment;
 mod relay_routes;
--- a/crates/dispatch/tests/all/store.rs
+++ b/crates/dispatch/tests/all/store.rs
@@ -3,9 +3,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
+use dispatch::dependencies::DEFAULT_ROW_BYTES;
 use dispatch::dependencies::FollowRequest;
 use dispatch::dependencies::Page;
 use dispatch::dependencies::Range;
@@ -54,6 +56,8 @@
     version: Cell<u64>,
     changed: Notify,
     oldest_change: Cell<u64>,
+    /// Tables and keys of rows that no transaction may write.
+    pub refused_keys: RefCell<BTreeSet<(&'static str, String)>>,
     /// How long the answer to a read of jobs, records or what was learned is on its way.
     read_transfer: Cell<Duration>,
 }
@@ -65,6 +69,15 @@
         self.rows.borrow().get(&key)?.0.clone()
     }
 
+    /// Writes a row.
+    pub fn put(&self, row_id: RowId, value: Vec<u8>) {
+        let transaction = Transaction {
+            puts: vec![(row_id, value)],
+            ..Transaction::default()
+        };
+        self.apply(&transaction).expect("the row is not refused");
+    }
+
     /// Drops the history of changes, so that followers of a table have to read it again.
     pub fn drop_history(&self) {
         self.oldest_change.set(self.version.get() + 1);
@@ -77,6 +90,16 @@
 
     fn apply(&self, transaction: &Transaction) -> Result<u64, StoreError> {
         let mut rows = self.rows.borrow_mut();
+        let exceeds = |(_, value): &(RowId, Vec<u8>)| value.len() > DEFAULT_ROW_BYTES;
+        let refused = self.refused_keys.borrow();
+        if transaction.puts.iter().any(exceeds)
+            || transaction
+                .puts
+                .iter()
+                .any(|(row_id, _)| refused.contains(&(row_id.table, row_id.key.clone())))
+        {
+            return Err(StoreError::Protocol);
+        }
         let current = |rows: &Rows, row_id: &RowId| {
             rows.get(&(row_id.table, row_id.part, row_id.key.clone()))
                 .filter(|(value, _)| value.is_some())
@@ -216,6 +239,7 @@
             }
             .boxed_local()
         }),
+        row_bytes: DEFAULT_ROW_BYTES,
     }
 }
 
--- a/crates/job/src/interference.rs
+++ b/crates/job/src/interference.rs
@@ -160,6 +160,27 @@
         learned
     }
 
+    /// Returns the estimates that fit `max_bytes` when they are serialised as JSON, sorted by image
+    /// names. Pairs with the least information, which is the largest variance, are left out first.
+    #[must_use]
+    pub fn learned_within(&self, max_bytes: usize) -> Vec<LearnedPair> {
+        let mut learned = self.learned();
+        learned.sort_by(|left, right| left.variance.total_cmp(&right.variance));
+        // The brackets of the list; each pair is followed by a comma or the closing bracket.
+        let mut bytes = 1;
+        let fitting = learned.iter().take_while(|pair| {
+            let length = serde_json::to_vec(pair).map_or(max_bytes, |text| text.len());
+            bytes += length + 1;
+            bytes <= max_bytes
+        });
+        let fitting = fitting.count();
+        learned.truncate(fitting);
+        learned.sort_by(|left, right| {
+            (&left.service, &left.best_effort).cmp(&(&right.service, &right.best_effort))
+        });
+        learned
+    }
+
     /// Restores the estimates of a previous owner.
     pub fn restore(&mut self, learned: &[LearnedPair]) {
         for pair in learned {
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -10,6 +10,7 @@
 //! `docs/JOBS.md` explains the design decisions.
 
 pub mod advice;
+mod compact_record;
 pub mod durations;
 pub mod fleet;
 pub mod id;
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -1,12 +1,14 @@
 //! The stored representation of jobs.
 //!
-//! Tasks that were never assigned take no space, and each task that has succeeded takes one number.
+//! Tasks that were never assigned take no space, and each task that has succeeded takes one number. A
+//! record that would exceed a row of the store is written in a compact encoding.
 
 use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::compact_record;
 use crate::fleet::Fleet;
 use crate::scheduler::AbandonedRun;
 use crate::scheduler::Job;
@@ -93,6 +95,23 @@
         self.row_version
             .is_none_or(|version| version == row_version)
     }
+
+    /// Removes checkpoints, the longest first, until they add up to `bytes`. Returns their number.
+    fn omit_longest_checkpoints(&mut self, bytes: usize) -> usize {
+        let length = |task: &TaskRecord| task.checkpoint.as_ref().map_or(0, |saved| saved.len());
+        let mut tasks: Vec<&mut TaskRecord> = self.tasks.iter_mut().collect();
+        tasks.sort_by_key(|task| std::cmp::Reverse(length(task)));
+        let (mut omitted, mut saved) = (0, 0);
+        for task in tasks {
+            if saved >= bytes || task.checkpoint.is_none() {
+                break;
+            }
+            saved += length(task);
+            task.checkpoint = None;
+            omitted += 1;
+        }
+        omitted
+    }
 }
 
 /// Returns the state with this one-letter code. Unknown codes decode as [`JobState::Queued`].
@@ -119,13 +138,59 @@
     }
 }
 
-/// Serialises the record of a job.
+/// A serialised record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedRecord {
+    /// The value of the row.
+    pub bytes: Vec<u8>,
+    /// The number of checkpoints that were left out because the record would not have fitted. If
+    /// another owner takes over, their tasks resume from an earlier state.
+    pub omitted_checkpoints: usize,
+}
+
+/// Serialises the record of a job in at most `max_bytes`, if that is possible without losing the
+/// state of a task.
 ///
 /// # Panics
 ///
 /// Never: the record contains nothing that JSON cannot represent.
 #[must_use]
-pub fn encode(job: &Job, fleet: &Fleet) -> Vec<u8> {
+pub fn encode(job: &Job, fleet: &Fleet, max_bytes: usize) -> EncodedRecord {
+    let mut record = record_of(job, fleet);
+    let mut bytes = serde_json::to_vec(&record).expect("a record can always be serialised");
+    let mut omitted_checkpoints = 0;
+    if bytes.len() > max_bytes {
+        bytes = compact_record::encode(&record);
+    }
+    if bytes.len() > max_bytes {
+        omitted_checkpoints = record.omit_longest_checkpoints(bytes.len() - max_bytes);
+        bytes = compact_record::encode(&record);
+    }
+    if bytes.len() > max_bytes {
+        for task in &mut record.tasks {
+            task.address = None;
+        }
+        bytes = compact_record::encode(&record);
+    }
+    EncodedRecord {
+        bytes,
+        omitted_checkpoints,
+    }
+}
+
+/// Deserialises the record of a job in any encoding.
+///
+/// # Errors
+///
+/// Returns why the value is no record.
+pub fn decode(value: &[u8]) -> Result<JobRecord, String> {
+    match value.split_first() {
+        Some((&compact_record::VERSION, rest)) => compact_record::decode(rest),
+        _ => serde_json::from_slice(value).map_err(|error| error.to_string()),
+    }
+}
+
+fn record_of(job: &Job, fleet: &Fleet) -> JobRecord {
     let mut record = JobRecord {
         state: state_code(job.state),
         abandoned: job.abandoned.clone(),
@@ -168,7 +233,7 @@
         record.done.clear();
         record.tasks.retain(|task| task.executor.is_some());
     }
-    serde_json::to_vec(&record).expect("a record can always be serialised")
+    record
 }
 
 #[expect(
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -76,6 +76,18 @@
         /// How the run ended.
         outcome: RunOutcome,
     },
+    /// The store refuses the record of a job, so that the job is set aside.
+    JobSetAside {
+        /// The job.
+        job: JobKey,
+    },
+    /// Checkpoints were left out of a record so that it fits a row.
+    CheckpointsOmitted {
+        /// The job.
+        job: JobKey,
+        /// The number of checkpoints.
+        checkpoints: usize,
+    },
     /// A later process is listed at the address of an unreachable executor.
     ExecutorReplaced {
         /// The executor whose process has ended.
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -166,6 +166,7 @@
     /// services have free capacity.
     pub fn tick(&mut self, now: Mono) {
         self.retire(now);
+        self.retry_set_aside(now);
         self.find_idle_services();
         self.keep_executors_for_short_work(now);
         self.take_turns(now);
--- a/crates/job/src/scheduler/job.rs
+++ b/crates/job/src/scheduler/job.rs
@@ -9,6 +9,7 @@
 use super::AbandonedRun;
 use super::JobKey;
 use super::ReadyStep;
+use super::set_aside::JobEnd;
 use super::store_queue::StorePlace;
 use crate::id::JobId;
 use crate::spec::JobSpec;
@@ -89,6 +90,10 @@
     pub(super) dirty: bool,
     /// Where the job waits for that.
     pub(super) store_place: StorePlace,
+    /// Ends that changed the job since its record was last serialised.
+    pub(super) unstored_ends: Vec<JobEnd>,
+    /// Whether the store refuses the job's record, so that it is not written and no task starts.
+    pub set_aside: bool,
 }
 
 impl Job {
--- a/crates/job/src/scheduler/late_end.rs
+++ b/crates/job/src/scheduler/late_end.rs
@@ -83,6 +83,7 @@
             RunOutcome::Interrupted | RunOutcome::LeaseExpired => true,
         };
         if settled {
+            self.note_unstored_end(key.job, executor, end);
             self.forget_abandoned(key, end.run);
         } else {
             self.withhold_acknowledgement(executor, end);
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod report;
 mod restore;
 mod retire;
+mod set_aside;
 mod store;
 mod store_queue;
 mod transitions;
@@ -72,6 +73,9 @@
 use crate::task::StartState;
 use crate::task::Task;
 
+/// The largest record of a job with rows of 65,536 bytes.
+pub const DEFAULT_MAX_RECORD_BYTES: usize = 60 << 10;
+
 new_key_type! {
     /// Identifies a job in the [`Scheduler`].
     pub struct JobKey;
@@ -129,6 +133,11 @@
     open: Vec<JobKey>,
     /// The jobs whose records have to be written.
     dirty: StoreQueue,
+    /// The largest record of a job that the store accepts, in bytes. [`DEFAULT_MAX_RECORD_BYTES`]
+    /// unless the settings say otherwise.
+    pub max_record_bytes: usize,
+    /// The jobs that were set aside, and when, the earliest first.
+    set_aside: Vec<(Mono, JobKey)>,
     /// The executors with ends whose effect is not stored.
     unstored_ends: Vec<ExecutorKey>,
     /// The executors that may have to be polled.
@@ -183,6 +192,8 @@
             by_id: Map::default(),
             open: Vec::new(),
             dirty: StoreQueue::default(),
+            max_record_bytes: DEFAULT_MAX_RECORD_BYTES,
+            set_aside: Vec::new(),
             unstored_ends: Vec::new(),
             poll_candidates: Vec::new(),
             rounds: 0,
@@ -244,6 +255,8 @@
             is_urgent: false,
             dirty: false,
             store_place: StorePlace::default(),
+            unstored_ends: Vec::new(),
+            set_aside: false,
         };
         job.work = job.remaining_work();
         self.size_share.add_job(&job.queue, &job.spec, job.work);
@@ -399,7 +412,7 @@
     pub fn ready_steps(&self, unix_ms: u64) -> Vec<ReadyStep> {
         let mut ready = Vec::new();
         for (key, job) in self.open_jobs() {
-            if job.waiting > 0 && !job.state.is_final() {
+            if job.waiting > 0 && !job.state.is_final() && !job.set_aside {
                 job.ready_steps(key, unix_ms, &mut ready);
             }
         }
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -151,6 +151,7 @@
             executor,
             outcome: end.outcome,
         });
+        self.note_unstored_end(key.job, executor, end);
         self.update_checkpoint(key, end.checkpoint.as_ref());
         if matches!(end.outcome, RunOutcome::Done | RunOutcome::Failed) {
             self.clear_of_suspicion(key);
--- a/crates/job/src/scheduler/store.rs
+++ b/crates/job/src/scheduler/store.rs
@@ -2,11 +2,13 @@
 
 use model::Mono;
 
+use super::Event;
 use super::JobKey;
 use super::JobState;
 use super::Scheduler;
 use super::StorePoint;
 use super::TaskKey;
+use super::set_aside::JobEnd;
 use crate::fleet::ExecutorKey;
 use crate::id::JobId;
 use crate::ranking;
@@ -19,9 +21,11 @@
     /// The rows to be written: the job and its serialised record.
     pub rows: Vec<(JobId, Vec<u8>)>,
     /// Tasks whose start commands may then be sent.
-    starts: Vec<TaskKey>,
+    pub(super) starts: Vec<TaskKey>,
     /// Jobs and the state that callers may then be told.
-    states: Vec<(JobKey, JobState)>,
+    pub(super) states: Vec<(JobKey, JobState)>,
+    /// Ends of runs that changed these jobs.
+    pub(super) ends: Vec<(JobKey, Vec<JobEnd>)>,
     /// Jobs whose records are deleted because their submission rows have been removed.
     pub removed: Vec<JobId>,
     /// Ended runs that may then be acknowledged: the executor, the start time of its incarnation
@@ -35,6 +39,40 @@
     pub const fn starts(&self) -> usize {
         self.starts.len()
     }
+
+    /// Divides the rows of a batch that was refused in two halves, to be stored in this order. The
+    /// second one holds the acknowledgements, which depend on all rows. There is none if the batch
+    /// cannot be divided.
+    #[must_use]
+    pub fn split(mut self) -> (Self, Option<Self>) {
+        let mut second = Self {
+            acks: std::mem::take(&mut self.acks),
+            ..Self::default()
+        };
+        match (self.rows.len(), self.removed.len()) {
+            (0, 0 | 1) | (1, 0) => {
+                self.acks = second.acks;
+                return (self, None);
+            }
+            (0, removed) => second.removed = self.removed.split_off(removed / 2),
+            (rows, _) => {
+                let middle = rows.div_ceil(2);
+                second.removed = std::mem::take(&mut self.removed);
+                second.rows = self.rows.split_off(middle);
+                second.states = self.states.split_off(middle);
+                let is_second = |key: JobKey| second.states.iter().any(|(other, _)| *other == key);
+                second.starts = self
+                    .starts
+                    .extract_if(.., |task| is_second(task.job))
+                    .collect();
+                second.ends = self
+                    .ends
+                    .extract_if(.., |(key, _)| is_second(*key))
+                    .collect();
+            }
+        }
+        (self, Some(second))
+    }
 }
 
 /// Ended runs of an executor whose effect is not stored yet.
@@ -143,10 +181,20 @@
                 batch.starts.push(TaskKey { job: key, slot });
             }
         }
+        let ends = std::mem::take(&mut job.unstored_ends);
+        if !ends.is_empty() {
+            batch.ends.push((key, ends));
+        }
         let id = job.id;
-        let row = record::encode(job, &self.fleet);
-        let bytes = row.len();
-        batch.rows.push((id, row));
+        let record = record::encode(job, &self.fleet, self.max_record_bytes);
+        let bytes = record.bytes.len();
+        batch.rows.push((id, record.bytes));
+        if record.omitted_checkpoints > 0 {
+            self.record_event(Event::CheckpointsOmitted {
+                job: key,
+                checkpoints: record.omitted_checkpoints,
+            });
+        }
         bytes
     }
 
@@ -156,6 +204,9 @@
         for (key, state) in batch.states {
             ended.extend(self.state_stored(key, state, now));
         }
+        for (_, ends) in batch.ends {
+            self.release_stored_ends(&ends);
+        }
         for key in batch.starts {
             self.assignment_stored(key, now);
         }
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -217,6 +217,11 @@
     pub(super) fn mark_dirty(&mut self, key: JobKey) {
         if let Some(job) = self.jobs.get_mut(key) {
             job.dirty = true;
+            // The record of an ended job is small, so that it is tried again at once.
+            job.set_aside &= !job.state.is_final();
+            if job.set_aside {
+                return;
+            }
             self.dirty.add(key, job.is_urgent, &mut job.store_place);
         }
     }
--- a/crates/job/src/turns.rs
+++ b/crates/job/src/turns.rs
@@ -109,7 +109,7 @@
     fn interrupted_services(&self) -> Vec<TaskKey> {
         let mut interrupted = Vec::new();
         for (job_key, job) in self.open_jobs() {
-            if !job.has_waiting_tasks() || !job.spec.is_long_running() {
+            if job.set_aside || !job.has_waiting_tasks() || !job.spec.is_long_running() {
                 continue;
             }
             let slots = 0..u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
--- a/crates/job/tests/all/record.rs
+++ b/crates/job/tests/all/record.rs
@@ -1,7 +1,11 @@
 //! Tests of stored records and of their restoration by a new owner.
 
 use job::fleet::Listing;
+use job::interference::LearnedPair;
+use job::record::JobRecord;
+use job::scheduler::ActiveRun;
 use job::scheduler::Command;
+use job::scheduler::Event;
 use job::scheduler::JobState;
 use job::scheduler::Report;
 use job::scheduler::RunOutcome;
@@ -163,28 +167,171 @@
 /// The size of the store's rows.
 const ROW_BYTES: usize = 65_536;
 
-/// The most tasks that a job may have, all of them running with a checkpoint, under names as long as
-/// those of real executors.
+/// Returns a job of the most tasks that a job may have, all of them running with a checkpoint of this
+/// length on this many executors with names as long as those of real ones.
+fn widest_job(executors: usize, checkpoint_bytes: usize) -> Fixture {
+    let mut fixture = Fixture::new(0);
+    let listing = |number| Listing {
+        id: format!("i-{number:010x}").into(),
+        started_unix_ms: 1_796_373_333_000 + number as u64,
+        ..listing(number)
+    };
+    fixture.list((0..executors).map(listing).collect());
+    let id = fixture.submit(1, vec![step(1_000, 4, 1_000)]);
+    let job = fixture.scheduler.find(id).expect("known");
+    for slot in 0..1_000 {
+        let name = format!("i-{:010x}", slot as usize % executors);
+        let executor = fixture.scheduler.fleet.find(&name).expect("listed");
+        let key = TaskKey { job, slot };
+        fixture.scheduler.assign(key, executor, fixture.now);
+    }
+    fixture.store();
+    for number in 0..executors {
+        let name = format!("i-{number:010x}");
+        let executor = fixture.scheduler.fleet.find(&name).expect("listed");
+        let known = fixture.scheduler.fleet.get(executor).expect("listed");
+        let keys: Vec<TaskKey> = known.tasks.iter().copied().collect();
+        let saved = |key: &TaskKey| ActiveRun {
+            checkpoint: Some(format!("{:0checkpoint_bytes$x}", key.slot).into()),
+            ..fixture.running(*key, 10, 0)
+        };
+        let report = Report {
+            started_unix_ms: Some(1_796_373_333_000 + number as u64),
+            clock_ms: 500,
+            running: keys.iter().map(saved).collect(),
+            ended: Vec::new(),
+        };
+        let now = fixture.now;
+        fixture.scheduler.report(executor, &report, now, now);
+    }
+    fixture
+}
+
+/// Writes the record of the only job. Returns it with its size.
+fn written(fixture: &mut Fixture) -> (JobRecord, usize) {
+    let job = fixture.scheduler.open_jobs().next().expect("a job").0;
+    // Any change of the job writes its record.
+    let key = TaskKey { job, slot: 0 };
+    let executor = fixture
+        .scheduler
+        .task(key)
+        .and_then(|task| task.assignment());
+    let executor = executor.expect("assigned").executor;
+    let end = fixture.end(1, key, RunOutcome::Interrupted);
+    let report = Report {
+        started_unix_ms: None,
+        clock_ms: 500,
+        running: Vec::new(),
+        ended: vec![end],
+    };
+    let sent = model::Mono::ZERO;
+    let now = fixture.now;
+    fixture.scheduler.report(executor, &report, sent, now);
+    let batch = fixture.scheduler.take_batch(100, usize::MAX);
+    let row = &batch.rows[0].1;
+    let record = job::record::decode(row).expect("a valid record");
+    (record, row.len())
+}
+
+/// The store refuses a larger row for good, and the transaction with it.
 #[test]
 fn the_record_of_the_widest_job_fits_a_row() {
-    let mut fixture = Fixture::new(0);
-    let executors = 1..=64;
-    fixture.list(
-        executors
-            .map(|number| Listing {
-                id: format!("i-{number:010x}").into(),
-                started_unix_ms: 1_796_373_333_000,
-                ..listing(number)
-            })
-            .collect(),
-    );
-    fixture.submit(1, vec![step(1_000, 4, 1_000)]);
-    assert_eq!(fixture.place(), 1_000);
+    for executors in [64, 1_000] {
+        let mut fixture = widest_job(executors, 16);
+        let (record, bytes) = written(&mut fixture);
+        assert!(
+            bytes <= ROW_BYTES - ROW_BYTES / 16,
+            "{bytes} bytes with {executors} executors"
+        );
+        assert_eq!(record.tasks.len(), 1_000);
+        let job = fixture.scheduler.open_jobs().next().expect("a job").1;
+        for (task, record) in job.tasks.iter().zip(&record.tasks) {
+            assert_eq!(task.run, record.run);
+            assert_eq!(task.checkpoint, record.checkpoint);
+            let executor = task.assignment().map(|assignment| {
+                let executor = fixture.scheduler.fleet.get(assignment.executor);
+                executor.expect("listed").listing.clone()
+            });
+            let started = executor.as_ref().map(|listing| listing.started_unix_ms);
+            assert_eq!(executor.map(|listing| listing.id), record.executor);
+            assert_eq!(started, record.executor_started_unix_ms);
+        }
+    }
+}
+
+/// Executors decide how long checkpoints are. Without one a task repeats work, without the state of
+/// its run it could run twice.
+#[test]
+fn a_record_leaves_out_checkpoints_before_it_exceeds_a_row() {
+    let mut fixture = widest_job(64, 400);
+    let (record, bytes) = written(&mut fixture);
+    assert!(bytes <= ROW_BYTES, "{bytes} bytes");
+    assert_eq!(record.tasks.len(), 1_000);
+    let running = record.tasks.iter().filter(|task| task.executor.is_some());
+    assert_eq!(running.count(), 999);
+    let saved = record.tasks.iter().filter(|task| task.checkpoint.is_some());
+    assert!(saved.count() > 50);
+    let events = fixture.scheduler.take_events();
+    assert!(events.iter().any(|event| matches!(
+        event,
+        Event::CheckpointsOmitted { checkpoints, .. } if *checkpoints < 950
+    )));
+}
+
+/// Hosts of earlier releases read JSON alone, and take a job without a readable record for a new one.
+#[test]
+fn a_record_that_fits_a_row_as_json_is_json() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(1, vec![step(4, 4, 1_000)]);
+    fixture.place();
     let batch = fixture.scheduler.take_batch(100, usize::MAX);
-    let bytes = batch.rows[0].1.len();
-    let checkpoints = 1_000 * r#","c":"00000bb87a21d94b""#.len();
+    let row = &batch.rows[0].1;
+    let record: JobRecord = serde_json::from_slice(row).expect("JSON");
+    assert_eq!(job::record::decode(row), Ok(record));
+}
+
+/// A row that is damaged must not make a successor panic.
+#[test]
+fn a_damaged_compact_record_is_an_error() {
+    let mut fixture = widest_job(64, 16);
+    let job = fixture.scheduler.open_jobs().next().expect("a job").1;
+    let encoded = job::record::encode(job, &fixture.scheduler.fleet, ROW_BYTES);
+    for length in [0, 1, 2, 100, encoded.bytes.len() - 1] {
+        assert!(job::record::decode(&encoded.bytes[..length]).is_err());
+    }
+    fixture.pass(1);
+}
+
+/// The row had 140,545 bytes with 24 images of services and 24 of best-effort work.
+#[test]
+fn the_learned_interference_fits_a_row_without_the_pairs_of_which_least_is_known() {
+    let name = |kind: &str, number: usize| format!("{kind}{number:0>98}").into();
+    let mut learned = Vec::new();
+    for service in 0..24 {
+        for best_effort in 0..24 {
+            learned.push(LearnedPair {
+                service: name("service", service),
+                best_effort: name("batch", best_effort),
+                mean: 0.5,
+                variance: f64::from((service * 24 + best_effort) as u32 % 97) / 100.0,
+            });
+        }
+    }
+    let mut fixture = Fixture::new(1);
+    fixture.scheduler.interference.restore(&learned);
+    let all = fixture.scheduler.interference.learned();
+    assert_eq!(all.len(), 576);
+    let kept = fixture.scheduler.interference.learned_within(ROW_BYTES);
+    let bytes = serde_json::to_vec(&kept).expect("JSON").len();
     assert!(
-        bytes + checkpoints <= ROW_BYTES,
-        "{bytes} bytes without checkpoints"
+        (ROW_BYTES - 400..=ROW_BYTES).contains(&bytes),
+        "{bytes} bytes"
     );
+    let largest = |pairs: &[&LearnedPair]| {
+        let variances = pairs.iter().map(|pair| pair.variance);
+        variances.fold(0.0, f64::max)
+    };
+    let left_out = all.iter().filter(|pair| !kept.contains(pair));
+    let least = left_out.map(|pair| pair.variance).fold(f64::MAX, f64::min);
+    assert!(largest(&kept.iter().collect::<Vec<_>>()) <= least);
 }
