--- a/crates/job/src/compact_record.rs
+++ b/crates/job/src/compact_record.rs
@@ -12,6 +12,7 @@
 use crate::record::JobRecord;
 use crate::record::TaskRecord;
 use crate::scheduler::AbandonedRun;
+use crate::task::RunNumber;
 
 /// First byte of a compact record. JSON begins with `{`.
 pub(crate) const VERSION: u8 = 1;
@@ -34,6 +35,8 @@
     slot: u32,
     run: u64,
     failures: u32,
+    failed_gang_runs: Vec<RunNumber>,
+    stalls: u32,
     crashes: u32,
     /// Index into the executors.
     executor: Option<u32>,
@@ -62,6 +65,8 @@
             slot: task.slot,
             run: task.run,
             failures: task.failures,
+            failed_gang_runs: task.failed_gang_runs.clone(),
+            stalls: task.stalls,
             crashes: task.crashes,
             executor,
             address: task.address.clone(),
@@ -105,6 +110,8 @@
             slot: task.slot,
             run: task.run,
             failures: task.failures,
+            failed_gang_runs: task.failed_gang_runs.clone(),
+            stalls: task.stalls,
             crashes: task.crashes,
             executor,
             executor_started_unix_ms,
--- a/crates/job/tests/all/absent_queue.rs
+++ b/crates/job/tests/all/absent_queue.rs
@@ -77,13 +77,13 @@
         let batch = fixture.scheduler.take_batch(100, usize::MAX);
         let key = fixture.scheduler.find(id).expect("the job exists");
         let job = fixture.scheduler.job(key).expect("the job exists");
-        let record = job::record::encode(job, &fixture.scheduler.fleet);
+        let record = job::record::encode(job, &fixture.scheduler.fleet, usize::MAX);
         drop(batch);
         let mut submission = fixture.submission(id);
         submission.terms = terms;
         let mut next = Fixture::new(1);
         next.scheduler.plan = without_queues();
-        let record = serde_json::from_slice(&record).expect("a valid record");
+        let record = job::record::decode(&record.bytes).expect("a valid record");
         next.scheduler.restore(submission, &record, next.now);
         fail_one(&mut next, 1);
         let key = next.scheduler.find(id).expect("the job exists");
