feat(dispatch): evacuation of a data centre

Cause: operators had no means to keep new tasks away from a data centre while what runs there goes on.

Change: a row `evacuate/ZONE` in the table `op` keeps new tasks away from its executors (`Executor::accepts_tasks`) and withdraws starts that are not sent or not confirmed (`Scheduler::is_start_wanted`). The owner reads the rows in its takeover and follows them. A start is sent only within 3.5 s (of a deadline of 5 s) after the latest answered read was sent, so that an owner that is partitioned, paused or reads late starts nothing in time for the bound without the permitted stretch. Capacity in evacuated data centres counts neither for idle services nor for reservations. Log events, metrics, dump, wait reason. Without `evacuation_ms` nothing is read and nothing changes.

--- a/crates/dispatch/src/dependencies.rs
+++ b/crates/dispatch/src/dependencies.rs
@@ -8,6 +8,7 @@
 use derive_more::Error;
 use futures::future::LocalBoxFuture;
 use job::advice::Grant;
+use job::evacuation::EvacuationUpdate;
 use job::fleet::Listing;
 use job::id::JobId;
 use job::id::TaskId;
@@ -35,6 +36,8 @@
     pub store: Store,
     /// The source of the operators' document.
     pub document: DocumentSource,
+    /// The evacuations of data centres, or `None` in a deployment without evacuations.
+    pub evacuations: Option<EvacuationSource>,
     /// The list of executors.
     pub executor_list: ExecutorList,
     /// Calls to executors.
@@ -240,6 +243,23 @@
     pub follow: Call<(u64, Duration), Result<DocumentUpdate, StoreError>>,
 }
 
+/// The names of all evacuated data centres, and the version of the store at which they were read.
+pub type EvacuationRead = (Vec<Arc<str>>, u64);
+
+/// Changes of evacuations in the order in which the store made them, and the version of the store from
+/// which to continue.
+pub type EvacuationChanges = (Vec<EvacuationUpdate>, u64);
+
+/// The evacuations of data centres that operators request.
+pub struct EvacuationSource {
+    /// No task may start in a data centre later than this after the store has acknowledged the request.
+    pub deadline: Duration,
+    /// Reads all evacuations.
+    pub read: Call<(), Result<EvacuationRead, StoreError>>,
+    /// Waits for changes after a version of the store.
+    pub follow: Call<(u64, Duration), Result<EvacuationChanges, StoreError>>,
+}
+
 /// The list of executors, each with the reading of its clock.
 pub struct ExecutorList {
     /// Reads the whole list.
--- a/crates/dispatch/src/dump.rs
+++ b/crates/dispatch/src/dump.rs
@@ -1,6 +1,8 @@
 //! A diagnostic dump of the process: its view of the system, the age of that view, and why waiting
 //! jobs are blocked.
 
+use std::time::Duration;
+
 use job::id::JobId;
 use job::scheduler::Job;
 use job::scheduler::Scheduler;
@@ -51,6 +53,44 @@
     /// Executors that accept no tasks at the moment, with the causes.
     #[serde(rename = "executors_away")]
     pub unavailable_executors: Vec<ExecutorDump>,
+    /// What the owner knows of evacuations; absent in a deployment without them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<EvacuationsDump>,
+}
+
+/// What the owner knows of evacuations of data centres.
+#[derive(Debug, Serialize)]
+pub struct EvacuationsDump {
+    /// Time since the latest answered read of the evacuations was sent, in milliseconds.
+    pub read_ago_ms: u64,
+    /// The evacuated data centres.
+    pub data_centres: Vec<EvacuationDump>,
+    /// Why evacuations cannot have the effect that operators expect.
+    pub problems: Vec<EvacuationProblemDump>,
+}
+
+/// An evacuated data centre.
+#[derive(Debug, Serialize)]
+pub struct EvacuationDump {
+    /// Name of the data centre.
+    pub data_centre: String,
+    /// Time since this owner first read of the evacuation, in milliseconds.
+    pub since_ms: u64,
+    /// Number of executors there.
+    pub executors: usize,
+    /// Number of tasks that are still assigned to them.
+    pub tasks: usize,
+    /// Number of start commands that this owner has withdrawn.
+    pub withdrawn_starts: u64,
+}
+
+/// An evacuation that is obeyed although it cannot have the expected effect.
+#[derive(Debug, Serialize)]
+pub struct EvacuationProblemDump {
+    /// What is wrong: `unknown_data_centre` or `no_executor_left`.
+    pub problem: &'static str,
+    /// Name of the data centre or of the service concerned.
+    pub subject: String,
 }
 
 /// A job that has not ended.
@@ -82,6 +122,8 @@
     pub reachable: bool,
     /// Whether it accepts no more tasks because it is about to shut down.
     pub draining: bool,
+    /// Whether its data centre is evacuated.
+    pub evacuated: bool,
     /// Remaining cooldown after refused or failed starts, in milliseconds.
     #[serde(rename = "rests_ms")]
     pub cooldown_ms: u64,
@@ -119,6 +161,7 @@
             id: executor.listing.id.to_string(),
             reachable: executor.reachable,
             draining: executor.listing.draining,
+            evacuated: executor.evacuated,
             cooldown_ms: millis_since(executor.not_before, now),
             tasks: executor.tasks.len(),
         });
@@ -129,6 +172,33 @@
         jobs: jobs.collect(),
         known_executors: scheduler.fleet.iter().count(),
         unavailable_executors: unavailable.collect(),
+        evacuations: owner
+            .evacuations_age()
+            .map(|age| dump_evacuations(&scheduler, age, now)),
+    }
+}
+
+fn dump_evacuations(scheduler: &Scheduler, age: Duration, now: Mono) -> EvacuationsDump {
+    let evacuated = scheduler.evacuations().iter().take(MAX_LISTED);
+    let data_centres = evacuated.map(|(data_centre, evacuation)| {
+        let (executors, tasks) = scheduler.load_of_data_centre(data_centre);
+        EvacuationDump {
+            data_centre: data_centre.to_string(),
+            since_ms: millis_since(now, evacuation.since),
+            executors,
+            tasks,
+            withdrawn_starts: evacuation.withdrawn_starts,
+        }
+    });
+    let problems = scheduler.evacuation_problems().iter().take(MAX_LISTED);
+    let problems = problems.map(|problem| EvacuationProblemDump {
+        problem: problem.as_str(),
+        subject: problem.subject().to_string(),
+    });
+    EvacuationsDump {
+        read_ago_ms: model::time::millis(age),
+        data_centres: data_centres.collect(),
+        problems: problems.collect(),
     }
 }
 
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -223,6 +223,30 @@
     log::warn!(event = "end_withheld", job, step, index, run, executor, outcome; "");
 }
 
+/// Logs that a data centre is evacuated, or that this owner has read of it, with the number of
+/// executors and of assigned tasks there.
+pub fn evacuation_began(data_centre: &str, executors: usize, tasks: usize) {
+    log::info!(event = "evacuation_began", data_centre, executors, tasks; "");
+}
+
+/// Logs that an evacuation has ended `after_ms` after this owner read of it, with the tasks still
+/// assigned there and the starts that were withdrawn.
+pub fn evacuation_ended(data_centre: &str, after_ms: u64, tasks: usize, withdrawn_starts: u64) {
+    log::info!(event = "evacuation_ended", data_centre, after_ms, tasks, withdrawn_starts; "");
+}
+
+/// Logs that an evacuation cannot have the expected effect: its data centre or a service, by the
+/// problem.
+pub fn evacuation_problem(problem: &str, subject: &str) {
+    log::warn!(event = "evacuation_problem", problem, subject; "");
+}
+
+/// Logs that the evacuations were not read for `age_ms` and no task is started meanwhile, or that they
+/// are known again.
+pub fn evacuations_known(known: bool, age_ms: u64) {
+    log::info!(event = "evacuations_known", known, age_ms; "");
+}
+
 /// Logs that the end of a job is stored.
 pub fn job_ended(id: JobId, state: &str, after_ms: u64, objective_ms: u64) {
     log::info!(event = "job_ended", job = id.as_str(), state, after_ms, objective_ms; "");
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -1,7 +1,7 @@
 //! Metrics in the Prometheus text format.
 //!
 //! `docs/OPERATIONS.md` lists names, units and labels. Label values are constants of the code or
-//! names of queues in the document. Counters and histograms that are updated as events happen are
+//! names of queues in the document and of data centres. Counters and histograms that are updated as events happen are
 //! defined here, values that are read at the time of a scrape in `state.rs`.
 
 mod state;
@@ -42,6 +42,13 @@
     pub queue: String,
 }
 
+/// The `data_centre` label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DataCentreLabel {
+    /// Name of the data centre.
+    pub data_centre: String,
+}
+
 /// The `limit` label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LimitLabel {
@@ -100,6 +107,8 @@
     pub failed_runs: Counter,
     /// Tasks that were given up because executors crashed under them.
     pub tasks_given_up: Counter,
+    /// Start commands withdrawn because of an evacuation, by data centre.
+    pub withdrawn_starts: Family<DataCentreLabel, Counter>,
     /// Ended jobs by final state.
     pub jobs_ended: Family<OutcomeLabel, Counter>,
     /// Time from the arrival of a job to its end.
@@ -130,6 +139,7 @@
             lost_runs: Family::default(),
             failed_runs: Counter::default(),
             tasks_given_up: Counter::default(),
+            withdrawn_starts: Family::default(),
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
             oldest_wait_ms: Family::default(),
@@ -183,6 +193,12 @@
             "Tasks that were given up because executors crashed under them",
             &self.tasks_given_up,
         );
+        register(
+            registry,
+            "withdrawn_starts",
+            "Starts that were withdrawn because their data centre is evacuated",
+            &self.withdrawn_starts,
+        );
         register(registry, "jobs_ended", "Jobs that ended", &self.jobs_ended);
         register(
             registry,
--- a/crates/dispatch/src/metrics/state.rs
+++ b/crates/dispatch/src/metrics/state.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use super::DataCentreLabel;
 use super::OutcomeLabel;
 use super::QueueLabel;
 use super::register;
@@ -30,6 +31,9 @@
     pending: Family<QueueLabel, Gauge>,
     known_jobs: Gauge,
     executors: Family<OutcomeLabel, Gauge>,
+    evacuation_ms: Family<DataCentreLabel, Gauge>,
+    evacuated_tasks: Family<DataCentreLabel, Gauge>,
+    evacuations_age_ms: Gauge,
     best_effort_tasks: Family<OutcomeLabel, Gauge>,
     image_pairs: Family<OutcomeLabel, Gauge>,
     log_lines: Family<OutcomeLabel, Counter>,
@@ -81,6 +85,24 @@
             &self.known_jobs,
         );
         register(registry, "executors", "Executors by state", &self.executors);
+        register(
+            registry,
+            "evacuation_milliseconds",
+            "Time since the owner read that a data centre is evacuated",
+            &self.evacuation_ms,
+        );
+        register(
+            registry,
+            "evacuated_tasks",
+            "Tasks in evacuated data centres",
+            &self.evacuated_tasks,
+        );
+        register(
+            registry,
+            "evacuations_age_milliseconds",
+            "Time since the owner last read which data centres are evacuated",
+            &self.evacuations_age_ms,
+        );
         register(
             registry,
             "filling_tasks",
@@ -120,6 +142,8 @@
         self.update_logs(node);
         self.pending.clear();
         self.executors.clear();
+        self.evacuation_ms.clear();
+        self.evacuated_tasks.clear();
         self.best_effort_tasks.clear();
         self.image_pairs.clear();
         match node.owner() {
@@ -130,6 +154,7 @@
             None => {
                 self.owner_epoch.set(0);
                 self.jobs_silent_ms.set(0);
+                self.evacuations_age_ms.set(0);
                 self.known_jobs.set(0);
             }
         }
@@ -149,7 +174,29 @@
         self.log_bytes.inner().store(logs.bytes, Ordering::Relaxed);
     }
 
+    fn update_evacuations(&self, owner: &Owner) {
+        let age = owner.evacuations_age().unwrap_or_default();
+        self.evacuations_age_ms
+            .set(gauge_value(model::time::millis(age)));
+        let scheduler = owner.scheduler.borrow();
+        let now = owner.node.now();
+        for (data_centre, evacuation) in scheduler.evacuations().iter() {
+            let label = DataCentreLabel {
+                data_centre: data_centre.to_string(),
+            };
+            let since = model::time::millis(now.since(evacuation.since));
+            let (_, tasks) = scheduler.load_of_data_centre(data_centre);
+            self.evacuation_ms
+                .get_or_create(&label)
+                .set(gauge_value(since));
+            self.evacuated_tasks
+                .get_or_create(&label)
+                .set(i64::try_from(tasks).unwrap_or(i64::MAX));
+        }
+    }
+
     fn update_owner(&self, owner: &Owner) {
+        self.update_evacuations(owner);
         self.owner_epoch.set(gauge_value(owner.epoch));
         for (queue, count) in owner.pending() {
             let queue = queue.to_string();
@@ -199,6 +246,7 @@
     match (executor.reachable, executor.listing.draining) {
         (false, _) => "unreachable",
         (true, true) => "draining",
+        (true, false) if executor.evacuated => "evacuated",
         (true, false) => "ready",
     }
 }
--- a/crates/dispatch/src/owner/feeds.rs
+++ b/crates/dispatch/src/owner/feeds.rs
@@ -1,9 +1,10 @@
-//! Receives jobs, cancellations and the list of executors from the store.
+//! Receives jobs, cancellations, evacuations and the list of executors from the store.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::Owner;
+use super::evacuations;
 use super::pacing;
 use super::takeover;
 use crate::dependencies::FollowRequest;
@@ -114,3 +115,20 @@
         }
     }
 }
+
+/// Follows the evacuations of data centres from a version of the store on.
+///
+/// After any failure all rows are read again, whether the store has dropped its history or not: they
+/// are few, while a call that follows changes also returns a changed document, which may take long.
+pub async fn follow_evacuations(owner: Rc<Owner>, version: u64) {
+    let mut followed = Some(version);
+    while !owner.shutdown.is_cancelled() {
+        followed = match followed {
+            Some(after) => evacuations::follow(&owner, after).await,
+            None => evacuations::read_again(&owner).await,
+        };
+        if followed.is_none() {
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+}
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod command_trace;
 pub mod commands;
 pub mod commit;
+mod evacuations;
 pub mod feeds;
 mod keep_claim;
 mod load;
@@ -49,6 +50,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::command_slots::CommandSlots;
+use self::evacuations::EvacuationFeed;
 use self::load::OwnerLoad;
 use self::pacing::CommandWindow;
 use self::processor_pace::ProcessorPace;
@@ -132,6 +134,8 @@
     relays_wanted: Cell<bool>,
     /// Counts what the owner does, for the log.
     load: OwnerLoad,
+    /// When the evacuations of data centres were last read.
+    evacuations: EvacuationFeed,
     /// Limits requests to the advisor to one at a time.
     advisor_slot: Semaphore,
 }
@@ -260,6 +264,10 @@
             let now = self.now();
             let in_flight = self.starts_in_flight.get() + self.starts_unstored.get();
             let mut pace = self.processor_pace.get();
+            if !self.knows_evacuations(now) {
+                // What would be placed now could not start; the feed asks for the next round.
+                continue;
+            }
             let budget = RoundBudget {
                 tasks: self.window.borrow().free(in_flight),
                 tasks_that_can_wait: pace.allowance(started.duration_since(due), now),
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -202,9 +202,15 @@
             tokio::select! {
                 biased;
                 () = self.shutdown.cancelled() => return Err(CommandEnd::OWNER_ENDED),
-                slot = &mut slot => {
+                acquired = &mut slot => {
                     self.check_start(start, command_slots)?;
-                    return slot.ok_or(CommandEnd::OWNER_ENDED);
+                    if self.knows_evacuations(self.now()) {
+                        return acquired.ok_or(CommandEnd::OWNER_ENDED);
+                    }
+                    // The next read decides whether the start is still wanted.
+                    drop(acquired);
+                    self.evacuations_read_again(command_slots).await;
+                    slot.set(command_slots.for_command());
                 }
                 () = changed => {}
             }
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -27,6 +27,9 @@
 use super::Owner;
 use super::calls;
 use super::cleanup;
+use super::evacuations;
+use super::evacuations::EvacuationFeed;
+use super::evacuations::EvacuationSnapshot;
 use super::feeds;
 use super::keep_claim;
 use super::load;
@@ -79,6 +82,7 @@
     jobs_version: u64,
     runs: Vec<Row>,
     learned: Vec<Row>,
+    evacuations: Option<EvacuationSnapshot>,
 }
 
 /// Takes over the executors after a claim.
@@ -115,6 +119,9 @@
     if let Ok(list) = (node.dependencies.executor_list.read)(()).await {
         scheduler.update_executors(list, node.now());
     }
+    if let Some(snapshot) = &stored.evacuations {
+        scheduler.replace_evacuations(&snapshot.data_centres, node.now());
+    }
     let took = model::time::millis(node.now().since(started));
     node.metrics.takeovers.inc();
     events::takeover(
@@ -152,11 +159,12 @@
         relays: RelayPool::default(),
         relays_wanted: Cell::new(false),
         load: OwnerLoad::default(),
+        evacuations: EvacuationFeed::new(stored.evacuations.as_ref()),
         advisor_slot: Semaphore::new(1),
     });
     *node.owner.borrow_mut() = Some(owner.clone());
     *node.known_owner.borrow_mut() = Some(kept.record);
-    spawn_tasks(&owner, stored.jobs_version);
+    spawn_tasks(&owner, &stored);
     let stop = stop_earlier_owner(
         owner.clone(),
         claim.earlier,
@@ -167,13 +175,18 @@
     spawn_part(&owner, "stop_earlier_owner", stop);
 }
 
-fn spawn_tasks(owner: &Rc<Owner>, jobs_version: u64) {
+fn spawn_tasks(owner: &Rc<Owner>, stored: &StoredState) {
     let own = || owner.clone();
+    let jobs_version = stored.jobs_version;
     spawn_part(owner, "commits", own().run_commits());
     spawn_part(owner, "placement", own().run_placement());
     spawn_part(owner, "tick", own().tick());
     spawn_part(owner, "jobs", feeds::follow_jobs(own(), jobs_version));
     spawn_part(owner, "executors", feeds::follow_executors(own()));
+    if let Some(snapshot) = &stored.evacuations {
+        let evacuations = feeds::follow_evacuations(own(), snapshot.version);
+        spawn_part(owner, "evacuations", evacuations);
+    }
     spawn_part(owner, "relays", calls::maintain_relays(own()));
     spawn_part(owner, "cleanup", cleanup::run(own()));
     spawn_part(owner, "waiting", waiting::log_waiting_jobs(own()));
@@ -261,12 +274,16 @@
         let jobs = read_jobs(node).await;
         let runs = read_all(node, rows::RUNS_TABLE, rows::OWNED_PART).await;
         let learned = read_all(node, rows::LEARNED_TABLE, rows::OWNED_PART).await;
-        if let (Ok((jobs, jobs_version)), Ok((runs, _)), Ok((learned, _))) = (jobs, runs, learned) {
+        let evacuations = evacuations::read(node).await;
+        if let (Ok((jobs, jobs_version)), Ok((runs, _)), Ok((learned, _)), Ok(evacuations)) =
+            (jobs, runs, learned, evacuations)
+        {
             return Some(StoredState {
                 jobs,
                 jobs_version,
                 runs,
                 learned,
+                evacuations,
             });
         }
         tokio::time::sleep(READ_RETRY_DELAY).await;
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -8,6 +8,7 @@
 
 use super::Owner;
 use crate::events;
+use crate::metrics::DataCentreLabel;
 use crate::metrics::Metrics;
 use crate::metrics::OutcomeLabel;
 use crate::metrics::QueueLabel;
@@ -163,6 +164,29 @@
                 events::task_given_up(id, executor_name(scheduler, *executor), *crashes);
             }
         }
+        Event::EvacuationBegan {
+            data_centre,
+            executors,
+            tasks,
+        } => events::evacuation_began(data_centre, *executors, *tasks),
+        Event::EvacuationEnded {
+            data_centre,
+            lasted,
+            tasks,
+            withdrawn_starts,
+        } => {
+            let after_ms = model::time::millis(*lasted);
+            events::evacuation_ended(data_centre, after_ms, *tasks, *withdrawn_starts);
+        }
+        Event::EvacuationProblemFound { problem } => {
+            events::evacuation_problem(problem.as_str(), problem.subject());
+        }
+        Event::StartWithdrawn { data_centre } => {
+            let label = DataCentreLabel {
+                data_centre: data_centre.to_string(),
+            };
+            metrics.withdrawn_starts.get_or_create(&label).inc();
+        }
         Event::ExecutorReplaced {
             executor,
             successor,
--- a/crates/dispatch/src/store_call.rs
+++ b/crates/dispatch/src/store_call.rs
@@ -9,6 +9,8 @@
     OwnerRow,
     /// Reading or following jobs and their records.
     Jobs,
+    /// Reading or following the evacuations of data centres.
+    Evacuations,
     /// Reading the list of executors.
     Executors,
     /// A transaction of the owner.
@@ -29,6 +31,7 @@
             Self::Document => "document",
             Self::OwnerRow => "owner_row",
             Self::Jobs => "jobs",
+            Self::Evacuations => "evacuations",
             Self::Executors => "executors",
             Self::Transaction => "transaction",
             Self::Request => "request",
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -56,6 +56,8 @@
     pub listed: Cell<bool>,
     /// Whether the list says that the executor shuts down.
     pub draining: Cell<bool>,
+    /// The data centre of the executor.
+    pub data_centre: RefCell<Arc<str>>,
     /// Number of runs that the executor has started.
     pub starts: Cell<u64>,
     /// Whether calls reach the executor.
@@ -87,6 +89,8 @@
     last_start: RefCell<BTreeMap<TaskId, Instant>>,
     /// Number of started runs.
     pub starts: Cell<u64>,
+    /// From when on no task may start in a data centre.
+    pub no_starts_from: RefCell<BTreeMap<Arc<str>, Instant>>,
     /// The executors that the advisor grants, or `None` without an advisor.
     pub granted_executors: RefCell<Option<Vec<String>>>,
     /// Whether the next answer with the list of executors makes its reader panic.
@@ -144,6 +148,7 @@
             end_count: Cell::new(0),
             listed: Cell::new(true),
             draining: Cell::new(false),
+            data_centre: RefCell::new("dc".into()),
             starts: Cell::new(0),
             reachable: Cell::new(true),
             task_duration: Cell::new(TASK_DURATION),
@@ -216,6 +221,13 @@
         self.starts.set(self.starts.get() + 1);
         executor.starts.set(executor.starts.get() + 1);
         self.last_start.borrow_mut().insert(task, Instant::now());
+        let data_centre = executor.data_centre.borrow();
+        let limit = self.no_starts_from.borrow().get(&*data_centre).copied();
+        if let Some(late) = limit.and_then(|limit| Instant::now().checked_duration_since(limit)) {
+            let text =
+                format!("{task:?} started in {data_centre}, which is evacuated, {late:?} too late");
+            self.violations.borrow_mut().push(text);
+        }
         if self.acknowledged_tasks.borrow().contains(&task) {
             let text = format!(
                 "{task:?} started on {} after its success was acknowledged",
@@ -241,7 +253,7 @@
             id: self.id.clone(),
             address: self.address.clone(),
             service: "service".into(),
-            data_centre: "dc".into(),
+            data_centre: self.data_centre.borrow().clone(),
             labels: Vec::new(),
             capacity: Size::new(64_000, 256_000, 0),
             started_unix_ms: self.started_unix_ms,
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -9,6 +9,8 @@
 mod commands;
 mod document;
 mod document_relay;
+mod evacuation;
+mod evacuation_source;
 mod executor;
 mod executor_calls;
 mod handover;
--- a/crates/dispatch/tests/all/store.rs
+++ b/crates/dispatch/tests/all/store.rs
@@ -75,6 +75,17 @@
         self.read_transfer.set(duration);
     }
 
+    /// Writes or removes a row as an operator does.
+    pub fn set(&self, row_id: RowId, value: Option<Vec<u8>>) {
+        let mut transaction = Transaction::default();
+        match value {
+            Some(value) => transaction.puts.push((row_id, value)),
+            None => transaction.removes.push(row_id),
+        }
+        self.apply(&transaction)
+            .expect("a transaction without expectations");
+    }
+
     fn apply(&self, transaction: &Transaction) -> Result<u64, StoreError> {
         let mut rows = self.rows.borrow_mut();
         let current = |rows: &Rows, row_id: &RowId| {
@@ -219,7 +230,7 @@
     }
 }
 
-async fn reachable(fault: StoreFault) -> Result<(), StoreError> {
+pub async fn reachable(fault: StoreFault) -> Result<(), StoreError> {
     tokio::time::sleep(CALL_DELAY).await;
     match fault {
         StoreFault::Refuses => Err(StoreError::Refused),
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -39,6 +39,7 @@
 
 use crate::by_caller::called_by;
 use crate::document::FakeDocument;
+use crate::evacuation_source::evacuation_source;
 use crate::executor::Fleet;
 use crate::executor_calls::advisor;
 use crate::executor_calls::executors;
@@ -67,6 +68,8 @@
     pub node: Rc<Node>,
     /// The fault that the store simulates for this host.
     pub store_fault: Rc<Cell<StoreFault>>,
+    /// The fault that the store simulates for this host's reads of evacuations, beside the other one.
+    pub evacuation_fault: Rc<Cell<StoreFault>>,
     /// Whether the process is frozen and answers no requests.
     pub frozen: Rc<Cell<bool>>,
     /// If set, the processor runs a few dozen tasks of the process once in this interval, in
@@ -93,6 +96,8 @@
     hosts: Rc<RefCell<BTreeMap<String, Rc<Host>>>>,
     incarnations: Cell<u64>,
     elapsed_ms: Cell<u64>,
+    /// The time within which starts in an evacuated data centre end, or `None` without evacuations.
+    pub evacuation_deadline: Cell<Option<Duration>>,
 }
 
 /// Returns a document of this version with one queue.
@@ -170,6 +175,7 @@
             hosts: Rc::default(),
             incarnations: Cell::new(0),
             elapsed_ms: Cell::new(0),
+            evacuation_deadline: Cell::new(None),
         }
     }
 
@@ -187,6 +193,11 @@
     pub fn start_with(&self, name: &str, distance: Duration, capacity: HostCapacity) {
         self.incarnations.set(self.incarnations.get() + 1);
         let store_fault = Rc::new(Cell::new(StoreFault::None));
+        let evacuation_fault = Rc::new(Cell::new(StoreFault::None));
+        let faults = [store_fault.clone(), evacuation_fault.clone()];
+        let evacuations = self.evacuation_deadline.get();
+        let evacuations =
+            evacuations.map(|deadline| evacuation_source(&self.store, faults, distance, deadline));
         let fleet = self.fleet.clone();
         if self.fleet.granted_executors.borrow().is_some() {
             self.document.change(plan(1, true));
@@ -194,6 +205,7 @@
         let dependencies = Dependencies {
             store: store(&self.store, &store_fault, distance),
             document: self.document.source(name, &store_fault, distance),
+            evacuations,
             executor_list: ExecutorList {
                 read: Box::new(move |()| {
                     let fleet = fleet.clone();
@@ -234,6 +246,7 @@
         let host = Rc::new(Host {
             node,
             store_fault,
+            evacuation_fault,
             frozen: Rc::new(Cell::new(false)),
             slow_processor: Cell::new(None),
             tasks,
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -65,6 +65,8 @@
     pub suspected_tasks: u32,
     /// When calls to the executor began to fail; `None` if the last one succeeded.
     pub failing_since: Option<Mono>,
+    /// Whether the executor's data centre is evacuated, so that it gets no tasks.
+    pub evacuated: bool,
     /// The end of the executor's cooldown; no task is placed on it earlier.
     pub not_before: Mono,
     /// The task that the executor is reserved for. No other task is placed on it.
@@ -201,6 +203,7 @@
         self.listed
             && self.reachable
             && !self.listing.draining
+            && !self.evacuated
             && now >= self.not_before
             && self.can_list_another_end()
     }
@@ -321,6 +324,13 @@
         self.executors.len()
     }
 
+    /// Returns the number of executors outside evacuated data centres.
+    #[must_use]
+    pub fn len_without_evacuated(&self) -> usize {
+        let executors = self.executors.values();
+        executors.filter(|executor| !executor.evacuated).count()
+    }
+
     /// Returns whether there are no executors.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -6,11 +6,12 @@
 //! runs next and where, [`reservation`] for long-running tasks that find no free executor,
 //! [`advice`] for queues with an external advisor, [`wait_reason`] for why a task does not start,
 //! [`usage`] for who holds the resources and who waits for them,
-//! [`throttle`] for limiting best-effort work beside services, and [`record`] for what is stored.
+//! [`evacuation`] for data centres where nothing new starts, [`throttle`] for limiting best-effort work beside services, and [`record`] for what is stored.
 //! `docs/JOBS.md` explains the design decisions.
 
 pub mod advice;
 pub mod durations;
+pub mod evacuation;
 pub mod fleet;
 pub mod id;
 pub mod interference;
--- a/crates/job/src/relaxation.rs
+++ b/crates/job/src/relaxation.rs
@@ -170,12 +170,15 @@
         let totals = self
             .fleet
             .sum_by_service(|total: &mut Allocation, executor| {
-                total.used += executor.used;
-                total.capacity += executor.listing.capacity;
+                // What is free in an evacuated data centre cannot be used.
+                if !executor.evacuated {
+                    total.used += executor.used;
+                    total.capacity += executor.listing.capacity;
+                }
             });
         let idle = totals
             .into_iter()
-            .filter(|(_, total)| total.is_below_half());
+            .filter(|(_, total)| total.capacity != Size::ZERO && total.is_below_half());
         self.idle_services = idle.map(|(service, _)| service).collect();
     }
 
--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -91,7 +91,7 @@
         if !qualifies || step.gang || self.waited(key, now) < RESERVE_AFTER {
             return;
         }
-        let limit = (self.fleet.len() * MAX_RESERVED_PERCENT / 100).max(1);
+        let limit = (self.fleet.len_without_evacuated() * MAX_RESERVED_PERCENT / 100).max(1);
         if round.reserved.contains_key(&key) || round.reserved.len() >= limit {
             return;
         }
--- a/crates/job/src/scheduler/commands.rs
+++ b/crates/job/src/scheduler/commands.rs
@@ -142,15 +142,18 @@
     }
 
     /// Returns whether a start command should still be sent. It should not once its task is to stop,
-    /// its executor drains or has been replaced, or it no longer fits on an executor that would execute
-    /// it nevertheless.
+    /// its executor drains, is in an evacuated data centre or has been replaced, or it no longer fits on
+    /// an executor that would execute it nevertheless.
     #[must_use]
     pub fn is_start_wanted(&self, key: TaskKey, run: RunNumber) -> bool {
         let Some(assignment) = self.unconfirmed_start(key, run) else {
             return false;
         };
         let unsuitable = self.fleet.get(assignment.executor).is_none_or(|executor| {
-            executor.listing.draining || executor.is_replaced || self.is_overcommitted(executor)
+            executor.listing.draining
+                || executor.evacuated
+                || executor.is_replaced
+                || self.is_overcommitted(executor)
         });
         !assignment.stopping && !unsuitable
     }
@@ -158,9 +161,12 @@
     /// Withdraws a start command that should no longer be sent. If it was sent before without a
     /// response, it may still take effect, so the run is stopped instead of released.
     pub fn withdraw_start(&mut self, key: TaskKey, run: RunNumber, now: Mono) {
-        let Some(assignment) = self.unconfirmed_start(key, run) else {
+        let Some(assignment) = self.unconfirmed_start(key, run).cloned() else {
             return;
         };
+        if !assignment.stopping {
+            self.count_withdrawn_start(assignment.executor);
+        }
         if !assignment.start_unanswered {
             self.release_unstarted(key, now);
         } else if !assignment.stopping {
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -1,10 +1,12 @@
 //! Scheduling events for logs and metrics, with the details needed to diagnose a job by its name.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::JobKey;
 use super::RunOutcome;
 use super::TaskKey;
+use crate::evacuation::EvacuationProblem;
 use crate::fleet::ExecutorKey;
 use crate::id::TaskId;
 use crate::ranking::Rank;
@@ -126,6 +128,36 @@
         /// The number of executors that have crashed in a row.
         crashes: u32,
     },
+    /// An evacuation of a data centre has begun, or this owner has read of it for the first time.
+    EvacuationBegan {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// The number of executors there.
+        executors: usize,
+        /// The number of tasks assigned to them.
+        tasks: usize,
+    },
+    /// An evacuation of a data centre has ended.
+    EvacuationEnded {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// The time since this owner first read of it.
+        lasted: Duration,
+        /// The number of tasks that are still assigned to executors there.
+        tasks: usize,
+        /// The number of start commands that were withdrawn.
+        withdrawn_starts: u64,
+    },
+    /// An evacuation cannot have the effect that operators expect. It is obeyed nevertheless.
+    EvacuationProblemFound {
+        /// What is wrong.
+        problem: EvacuationProblem,
+    },
+    /// A start command is withdrawn because the data centre of its executor is evacuated.
+    StartWithdrawn {
+        /// The data centre.
+        data_centre: Arc<str>,
+    },
     /// A run was lost, and its task waits for another start.
     RunLost {
         /// The task.
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -38,6 +38,7 @@
             self.fleet.remove(key);
         }
         self.find_replaced_executors(now);
+        self.find_evacuation_problems();
     }
 
     fn update_executor(&mut self, listing: Listing, clock_ms: u64, now: Mono) {
@@ -74,6 +75,7 @@
         }
         executor.listing = listing;
         executor.listing.started_unix_ms = started_unix_ms;
+        executor.evacuated = self.evacuations.contains(&executor.listing.data_centre);
         executor.listed = true;
         if executor.clock.is_none() {
             executor.clock = Some(ClockReading {
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod capacity;
 mod commands;
 mod crashes;
+mod evacuation;
 mod event;
 mod executors;
 mod gang;
@@ -25,6 +26,7 @@
 mod store_queue;
 mod transitions;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,6 +60,8 @@
 use crate::advice::AdviceCache;
 use crate::advice::AdviceRequest;
 use crate::durations::Durations;
+use crate::evacuation::EvacuationProblem;
+use crate::evacuation::Evacuations;
 use crate::fleet::ExecutorKey;
 use crate::fleet::Fleet;
 use crate::id::JobId;
@@ -167,6 +171,10 @@
     previous_owner_sends_until: Mono,
     /// When the newest executor list arrived.
     listed_at: Mono,
+    /// The evacuated data centres.
+    evacuations: Evacuations,
+    /// What is wrong with these evacuations, as last recorded.
+    evacuation_problems: BTreeSet<EvacuationProblem>,
 }
 
 impl Scheduler {
@@ -203,6 +211,8 @@
             advice_requests: Vec::new(),
             previous_owner_sends_until: Mono::ZERO,
             listed_at: Mono::ZERO,
+            evacuations: Evacuations::default(),
+            evacuation_problems: BTreeSet::default(),
         }
     }
 
--- a/crates/job/src/turns.rs
+++ b/crates/job/src/turns.rs
@@ -65,7 +65,7 @@
             return;
         }
         due.sort();
-        let limit = (self.fleet.len() * MAX_RESERVED_PERCENT / 100).max(1);
+        let limit = (self.fleet.len_without_evacuated() * MAX_RESERVED_PERCENT / 100).max(1);
         let mut places = self.places(now);
         for (_, key) in due.into_iter().take(limit.saturating_sub(reserved.len())) {
             self.take_turn(key, &mut places, now);
--- a/crates/job/src/wait_reason/mod.rs
+++ b/crates/job/src/wait_reason/mod.rs
@@ -330,8 +330,14 @@
         listed: listed.len(),
         unreachable: count(&|executor| !executor.reachable),
         draining: count(&|executor| executor.reachable && executor.listing.draining),
+        evacuated: count(&|executor| {
+            executor.reachable && !executor.listing.draining && executor.evacuated
+        }),
         cooling_down: count(&|executor| {
-            executor.reachable && !executor.listing.draining && now < executor.not_before
+            executor.reachable
+                && !executor.listing.draining
+                && !executor.evacuated
+                && now < executor.not_before
         }),
     }
 }
--- a/crates/job/src/wait_reason/reason.rs
+++ b/crates/job/src/wait_reason/reason.rs
@@ -50,7 +50,8 @@
     },
     /// No executor of the service accepts tasks.
     #[display(
-        "none of the {listed} executors of {service} takes tasks: {unreachable} do not answer, {draining} leave, {cooling_down} rest"
+        "none of the {listed} executors of {service} takes tasks: {unreachable} do not answer, {draining} leave, {}{cooling_down} rest",
+        evacuated_part(*evacuated)
     )]
     NoExecutor {
         /// The name of the service.
@@ -63,6 +64,9 @@
         /// The number of reachable executors that drain.
         #[serde(rename = "leaving")]
         draining: usize,
+        /// The number of other reachable executors whose data centre is evacuated.
+        #[serde(skip_serializing_if = "is_zero")]
+        evacuated: usize,
         /// The number of executors in cooldown after refused starts or failures.
         #[serde(rename = "resting")]
         cooling_down: usize,
@@ -248,3 +252,19 @@
     /// The reason as a sentence.
     pub reason: String,
 }
+
+/// Returns what the text says of executors in evacuated data centres: nothing if there are none.
+fn evacuated_part(evacuated: usize) -> String {
+    if evacuated == 0 {
+        return String::new();
+    }
+    format!("{evacuated} are in evacuated data centres, ")
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(count: &usize) -> bool {
+    *count == 0
+}
--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -265,6 +265,15 @@
         tasks
     }
 
+    /// Returns the tasks of the job with this number in the order of their slots.
+    pub fn tasks_of_job(&self, number: u64) -> Vec<TaskKey> {
+        let id = JobId::parse(&format!("{number:016x}")).expect("a valid job identifier");
+        let job = self.scheduler.find(id).expect("the job exists");
+        let tasks = self.scheduler.job(job).map_or(0, |job| job.tasks.len());
+        let slots = 0..u32::try_from(tasks).expect("a small job");
+        slots.map(|slot| TaskKey { job, slot }).collect()
+    }
+
     /// Returns a report entry for an active run of a task.
     pub fn running(&self, key: TaskKey, progress: u32, tail_ms_or_cpu_millis: u64) -> ActiveRun {
         ActiveRun {
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod crash_world;
 mod crashes;
+mod evacuation;
 mod fair_start;
 mod fixture;
 mod interference;
--- a/crates/job/tests/all/wait_reason.rs
+++ b/crates/job/tests/all/wait_reason.rs
@@ -267,6 +267,7 @@
             listed: 1,
             unreachable: 1,
             draining: 0,
+            evacuated: 0,
             cooling_down: 0,
         },
         WaitReason::NoLabel {
