--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -1,7 +1,7 @@
 //! Metrics in the Prometheus text format.
 //!
 //! `docs/OPERATIONS.md` lists names, units and labels. Label values are constants of the code or
-//! names of queues in the document. Counters and histograms that are updated as events happen are
+//! names of queues in the document and of data centres. Counters and histograms that are updated as events happen are
 //! defined here, values that are read at the time of a scrape in `state.rs`.
 
 mod state;
@@ -49,6 +49,13 @@
     pub table: &'static str,
 }
 
+/// The `data_centre` label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DataCentreLabel {
+    /// Name of the data centre.
+    pub data_centre: String,
+}
+
 /// The `limit` label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LimitLabel {
@@ -111,6 +118,8 @@
     pub moved_tasks: Counter,
     /// Tasks that were given up because executors crashed under them.
     pub tasks_given_up: Counter,
+    /// Start commands withdrawn because of an evacuation, by data centre.
+    pub withdrawn_starts: Family<DataCentreLabel, Counter>,
     /// Ended jobs by final state.
     pub jobs_ended: Family<OutcomeLabel, Counter>,
     /// Time from the arrival of a job to its end.
@@ -145,6 +154,7 @@
             failed_runs: Counter::default(),
             moved_tasks: Counter::default(),
             tasks_given_up: Counter::default(),
+            withdrawn_starts: Family::default(),
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
             oldest_wait_ms: Family::default(),
@@ -211,6 +221,12 @@
             "Tasks that were given up because executors crashed under them",
             &self.tasks_given_up,
         );
+        register(
+            registry,
+            "withdrawn_starts",
+            "Starts that were withdrawn because their data centre is evacuated",
+            &self.withdrawn_starts,
+        );
         register(registry, "jobs_ended", "Jobs that ended", &self.jobs_ended);
         register(
             registry,
