feat(link): a budget of connections and memory for the clients of a process

Servers had a limit on connections and a fixed time of 60 s for heads. Clients could hold any amount of bodies, responses and heads. link::budget accounts for memory and progress by port, link::server closes and refuses by it, and all servers read bodies through RequestBody::read.

19 tests of link pass, on connections in memory and a paused clock.

--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -5,6 +5,7 @@
 use job::id::TaskId;
 use job::usage::ServiceUsage;
 use job::wait_reason::WaitingStep;
+use link::budget::PortUsage;
 
 /// Logs that a job was accepted and stored after `took_ms`.
 pub fn accepted(id: JobId, queue: &str, took_ms: u64) {
@@ -27,6 +28,19 @@
     log::info!(event = "dependency", name, available, detail; "");
 }
 
+/// Logs how often a limit on the clients of a port was enforced since the line before, and what the
+/// port uses.
+pub fn clients_limited(port: &str, reason: &str, count: u64, usage: &PortUsage) {
+    let PortUsage {
+        connections,
+        memory,
+        peak_memory,
+    } = *usage;
+    log::warn!(
+        event = "clients_limited", port, reason, count, connections, memory, peak_memory; ""
+    );
+}
+
 /// Logs the version of the document that has just come into force, its number of queues and whether
 /// it was read from the store or from the owner.
 pub fn document(version: u64, queues: usize, source: &str) {
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -4,6 +4,7 @@
 //! names of queues in the document. Counters and histograms that are updated as events happen are
 //! defined here, values that are read at the time of a scrape in `state.rs`.
 
+mod clients;
 mod state;
 
 use prometheus_client::encoding::EncodeLabelSet;
--- a/crates/dispatch/src/metrics/state.rs
+++ b/crates/dispatch/src/metrics/state.rs
@@ -11,6 +11,7 @@
 
 use super::OutcomeLabel;
 use super::QueueLabel;
+use super::clients::ClientMetrics;
 use super::register;
 use crate::node::Node;
 use crate::owner::Owner;
@@ -34,6 +35,7 @@
     image_pairs: Family<OutcomeLabel, Gauge>,
     log_lines: Family<OutcomeLabel, Counter>,
     log_bytes: Counter,
+    clients: ClientMetrics,
 }
 
 impl StateMetrics {
@@ -105,6 +107,7 @@
             "Bytes of log lines written",
             &self.log_bytes,
         );
+        self.clients.register(registry);
     }
 
     /// Sets all values to the current state.
@@ -118,6 +121,7 @@
         self.store_silent_ms
             .set(since(node.store_answered_at.get()));
         self.update_logs(node);
+        self.clients.update(&node.gate);
         self.pending.clear();
         self.executors.clear();
         self.best_effort_tasks.clear();
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -9,6 +9,7 @@
 use job::id::JobId;
 use job::plan::Plan;
 use job::scheduler::JobState;
+use link::gate::Gate;
 use model::Clock;
 use model::Map;
 use model::Mono;
@@ -27,6 +28,7 @@
 use crate::metrics::OutcomeLabel;
 use crate::owner::Owner;
 use crate::relay::server::CurrentSession;
+use crate::relay::transport::MAX_FRAME_BYTES;
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
 use crate::supervise::restart_after_panic;
@@ -142,6 +144,10 @@
     pub final_states: RefCell<Map<JobId, (JobState, Mono)>>,
     /// What this host knows about the document besides its contents.
     pub document: DocumentState,
+    /// The connections and the memory that clients of this process take.
+    pub gate: Gate,
+    /// Maximum size of a frame that this host accepts as a relay, in bytes.
+    pub max_relay_frame_bytes: Cell<usize>,
     /// Cancelled when the process begins to shut down.
     pub draining: CancellationToken,
 }
@@ -176,6 +182,8 @@
             store_answered_at: Cell::new(Mono::ZERO),
             final_states: RefCell::new(Map::default()),
             document: DocumentState::default(),
+            gate: Gate::default(),
+            max_relay_frame_bytes: Cell::new(MAX_FRAME_BYTES),
             draining: CancellationToken::new(),
         })
     }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -12,9 +12,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use job::id::JobId;
 use link::client::Client;
 use link::client::TimeLimits;
@@ -33,6 +31,8 @@
 
 /// Maximum size of a message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 64 << 10;
+/// Memory that a decoded message takes at most for each of its bytes, with the parser's buffer.
+const DECODED_BYTES_PER_BYTE: usize = 3;
 /// HTTP path for messages.
 const PATH: &str = "/peer";
 
@@ -148,13 +148,14 @@
 
 /// Handles an HTTP request from another host.
 pub async fn handle(node: Rc<Node>, req: IncomingRequest) -> OutgoingResponse {
-    let body = Limited::new(req.into_body(), MAX_MESSAGE_BYTES)
-        .collect()
-        .await;
-    let request = body
-        .ok()
-        .and_then(|body| serde_json::from_slice::<PeerRequest>(&body.to_bytes()).ok());
-    let Some(request) = request else {
+    let mut body = match req.into_body().read(MAX_MESSAGE_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return status(error.status()),
+    };
+    if !body.reserve(body.len() * DECODED_BYTES_PER_BYTE) {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let Ok(request) = serde_json::from_slice::<PeerRequest>(&body) else {
         return status(StatusCode::BAD_REQUEST);
     };
     let reply = respond(&node, &request);
--- a/crates/dispatch/src/relay/link.rs
+++ b/crates/dispatch/src/relay/link.rs
@@ -98,14 +98,18 @@
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await??;
         let (reader, writer) = tokio::io::split(stream);
         self.outbox.push(Request::Hello { epoch });
-        let receive = transport::receive(reader, |frame: Frame<Response>| {
-            self.state.set(LinkState::Ready);
-            self.outbox.acknowledge(frame.sent_ms);
-            for response in frame.messages {
-                self.answered(response);
-            }
-            true
-        });
+        let receive = transport::receive(
+            reader,
+            transport::MAX_FRAME_BYTES,
+            |frame: Frame<Response>| {
+                self.state.set(LinkState::Ready);
+                self.outbox.acknowledge(frame.sent_ms);
+                for response in frame.messages {
+                    self.answered(response);
+                }
+                true
+            },
+        );
         tokio::select! {
             result = receive => result,
             result = transport::send(&self.outbox, || node.uptime_ms(), writer) => result,
--- a/crates/dispatch/src/relay/message.rs
+++ b/crates/dispatch/src/relay/message.rs
@@ -1,18 +1,25 @@
 //! The messages between the owner and its relays.
 
+use std::fmt;
+use std::marker::PhantomData;
 use std::sync::Arc;
 
 use derive_more::Display;
 use job::scheduler::Report;
 use job::scheduler::StartAnswer;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::de::Error;
+use serde::de::SeqAccess;
+use serde::de::Visitor;
 
 use crate::dependencies::CommandReply;
 use crate::dependencies::PollError;
 use crate::dependencies::PollRequest;
 use crate::dependencies::RunRequest;
 use crate::dependencies::StartRequest;
+use crate::relay::transport::MAX_FRAME_MESSAGES;
 
 /// Identifies a call on one connection.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -27,9 +34,44 @@
     /// bounds the age of the frame on the receiver's own clock.
     pub received_ms: u64,
     /// The messages; a frame without any shows that the sender lives.
+    #[serde(
+        deserialize_with = "bounded_messages",
+        bound(deserialize = "M: Deserialize<'de>")
+    )]
     pub messages: Vec<M>,
 }
 
+/// Reads the messages of a frame. More than a sender puts into one are refused while they are read:
+/// a message of two bytes takes a hundred times as much memory.
+fn bounded_messages<'de, D, M>(deserializer: D) -> Result<Vec<M>, D::Error>
+where
+    D: Deserializer<'de>,
+    M: Deserialize<'de>,
+{
+    deserializer.deserialize_seq(BoundedMessages(PhantomData))
+}
+
+struct BoundedMessages<M>(PhantomData<M>);
+
+impl<'de, M: Deserialize<'de>> Visitor<'de> for BoundedMessages<M> {
+    type Value = Vec<M>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "at most {MAX_FRAME_MESSAGES} messages")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+        let mut messages = Vec::new();
+        while let Some(message) = seq.next_element()? {
+            if messages.len() == MAX_FRAME_MESSAGES {
+                return Err(A::Error::invalid_length(messages.len() + 1, &self));
+            }
+            messages.push(message);
+        }
+        Ok(messages)
+    }
+}
+
 /// What the owner sends to a relay.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Request {
--- a/crates/dispatch/src/relay/mod.rs
+++ b/crates/dispatch/src/relay/mod.rs
@@ -18,7 +18,7 @@
 pub mod pool;
 pub mod server;
 pub mod tcp;
-mod transport;
+pub(crate) mod transport;
 
 use std::time::Duration;
 
--- a/crates/dispatch/src/relay/server.rs
+++ b/crates/dispatch/src/relay/server.rs
@@ -65,7 +65,9 @@
         payloads: ReceivedPayloads::default(),
         calls: JoinSet::new(),
     };
-    let receive = transport::receive(reader, |frame| session.process(frame));
+    let receive = transport::receive(reader, node.max_relay_frame_bytes.get(), |frame| {
+        session.process(frame)
+    });
     let result = tokio::select! {
         result = receive => result,
         result = transport::send(&outbox, || node.uptime_ms(), writer) => result,
--- a/crates/dispatch/src/relay/transport.rs
+++ b/crates/dispatch/src/relay/transport.rs
@@ -26,9 +26,9 @@
 /// Intervals without a frame after which the other side counts as lost.
 const MAX_SILENT_INTERVALS: u32 = 4;
 /// Maximum number of messages in a frame.
-const MAX_FRAME_MESSAGES: usize = 1_000;
+pub(super) const MAX_FRAME_MESSAGES: usize = 1_000;
 /// Maximum size of a frame, in bytes.
-const MAX_FRAME_BYTES: usize = 16 << 20;
+pub(crate) const MAX_FRAME_BYTES: usize = 16 << 20;
 
 /// Messages that wait to be sent.
 pub(super) struct Outbox<M> {
@@ -72,9 +72,9 @@
     }
 }
 
-fn codec() -> LengthDelimitedCodec {
+fn codec(max_frame_bytes: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
+        .max_frame_length(max_frame_bytes)
         .new_codec()
 }
 
@@ -88,7 +88,7 @@
     now_ms: impl Fn() -> u64,
     writer: impl AsyncWrite + Unpin,
 ) -> io::Result<()> {
-    let mut frames = FramedWrite::new(writer, codec());
+    let mut frames = FramedWrite::new(writer, codec(MAX_FRAME_BYTES));
     loop {
         let ready = outbox.ready.notified();
         if tokio::time::timeout(KEEPALIVE_INTERVAL, ready)
@@ -107,17 +107,18 @@
     }
 }
 
-/// Passes received frames to `process` until the connection fails, the other side is silent or
-/// `process` returns false.
+/// Passes received frames of limited size to `process` until the connection fails, the other side is
+/// silent or `process` returns false.
 ///
 /// # Errors
 ///
 /// Returns why it failed.
 pub(super) async fn receive<M: DeserializeOwned>(
     reader: impl AsyncRead + Unpin,
+    max_frame_bytes: usize,
     mut process: impl FnMut(Frame<M>) -> bool,
 ) -> io::Result<()> {
-    let mut frames = FramedRead::new(reader, codec());
+    let mut frames = FramedRead::new(reader, codec(max_frame_bytes));
     let mut silent_intervals = 0;
     loop {
         // Intervals are counted instead of the time since the last frame, so that a process that was
--- a/crates/link/tests/all/main.rs
+++ b/crates/link/tests/all/main.rs
@@ -1,3 +1,5 @@
 //! Tests of the HTTP server loop.
 
+mod budget;
+mod clients;
 mod server;
--- a/crates/link/tests/all/server.rs
+++ b/crates/link/tests/all/server.rs
@@ -15,6 +15,7 @@
 
 const LIMITS: ServerLimits = ServerLimits {
     max_connections: 1,
+    idle_timeout: Duration::from_secs(60),
     header_timeout: Duration::from_secs(60),
     max_header_bytes: 16 << 10,
 };
