--- a/crates/dispatch/tests/all/relay_sessions.rs
+++ b/crates/dispatch/tests/all/relay_sessions.rs
@@ -364,3 +364,28 @@
         assert_eq!(start.payload, expected[&start.task], "{:?}", start.task);
     }
 }
+
+/// Guards against frames that take far more memory than their bytes: 16 MB of messages of two bytes each
+/// would be built into more than a gigabyte.
+#[tokio::test(start_paused = true)]
+async fn a_frame_of_too_many_messages_or_bytes_ends_the_session() {
+    let world = started().await;
+    let mut owner = Owner::connect(&world, EPOCH).await;
+    let stops = |owner: &Owner, calls: std::ops::Range<u32>| -> Vec<Request> {
+        calls.map(|call| owner.stop(call, call)).collect()
+    };
+    owner.send(owner.relay_ms, stops(&owner, 0..1_000)).await;
+    owner.receive(&world, SECOND / 5).await;
+    assert!(!owner.is_closed, "as many as an owner sends");
+    owner
+        .send(owner.relay_ms, stops(&owner, 1_000..2_001))
+        .await;
+    owner.receive(&world, SECOND / 5).await;
+    assert!(owner.is_closed);
+    world.host(RELAY).node.max_relay_frame_bytes.set(1_000);
+    let mut owner = Owner::connect(&world, EPOCH).await;
+    assert!(!owner.is_closed);
+    owner.send(owner.relay_ms, stops(&owner, 0..900)).await;
+    owner.receive(&world, SECOND / 5).await;
+    assert!(owner.is_closed);
+}
--- a/crates/link/src/budget.rs
+++ b/crates/link/src/budget.rs
@@ -16,9 +16,13 @@
 const MIN_RATE: u64 = 4 << 10;
 /// A transfer that is behind [`MIN_RATE`] by more than this is closed.
 const MAX_LAG: Duration = Duration::from_secs(5);
-/// A transfer that is behind by less than this is not closed to make room for others, because a
-/// client on a distant or lossy path may pause for that long.
-const MIN_EVICTION_LAG: Duration = Duration::from_millis(250);
+/// A transfer that is behind by less than this is not closed for its memory, because a client on a
+/// distant or lossy path may pause for that long.
+const MIN_MEMORY_EVICTION_LAG: Duration = Duration::from_millis(250);
+/// A connection that is behind by less than this is not closed for its place. Some hundred silent
+/// clients in the backlog delay a well-behaved one by this time for each round of them, and the platform
+/// gives up a probe of readiness after a second.
+const MIN_PLACE_EVICTION_LAG: Duration = Duration::from_millis(100);
 /// Maximum number of connections of a port that are closed at a time to make room for new ones.
 const MAX_EVICTIONS: usize = 16;
 /// The memory reserved for connections as such is at most the share divided by this, so that bodies
@@ -305,7 +309,7 @@
             return Vec::new();
         }
         let slowest = self
-            .candidates(port, now)
+            .candidates(port, MIN_PLACE_EVICTION_LAG, now)
             .max_by_key(|(id, connection)| {
                 let is_kept_alive = connection.has_served && connection.phase == Phase::Idle;
                 (!is_kept_alive, connection.lag(now), *id)
@@ -324,7 +328,7 @@
             .map(|connection| connection.reserved)
             .sum();
         let mut candidates: Vec<(Duration, ConnectionId, usize)> = self
-            .candidates(port, now)
+            .candidates(port, MIN_MEMORY_EVICTION_LAG, now)
             .filter(|(_, connection)| connection.reserved > connection.base)
             .map(|(id, connection)| (connection.lag(now), id, connection.reserved))
             .collect();
@@ -343,6 +347,7 @@
     fn candidates(
         &self,
         port: PortId,
+        min_lag: Duration,
         now: Mono,
     ) -> impl Iterator<Item = (ConnectionId, &Connection)> {
         self.connections
@@ -351,7 +356,7 @@
                 connection.port == port
                     && !connection.closing
                     && connection.waits_for_client()
-                    && connection.lag(now) >= MIN_EVICTION_LAG
+                    && connection.lag(now) >= min_lag
             })
             .map(|(id, connection)| (*id, connection))
     }
--- a/crates/link/src/gate.rs
+++ b/crates/link/src/gate.rs
@@ -84,6 +84,7 @@
             id,
             index: self.0.ports.borrow().len() - 1,
             closed: Rc::new(Notify::new()),
+            is_full: Rc::default(),
         }
     }
 
@@ -110,6 +111,8 @@
     id: PortId,
     index: usize,
     closed: Rc<Notify>,
+    /// Whether there was no room for another connection when the server last looked.
+    is_full: Rc<Cell<bool>>,
 }
 
 impl Port {
@@ -130,6 +133,7 @@
         let budget = self.gate.0.budget.borrow();
         let shortage = budget.shortage(self.id, base, limits.max_connections);
         drop(budget);
+        self.is_full.set(shortage.is_some());
         if let Some(shortage) = shortage {
             self.evict(shortage);
         }
@@ -245,7 +249,7 @@
         self.budget().phase(self.0.id)
     }
 
-    pub(crate) fn is_closing(&self) -> bool {
+    fn is_closing(&self) -> bool {
         self.budget().is_closing(self.0.id)
     }
 
@@ -268,6 +272,13 @@
         self.0.signals.body.cancelled().await;
     }
 
+    /// Returns whether the connection is to end with this response: it is to be closed anyway, its client
+    /// may still be sending a body, or others wait for its place, which clients that are always active
+    /// would otherwise keep.
+    pub(crate) fn is_last_response(&self) -> bool {
+        self.is_closing() || self.has_unread_body() || self.0.port.is_full.get()
+    }
+
     /// Returns whether the connection has to close because others need its memory or its place.
     pub(crate) fn is_evicted(&self) -> bool {
         self.0.signals.evicted.get()
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -44,6 +44,9 @@
 const EVICTION_INTERVAL: Duration = Duration::from_millis(50);
 /// How often the limits on time are checked while connections are open.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay of a request that was sent before the response to the one before was read. A client that does
+/// not wait for responses would otherwise be served as fast as the processor allows.
+const PIPELINE_DELAY: Duration = Duration::from_millis(20);
 /// Responses up to this size, in bytes, are part of the memory of a connection and are never refused,
 /// so that the outcome of a request that was carried out is always told.
 const SMALL_RESPONSE_BYTES: usize = 1 << 10;
@@ -233,6 +236,7 @@
     H: Fn(IncomingRequest) -> F,
     F: Future<Output = OutgoingResponse> + 'static,
 {
+    let is_pipelined = connection.phase() == Some(Phase::Idle);
     connection.enter(Phase::Handler);
     let too_large = head_bytes(&req) > limits.max_header_bytes;
     let req = req.map(|incoming| RequestBody::new(incoming, connection.clone()));
@@ -242,7 +246,14 @@
         let refusal = empty_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
         return Box::pin(std::future::ready(refusal));
     }
-    Box::pin(handler(req))
+    let response = handler(req);
+    if is_pipelined {
+        return Box::pin(async {
+            tokio::time::sleep(PIPELINE_DELAY).await;
+            response.await
+        });
+    }
+    Box::pin(response)
 }
 
 /// Returns the size of the head of a request, in bytes.
@@ -273,7 +284,7 @@
         let headers = response.headers_mut();
         headers.insert(header::RETRY_AFTER, retry_after);
     }
-    if is_last || connection.is_closing() || connection.has_unread_body() {
+    if is_last || connection.is_last_response() {
         let headers = response.headers_mut();
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/link/tests/all/clients.rs
+++ b/crates/link/tests/all/clients.rs
@@ -421,3 +421,22 @@
     })
     .await;
 }
+
+/// Guards against clients that are always active and keep all connections to themselves.
+#[tokio::test(start_paused = true)]
+async fn with_all_connections_taken_active_clients_take_turns() {
+    run(async {
+        let limits = ServerLimits {
+            max_connections: 1,
+            ..LIMITS
+        };
+        let server = Server::start(usize::MAX, limits);
+        let mut active = server.send(&GET.repeat(100)).await;
+        let mut waiting = server.send(GET).await;
+        let answer = read_response(&mut waiting).await;
+        assert!(answer.contains("200 OK"), "{answer}");
+        assert_eq!(server.handled.get(), 2);
+        assert!(read_to_end(&mut active).await.contains("connection: close"));
+    })
+    .await;
+}
