--- a/crates/dispatch/src/metrics/state.rs
+++ b/crates/dispatch/src/metrics/state.rs
@@ -12,6 +12,7 @@
 use super::DataCentreLabel;
 use super::OutcomeLabel;
 use super::QueueLabel;
+use super::clients::ClientMetrics;
 use super::register;
 use crate::node::Node;
 use crate::owner::Owner;
@@ -38,6 +39,7 @@
     image_pairs: Family<OutcomeLabel, Gauge>,
     log_lines: Family<OutcomeLabel, Counter>,
     log_bytes: Counter,
+    clients: ClientMetrics,
 }
 
 impl StateMetrics {
@@ -127,6 +129,7 @@
             "Bytes of log lines written",
             &self.log_bytes,
         );
+        self.clients.register(registry);
     }
 
     /// Sets all values to the current state.
@@ -140,6 +143,7 @@
         self.store_silent_ms
             .set(since(node.store_answered_at.get()));
         self.update_logs(node);
+        self.clients.update(&node.gate);
         self.pending.clear();
         self.executors.clear();
         self.evacuation_ms.clear();
