--- a/crates/dispatch/src/dependencies.rs
+++ b/crates/dispatch/src/dependencies.rs
@@ -8,6 +8,7 @@
 use derive_more::Error;
 use futures::future::LocalBoxFuture;
 use job::advice::Grant;
+use job::evacuation::EvacuationUpdate;
 use job::fleet::Listing;
 use job::id::JobId;
 use job::id::TaskId;
@@ -26,6 +27,10 @@
 
 /// The future that a call returns.
 pub type CallFuture<T> = LocalBoxFuture<'static, T>;
+/// The size of the store's rows unless the settings say otherwise, in bytes.
+pub const DEFAULT_ROW_BYTES: usize = 65_536;
+/// The part of a row that is kept free is its size divided by this number.
+const ROW_MARGIN_DIVISOR: usize = 16;
 /// An asynchronous call to an external service.
 pub type Call<A, T> = Box<dyn Fn(A) -> CallFuture<T>>;
 
@@ -35,6 +40,8 @@
     pub store: Store,
     /// The source of the operators' document.
     pub document: DocumentSource,
+    /// The evacuations of data centres, or `None` in a deployment without evacuations.
+    pub evacuations: Option<EvacuationSource>,
     /// The list of executors.
     pub executor_list: ExecutorList,
     /// Calls to executors.
@@ -134,6 +141,16 @@
     pub read: Call<Range, Result<Page, StoreError>>,
     /// Waits for rows of a table that changed after a version.
     pub follow: Call<FollowRequest, Result<Page, StoreError>>,
+    /// The largest value of a row that the store accepts, in bytes.
+    pub row_bytes: usize,
+}
+
+impl Store {
+    /// Returns the largest value that this program writes, in bytes. The rest is a margin.
+    #[must_use]
+    pub const fn max_value_bytes(&self) -> usize {
+        self.row_bytes - self.row_bytes / ROW_MARGIN_DIVISOR
+    }
 }
 
 /// Identifies a row.
@@ -240,6 +257,23 @@
     pub follow: Call<(u64, Duration), Result<DocumentUpdate, StoreError>>,
 }
 
+/// The names of all evacuated data centres, and the version of the store at which they were read.
+pub type EvacuationRead = (Vec<Arc<str>>, u64);
+
+/// Changes of evacuations in the order in which the store made them, and the version of the store from
+/// which to continue.
+pub type EvacuationChanges = (Vec<EvacuationUpdate>, u64);
+
+/// The evacuations of data centres that operators request.
+pub struct EvacuationSource {
+    /// No task may start in a data centre later than this after the store has acknowledged the request.
+    pub deadline: Duration,
+    /// Reads all evacuations.
+    pub read: Call<(), Result<EvacuationRead, StoreError>>,
+    /// Waits for changes after a version of the store.
+    pub follow: Call<(u64, Duration), Result<EvacuationChanges, StoreError>>,
+}
+
 /// The list of executors, each with the reading of its clock.
 pub struct ExecutorList {
     /// Reads the whole list.
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -5,6 +5,7 @@
 use job::id::TaskId;
 use job::usage::ServiceUsage;
 use job::wait_reason::WaitingStep;
+use link::budget::PortUsage;
 
 /// Logs that a job was accepted and stored after `took_ms`.
 pub fn accepted(id: JobId, queue: &str, took_ms: u64) {
@@ -27,6 +28,19 @@
     log::info!(event = "dependency", name, available, detail; "");
 }
 
+/// Logs how often a limit on the clients of a port was enforced since the line before, and what the
+/// port uses.
+pub fn clients_limited(port: &str, reason: &str, count: u64, usage: &PortUsage) {
+    let PortUsage {
+        connections,
+        memory,
+        peak_memory,
+    } = *usage;
+    log::warn!(
+        event = "clients_limited", port, reason, count, connections, memory, peak_memory; ""
+    );
+}
+
 /// Logs the version of the document that has just come into force, its number of queues and whether
 /// it was read from the store or from the owner.
 pub fn document(version: u64, queues: usize, source: &str) {
@@ -236,6 +250,30 @@
     log::warn!(event = "end_withheld", job, step, index, run, executor, outcome; "");
 }
 
+/// Logs that a data centre is evacuated, or that this owner has read of it, with the number of
+/// executors and of assigned tasks there.
+pub fn evacuation_began(data_centre: &str, executors: usize, tasks: usize) {
+    log::info!(event = "evacuation_began", data_centre, executors, tasks; "");
+}
+
+/// Logs that an evacuation has ended `after_ms` after this owner read of it, with the tasks still
+/// assigned there and the starts that were withdrawn.
+pub fn evacuation_ended(data_centre: &str, after_ms: u64, tasks: usize, withdrawn_starts: u64) {
+    log::info!(event = "evacuation_ended", data_centre, after_ms, tasks, withdrawn_starts; "");
+}
+
+/// Logs that an evacuation cannot have the expected effect: its data centre or a service, by the
+/// problem.
+pub fn evacuation_problem(problem: &str, subject: &str) {
+    log::warn!(event = "evacuation_problem", problem, subject; "");
+}
+
+/// Logs that the evacuations were not read for `age_ms` and no task is started meanwhile, or that they
+/// are known again.
+pub fn evacuations_known(known: bool, age_ms: u64) {
+    log::info!(event = "evacuations_known", known, age_ms; "");
+}
+
 /// Logs that the end of a job is stored.
 pub fn job_ended(id: JobId, state: &str, after_ms: u64, objective_ms: u64) {
     log::info!(event = "job_ended", job = id.as_str(), state, after_ms, objective_ms; "");
@@ -252,6 +290,21 @@
     log::info!(event = "late_answer", id, took_ms, ends; "");
 }
 
+/// Logs a row that the store refuses for good, so that it is not written.
+pub fn refused_row(table: &str, key: &str) {
+    log::error!(event = "refused_row", table, key; "");
+}
+
+/// Logs that a job is set aside because the store refuses its record.
+pub fn job_set_aside(id: JobId) {
+    log::error!(event = "job_set_aside", job = id.as_str(); "");
+}
+
+/// Logs that checkpoints were left out of the record of a job so that it fits a row.
+pub fn checkpoints_omitted(id: JobId, checkpoints: usize) {
+    log::warn!(event = "checkpoints_omitted", job = id.as_str(), checkpoints; "");
+}
+
 /// Logs a row that cannot be read and is skipped.
 pub fn unreadable_row(table: &str, key: &str, error: &str) {
     log::warn!(event = "unreadable_row", table, key, error; "");
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -1,9 +1,10 @@
 //! Metrics in the Prometheus text format.
 //!
 //! `docs/OPERATIONS.md` lists names, units and labels. Label values are constants of the code or
-//! names of queues in the document. Counters and histograms that are updated as events happen are
+//! names of queues in the document and of data centres. Counters and histograms that are updated as events happen are
 //! defined here, values that are read at the time of a scrape in `state.rs`.
 
+mod clients;
 mod state;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -42,6 +43,20 @@
     pub queue: String,
 }
 
+/// The `table` label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TableLabel {
+    /// Name of a table of the store, a constant of the code.
+    pub table: &'static str,
+}
+
+/// The `data_centre` label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DataCentreLabel {
+    /// Name of the data centre.
+    pub data_centre: String,
+}
+
 /// The `limit` label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LimitLabel {
@@ -104,6 +119,8 @@
     pub moved_tasks: Counter,
     /// Tasks that were given up because executors crashed under them.
     pub tasks_given_up: Counter,
+    /// Start commands withdrawn because of an evacuation, by data centre.
+    pub withdrawn_starts: Family<DataCentreLabel, Counter>,
     /// Ended jobs by final state.
     pub jobs_ended: Family<OutcomeLabel, Counter>,
     /// Time from the arrival of a job to its end.
@@ -111,6 +128,8 @@
     /// Age of the oldest job with a step that waits for a reason, in milliseconds. Covers the jobs
     /// of the latest round of log lines.
     pub oldest_wait_ms: Family<LimitLabel, Gauge>,
+    /// Rows that the store refused for good, by table.
+    pub refused_rows: Family<TableLabel, Counter>,
     /// Takeovers by this host.
     pub takeovers: Counter,
 }
@@ -136,9 +155,11 @@
             failed_runs: Counter::default(),
             moved_tasks: Counter::default(),
             tasks_given_up: Counter::default(),
+            withdrawn_starts: Family::default(),
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
             oldest_wait_ms: Family::default(),
+            refused_rows: Family::default(),
             takeovers: Counter::default(),
         };
         metrics.register_all();
@@ -201,6 +222,12 @@
             "Tasks that were given up because executors crashed under them",
             &self.tasks_given_up,
         );
+        register(
+            registry,
+            "withdrawn_starts",
+            "Starts that were withdrawn because their data centre is evacuated",
+            &self.withdrawn_starts,
+        );
         register(registry, "jobs_ended", "Jobs that ended", &self.jobs_ended);
         register(
             registry,
@@ -208,6 +235,12 @@
             "Age of the oldest job that waits, by what its step waits for",
             &self.oldest_wait_ms,
         );
+        register(
+            registry,
+            "refused_rows",
+            "Rows that the store refused for good",
+            &self.refused_rows,
+        );
         register(
             registry,
             "takeovers",
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod capacity;
 mod commands;
 mod crashes;
+mod evacuation;
 mod event;
 mod executors;
 mod gang;
@@ -21,10 +22,12 @@
 mod report;
 mod restore;
 mod retire;
+mod set_aside;
 mod store;
 mod store_queue;
 mod transitions;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,6 +61,8 @@
 use crate::advice::AdviceCache;
 use crate::advice::AdviceRequest;
 use crate::durations::Durations;
+use crate::evacuation::EvacuationProblem;
+use crate::evacuation::Evacuations;
 use crate::fleet::ExecutorKey;
 use crate::fleet::Fleet;
 use crate::id::JobId;
@@ -73,6 +78,9 @@
 use crate::task::Task;
 use crate::terms::Terms;
 
+/// The largest record of a job with rows of 65,536 bytes.
+pub const DEFAULT_MAX_RECORD_BYTES: usize = 60 << 10;
+
 new_key_type! {
     /// Identifies a job in the [`Scheduler`].
     pub struct JobKey;
@@ -130,6 +138,11 @@
     open: Vec<JobKey>,
     /// The jobs whose records have to be written.
     dirty: StoreQueue,
+    /// The largest record of a job that the store accepts, in bytes. [`DEFAULT_MAX_RECORD_BYTES`]
+    /// unless the settings say otherwise.
+    pub max_record_bytes: usize,
+    /// The jobs that were set aside, and when, the earliest first.
+    set_aside: Vec<(Mono, JobKey)>,
     /// The executors with ends whose effect is not stored.
     unstored_ends: Vec<ExecutorKey>,
     /// The executors that may have to be polled.
@@ -170,6 +183,10 @@
     previous_owner_sends_until: Mono,
     /// When the newest executor list arrived.
     listed_at: Mono,
+    /// The evacuated data centres.
+    evacuations: Evacuations,
+    /// What is wrong with these evacuations, as last recorded.
+    evacuation_problems: BTreeSet<EvacuationProblem>,
 }
 
 impl Scheduler {
@@ -186,6 +203,8 @@
             by_id: Map::default(),
             open: Vec::new(),
             dirty: StoreQueue::default(),
+            max_record_bytes: DEFAULT_MAX_RECORD_BYTES,
+            set_aside: Vec::new(),
             unstored_ends: Vec::new(),
             poll_candidates: Vec::new(),
             rounds: 0,
@@ -207,6 +226,8 @@
             advice_requests: Vec::new(),
             previous_owner_sends_until: Mono::ZERO,
             listed_at: Mono::ZERO,
+            evacuations: Evacuations::default(),
+            evacuation_problems: BTreeSet::default(),
         }
     }
 
@@ -251,6 +272,8 @@
             is_urgent: false,
             dirty: false,
             store_place: StorePlace::default(),
+            unstored_ends: Vec::new(),
+            set_aside: false,
         };
         job.work = job.remaining_work();
         self.size_share.add_job(&job.queue, &job.spec, job.work);
@@ -412,7 +435,7 @@
     pub fn ready_steps(&self, unix_ms: u64) -> Vec<ReadyStep> {
         let mut ready = Vec::new();
         for (key, job) in self.open_jobs() {
-            if job.waiting > 0 && !job.state.is_final() {
+            if job.waiting > 0 && !job.state.is_final() && !job.set_aside {
                 job.ready_steps(key, unix_ms, &mut ready);
             }
         }
--- a/crates/job/src/turns.rs
+++ b/crates/job/src/turns.rs
@@ -65,7 +65,7 @@
             return;
         }
         due.sort();
-        let limit = (self.fleet.len() * MAX_RESERVED_PERCENT / 100).max(1);
+        let limit = (self.fleet.len_without_evacuated() * MAX_RESERVED_PERCENT / 100).max(1);
         let mut places = self.places(now);
         for (_, key) in due.into_iter().take(limit.saturating_sub(reserved.len())) {
             self.take_turn(key, &mut places, now);
@@ -109,7 +109,7 @@
     fn interrupted_services(&self) -> Vec<TaskKey> {
         let mut interrupted = Vec::new();
         for (job_key, job) in self.open_jobs() {
-            if !job.has_waiting_tasks() || !job.spec.is_long_running() {
+            if job.set_aside || !job.has_waiting_tasks() || !job.spec.is_long_running() {
                 continue;
             }
             let slots = 0..u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
