fix(job): put executors into cooldown for faults of their own only

Three failures of different jobs without a success put an executor into cooldown, so that tasks that fail wherever they run kept all executors from all work. A job that also fails on an executor that is not suspected no longer counts, nor does anything while most executors of the service are suspected. At most a third of a service's executors, and of those with a label that is needed, are in cooldown for stalls and failures.

--- a/crates/job/src/fault_attribution.rs
+++ b/crates/job/src/fault_attribution.rs
@@ -8,12 +8,23 @@
 
 use model::Mono;
 
+use crate::fleet::ExecutorKey;
 use crate::scheduler::JobKey;
 
-/// How long a stall on an executor counts against it.
-const STALL_WINDOW: Duration = Duration::from_millis(2_500);
+/// How long other executors are preferred after a stall or a failure, and how long a stall counts
+/// against its executor.
+const SUSPICION: Duration = Duration::from_millis(2_500);
 /// The number of distinct jobs with stalled tasks from which their executor is at fault.
 const STALLED_JOBS: usize = 2;
+/// How long a failure on an executor counts against it.
+const FAILURE_WINDOW: Duration = Duration::from_secs(30);
+/// The number of distinct jobs that fail on an executor, without a success in between, from which it is
+/// suspected.
+const FAILED_JOBS: usize = 3;
+/// The number of failed jobs that are remembered of an executor, and of executors of a job.
+const MAX_REMEMBERED: usize = 16;
+/// At most one part in this many of the executors that could run the same tasks is in cooldown.
+const MAX_COOLING_DIVISOR: usize = 3;
 
 /// What an executor's reports say about stalls there.
 #[derive(Clone, Debug, Default)]
@@ -63,7 +74,7 @@
             return StallCause::Task;
         }
         self.jobs
-            .retain(|(other, at)| *other != job && now.since(*at) < STALL_WINDOW);
+            .retain(|(other, at)| *other != job && now.since(*at) < SUSPICION);
         self.jobs.push((job, now));
         if self.jobs.len() >= STALLED_JOBS {
             StallCause::Executor
@@ -77,6 +88,126 @@
     #[must_use]
     pub fn is_suspected(&self, now: Mono) -> bool {
         let mut recent = self.jobs.iter();
-        recent.any(|(_, at)| now.since(*at) < STALL_WINDOW)
+        recent.any(|(_, at)| now.since(*at) < SUSPICION)
+    }
+}
+
+/// The executors on which a job has failed recently, each with the time of the latest failure.
+#[derive(Clone, Debug, Default)]
+pub struct FailedOn(Vec<(ExecutorKey, Mono)>);
+
+impl FailedOn {
+    /// Records a failure on an executor. Returns the others on which the job has failed recently.
+    pub fn record(&mut self, executor: ExecutorKey, now: Mono) -> Vec<ExecutorKey> {
+        self.0
+            .retain(|(other, at)| *other != executor && now.since(*at) < FAILURE_WINDOW);
+        let others = self.0.iter().map(|(other, _)| *other).collect();
+        if self.0.len() >= MAX_REMEMBERED {
+            self.0.remove(0);
+        }
+        self.0.push((executor, now));
+        others
+    }
+}
+
+/// A job that has failed on an executor.
+#[derive(Clone, Debug)]
+struct FailedJob {
+    job: JobKey,
+    at: Mono,
+    /// The other executors on which it has failed.
+    elsewhere: Vec<ExecutorKey>,
+}
+
+/// What an executor's reports say about failures there.
+#[derive(Clone, Debug, Default)]
+pub struct FailureEvidence {
+    /// The distinct jobs that have failed since a run succeeded, oldest first.
+    jobs: Vec<FailedJob>,
+}
+
+impl FailureEvidence {
+    /// Records that a run succeeded.
+    pub fn record_success(&mut self) {
+        self.jobs.clear();
+    }
+
+    /// Records that a job failed, which has failed on other executors as well.
+    pub fn record_failure(&mut self, job: JobKey, elsewhere: Vec<ExecutorKey>, now: Mono) {
+        self.jobs
+            .retain(|failed| failed.job != job && now.since(failed.at) < FAILURE_WINDOW);
+        if self.jobs.len() >= MAX_REMEMBERED {
+            self.jobs.remove(0);
+        }
+        self.jobs.push(FailedJob {
+            job,
+            at: now,
+            elsewhere,
+        });
+    }
+
+    /// Records that a job that has failed on this executor fails on another one.
+    pub fn record_elsewhere(&mut self, job: JobKey, executor: ExecutorKey) {
+        let failed = self.jobs.iter_mut().find(|failed| failed.job == job);
+        if let Some(failed) = failed.filter(|failed| !failed.elsewhere.contains(&executor)) {
+            failed.elsewhere.push(executor);
+        }
+    }
+
+    /// Returns whether a run has failed on the executor a moment ago, and none has succeeded since. Other
+    /// executors are preferred for new tasks, because one that fails all that it starts is always empty.
+    #[must_use]
+    pub fn has_just_failed(&self, now: Mono) -> bool {
+        let latest = self.jobs.last();
+        latest.is_some_and(|failed| now.since(failed.at) < SUSPICION)
+    }
+
+    /// Returns whether several jobs have failed on the executor, whoever is at fault.
+    #[must_use]
+    pub fn is_suspected(&self, now: Mono) -> bool {
+        self.recent(now).count() >= FAILED_JOBS
+    }
+
+    /// Returns whether several jobs have failed on the executor that have not failed on executors which
+    /// are not suspected. A job that fails there as well is at fault itself.
+    pub fn is_at_fault(&self, is_suspected: impl Fn(ExecutorKey) -> bool, now: Mono) -> bool {
+        let unexplained = self
+            .recent(now)
+            .filter(|failed| failed.elsewhere.iter().all(|other| is_suspected(*other)));
+        unexplained.count() >= FAILED_JOBS
+    }
+
+    fn recent(&self, now: Mono) -> impl Iterator<Item = &FailedJob> {
+        self.jobs
+            .iter()
+            .filter(move |failed| now.since(failed.at) < FAILURE_WINDOW)
+    }
+}
+
+/// Executors that could run the same tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// The number of executors.
+    pub executors: usize,
+    /// The number of those on which several jobs have failed.
+    pub suspected: usize,
+    /// The number of those in cooldown for stalls or failures, without the one in question.
+    pub cooling_down: usize,
+}
+
+impl Pool {
+    /// Returns whether most executors are sound. Otherwise what fails is common to all, and none of
+    /// them is at fault more than the others.
+    #[must_use]
+    pub const fn is_mostly_sound(&self) -> bool {
+        self.suspected * 2 <= self.executors
+    }
+
+    /// Returns whether one more executor may be in cooldown.
+    #[must_use]
+    pub const fn may_spare_one(&self) -> bool {
+        let share = self.executors / MAX_COOLING_DIVISOR;
+        let limit = if share == 0 { 1 } else { share };
+        self.executors > 1 && self.cooling_down < limit
     }
 }
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -123,8 +123,10 @@
     pub baseline: crate::interference::Baseline,
     /// The stalls on the executor.
     pub stalls: crate::fault_attribution::StallEvidence,
-    /// Distinct jobs that failed on the executor since the last run that succeeded there.
-    pub failed_jobs: Vec<crate::scheduler::JobKey>,
+    /// The failures on the executor.
+    pub failures: crate::fault_attribution::FailureEvidence,
+    /// The end of the latest cooldown for stalls or failures, which also counts in `not_before`.
+    pub fault_cooldown_until: Mono,
 }
 
 /// The tasks of one service image on an executor.
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -53,10 +53,10 @@
 pub(crate) struct Preference {
     /// Whether the task's latest failed or stalled run was not on this executor.
     not_failed_here: bool,
-    /// Whether no task has stalled on the executor recently.
-    not_suspected: bool,
     /// How bad it is to start the task beside those on the executor, if one of them may crash it.
     exposure: Reverse<usize>,
+    /// Whether no task has stalled or failed on the executor a moment ago.
+    not_suspected: bool,
     /// Whether the executor is suitable without relaxed conditions.
     unrelaxed: bool,
     /// Whether the executor is in the rack of the step's data, or the step names no rack.
@@ -78,14 +78,19 @@
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
         self.not_failed_here
             .cmp(&other.not_failed_here)
-            .then(self.not_suspected.cmp(&other.not_suspected))
             .then(self.exposure.cmp(&other.exposure))
+            .then(self.not_suspected.cmp(&other.not_suspected))
             .then(self.unrelaxed.cmp(&other.unrelaxed))
             .then(self.near_data.cmp(&other.near_data))
             .then(self.score.total_cmp(&other.score))
     }
 }
 
+/// Returns whether a fault that was observed on an executor a moment ago may be its own.
+fn is_suspected(executor: &Executor, now: Mono) -> bool {
+    executor.stalls.is_suspected(now) || executor.failures.has_just_failed(now)
+}
+
 impl Scheduler {
     /// Assigns waiting tasks to executors in the order of their rank. Returns the number of tasks
     /// assigned.
@@ -300,8 +305,8 @@
         let failed_on = self.task(key).and_then(|task| task.failed_on);
         Some(Preference {
             not_failed_here: Some(executor_key) != failed_on,
-            not_suspected: !executor.stalls.is_suspected(now),
             exposure: Reverse(self.exposure(key, step, executor)?),
+            not_suspected: !is_suspected(executor, now),
             unrelaxed: relaxation == Relaxation::NONE || self.is_undisturbed(executor, step),
             near_data: near_data(executor, step),
             score: self.score(executor, step, relaxation)?,
--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -7,6 +7,8 @@
 use super::Report;
 use super::Scheduler;
 use super::TaskKey;
+use crate::fault_attribution::FailureEvidence;
+use crate::fault_attribution::StallEvidence;
 use crate::fleet::ClockReading;
 use crate::fleet::ExecutorKey;
 use crate::task::StartState;
@@ -110,7 +112,8 @@
         executor.ends_received = 0;
         executor.unstored_ends = None;
         executor.withheld_ends.clear();
-        executor.failed_jobs.clear();
+        executor.failures = FailureEvidence::default();
+        executor.stalls = StallEvidence::default();
         executor.announced_departure = false;
         executor.failing_since = None;
         true
--- a/crates/job/src/scheduler/job.rs
+++ b/crates/job/src/scheduler/job.rs
@@ -10,6 +10,7 @@
 use super::JobKey;
 use super::ReadyStep;
 use super::store_queue::StorePlace;
+use crate::fault_attribution::FailedOn;
 use crate::id::JobId;
 use crate::spec::JobSpec;
 use crate::spec::StepSpec;
@@ -87,6 +88,8 @@
     pub(crate) row_version: u64,
     /// Runs that ended in a way that is unknown. Their ends may be reported late.
     pub(crate) abandoned: Vec<AbandonedRun>,
+    /// The executors on which runs of the job have failed recently.
+    pub(super) failed_on: FailedOn,
     /// Whether the job could be in time when its tasks were last placed.
     pub(crate) is_urgent: bool,
     /// Whether the job's record has to be written.
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod allocation;
 mod capacity;
 mod commands;
+mod cooldown;
 mod crashes;
 mod event;
 mod executors;
@@ -58,6 +59,7 @@
 use crate::advice::AdviceCache;
 use crate::advice::AdviceRequest;
 use crate::durations::Durations;
+use crate::fault_attribution::FailedOn;
 use crate::fleet::ExecutorKey;
 use crate::fleet::Fleet;
 use crate::id::JobId;
@@ -245,6 +247,7 @@
             spec,
             row_version: submission.row_version,
             abandoned: Vec::new(),
+            failed_on: FailedOn::default(),
             is_urgent: false,
             dirty: false,
             store_place: StorePlace::default(),
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -8,7 +8,6 @@
 use serde::Serialize;
 
 use super::Command;
-use super::CooldownReason;
 use super::Event;
 use super::JobState;
 use super::LossReason;
@@ -23,11 +22,6 @@
 
 /// The backoff of a task after a failed run.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(20);
-/// The number of distinct jobs that fail on an executor, without a success in between, before the
-/// executor gets a cooldown.
-const FAILED_JOBS_BEFORE_COOLDOWN: usize = 3;
-/// How long no task is placed on an executor where several distinct jobs have failed.
-const FAULTY_EXECUTOR_COOLDOWN: Duration = Duration::from_secs(4);
 /// The minimum time since the latest confirmation of a run, of its start or of its stop, before a
 /// run that should stop and is still reported as active is stopped again.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -184,7 +178,7 @@
     fn handle_done(&mut self, key: TaskKey, executor: ExecutorKey, now: Mono) {
         self.learn_duration(key, now);
         if let Some(executor) = self.fleet.get_mut(executor) {
-            executor.failed_jobs.clear();
+            executor.failures.record_success();
         }
         if self.step(key).is_some_and(|step| step.long_running) {
             self.release(key, now);
@@ -242,25 +236,6 @@
         }
     }
 
-    /// Records the failure of a job on an executor. If only failures of distinct jobs follow each
-    /// other, the executor is at fault rather than the jobs.
-    fn record_executor_failure(&mut self, key: TaskKey, executor_key: ExecutorKey, now: Mono) {
-        let Some(executor) = self.fleet.get_mut(executor_key) else {
-            return;
-        };
-        if !executor.failed_jobs.contains(&key.job) {
-            executor.failed_jobs.push(key.job);
-        }
-        if executor.failed_jobs.len() >= FAILED_JOBS_BEFORE_COOLDOWN {
-            executor.not_before = now.after(FAULTY_EXECUTOR_COOLDOWN);
-            self.record_event(Event::CooldownStarted {
-                executor: executor_key,
-                task: key,
-                reason: CooldownReason::Failures,
-            });
-        }
-    }
-
     /// Returns how many runs of a task may fail before its job fails, or `None` if the terms of the
     /// job are not known.
     pub(super) fn attempts(&self, key: TaskKey) -> Option<u32> {
--- a/crates/job/src/stall.rs
+++ b/crates/job/src/stall.rs
@@ -218,12 +218,8 @@
         };
         let cause = executor.stalls.record_stall(key.job, since, now);
         if cause == StallCause::Executor {
-            executor.not_before = executor.not_before.max(now.after(EXECUTOR_COOLDOWN));
-            self.record_event(Event::CooldownStarted {
-                executor: executor_key,
-                task: key,
-                reason: CooldownReason::Stalled,
-            });
+            let until = now.after(EXECUTOR_COOLDOWN);
+            self.cool_down(executor_key, key, CooldownReason::Stalled, until, now);
         }
         let stalls = self.count_stall(key);
         self.record_event(Event::RunStalled {
--- a/crates/job/tests/all/fault_attribution.rs
+++ b/crates/job/tests/all/fault_attribution.rs
@@ -5,8 +5,10 @@
 use job::scheduler::RunOutcome;
 use job::scheduler::TaskKey;
 use job::spec::StepSpec;
+use model::Size;
 
 use crate::fixture::Fixture;
+use crate::fixture::listing;
 use crate::fixture::step;
 
 /// How often an executor answers polls, in milliseconds.
@@ -161,7 +163,7 @@
     let end = fixture.end(900, key, RunOutcome::Interrupted);
     fixture.report(1, vec![end]);
     let mut next = fixture.successor();
-    next.list(vec![crate::fixture::listing(1)]);
+    next.list(vec![listing(1)]);
     next.report_rows(1, Vec::new(), Vec::new());
     next.start_all();
     stops += run_for(&mut next, 60_000, &percent).len();
@@ -210,10 +212,14 @@
     assert_eq!(tasks_of(&fixture, id), 1);
 }
 
-/// Guards against new tasks on an executor that hangs, where tasks of all jobs stall.
+/// Guards against new tasks on an executor that hangs, where tasks of all jobs stall. The tasks find no
+/// room elsewhere.
 #[test]
 fn stalls_of_two_jobs_put_their_executor_into_cooldown() {
     let mut fixture = Fixture::new(1);
+    let mut small = listing(2);
+    small.capacity = Size::new(1_000, 1_000, 0);
+    fixture.list(vec![listing(1), small]);
     for number in 1..=2 {
         fixture.submit(number, vec![step(1, 2, 5_000)]);
     }
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod fair_start;
 mod fault_attribution;
+mod faulty_executors;
 mod fixture;
 mod gang_failures;
 mod interference;
