--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod allocation;
 mod capacity;
 mod commands;
+mod cooldown;
 mod crashes;
 mod evacuation;
 mod event;
@@ -63,6 +64,7 @@
 use crate::durations::Durations;
 use crate::evacuation::EvacuationProblem;
 use crate::evacuation::Evacuations;
+use crate::fault_attribution::FailedOn;
 use crate::fleet::ExecutorKey;
 use crate::fleet::Fleet;
 use crate::id::JobId;
@@ -269,6 +271,7 @@
             spec,
             row_version: submission.row_version,
             abandoned: Vec::new(),
+            failed_on: FailedOn::default(),
             is_urgent: false,
             dirty: false,
             store_place: StorePlace::default(),
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod fair_start;
 mod fault_attribution;
+mod faulty_executors;
 mod fixture;
 mod gang_failures;
 mod interference;
