--- a/crates/dispatch/src/relay/server.rs
+++ b/crates/dispatch/src/relay/server.rs
@@ -2,7 +2,9 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -22,6 +24,9 @@
 use crate::events;
 use crate::node::Node;
 
+/// Time for the owner to open a session.
+const GREETING_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The session of the owner with the highest epoch. It ends when an owner opens another one, so that
 /// nothing is carried out for an earlier owner beside its successor.
 #[derive(Default)]
@@ -56,12 +61,14 @@
     let (reader, writer) = tokio::io::split(stream);
     let outbox = Rc::new(Outbox::default());
     let end = CancellationToken::new();
+    let opened = CancellationToken::new();
     let mut session = Session {
         node: node.clone(),
         outbox: outbox.clone(),
         epoch: 0,
         end: None,
         ended: end.clone(),
+        opened: opened.clone(),
         payloads: ReceivedPayloads::default(),
         calls: JoinSet::new(),
     };
@@ -72,10 +79,22 @@
         result = receive => result,
         result = transport::send(&outbox, || node.uptime_ms(), writer) => result,
         () = end.cancelled() => Ok(()),
+        () = without_greeting(opened) => Err(io::ErrorKind::TimedOut.into()),
     };
     events::relay_session_ended(node.relay_session.epoch.get(), result.as_ref().err());
 }
 
+/// Completes when no session has been opened in time. A connection without one would otherwise keep its
+/// place for as long as it sends empty frames.
+async fn without_greeting(opened: CancellationToken) {
+    if tokio::time::timeout(GREETING_TIMEOUT, opened.cancelled())
+        .await
+        .is_ok()
+    {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// A session with an owner.
 struct Session {
     node: Rc<Node>,
@@ -86,6 +105,8 @@
     end: Option<CancellationToken>,
     /// Cancelled when this session ends.
     ended: CancellationToken,
+    /// Cancelled when the owner has opened the session.
+    opened: CancellationToken,
     payloads: ReceivedPayloads,
     /// The calls in progress.
     calls: JoinSet<()>,
@@ -115,6 +136,7 @@
             let Some(end) = self.end.clone() else {
                 return false;
             };
+            self.opened.cancel();
             let ended = self.ended.clone();
             self.calls.spawn_local(async move {
                 end.cancelled().await;
--- a/crates/dispatch/src/relay/tcp.rs
+++ b/crates/dispatch/src/relay/tcp.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures::FutureExt;
+use link::limits::LimitReason;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -44,6 +45,7 @@
 /// once; sessions whose owners have gone end by themselves within a second.
 pub async fn serve(listener: TcpListener, node: Rc<Node>, stop: CancellationToken) {
     let mut sessions = JoinSet::new();
+    let port = node.gate.port("relays", usize::MAX);
     loop {
         while sessions.try_join_next().is_some() {}
         let accepted = tokio::select! {
@@ -54,7 +56,7 @@
             Ok((stream, _)) if sessions.len() < MAX_CONNECTIONS => {
                 sessions.spawn_local(server::serve(node.clone(), prepare(stream)));
             }
-            Ok(_) => {}
+            Ok(_) => port.count(LimitReason::Connections),
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
--- a/crates/dispatch/tests/all/relay_sessions.rs
+++ b/crates/dispatch/tests/all/relay_sessions.rs
@@ -389,3 +389,28 @@
     owner.receive(&world, SECOND / 5).await;
     assert!(owner.is_closed);
 }
+
+/// Guards against connections that keep the few places for owners with empty frames.
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_opens_no_session_within_a_second_ends() {
+    let world = started().await;
+    let mut idle = Owner {
+        frames: Framed::new(
+            world.host(RELAY).accept_relay(),
+            LengthDelimitedCodec::new(),
+        ),
+        epoch: EPOCH,
+        relay_ms: 0,
+        answers: BTreeMap::new(),
+        is_closed: false,
+    };
+    let mut owner = Owner::connect(&world, EPOCH).await;
+    for _ in 0..20 {
+        idle.send(0, Vec::new()).await;
+        owner.send(owner.relay_ms, Vec::new()).await;
+        idle.receive(&world, SECOND / 10).await;
+        owner.receive(&world, Duration::from_millis(1)).await;
+    }
+    assert!(idle.is_closed);
+    assert!(!owner.is_closed);
+}
--- a/crates/link/src/gate.rs
+++ b/crates/link/src/gate.rs
@@ -116,7 +116,8 @@
 }
 
 impl Port {
-    fn count(&self, reason: LimitReason) {
+    /// Counts a limit that was enforced, for logs and metrics.
+    pub fn count(&self, reason: LimitReason) {
         let mut ports = self.gate.0.ports.borrow_mut();
         *ports[self.index].counts.entry(reason).or_insert(0) += 1;
     }
--- a/crates/link/src/limits.rs
+++ b/crates/link/src/limits.rs
@@ -49,6 +49,8 @@
 pub enum LimitReason {
     /// Refused: the memory of the port does not suffice.
     Memory,
+    /// Closed at once: all connections of the port are taken.
+    Connections,
     /// Refused: the head is too large.
     HeadTooLarge,
     /// Refused: the body is too large.
@@ -71,8 +73,9 @@
 
 impl LimitReason {
     /// All reasons.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Memory,
+        Self::Connections,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
         Self::HeadTimeout,
@@ -89,6 +92,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Memory => "memory",
+            Self::Connections => "connections",
             Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::HeadTimeout => "head_timeout",
--- a/crates/link/tests/all/clients.rs
+++ b/crates/link/tests/all/clients.rs
@@ -440,3 +440,18 @@
     })
     .await;
 }
+
+/// Guards against refusals of requests that arrived in time at a process that was paused.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_arrived_during_a_pause_of_the_process_is_read() {
+    run(async {
+        let server = Server::start(usize::MAX, LIMITS);
+        let mut stream = server.send(&post(10, 5)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        stream.write_all(b"xxxxx").await.expect("send");
+        tokio::time::advance(Duration::from_secs(10)).await;
+        let answer = read_response(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    })
+    .await;
+}
