fix(job): an executor recovers from an end that must not be acknowledged

Cause: an executor that was cut off for longer than its lease lists the end of a run whose task was started again elsewhere. That end is not acknowledged, and acknowledgements reach all ends up to a number, so that its list grew to 500 ends and it got no tasks for as long as it lived.

Change: such an executor gets one task with a lease that is shorter than the task once nothing runs there and no lease is left. It lists the expiry, after which all ends may be acknowledged; the run counts as no attempt. A busy one is emptied at 250 ends; long-running tasks move elsewhere. Abandoned runs leave the records of their jobs with the acknowledgement or a restart of their executor.

--- a/crates/dispatch/src/dump.rs
+++ b/crates/dispatch/src/dump.rs
@@ -90,6 +90,8 @@
     pub cooldown_ms: u64,
     /// Number of tasks assigned to it.
     pub tasks: usize,
+    /// Number of ends that it lists from the first one on that must not be acknowledged.
+    pub withheld_ends: usize,
 }
 
 /// Returns the state of a process.
@@ -124,6 +126,7 @@
             draining: executor.listing.draining,
             cooldown_ms: millis_since(executor.not_before, now),
             tasks: executor.tasks.len(),
+            withheld_ends: executor.listed_withheld_ends(),
         });
     OwnerDump {
         epoch: owner.epoch,
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -239,6 +239,17 @@
     log::info!(event = "late_answer", id, took_ms, ends; "");
 }
 
+/// Logs that an executor gets no tasks until its lease has expired with a run on it, because it lists
+/// `ends` ends from one on that must not be acknowledged.
+pub fn recovery_began(id: &str, ends: usize, tasks: usize) {
+    log::info!(event = "recovery_began", id, ends, tasks; "");
+}
+
+/// Logs that the lease has expired, so that ends on the executor can be acknowledged again.
+pub fn recovery_ended(id: &str, after_ms: u64) {
+    log::info!(event = "recovery_ended", id, after_ms; "");
+}
+
 /// Logs a row that the store refuses for good, so that it is not written.
 pub fn refused_row(table: &str, key: &str) {
     log::error!(event = "refused_row", table, key; "");
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -114,6 +114,8 @@
     /// Age of the oldest job with a step that waits for a reason, in milliseconds. Covers the jobs
     /// of the latest round of log lines.
     pub oldest_wait_ms: Family<LimitLabel, Gauge>,
+    /// Recoveries of executors from ends that must not be acknowledged.
+    pub ack_recoveries: Counter,
     /// Rows that the store refused for good, by table.
     pub refused_rows: Family<TableLabel, Counter>,
     /// Takeovers by this host.
@@ -142,6 +144,7 @@
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
             oldest_wait_ms: Family::default(),
+            ack_recoveries: Counter::default(),
             refused_rows: Family::default(),
             takeovers: Counter::default(),
         };
@@ -200,6 +203,12 @@
             "Age of the oldest job that waits, by what its step waits for",
             &self.oldest_wait_ms,
         );
+        register(
+            registry,
+            "ack_recoveries",
+            "Recoveries of executors from ends that must not be acknowledged",
+            &self.ack_recoveries,
+        );
         register(
             registry,
             "refused_rows",
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -247,7 +247,10 @@
             return CommandOutcome::NotSent;
         };
         let now = self.now();
-        let lease_deadline_ms = self.scheduler.borrow_mut().grant_lease(start.executor, now);
+        let lease_deadline_ms =
+            self.scheduler
+                .borrow_mut()
+                .grant_start_lease(start.key, start.executor, now);
         let Some(lease_deadline_ms) = lease_deadline_ms else {
             // The executor is unreachable. Whether earlier copies of the command arrived becomes
             // known when it answers again, or no longer matters once the lease has expired.
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -121,6 +121,17 @@
                 events::checkpoints_omitted(job.id, *checkpoints);
             }
         }
+        Event::RecoveryBegan {
+            executor,
+            ends,
+            tasks,
+        } => {
+            metrics.ack_recoveries.inc();
+            events::recovery_began(executor_name(scheduler, *executor), *ends, *tasks);
+        }
+        Event::RecoveryEnded { executor, after_ms } => {
+            events::recovery_ended(executor_name(scheduler, *executor), *after_ms);
+        }
         Event::RunLost {
             task,
             run,
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -10,8 +10,10 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::ack_recovery::AckRecovery;
 use crate::interference::ImageKey;
 use crate::scheduler::TaskKey;
+use crate::task::RunNumber;
 
 new_key_type! {
     /// Identifies an executor in the [`Fleet`]. The key is stable across incarnations of the
@@ -109,6 +111,11 @@
     /// later; cleared when the executor reports that its lease expired since. Acknowledgements stop
     /// before the first of them.
     pub withheld_ends: Vec<u64>,
+    /// The recovery from withheld ends, if one is under way. Meanwhile the executor gets one task at a
+    /// time, and only while nothing runs there and no lease is left.
+    pub recovery: Option<AckRecovery>,
+    /// Runs that were abandoned on the current incarnation.
+    pub(crate) abandoned: Vec<(TaskKey, RunNumber)>,
     /// When the CPU share of a best-effort task on the executor last changed.
     pub throttled_at: Mono,
     /// Since when a service on the executor has exceeded its tail latency target.
@@ -203,16 +210,25 @@
             && !self.listing.draining
             && now >= self.not_before
             && self.can_list_another_end()
+            && (self.recovery.is_none() || (self.tasks.is_empty() && now >= self.leases_expire_at))
+    }
+
+    /// Returns the number of ends that the executor lists from the first one on that must not be
+    /// acknowledged.
+    #[must_use]
+    pub fn listed_withheld_ends(&self) -> usize {
+        let first = self.withheld_ends.iter().min();
+        first.map_or(0, |first| {
+            let listed = (self.ends_received + 1).saturating_sub(*first);
+            usize::try_from(listed).unwrap_or(usize::MAX)
+        })
     }
 
     /// Returns whether the end of another run would appear in reports. All ends from the first
     /// withheld one on stay in the executor's list.
     fn can_list_another_end(&self) -> bool {
-        let Some(first) = self.withheld_ends.iter().min() else {
-            return true;
-        };
-        let listed = usize::try_from((self.ends_received + 1).saturating_sub(*first));
-        listed.is_ok_and(|listed| listed + self.tasks.len() + 1 < MAX_REPORTED_ENDS)
+        let listed = self.listed_withheld_ends();
+        listed == 0 || listed.saturating_add(self.tasks.len() + 1) < MAX_REPORTED_ENDS
     }
 
     /// Returns whether the executor still lists ended runs that can be acknowledged to it.
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`throttle`] for limiting best-effort work beside services, and [`record`] for what is stored.
 //! `docs/JOBS.md` explains the design decisions.
 
+pub mod ack_recovery;
 pub mod advice;
 mod compact_record;
 pub mod durations;
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -51,6 +51,8 @@
 /// How well an executor suits a task. The fields are compared in order of declaration.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Preference {
+    /// Whether the run can be expected to go on, or costs little if it ends with its lease.
+    lasts: bool,
     /// Whether the task's latest failed or stalled run was not on this executor.
     not_failed_here: bool,
     /// How bad it is to start the task beside those on the executor, if one of them may crash it.
@@ -66,12 +68,17 @@
 impl Preference {
     /// Returns whether only a higher score could make another executor better.
     fn is_limited_by_score_only(&self) -> bool {
-        self.not_failed_here && self.exposure.0 == 0 && self.unrelaxed && self.near_data
+        self.lasts
+            && self.not_failed_here
+            && self.exposure.0 == 0
+            && self.unrelaxed
+            && self.near_data
     }
 
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
-        self.not_failed_here
-            .cmp(&other.not_failed_here)
+        self.lasts
+            .cmp(&other.lasts)
+            .then(self.not_failed_here.cmp(&other.not_failed_here))
             .then(self.exposure.cmp(&other.exposure))
             .then(self.unrelaxed.cmp(&other.unrelaxed))
             .then(self.near_data.cmp(&other.near_data))
@@ -291,7 +298,9 @@
             return None;
         }
         let failed_on = self.task(key).and_then(|task| task.failed_on);
+        let loses_much = step.long_running || step.gang;
         Some(Preference {
+            lasts: executor.recovery.is_none() || !loses_much,
             not_failed_here: Some(executor_key) != failed_on,
             exposure: Reverse(self.exposure(key, step, executor)?),
             unrelaxed: relaxation == Relaxation::NONE || self.is_undisturbed(executor, step),
--- a/crates/job/src/scheduler/allocation.rs
+++ b/crates/job/src/scheduler/allocation.rs
@@ -56,6 +56,11 @@
             if let Some(image) = &service_image {
                 executor.remove_service(image, cpu);
             }
+            if executor.tasks.is_empty()
+                && let Some(recovery) = &mut executor.recovery
+            {
+                recovery.probing = false;
+            }
             executor.used = executor.used.saturating_sub(&allocated_size);
             executor.suspected_tasks -= u32::from(is_suspected);
             if relaxed {
--- a/crates/job/src/scheduler/commands.rs
+++ b/crates/job/src/scheduler/commands.rs
@@ -214,7 +214,11 @@
                 self.ticket_refused(key, executor);
                 self.start_refused(key, now);
             }
-            StartAnswer::TooLate | StartAnswer::Invalid => self.start_refused(key, now),
+            StartAnswer::TooLate => {
+                self.adapt_probe_lease(key, executor, true);
+                self.start_refused(key, now);
+            }
+            StartAnswer::Invalid => self.start_refused(key, now),
             StartAnswer::Superseded => self.start_superseded(key, now),
         }
     }
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -88,6 +88,23 @@
         /// The number of checkpoints.
         checkpoints: usize,
     },
+    /// An executor that lists ends which must not be acknowledged gets no tasks until its lease has
+    /// expired with a run on it.
+    RecoveryBegan {
+        /// The executor.
+        executor: ExecutorKey,
+        /// The number of ends that it lists.
+        ends: usize,
+        /// The number of tasks that it has.
+        tasks: usize,
+    },
+    /// The lease of such an executor has expired, so that its ends can be acknowledged again.
+    RecoveryEnded {
+        /// The executor.
+        executor: ExecutorKey,
+        /// The time since the recovery began, in milliseconds.
+        after_ms: u64,
+    },
     /// A later process is listed at the address of an unreachable executor.
     ExecutorReplaced {
         /// The executor whose process has ended.
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -183,6 +183,7 @@
             self.lose_run(key, LossReason::LeaseExpired, now);
         }
         self.release_replaced(now);
+        self.recover_executors(now);
         let migrating: Vec<TaskKey> = self
             .fleet
             .iter()
--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -110,9 +110,15 @@
         executor.ends_received = 0;
         executor.unstored_ends = None;
         executor.withheld_ends.clear();
+        executor.recovery = None;
+        let abandoned = std::mem::take(&mut executor.abandoned);
         executor.failed_jobs.clear();
         executor.announced_departure = false;
         executor.failing_since = None;
+        // The ends of the previous incarnation are listed nowhere any more.
+        for (task, run) in abandoned {
+            self.forget_abandoned(task, run);
+        }
         true
     }
 
--- a/crates/job/src/scheduler/late_end.rs
+++ b/crates/job/src/scheduler/late_end.rs
@@ -13,6 +13,7 @@
 use super::Event;
 use super::Job;
 use super::JobState;
+use super::Report;
 use super::RunOutcome;
 use super::Scheduler;
 use super::TaskKey;
@@ -50,7 +51,10 @@
     /// Records that the current run of a task is abandoned.
     pub(super) fn abandon_run(&mut self, key: TaskKey) {
         let restarts_anyway = self.step(key).is_none_or(|step| step.long_running);
-        let Some(run) = self.task(key).map(|task| task.run) else {
+        let Some((run, executor)) = self
+            .task(key)
+            .and_then(|task| Some((task.run, task.assignment()?.executor)))
+        else {
             return;
         };
         if let Some(job) = self.jobs.get_mut(key.job)
@@ -59,6 +63,9 @@
         {
             let slot = key.slot;
             job.abandoned.push(AbandonedRun { slot, run });
+            if let Some(executor) = self.fleet.get_mut(executor) {
+                executor.abandoned.push((key, run));
+            }
         }
     }
 
@@ -148,8 +155,39 @@
             })
     }
 
-    fn forget_abandoned(&mut self, key: TaskKey, run: RunNumber) {
+    /// Returns the ends of an executor that must not be acknowledged.
+    pub(super) fn withheld_ends(&self, executor: ExecutorKey) -> Vec<u64> {
+        let executor = self.fleet.get(executor);
+        executor.map_or_else(Vec::new, |executor| executor.withheld_ends.clone())
+    }
+
+    /// Removes runs from an executor's list of abandoned ones that are settled, or whose job is gone.
+    pub(super) fn prune_abandoned(&mut self, key: ExecutorKey) {
+        let jobs = &self.jobs;
+        if let Some(executor) = self.fleet.get_mut(key) {
+            executor.abandoned.retain(|(task, run)| {
+                let job = jobs.get(task.job);
+                job.is_some_and(|job| job.is_abandoned(task.slot, *run))
+            });
+        }
+    }
+
+    /// Forgets the abandoned runs whose ends were withheld and may be acknowledged now.
+    pub(super) fn forget_withheld(&mut self, withheld: &[u64], report: &Report) {
+        let ends = report.ended.iter();
+        for end in ends.filter(|end| withheld.contains(&end.sequence)) {
+            if let Some(key) = end.task.and_then(|task| self.task_key(task)) {
+                self.forget_abandoned(key, end.run);
+            }
+        }
+    }
+
+    pub(super) fn forget_abandoned(&mut self, key: TaskKey, run: RunNumber) {
         let slot = key.slot;
+        let job = self.jobs.get(key.job);
+        if !job.is_some_and(|job| job.is_abandoned(slot, run)) {
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(key.job) {
             job.abandoned
                 .retain(|abandoned| *abandoned != AbandonedRun { slot, run });
--- a/crates/job/src/scheduler/leases.rs
+++ b/crates/job/src/scheduler/leases.rs
@@ -13,9 +13,26 @@
     /// Returns the deadline, on the executor's clock, of the lease that a call sent now grants.
     ///
     /// An unreachable executor is granted no lease: each attempt would extend the lease that has to
-    /// expire before its tasks may start elsewhere.
+    /// expire before its tasks may start elsewhere. Nor is one that recovers from withheld ends.
     pub fn grant_lease(&mut self, key: ExecutorKey, now: Mono) -> Option<u64> {
-        let lease = self.timing.lease;
+        let executor = self.fleet.get(key)?;
+        // The lease of a recovering executor has to expire.
+        let must_expire = executor
+            .recovery
+            .is_some_and(|recovery| recovery.probing || executor.tasks.is_empty());
+        if must_expire {
+            return None;
+        }
+        self.grant_lease_of(key, self.timing.lease, now)
+    }
+
+    /// Like [`Self::grant_lease`], with a lease of this duration.
+    pub(super) fn grant_lease_of(
+        &mut self,
+        key: ExecutorKey,
+        lease: Duration,
+        now: Mono,
+    ) -> Option<u64> {
         let executor = self.fleet.get_mut(key)?;
         if !executor.reachable {
             return None;
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod job;
 mod late_end;
 mod leases;
+mod recovery;
 mod replacement;
 mod report;
 mod restore;
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -116,9 +116,15 @@
         if !self.accept_report(executor, report, sent, now) {
             return;
         }
+        let withheld = self.withheld_ends(executor);
         for end in &report.ended {
             self.handle_ended(executor, end, now);
         }
+        if self.withheld_ends(executor).is_empty() {
+            self.forget_withheld(&withheld, report);
+        }
+        self.prune_abandoned(executor);
+        self.begin_due_recovery(executor, now);
         for run in &report.running {
             self.handle_running(executor, run, sent, now);
         }
@@ -138,6 +144,7 @@
         known.ends_received = end.sequence;
         if end.outcome == RunOutcome::LeaseExpired {
             known.withheld_ends.clear();
+            self.end_recovery(executor, now);
         }
         let key = end.task.and_then(|task| self.task_key(task));
         let current = key.filter(|key| self.is_current(*key, end.run, executor));
@@ -155,6 +162,7 @@
         self.update_checkpoint(key, end.checkpoint.as_ref());
         if matches!(end.outcome, RunOutcome::Done | RunOutcome::Failed) {
             self.clear_of_suspicion(key);
+            self.adapt_probe_lease(key, executor, false);
         }
         match end.outcome {
             RunOutcome::Done => self.handle_done(key, executor, now),
--- /dev/null
+++ b/crates/job/tests/all/ack_recovery.rs
@@ -0,0 +1,206 @@
+//! Tests that an executor becomes usable again after an end that must not be acknowledged: all later
+//! ends stay in its list, of which it has 500.
+
+use std::time::Duration;
+
+use job::ack_recovery::AckRecovery;
+use job::scheduler::EndedRun;
+use job::scheduler::JobState;
+use job::scheduler::RunOutcome;
+use job::scheduler::TaskKey;
+use model::Mono;
+
+use crate::fixture::Fixture;
+use crate::fixture::LEASE;
+use crate::fixture::MAX_LEASE;
+use crate::fixture::service;
+use crate::fixture::step;
+
+/// Abandons the runs on executor 1, which cannot be reached until its leases have expired.
+fn lose_contact(fixture: &mut Fixture) {
+    let executor = fixture.executor(1);
+    fixture.scheduler.grant_lease(executor, fixture.now);
+    fixture.scheduler.mark_unreachable(executor, fixture.now);
+    fixture.now = fixture.now.after(MAX_LEASE);
+    fixture.scheduler.tick(fixture.now);
+}
+
+/// Returns a fixture in which executor 1 lists the end of a run that was started again elsewhere.
+fn with_a_withheld_end() -> (Fixture, EndedRun) {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(1, vec![step(8, 16, 1_000)]);
+    fixture.start_all();
+    let key = fixture.tasks_on(1)[0];
+    let end = fixture.end(1, key, RunOutcome::Done);
+    lose_contact(&mut fixture);
+    for key in fixture.tasks_on(2) {
+        let sequence = u64::from(key.slot) + 1;
+        let end = fixture.end(sequence, key, RunOutcome::Done);
+        fixture.report(2, vec![end]);
+    }
+    fixture.start_all();
+    assert!(fixture.tasks_on(2).contains(&key), "started again");
+    fixture.report_rows(1, vec![], vec![end.clone()]);
+    fixture.store();
+    assert_eq!(acknowledgement(&fixture), 0);
+    (fixture, end)
+}
+
+fn acknowledgement(fixture: &Fixture) -> u64 {
+    fixture.scheduler.acknowledgement(fixture.executor(1))
+}
+
+/// Ends all tasks of executor 2.
+fn finish_on_second(fixture: &mut Fixture, first_sequence: u64) {
+    for (key, sequence) in fixture.tasks_on(2).into_iter().zip(first_sequence..) {
+        let end = fixture.end(sequence, key, RunOutcome::Done);
+        fixture.report(2, vec![end]);
+    }
+}
+
+/// Places the tasks of a job of which one fits executor 1 beside each seven on the other. Returns the
+/// task that was placed on executor 1.
+fn start_probe(fixture: &mut Fixture) -> TaskKey {
+    finish_on_second(fixture, 100);
+    fixture.submit(2, vec![step(6, 16, 3_000)]);
+    fixture.start_all();
+    let tasks = fixture.tasks_on(1);
+    assert_eq!(tasks.len(), 1, "one task at a time");
+    tasks[0]
+}
+
+#[test]
+fn an_executor_recovers_with_the_expiry_of_the_lease_of_one_task() {
+    let (mut fixture, end) = with_a_withheld_end();
+    let probe = start_probe(&mut fixture);
+    let executor = fixture.executor(1);
+    assert_eq!(fixture.scheduler.grant_lease(executor, fixture.now), None);
+    let deadline = fixture
+        .scheduler
+        .grant_start_lease(probe, executor, fixture.now)
+        .expect("a start has a lease");
+    let clock = fixture.scheduler.fleet.get(executor).expect("known").clock;
+    let now_ms = clock
+        .expect("it has answered")
+        .deadline(fixture.now, Duration::ZERO);
+    assert!((now_ms + 1..now_ms + 1_000).contains(&deadline));
+    fixture.pass(500);
+    let expired = fixture.end(2, probe, RunOutcome::LeaseExpired);
+    fixture.report_rows(1, vec![], vec![end, expired]);
+    fixture.store();
+    assert_eq!(acknowledgement(&fixture), 2);
+    assert_eq!(
+        fixture.scheduler.task(probe).map(|task| task.failures),
+        Some(0),
+        "the lapsed run is no attempt"
+    );
+    assert!(
+        fixture
+            .scheduler
+            .grant_lease(executor, fixture.now)
+            .is_some()
+    );
+    fixture.submit(3, vec![step(4, 16, 1_000)]);
+    fixture.start_all();
+    assert!(fixture.tasks_on(1).len() > 1, "usable as before");
+    let id = fixture.scheduler.job(probe.job).expect("known").id;
+    assert_eq!(fixture.scheduler.state(id), Some(JobState::Running));
+}
+
+/// Leases that were granted earlier would keep the task alive.
+#[test]
+fn no_task_is_placed_on_a_recovering_executor_before_its_leases_have_expired() {
+    let (mut fixture, end) = with_a_withheld_end();
+    let executor = fixture.executor(1);
+    let known = fixture.scheduler.fleet.get_mut(executor).expect("known");
+    known.leases_expire_at = fixture.now.after(LEASE);
+    finish_on_second(&mut fixture, 100);
+    fixture.submit(2, vec![step(6, 16, 3_000)]);
+    fixture.start_all();
+    assert_eq!(fixture.tasks_on(1).len(), 0);
+    fixture.pass(1_000);
+    fixture.report_rows(1, vec![], vec![end]);
+    fixture.now = fixture.now.after(LEASE);
+    fixture.start_all();
+    assert_eq!(fixture.tasks_on(1).len(), 1);
+}
+
+/// While a service runs there, polls keep the lease of the executor alive for good.
+#[test]
+fn an_executor_with_a_long_running_task_recovers_before_its_list_is_full() {
+    let (mut fixture, end) = with_a_withheld_end();
+    let executor = fixture.executor(1);
+    let known = fixture.scheduler.fleet.get_mut(executor).expect("known");
+    known.recovery = None;
+    finish_on_second(&mut fixture, 100);
+    fixture.submit(2, vec![service(2, 33, "web")]);
+    let mut ends = vec![end];
+    fixture.start_all();
+    let lasting = fixture.tasks_on(1);
+    assert_eq!(lasting.len(), 1);
+    let known = fixture.scheduler.fleet.get_mut(executor).expect("known");
+    known.recovery = None;
+    for number in 3..400 {
+        fixture.submit(number, vec![step(4, 8, 500)]);
+        fixture.start_all();
+        for key in fixture.tasks_on(1) {
+            if !lasting.contains(&key) {
+                ends.push(fixture.end(ends.len() as u64 + 1, key, RunOutcome::Done));
+            }
+        }
+        let running = lasting.iter().map(|key| fixture.running(*key, 100, 10));
+        fixture.report_rows(1, running.collect(), ends.clone());
+        finish_on_second(&mut fixture, 1_000 + number * 10);
+        fixture.store();
+        fixture.pass(500);
+        fixture.scheduler.tick(fixture.now);
+    }
+    assert!((200..=300).contains(&ends.len()), "{} ends", ends.len());
+    let stopping = |key: &TaskKey| {
+        let task = fixture.scheduler.task(*key).expect("known");
+        task.assignment()
+            .is_some_and(|assignment| assignment.stopping)
+    };
+    assert!(lasting.iter().all(stopping), "it moves elsewhere");
+}
+
+/// Durations are estimates, and clocks drift while an executor is not polled.
+#[test]
+fn the_lease_of_a_probe_adapts_until_it_expires_while_the_task_runs() {
+    let second = Duration::from_secs(1);
+    let mut recovery = AckRecovery::new(Mono(0));
+    let first = recovery.probe_lease(second);
+    assert!(first < second / 2);
+    recovery.probe_ended(first);
+    assert_eq!(recovery.probe_lease(second), first / 2);
+    for _ in 0..20 {
+        recovery.probe_too_late(recovery.probe_lease(second));
+    }
+    assert_eq!(recovery.probe_lease(second), second, "bounded");
+    for _ in 0..20 {
+        recovery.probe_ended(recovery.probe_lease(second));
+    }
+    assert_eq!(recovery.probe_lease(second), Duration::from_millis(20));
+}
+
+/// The record of a long job would grow with each abandoned run for as long as the job runs.
+#[test]
+fn an_abandoned_run_leaves_the_record_once_its_executor_has_restarted() {
+    let mut fixture = Fixture::new(2);
+    let id = fixture.submit(1, vec![step(2, 40, 1_000)]);
+    fixture.start_all();
+    lose_contact(&mut fixture);
+    let job = fixture.scheduler.find(id).expect("known");
+    let record = |fixture: &Fixture| {
+        let job = fixture.scheduler.job(job).expect("known");
+        let row = job::record::encode(job, &fixture.scheduler.fleet, usize::MAX);
+        job::record::decode(&row.bytes).expect("a valid record")
+    };
+    assert_eq!(record(&fixture).abandoned.len(), 1);
+    let restarted = job::fleet::Listing {
+        started_unix_ms: 2_000,
+        ..crate::fixture::listing(1)
+    };
+    fixture.list(vec![restarted, crate::fixture::listing(2)]);
+    assert_eq!(record(&fixture).abandoned.len(), 0);
+}
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the public interface of the crate.
 
 mod absurd_figures;
+mod ack_recovery;
 mod advice;
 mod age;
 mod capacity;
