--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -114,8 +114,14 @@
         executor.withheld_ends.clear();
         executor.failures = FailureEvidence::default();
         executor.stalls = StallEvidence::default();
+        executor.recovery = None;
+        let abandoned = std::mem::take(&mut executor.abandoned);
         executor.announced_departure = false;
         executor.failing_since = None;
+        // The ends of the previous incarnation are listed nowhere any more.
+        for (task, run) in abandoned {
+            self.forget_abandoned(task, run);
+        }
         true
     }
 
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 mod job;
 mod late_end;
 mod leases;
+mod recovery;
 mod replacement;
 mod report;
 mod restore;
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod absent_queue;
 mod absurd_figures;
+mod ack_recovery;
 mod advice;
 mod age;
 mod capacity;
