feat(job): slow start of cold executors

Cause: executors that return after an evacuation, or have just started, are slow, and got work like all others.

Change: `cold_remaining_ms` of executors' entries says how long one stays slow. Warm executors are preferred. In any second a cold one gets at most `cold_overage` times the mean of the new tasks of its service's warm executors, and `cold_slack` (`job::warmup`); starts on their way for more than a second count in full, and cold executors are not reserved.

--- a/crates/dispatch/src/dump.rs
+++ b/crates/dispatch/src/dump.rs
@@ -53,11 +53,25 @@
     /// Executors that accept no tasks at the moment, with the causes.
     #[serde(rename = "executors_away")]
     pub unavailable_executors: Vec<ExecutorDump>,
+    /// Executors that are slow after their start.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub cold_executors: Vec<ColdExecutorDump>,
     /// What the owner knows of evacuations; absent in a deployment without them.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub evacuations: Option<EvacuationsDump>,
 }
 
+/// An executor that is slow after its start.
+#[derive(Debug, Serialize)]
+pub struct ColdExecutorDump {
+    /// Name of the executor.
+    pub id: String,
+    /// How much longer it stays slow, in milliseconds.
+    pub remaining_ms: u64,
+    /// Number of tasks assigned to it.
+    pub tasks: usize,
+}
+
 /// What the owner knows of evacuations of data centres.
 #[derive(Debug, Serialize)]
 pub struct EvacuationsDump {
@@ -165,6 +179,13 @@
             cooldown_ms: millis_since(executor.not_before, now),
             tasks: executor.tasks.len(),
         });
+    let executors = scheduler.fleet.iter().map(|(_, executor)| executor);
+    let cold = executors.filter(|executor| executor.is_cold(now));
+    let cold = cold.take(MAX_LISTED).map(|executor| ColdExecutorDump {
+        id: executor.listing.id.to_string(),
+        remaining_ms: millis_since(executor.cold_until, now),
+        tasks: executor.tasks.len(),
+    });
     OwnerDump {
         epoch: owner.epoch,
         confirmed_ago_ms: millis_since(now, owner.confirmed_at()),
@@ -172,6 +193,7 @@
         jobs: jobs.collect(),
         known_executors: scheduler.fleet.iter().count(),
         unavailable_executors: unavailable.collect(),
+        cold_executors: cold.collect(),
         evacuations: owner
             .evacuations_age()
             .map(|age| dump_evacuations(&scheduler, age, now)),
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -247,6 +247,11 @@
     log::info!(event = "evacuations_known", known, age_ms; "");
 }
 
+/// Logs that an executor is listed as slow after its start, and gets less work until it is warm.
+pub fn executor_cold(id: &str, remaining_ms: u64) {
+    log::info!(event = "executor_cold", id, remaining_ms; "");
+}
+
 /// Logs that the end of a job is stored.
 pub fn job_ended(id: JobId, state: &str, after_ms: u64, objective_ms: u64) {
     log::info!(event = "job_ended", job = id.as_str(), state, after_ms, objective_ms; "");
--- a/crates/dispatch/src/metrics/state.rs
+++ b/crates/dispatch/src/metrics/state.rs
@@ -211,6 +211,12 @@
             self.executors
                 .get_or_create(&OutcomeLabel { outcome })
                 .inc();
+            if executor.is_cold(owner.node.now()) {
+                let outcome = "cold";
+                self.executors
+                    .get_or_create(&OutcomeLabel { outcome })
+                    .inc();
+            }
             if executor.over_target_since.is_some() {
                 let outcome = "over_target";
                 self.executors
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -9,6 +9,7 @@
 use job::id::JobId;
 use job::plan::Plan;
 use job::scheduler::JobState;
+use job::warmup::WarmupLimits;
 use model::Clock;
 use model::Map;
 use model::Mono;
@@ -97,6 +98,8 @@
     pub shutdown_grace: Duration,
     /// How long callers can query a job after its end.
     pub retention: Duration,
+    /// How much work cold executors get, or `None` if they are treated like warm ones.
+    pub warmup: Option<WarmupLimits>,
 }
 
 /// The state of a process and its connections to external services.
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -181,6 +181,13 @@
         Event::EvacuationProblemFound { problem } => {
             events::evacuation_problem(problem.as_str(), problem.subject());
         }
+        Event::ExecutorCold {
+            executor,
+            remaining,
+        } => {
+            let remaining_ms = model::time::millis(*remaining);
+            events::executor_cold(executor_name(scheduler, *executor), remaining_ms);
+        }
         Event::StartWithdrawn { data_centre } => {
             let label = DataCentreLabel {
                 data_centre: data_centre.to_string(),
--- a/crates/dispatch/tests/all/evacuation.rs
+++ b/crates/dispatch/tests/all/evacuation.rs
@@ -5,6 +5,7 @@
 use dispatch::api::SubmitOutcome;
 use dispatch::dump::OwnerDump;
 use job::spec::JobSpec;
+use job::warmup::WarmupLimits;
 
 use crate::log_capture;
 use crate::store::StoreFault;
@@ -408,3 +409,47 @@
     assert!(starts_in_x(&world) > 0);
     assert!(owner_dump(&world).evacuations.is_none());
 }
+
+/// Guards against all waiting work being sent at once to executors that return cold.
+#[tokio::test(start_paused = true)]
+async fn executors_that_are_cold_after_an_evacuation_get_work_only_for_lack_of_warm_ones() {
+    let world = world();
+    world.warmup.set(Some(WarmupLimits {
+        overage_thousandths: 1_500,
+        slack: 5,
+    }));
+    world.start("a");
+    world.advance(SECOND).await;
+    world.evacuate("x");
+    world.advance(SECOND).await;
+    log_capture::begin();
+    let cold_until = tokio::time::Instant::now() + 6 * SECOND;
+    for number in 1..=2 {
+        world.fleet.executor(number).cold_until.set(cold_until);
+    }
+    world.advance(3 * SECOND).await;
+    assert_eq!(log_capture::lines("executor_cold").len(), 2);
+    assert_eq!(owner_dump(&world).cold_executors.len(), 2);
+    world.end_evacuation("x");
+    let mut jobs = submit_for(&world, "a", 1, SECOND).await;
+    assert_eq!(starts_in_x(&world), 0, "warm executors have room");
+    // The warm executors fill up.
+    let starts_of = |number: usize| world.fleet.executor(number).starts.get();
+    let warm_before = starts_of(3) + starts_of(4);
+    world.submit("a", 50, one_step(80, 600)).await;
+    jobs.push(50);
+    world.advance(SECOND / 2).await;
+    let warm = starts_of(3) + starts_of(4) - warm_before;
+    let limit = 1.5 * warm as f64 / 2.0 + 5.0;
+    for number in 1..=2 {
+        let cold = starts_of(number);
+        assert!(cold > 0, "executor {number} is not used");
+        assert!(cold as f64 <= limit, "{cold} of {limit}");
+    }
+    world.advance(2 * SECOND).await;
+    let before = starts_in_x(&world);
+    jobs.extend(submit_for(&world, "a", 100, 2 * SECOND).await);
+    assert!(starts_in_x(&world) > before, "they are warm now");
+    world.wait_until_succeeded("a", &jobs, 10 * SECOND).await;
+    assert!(owner_dump(&world).cold_executors.is_empty());
+}
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -58,6 +58,8 @@
     pub draining: Cell<bool>,
     /// The data centre of the executor.
     pub data_centre: RefCell<Arc<str>>,
+    /// Until when the executor is slow after its start.
+    pub cold_until: Cell<Instant>,
     /// Number of runs that the executor has started.
     pub starts: Cell<u64>,
     /// Whether calls reach the executor.
@@ -149,6 +151,7 @@
             listed: Cell::new(true),
             draining: Cell::new(false),
             data_centre: RefCell::new("dc".into()),
+            cold_until: Cell::new(now),
             starts: Cell::new(0),
             reachable: Cell::new(true),
             task_duration: Cell::new(TASK_DURATION),
@@ -259,6 +262,10 @@
             started_unix_ms: self.started_unix_ms,
             draining: self.draining.get(),
             drain_remaining: None,
+            cold_remaining: self
+                .cold_until
+                .get()
+                .saturating_duration_since(Instant::now()),
         }
     }
 
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -32,6 +32,7 @@
 use job::scheduler::JobState;
 use job::spec::JobSpec;
 use job::spec::StepSpec;
+use job::warmup::WarmupLimits;
 use model::Map;
 use model::Size;
 use tokio::io::DuplexStream;
@@ -98,6 +99,8 @@
     elapsed_ms: Cell<u64>,
     /// The time within which starts in an evacuated data centre end, or `None` without evacuations.
     pub evacuation_deadline: Cell<Option<Duration>>,
+    /// How much work cold executors get, or `None` if they are treated like warm ones.
+    pub warmup: Cell<Option<WarmupLimits>>,
 }
 
 /// Returns a document of this version with one queue.
@@ -176,6 +179,7 @@
             incarnations: Cell::new(0),
             elapsed_ms: Cell::new(0),
             evacuation_deadline: Cell::new(None),
+            warmup: Cell::new(None),
         }
     }
 
@@ -236,6 +240,7 @@
             stop_timeout: Duration::from_millis(900),
             shutdown_grace: Duration::from_secs(6),
             retention: RETENTION,
+            warmup: self.warmup.get(),
         };
         let node = Node::new(identity, dependencies, timing, || 1_000_000, || 0);
         let tasks = LocalSet::new();
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -41,6 +41,8 @@
     pub draining: bool,
     /// While the executor drains, the minimum time until it shuts down.
     pub drain_remaining: Option<Duration>,
+    /// How much longer the executor is slow after its start; zero once it is warm.
+    pub cold_remaining: Duration,
 }
 
 /// The scheduler's view of one executor.
@@ -67,6 +69,13 @@
     pub failing_since: Option<Mono>,
     /// Whether the executor's data centre is evacuated, so that it gets no tasks.
     pub evacuated: bool,
+    /// Until when the executor is slow after its start.
+    pub cold_until: Mono,
+    /// The list entry that tells so: the start of the incarnation, the executor's clock and how much
+    /// longer it was slow then.
+    pub warmth_entry: Option<(u64, u64, Duration)>,
+    /// The tasks that it received lately while it was cold.
+    pub cold_starts: crate::warmup::ColdStarts,
     /// The end of the executor's cooldown; no task is placed on it earlier.
     pub not_before: Mono,
     /// The task that the executor is reserved for. No other task is placed on it.
@@ -208,6 +217,12 @@
             && self.can_list_another_end()
     }
 
+    /// Returns whether the executor is slow after its start.
+    #[must_use]
+    pub fn is_cold(&self, now: Mono) -> bool {
+        now < self.cold_until
+    }
+
     /// Returns whether the end of another run would appear in reports. All ends from the first
     /// withheld one on stay in the executor's list.
     fn can_list_another_end(&self) -> bool {
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -6,7 +6,7 @@
 //! runs next and where, [`reservation`] for long-running tasks that find no free executor,
 //! [`advice`] for queues with an external advisor, [`wait_reason`] for why a task does not start,
 //! [`usage`] for who holds the resources and who waits for them,
-//! [`evacuation`] for data centres where nothing new starts, [`throttle`] for limiting best-effort work beside services, and [`record`] for what is stored.
+//! [`evacuation`] for data centres where nothing new starts, [`warmup`] for executors that are slow after their start, [`throttle`] for limiting best-effort work beside services, and [`record`] for what is stored.
 //! `docs/JOBS.md` explains the design decisions.
 
 pub mod advice;
@@ -32,3 +32,4 @@
 mod turns;
 pub mod usage;
 pub mod wait_reason;
+pub mod warmup;
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -57,6 +57,8 @@
     exposure: Reverse<usize>,
     /// Whether the executor is suitable without relaxed conditions.
     unrelaxed: bool,
+    /// Whether the executor is not slow after its start.
+    warm: bool,
     /// Whether the executor is in the rack of the step's data, or the step names no rack.
     near_data: bool,
     /// How well the task fits the executor; higher is better.
@@ -66,7 +68,11 @@
 impl Preference {
     /// Returns whether only a higher score could make another executor better.
     fn is_limited_by_score_only(&self) -> bool {
-        self.not_failed_here && self.exposure.0 == 0 && self.unrelaxed && self.near_data
+        self.not_failed_here
+            && self.exposure.0 == 0
+            && self.unrelaxed
+            && self.warm
+            && self.near_data
     }
 
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
@@ -74,6 +80,7 @@
             .cmp(&other.not_failed_here)
             .then(self.exposure.cmp(&other.exposure))
             .then(self.unrelaxed.cmp(&other.unrelaxed))
+            .then(self.warm.cmp(&other.warm))
             .then(self.near_data.cmp(&other.near_data))
             .then(self.score.total_cmp(&other.score))
     }
@@ -284,6 +291,7 @@
         let job = self.job(key.job)?;
         let suitable = &*executor.listing.service == service
             && executor.accepts_tasks(now)
+            && self.admits_when_cold(executor, now)
             && self.knows_capacity(service, now)
             && (!step.best_effort || has_spare_cpu(executor, step, relaxation))
             && self.is_feasible(executor_key, executor, job, key, step);
@@ -295,6 +303,7 @@
             not_failed_here: Some(executor_key) != failed_on,
             exposure: Reverse(self.exposure(key, step, executor)?),
             unrelaxed: relaxation == Relaxation::NONE || self.is_undisturbed(executor, step),
+            warm: !executor.is_cold(now),
             near_data: near_data(executor, step),
             score: self.score(executor, step, relaxation)?,
         })
--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -139,8 +139,10 @@
         let Some((job, queue)) = job.zip(queue) else {
             return false;
         };
+        // A cold executor may have room and take no more at the moment, which a reservation does not help.
         executor.reservation.is_none()
             && executor.accepts_tasks(now)
+            && !executor.is_cold(now)
             && executor.listing.service == queue.service
             && self.meets_constraints(executor_key, executor, job, key, step)
             && (self.long_running_size_on(executor) + step.allocated_size())
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -153,6 +153,13 @@
         /// What is wrong.
         problem: EvacuationProblem,
     },
+    /// An executor is listed as slow after its start.
+    ExecutorCold {
+        /// The executor.
+        executor: ExecutorKey,
+        /// How much longer it stays slow.
+        remaining: Duration,
+    },
     /// A start command is withdrawn because the data centre of its executor is evacuated.
     StartWithdrawn {
         /// The data centre.
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -39,6 +39,7 @@
         }
         self.find_replaced_executors(now);
         self.find_evacuation_problems();
+        self.find_cold_services(now);
     }
 
     fn update_executor(&mut self, listing: Listing, clock_ms: u64, now: Mono) {
@@ -84,6 +85,7 @@
             });
             executor.reachable = true;
         }
+        self.update_warmth(key, clock_ms, now);
     }
 
     /// Records that an executor answered a command, together with the reading of its clock. The
@@ -165,10 +167,11 @@
     /// Runs periodic work: releases the tasks of unreachable executors whose leases have expired,
     /// migrates tasks off draining executors, keeps executors for
     /// short work, lets long-running tasks take turns, removes ended jobs from memory, and records which
-    /// services have free capacity.
+    /// services have free capacity and which have cold executors.
     pub fn tick(&mut self, now: Mono) {
         self.retire(now);
         self.find_idle_services();
+        self.find_cold_services(now);
         self.keep_executors_for_short_work(now);
         self.take_turns(now);
         let expired: Vec<TaskKey> = self
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod store;
 mod store_queue;
 mod transitions;
+mod warmup;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -75,6 +76,8 @@
 use crate::spec::StepSpec;
 use crate::task::StartState;
 use crate::task::Task;
+use crate::warmup::ServiceWarmth;
+use crate::warmup::WarmupLimits;
 
 new_key_type! {
     /// Identifies a job in the [`Scheduler`].
@@ -113,6 +116,8 @@
     pub max_lease: Duration,
     /// The time within which an executor stops a run.
     pub stop_timeout: Duration,
+    /// How much work cold executors get, or `None` if they are treated like warm ones.
+    pub warmup: Option<WarmupLimits>,
 }
 
 /// The state of all jobs of one owner.
@@ -171,6 +176,8 @@
     previous_owner_sends_until: Mono,
     /// When the newest executor list arrived.
     listed_at: Mono,
+    /// What warm executors have received, by service, for the services that have cold ones.
+    warmth: Map<Arc<str>, ServiceWarmth>,
     /// The evacuated data centres.
     evacuations: Evacuations,
     /// What is wrong with these evacuations, as last recorded.
@@ -211,6 +218,7 @@
             advice_requests: Vec::new(),
             previous_owner_sends_until: Mono::ZERO,
             listed_at: Mono::ZERO,
+            warmth: Map::default(),
             evacuations: Evacuations::default(),
             evacuation_problems: BTreeSet::default(),
         }
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -99,6 +99,7 @@
             progress_sample: None,
         });
         self.allocate(key, executor);
+        self.record_new_task(executor, now);
         if let Some(job) = self.jobs.get_mut(key.job) {
             job.waiting = job.waiting.saturating_sub(1);
         }
--- a/crates/job/src/wait_reason/mod.rs
+++ b/crates/job/src/wait_reason/mod.rs
@@ -252,6 +252,12 @@
                         && self.admits_beside_reservation(executor, key, step)
                 }),
             },
+            Constraint {
+                wait_reason: Box::new(|candidates| WaitReason::WarmingUp {
+                    candidates: candidates.len(),
+                }),
+                admits: Box::new(move |_, executor| self.admits_when_cold(executor, now)),
+            },
             Constraint {
                 wait_reason: Box::new(|candidates| WaitReason::Isolated {
                     candidates: candidates.len(),
--- a/crates/job/src/wait_reason/reason.rs
+++ b/crates/job/src/wait_reason/reason.rs
@@ -132,6 +132,13 @@
         #[serde(rename = "among")]
         candidates: usize,
     },
+    /// Every executor with room is slow after its start and has just received as many tasks as it may.
+    #[display("each of {candidates} executors with room is cold and has just received tasks")]
+    WarmingUp {
+        /// The number of executors that met the preceding constraints.
+        #[serde(rename = "among")]
+        candidates: usize,
+    },
     /// Every executor has runs that have just started, or that may crash it, so that the task must
     /// not start beside them.
     #[display("executors have crashed under it or under tasks on each of {candidates} executors")]
@@ -225,6 +232,7 @@
             Self::TooLarge { .. } => "too_large",
             Self::NoCapacity { .. } => "no_room",
             Self::Reserved { .. } => "kept",
+            Self::WarmingUp { .. } => "warming_up",
             Self::Isolated { .. } => "isolated",
             Self::NoSpareCpu { .. } => "no_spare",
             Self::Interference { .. } => "disturbs",
--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -93,6 +93,7 @@
         started_unix_ms: 1_000,
         draining: false,
         drain_remaining: None,
+        cold_remaining: Duration::ZERO,
     }
 }
 
@@ -132,6 +133,7 @@
             lease: LEASE,
             max_lease: MAX_LEASE,
             stop_timeout: Duration::from_millis(900),
+            warmup: None,
         };
         let mut fixture = Self {
             scheduler: Scheduler::new(plan(2), timing),
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -35,3 +35,4 @@
 mod stream_world;
 mod suspension;
 mod wait_reason;
+mod warmup;
--- a/crates/job/tests/all/wait_reason.rs
+++ b/crates/job/tests/all/wait_reason.rs
@@ -284,6 +284,7 @@
             batch_percent: 40,
         },
         WaitReason::Reserved { candidates },
+        WaitReason::WarmingUp { candidates },
         WaitReason::NoSpareCpu { candidates },
         WaitReason::Interference {
             candidates,
