--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -61,6 +61,8 @@
     not_suspected: bool,
     /// Whether the executor is suitable without relaxed conditions.
     unrelaxed: bool,
+    /// Whether the executor is not slow after its start.
+    warm: bool,
     /// Whether the executor is in the rack of the step's data, or the step names no rack.
     near_data: bool,
     /// How well the task fits the executor; higher is better.
@@ -75,6 +77,7 @@
             && self.not_suspected
             && self.exposure.0 == 0
             && self.unrelaxed
+            && self.warm
             && self.near_data
     }
 
@@ -85,6 +88,7 @@
             .then(self.exposure.cmp(&other.exposure))
             .then(self.not_suspected.cmp(&other.not_suspected))
             .then(self.unrelaxed.cmp(&other.unrelaxed))
+            .then(self.warm.cmp(&other.warm))
             .then(self.near_data.cmp(&other.near_data))
             .then(self.score.total_cmp(&other.score))
     }
@@ -300,6 +304,7 @@
         let job = self.job(key.job)?;
         let suitable = &*executor.listing.service == service
             && executor.accepts_tasks(now)
+            && self.admits_when_cold(executor, now)
             && self.knows_capacity(service, now)
             && (!step.best_effort || has_spare_cpu(executor, step, relaxation))
             && self.is_feasible(executor_key, executor, job, key, step);
@@ -314,6 +319,7 @@
             exposure: Reverse(self.exposure(key, step, executor)?),
             not_suspected: !is_suspected(executor, now),
             unrelaxed: relaxation == Relaxation::NONE || self.is_undisturbed(executor, step),
+            warm: !executor.is_cold(now),
             near_data: near_data(executor, step),
             score: self.score(executor, step, relaxation)?,
         })
--- a/crates/job/src/preemption.rs
+++ b/crates/job/src/preemption.rs
@@ -66,7 +66,7 @@
 
     /// Returns whether the step of a task allows that it is unavailable as well as those of its tasks
     /// that are among `others`.
-    fn may_be_unavailable(&self, key: TaskKey, others: &[TaskKey], now: Mono) -> bool {
+    pub(crate) fn may_be_unavailable(&self, key: TaskKey, others: &[TaskKey], now: Mono) -> bool {
         let limit = self.step(key).and_then(|step| step.max_unavailable);
         let Some(limit) = limit else {
             return true;
--- a/crates/job/src/scheduler/recovery.rs
+++ b/crates/job/src/scheduler/recovery.rs
@@ -29,7 +29,7 @@
     }
 
     /// Begins recoveries that are due. Long-running tasks on executors that are to become empty move
-    /// elsewhere, because they do not end by themselves.
+    /// elsewhere, because they do not end by themselves, as far as their steps allow it.
     pub(super) fn recover_executors(&mut self, now: Mono) {
         let withheld: Vec<ExecutorKey> = self
             .fleet
@@ -47,7 +47,10 @@
             }
             let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
             for task in tasks {
-                if self.is_long_running(task) && self.running_since(task).is_some() {
+                if self.is_long_running(task)
+                    && self.running_since(task).is_some()
+                    && self.may_be_unavailable(task, &[], now)
+                {
                     self.stop(task);
                 }
             }
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -113,6 +113,7 @@
         });
         self.allocate(key, executor);
         self.note_probe(executor);
+        self.record_new_task(executor, now);
         if let Some(job) = self.jobs.get_mut(key.job) {
             job.waiting = job.waiting.saturating_sub(1);
         }
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -41,3 +41,4 @@
 mod stream_world;
 mod suspension;
 mod wait_reason;
+mod warmup;
