--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -274,6 +274,11 @@
     log::info!(event = "evacuations_known", known, age_ms; "");
 }
 
+/// Logs that an executor is listed as slow after its start, and gets less work until it is warm.
+pub fn executor_cold(id: &str, remaining_ms: u64) {
+    log::info!(event = "executor_cold", id, remaining_ms; "");
+}
+
 /// Logs that the end of a job is stored.
 pub fn job_ended(id: JobId, state: &str, after_ms: u64, objective_ms: u64) {
     log::info!(event = "job_ended", job = id.as_str(), state, after_ms, objective_ms; "");
@@ -290,6 +295,17 @@
     log::info!(event = "late_answer", id, took_ms, ends; "");
 }
 
+/// Logs that an executor gets no tasks until its lease has expired with a run on it, because it lists
+/// `ends` ends from one on that must not be acknowledged.
+pub fn recovery_began(id: &str, ends: usize, tasks: usize) {
+    log::info!(event = "recovery_began", id, ends, tasks; "");
+}
+
+/// Logs that the lease has expired, so that ends on the executor can be acknowledged again.
+pub fn recovery_ended(id: &str, after_ms: u64) {
+    log::info!(event = "recovery_ended", id, after_ms; "");
+}
+
 /// Logs a row that the store refuses for good, so that it is not written.
 pub fn refused_row(table: &str, key: &str) {
     log::error!(event = "refused_row", table, key; "");
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -133,6 +133,17 @@
                 events::checkpoints_omitted(job.id, *checkpoints);
             }
         }
+        Event::RecoveryBegan {
+            executor,
+            ends,
+            tasks,
+        } => {
+            metrics.ack_recoveries.inc();
+            events::recovery_began(executor_name(scheduler, *executor), *ends, *tasks);
+        }
+        Event::RecoveryEnded { executor, after_ms } => {
+            events::recovery_ended(executor_name(scheduler, *executor), *after_ms);
+        }
         Event::RunLost {
             task,
             run,
@@ -218,6 +229,13 @@
         Event::EvacuationProblemFound { problem } => {
             events::evacuation_problem(problem.as_str(), problem.subject());
         }
+        Event::ExecutorCold {
+            executor,
+            remaining,
+        } => {
+            let remaining_ms = model::time::millis(*remaining);
+            events::executor_cold(executor_name(scheduler, *executor), remaining_ms);
+        }
         Event::StartWithdrawn { data_centre } => {
             let label = DataCentreLabel {
                 data_centre: data_centre.to_string(),
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of complete hosts on a paused clock, with a store and executors that simulate faults.
 
 mod absent_queue;
+mod ack_recovery;
 mod advice;
 mod by_caller;
 mod callers;
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -10,8 +10,10 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::ack_recovery::AckRecovery;
 use crate::interference::ImageKey;
 use crate::scheduler::TaskKey;
+use crate::task::RunNumber;
 
 new_key_type! {
     /// Identifies an executor in the [`Fleet`]. The key is stable across incarnations of the
@@ -41,6 +43,8 @@
     pub draining: bool,
     /// While the executor drains, the minimum time until it shuts down.
     pub drain_remaining: Option<Duration>,
+    /// How much longer the executor is slow after its start; zero once it is warm.
+    pub cold_remaining: Duration,
 }
 
 /// The scheduler's view of one executor.
@@ -67,6 +71,13 @@
     pub failing_since: Option<Mono>,
     /// Whether the executor's data centre is evacuated, so that it gets no tasks.
     pub evacuated: bool,
+    /// Until when the executor is slow after its start.
+    pub cold_until: Mono,
+    /// The list entry that tells so: the start of the incarnation, the executor's clock and how much
+    /// longer it was slow then.
+    pub warmth_entry: Option<(u64, u64, Duration)>,
+    /// The tasks that it received lately while it was cold.
+    pub cold_starts: crate::warmup::ColdStarts,
     /// The end of the executor's cooldown; no task is placed on it earlier.
     pub not_before: Mono,
     /// The task that the executor is reserved for. No other task is placed on it.
@@ -111,6 +122,11 @@
     /// later; cleared when the executor reports that its lease expired since. Acknowledgements stop
     /// before the first of them.
     pub withheld_ends: Vec<u64>,
+    /// The recovery from withheld ends, if one is under way. Meanwhile the executor gets one task at a
+    /// time, and only while nothing runs there and no lease is left.
+    pub recovery: Option<AckRecovery>,
+    /// Runs that were abandoned on the current incarnation.
+    pub(crate) abandoned: Vec<(TaskKey, RunNumber)>,
     /// When the CPU share of a best-effort task on the executor last changed.
     pub throttled_at: Mono,
     /// Since when a service on the executor has exceeded its tail latency target.
@@ -125,8 +141,10 @@
     pub baseline: crate::interference::Baseline,
     /// The stalls on the executor.
     pub stalls: crate::fault_attribution::StallEvidence,
-    /// Distinct jobs that failed on the executor since the last run that succeeded there.
-    pub failed_jobs: Vec<crate::scheduler::JobKey>,
+    /// The failures on the executor.
+    pub failures: crate::fault_attribution::FailureEvidence,
+    /// The end of the latest cooldown for stalls or failures, which also counts in `not_before`.
+    pub fault_cooldown_until: Mono,
 }
 
 /// The tasks of one service image on an executor.
@@ -208,16 +226,31 @@
             && !self.evacuated
             && now >= self.not_before
             && self.can_list_another_end()
+            && (self.recovery.is_none() || (self.tasks.is_empty() && now >= self.leases_expire_at))
+    }
+
+    /// Returns the number of ends that the executor lists from the first one on that must not be
+    /// acknowledged.
+    #[must_use]
+    pub fn listed_withheld_ends(&self) -> usize {
+        let first = self.withheld_ends.iter().min();
+        first.map_or(0, |first| {
+            let listed = (self.ends_received + 1).saturating_sub(*first);
+            usize::try_from(listed).unwrap_or(usize::MAX)
+        })
+    }
+
+    /// Returns whether the executor is slow after its start.
+    #[must_use]
+    pub fn is_cold(&self, now: Mono) -> bool {
+        now < self.cold_until
     }
 
     /// Returns whether the end of another run would appear in reports. All ends from the first
     /// withheld one on stay in the executor's list.
     fn can_list_another_end(&self) -> bool {
-        let Some(first) = self.withheld_ends.iter().min() else {
-            return true;
-        };
-        let listed = usize::try_from((self.ends_received + 1).saturating_sub(*first));
-        listed.is_ok_and(|listed| listed + self.tasks.len() + 1 < MAX_REPORTED_ENDS)
+        let listed = self.listed_withheld_ends();
+        listed == 0 || listed.saturating_add(self.tasks.len() + 1) < MAX_REPORTED_ENDS
     }
 
     /// Returns whether the executor still lists ended runs that can be acknowledged to it.
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -51,14 +51,18 @@
 /// How well an executor suits a task. The fields are compared in order of declaration.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Preference {
+    /// Whether the run can be expected to go on, or costs little if it ends with its lease.
+    lasts: bool,
     /// Whether the task's latest failed or stalled run was not on this executor.
     not_failed_here: bool,
-    /// Whether no task has stalled on the executor recently.
-    not_suspected: bool,
     /// How bad it is to start the task beside those on the executor, if one of them may crash it.
     exposure: Reverse<usize>,
+    /// Whether no task has stalled or failed on the executor a moment ago.
+    not_suspected: bool,
     /// Whether the executor is suitable without relaxed conditions.
     unrelaxed: bool,
+    /// Whether the executor is not slow after its start.
+    warm: bool,
     /// Whether the executor is in the rack of the step's data, or the step names no rack.
     near_data: bool,
     /// How well the task fits the executor; higher is better.
@@ -68,24 +72,33 @@
 impl Preference {
     /// Returns whether only a higher score could make another executor better.
     fn is_limited_by_score_only(&self) -> bool {
-        self.not_failed_here
+        self.lasts
+            && self.not_failed_here
             && self.not_suspected
             && self.exposure.0 == 0
             && self.unrelaxed
+            && self.warm
             && self.near_data
     }
 
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
-        self.not_failed_here
-            .cmp(&other.not_failed_here)
-            .then(self.not_suspected.cmp(&other.not_suspected))
+        self.lasts
+            .cmp(&other.lasts)
+            .then(self.not_failed_here.cmp(&other.not_failed_here))
             .then(self.exposure.cmp(&other.exposure))
+            .then(self.not_suspected.cmp(&other.not_suspected))
             .then(self.unrelaxed.cmp(&other.unrelaxed))
+            .then(self.warm.cmp(&other.warm))
             .then(self.near_data.cmp(&other.near_data))
             .then(self.score.total_cmp(&other.score))
     }
 }
 
+/// Returns whether a fault that was observed on an executor a moment ago may be its own.
+fn is_suspected(executor: &Executor, now: Mono) -> bool {
+    executor.stalls.is_suspected(now) || executor.failures.has_just_failed(now)
+}
+
 impl Scheduler {
     /// Assigns waiting tasks to executors in the order of their rank. Returns the number of tasks
     /// assigned.
@@ -291,6 +304,7 @@
         let job = self.job(key.job)?;
         let suitable = &*executor.listing.service == service
             && executor.accepts_tasks(now)
+            && self.admits_when_cold(executor, now)
             && self.knows_capacity(service, now)
             && (!step.best_effort || has_spare_cpu(executor, step, relaxation))
             && self.is_feasible(executor_key, executor, job, key, step);
@@ -298,11 +312,14 @@
             return None;
         }
         let failed_on = self.task(key).and_then(|task| task.failed_on);
+        let loses_much = step.long_running || step.gang;
         Some(Preference {
+            lasts: executor.recovery.is_none() || !loses_much,
             not_failed_here: Some(executor_key) != failed_on,
-            not_suspected: !executor.stalls.is_suspected(now),
             exposure: Reverse(self.exposure(key, step, executor)?),
+            not_suspected: !is_suspected(executor, now),
             unrelaxed: relaxation == Relaxation::NONE || self.is_undisturbed(executor, step),
+            warm: !executor.is_cold(now),
             near_data: near_data(executor, step),
             score: self.score(executor, step, relaxation)?,
         })
--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -7,6 +7,8 @@
 use super::Report;
 use super::Scheduler;
 use super::TaskKey;
+use crate::fault_attribution::FailureEvidence;
+use crate::fault_attribution::StallEvidence;
 use crate::fleet::ClockReading;
 use crate::fleet::ExecutorKey;
 use crate::task::StartState;
@@ -110,9 +112,16 @@
         executor.ends_received = 0;
         executor.unstored_ends = None;
         executor.withheld_ends.clear();
-        executor.failed_jobs.clear();
+        executor.failures = FailureEvidence::default();
+        executor.stalls = StallEvidence::default();
+        executor.recovery = None;
+        let abandoned = std::mem::take(&mut executor.abandoned);
         executor.announced_departure = false;
         executor.failing_since = None;
+        // The ends of the previous incarnation are listed nowhere any more.
+        for (task, run) in abandoned {
+            self.forget_abandoned(task, run);
+        }
         true
     }
 
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod allocation;
 mod capacity;
 mod commands;
+mod cooldown;
 mod crashes;
 mod evacuation;
 mod event;
@@ -18,6 +19,7 @@
 mod job;
 mod late_end;
 mod leases;
+mod recovery;
 mod replacement;
 mod report;
 mod restore;
@@ -26,6 +28,7 @@
 mod store;
 mod store_queue;
 mod transitions;
+mod warmup;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -63,6 +66,7 @@
 use crate::durations::Durations;
 use crate::evacuation::EvacuationProblem;
 use crate::evacuation::Evacuations;
+use crate::fault_attribution::FailedOn;
 use crate::fleet::ExecutorKey;
 use crate::fleet::Fleet;
 use crate::id::JobId;
@@ -77,6 +81,8 @@
 use crate::task::StartState;
 use crate::task::Task;
 use crate::terms::Terms;
+use crate::warmup::ServiceWarmth;
+use crate::warmup::WarmupLimits;
 
 /// The largest record of a job with rows of 65,536 bytes.
 pub const DEFAULT_MAX_RECORD_BYTES: usize = 60 << 10;
@@ -118,6 +124,8 @@
     pub max_lease: Duration,
     /// The time within which an executor stops a run.
     pub stop_timeout: Duration,
+    /// How much work cold executors get, or `None` if they are treated like warm ones.
+    pub warmup: Option<WarmupLimits>,
 }
 
 /// The state of all jobs of one owner.
@@ -183,6 +191,8 @@
     previous_owner_sends_until: Mono,
     /// When the newest executor list arrived.
     listed_at: Mono,
+    /// What warm executors have received, by service, for the services that have cold ones.
+    warmth: Map<Arc<str>, ServiceWarmth>,
     /// The evacuated data centres.
     evacuations: Evacuations,
     /// What is wrong with these evacuations, as last recorded.
@@ -226,6 +236,7 @@
             advice_requests: Vec::new(),
             previous_owner_sends_until: Mono::ZERO,
             listed_at: Mono::ZERO,
+            warmth: Map::default(),
             evacuations: Evacuations::default(),
             evacuation_problems: BTreeSet::default(),
         }
@@ -269,6 +280,7 @@
             spec,
             row_version: submission.row_version,
             abandoned: Vec::new(),
+            failed_on: FailedOn::default(),
             is_urgent: false,
             dirty: false,
             store_place: StorePlace::default(),
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod absent_queue;
 mod absurd_figures;
+mod ack_recovery;
 mod advice;
 mod age;
 mod capacity;
@@ -10,6 +11,7 @@
 mod evacuation;
 mod fair_start;
 mod fault_attribution;
+mod faulty_executors;
 mod fixture;
 mod gang_failures;
 mod interference;
@@ -39,3 +41,4 @@
 mod stream_world;
 mod suspension;
 mod wait_reason;
+mod warmup;
