--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -24,7 +24,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 pub use crate::body::BodyError;
@@ -45,8 +44,6 @@
 const EVICTION_INTERVAL: Duration = Duration::from_millis(50);
 /// How often the limits on time are checked while connections are open.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// A check that is this late shows that the process was paused.
-const LATE_SWEEP: Duration = Duration::from_secs(1);
 /// Delay of a request that was sent before the response to the one before was read. A client that does
 /// not wait for responses would otherwise be served as fast as the processor allows.
 const PIPELINE_DELAY: Duration = Duration::from_millis(20);
@@ -172,21 +169,15 @@
 
 /// Closes connections that have exceeded a limit on time. Nothing is checked while none is open.
 ///
-/// After a pause of the process, what has arrived meanwhile is read before anything is closed.
+/// After a pause of the process, what has arrived meanwhile is read before anything is closed, because the
+/// runtime wakes tasks for their sockets before those for timers.
 async fn sweep(port: Port, limits: Rc<dyn Fn() -> ServerLimits>, opened: Rc<tokio::sync::Notify>) {
-    let mut was_late = false;
     loop {
         if port.usage().connections == 0 {
             opened.notified().await;
         }
-        let begun = Instant::now();
         tokio::time::sleep(SWEEP_INTERVAL).await;
-        let is_late = begun.elapsed() > LATE_SWEEP;
-        if was_late || !is_late {
-            port.close_overdue(&limits());
-        }
-        // A process that is always late closes connections at every other check.
-        was_late = is_late && !was_late;
+        port.close_overdue(&limits());
     }
 }
 
