feat(job): estimate of the wait of new jobs and decision about admission

Under overload nobody told callers that their jobs can no longer be of value. The owner's state is summarized by queue, size class and magnitude; completion rates (a high quantile) and arrivals (a low one) give the start of a new job, and a job that would start after three times its objective is refused with a time to come back.

--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -5,10 +5,11 @@
 //! caller submits, [`scheduler`] for the states of jobs and tasks, [`placement`] for which task
 //! runs next and where, [`reservation`] for long-running tasks that find no free executor,
 //! [`advice`] for queues with an external advisor, [`wait_reason`] for why a task does not start,
-//! [`usage`] for who holds the resources and who waits for them,
+//! [`admission`] for which new jobs are refused, [`usage`] for who holds the resources and who waits for them,
 //! [`throttle`] for limiting best-effort work beside services, and [`record`] for what is stored.
 //! `docs/JOBS.md` explains the design decisions.
 
+pub mod admission;
 pub mod advice;
 pub mod durations;
 pub mod fleet;
--- a/crates/job/src/placement/best_effort.rs
+++ b/crates/job/src/placement/best_effort.rs
@@ -128,7 +128,7 @@
 }
 
 /// Returns the CPU in thousandths of a core that best-effort tasks can use beside the other tasks.
-pub(super) const fn spare_cpu(executor: &Executor) -> u64 {
+pub(crate) const fn spare_cpu(executor: &Executor) -> u64 {
     cpu_left_by_others(executor).saturating_sub(executor.best_effort_cpu_millis)
 }
 
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) use self::best_effort::MAX_CAUSED_LOG;
 pub(crate) use self::best_effort::caused_log;
 pub(crate) use self::best_effort::has_spare_cpu;
+pub(crate) use self::best_effort::spare_cpu;
 use self::constraints::near_data;
 pub(crate) use self::room::RoomIndex;
 pub(crate) use self::round::Round;
--- a/crates/job/src/ranking.rs
+++ b/crates/job/src/ranking.rs
@@ -13,12 +13,14 @@
 use derive_more::Display;
 use model::Mono;
 
+use crate::plan::Queue;
 use crate::scheduler::Job;
 use crate::scheduler::ReadyStep;
 use crate::scheduler::Scheduler;
+use crate::spec::JobSpec;
 
 /// A job has partial value until this multiple of its objective.
-const LATE_FACTOR: u64 = 3;
+pub const LATE_FACTOR: u64 = 3;
 
 /// The sort key of a ready step. Smaller keys are placed first; fields are compared in order of
 /// declaration.
@@ -89,11 +91,18 @@
 #[must_use]
 pub fn objective(scheduler: &Scheduler, job: &Job) -> Duration {
     let queue = scheduler.plan.queue(&job.queue);
-    let stretch = queue.map_or(1.0, |queue| queue.stretch.max(1.0));
-    let target = queue.map_or(Duration::ZERO, |queue| queue.target);
-    let path = Duration::from_millis(job.spec.critical_path_ms());
-    let scaled = Duration::try_from_secs_f64(path.as_secs_f64() * stretch);
-    scaled.unwrap_or(Duration::MAX).saturating_add(target)
+    match queue {
+        Some(queue) => objective_of(queue, &job.spec),
+        None => Duration::from_millis(job.spec.critical_path_ms()),
+    }
+}
+
+/// Returns the time from its arrival within which a job of a queue should end.
+#[must_use]
+pub fn objective_of(queue: &Queue, spec: &JobSpec) -> Duration {
+    let path = Duration::from_millis(spec.critical_path_ms());
+    let scaled = Duration::try_from_secs_f64(path.as_secs_f64() * queue.stretch.max(1.0));
+    scaled.unwrap_or(Duration::MAX).saturating_add(queue.target)
 }
 
 /// Returns the part of an occurrence's objective that has passed, in milliseconds: the time since it
--- a/crates/job/src/scheduler/job.rs
+++ b/crates/job/src/scheduler/job.rs
@@ -13,6 +13,7 @@
 use crate::id::JobId;
 use crate::spec::JobSpec;
 use crate::spec::StepSpec;
+use crate::task::Phase;
 use crate::task::Task;
 
 /// The state of a job.
@@ -239,6 +240,28 @@
             .fold(0, u64::saturating_add)
     }
 
+    /// Returns the index of the first step of the first occurrence that has not ended.
+    pub(crate) fn first_unfinished_step(&self) -> Option<u32> {
+        let first = self
+            .unfinished
+            .iter()
+            .position(|unfinished| *unfinished > 0);
+        let step = first? % self.spec.steps.len();
+        u32::try_from(step).ok()
+    }
+
+    /// Returns the steps of the first occurrence, each with the number of its tasks that wait.
+    pub(crate) fn waiting_tasks_by_step(&self) -> impl Iterator<Item = (&StepSpec, u32)> {
+        let mut first = 0;
+        self.spec.steps.iter().map(move |step| {
+            let slots = first..first + step.count as usize;
+            first = slots.end;
+            let tasks = self.tasks.get(slots).unwrap_or_default();
+            let waiting = tasks.iter().filter(|task| task.phase == Phase::Waiting);
+            (step, u32::try_from(waiting.count()).unwrap_or(u32::MAX))
+        })
+    }
+
     /// Returns the estimated duration from the start of this step to the end of the job, in
     /// milliseconds.
     #[must_use]
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -55,6 +55,7 @@
 use self::store_queue::StorePlace;
 pub use self::store_queue::StorePoint;
 use self::store_queue::StoreQueue;
+use crate::admission::backlog::WorkFlow;
 use crate::advice::AdviceCache;
 use crate::advice::AdviceRequest;
 use crate::durations::Durations;
@@ -148,6 +149,8 @@
     pub(crate) shortages: Shortages,
     /// The turns of jobs of different sizes.
     pub(crate) size_share: SizeShare,
+    /// The work that arrived and was completed since it was last taken.
+    pub(crate) work_flow: WorkFlow,
     /// Until when no more executors are kept for short work because none was suitable.
     pub(crate) keep_not_before: Mono,
     /// The mean CPU that short work needs, in thousandths of a core, by service.
@@ -191,6 +194,7 @@
             idle_services: Set::default(),
             shortages: Shortages::default(),
             size_share: SizeShare::default(),
+            work_flow: WorkFlow::default(),
             keep_not_before: Mono::ZERO,
             short_demand: Map::default(),
             expected_short_work: Vec::new(),
@@ -247,6 +251,10 @@
         };
         job.work = job.remaining_work();
         self.size_share.add_job(&job.queue, &job.spec, job.work);
+        if job.spec.repeat.is_none() && !job.spec.is_long_running() {
+            let cell = self.cell_of(&job.queue, job.work);
+            self.work_flow.add_arrived(cell, &job.spec);
+        }
         let id = job.id;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -163,6 +163,9 @@
         if let Some((occurrence, step, _)) = job.locate(key.slot) {
             let group = job.group(occurrence, step);
             job.unfinished[group] = job.unfinished[group].saturating_sub(1);
+            if let Some(step) = job.spec.steps.get(step as usize) {
+                self.work_flow.add_completed(&job.queue, step);
+            }
         }
         if !job.state.is_final() && job.unfinished.iter().all(|unfinished| *unfinished == 0) {
             self.end_job(key.job, JobState::Succeeded);
--- a/crates/job/src/size_share.rs
+++ b/crates/job/src/size_share.rs
@@ -149,8 +149,20 @@
     }
 
     fn class(&self, job: &Job) -> usize {
-        let sizes = self.queues.get(&job.queue);
-        sizes.map_or(0, |sizes| sizes.class(job.work))
+        self.class_of(&job.queue, job.work)
+    }
+
+    /// Returns the class of a job of this queue with this work.
+    pub(crate) fn class_of(&self, queue: &Arc<str>, work: u64) -> usize {
+        let sizes = self.queues.get(queue);
+        sizes.map_or(0, |sizes| sizes.class(work))
+    }
+
+    /// Returns the largest work of each class of a queue but the last; empty while too few jobs are
+    /// known.
+    pub(crate) fn class_limits(&self, queue: &Arc<str>) -> Vec<u64> {
+        let limits = self.queues.get(queue).and_then(|sizes| sizes.limits);
+        limits.map_or_else(Vec::new, Vec::from)
     }
 
     fn charge(&mut self, priority: u32, class: usize, charge: u64) {
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -1,6 +1,10 @@
 //! Tests of the public interface of the crate.
 
 mod absurd_figures;
+mod admission;
+mod admission_load;
+mod admission_returns;
+mod admission_world;
 mod advice;
 mod age;
 mod capacity;
