feat(dispatch): refuse hopeless jobs with 429 and a true refusal

The owner sends its estimate with the answer to each ping. A host whose estimate says that a job is hopeless asks the owner, which knows what is free now and hands out the times to come back. Before the answer the host stores a marker in the place of the job: a write of an earlier attempt that the store applies late expects an absent row, so that a refused job never runs. Without a fresh estimate, an owner or the store, jobs are accepted as before.

--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -17,6 +17,8 @@
 use model::Map;
 use model::Mono;
 
+use crate::admission;
+use crate::admission::StoredRow;
 use crate::dependencies::Range;
 use crate::dependencies::Row;
 use crate::dependencies::StoreError;
@@ -63,6 +65,11 @@
     NameTaken,
     /// The job is not stored and never will be.
     Refused,
+    /// The same, because it cannot be done while it has value.
+    Overloaded {
+        /// When the caller should come back, in seconds.
+        retry_after_s: u64,
+    },
     /// The job may have been stored, or may still be stored later.
     Unknown,
 }
@@ -75,6 +82,7 @@
             Self::Accepted => "accepted",
             Self::NameTaken => "name_taken",
             Self::Refused => "store_away",
+            Self::Overloaded { .. } => "overload",
             Self::Unknown => "outcome_unknown",
         }
     }
@@ -123,7 +131,7 @@
         // A write that is cancelled by the timeout may still take effect.
         let outcome = tokio::time::timeout(
             write_timeout(deadline),
-            store_submission(node, id, &record, started),
+            admit_and_store(node, id, &record, started),
         )
         .await;
         outcome.unwrap_or_else(|_| {
@@ -149,16 +157,43 @@
         }
         SubmitOutcome::NameTaken => events::refused(id, queue, outcome.as_str(), 409, took),
         SubmitOutcome::Refused => events::refused(id, queue, outcome.as_str(), 503, took),
+        SubmitOutcome::Overloaded { .. } => {
+            events::refused(id, queue, outcome.as_str(), 429, took);
+        }
         SubmitOutcome::Unknown => events::refused(id, queue, outcome.as_str(), 504, took),
     }
     outcome
 }
 
+/// Stores a job unless it is refused. What is stored under its id is read before anything is written,
+/// because only a marker that was there before may be replaced: a later one belongs to a refusal of
+/// another attempt, which must stay true.
+async fn admit_and_store(
+    node: &Rc<Node>,
+    id: JobId,
+    record: &SubmissionRecord,
+    started: Mono,
+) -> SubmitOutcome {
+    let version = match admission::stored_row(node, id).await {
+        StoredRow::Free(version) => version,
+        StoredRow::Taken => return store_submission(node, id, record, (0, started)).await,
+    };
+    let refused = admission::refuse(node, &record.queue, id, &record.spec, version).await;
+    if let Some(retry_after) = refused {
+        let retry_after_s = retry_after.as_millis().div_ceil(1_000);
+        return SubmitOutcome::Overloaded {
+            retry_after_s: u64::try_from(retry_after_s).unwrap_or(RETRY_AFTER_S),
+        };
+    }
+    store_submission(node, id, record, (version, started)).await
+}
+
+/// Stores a job in the place of a row of this version, 0 for an absent one.
 async fn store_submission(
     node: &Node,
     id: JobId,
     record: &SubmissionRecord,
-    started: Mono,
+    (version, started): (u64, Mono),
 ) -> SubmitOutcome {
     let Ok(value) = serde_json::to_vec(record) else {
         return SubmitOutcome::Refused;
@@ -166,7 +201,7 @@
     let mut may_be_stored = false;
     loop {
         let transaction = Transaction {
-            expect: vec![(rows::job_row_id(id), 0)],
+            expect: vec![(rows::job_row_id(id), version)],
             puts: vec![(rows::job_row_id(id), value.clone())],
             removes: Vec::new(),
         };
@@ -177,6 +212,12 @@
         );
         match result {
             Ok(_) => return SubmitOutcome::Accepted,
+            Err(StoreError::Conflict { rows }) if rows.iter().any(rows::is_refusal) => {
+                node.admission.record_marker(node.now());
+                return SubmitOutcome::Overloaded {
+                    retry_after_s: RETRY_AFTER_S,
+                };
+            }
             Err(StoreError::Conflict { rows }) => return compare_with_stored(&rows, record),
             Err(StoreError::Unanswered | StoreError::Protocol) => may_be_stored = true,
             Err(StoreError::Refused | StoreError::HistoryGone) => {}
@@ -299,13 +340,20 @@
     }
 }
 
-fn owner_address(node: &Node) -> Option<Arc<str>> {
+pub(crate) fn owner_address(node: &Node) -> Option<Arc<str>> {
     let owner = node.known_owner.borrow();
     Some(owner.as_ref()?.address.as_str().into())
 }
 
-/// Reads the rows of a job and of its cancellation.
+/// Reads the rows of a job and of its cancellation, without the marker of a refusal.
 async fn read_job(node: &Node, id: JobId) -> Result<Vec<Row>, StoreError> {
+    let mut rows = read_rows(node, id).await?;
+    rows.retain(|row| !rows::is_refusal(row));
+    Ok(rows)
+}
+
+/// Reads the rows under the id of a job.
+pub(crate) async fn read_rows(node: &Node, id: JobId) -> Result<Vec<Row>, StoreError> {
     let range = Range {
         table: rows::JOBS_TABLE,
         part: rows::jobs_part(id),
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -223,6 +223,7 @@
     if !is_owner {
         return Err("not_owner");
     }
+    node.admission.record(pong.admission.clone(), node.now());
     if pong.confirmed_ms > MAX_CONFIRMATION_AGE_MS {
         return Err("unconfirmed");
     }
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -17,6 +17,13 @@
     log::info!(event = "refused", job = id.as_str(), queue, reason, status, took_ms; "");
 }
 
+/// Logs that jobs are refused because they cannot be done while they have value: how many since the
+/// last line, how many callers are expected to come back, the queue whose jobs wait longest and the
+/// work before them, as the time that the executors take for it. At most one line a second.
+pub fn overload(queue: &str, refused: u64, returning: usize, ahead_ms: u64) {
+    log::info!(event = "overload", queue, refused, returning, ahead_ms; "");
+}
+
 /// Logs the outcome of a caller's request to cancel a job.
 pub fn cancelled(id: JobId, outcome: &str) {
     log::info!(event = "cancelled", job = id.as_str(), outcome; "");
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 use tokio_util::sync::CancellationToken;
 
+use crate::admission::HostAdmission;
 use crate::dependencies::Dependencies;
 use crate::document::DocumentState;
 use crate::handover::Handovers;
@@ -140,6 +141,8 @@
     /// cached state becomes outdated only if an id is reused, long after the job with that id
     /// ended.
     pub final_states: RefCell<Map<JobId, (JobState, Mono)>>,
+    /// What this host knows about admission.
+    pub admission: HostAdmission,
     /// What this host knows about the document besides its contents.
     pub document: DocumentState,
     /// Cancelled when the process begins to shut down.
@@ -175,6 +178,7 @@
             store_failing_since: Cell::new(None),
             store_answered_at: Cell::new(Mono::ZERO),
             final_states: RefCell::new(Map::default()),
+            admission: HostAdmission::default(),
             document: DocumentState::default(),
             draining: CancellationToken::new(),
         })
--- a/crates/dispatch/src/owner/feeds.rs
+++ b/crates/dispatch/src/owner/feeds.rs
@@ -67,12 +67,14 @@
         if rows.is_empty() {
             return;
         }
+        self.add_markers(rows);
         let now = self.now();
         let mut cancelled = Vec::new();
         {
             let mut scheduler = self.scheduler.borrow_mut();
             for row in rows {
                 match JobsKey::parse(&row.key) {
+                    Some(JobsKey::Job(_)) if rows::is_refusal(row) => {}
                     Some(JobsKey::Job(id)) => {
                         if let Some(submission) = takeover::parse_submission(&self.node, id, row) {
                             if followed {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -6,6 +6,7 @@
 //! of ended jobs, `waiting` logs why jobs wait, and placement runs whenever something has
 //! changed. All of them stop once another owner has taken over.
 
+mod admission;
 mod advice;
 mod calls;
 mod cleanup;
@@ -48,6 +49,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::admission::OwnerAdmission;
 use self::command_slots::CommandSlots;
 use self::load::OwnerLoad;
 use self::pacing::CommandWindow;
@@ -130,6 +132,8 @@
     relays: RelayPool,
     /// Whether the owner's row is to say that calls go by way of relays.
     relays_wanted: Cell<bool>,
+    /// Estimates the waits of new jobs.
+    admission: OwnerAdmission,
     /// Counts what the owner does, for the log.
     load: OwnerLoad,
     /// Limits requests to the advisor to one at a time.
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -25,6 +25,7 @@
 
 use super::MAX_UNCONFIRMED;
 use super::Owner;
+use super::admission::OwnerAdmission;
 use super::calls;
 use super::cleanup;
 use super::feeds;
@@ -151,9 +152,11 @@
         starts_unstored: Cell::new(0),
         relays: RelayPool::default(),
         relays_wanted: Cell::new(false),
+        admission: OwnerAdmission::default(),
         load: OwnerLoad::default(),
         advisor_slot: Semaphore::new(1),
     });
+    owner.add_markers(&stored.jobs);
     *node.owner.borrow_mut() = Some(owner.clone());
     *node.known_owner.borrow_mut() = Some(kept.record);
     spawn_tasks(&owner, stored.jobs_version);
@@ -178,6 +181,8 @@
     spawn_part(owner, "cleanup", cleanup::run(own()));
     spawn_part(owner, "waiting", waiting::log_waiting_jobs(own()));
     spawn_part(owner, "load", load::log_load(own()));
+    spawn_part(owner, "admission", own().observe_queues());
+    spawn_part(owner, "markers", own().remove_markers());
     owner.dispatch_pending();
 }
 
@@ -328,6 +333,7 @@
     let mut cancelled = Vec::new();
     for row in &stored.jobs {
         match JobsKey::parse(&row.key) {
+            Some(JobsKey::Job(_)) if rows::is_refusal(row) => {}
             Some(JobsKey::Job(id)) => {
                 accepted.insert(id);
                 if let Some(submission) = parse_submission(node, id, row) {
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -24,6 +24,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::admission::AdmitReply;
+use crate::admission::AdmitRequest;
+use crate::admission::EstimateReport;
 use crate::dependencies::PeerCall;
 use crate::dependencies::PeerClient;
 use crate::document;
@@ -53,6 +56,9 @@
     Superseded(u64),
     /// Asks the owner for the operators' document.
     Document,
+    /// Asks the owner whether a job is refused. Owners of earlier releases do not know it and send no
+    /// estimate that leads to it.
+    Admit(AdmitRequest),
 }
 
 /// The response to a request.
@@ -68,12 +74,14 @@
     Pending(Map<Arc<str>, usize>),
     /// The operators' document in force at the owner.
     Document(PackedPlan),
+    /// Whether a job is refused.
+    Admission(AdmitReply),
     /// The host does not own the executors, or has no document to send.
     NotOwner,
 }
 
 /// Incarnation and ownership of a process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pong {
     /// Incarnation of the process.
     #[serde(rename = "life")]
@@ -91,6 +99,10 @@
     /// Whether the process accepts [`PeerRequest::Report`].
     #[serde(default)]
     pub accepts_reports: bool,
+    /// How long new jobs would wait; `None` from earlier releases, from hosts that are not the owner
+    /// and while the owner has no estimate.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub admission: Option<EstimateReport>,
 }
 
 /// What a host reports about its document.
@@ -199,6 +211,9 @@
         PeerRequest::Document => owner
             .and_then(|_| document::packed(node))
             .map_or(PeerResponse::NotOwner, PeerResponse::Document),
+        PeerRequest::Admit(request) => owner.map_or(PeerResponse::NotOwner, |owner| {
+            PeerResponse::Admission(owner.admit(request))
+        }),
     }
 }
 
@@ -207,6 +222,7 @@
     Pong {
         incarnation: node.identity.incarnation,
         epoch: owner.as_ref().map_or(0, |owner| owner.epoch),
+        admission: owner.as_ref().and_then(|owner| owner.admission_estimate()),
         confirmed_ms: owner.map_or(0, |owner| {
             model::time::millis(node.now().since(owner.confirmed_at()))
         }),
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -6,6 +6,7 @@
 //! | `runs` | `owned` | job | durable state of a job, `job::record::JobRecord` | the owner |
 //! | `learned` | `owned` | `interference` | `job::interference::LearnedPair` | the owner |
 //! | `jobs` | `jobs-`digit | job | the job as submitted | the host that accepted it |
+//! | `jobs` | `jobs-`digit | job | [`RefusalRecord`], in place of a job that was refused | the host that refused it |
 //! | `jobs` | `jobs-`digit | job + `-cancel` | the cancellation | the host that received it |
 //!
 //! Each transaction of the owner expects the previous version of the owner's row and writes the row
@@ -17,6 +18,7 @@
 use serde::Serialize;
 
 use crate::dependencies::Range;
+use crate::dependencies::Row;
 use crate::dependencies::RowId;
 
 /// Table with the owner's row.
@@ -69,6 +71,21 @@
     pub successor: Option<String>,
 }
 
+/// The marker of a refusal, in the place of the job. A late write of the job expects an absent row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RefusalRecord {
+    /// When the job was refused, in milliseconds since 1970.
+    pub refused_unix_ms: u64,
+}
+
+/// Returns whether a row of the table of jobs is the marker of a refusal.
+#[must_use]
+pub fn is_refusal(row: &Row) -> bool {
+    let value = row.value.as_deref();
+    value.is_some_and(|value| serde_json::from_slice::<RefusalRecord>(value).is_ok())
+}
+
 /// Returns the id of the owner's row.
 #[must_use]
 pub fn owner_row_id() -> RowId {
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of complete hosts on a paused clock, with a store and executors that simulate faults.
 
+mod admission;
 mod advice;
 mod by_caller;
 mod callers;
--- a/crates/job/src/admission/backlog.rs
+++ b/crates/job/src/admission/backlog.rs
@@ -146,6 +146,12 @@
     !queue.target.is_zero() && spec.repeat.is_none() && !spec.is_long_running()
 }
 
+/// Returns whether a job begins with this step.
+#[must_use]
+pub const fn is_first_step(step: &StepSpec) -> bool {
+    step.after.is_empty()
+}
+
 /// What the jobs of a cell add to a pool.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sums {
--- a/crates/job/src/admission/estimate.rs
+++ b/crates/job/src/admission/estimate.rs
@@ -29,7 +29,7 @@
 const MIN_WAIT_MS: f64 = 200.0;
 
 /// How long new jobs would wait. Queues and sizes that it does not contain do not wait.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdmissionEstimate {
     /// The queues whose jobs wait.
     #[serde(rename = "q", default)]
@@ -37,7 +37,7 @@
 }
 
 /// How long new jobs of a queue would wait for one kind of CPU.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueueEstimate {
     /// The queue.
     #[serde(rename = "n")]
