--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -26,6 +26,7 @@
 
 use super::MAX_UNCONFIRMED;
 use super::Owner;
+use super::admission::OwnerAdmission;
 use super::calls;
 use super::cleanup;
 use super::evacuations;
@@ -162,10 +163,12 @@
         starts_unstored: Cell::new(0),
         relays: RelayPool::default(),
         relays_wanted: Cell::new(false),
+        admission: OwnerAdmission::default(),
         load: OwnerLoad::default(),
         evacuations: EvacuationFeed::new(stored.evacuations.as_ref()),
         advisor_slot: Semaphore::new(1),
     });
+    owner.add_markers(&stored.jobs);
     *node.owner.borrow_mut() = Some(owner.clone());
     *node.known_owner.borrow_mut() = Some(kept.record);
     spawn_tasks(&owner, &stored);
@@ -195,6 +198,8 @@
     spawn_part(owner, "cleanup", cleanup::run(own()));
     spawn_part(owner, "waiting", waiting::log_waiting_jobs(own()));
     spawn_part(owner, "load", load::log_load(own()));
+    spawn_part(owner, "admission", own().observe_queues());
+    spawn_part(owner, "markers", own().remove_markers());
     owner.dispatch_pending();
 }
 
@@ -349,6 +354,7 @@
     let mut cancelled = Vec::new();
     for row in &stored.jobs {
         match JobsKey::parse(&row.key) {
+            Some(JobsKey::Job(_)) if rows::is_refusal(row) => {}
             Some(JobsKey::Job(id)) => {
                 accepted.insert(id);
                 if let Some(submission) = parse_submission(node, id, row) {
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod absent_queue;
 mod ack_recovery;
+mod admission;
 mod advice;
 mod by_caller;
 mod callers;
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -5,11 +5,13 @@
 //! caller submits, [`scheduler`] for the states of jobs and tasks, [`placement`] for which task
 //! runs next and where, [`reservation`] for long-running tasks that find no free executor,
 //! [`advice`] for queues with an external advisor, [`wait_reason`] for why a task does not start,
-//! [`usage`] for who holds the resources and who waits for them,
-//! [`evacuation`] for data centres where nothing new starts, [`warmup`] for executors that are slow after their start, [`throttle`] for limiting best-effort work beside services, and [`record`] for what is stored.
-//! `docs/JOBS.md` explains the design decisions.
+//! [`admission`] for which new jobs are refused, [`usage`] for who holds the resources and who waits
+//! for them, [`evacuation`] for data centres where nothing new starts, [`warmup`] for executors that
+//! are slow after their start, [`throttle`] for limiting best-effort work beside services, and
+//! [`record`] for what is stored. `docs/JOBS.md` explains the design decisions.
 
 pub mod ack_recovery;
+pub mod admission;
 pub mod advice;
 mod compact_record;
 pub mod durations;
--- a/crates/job/src/ranking.rs
+++ b/crates/job/src/ranking.rs
@@ -13,12 +13,15 @@
 use derive_more::Display;
 use model::Mono;
 
+use crate::plan::Queue;
 use crate::scheduler::Job;
 use crate::scheduler::ReadyStep;
 use crate::scheduler::Scheduler;
+use crate::spec::JobSpec;
+use crate::terms::Terms;
 
 /// A job has partial value until this multiple of its objective.
-const LATE_FACTOR: u64 = 3;
+pub const LATE_FACTOR: u64 = 3;
 
 /// The sort key of a ready step. Smaller keys are placed first; fields are compared in order of
 /// declaration.
@@ -88,12 +91,25 @@
 /// Returns the time from its arrival within which a job should end.
 #[must_use]
 pub fn objective(scheduler: &Scheduler, job: &Job) -> Duration {
-    let terms = scheduler.terms(job);
-    let stretch = terms.map_or(1.0, |terms| terms.stretch.max(1.0));
-    let target = terms.map_or(Duration::ZERO, |terms| terms.target());
     let path = Duration::from_millis(job.spec.critical_path_ms());
-    let scaled = Duration::try_from_secs_f64(path.as_secs_f64() * stretch);
-    scaled.unwrap_or(Duration::MAX).saturating_add(target)
+    scheduler
+        .terms(job)
+        .map_or(path, |terms| objective_under(&terms, &job.spec))
+}
+
+/// Returns the time from its arrival within which a job of a queue should end.
+#[must_use]
+pub fn objective_of(queue: &Queue, spec: &JobSpec) -> Duration {
+    objective_under(&Terms::from(queue), spec)
+}
+
+/// Returns the time from its arrival within which a job with these terms should end.
+fn objective_under(terms: &Terms, spec: &JobSpec) -> Duration {
+    let path = Duration::from_millis(spec.critical_path_ms());
+    let scaled = Duration::try_from_secs_f64(path.as_secs_f64() * terms.stretch.max(1.0));
+    scaled
+        .unwrap_or(Duration::MAX)
+        .saturating_add(terms.target())
 }
 
 /// Returns the part of an occurrence's objective that has passed, in milliseconds: the time since it
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -3,6 +3,10 @@
 mod absent_queue;
 mod absurd_figures;
 mod ack_recovery;
+mod admission;
+mod admission_load;
+mod admission_returns;
+mod admission_world;
 mod advice;
 mod age;
 mod capacity;
