fix(job): a stalled task does not start on the same executor at once

Without a cooldown of the executor, a task that stalled on the only executor with room started there again at once and used up its three stops within seconds. It now waits for 2.5 s there, and no executor on which it has just stalled is reserved for it.

--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -302,6 +302,9 @@
         if !suitable {
             return None;
         }
+        if self.has_just_stalled_on(key, executor_key, now) {
+            return None;
+        }
         let failed_on = self.task(key).and_then(|task| task.failed_on);
         Some(Preference {
             not_failed_here: Some(executor_key) != failed_on,
--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -141,6 +141,7 @@
         };
         executor.reservation.is_none()
             && executor.accepts_tasks(now)
+            && !self.has_just_stalled_on(key, executor_key, now)
             && executor.listing.service == queue.service
             && self.meets_constraints(executor_key, executor, job, key, step)
             && (self.long_running_size_on(executor) + step.allocated_size())
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -68,12 +68,14 @@
         }
     }
 
-    /// Counts a stop of a task because its progress has stalled. Returns how many there were.
-    pub(crate) fn count_stall(&mut self, key: TaskKey) -> u32 {
+    /// Counts a stop of a task because its progress has stalled, and keeps the task from its executor
+    /// until a time. Returns how many stops there were.
+    pub(crate) fn count_stall(&mut self, key: TaskKey, until: Mono) -> u32 {
         let Some(task) = self.task_mut(key) else {
             return 0;
         };
         task.stalls += 1;
+        task.stalled_until = until;
         let stalls = task.stalls;
         self.mark_dirty(key.job);
         stalls
--- a/crates/job/src/stall.rs
+++ b/crates/job/src/stall.rs
@@ -37,6 +37,9 @@
 const RESTART_COST: Duration = Duration::from_millis(400);
 /// How long no task is placed on an executor that tasks of several jobs stalled on.
 const EXECUTOR_COOLDOWN: Duration = Duration::from_millis(2_500);
+/// How long a task that has stalled does not start on the same executor. A restart there at once would
+/// use up its stops while an executor that hangs is the only one with room.
+const SAME_EXECUTOR_BACKOFF: Duration = Duration::from_millis(2_500);
 /// Tasks with a lower CPU share, in percent, are not checked, because they are throttled.
 const MIN_CPU_PERCENT: u32 = 100;
 /// How often a task is stopped because it stalled. A task that has stalled this often is slow for a
@@ -155,6 +158,17 @@
         }
     }
 
+    /// Returns whether a task does not start on an executor yet because it has stalled there.
+    pub(crate) fn has_just_stalled_on(
+        &self,
+        key: TaskKey,
+        executor_key: ExecutorKey,
+        now: Mono,
+    ) -> bool {
+        self.task(key)
+            .is_some_and(|task| now < task.stalled_until && task.failed_on == Some(executor_key))
+    }
+
     /// Assesses a task's progress in the newest report. Returns since when it is stalled, if it is.
     fn stalled_since(
         &mut self,
@@ -221,7 +235,7 @@
             let until = now.after(EXECUTOR_COOLDOWN);
             self.cool_down(executor_key, key, CooldownReason::Stalled, until, now);
         }
-        let stalls = self.count_stall(key);
+        let stalls = self.count_stall(key, now.after(SAME_EXECUTOR_BACKOFF));
         self.record_event(Event::RunStalled {
             task: key,
             executor: executor_key,
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -37,6 +37,8 @@
     /// The executor of the latest failed or stalled run, or the latest that was too unhealthy to start
     /// one. Other executors are preferred.
     pub failed_on: Option<ExecutorKey>,
+    /// Until when the task does not start on the executor that it stalled on, which is `failed_on`.
+    pub stalled_until: Mono,
     /// The end of the task's backoff; it does not start earlier.
     pub not_before: Mono,
 }
--- a/crates/job/tests/all/fault_attribution.rs
+++ b/crates/job/tests/all/fault_attribution.rs
@@ -151,19 +151,18 @@
 #[test]
 fn a_successor_knows_how_often_a_task_was_stopped_for_a_stall() {
     let mut fixture = Fixture::new(1);
-    fixture.submit(1, vec![step(1, 2, 5_000)]);
+    let id = fixture.submit(1, vec![step(1, 2, 5_000)]);
     fixture.start_all();
     let percent = |_, ms| ms * 100 / 300_000;
     let mut stops = run_for(&mut fixture, 2_000, &percent).len();
     assert!((1..3).contains(&stops), "{stops}");
-    fixture
-        .scheduler
-        .cancel(JobId::parse("0000000000000002").expect("valid"));
-    let key = fixture.tasks_on(1)[0];
-    let end = fixture.end(900, key, RunOutcome::Interrupted);
-    fixture.report(1, vec![end]);
-    let mut next = fixture.successor();
-    next.list(vec![listing(1)]);
+    let key = fixture.scheduler.find(id).expect("the job exists");
+    let job = fixture.scheduler.job(key).expect("the job exists");
+    let record = job::record::encode(job, &fixture.scheduler.fleet);
+    let record = serde_json::from_slice(&record).expect("a valid record");
+    let mut next = Fixture::new(1);
+    next.scheduler
+        .restore(fixture.submission(id), &record, next.now);
     next.report_rows(1, Vec::new(), Vec::new());
     next.start_all();
     stops += run_for(&mut next, 60_000, &percent).len();
@@ -199,6 +198,20 @@
     assert!(stopped > 0);
 }
 
+/// Guards against a task that uses up its stops on an executor that hangs, because it is the only one with
+/// room at the moment.
+#[test]
+fn a_stalled_task_does_not_start_on_the_same_executor_at_once() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(1, vec![step(1, 2, 5_000)]);
+    fixture.start_all();
+    let stops = run_for(&mut fixture, 12_000, &|_, _| 0);
+    let times: Vec<u64> = stops.iter().map(|(at, _)| *at).collect();
+    assert_eq!(times.len(), 3, "{times:?}");
+    let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+    assert!(gaps.min() >= Some(3_500), "{times:?}");
+}
+
 /// Guards against a cooldown on the evidence of one job, whose tasks may all be slow.
 #[test]
 fn stalls_of_one_job_put_no_executor_into_cooldown() {
