--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -312,6 +312,9 @@
         if !suitable {
             return None;
         }
+        if self.has_just_stalled_on(key, executor_key, now) {
+            return None;
+        }
         let failed_on = self.task(key).and_then(|task| task.failed_on);
         let loses_much = step.long_running || step.gang;
         Some(Preference {
