fix(dispatch): a cancellation that finds no job is stored

Cause: a submission whose write got no answer was stored 5.8 s later. Its caller had cancelled it, the host had found no row and answered 410, and the job ran.

Change: such a cancellation leaves a tombstone before it is answered, and each submission expects that there is none. The owner cancels what hosts of an earlier release store regardless, and removes tombstones once neither a late write nor a caller needs them. A cancellation of a known job expects its version. The owner no longer takes the removal of a cancellation for a cancellation.

--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -28,7 +28,9 @@
 use crate::peers::PeerRequest;
 use crate::peers::PeerResponse;
 use crate::rows;
+use crate::rows::CancellationRecord;
 use crate::store_call::StoreCall;
+use crate::tombstones::RENEW_AFTER;
 
 /// Time limit for storing a submission or a cancellation. It leaves the caller time to try another
 /// host.
@@ -65,6 +67,8 @@
     Refused,
     /// The job may have been stored, or may still be stored later.
     Unknown,
+    /// The job is not stored and never will be, because it was cancelled before.
+    Cancelled,
     /// The job is not stored because its row would be larger than the store's rows.
     TooLarge {
         /// The size of the row in bytes.
@@ -83,6 +87,7 @@
             Self::NameTaken => "name_taken",
             Self::Refused => "store_away",
             Self::Unknown => "outcome_unknown",
+            Self::Cancelled => "cancelled",
             Self::TooLarge { .. } => "too_large",
         }
     }
@@ -93,8 +98,10 @@
 pub enum CancelOutcome {
     /// The cancellation is stored.
     Accepted,
-    /// No job with this id is stored.
+    /// No job with this id is stored, nor will a write of it that is on its way take effect.
     NoSuchJob,
+    /// No job with this id is stored, and too many such cancellations arrive to store this one.
+    TooMany,
     /// The store did not confirm the cancellation in time; it may still be stored.
     Unknown,
 }
@@ -155,7 +162,9 @@
             node.final_states.borrow_mut().remove(&id);
             events::accepted(id, queue, took);
         }
-        SubmitOutcome::NameTaken => events::refused(id, queue, outcome.as_str(), 409, took),
+        SubmitOutcome::NameTaken | SubmitOutcome::Cancelled => {
+            events::refused(id, queue, outcome.as_str(), 409, took);
+        }
         SubmitOutcome::Refused => events::refused(id, queue, outcome.as_str(), 503, took),
         SubmitOutcome::Unknown => events::refused(id, queue, outcome.as_str(), 504, took),
         SubmitOutcome::TooLarge { .. } => events::refused(id, queue, outcome.as_str(), 400, took),
@@ -182,7 +191,10 @@
     let mut may_be_stored = false;
     loop {
         let transaction = Transaction {
-            expect: vec![(rows::job_row_id(id), 0)],
+            expect: vec![
+                (rows::job_row_id(id), 0),
+                (rows::cancellation_row_id(id), 0),
+            ],
             puts: vec![(rows::job_row_id(id), value.clone())],
             removes: Vec::new(),
         };
@@ -193,7 +205,7 @@
         );
         match result {
             Ok(_) => return SubmitOutcome::Accepted,
-            Err(StoreError::Conflict { rows }) => return compare_with_stored(&rows, record),
+            Err(StoreError::Conflict { rows }) => return compare_with_stored(id, &rows, record),
             Err(StoreError::Unanswered | StoreError::Protocol) => may_be_stored = true,
             Err(StoreError::Refused | StoreError::HistoryGone) => {}
         }
@@ -212,7 +224,7 @@
 
 /// Compares a submission with the job stored under its id: an identical job counts as accepted, so
 /// that callers can safely submit again.
-fn compare_with_stored(rows: &[Row], record: &SubmissionRecord) -> SubmitOutcome {
+fn compare_with_stored(id: JobId, rows: &[Row], record: &SubmissionRecord) -> SubmitOutcome {
     let stored = rows
         .iter()
         .filter_map(|row| row.value.as_deref())
@@ -220,10 +232,15 @@
     match stored {
         Some(stored) if stored.spec == record.spec => SubmitOutcome::Accepted,
         Some(_) => SubmitOutcome::NameTaken,
+        None if has_row(rows, &rows::cancellation_row_id(id).key) => SubmitOutcome::Cancelled,
         None => SubmitOutcome::Unknown,
     }
 }
 
+fn has_row(rows: &[Row], key: &str) -> bool {
+    rows.iter().any(|row| row.key == key && row.value.is_some())
+}
+
 /// Stores the cancellation of a job.
 pub async fn cancel(node: &Rc<Node>, id: JobId) -> CancelOutcome {
     let outcome = tokio::time::timeout(WRITE_TIMEOUT, store_cancellation(node, id))
@@ -232,38 +249,80 @@
     let label = match outcome {
         CancelOutcome::Accepted => "accepted",
         CancelOutcome::NoSuchJob => "no_such_job",
+        CancelOutcome::TooMany => "too_many",
         CancelOutcome::Unknown => "outcome_unknown",
     };
+    node.metrics
+        .cancellations
+        .get_or_create(&OutcomeLabel { outcome: label })
+        .inc();
     events::cancelled(id, label);
     outcome
 }
 
 async fn store_cancellation(node: &Node, id: JobId) -> CancelOutcome {
     let started = node.now();
+    let mut has_budget = false;
     while node.now().since(started) <= WRITE_TIMEOUT {
-        match read_job(node, id).await {
-            Ok(rows) if rows.iter().any(|row| row.key == id.as_str()) => {}
-            Ok(_) => return CancelOutcome::NoSuchJob,
-            Err(_) => {
-                tokio::time::sleep(RETRY_DELAY).await;
-                continue;
+        let Ok(rows) = read_job(node, id).await else {
+            tokio::time::sleep(RETRY_DELAY).await;
+            continue;
+        };
+        let job_version = rows
+            .iter()
+            .find(|row| row.key == id.as_str())
+            .map_or(0, |row| row.version);
+        if job_version == 0 {
+            if has_lasting_tombstone(node, id, &rows) {
+                return CancelOutcome::NoSuchJob;
+            }
+            has_budget = has_budget || take_tombstone_budget(node);
+            if !has_budget {
+                return CancelOutcome::TooMany;
             }
         }
+        let value = serde_json::to_vec(&CancellationRecord {
+            cancelled_unix_ms: (node.unix_ms)(),
+        });
+        // A cancellation that is stored late must not apply to another job under the same id.
         let transaction = Transaction {
-            expect: Vec::new(),
-            puts: vec![(rows::cancellation_row_id(id), b"{}".to_vec())],
+            expect: vec![(rows::job_row_id(id), job_version)],
+            puts: vec![(rows::cancellation_row_id(id), value.unwrap_or_default())],
             removes: Vec::new(),
         };
         let result = (node.dependencies.store.commit)(transaction).await;
-        node.record_store_result(StoreCall::Request, result.is_ok());
-        if result.is_ok() {
-            return CancelOutcome::Accepted;
+        let answered = matches!(result, Ok(_) | Err(StoreError::Conflict { .. }));
+        node.record_store_result(StoreCall::Request, answered);
+        match result {
+            Ok(_) if job_version == 0 => return CancelOutcome::NoSuchJob,
+            Ok(_) => return CancelOutcome::Accepted,
+            Err(StoreError::Conflict { .. }) => {}
+            Err(_) => tokio::time::sleep(RETRY_DELAY).await,
         }
-        tokio::time::sleep(RETRY_DELAY).await;
     }
     CancelOutcome::Unknown
 }
 
+fn take_tombstone_budget(node: &Node) -> bool {
+    let mut budget = node.tombstone_budget.get();
+    let is_free = budget.take(node.now());
+    node.tombstone_budget.set(budget);
+    is_free
+}
+
+/// Returns whether a tombstone of a job is stored that will outlast a write on its way. An older one is
+/// written again.
+fn has_lasting_tombstone(node: &Node, id: JobId, rows: &[Row]) -> bool {
+    let key = rows::cancellation_row_id(id).key;
+    let value = rows.iter().find(|row| row.key == key);
+    let record = value
+        .and_then(|row| serde_json::from_slice::<CancellationRecord>(row.value.as_deref()?).ok());
+    record.is_some_and(|record| {
+        let age_ms = (node.unix_ms)().abs_diff(record.cancelled_unix_ms);
+        Duration::from_millis(age_ms) < RENEW_AFTER
+    })
+}
+
 /// Returns the state of a job from the cache, the owner or the store.
 pub async fn state(node: &Rc<Node>, id: JobId) -> JobLookup {
     if let Some(state) = cached_state(node, id) {
@@ -340,7 +399,7 @@
     if !rows.iter().any(|row| row.key == id.as_str()) {
         return JobLookup::NoSuchJob;
     }
-    let cancelled = rows.len() > 1;
+    let cancelled = has_row(&rows, &rows::cancellation_row_id(id).key);
     let range = Range {
         table: rows::RUNS_TABLE,
         part: rows::OWNED_PART,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod rows;
 pub mod store_call;
 mod supervise;
+pub mod tombstones;
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -114,6 +114,8 @@
     /// Age of the oldest job with a step that waits for a reason, in milliseconds. Covers the jobs
     /// of the latest round of log lines.
     pub oldest_wait_ms: Family<LimitLabel, Gauge>,
+    /// Cancellations by outcome.
+    pub cancellations: Family<OutcomeLabel, Counter>,
     /// Recoveries of executors from ends that must not be acknowledged.
     pub ack_recoveries: Counter,
     /// Rows that the store refused for good, by table.
@@ -144,6 +146,7 @@
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
             oldest_wait_ms: Family::default(),
+            cancellations: Family::default(),
             ack_recoveries: Counter::default(),
             refused_rows: Family::default(),
             takeovers: Counter::default(),
@@ -203,6 +206,12 @@
             "Age of the oldest job that waits, by what its step waits for",
             &self.oldest_wait_ms,
         );
+        register(
+            registry,
+            "cancellations",
+            "Cancellations by outcome",
+            &self.cancellations,
+        );
         register(
             registry,
             "ack_recoveries",
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -30,6 +30,7 @@
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
 use crate::supervise::restart_after_panic;
+use crate::tombstones::WriteBudget;
 
 /// A host is ready to own the executors only if the store has answered within this time. Calls that
 /// follow the document wait for changes for one second.
@@ -140,6 +141,8 @@
     /// cached state becomes outdated only if an id is reused, long after the job with that id
     /// ended.
     pub final_states: RefCell<Map<JobId, (JobState, Mono)>>,
+    /// Limits the cancellations of unknown jobs that this host stores.
+    pub tombstone_budget: Cell<WriteBudget>,
     /// What this host knows about the document besides its contents.
     pub document: DocumentState,
     /// Cancelled when the process begins to shut down.
@@ -175,6 +178,7 @@
             store_failing_since: Cell::new(None),
             store_answered_at: Cell::new(Mono::ZERO),
             final_states: RefCell::new(Map::default()),
+            tombstone_budget: Cell::default(),
             document: DocumentState::default(),
             draining: CancellationToken::new(),
         })
--- a/crates/dispatch/src/owner/cleanup.rs
+++ b/crates/dispatch/src/owner/cleanup.rs
@@ -7,6 +7,7 @@
 use futures::future::join_all;
 use job::id::JobId;
 use job::scheduler::ExpiredJob;
+use model::Map;
 
 use super::Owner;
 use crate::dependencies::StoreError;
@@ -22,6 +23,10 @@
 /// Maximum number of jobs whose rows are removed concurrently; with the interval this limits
 /// removals to 40 per second.
 const MAX_JOBS: usize = 120;
+/// Maximum number of tombstones that are removed in one cleanup.
+const MAX_TOMBSTONES: usize = 600;
+/// Maximum number of tombstones in one transaction; the store accepts 100 entries.
+const MAX_TOMBSTONES_PER_TRANSACTION: usize = 45;
 
 /// Removes rows until this host is no longer the owner.
 pub async fn run(owner: Rc<Owner>) {
@@ -31,6 +36,7 @@
             () = owner.shutdown.cancelled() => return,
             () = tokio::time::sleep(CLEANUP_INTERVAL) => {}
         }
+        remove_tombstones(&owner, retention).await;
         let Some(ended_before) = owner.now().before(retention) else {
             continue;
         };
@@ -45,6 +51,67 @@
     }
 }
 
+/// Removes tombstones that no caller and no late write needs any more, with one transaction for each
+/// part of the table.
+async fn remove_tombstones(owner: &Owner, retention: Duration) {
+    let now = owner.now();
+    let expired = owner
+        .tombstones
+        .borrow()
+        .expired(retention, MAX_TOMBSTONES, now);
+    let mut by_part: Map<&str, Vec<(JobId, u64)>> = Map::default();
+    for (id, version) in expired {
+        let part = by_part.entry(rows::jobs_part(id)).or_default();
+        if part.len() < MAX_TOMBSTONES_PER_TRANSACTION {
+            part.push((id, version));
+        }
+    }
+    join_all(
+        by_part
+            .into_values()
+            .map(|tombstones| remove_part(owner, tombstones)),
+    )
+    .await;
+}
+
+/// Removes tombstones of one part. If one of them was written again, the others are removed with a
+/// later cleanup, which expects the version that the feed has told meanwhile.
+async fn remove_part(owner: &Owner, tombstones: Vec<(JobId, u64)>) {
+    let row_id = |id: &JobId| rows::cancellation_row_id(*id);
+    let transaction = Transaction {
+        expect: tombstones
+            .iter()
+            .map(|(id, version)| (row_id(id), *version))
+            .collect(),
+        puts: Vec::new(),
+        removes: tombstones.iter().map(|(id, _)| row_id(id)).collect(),
+    };
+    let result = (owner.node.dependencies.store.commit)(transaction).await;
+    let answered = matches!(result, Ok(_) | Err(StoreError::Conflict { .. }));
+    owner.node.record_store_result(StoreCall::Cleanup, answered);
+    let mut known = owner.tombstones.borrow_mut();
+    match result {
+        Ok(_) => {
+            for (id, _) in tombstones {
+                known.remove(id);
+            }
+        }
+        Err(StoreError::Conflict { rows }) => {
+            for (id, version) in tombstones {
+                let key = row_id(&id).key;
+                let row = rows.iter().find(|row| row.key == key);
+                let current = row.filter(|row| row.value.is_some());
+                match current.map(|row| row.version) {
+                    None => known.remove(id),
+                    Some(current) if current != version => known.add(id, current, owner.now()),
+                    Some(_) => {}
+                }
+            }
+        }
+        Err(_) => {}
+    }
+}
+
 /// Removes the row of a job and that of its cancellation. Returns the id if the rows are gone.
 ///
 /// The transaction expects the version of this job's row, so a delayed copy cannot remove a later
--- a/crates/dispatch/src/owner/feeds.rs
+++ b/crates/dispatch/src/owner/feeds.rs
@@ -3,6 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use job::id::JobId;
+use model::Set;
+
 use super::Owner;
 use super::pacing;
 use super::takeover;
@@ -48,6 +51,9 @@
             .record_store_result(StoreCall::Jobs, result.is_ok());
         match result {
             Ok((mut rows, version)) => {
+                if history_gone {
+                    owner.forget_removed_tombstones(&rows);
+                }
                 rows.retain(|row| row.version > after);
                 owner.jobs_synced_at.set(owner.now());
                 owner.ingest(&rows, !history_gone);
@@ -61,6 +67,19 @@
 }
 
 impl Owner {
+    /// Forgets tombstones that are not among all rows of the table.
+    fn forget_removed_tombstones(&self, rows: &[Row]) {
+        let stored: Set<JobId> = rows
+            .iter()
+            .filter_map(|row| match JobsKey::parse(&row.key) {
+                Some(JobsKey::Cancel(id)) => Some(id),
+                _ => None,
+            })
+            .collect();
+        let mut tombstones = self.tombstones.borrow_mut();
+        tombstones.retain(|id| stored.contains(&id));
+    }
+
     /// Ingests rows of jobs and cancellations. Rows from the change feed (`followed`) are new, so
     /// their age is the latency of the feed.
     fn ingest(self: &Rc<Self>, rows: &[Row], followed: bool) {
@@ -70,6 +89,7 @@
         let now = self.now();
         let mut cancelled = Vec::new();
         {
+            let mut tombstones = self.tombstones.borrow_mut();
             let mut scheduler = self.scheduler.borrow_mut();
             for row in rows {
                 match JobsKey::parse(&row.key) {
@@ -80,14 +100,22 @@
                                 self.node.metrics.feed_seconds.observe(lag.as_secs_f64());
                             }
                             scheduler.submit(submission, now);
+                            // A host of an earlier release does not expect that there is no tombstone.
+                            if tombstones.contains(id) {
+                                tombstones.remove(id);
+                                cancelled.push((id, row.version));
+                            }
                         }
                     }
-                    Some(JobsKey::Cancel(id)) => cancelled.push(id),
+                    Some(JobsKey::Cancel(id)) if row.value.is_none() => tombstones.remove(id),
+                    Some(JobsKey::Cancel(id)) => cancelled.push((id, row.version)),
                     None => events::unreadable_row(rows::JOBS_TABLE, &row.key, "not a job id"),
                 }
             }
-            for id in cancelled {
-                scheduler.cancel(id);
+            for (id, version) in cancelled {
+                if !scheduler.cancel(id) {
+                    tombstones.add(id, version, now);
+                }
             }
         }
         self.dispatch_pending();
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -60,6 +60,7 @@
 use crate::node::Node;
 use crate::relay::pool::RelayPool;
 use crate::rows::OwnerRecord;
+use crate::tombstones::Tombstones;
 
 /// How long an owner continues without a confirmation from the store. A successor that cannot reach
 /// an executor waits for this time plus the duration of a lease.
@@ -93,6 +94,8 @@
     interference_stored_at: Cell<Mono>,
     /// Whether the store refuses the row with the learned interference.
     interference_refused: Cell<bool>,
+    /// Cancellations of jobs that are not stored.
+    tombstones: RefCell<Tombstones>,
     /// When the store last answered a request for new jobs.
     jobs_synced_at: Cell<Mono>,
     /// Wakes the task that stores changes.
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -48,6 +48,7 @@
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
 use crate::supervise::spawn_part;
+use crate::tombstones::Tombstones;
 
 /// Delay before the stored state is read again.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -103,7 +104,7 @@
     };
     let mut scheduler = Scheduler::new(plan, timing);
     scheduler.max_record_bytes = node.dependencies.store.max_value_bytes();
-    restore(node, &mut scheduler, &stored);
+    let tombstones = restore(node, &mut scheduler, &stored);
     let inherited = scheduler
         .fleet
         .iter()
@@ -135,6 +136,7 @@
         confirmed_at: Cell::new(confirmed_at),
         interference_stored_at: Cell::new(claim.sent),
         interference_refused: Cell::new(false),
+        tombstones: RefCell::new(tombstones),
         jobs_synced_at: Cell::new(node.now()),
         commit_requested: Notify::new(),
         committed: Notify::new(),
@@ -324,7 +326,7 @@
     Ok((rows, version.unwrap_or(0)))
 }
 
-fn restore(node: &Node, scheduler: &mut Scheduler, stored: &StoredState) {
+fn restore(node: &Node, scheduler: &mut Scheduler, stored: &StoredState) -> Tombstones {
     let records: Map<JobId, JobRecord> = stored.runs.iter().filter_map(parse_job_record).collect();
     let now = node.now();
     let mut accepted: Set<JobId> = Set::default();
@@ -342,12 +344,16 @@
                     }
                 }
             }
-            Some(JobsKey::Cancel(id)) => cancelled.push(id),
+            Some(JobsKey::Cancel(id)) => cancelled.push((id, row.version)),
             None => events::unreadable_row(rows::JOBS_TABLE, &row.key, "not a job id"),
         }
     }
-    for id in cancelled {
+    let mut tombstones = Tombstones::default();
+    for (id, version) in cancelled {
         scheduler.cancel(id);
+        if !accepted.contains(&id) {
+            tombstones.add(id, version, now);
+        }
     }
     for id in records.keys().filter(|id| !accepted.contains(*id)) {
         scheduler.add_orphaned_record(*id);
@@ -360,6 +366,7 @@
             }
         }
     }
+    tombstones
 }
 
 fn parse_job_record(row: &Row) -> Option<(JobId, JobRecord)> {
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -6,7 +6,7 @@
 //! | `runs` | `owned` | job | durable state of a job, `job::record::JobRecord` | the owner |
 //! | `learned` | `owned` | `interference` | `job::interference::LearnedPair` | the owner |
 //! | `jobs` | `jobs-`digit | job | the job as submitted | the host that accepted it |
-//! | `jobs` | `jobs-`digit | job + `-cancel` | the cancellation | the host that received it |
+//! | `jobs` | `jobs-`digit | job + `-cancel` | the cancellation, [`CancellationRecord`] | the host that received it |
 //!
 //! No row exceeds `Store::max_value_bytes`: submissions are refused, records of jobs are compact, and
 //! learned pairs are left out. See `docs/design/bounded-rows.md`.
@@ -72,6 +72,14 @@
     pub successor: Option<String>,
 }
 
+/// A cancellation. Earlier releases write an empty object.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancellationRecord {
+    /// When it was stored, in milliseconds since 1970, by the clock of the host.
+    #[serde(rename = "at", default)]
+    pub cancelled_unix_ms: u64,
+}
+
 /// Returns the id of the owner's row.
 #[must_use]
 pub fn owner_row_id() -> RowId {
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod executor;
 mod executor_calls;
 mod handover;
+mod late_writes;
 mod log_capture;
 mod lost_answers;
 mod owner_choice;
--- a/crates/job/src/scheduler/recovery.rs
+++ b/crates/job/src/scheduler/recovery.rs
@@ -42,7 +42,7 @@
             let Some(executor) = self.fleet.get(key) else {
                 continue;
             };
-            if !executor.recovery.is_some_and(|recovery| !recovery.probing) {
+            if executor.recovery.is_none_or(|recovery| recovery.probing) {
                 continue;
             }
             let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
