--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -34,6 +34,7 @@
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
 use crate::supervise::restart_after_panic;
+use crate::tombstones::WriteBudget;
 
 /// A host is ready to own the executors only if the store has answered within this time. Calls that
 /// follow the document wait for changes for one second.
@@ -148,6 +149,8 @@
     pub final_states: RefCell<Map<JobId, (JobState, Mono)>>,
     /// What this host knows about admission.
     pub admission: HostAdmission,
+    /// Limits the cancellations of unknown jobs that this host stores.
+    pub tombstone_budget: Cell<WriteBudget>,
     /// What this host knows about the document besides its contents.
     pub document: DocumentState,
     /// The connections and the memory that clients of this process take.
@@ -188,6 +191,7 @@
             store_answered_at: Cell::new(Mono::ZERO),
             final_states: RefCell::new(Map::default()),
             admission: HostAdmission::default(),
+            tombstone_budget: Cell::default(),
             document: DocumentState::default(),
             gate: Gate::default(),
             max_relay_frame_bytes: Cell::new(MAX_FRAME_BYTES),
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod executor;
 mod executor_calls;
 mod handover;
+mod late_writes;
 mod log_capture;
 mod lost_answers;
 mod owner_choice;
--- a/crates/job/tests/all/fault_attribution.rs
+++ b/crates/job/tests/all/fault_attribution.rs
@@ -158,8 +158,8 @@
     assert!((1..3).contains(&stops), "{stops}");
     let key = fixture.scheduler.find(id).expect("the job exists");
     let job = fixture.scheduler.job(key).expect("the job exists");
-    let record = job::record::encode(job, &fixture.scheduler.fleet);
-    let record = serde_json::from_slice(&record).expect("a valid record");
+    let record = job::record::encode(job, &fixture.scheduler.fleet, usize::MAX);
+    let record = job::record::decode(&record.bytes).expect("a valid record");
     let mut next = Fixture::new(1);
     next.scheduler
         .restore(fixture.submission(id), &record, next.now);
