--- a/crates/dispatch/src/dump.rs
+++ b/crates/dispatch/src/dump.rs
@@ -8,6 +8,7 @@
 use model::Mono;
 use serde::Serialize;
 
+use crate::admission::EstimateReport;
 use crate::node::Node;
 use crate::owner::Owner;
 use crate::rows::OwnerRecord;
@@ -31,6 +32,8 @@
     pub store_silent_ms: u64,
     /// The owner of the executors, as last seen by this host.
     pub known_owner: Option<OwnerRecord>,
+    /// The estimate by which this host refuses jobs; absent if it accepts all.
+    pub admission: Option<EstimateReport>,
     /// The state of the owner, if this host owns the executors.
     pub owner: Option<OwnerDump>,
 }
@@ -46,6 +49,10 @@
     pub open_jobs: usize,
     /// The jobs that have not ended, in order of arrival.
     pub jobs: Vec<JobDump>,
+    /// Number of jobs that this owner has refused because they could not be done in time.
+    pub refused: u64,
+    /// Number of refused callers that are expected to come back.
+    pub returning_callers: usize,
     /// Number of executors known to the scheduler.
     pub known_executors: usize,
     /// Executors that accept no tasks at the moment, with the causes.
@@ -100,6 +107,7 @@
         document_version: node.plan().map(|plan| plan.version),
         store_silent_ms: millis_since(now, node.store_answered_at.get()),
         known_owner: node.known_owner.borrow().clone(),
+        admission: node.admission_estimate(),
         owner: node.owner().map(|owner| dump_owner(node, &owner, now)),
     }
 }
@@ -122,7 +130,10 @@
             cooldown_ms: millis_since(executor.not_before, now),
             tasks: executor.tasks.len(),
         });
+    let (refused, returning_callers) = owner.admission_counts();
     OwnerDump {
+        refused,
+        returning_callers,
         epoch: owner.epoch,
         confirmed_ago_ms: millis_since(now, owner.confirmed_at()),
         open_jobs: scheduler.open_jobs().count(),
--- a/crates/dispatch/src/metrics/state.rs
+++ b/crates/dispatch/src/metrics/state.rs
@@ -32,6 +32,8 @@
     executors: Family<OutcomeLabel, Gauge>,
     best_effort_tasks: Family<OutcomeLabel, Gauge>,
     image_pairs: Family<OutcomeLabel, Gauge>,
+    admission_wait_ms: Family<QueueLabel, Gauge>,
+    returning_callers: Gauge,
     log_lines: Family<OutcomeLabel, Counter>,
     log_bytes: Counter,
 }
@@ -81,6 +83,18 @@
             &self.known_jobs,
         );
         register(registry, "executors", "Executors by state", &self.executors);
+        register(
+            registry,
+            "admission_wait_milliseconds",
+            "Work before the largest jobs of a queue, as the time that the executors take for it",
+            &self.admission_wait_ms,
+        );
+        register(
+            registry,
+            "returning_callers",
+            "Refused callers that the owner expects to come back",
+            &self.returning_callers,
+        );
         register(
             registry,
             "filling_tasks",
@@ -120,6 +134,7 @@
         self.update_logs(node);
         self.pending.clear();
         self.executors.clear();
+        self.admission_wait_ms.clear();
         self.best_effort_tasks.clear();
         self.image_pairs.clear();
         match node.owner() {
@@ -131,10 +146,27 @@
                 self.owner_epoch.set(0);
                 self.jobs_silent_ms.set(0);
                 self.known_jobs.set(0);
+                self.returning_callers.set(0);
             }
         }
     }
 
+    fn update_admission(&self, owner: &Owner) {
+        let (_, returning) = owner.admission_counts();
+        self.returning_callers
+            .set(i64::try_from(returning).unwrap_or(i64::MAX));
+        let report = owner.admission_estimate();
+        let queues = report.map_or_else(Vec::new, |report| report.estimate.queues);
+        for queue in queues {
+            let ahead = queue.rows.iter().map(|row| row.ahead_ms).max();
+            let label = QueueLabel {
+                queue: queue.queue.to_string(),
+            };
+            let gauge = self.admission_wait_ms.get_or_create(&label);
+            gauge.set(gauge.get().max(gauge_value(ahead.unwrap_or(0))));
+        }
+    }
+
     fn update_logs(&self, node: &Node) {
         let logs = (node.dependencies.logs)();
         let lines = [
@@ -156,6 +188,7 @@
             let gauge = self.pending.get_or_create(&QueueLabel { queue });
             gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
         }
+        self.update_admission(owner);
         let scheduler = owner.scheduler.borrow();
         self.known_jobs
             .set(i64::try_from(scheduler.len()).unwrap_or(i64::MAX));
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 use tokio_util::sync::CancellationToken;
 
+use crate::admission::EstimateReport;
 use crate::admission::HostAdmission;
 use crate::dependencies::Dependencies;
 use crate::document::DocumentState;
@@ -209,6 +210,19 @@
         self.owner.borrow().clone()
     }
 
+    /// Returns the estimate by which this host refuses jobs, or `None` if it accepts all.
+    #[must_use]
+    pub fn admission_estimate(&self) -> Option<EstimateReport> {
+        if let Some(owner) = self.owner() {
+            return owner.admission_estimate();
+        }
+        let (estimate, age) = self.admission.estimate(self.now())?;
+        Some(EstimateReport {
+            estimate,
+            age_ms: model::time::millis(age),
+        })
+    }
+
     /// Returns whether callers should be routed to this host.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/dispatch/tests/all/admission.rs
+++ b/crates/dispatch/tests/all/admission.rs
@@ -5,6 +5,7 @@
 
 use dispatch::api::JobLookup;
 use dispatch::api::SubmitOutcome;
+use dispatch::dump::dump;
 use dispatch::rows;
 use job::scheduler::JobState;
 
@@ -71,11 +72,22 @@
 async fn each_host_refuses_under_overload_and_a_refused_job_never_runs() {
     let (world, owner, other) = started().await;
     flood(&world, &other).await;
+    for host in [&owner, &other] {
+        let dump = dump(&world.host(host).node);
+        let estimate = dump.admission.expect("an estimate").estimate;
+        assert!(!estimate.queues.is_empty(), "the dump tells why");
+    }
     for (number, host) in [(100, &owner), (101, &other)] {
         let outcome = world.submit(host, number, job(WIDE)).await;
         assert!(is_overloaded(outcome), "{host}: {outcome:?}");
         assert_eq!(world.state(host, number).await, JobLookup::NoSuchJob);
     }
+    let node = world.host(&owner).node.clone();
+    let refused = dump(&node).owner.expect("the owner").refused;
+    assert!(refused >= 2, "{refused}");
+    let metrics = node.metrics.encode(&node).expect("text");
+    assert!(metrics.contains("fireflynotch_admission_wait_milliseconds{queue=\"queue\"}"));
+    assert!(metrics.contains("fireflynotch_submissions_total{outcome=\"overload\"}"));
     world.advance(60 * SECOND).await;
     for number in [100, 101] {
         assert!(!is_stored(&world, number));
