--- a/crates/job/tests/all/admission.rs
+++ b/crates/job/tests/all/admission.rs
@@ -1,10 +1,14 @@
 //! Replays of loads with admission control, without it and with a fixed limit of waiting jobs.
 
+use job::scheduler::RunOutcome;
+
 use crate::admission_load::Caller;
 use crate::admission_load::Load;
 use crate::admission_load::Outcome;
 use crate::admission_load::Policy;
 use crate::admission_world::play;
+use crate::fixture::Fixture;
+use crate::fixture::step;
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 /// The jobs that may wait with the fixed limit: about what the executors begin in two seconds.
@@ -184,3 +188,30 @@
     let admission = &outcomes[2][0];
     assert_eq!((admission.refused, admission.largest_wave), (0, 0));
 }
+
+/// Guards against capacity for a job without value while one that can be served waits for it,
+/// whichever is smaller or older.
+#[test]
+fn a_hopeless_job_gets_no_capacity_before_one_that_can_be_served() {
+    // (cores of the hopeless job, cores of the others)
+    for (hopeless_cores, cores) in [(60, 60), (20, 60), (60, 20)] {
+        let mut fixture = Fixture::new(1);
+        fixture.submit(1, vec![step(1, 64, 1_000)]);
+        fixture.start_all();
+        let hopeless = fixture.submit(2, vec![step(1, hopeless_cores, 1_000)]);
+        fixture.pass(60_000);
+        let served: Vec<_> = (3..5)
+            .map(|number| fixture.submit(number, vec![step(1, cores, 1_000)]))
+            .collect();
+        let ended = fixture.end(1, fixture.tasks_on(1)[0], RunOutcome::Done);
+        fixture.report(1, vec![ended]);
+        fixture.start_all();
+        let starts = |id| {
+            let key = fixture.scheduler.find(id).expect("the job is known");
+            let job = fixture.scheduler.job(key).expect("the job is known");
+            !job.has_waiting_tasks()
+        };
+        assert!(starts(served[0]) || starts(served[1]), "{cores}");
+        assert!(!starts(hopeless), "{hopeless_cores} {cores}");
+    }
+}
