--- a/crates/dispatch/tests/all/late_writes.rs
+++ b/crates/dispatch/tests/all/late_writes.rs
@@ -87,6 +87,7 @@
             queue: QUEUE.into(),
             accepted_unix_ms: 1_000_000,
             spec: job(2).into(),
+            terms: None,
         };
         let value = serde_json::to_vec(&record).expect("JSON");
         world.store.put(rows::job_row_id(job_id(1)), value);
