--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -6,7 +6,8 @@
 //! runs next and where, [`reservation`] for long-running tasks that find no free executor,
 //! [`advice`] for queues with an external advisor, [`wait_reason`] for why a task does not start,
 //! [`usage`] for who holds the resources and who waits for them,
-//! [`throttle`] for limiting best-effort work beside services, and [`record`] for what is stored.
+//! [`throttle`] for limiting best-effort work beside services, [`plan_check`] and [`plan_diff`] for
+//! problems and changes of the operators' document, and [`record`] for what is stored.
 //! `docs/JOBS.md` explains the design decisions.
 
 pub mod advice;
@@ -16,6 +17,8 @@
 pub mod interference;
 pub mod placement;
 pub mod plan;
+pub mod plan_check;
+pub mod plan_diff;
 mod preemption;
 pub mod ranking;
 pub mod record;
--- a/crates/job/src/plan.rs
+++ b/crates/job/src/plan.rs
@@ -117,6 +117,10 @@
     pub refuses_overcommit: bool,
 }
 
+/// The maximum size of a header section that the servers accept, whatever a document allows, in
+/// bytes.
+pub const MAX_HEADER_BYTES: usize = 16 << 10;
+
 /// Limits on requests of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
@@ -133,7 +137,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            header_bytes: 16 << 10,
+            header_bytes: MAX_HEADER_BYTES,
             body_bytes: 256 << 10,
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
