feat(dispatch): log the problems of a document that arrives

The document comes into force before it is checked. A document of version 0 is accepted at each read, so that the version that was checked last is kept.

--- a/crates/dispatch/src/document/mod.rs
+++ b/crates/dispatch/src/document/mod.rs
@@ -7,6 +7,7 @@
 //! document" in `docs/JOBS.md`. [`relay`] decides which of the two applies. A version lower than
 //! the one in force is never accepted.
 
+mod findings;
 pub mod packed;
 pub mod relay;
 
@@ -85,6 +86,8 @@
     packed: RefCell<Option<PackedPlan>>,
     /// Whether this host takes the document from the owner.
     is_relayed: Cell<bool>,
+    /// The version of the document whose problems were logged last.
+    checked: Cell<Option<u64>>,
 }
 
 impl DocumentState {
@@ -216,7 +219,8 @@
     }
 }
 
-/// Puts a document into force unless its version is already in force or older.
+/// Puts a document into force unless its version is already in force or older, and logs the problems
+/// of each version once.
 pub fn accept(node: &Node, plan: Plan, origin: Origin) {
     let current = node.plan().map_or(0, |plan| plan.version);
     if plan.version < current || (plan.version == current && current > 0) {
@@ -226,7 +230,11 @@
     let plan = Arc::new(plan);
     *node.plan.borrow_mut() = Some(plan.clone());
     if let Some(owner) = node.owner() {
-        owner.set_plan(plan);
+        owner.set_plan(plan.clone());
+    }
+    // A document of version 0 is accepted each time that it is read.
+    if node.document.checked.replace(Some(plan.version)) != Some(plan.version) {
+        findings::log(&plan);
     }
 }
 
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -33,6 +33,16 @@
     log::info!(event = "document", version, queues, source; "");
 }
 
+/// Logs a problem of a document, which is in force nevertheless.
+pub fn document_finding(version: u64, subject: &str, problem: &str) {
+    log::warn!(event = "document_finding", version, subject, problem; "");
+}
+
+/// Logs how many problems a document has, and how many of them have a line of their own.
+pub fn document_findings(version: u64, found: usize, logged: usize) {
+    log::warn!(event = "document_findings", version, found, logged; "");
+}
+
 /// Logs a takeover: the epoch, the earlier owner, the stored jobs and the inherited tasks.
 pub fn takeover(epoch: u64, earlier: &str, jobs: usize, inherited: usize, took_ms: u64) {
     log::info!(event = "takeover", epoch, earlier, jobs, inherited, took_ms; "");
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod command_logs;
 mod commands;
 mod document;
+mod document_findings;
 mod document_relay;
 mod executor;
 mod executor_calls;
