--- a/crates/conf/src/finding.rs
+++ b/crates/conf/src/finding.rs
@@ -104,6 +104,9 @@
     /// A change that would strand running tasks.
     #[display("strands-work")]
     StrandsWork,
+    /// An entry that no request matches, or not the requests that it is for.
+    #[display("never-matches")]
+    NeverMatches,
     /// Values that contradict each other.
     #[display("contradiction")]
     Contradiction,
