--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`advice`] for queues with an external advisor, [`wait_reason`] for why a task does not start,
 //! [`admission`] for which new jobs are refused, [`usage`] for who holds the resources and who waits
 //! for them, [`evacuation`] for data centres where nothing new starts, [`warmup`] for executors that
-//! are slow after their start, [`throttle`] for limiting best-effort work beside services, and
+//! are slow after their start, [`throttle`] for limiting best-effort work beside services,
+//! [`plan_check`] and [`plan_diff`] for problems and changes of the operators' document, and
 //! [`record`] for what is stored. `docs/JOBS.md` explains the design decisions.
 
 pub mod ack_recovery;
@@ -23,6 +24,8 @@
 pub mod migration;
 pub mod placement;
 pub mod plan;
+pub mod plan_check;
+pub mod plan_diff;
 mod preemption;
 pub mod ranking;
 pub mod record;
--- a/crates/job/src/plan.rs
+++ b/crates/job/src/plan.rs
@@ -117,6 +117,10 @@
     pub refuses_overcommit: bool,
 }
 
+/// The maximum size of a header section that the servers accept, whatever a document allows, in
+/// bytes.
+pub const MAX_HEADER_BYTES: usize = 64 << 10;
+
 /// Limits on requests of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
