feat(job): tasks wait for a place near their data or in one rack while it pays off

With remote_factor above 1 in the settings, a task that would start in another rack than its data waits while room there is expected sooner than it gains, by the observed rate of openings less its uncertainty, and while the wait does not make it more likely that the task is late. Gangs with same_rack go to one rack if it has room for all. Runs in the wrong place no longer count as stalled, and learned durations leave the factor out.

Without the setting everything is placed as before.

--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -197,6 +197,13 @@
     log::info!(event = "turn_taken", job, step, index, of, of_index, executor; "");
 }
 
+/// Logs at debug level that a task starts which has waited for a place in a rack, and whether it
+/// starts there.
+pub fn place_wait_ended(task: TaskId, rack: &str, near: bool, waited_ms: u64) {
+    let (job, step, index) = (task.job.as_str(), task.step, task.index);
+    log::debug!(event = "place_wait_ended", job, step, index, rack, near, waited_ms; "");
+}
+
 /// Logs that no task is placed on an executor for some time because of what happened to a task.
 pub fn cooldown_started(id: &str, task: TaskId, why: &str) {
     let (job, step, index) = (task.job.as_str(), task.step, task.index);
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -107,6 +107,9 @@
     /// Age of the oldest job with a step that waits for a reason, in milliseconds. Covers the jobs
     /// of the latest round of log lines.
     pub oldest_wait_ms: Family<LimitLabel, Gauge>,
+    /// How long tasks waited for a place near their data or in one rack, by whether they started
+    /// there.
+    pub place_wait_seconds: Family<OutcomeLabel, Histogram, fn() -> Histogram>,
     /// Takeovers by this host.
     pub takeovers: Counter,
 }
@@ -133,6 +136,7 @@
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
             oldest_wait_ms: Family::default(),
+            place_wait_seconds: Family::new_with_constructor(|| histogram(LATENCY_BUCKETS)),
             takeovers: Counter::default(),
         };
         metrics.register_all();
@@ -225,6 +229,12 @@
             Unit::Seconds,
             self.first_start_seconds.clone(),
         );
+        registry.register_with_unit(
+            "place_wait",
+            "Waits of tasks for a place in a rack, by where they started",
+            Unit::Seconds,
+            self.place_wait_seconds.clone(),
+        );
         registry.register_with_unit(
             "command",
             "Time from the decision to start or stop a task to the answer, by what it waited for",
--- a/crates/dispatch/src/metrics/state.rs
+++ b/crates/dispatch/src/metrics/state.rs
@@ -32,6 +32,7 @@
     executors: Family<OutcomeLabel, Gauge>,
     best_effort_tasks: Family<OutcomeLabel, Gauge>,
     image_pairs: Family<OutcomeLabel, Gauge>,
+    place_waits: Gauge,
     log_lines: Family<OutcomeLabel, Counter>,
     log_bytes: Counter,
 }
@@ -93,6 +94,12 @@
             "Pairs of a serving and a filling image, by what was learned",
             &self.image_pairs,
         );
+        register(
+            registry,
+            "tasks_waiting_for_place",
+            "Tasks that wait for a place in a rack",
+            &self.place_waits,
+        );
         register(
             registry,
             "log_lines",
@@ -131,6 +138,7 @@
                 self.owner_epoch.set(0);
                 self.jobs_silent_ms.set(0);
                 self.known_jobs.set(0);
+                self.place_waits.set(0);
             }
         }
     }
@@ -159,6 +167,9 @@
         let scheduler = owner.scheduler.borrow();
         self.known_jobs
             .set(i64::try_from(scheduler.len()).unwrap_or(i64::MAX));
+        let waiting = scheduler.locality.waiting();
+        self.place_waits
+            .set(i64::try_from(waiting).unwrap_or(i64::MAX));
         for (_, executor) in scheduler.fleet.iter() {
             let outcome = executor_label(executor);
             self.executors
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -99,6 +99,7 @@
         lease: node.timing.lease,
         max_lease: node.timing.max_lease,
         stop_timeout: node.timing.stop_timeout,
+        remote_factor: node.timing.remote_factor,
     };
     let mut scheduler = Scheduler::new(plan, timing);
     restore(node, &mut scheduler, &stored);
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -144,6 +144,21 @@
                 events::turn_taken(task, stopped, executor_name(scheduler, *executor));
             }
         }
+        Event::PlaceWaitEnded {
+            task,
+            rack,
+            is_near,
+            waited,
+        } => {
+            let outcome = if *is_near { "near" } else { "elsewhere" };
+            metrics
+                .place_wait_seconds
+                .get_or_create(&OutcomeLabel { outcome })
+                .observe(waited.as_secs_f64());
+            if let Some(id) = scheduler.task_id(*task) {
+                events::place_wait_ended(id, rack, *is_near, model::time::millis(*waited));
+            }
+        }
         Event::CooldownStarted {
             executor,
             task,
--- a/crates/dispatch/tests/all/relay_routes.rs
+++ b/crates/dispatch/tests/all/relay_routes.rs
@@ -39,6 +39,7 @@
         lease: 5 * SECOND,
         max_lease: 10 * SECOND,
         stop_timeout: SECOND,
+        remote_factor: 1.0,
     };
     let mut scheduler = Scheduler::new(Arc::new(plan(1, false)), timing);
     let listings = ["north", "south", "west"]
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -222,6 +222,7 @@
             lease: Duration::from_secs(5),
             max_lease: Duration::from_secs(10),
             stop_timeout: Duration::from_millis(900),
+            remote_factor: 1.0,
             shutdown_grace: Duration::from_secs(6),
             retention: RETENTION,
         };
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -48,6 +48,8 @@
 pub struct Executor {
     /// The properties published most recently, with the start time of the current incarnation.
     pub listing: Listing,
+    /// The rack, where places matter ([`crate::scheduler::Timing::remote_factor`]); `None` if unknown.
+    pub rack: Option<Arc<str>>,
     /// Whether the newest executor list contains the executor.
     pub listed: bool,
     /// Whether the last call to the executor was answered.
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -5,9 +5,11 @@
 mod gang;
 mod isolation;
 mod order;
+mod place_wait;
 mod pool;
 mod room;
 mod round;
+mod same_rack;
 mod score;
 mod step;
 
@@ -99,6 +101,7 @@
     /// Assigns waiting tasks to executors in the order of their rank within a budget. Returns how
     /// much of it was used, which may be slightly more.
     pub fn place_within(&mut self, budget: RoundBudget, now: Mono, unix_ms: u64) -> RoundBudget {
+        self.locality.advance(now);
         let limit = budget.tasks.min(MAX_TASKS_PER_ROUND);
         let mut used = RoundBudget::default();
         if limit == 0 {
@@ -166,12 +169,16 @@
         key: TaskKey,
         step: &StepSpec,
         room: &RoomIndex,
+        rack: Option<&str>,
         now: Mono,
     ) -> Option<ExecutorKey> {
         let job = self.job(key.job)?;
         let has_advisor = self.plan.queue(&job.queue)?.advisor.is_some();
         let candidates = self.candidates_with_room(key, step, room, now).into_iter();
         candidates
+            .filter(|(executor_key, _)| {
+                rack.is_none_or(|rack| self.is_in_rack(*executor_key, rack))
+            })
             .filter(|(executor_key, _)| {
                 !has_advisor || self.ticket(key, *executor_key, now).is_some()
             })
@@ -181,6 +188,11 @@
             .map(|(executor_key, _)| executor_key)
     }
 
+    fn is_in_rack(&self, key: ExecutorKey, rack: &str) -> bool {
+        let executor = self.fleet.get(key);
+        executor.is_some_and(|executor| executor.rack.as_deref() == Some(rack))
+    }
+
     /// Returns the executors that can take a task now, each with its preference.
     pub(crate) fn candidates(
         &self,
--- a/crates/job/src/placement/round.rs
+++ b/crates/job/src/placement/round.rs
@@ -31,6 +31,9 @@
     /// Whether an executor was looked for to be reserved for short work. That takes a scan of all
     /// executors, and hundreds of steps may wait.
     pub(crate) has_reserved_for_short_work: bool,
+    /// The CPU of the tasks that wait for a place near their data, in thousandths of a core, by
+    /// service and rack.
+    awaiting: Map<(Arc<str>, Arc<str>), u64>,
 }
 
 /// What a task needs from its executor.
@@ -58,9 +61,27 @@
             reserved_jobs: reserved.keys().map(|key| key.job).collect(),
             reserved,
             has_reserved_for_short_work: false,
+            awaiting: Map::default(),
         }
     }
 
+    /// Records that a task of a step waits for a place in a rack.
+    pub(super) fn add_awaiting(&mut self, service: &Arc<str>, rack: &Arc<str>, step: &StepSpec) {
+        let cpu_millis = self
+            .awaiting
+            .entry((service.clone(), rack.clone()))
+            .or_default();
+        *cpu_millis = cpu_millis.saturating_add(step.size.cpu_millis);
+    }
+
+    /// Returns for how many tasks of a step those would make room that wait for a place in a rack,
+    /// all of which go first.
+    pub(super) fn awaiting(&self, service: &Arc<str>, rack: &Arc<str>, step: &StepSpec) -> u32 {
+        let key = (service.clone(), rack.clone());
+        let cpu_millis = self.awaiting.get(&key).copied().unwrap_or(0);
+        u32::try_from(cpu_millis.div_ceil(step.size.cpu_millis.max(1))).unwrap_or(u32::MAX - 1)
+    }
+
     /// Returns whether an equal or smaller demand has found no executor in this round.
     pub(super) fn is_unmet(&self, demand: &Demand) -> bool {
         self.unmet.iter().any(|unmet| unmet.is_implied_by(demand))
--- a/crates/job/src/placement/step.rs
+++ b/crates/job/src/placement/step.rs
@@ -4,6 +4,7 @@
 
 use model::Mono;
 
+use super::place_wait::PlaceSearch;
 use super::pool::CandidatePool;
 use super::room::Need;
 use super::round::Demand;
@@ -26,6 +27,8 @@
     demand: Option<Demand>,
     /// The executors with their suitability, once they have been assessed.
     pool: Option<CandidatePool>,
+    /// The rack in which its tasks may wait for a place, if there is one.
+    place: Option<PlaceSearch>,
 }
 
 impl SharedChoice {
@@ -34,6 +37,7 @@
             service: queue.service.clone(),
             demand: Demand::new(queue, step),
             pool: None,
+            place: None,
         }
     }
 }
@@ -53,12 +57,16 @@
         let spec = job.spec.clone();
         let step = &spec.steps[ready.step as usize];
         if step.gang {
-            return self.place_gang(ready, step, &round.room, now);
+            return self.place_gang(ready, step, rank, &round.room, now);
         }
         let Some(queue) = self.plan.queue(&job.queue) else {
             return 0;
         };
         let mut choice = SharedChoice::new(queue, step);
+        if step.data_rack.is_some() && self.may_wait_for_place(queue, step, rank) {
+            let (service, name) = (queue.service.clone(), queue.name.clone());
+            choice.place = self.place_search(&service, &name, step, rank, now);
+        }
         // A task with a reserved executor may start although those before it have none.
         let has_reserved_tasks = round.reserved_jobs.contains(&ready.job);
         let mut is_unmet = false;
@@ -84,6 +92,12 @@
                 is_unmet = true;
                 continue;
             };
+            if let Some(search) = &mut choice.place
+                && self.waits_near_data(key, step, executor, search, round, now)
+            {
+                self.return_to_pool(executor, key, step, &mut choice, now);
+                continue;
+            }
             self.place_task(key, step, executor, rank, now);
             placed += 1;
             if placed >= rank.max_tasks() as usize {
@@ -108,7 +122,7 @@
         }
         let shared = choice.demand.as_ref();
         let Some(demand) = shared.filter(|_| self.is_interchangeable(key)) else {
-            return self.best_executor(key, step, &round.room, now);
+            return self.best_executor(key, step, &round.room, None, now);
         };
         let wait = demand.wait;
         let assess =
@@ -152,7 +166,7 @@
         self.record_relaxation(key, step, relaxed, now);
     }
 
-    /// Adds an executor that has received a task to the pool again, if it can take another.
+    /// Adds an executor that was taken from the pool to it again, if it can take another task.
     fn return_to_pool(
         &self,
         executor: ExecutorKey,
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -1,5 +1,6 @@
 //! Scheduling events for logs and metrics, with the details needed to diagnose a job by its name.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::JobKey;
@@ -108,6 +109,17 @@
         /// Their executor.
         executor: ExecutorKey,
     },
+    /// A task that waited for a place near its data or in one rack starts.
+    PlaceWaitEnded {
+        /// The task.
+        task: TaskKey,
+        /// The rack that it waited for.
+        rack: Arc<str>,
+        /// Whether it starts in that rack.
+        is_near: bool,
+        /// For how long it waited.
+        waited: Duration,
+    },
     /// No task is placed on an executor for some time.
     CooldownStarted {
         /// The executor.
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -38,6 +38,9 @@
             self.fleet.remove(key);
         }
         self.find_replaced_executors(now);
+        if self.timing.remote_factor > 1.0 {
+            crate::rack::assign_racks(&mut self.fleet);
+        }
     }
 
     fn update_executor(&mut self, listing: Listing, clock_ms: u64, now: Mono) {
@@ -162,13 +165,14 @@
 
     /// Runs periodic work: releases the tasks of unreachable executors whose leases have expired,
     /// migrates tasks off draining executors, keeps executors for
-    /// short work, lets long-running tasks take turns, removes ended jobs from memory, and records which
-    /// services have free capacity.
+    /// short work, lets long-running tasks take turns, removes ended jobs and waits for places from
+    /// memory, and records which services have free capacity.
     pub fn tick(&mut self, now: Mono) {
         self.retire(now);
         self.find_idle_services();
         self.keep_executors_for_short_work(now);
         self.take_turns(now);
+        self.tidy_place_waits(now);
         let expired: Vec<TaskKey> = self
             .fleet
             .iter()
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod job;
 mod late_end;
 mod leases;
+mod places;
 mod replacement;
 mod report;
 mod restore;
@@ -63,6 +64,7 @@
 use crate::id::JobId;
 use crate::id::TaskId;
 use crate::interference::Interference;
+use crate::locality::Locality;
 use crate::plan::Plan;
 use crate::short_work::ExpectedShortWork;
 use crate::short_work::ShortDemand;
@@ -100,7 +102,7 @@
 }
 
 /// Timing parameters of the scheduler.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Timing {
     /// The duration of the lease that each call grants to the runs on an executor.
     pub lease: Duration,
@@ -109,6 +111,9 @@
     pub max_lease: Duration,
     /// The time within which an executor stops a run.
     pub stop_timeout: Duration,
+    /// How many times as long a task takes in another rack than its data, and a gang with
+    /// [`StepSpec::same_rack`] in more than one rack. At 1 and below, places make no difference.
+    pub remote_factor: f64,
 }
 
 /// The state of all jobs of one owner.
@@ -161,6 +166,8 @@
     commands: Vec<Command>,
     events: Vec<Event>,
     retired: retire::RetiredJobs,
+    /// The observed racks and the tasks that wait for a place.
+    pub locality: Locality,
     pub(crate) advice: AdviceCache,
     pub(crate) advice_requests: Vec<AdviceRequest>,
     /// Until when the previous owner may still send commands.
@@ -199,6 +206,7 @@
             commands: Vec::new(),
             events: Vec::new(),
             retired: retire::RetiredJobs::default(),
+            locality: Locality::default(),
             advice: AdviceCache::default(),
             advice_requests: Vec::new(),
             previous_owner_sends_until: Mono::ZERO,
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -113,6 +113,7 @@
 impl Scheduler {
     /// Processes a report; `sent` is when the poll was sent.
     pub fn report(&mut self, executor: ExecutorKey, report: &Report, sent: Mono, now: Mono) {
+        self.locality.advance(now);
         if !self.accept_report(executor, report, sent, now) {
             return;
         }
@@ -211,8 +212,10 @@
             && !resumed
         {
             let spec = &job.spec.steps[step as usize];
+            // Estimates of callers are for the right place, and so is what is learned.
+            let took = now.since(since).div_f64(self.run_factor(key));
             self.durations
-                .observe(&job.queue, spec, model::time::millis(now.since(since)));
+                .observe(&job.queue, spec, model::time::millis(took));
         }
     }
 
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -99,6 +99,8 @@
             progress_sample: None,
         });
         self.allocate(key, executor);
+        self.record_capacity_change(key, executor, false);
+        self.finish_place_wait(key, executor, now);
         if let Some(job) = self.jobs.get_mut(key.job) {
             job.waiting = job.waiting.saturating_sub(1);
         }
@@ -112,6 +114,7 @@
             return false;
         };
         self.deallocate(key, executor);
+        self.record_capacity_change(key, executor, true);
         true
     }
 
--- a/crates/job/src/size_share.rs
+++ b/crates/job/src/size_share.rs
@@ -213,7 +213,7 @@
             job: ready.job,
             slot,
         });
-        keys.any(|key| self.may_start(key, now))
+        keys.any(|key| self.may_start(key, now) && self.locality.wait_of(key).is_none())
     }
 
     /// Records whether steps that are shared found no room or no budget in a round.
--- a/crates/job/src/stall.rs
+++ b/crates/job/src/stall.rs
@@ -107,6 +107,7 @@
             return false;
         }
         let expected = Duration::from_millis(self.durations.expected_ms(&job.queue, step));
+        let expected = expected.mul_f64(self.run_factor(key));
         let compare_rate = !step.best_effort;
         let Some(assignment) = self.assignment_mut(key) else {
             return false;
--- a/crates/job/src/wait_reason/mod.rs
+++ b/crates/job/src/wait_reason/mod.rs
@@ -198,6 +198,12 @@
                 return WaitReason::NotGranted { candidates, denied };
             }
         }
+        if let Some(wait) = self.locality.wait_of(key).filter(|wait| now < wait.until) {
+            return WaitReason::Locality {
+                rack: wait.rack.clone(),
+                remaining_ms: model::time::millis(wait.until.since(now)),
+            };
+        }
         if step.gang {
             return WaitReason::Gang { tasks: step.count };
         }
--- a/crates/job/src/wait_reason/reason.rs
+++ b/crates/job/src/wait_reason/reason.rs
@@ -168,6 +168,15 @@
         /// The number of tasks in the gang.
         tasks: u32,
     },
+    /// There is room, and the task waits for room near its data, or in one rack for its whole gang.
+    #[display("waits for room in rack {rack} for at most {remaining_ms} ms more")]
+    Locality {
+        /// The rack that it waits for.
+        rack: Arc<str>,
+        /// How much longer it waits at most, in milliseconds.
+        #[serde(rename = "for_ms")]
+        remaining_ms: u64,
+    },
     /// There are enough resources, and the task is due in the next placement round.
     #[display("its turn is next")]
     NextRound,
@@ -225,6 +234,7 @@
             Self::NoSpareCpu { .. } => "no_spare",
             Self::Interference { .. } => "disturbs",
             Self::Gang { .. } => "gang",
+            Self::Locality { .. } => "locality",
             Self::NextRound => "next_round",
             Self::NotStored { .. } => "unstored",
             Self::StartPending { .. } => "start_pending",
--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -132,6 +132,7 @@
             lease: LEASE,
             max_lease: MAX_LEASE,
             stop_timeout: Duration::from_millis(900),
+            remote_factor: 1.0,
         };
         let mut fixture = Self {
             scheduler: Scheduler::new(plan(2), timing),
--- /dev/null
+++ b/crates/job/tests/all/locality.rs
@@ -0,0 +1,467 @@
+//! Tests of waits for a place near a step's data or in one rack.
+
+use std::time::Duration;
+
+use job::fleet::Listing;
+use job::locality::CapacityChange;
+use job::locality::ChangeKind;
+use job::locality::Decision;
+use job::locality::Openings;
+use job::locality::Place;
+use job::locality::RackHistory;
+use job::locality::pays_off;
+use job::scheduler::JobKey;
+use job::scheduler::RunOutcome;
+use job::scheduler::TaskKey;
+use job::spec::StepSpec;
+use job::wait_reason::WaitReason;
+use model::Mono;
+use model::Size;
+
+use crate::fixture::Fixture;
+use crate::fixture::listing;
+use crate::fixture::step;
+
+const CORES: u64 = 64;
+
+/// Lists one executor of 64 cores in each of these racks.
+fn racks(fixture: &mut Fixture, racks: &[&str]) {
+    let listings = (1..).zip(racks).map(|(number, rack)| Listing {
+        labels: vec![(*rack).into()],
+        ..listing(number)
+    });
+    fixture.list(listings.collect());
+}
+
+fn fixture(names: &[&str]) -> Fixture {
+    let mut fixture = Fixture::new(0);
+    fixture.scheduler.timing.remote_factor = 2.0;
+    racks(&mut fixture, names);
+    fixture
+}
+
+/// Returns a step whose data is in the rack `r1`.
+fn near(count: u32, cores: u64, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        data_rack: Some("r1".into()),
+        ..step(count, cores, estimate_ms)
+    }
+}
+
+/// Lets tasks end one after the other on the first executor, each followed by another, so that room
+/// for a whole executor becomes free there every 400 ms. The last one still runs.
+fn keep_first_executor_turning_over(fixture: &mut Fixture) {
+    for number in 1..=9 {
+        fixture.submit(1_000 + number, vec![near(1, CORES, 1_000)]);
+        fixture.start_all();
+        let tasks = fixture.tasks_on(1);
+        assert_eq!(tasks.len(), 1, "each task starts near its data");
+        fixture.pass(400);
+        if number < 9 {
+            let end = fixture.end(number, tasks[0], RunOutcome::Done);
+            fixture.report(1, vec![end]);
+        }
+    }
+}
+
+fn key(fixture: &Fixture, number: u64, slot: u32) -> TaskKey {
+    let id = job::id::JobId::parse(&format!("{number:016x}")).expect("a valid job identifier");
+    let job: JobKey = fixture.scheduler.find(id).expect("the job exists");
+    TaskKey { job, slot }
+}
+
+fn wait_reason(fixture: &Fixture, number: u64) -> Option<WaitReason> {
+    let key = key(fixture, number, 0);
+    fixture.scheduler.wait_reason(key, fixture.now, 0)
+}
+
+/// Guards against starts elsewhere although room near the data is expected soon, and against a wait
+/// that misses this room.
+#[test]
+fn a_task_waits_for_room_near_its_data_and_takes_it() {
+    let mut fixture = fixture(&["r1", "r2"]);
+    keep_first_executor_turning_over(&mut fixture);
+    fixture.submit(1, vec![near(1, CORES, 1_000)]);
+    assert_eq!(fixture.place(), 0);
+    let Some(WaitReason::Locality { rack, remaining_ms }) = wait_reason(&fixture, 1) else {
+        panic!("{:?}", wait_reason(&fixture, 1));
+    };
+    assert_eq!(&*rack, "r1");
+    assert!((1..=1_000).contains(&remaining_ms), "{remaining_ms}");
+    assert_eq!(fixture.scheduler.locality.waiting(), 1);
+    let end = fixture.end(9, fixture.tasks_on(1)[0], RunOutcome::Done);
+    fixture.report(1, vec![end]);
+    assert_eq!(fixture.place(), 1);
+    assert_eq!(fixture.tasks_on(1), [key(&fixture, 1, 0)]);
+    assert_eq!(fixture.scheduler.locality.waiting(), 0);
+}
+
+/// Guards against waits where places make no difference, and of steps without a rack.
+#[test]
+fn nothing_waits_without_a_factor_or_a_rack() {
+    for (factor, step) in [
+        (1.0, near(1, CORES, 1_000)),
+        (f64::NAN, near(1, CORES, 1_000)),
+        (2.0, step(1, CORES, 1_000)),
+    ] {
+        let mut fixture = fixture(&["r1", "r2"]);
+        keep_first_executor_turning_over(&mut fixture);
+        fixture.scheduler.timing.remote_factor = factor;
+        fixture.submit(1, vec![step]);
+        assert_eq!(fixture.place(), 1);
+        assert_eq!(fixture.tasks_on(2).len(), 1);
+    }
+}
+
+/// Guards against a wait for a rack that will never have room: none of its executors is known, is
+/// large enough or takes tasks.
+#[test]
+fn a_task_does_not_wait_for_a_rack_that_could_never_take_it() {
+    let small = |number| Listing {
+        capacity: Size::new(8_000, 256_000, 0),
+        ..listing(number)
+    };
+    let draining = |number| Listing {
+        draining: true,
+        ..listing(number)
+    };
+    let moved = |number| Listing {
+        labels: vec!["r3".into()],
+        ..listing(number)
+    };
+    let cases: [(&str, &dyn Fn(usize) -> Listing); 3] = [
+        ("small", &small),
+        ("draining", &draining),
+        ("moved", &moved),
+    ];
+    for (name, first) in cases {
+        let mut fixture = fixture(&["r1", "r2"]);
+        keep_first_executor_turning_over(&mut fixture);
+        let second = Listing {
+            labels: vec!["r2".into()],
+            ..listing(2)
+        };
+        fixture.list(vec![first(1), second]);
+        fixture.submit(1, vec![near(1, CORES, 1_000)]);
+        assert_eq!(fixture.place(), 1, "{name}");
+    }
+}
+
+/// Guards against waits that go on although room no longer becomes free.
+#[test]
+fn a_wait_ends_once_it_does_not_pay_off() {
+    let mut fixture = fixture(&["r1", "r2"]);
+    keep_first_executor_turning_over(&mut fixture);
+    fixture.submit(1, vec![near(1, CORES, 4_000)]);
+    assert_eq!(fixture.place(), 0);
+    let began = fixture.now;
+    while fixture.tasks_on(2).is_empty() {
+        fixture.pass(100);
+        fixture.place();
+        let waited = fixture.now.since(began);
+        assert!(waited <= Duration::from_secs(4), "an endless wait");
+    }
+    assert_eq!(fixture.tasks_on(2), [key(&fixture, 1, 0)]);
+}
+
+/// Guards against a wait that begins anew although the task has not started, here because there was
+/// no room elsewhere for a while. Until an executor is reserved for the task, which is after 1 s.
+#[test]
+fn a_wait_goes_on_while_there_is_no_room_elsewhere() {
+    let mut fixture = fixture(&["r1", "r2"]);
+    keep_first_executor_turning_over(&mut fixture);
+    fixture.scheduler.timing.remote_factor = 3.0;
+    fixture.submit(1, vec![near(1, CORES, 500)]);
+    assert_eq!(fixture.place(), 0);
+    fixture.submit(2, vec![step(1, CORES, 1_000)]);
+    assert_eq!(fixture.start_all().len(), 1);
+    // Smaller jobs take what becomes free near the data.
+    for number in 10..=11 {
+        fixture.pass(400);
+        fixture.submit(number, vec![near(1, CORES, 200)]);
+        let end = fixture.end(number - 1, fixture.tasks_on(1)[0], RunOutcome::Done);
+        fixture.report(1, vec![end]);
+        fixture.start_all();
+        assert_eq!(fixture.tasks_on(1), [key(&fixture, number, 0)]);
+    }
+    fixture.pass(250);
+    let end = fixture.end(1, fixture.tasks_on(2)[0], RunOutcome::Done);
+    fixture.report(2, vec![end]);
+    assert_eq!(fixture.place(), 1);
+    assert_eq!(fixture.tasks_on(2), [key(&fixture, 1, 0)]);
+}
+
+/// Guards against a wait that makes a job late which has no time left.
+#[test]
+fn a_task_whose_job_has_no_time_left_does_not_wait() {
+    let mut fixture = fixture(&["r1", "r2"]);
+    keep_first_executor_turning_over(&mut fixture);
+    fixture.submit(1, vec![near(1, CORES, 1_000)]);
+    // The objective is 3 s, so that a start later than 2 s after the arrival is late everywhere.
+    fixture.pass(1_900);
+    assert_eq!(fixture.place(), 1);
+    assert_eq!(fixture.tasks_on(2).len(), 1);
+}
+
+/// Guards against a wait that ends the search for other steps with the same demand.
+#[test]
+fn a_step_that_waits_does_not_keep_equal_demands_from_starting() {
+    let mut fixture = fixture(&["r1", "r2"]);
+    keep_first_executor_turning_over(&mut fixture);
+    fixture.submit(1, vec![near(1, CORES, 1_000)]);
+    assert_eq!(fixture.place(), 0);
+    fixture.submit(2, vec![step(1, CORES, 1_000)]);
+    assert_eq!(fixture.place(), 1);
+    assert_eq!(fixture.tasks_on(2), [key(&fixture, 2, 0)]);
+}
+
+/// Guards against sizes that share what is not short because a task waits for a better place.
+#[test]
+fn a_wait_does_not_count_as_a_shortage() {
+    let mut fixture = fixture(&["r1", "r2"]);
+    keep_first_executor_turning_over(&mut fixture);
+    fixture.submit(1, vec![near(1, CORES, 1_000)]);
+    assert_eq!(fixture.place(), 0);
+    // As many jobs as the size classes are taken from, of three sizes.
+    for number in 2..=129 {
+        let run_ms = match number {
+            2..=100 => 1_000,
+            101..=120 => 2_000,
+            _ => 8_000,
+        };
+        fixture.submit(number, vec![step(1, 1, run_ms)]);
+    }
+    fixture.scheduler.place_up_to(3, fixture.now, 0);
+    let steps = fixture.tasks_on(2).into_iter();
+    let steps = steps.filter_map(|key| fixture.scheduler.step(key));
+    let runs: Vec<u64> = steps.map(|step| step.estimate_ms).collect();
+    assert_eq!(runs, [1_000, 1_000, 1_000]);
+}
+
+fn gang(count: u32, cores: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        same_rack: true,
+        ..step(count, cores, 1_000)
+    }
+}
+
+/// Guards against a gang that is spread although one rack has room for it.
+#[test]
+fn a_gang_starts_in_one_rack_if_that_has_room() {
+    let mut fixture = fixture(&["r1", "r2", "r2", "r3"]);
+    fixture.submit(1, vec![gang(4, 32)]);
+    assert_eq!(fixture.place(), 4);
+    assert_eq!(
+        (fixture.tasks_on(2).len(), fixture.tasks_on(3).len()),
+        (2, 2)
+    );
+}
+
+/// Guards against a gang that waits for a rack where nothing becomes free.
+#[test]
+fn a_gang_is_spread_if_a_wait_does_not_pay_off() {
+    let mut fixture = fixture(&["r1", "r2"]);
+    fixture.submit(1, vec![step(1, 32, 60_000), step(1, 33, 60_000)]);
+    assert_eq!(fixture.place(), 2);
+    fixture.submit(2, vec![gang(2, 31)]);
+    assert_eq!(fixture.place(), 2);
+    assert_eq!(
+        (fixture.tasks_on(1).len(), fixture.tasks_on(2).len()),
+        (2, 2)
+    );
+}
+
+/// Guards against learned durations and stall checks that take a run in the wrong place for one that
+/// is slow for other reasons.
+#[test]
+fn a_run_elsewhere_counts_by_what_it_would_take_near() {
+    let mut fixture = fixture(&["r2"]);
+    fixture.scheduler.timing.remote_factor = 3.0;
+    fixture.submit(1, vec![near(1, 1, 4_000)]);
+    fixture.start_all();
+    let task = fixture.tasks_on(1)[0];
+    for progress in [1, 9, 18, 27] {
+        fixture.pass(1_000);
+        let running = fixture.running(task, progress, 0);
+        fixture.report_rows(1, vec![running], Vec::new());
+        let executor = fixture.executor(1);
+        fixture.scheduler.stop_stalled(executor, fixture.now);
+    }
+    let assignment = fixture
+        .scheduler
+        .task(task)
+        .expect("the task exists")
+        .assignment();
+    assert!(assignment.is_some_and(|assignment| !assignment.stopping));
+    fixture.pass(8_000);
+    let end = fixture.end(1, task, RunOutcome::Done);
+    fixture.report(1, vec![end]);
+    let queue = crate::fixture::QUEUE.into();
+    let expected = fixture
+        .scheduler
+        .durations
+        .expected_ms(&queue, &near(1, 1, 4_000));
+    assert_eq!(expected, 4_000);
+}
+
+fn change(at: u64, before: u64, after: u64, kind: ChangeKind) -> CapacityChange {
+    CapacityChange {
+        at: Mono(at),
+        before: Size::new(before * 1_000, 0, 0),
+        after: Size::new(after * 1_000, 0, 0),
+        kind,
+    }
+}
+
+/// Guards against a rate that counts room which others take, or pieces that are too small.
+#[test]
+fn openings_count_room_of_the_size_that_others_leave() {
+    let mut history = RackHistory::new(Mono(0));
+    let size = Size::new(4_000, 0, 0);
+    history.record(change(1_000, 0, 2, ChangeKind::Freed));
+    assert_eq!(history.openings(&size, Mono(1_000)).count, 0);
+    history.record(change(1_500, 2, 8, ChangeKind::Freed));
+    assert_eq!(history.openings(&size, Mono(1_500)).count, 2);
+    history.record(change(2_000, 8, 4, ChangeKind::TakenByOther));
+    assert_eq!(history.openings(&size, Mono(2_000)).count, 1);
+    history.record(change(2_500, 4, 0, ChangeKind::TakenNear));
+    // What was free before anything was observed does not count against later openings.
+    history.record(change(2_600, 16, 0, ChangeKind::TakenByOther));
+    let openings = history.openings(&size, Mono(4_000));
+    let expected = Openings {
+        count: 1,
+        clusters: 1,
+        span: Duration::from_secs(4),
+    };
+    assert_eq!(openings, expected);
+    assert_eq!(
+        history.openings(&size, Mono(20_000)).count,
+        0,
+        "too long ago"
+    );
+}
+
+/// Guards against a history that grows with the load, and against a rate that is too low because its
+/// beginning was dropped.
+#[test]
+fn a_history_is_bounded_and_its_rate_is_of_what_it_holds() {
+    let mut history = RackHistory::new(Mono(0));
+    for at in 1..=5_000 {
+        history.record(change(at * 2, 0, 4, ChangeKind::Freed));
+        history.record(change(at * 2, 4, 0, ChangeKind::TakenNear));
+    }
+    let openings = history.openings(&Size::new(4_000, 0, 0), Mono(10_000));
+    assert!(openings.count <= 128, "{openings:?}");
+    assert_eq!(openings.span, Duration::from_secs(1));
+}
+
+#[test]
+fn the_decision_weighs_gain_wait_certainty_and_the_time_that_is_left() {
+    let second = Duration::from_secs(1);
+    let base = Place {
+        task: TaskKey {
+            job: JobKey::default(),
+            slot: 0,
+        },
+        run: second,
+        gain: second,
+        needed: 1,
+        openings: Openings {
+            count: 40,
+            clusters: 40,
+            span: 10 * second,
+        },
+        slack: 10 * second,
+        waited: Duration::ZERO,
+    };
+    let openings = |count, clusters| Openings {
+        count,
+        clusters,
+        span: 10 * second,
+    };
+    let wait = |place: Place| match pays_off(&place) {
+        Decision::Start => None,
+        Decision::Wait(at_most) => Some(at_most.as_millis()),
+    };
+    let cases = [
+        ("room comes soon", base, Some(1_000)),
+        (
+            "part of the gain is spent",
+            Place {
+                waited: second / 2,
+                ..base
+            },
+            Some(500),
+        ),
+        (
+            "all of it is",
+            Place {
+                waited: second,
+                ..base
+            },
+            None,
+        ),
+        ("others go first", Place { needed: 6, ..base }, None),
+        (
+            "nothing becomes free",
+            Place {
+                openings: openings(0, 0),
+                ..base
+            },
+            None,
+        ),
+        (
+            "it did once",
+            Place {
+                openings: openings(40, 1),
+                ..base
+            },
+            None,
+        ),
+        (
+            "room comes later than it gains",
+            Place {
+                openings: openings(8, 8),
+                ..base
+            },
+            None,
+        ),
+        (
+            "the wait ends before a start elsewhere may be late",
+            Place {
+                slack: 5 * second / 2,
+                ..base
+            },
+            Some(500),
+        ),
+        (
+            "elsewhere it would be late",
+            Place {
+                slack: second / 2,
+                ..base
+            },
+            Some(500),
+        ),
+        (
+            "it is late in any case",
+            Place {
+                slack: Duration::ZERO,
+                ..base
+            },
+            None,
+        ),
+        (
+            "the wait is riskier than a start elsewhere",
+            Place {
+                openings: openings(16, 16),
+                slack: 19 * second / 10,
+                ..base
+            },
+            None,
+        ),
+    ];
+    for (name, place, expected) in cases {
+        assert_eq!(wait(place), expected, "{name}");
+    }
+}
--- a/crates/job/tests/all/model/takeover.rs
+++ b/crates/job/tests/all/model/takeover.rs
@@ -131,6 +131,7 @@
             lease: LEASE,
             max_lease: MAX_LEASE,
             stop_timeout: Duration::from_millis(900),
+            remote_factor: 1.0,
         };
         let mut scheduler = Scheduler::new(plan(ATTEMPTS), timing);
         match takeover.record.flatten() {
--- a/crates/measure/src/fleet_load.rs
+++ b/crates/measure/src/fleet_load.rs
@@ -152,6 +152,7 @@
             lease: Duration::from_secs(5),
             max_lease: Duration::from_secs(6),
             stop_timeout: Duration::from_millis(200),
+            remote_factor: 1.0,
         };
         let mut scheduler = Scheduler::new(plan(), timing);
         scheduler.update_executors(listings(), Mono(1));
--- a/crates/measure/src/jobs.rs
+++ b/crates/measure/src/jobs.rs
@@ -110,6 +110,7 @@
             lease: Duration::from_secs(5),
             max_lease: Duration::from_secs(10),
             stop_timeout: Duration::from_secs(1),
+            remote_factor: 1.0,
         };
         let mut scheduler = Scheduler::new(plan(), timing);
         let listings = (0..EXECUTORS).map(|number| (listing(number), 1)).collect();
