--- a/crates/dispatch/src/metrics/state.rs
+++ b/crates/dispatch/src/metrics/state.rs
@@ -39,6 +39,7 @@
     image_pairs: Family<OutcomeLabel, Gauge>,
     admission_wait_ms: Family<QueueLabel, Gauge>,
     returning_callers: Gauge,
+    place_waits: Gauge,
     log_lines: Family<OutcomeLabel, Counter>,
     log_bytes: Counter,
     clients: ClientMetrics,
@@ -131,6 +132,12 @@
             "Pairs of a serving and a filling image, by what was learned",
             &self.image_pairs,
         );
+        register(
+            registry,
+            "tasks_waiting_for_place",
+            "Tasks that wait for a place in a rack",
+            &self.place_waits,
+        );
         register(
             registry,
             "log_lines",
@@ -176,6 +183,7 @@
                 self.evacuations_age_ms.set(0);
                 self.known_jobs.set(0);
                 self.returning_callers.set(0);
+                self.place_waits.set(0);
             }
         }
     }
@@ -243,6 +251,9 @@
         let scheduler = owner.scheduler.borrow();
         self.known_jobs
             .set(i64::try_from(scheduler.len()).unwrap_or(i64::MAX));
+        let waiting = scheduler.locality.waiting();
+        self.place_waits
+            .set(i64::try_from(waiting).unwrap_or(i64::MAX));
         for (_, executor) in scheduler.fleet.iter() {
             let outcome = executor_label(executor);
             self.executors
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -4,6 +4,7 @@
 //! Everything here is a pure function of `(state, event, now)`. Start with [`spec`] for what a
 //! caller submits, [`scheduler`] for the states of jobs and tasks, [`placement`] for which task
 //! runs next and where, [`reservation`] for long-running tasks that find no free executor,
+//! [`locality`] for waits for a place near a step's data or in one rack,
 //! [`advice`] for queues with an external advisor, [`wait_reason`] for why a task does not start,
 //! [`admission`] for which new jobs are refused, [`usage`] for who holds the resources and who waits
 //! for them, [`evacuation`] for data centres where nothing new starts, [`warmup`] for executors that
@@ -21,12 +22,14 @@
 pub mod fleet;
 pub mod id;
 pub mod interference;
+pub mod locality;
 pub mod migration;
 pub mod placement;
 pub mod plan;
 pub mod plan_check;
 pub mod plan_diff;
 mod preemption;
+mod rack;
 pub mod ranking;
 pub mod record;
 mod relaxation;
--- a/crates/job/tests/all/model/takeover.rs
+++ b/crates/job/tests/all/model/takeover.rs
@@ -133,6 +133,7 @@
             max_lease: MAX_LEASE,
             stop_timeout: Duration::from_millis(900),
             warmup: None,
+            remote_factor: 1.0,
         };
         let mut scheduler = Scheduler::new(plan(ATTEMPTS), timing);
         match takeover.record.flatten() {
