--- a/crates/job/tests/all/locality.rs
+++ b/crates/job/tests/all/locality.rs
@@ -258,6 +258,56 @@
     );
 }
 
+/// Guards against a label of many racks that is taken for the rack.
+#[test]
+fn a_rack_is_told_from_labels_of_several_racks() {
+    let mut fixture = fixture(&[]);
+    let listings = (1..).zip(["r1", "r2", "r2"]).map(|(number, rack)| Listing {
+        labels: vec!["ssd".into(), rack.into()],
+        ..listing(number)
+    });
+    fixture.list(listings.collect());
+    fixture.submit(1, vec![gang(4, 32)]);
+    assert_eq!(fixture.place(), 4);
+    assert_eq!(fixture.tasks_on(1), []);
+}
+
+/// Guards against a gang that is spread although room for all of it is expected soon in one rack.
+#[test]
+fn a_gang_waits_for_room_in_one_rack_and_takes_it() {
+    let mut fixture = fixture(&["r1", "r2"]);
+    fixture.submit(1, vec![near(1, 32, 60_000)]);
+    fixture.start_all();
+    let long = fixture.tasks_on(1);
+    fixture.submit(2, vec![step(1, 32, 60_000)]);
+    fixture.start_all();
+    assert_eq!(fixture.tasks_on(2).len(), 1);
+    for number in 1..=9 {
+        fixture.submit(100 + number, vec![near(1, 32, 1_000)]);
+        fixture.start_all();
+        fixture.pass(400);
+        let task = key(&fixture, 100 + number, 0);
+        let end = fixture.end(number, task, RunOutcome::Done);
+        fixture.report(1, vec![end]);
+    }
+    let waiting = StepSpec {
+        estimate_ms: 4_000,
+        ..gang(2, 32)
+    };
+    fixture.submit(4, vec![waiting]);
+    assert_eq!(fixture.place(), 0);
+    let reason = wait_reason(&fixture, 4);
+    assert!(
+        matches!(reason, Some(WaitReason::Locality { .. })),
+        "{reason:?}"
+    );
+    fixture.pass(100);
+    let end = fixture.end(10, long[0], RunOutcome::Done);
+    fixture.report(1, vec![end]);
+    assert_eq!(fixture.place(), 2);
+    assert_eq!(fixture.tasks_on(1).len(), 2);
+}
+
 /// Guards against a gang that waits for a rack where nothing becomes free.
 #[test]
 fn a_gang_is_spread_if_a_wait_does_not_pay_off() {
