--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod lifecycle;
 mod locality;
 mod locality_loads;
+mod locality_rule;
 mod locality_world;
 mod model;
 mod odd_records;
