--- a/crates/job/tests/all/locality.rs
+++ b/crates/job/tests/all/locality.rs
@@ -3,19 +3,11 @@
 use std::time::Duration;
 
 use job::fleet::Listing;
-use job::locality::CapacityChange;
-use job::locality::ChangeKind;
-use job::locality::Decision;
-use job::locality::Openings;
-use job::locality::Place;
-use job::locality::RackHistory;
-use job::locality::pays_off;
 use job::scheduler::JobKey;
 use job::scheduler::RunOutcome;
 use job::scheduler::TaskKey;
 use job::spec::StepSpec;
 use job::wait_reason::WaitReason;
-use model::Mono;
 use model::Size;
 
 use crate::fixture::Fixture;
@@ -258,6 +250,56 @@
     );
 }
 
+/// Guards against a label of many racks that is taken for the rack.
+#[test]
+fn a_rack_is_told_from_labels_of_several_racks() {
+    let mut fixture = fixture(&[]);
+    let listings = (1..).zip(["r1", "r2", "r2"]).map(|(number, rack)| Listing {
+        labels: vec!["ssd".into(), rack.into()],
+        ..listing(number)
+    });
+    fixture.list(listings.collect());
+    fixture.submit(1, vec![gang(4, 32)]);
+    assert_eq!(fixture.place(), 4);
+    assert_eq!(fixture.tasks_on(1), []);
+}
+
+/// Guards against a gang that is spread although room for all of it is expected soon in one rack.
+#[test]
+fn a_gang_waits_for_room_in_one_rack_and_takes_it() {
+    let mut fixture = fixture(&["r1", "r2"]);
+    fixture.submit(1, vec![near(1, 32, 60_000)]);
+    fixture.start_all();
+    let long = fixture.tasks_on(1);
+    fixture.submit(2, vec![step(1, 32, 60_000)]);
+    fixture.start_all();
+    assert_eq!(fixture.tasks_on(2).len(), 1);
+    for number in 1..=9 {
+        fixture.submit(100 + number, vec![near(1, 32, 1_000)]);
+        fixture.start_all();
+        fixture.pass(400);
+        let task = key(&fixture, 100 + number, 0);
+        let end = fixture.end(number, task, RunOutcome::Done);
+        fixture.report(1, vec![end]);
+    }
+    let waiting = StepSpec {
+        estimate_ms: 4_000,
+        ..gang(2, 32)
+    };
+    fixture.submit(4, vec![waiting]);
+    assert_eq!(fixture.place(), 0);
+    let reason = wait_reason(&fixture, 4);
+    assert!(
+        matches!(reason, Some(WaitReason::Locality { .. })),
+        "{reason:?}"
+    );
+    fixture.pass(100);
+    let end = fixture.end(10, long[0], RunOutcome::Done);
+    fixture.report(1, vec![end]);
+    assert_eq!(fixture.place(), 2);
+    assert_eq!(fixture.tasks_on(1).len(), 2);
+}
+
 /// Guards against a gang that waits for a rack where nothing becomes free.
 #[test]
 fn a_gang_is_spread_if_a_wait_does_not_pay_off() {
@@ -304,164 +346,3 @@
         .expected_ms(&queue, &near(1, 1, 4_000));
     assert_eq!(expected, 4_000);
 }
-
-fn change(at: u64, before: u64, after: u64, kind: ChangeKind) -> CapacityChange {
-    CapacityChange {
-        at: Mono(at),
-        before: Size::new(before * 1_000, 0, 0),
-        after: Size::new(after * 1_000, 0, 0),
-        kind,
-    }
-}
-
-/// Guards against a rate that counts room which others take, or pieces that are too small.
-#[test]
-fn openings_count_room_of_the_size_that_others_leave() {
-    let mut history = RackHistory::new(Mono(0));
-    let size = Size::new(4_000, 0, 0);
-    history.record(change(1_000, 0, 2, ChangeKind::Freed));
-    assert_eq!(history.openings(&size, Mono(1_000)).count, 0);
-    history.record(change(1_500, 2, 8, ChangeKind::Freed));
-    assert_eq!(history.openings(&size, Mono(1_500)).count, 2);
-    history.record(change(2_000, 8, 4, ChangeKind::TakenByOther));
-    assert_eq!(history.openings(&size, Mono(2_000)).count, 1);
-    history.record(change(2_500, 4, 0, ChangeKind::TakenNear));
-    // What was free before anything was observed does not count against later openings.
-    history.record(change(2_600, 16, 0, ChangeKind::TakenByOther));
-    let openings = history.openings(&size, Mono(4_000));
-    let expected = Openings {
-        count: 1,
-        clusters: 1,
-        span: Duration::from_secs(4),
-    };
-    assert_eq!(openings, expected);
-    assert_eq!(
-        history.openings(&size, Mono(20_000)).count,
-        0,
-        "too long ago"
-    );
-}
-
-/// Guards against a history that grows with the load, and against a rate that is too low because its
-/// beginning was dropped.
-#[test]
-fn a_history_is_bounded_and_its_rate_is_of_what_it_holds() {
-    let mut history = RackHistory::new(Mono(0));
-    for at in 1..=5_000 {
-        history.record(change(at * 2, 0, 4, ChangeKind::Freed));
-        history.record(change(at * 2, 4, 0, ChangeKind::TakenNear));
-    }
-    let openings = history.openings(&Size::new(4_000, 0, 0), Mono(10_000));
-    assert!(openings.count <= 128, "{openings:?}");
-    assert_eq!(openings.span, Duration::from_secs(1));
-}
-
-#[test]
-fn the_decision_weighs_gain_wait_certainty_and_the_time_that_is_left() {
-    let second = Duration::from_secs(1);
-    let base = Place {
-        task: TaskKey {
-            job: JobKey::default(),
-            slot: 0,
-        },
-        run: second,
-        gain: second,
-        needed: 1,
-        openings: Openings {
-            count: 40,
-            clusters: 40,
-            span: 10 * second,
-        },
-        slack: 10 * second,
-        waited: Duration::ZERO,
-    };
-    let openings = |count, clusters| Openings {
-        count,
-        clusters,
-        span: 10 * second,
-    };
-    let wait = |place: Place| match pays_off(&place) {
-        Decision::Start => None,
-        Decision::Wait(at_most) => Some(at_most.as_millis()),
-    };
-    let cases = [
-        ("room comes soon", base, Some(1_000)),
-        (
-            "part of the gain is spent",
-            Place {
-                waited: second / 2,
-                ..base
-            },
-            Some(500),
-        ),
-        (
-            "all of it is",
-            Place {
-                waited: second,
-                ..base
-            },
-            None,
-        ),
-        ("others go first", Place { needed: 6, ..base }, None),
-        (
-            "nothing becomes free",
-            Place {
-                openings: openings(0, 0),
-                ..base
-            },
-            None,
-        ),
-        (
-            "it did once",
-            Place {
-                openings: openings(40, 1),
-                ..base
-            },
-            None,
-        ),
-        (
-            "room comes later than it gains",
-            Place {
-                openings: openings(8, 8),
-                ..base
-            },
-            None,
-        ),
-        (
-            "the wait ends before a start elsewhere may be late",
-            Place {
-                slack: 5 * second / 2,
-                ..base
-            },
-            Some(500),
-        ),
-        (
-            "elsewhere it would be late",
-            Place {
-                slack: second / 2,
-                ..base
-            },
-            Some(500),
-        ),
-        (
-            "it is late in any case",
-            Place {
-                slack: Duration::ZERO,
-                ..base
-            },
-            None,
-        ),
-        (
-            "the wait is riskier than a start elsewhere",
-            Place {
-                openings: openings(16, 16),
-                slack: 19 * second / 10,
-                ..base
-            },
-            None,
-        ),
-    ];
-    for (name, place, expected) in cases {
-        assert_eq!(wait(place), expected, "{name}");
-    }
-}
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod lifecycle;
 mod locality;
 mod locality_loads;
+mod locality_rule;
 mod locality_world;
 mod migration;
 mod model;
