--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -54,6 +54,16 @@
     log::info!(event = "document", version, queues, source; "");
 }
 
+/// Logs a problem of a document, which is in force nevertheless.
+pub fn document_finding(version: u64, subject: &str, problem: &str) {
+    log::warn!(event = "document_finding", version, subject, problem; "");
+}
+
+/// Logs how many problems a document has, and how many of them have a line of their own.
+pub fn document_findings(version: u64, found: usize, logged: usize) {
+    log::warn!(event = "document_findings", version, found, logged; "");
+}
+
 /// Logs a takeover: the epoch, the earlier owner, the stored jobs and the inherited tasks.
 pub fn takeover(epoch: u64, earlier: &str, jobs: usize, inherited: usize, took_ms: u64) {
     log::info!(event = "takeover", epoch, earlier, jobs, inherited, took_ms; "");
@@ -224,6 +234,13 @@
     log::info!(event = "turn_taken", job, step, index, of, of_index, executor; "");
 }
 
+/// Logs at debug level that a task starts which has waited for a place in a rack, and whether it
+/// starts there.
+pub fn place_wait_ended(task: TaskId, rack: &str, near: bool, waited_ms: u64) {
+    let (job, step, index) = (task.job.as_str(), task.step, task.index);
+    log::debug!(event = "place_wait_ended", job, step, index, rack, near, waited_ms; "");
+}
+
 /// Logs that no task is placed on an executor for some time because of what happened to a task.
 pub fn cooldown_started(id: &str, task: TaskId, why: &str) {
     let (job, step, index) = (task.job.as_str(), task.step, task.index);
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -134,6 +134,9 @@
     pub ack_recoveries: Counter,
     /// Rows that the store refused for good, by table.
     pub refused_rows: Family<TableLabel, Counter>,
+    /// How long tasks waited for a place near their data or in one rack, by whether they started
+    /// there.
+    pub place_wait_seconds: Family<OutcomeLabel, Histogram, fn() -> Histogram>,
     /// Takeovers by this host.
     pub takeovers: Counter,
 }
@@ -166,6 +169,7 @@
             cancellations: Family::default(),
             ack_recoveries: Counter::default(),
             refused_rows: Family::default(),
+            place_wait_seconds: Family::new_with_constructor(|| histogram(LATENCY_BUCKETS)),
             takeovers: Counter::default(),
         };
         metrics.register_all();
@@ -294,6 +298,12 @@
             Unit::Seconds,
             self.first_start_seconds.clone(),
         );
+        registry.register_with_unit(
+            "place_wait",
+            "Waits of tasks for a place in a rack, by where they started",
+            Unit::Seconds,
+            self.place_wait_seconds.clone(),
+        );
         registry.register_with_unit(
             "command",
             "Time from the decision to start or stop a task to the answer, by what it waited for",
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -107,6 +107,7 @@
         max_lease: node.timing.max_lease,
         stop_timeout: node.timing.stop_timeout,
         warmup: node.timing.warmup,
+        remote_factor: node.timing.remote_factor,
     };
     let mut scheduler = Scheduler::new(plan, timing);
     scheduler.max_record_bytes = node.dependencies.store.max_value_bytes();
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod command_logs;
 mod commands;
 mod document;
+mod document_findings;
 mod document_relay;
 mod evacuation;
 mod evacuation_source;
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -149,6 +149,17 @@
         /// Their executor.
         executor: ExecutorKey,
     },
+    /// A task that waited for a place near its data or in one rack starts.
+    PlaceWaitEnded {
+        /// The task.
+        task: TaskKey,
+        /// The rack that it waited for.
+        rack: Arc<str>,
+        /// Whether it starts in that rack.
+        is_near: bool,
+        /// For how long it waited.
+        waited: Duration,
+    },
     /// No task is placed on an executor for some time.
     CooldownStarted {
         /// The executor.
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -40,6 +40,9 @@
         self.find_replaced_executors(now);
         self.find_evacuation_problems();
         self.find_cold_services(now);
+        if self.timing.remote_factor > 1.0 {
+            crate::rack::assign_racks(&mut self.fleet);
+        }
     }
 
     fn update_executor(&mut self, listing: Listing, clock_ms: u64, now: Mono) {
@@ -166,8 +169,8 @@
 
     /// Runs periodic work: releases the tasks of unreachable executors whose leases have expired,
     /// migrates tasks off draining executors, keeps executors for
-    /// short work, lets long-running tasks take turns, removes ended jobs from memory, and records which
-    /// services have free capacity and which have cold executors.
+    /// short work, lets long-running tasks take turns, removes ended jobs and waits for places from
+    /// memory, and records which services have free capacity and which have cold executors.
     pub fn tick(&mut self, now: Mono) {
         self.retire(now);
         self.retry_set_aside(now);
@@ -175,6 +178,7 @@
         self.find_cold_services(now);
         self.keep_executors_for_short_work(now);
         self.take_turns(now);
+        self.tidy_place_waits(now);
         let expired: Vec<TaskKey> = self
             .fleet
             .iter()
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -116,6 +116,8 @@
         self.allocate(key, executor);
         self.note_probe(executor);
         self.record_new_task(executor, now);
+        self.record_capacity_change(key, executor, false);
+        self.finish_place_wait(key, executor, now);
         if let Some(job) = self.jobs.get_mut(key.job) {
             job.waiting = job.waiting.saturating_sub(1);
         }
@@ -129,6 +131,7 @@
             return false;
         };
         self.deallocate(key, executor);
+        self.record_capacity_change(key, executor, true);
         true
     }
 
