fix(job): an expired lease does not release ends that no row holds

A recovery let the ends of a job that was set aside be acknowledged, and a successor repeated their runs: 12 runs of 8 tasks in ends_of_a_job_whose_record_is_refused_are_not_acknowledged. Such ends have a list of their own that only a stored record or a new incarnation clears.

--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -124,6 +124,9 @@
     /// later; cleared when the executor reports that its lease expired since. Acknowledgements stop
     /// before the first of them.
     pub withheld_ends: Vec<u64>,
+    /// Sequence numbers of ends that no row holds because the store refuses the record of their job. An
+    /// expiry of the lease does not release them: a successor would start their tasks again.
+    pub unstorable_ends: Vec<u64>,
     /// The recovery from withheld ends, if one is under way. Meanwhile the executor gets one task at a
     /// time, and only while nothing runs there and no lease is left.
     pub recovery: Option<AckRecovery>,
@@ -236,10 +239,19 @@
     #[must_use]
     pub fn listed_withheld_ends(&self) -> usize {
         let first = self.withheld_ends.iter().min();
-        first.map_or(0, |first| {
-            let listed = (self.ends_received + 1).saturating_sub(*first);
-            usize::try_from(listed).unwrap_or(usize::MAX)
-        })
+        first.map_or(0, |first| self.listed_from(*first))
+    }
+
+    /// Returns the number of ends that the executor lists from this one on.
+    fn listed_from(&self, first: u64) -> usize {
+        let listed = (self.ends_received + 1).saturating_sub(first);
+        usize::try_from(listed).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the first end that must not be acknowledged.
+    fn first_unacknowledgeable(&self) -> Option<u64> {
+        let ends = self.withheld_ends.iter().chain(&self.unstorable_ends);
+        ends.copied().min()
     }
 
     /// Returns whether the executor is slow after its start.
@@ -251,8 +263,11 @@
     /// Returns whether the end of another run would appear in reports. All ends from the first
     /// withheld one on stay in the executor's list.
     fn can_list_another_end(&self) -> bool {
-        let listed = self.listed_withheld_ends();
-        listed == 0 || listed.saturating_add(self.tasks.len() + 1) < MAX_REPORTED_ENDS
+        let first = self.first_unacknowledgeable();
+        first.is_none_or(|first| {
+            let listed = self.listed_from(first);
+            listed.saturating_add(self.tasks.len() + 1) < MAX_REPORTED_ENDS
+        })
     }
 
     /// Returns whether the executor still lists ended runs that can be acknowledged to it.
@@ -268,7 +283,7 @@
     }
 
     fn before_withheld(&self, sequence: u64) -> u64 {
-        let first = self.withheld_ends.iter().copied().min();
+        let first = self.first_unacknowledgeable();
         first.map_or(sequence, |first| sequence.min(first - 1))
     }
 
--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -112,6 +112,7 @@
         executor.ends_received = 0;
         executor.unstored_ends = None;
         executor.withheld_ends.clear();
+        executor.unstorable_ends.clear();
         executor.failures = FailureEvidence::default();
         executor.stalls = StallEvidence::default();
         executor.recovery = None;
--- a/crates/job/src/scheduler/set_aside.rs
+++ b/crates/job/src/scheduler/set_aside.rs
@@ -110,9 +110,9 @@
         for end in ends {
             if let Some(executor) = self.fleet.get_mut(end.executor)
                 && executor.listing.started_unix_ms == end.started_unix_ms
-                && !executor.withheld_ends.contains(&end.sequence)
+                && !executor.unstorable_ends.contains(&end.sequence)
             {
-                executor.withheld_ends.push(end.sequence);
+                executor.unstorable_ends.push(end.sequence);
             }
         }
     }
@@ -124,7 +124,7 @@
                 && executor.listing.started_unix_ms == end.started_unix_ms
             {
                 executor
-                    .withheld_ends
+                    .unstorable_ends
                     .retain(|sequence| *sequence != end.sequence);
             }
         }
