docs(dispatch,link,platform): comments and names for newcomers

Unused items are removed: LimitReason::ALL, Tombstones::len and is_empty; the server's RETRY_AFTER_S is private. No change of behaviour.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -1,5 +1,5 @@
-//! Admission control on the host that a caller asks: the estimate as the owner last told it, and
-//! refusals that are true.
+//! Admission control on the host that a caller asks: the estimate that the owner sent last, and
+//! refusals after which no earlier write of the job can apply.
 //!
 //! A refusal says that the job is not and never will be stored. An earlier attempt, at any host, may
 //! have sent a write that the store applies seconds later. So a refusal first replaces the row of the
@@ -110,31 +110,37 @@
     /// Returns the estimate and its age, unless it is too old.
     #[must_use]
     pub fn estimate(&self, now: Mono) -> Option<(AdmissionEstimate, Duration)> {
-        let known = self.estimate.borrow();
-        let (estimate, made_at) = known.as_ref()?;
-        let age = now.since(*made_at);
-        (age <= MAX_ESTIMATE_AGE).then(|| (estimate.clone(), age))
+        self.with_estimate(now, |estimate, age| (estimate.clone(), age))
     }
 
-    /// Records that a marker was found, so that others may be there.
+    /// Records that the marker of a refusal was found: other jobs may have been refused as well.
     pub(crate) fn record_marker(&self, now: Mono) {
         self.overloaded_at.set(Some(now));
     }
 
-    /// Returns whether jobs may have been refused that come back now.
+    /// Returns whether callers whose jobs were refused may come back now.
     fn expects_returns(&self, now: Mono) -> bool {
         let at = self.overloaded_at.get();
         at.is_some_and(|at| now.since(at) <= RETURN_PERIOD)
     }
 
     fn is_hopeless(&self, terms: &JobTerms, now: Mono) -> bool {
+        let verdict = self.with_estimate(now, |estimate, age| {
+            judge(estimate, terms, Duration::ZERO, age)
+        });
+        verdict.is_some_and(|verdict| verdict != Verdict::MayHaveValue)
+    }
+
+    /// Passes the estimate and its age to a function, unless it is too old.
+    fn with_estimate<R>(
+        &self,
+        now: Mono,
+        f: impl FnOnce(&AdmissionEstimate, Duration) -> R,
+    ) -> Option<R> {
         let known = self.estimate.borrow();
-        let Some((estimate, made_at)) = known.as_ref() else {
-            return false;
-        };
+        let (estimate, made_at) = known.as_ref()?;
         let age = now.since(*made_at);
-        age <= MAX_ESTIMATE_AGE
-            && judge(estimate, terms, Duration::ZERO, age) != Verdict::MayHaveValue
+        (age <= MAX_ESTIMATE_AGE).then(|| f(estimate, age))
     }
 }
 
@@ -143,7 +149,7 @@
 pub(crate) enum StoredRow {
     /// Nothing or the marker of a refusal, with its version.
     Free(u64),
-    /// A job, or what cannot be read.
+    /// A job, or a row that cannot be read.
     Taken,
 }
 
@@ -164,8 +170,8 @@
     }
 }
 
-/// Refuses a job if the owner says so. Returns when its caller should come back, or `None` if the job
-/// is to be stored: it is not hopeless, nobody can say, or an earlier attempt may be stored.
+/// Refuses a job if the owner decides so. Returns when its caller should come back, or `None` if the job
+/// is to be stored: it is not hopeless, the owner does not answer, or an earlier attempt may be stored.
 pub(crate) async fn refuse(
     node: &Rc<Node>,
     queue: &Arc<str>,
--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -68,16 +68,16 @@
     NameTaken,
     /// The job is not stored and never will be.
     Refused,
-    /// The same, because it cannot be done while it has value.
+    /// The job is not stored and never will be, because it could not be done while it has value.
     Overloaded {
         /// When the caller should come back, in seconds.
         retry_after_s: u64,
     },
     /// The job may have been stored, or may still be stored later.
     Unknown,
-    /// The job is not stored and never will be, because it was cancelled before.
+    /// This submission is not stored and never will be, because the job was cancelled before.
     Cancelled,
-    /// The job is not stored because its row would be larger than the store's rows.
+    /// The job is not stored because its row would be larger than the store accepts.
     TooLarge {
         /// The size of the row in bytes.
         bytes: usize,
@@ -189,7 +189,7 @@
 
 /// Stores a job unless it is refused. What is stored under its id is read before anything is written,
 /// because only a marker that was there before may be replaced: a later one belongs to a refusal of
-/// another attempt, which must stay true.
+/// another attempt, after which the job must not be stored.
 async fn admit_and_store(
     node: &Rc<Node>,
     id: JobId,
@@ -355,12 +355,12 @@
     is_free
 }
 
-/// Returns whether a tombstone of a job is stored that will outlast a write on its way. An older one is
-/// written again.
+/// Returns whether a tombstone of a job is stored that will outlast a write on its way. The caller
+/// writes an older one again.
 fn has_lasting_tombstone(node: &Node, id: JobId, rows: &[Row]) -> bool {
     let key = rows::cancellation_row_id(id).key;
-    let value = rows.iter().find(|row| row.key == key);
-    let record = value
+    let row = rows.iter().find(|row| row.key == key);
+    let record = row
         .and_then(|row| serde_json::from_slice::<CancellationRecord>(row.value.as_deref()?).ok());
     record.is_some_and(|record| {
         let age_ms = (node.unix_ms)().abs_diff(record.cancelled_unix_ms);
--- a/crates/dispatch/src/dependencies.rs
+++ b/crates/dispatch/src/dependencies.rs
@@ -27,12 +27,13 @@
 
 /// The future that a call returns.
 pub type CallFuture<T> = LocalBoxFuture<'static, T>;
-/// The size of the store's rows unless the settings say otherwise, in bytes.
+/// An asynchronous call to an external service.
+pub type Call<A, T> = Box<dyn Fn(A) -> CallFuture<T>>;
+
+/// The largest value of a row that the store accepts unless the settings say otherwise, in bytes.
 pub const DEFAULT_ROW_BYTES: usize = 65_536;
 /// The part of a row that is kept free is its size divided by this number.
 const ROW_MARGIN_DIVISOR: usize = 16;
-/// An asynchronous call to an external service.
-pub type Call<A, T> = Box<dyn Fn(A) -> CallFuture<T>>;
 
 /// All external services that a node uses.
 pub struct Dependencies {
--- a/crates/dispatch/src/dump.rs
+++ b/crates/dispatch/src/dump.rs
@@ -153,7 +153,7 @@
     pub cooldown_ms: u64,
     /// Number of tasks assigned to it.
     pub tasks: usize,
-    /// Number of ends that it lists from the first one on that must not be acknowledged.
+    /// Number of the ends that it lists, counted from the first one that must not be acknowledged.
     pub withheld_ends: usize,
 }
 
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -20,7 +20,7 @@
 
 /// Logs that jobs are refused because they cannot be done while they have value: how many since the
 /// last line, how many callers are expected to come back, the queue whose jobs wait longest and the
-/// work before them, as the time that the executors take for it. At most one line a second.
+/// work before them, as the time in milliseconds that the executors take for it. At most one line a second.
 pub fn overload(queue: &str, refused: u64, returning: usize, ahead_ms: u64) {
     log::info!(event = "overload", queue, refused, returning, ahead_ms; "");
 }
@@ -286,8 +286,8 @@
     log::info!(event = "evacuation_ended", data_centre, after_ms, tasks, withdrawn_starts; "");
 }
 
-/// Logs that an evacuation cannot have the expected effect: its data centre or a service, by the
-/// problem.
+/// Logs that an evacuation cannot have the expected effect. `subject` is the unknown data centre or the
+/// service that has no executor left.
 pub fn evacuation_problem(problem: &str, subject: &str) {
     log::warn!(event = "evacuation_problem", problem, subject; "");
 }
@@ -320,7 +320,7 @@
 }
 
 /// Logs that an executor gets no tasks until its lease has expired with a run on it, because it lists
-/// `ends` ends from one on that must not be acknowledged.
+/// `ends` ends, counted from the first one that must not be acknowledged.
 pub fn recovery_began(id: &str, ends: usize, tasks: usize) {
     log::info!(event = "recovery_began", id, ends, tasks; "");
 }
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -1,8 +1,9 @@
 //! Metrics in the Prometheus text format.
 //!
 //! `docs/OPERATIONS.md` lists names, units and labels. Label values are constants of the code or
-//! names of queues in the document and of data centres. Counters and histograms that are updated as events happen are
-//! defined here, values that are read at the time of a scrape in `state.rs`.
+//! names of queues in the document and of data centres. Counters and histograms that are updated as
+//! events happen are defined here, values that are read at the time of a scrape in `state.rs`, and
+//! those of the limits on clients in `clients.rs`.
 
 mod clients;
 mod state;
--- a/crates/dispatch/src/owner/admission.rs
+++ b/crates/dispatch/src/owner/admission.rs
@@ -38,7 +38,7 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(2);
 /// The maximum number of markers that a transaction removes.
 const MAX_REMOVED: usize = 90;
-/// Interval between log lines about refusals.
+/// Shortest interval between log lines about refusals.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What the owner knows about admission.
@@ -47,6 +47,7 @@
     state: RefCell<Admission>,
     /// The markers in the store: their versions and when this owner learned of them.
     markers: RefCell<Map<JobId, (u64, Mono)>>,
+    /// The number of refusals at the latest log line about them, and its time.
     logged: Cell<(u64, Mono)>,
 }
 
@@ -107,7 +108,8 @@
         }
     }
 
-    /// Observes the queues while a queue of the document has an objective.
+    /// Observes the queues, and forgets earlier observations while no queue of the document has a target
+    /// or the executors are not known.
     pub(super) async fn observe_queues(self: Rc<Self>) {
         while !self.shutdown.is_cancelled() {
             tokio::time::sleep(OBSERVATION_INTERVAL).await;
@@ -132,13 +134,13 @@
             return;
         }
         self.admission.logged.set((state.refused(), now));
-        let new = state.refused() - refused;
+        let refused_since = state.refused() - refused;
         if let Some((estimate, _)) = state.estimate(now)
             && let Some(queue) = estimate.queues.first()
         {
             let row = queue.rows.iter().max_by_key(|row| row.start_ms(0));
             let ahead_ms = row.map_or(0, |row| row.ahead_ms);
-            events::overload(&queue.queue, new, state.returning(), ahead_ms);
+            events::overload(&queue.queue, refused_since, state.returning(), ahead_ms);
         }
     }
 
@@ -172,14 +174,16 @@
     /// Removes markers of one part. Each is removed only in the version that was read, so that a job
     /// that was accepted in its place stays.
     async fn remove(&self, markers: Vec<(JobId, u64)>) {
-        let row = |id: JobId| rows::job_row_id(id);
         let transaction = Transaction {
             expect: markers
                 .iter()
-                .map(|(id, version)| (row(*id), *version))
+                .map(|(id, version)| (rows::job_row_id(*id), *version))
                 .collect(),
             puts: Vec::new(),
-            removes: markers.iter().map(|(id, _)| row(*id)).collect(),
+            removes: markers
+                .iter()
+                .map(|(id, _)| rows::job_row_id(*id))
+                .collect(),
         };
         let result = (self.node.dependencies.store.commit)(transaction).await;
         let answered = matches!(result, Ok(_) | Err(StoreError::Conflict { .. }));
@@ -196,8 +200,8 @@
     }
 }
 
-/// Returns whether all executors that answer have been polled that may run tasks of an earlier owner.
-/// Until then it is not known what is free.
+/// Returns whether each executor that may run tasks of an earlier owner has been polled, unless it does
+/// not answer. Until then the free capacity is not known.
 fn knows_fleet(scheduler: &Scheduler) -> bool {
     let executors = scheduler.fleet.iter().map(|(_, executor)| executor);
     let mut answering = executors.filter(|executor| executor.failing_since.is_none());
--- a/crates/dispatch/src/owner/cleanup.rs
+++ b/crates/dispatch/src/owner/cleanup.rs
@@ -24,7 +24,7 @@
 /// removals to 40 per second.
 const MAX_JOBS: usize = 120;
 /// Maximum number of tombstones that are removed in one cleanup.
-const MAX_TOMBSTONES: usize = 600;
+const MAX_REMOVED_TOMBSTONES: usize = 600;
 /// Maximum number of tombstones in one transaction; the store accepts 100 entries.
 const MAX_TOMBSTONES_PER_TRANSACTION: usize = 45;
 
@@ -58,7 +58,7 @@
     let expired = owner
         .tombstones
         .borrow()
-        .expired(retention, MAX_TOMBSTONES, now);
+        .expired(retention, MAX_REMOVED_TOMBSTONES, now);
     let mut by_part: Map<&str, Vec<(JobId, u64)>> = Map::default();
     for (id, version) in expired {
         let part = by_part.entry(rows::jobs_part(id)).or_default();
@@ -74,8 +74,8 @@
     .await;
 }
 
-/// Removes tombstones of one part. If one of them was written again, the others are removed with a
-/// later cleanup, which expects the version that the feed has told meanwhile.
+/// Removes tombstones of one part. If one of them was written again, none is removed: that one is kept
+/// for the whole time again, and the others are removed with a later cleanup.
 async fn remove_part(owner: &Owner, tombstones: Vec<(JobId, u64)>) {
     let row_id = |id: &JobId| rows::cancellation_row_id(*id);
     let transaction = Transaction {
--- a/crates/dispatch/src/owner/evacuations.rs
+++ b/crates/dispatch/src/owner/evacuations.rs
@@ -1,4 +1,4 @@
-//! What the owner knows of evacuations of data centres, and since when.
+//! The owner's reads of the evacuations of data centres, and for how long an answer permits starts.
 //!
 //! A start may be sent only for a short time after the evacuations were last read, because one may have
 //! been requested since. An owner that cannot read them, that was paused, or that reads them late
@@ -160,8 +160,8 @@
         }
     }
 
-    /// Records an answer to a call that was sent then, and lets starts that wait decide anew if it
-    /// matters to them.
+    /// Records that a call that was sent at `sent` has been answered, and wakes starts and the placement
+    /// if the answer changes what they may do.
     fn evacuations_confirmed(self: &Rc<Self>, sent: Mono, changed: bool) {
         let was_known = self.knows_evacuations(self.now());
         self.evacuations.confirmed_at.set(sent);
--- a/crates/dispatch/src/owner/load.rs
+++ b/crates/dispatch/src/owner/load.rs
@@ -214,7 +214,8 @@
     }
 }
 
-/// Logs the load once a second, and the usage of executors every few seconds, until this host is no longer the owner.
+/// Logs the load once a second, and the usage of executors every few seconds, until this host is no longer
+/// the owner.
 pub(super) async fn log_load(owner: Rc<Owner>) {
     let mut lines = 0_u32;
     loop {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! [`takeover`] restores the state that an earlier owner left. From then on these parts run
 //! concurrently: [`commit`] stores changes, [`commands`] sends commands, [`polls`] extends leases
-//! and receives the ends of runs, [`feeds`] receives jobs and executors, `cleanup` removes rows
-//! of ended jobs, `waiting` logs why jobs wait, and placement runs whenever something has
-//! changed. All of them stop once another owner has taken over.
+//! and receives the ends of runs, [`feeds`] receives jobs, evacuations and executors, `admission`
+//! estimates how long new jobs would wait, `cleanup` removes rows of ended jobs, `waiting` logs why
+//! jobs wait, and placement runs whenever something has changed. All of them stop once another owner
+//! has taken over.
 
 mod admission;
 mod advice;
@@ -140,7 +141,7 @@
     relays: RelayPool,
     /// Whether the owner's row is to say that calls go by way of relays.
     relays_wanted: Cell<bool>,
-    /// Estimates the waits of new jobs.
+    /// The estimate of the waits of new jobs, and the markers of refusals.
     admission: OwnerAdmission,
     /// Counts what the owner does, for the log.
     load: OwnerLoad,
--- a/crates/dispatch/src/relay/server.rs
+++ b/crates/dispatch/src/relay/server.rs
@@ -24,8 +24,8 @@
 use crate::events;
 use crate::node::Node;
 
-/// Time for the owner to open a session.
-const GREETING_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for the owner to open a session with [`Request::Hello`].
+const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The session of the owner with the highest epoch. It ends when an owner opens another one, so that
 /// nothing is carried out for an earlier owner beside its successor.
@@ -79,15 +79,15 @@
         result = receive => result,
         result = transport::send(&outbox, || node.uptime_ms(), writer) => result,
         () = end.cancelled() => Ok(()),
-        () = without_greeting(opened) => Err(io::ErrorKind::TimedOut.into()),
+        () = wait_for_hello_timeout(opened) => Err(io::ErrorKind::TimedOut.into()),
     };
     events::relay_session_ended(node.relay_session.epoch.get(), result.as_ref().err());
 }
 
-/// Completes when no session has been opened in time. A connection without one would otherwise keep its
-/// place for as long as it sends empty frames.
-async fn without_greeting(opened: CancellationToken) {
-    if tokio::time::timeout(GREETING_TIMEOUT, opened.cancelled())
+/// Completes when no session has been opened in time. A connection without one would otherwise stay open
+/// for as long as it sends empty frames, and the number of connections is limited.
+async fn wait_for_hello_timeout(opened: CancellationToken) {
+    if tokio::time::timeout(HELLO_TIMEOUT, opened.cancelled())
         .await
         .is_ok()
     {
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -6,8 +6,8 @@
 //! | `runs` | `owned` | job | durable state of a job, `job::record::JobRecord` | the owner |
 //! | `learned` | `owned` | `interference` | `job::interference::LearnedPair` | the owner |
 //! | `jobs` | `jobs-`digit | job | the job as submitted | the host that accepted it |
-//! | `jobs` | `jobs-`digit | job | [`RefusalRecord`], in place of a job that was refused | the host that refused it |
-//! | `jobs` | `jobs-`digit | job + `-cancel` | the cancellation, [`CancellationRecord`] | the host that received it |
+//! | `jobs` | `jobs-`digit | job | the marker of a refusal, [`RefusalRecord`] | the host that refused it |
+//! | `jobs` | `jobs-`digit | job + `-cancel` | [`CancellationRecord`] | the host that received it |
 //!
 //! No row exceeds `Store::max_value_bytes`: submissions are refused, records of jobs are compact, and
 //! learned pairs are left out. See `docs/design/bounded-rows.md`.
@@ -89,7 +89,7 @@
     value.is_some_and(|value| serde_json::from_slice::<RefusalRecord>(value).is_ok())
 }
 
-/// A cancellation. Earlier releases write an empty object.
+/// A cancellation, or the tombstone of a job that is not stored. Earlier releases write an empty object.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CancellationRecord {
     /// When it was stored, in milliseconds since 1970, by the clock of the host.
--- a/crates/dispatch/src/tombstones.rs
+++ b/crates/dispatch/src/tombstones.rs
@@ -15,7 +15,7 @@
 /// A tombstone older than this may be removed before a write on its way takes effect, so that another
 /// cancellation writes it again.
 pub const RENEW_AFTER: Duration = Duration::from_secs(15);
-/// Number of tombstones from which those go early that no late write needs any more.
+/// With more tombstones than this, those that no late write needs any more are removed early.
 const MAX_TOMBSTONES: usize = 4_096;
 /// Tombstones that a host may write in a second on average, so that a flood of cancellations leaves
 /// the store's writes to others.
@@ -58,7 +58,7 @@
     }
 }
 
-/// The tombstones that the owner has seen, to be removed in time.
+/// The tombstones that the owner has seen and has to remove when they expire.
 #[derive(Clone, Debug, Default)]
 pub struct Tombstones {
     by_id: Map<JobId, Tombstone>,
@@ -87,7 +87,7 @@
         self.by_id.remove(&id);
     }
 
-    /// Forgets all tombstones but those of these jobs.
+    /// Forgets all tombstones but those that are still stored.
     pub fn retain(&mut self, mut is_stored: impl FnMut(JobId) -> bool) {
         self.by_id.retain(|id, _| is_stored(*id));
     }
@@ -98,18 +98,6 @@
         self.by_id.contains_key(&id)
     }
 
-    /// Returns the number of tombstones.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.by_id.len()
-    }
-
-    /// Returns whether there are none.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.by_id.is_empty()
-    }
-
     /// Returns up to `limit` tombstones to be removed, with the versions of their rows, the oldest
     /// first. They are kept for `retention`, or only for as long as a late write is possible while
     /// there are too many.
--- a/crates/dispatch/tests/all/absent_queue.rs
+++ b/crates/dispatch/tests/all/absent_queue.rs
@@ -13,8 +13,8 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Guards against an owner that judges a job by a document without its queue: the job failed after one
-/// of three attempts. A successor has never seen a document with the queue.
+/// Guards against an owner that judges a job by a document without its queue, so that the job fails after
+/// one of its three attempts. A successor has never seen a document with the queue.
 #[tokio::test(start_paused = true)]
 async fn a_job_outlasts_a_failure_while_its_queue_is_absent() {
     for with_takeover in [false, true] {
--- a/crates/dispatch/tests/all/ack_recovery.rs
+++ b/crates/dispatch/tests/all/ack_recovery.rs
@@ -7,8 +7,8 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// The executor is cut off while its tasks end, and their tasks start again elsewhere. It got no tasks
-/// any more once it listed 500 ends.
+/// Guards against an executor that gets no tasks any more because it lists 500 ends. It is cut off while
+/// its runs end, and their tasks start again elsewhere, so that these ends must not be acknowledged.
 #[tokio::test(start_paused = true)]
 async fn an_executor_that_was_cut_off_runs_more_tasks_than_its_list_of_ends_holds() {
     let world = World::new(2);
--- a/crates/dispatch/tests/all/document_findings.rs
+++ b/crates/dispatch/tests/all/document_findings.rs
@@ -33,6 +33,7 @@
     lines
 }
 
+/// Guards against problems that are not logged, or are logged with each read of the same version.
 #[tokio::test(start_paused = true)]
 async fn each_problem_is_logged_once_for_each_version_and_host() {
     let world = log_capture::started().await;
@@ -58,7 +59,7 @@
     );
 }
 
-/// Each read of a document of version 0 puts it into force again.
+/// Guards against repeated lines for a document of version 0, which each read puts into force again.
 #[tokio::test(start_paused = true)]
 async fn the_problems_of_a_document_without_a_version_are_logged_once() {
     log_capture::begin();
@@ -72,7 +73,7 @@
     assert_eq!(findings("0").len(), 1);
 }
 
-/// A document may have thousands of queues; a service that is gone must not flood the log.
+/// Guards against a log that is flooded because a service of thousands of queues is gone.
 #[tokio::test(start_paused = true)]
 async fn many_problems_and_long_names_take_a_bounded_number_of_short_lines() {
     let world = log_capture::started().await;
--- a/crates/dispatch/tests/all/evacuation.rs
+++ b/crates/dispatch/tests/all/evacuation.rs
@@ -80,6 +80,7 @@
     spec
 }
 
+/// Guards against starts in an evacuated data centre, and against one that stays unused after its evacuation.
 #[tokio::test(start_paused = true)]
 async fn starts_end_with_the_evacuation_and_begin_again_after_it() {
     let world = started(&["a", "b"]).await;
@@ -97,8 +98,8 @@
     world.wait_until_succeeded("b", &jobs, 5 * SECOND).await;
 }
 
-/// Leases that are no longer extended, or ends that are not acknowledged, would start the tasks again
-/// elsewhere.
+/// Guards against leases that are no longer extended and ends that are not acknowledged there: the tasks
+/// would start again elsewhere.
 #[tokio::test(start_paused = true)]
 async fn what_runs_there_goes_on_and_ends() {
     let world = started(&["a", "b"]).await;
@@ -119,7 +120,8 @@
     world.assert_no_violations();
 }
 
-/// The commands are carried out long after the deadline unless the runs are stopped first.
+/// Guards against commands that are carried out long after the deadline, because the runs were not stopped
+/// first.
 #[tokio::test(start_paused = true)]
 async fn a_start_whose_answer_is_lost_while_the_evacuation_begins_takes_no_effect_later() {
     for (late, submitted_before) in [(7, 20), (7, 300), (7, 900), (11, 100), (11, 1_500)] {
@@ -142,7 +144,8 @@
     }
 }
 
-/// Starts that wait for a command slot, because two others hang, or that are sent again.
+/// Guards against the late sending of starts that wait for a command slot, because two others hang, or that
+/// are repeated.
 #[tokio::test(start_paused = true)]
 async fn starts_that_wait_or_are_repeated_are_withdrawn_and_run_elsewhere() {
     let world = started(&["a", "b"]).await;
@@ -176,7 +179,8 @@
     }
 }
 
-/// A successor that starts before it has read the evacuations, or an earlier owner that goes on.
+/// Guards against a successor that starts tasks before it has read the evacuations, and against an earlier
+/// owner that goes on.
 #[tokio::test(start_paused = true)]
 async fn every_owner_obeys_around_a_takeover() {
     for (fail, name) in [
@@ -222,7 +226,7 @@
     }
 }
 
-/// The owner stores assignments and hears of jobs, but never of the evacuation.
+/// Guards against starts by an owner that stores assignments and hears of jobs, but not of the evacuation.
 #[tokio::test(start_paused = true)]
 async fn an_owner_that_cannot_read_the_evacuations_starts_nothing_until_it_can() {
     for fault in [StoreFault::Silent, StoreFault::Refuses] {
@@ -273,7 +277,8 @@
     }
 }
 
-/// An evacuation that begins and ends while the owner cannot read it leaves nothing behind.
+/// Guards against an effect that outlasts an evacuation which began and ended while the owner could not
+/// read it.
 #[tokio::test(start_paused = true)]
 async fn an_evacuation_that_begins_and_ends_during_a_partition_of_the_owner_is_over_after_it() {
     for whole_store in [false, true] {
@@ -303,6 +308,7 @@
     }
 }
 
+/// Guards against an owner that takes a failed read for the end of an evacuation.
 #[tokio::test(start_paused = true)]
 async fn the_end_of_an_evacuation_during_a_partition_has_no_effect_before_it_is_read() {
     let world = started(&["a"]).await;
@@ -320,7 +326,8 @@
     assert!(starts_in_x(&world) > 0);
 }
 
-/// One row is written and another removed in a part of the history that the store has dropped.
+/// Guards against changes that are missed because they are in a part of the history that the store has
+/// dropped: one row is written and another removed there.
 #[tokio::test(start_paused = true)]
 async fn all_rows_are_read_again_when_the_history_was_dropped() {
     let world = started(&["a"]).await;
@@ -351,6 +358,8 @@
     assert_eq!(starts_in_x(&world), started);
 }
 
+/// Guards against a request that is ignored because nothing is left for a service, or whose effect no log
+/// line and no dump shows.
 #[tokio::test(start_paused = true)]
 async fn an_evacuation_of_all_that_is_left_is_obeyed_and_told() {
     let world = started(&["a"]).await;
@@ -384,6 +393,7 @@
     assert_eq!(starts_in_x(&world), 0);
 }
 
+/// Guards against a misspelled name that nobody is told about, or that stops other starts.
 #[tokio::test(start_paused = true)]
 async fn an_evacuation_of_an_unknown_data_centre_is_told_and_harmless() {
     let world = started(&["a"]).await;
@@ -398,7 +408,7 @@
     assert!(starts_in_x(&world) > 0);
 }
 
-/// The rows may belong to something else where no evacuations are set up.
+/// Guards against a deployment without evacuations that obeys rows which belong to something else.
 #[tokio::test(start_paused = true)]
 async fn a_deployment_without_evacuations_reads_and_obeys_none() {
     let world = world();
--- a/crates/dispatch/tests/all/late_writes.rs
+++ b/crates/dispatch/tests/all/late_writes.rs
@@ -43,7 +43,8 @@
     world.store.value(&row_id).is_some()
 }
 
-/// The host answered that there is no such job, and the job ran seconds later.
+/// Guards against a job that runs although its cancellation was answered with `NoSuchJob`, because its
+/// submission is stored seconds later.
 #[tokio::test(start_paused = true)]
 async fn a_job_that_is_written_after_its_cancellation_does_not_run() {
     for owner_dies in [false, true] {
@@ -69,7 +70,8 @@
     }
 }
 
-/// A host of an earlier release does not expect that there is no tombstone.
+/// Guards against the same where the late write is one of a host of an earlier release, which does not
+/// expect that there is no tombstone.
 #[tokio::test(start_paused = true)]
 async fn a_late_write_by_a_host_of_an_earlier_release_does_not_run_either() {
     for takeover in [false, true] {
@@ -98,6 +100,8 @@
     }
 }
 
+/// Guards against a tombstone that does not apply to a new submission, and against one that blocks its name
+/// for good.
 #[tokio::test(start_paused = true)]
 async fn a_used_name_is_refused_while_its_cancellation_is_stored_and_free_afterwards() {
     let world = started().await;
@@ -112,6 +116,7 @@
     world.wait_until_succeeded("b", &[1], 10 * SECOND).await;
 }
 
+/// Guards against cancellations of unknown jobs that take the store's writes or fill it with rows.
 #[tokio::test(start_paused = true)]
 async fn a_flood_of_cancellations_of_unknown_jobs_costs_few_writes_and_leaves_no_rows() {
     let world = started().await;
@@ -137,6 +142,7 @@
     assert_eq!(left.count(), 0);
 }
 
+/// Guards against a budget that refuses well-behaved callers at once, or that earns too much.
 #[test]
 fn the_budget_allows_a_burst_and_then_a_steady_rate() {
     let mut budget = WriteBudget::default();
@@ -147,6 +153,7 @@
     assert!((79..=81).contains(&steady.count()));
 }
 
+/// Guards against tombstones that accumulate, and against the early removal of one that a late write needs.
 #[test]
 fn only_tombstones_that_no_late_write_needs_go_early_when_there_are_too_many() {
     let mut tombstones = Tombstones::default();
--- a/crates/dispatch/tests/all/refused_rows.rs
+++ b/crates/dispatch/tests/all/refused_rows.rs
@@ -44,8 +44,8 @@
     jobs.iter().filter(|job| job.set_aside).count()
 }
 
-/// The owner repeated the transaction for as long as it owned the executors, and so did each
-/// successor, so that no job of any queue made progress.
+/// Guards against an owner, or a successor, that repeats the refused transaction for as long as it owns
+/// the executors, so that no job of any queue makes progress.
 #[tokio::test(start_paused = true)]
 async fn a_refused_record_stops_no_other_job() {
     let world = with_a_refused_job(2).await;
@@ -63,6 +63,7 @@
     assert_eq!(set_aside(&world), 1);
 }
 
+/// Guards against a job that stays set aside when the store would accept its record.
 #[tokio::test(start_paused = true)]
 async fn a_job_that_was_set_aside_goes_on_once_its_record_is_accepted() {
     let world = with_a_refused_job(2).await;
@@ -73,8 +74,8 @@
     assert_eq!(set_aside(&world), 0);
 }
 
-/// The record is refused after its tasks have started. A successor reads the older record, in which
-/// they run, so that their ends must not be acknowledged before they are stored.
+/// Guards against ends that are acknowledged although they are not stored: the record is refused after its
+/// tasks have started, and a successor reads the older record, in which they run.
 #[tokio::test(start_paused = true)]
 async fn ends_of_a_job_whose_record_is_refused_are_not_acknowledged() {
     let world = World::new(2);
@@ -96,7 +97,7 @@
     assert_eq!(world.fleet.starts.get(), 8, "no run is repeated");
 }
 
-/// A store that refuses everything says nothing about a job.
+/// Guards against jobs that are set aside because of a store that refuses everything.
 #[tokio::test(start_paused = true)]
 async fn no_job_is_set_aside_while_the_store_refuses_all_transactions() {
     let world = World::new(2);
@@ -113,7 +114,8 @@
     world.wait_until_succeeded("a", &jobs, 10 * SECOND).await;
 }
 
-/// The record of an ended job is small and may be accepted where the larger one was not.
+/// Guards against a cancellation that is not stored because the job is set aside: the record of an ended
+/// job is small and may be accepted where the larger one was not.
 #[tokio::test(start_paused = true)]
 async fn a_cancelled_job_whose_record_is_refused_stops_no_other() {
     let world = with_a_refused_job(2).await;
@@ -127,7 +129,8 @@
     assert_eq!(world.state("b", 1).await, state);
 }
 
-/// What was learned is written every 3 s together with records of jobs.
+/// Guards against a refused row of learned interference that stops jobs, because it is written every 3 s
+/// together with their records.
 #[tokio::test(start_paused = true)]
 async fn a_refused_row_with_the_learned_interference_stops_no_job() {
     let world = World::new(2);
@@ -146,7 +149,8 @@
     assert_eq!(set_aside(&world), 0);
 }
 
-/// Many steps that depend on all earlier ones make a large row of a small number of tasks.
+/// Guards against an accepted job whose row the store refuses: many steps that depend on all earlier ones
+/// make a large row of a small number of tasks.
 #[tokio::test(start_paused = true)]
 async fn a_submission_that_exceeds_a_row_is_refused_with_the_limit() {
     let world = World::new(1);
--- a/crates/link/src/budget.rs
+++ b/crates/link/src/budget.rs
@@ -19,10 +19,10 @@
 /// A transfer that is behind by less than this is not closed for its memory, because a client on a
 /// distant or lossy path may pause for that long.
 const MIN_MEMORY_EVICTION_LAG: Duration = Duration::from_millis(250);
-/// A connection that is behind by less than this is not closed for its place. Some hundred silent
-/// clients in the backlog delay a well-behaved one by this time for each round of them, and the platform
-/// gives up a probe of readiness after a second.
-const MIN_PLACE_EVICTION_LAG: Duration = Duration::from_millis(100);
+/// A connection that is behind by less than this is not closed to make room for another one. A few hundred
+/// silent clients in the backlog delay a well-behaved one by this time for each batch that is accepted, and
+/// the platform gives up a probe of readiness after a second.
+const MIN_CONNECTION_EVICTION_LAG: Duration = Duration::from_millis(100);
 /// Maximum number of connections of a port that are closed at a time to make room for new ones.
 const MAX_EVICTIONS: usize = 16;
 /// The memory reserved for connections as such is at most the share divided by this, so that bodies
@@ -273,7 +273,8 @@
     }
 
     /// Returns the connections of a port that have exceeded a limit, with the limit, and marks them as
-    /// closing. A response to a client that was already to be closed is returned again.
+    /// closing. One that is already closing is returned again unless it is receiving a body, because the
+    /// response to that body may stall as well.
     pub fn overdue(
         &mut self,
         port: PortId,
@@ -309,7 +310,7 @@
             return Vec::new();
         }
         let slowest = self
-            .candidates(port, MIN_PLACE_EVICTION_LAG, now)
+            .candidates(port, MIN_CONNECTION_EVICTION_LAG, now)
             .max_by_key(|(id, connection)| {
                 let is_kept_alive = connection.has_served && connection.phase == Phase::Idle;
                 (!is_kept_alive, connection.lag(now), *id)
--- a/crates/link/src/gate.rs
+++ b/crates/link/src/gate.rs
@@ -274,13 +274,13 @@
     }
 
     /// Returns whether the connection is to end with this response: it is to be closed anyway, its client
-    /// may still be sending a body, or others wait for its place, which clients that are always active
-    /// would otherwise keep.
+    /// may still be sending a body, or others wait for a connection, of which clients that are always
+    /// active would otherwise keep theirs.
     pub(crate) fn is_last_response(&self) -> bool {
         self.is_closing() || self.has_unread_body() || self.0.port.is_full.get()
     }
 
-    /// Returns whether the connection has to close because others need its memory or its place.
+    /// Returns whether the connection has to close because others need its memory or a connection.
     pub(crate) fn is_evicted(&self) -> bool {
         self.0.signals.evicted.get()
     }
--- a/crates/link/src/limits.rs
+++ b/crates/link/src/limits.rs
@@ -57,36 +57,21 @@
     BodyTooLarge,
     /// Closed: the head did not arrive in time.
     HeadTimeout,
-    /// Closed: the body did not arrive in time.
+    /// Refused and closed: the body did not arrive in time.
     BodyTimeout,
-    /// Closed: the body arrived too slowly.
+    /// Refused and closed: the body arrived too slowly.
     BodySlow,
     /// Closed: the response was read too slowly.
     ResponseSlow,
     /// Closed: no request arrived for a while.
     Idle,
-    /// Closed: the slowest connection, because another one needed its place.
+    /// Closed: the slowest connection, to make room for another one. A body is refused first.
     EvictedForConnection,
-    /// Closed: the slowest connection, because others needed its memory.
+    /// Closed: the slowest connection, because others needed its memory. A body is refused first.
     EvictedForMemory,
 }
 
 impl LimitReason {
-    /// All reasons.
-    pub const ALL: [Self; 11] = [
-        Self::Memory,
-        Self::Connections,
-        Self::HeadTooLarge,
-        Self::BodyTooLarge,
-        Self::HeadTimeout,
-        Self::BodyTimeout,
-        Self::BodySlow,
-        Self::ResponseSlow,
-        Self::Idle,
-        Self::EvictedForConnection,
-        Self::EvictedForMemory,
-    ];
-
     /// Returns the value that logs and metrics show.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -48,10 +48,10 @@
 /// not wait for responses would otherwise be served as fast as the processor allows.
 const PIPELINE_DELAY: Duration = Duration::from_millis(20);
 /// Responses up to this size, in bytes, are part of the memory of a connection and are never refused,
-/// so that the outcome of a request that was carried out is always told.
+/// so that the client always learns the outcome of a request that was carried out.
 const SMALL_RESPONSE_BYTES: usize = 1 << 10;
 /// Value of the `Retry-After` header of a refusal, in seconds.
-pub const RETRY_AFTER_S: u64 = 1;
+const RETRY_AFTER_S: u64 = 1;
 
 /// A response whose complete body is in memory.
 pub type OutgoingResponse = Response<Full<Bytes>>;
--- a/crates/link/tests/all/budget.rs
+++ b/crates/link/tests/all/budget.rs
@@ -162,7 +162,8 @@
     );
 }
 
-/// Each limit on time is brought about by itself; just before it nothing is closed.
+/// Guards against a phase without a limit on time, and against one that ends early: each limit is brought
+/// about by itself, and just before it nothing is closed.
 #[test]
 fn each_phase_has_its_limit() {
     let cases = [
