--- a/crates/job/src/admission/backlog.rs
+++ b/crates/job/src/admission/backlog.rs
@@ -6,6 +6,7 @@
 use model::Mono;
 
 use crate::fleet::Executor;
+use crate::locality::units;
 use crate::plan::Queue;
 use crate::ranking::LATE_FACTOR;
 use crate::ranking::objective_of;
@@ -15,7 +16,7 @@
 use crate::spec::JobSpec;
 use crate::spec::StepSpec;
 
-/// The executors of a service as one kind of work sees them.
+/// The capacity of a service's executors for one kind of work.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PoolKey {
     /// The service.
@@ -252,7 +253,7 @@
         let objective_ms = model::time::millis(objective_of(queue, &job.spec));
         let ends_ms =
             model::time::millis(job.age(now)).saturating_add(job.critical_path_from(first));
-        if ends_ms > objective_ms.saturating_mul(LATE_FACTOR) {
+        if ends_ms > objective_ms.saturating_mul(u64::from(LATE_FACTOR)) {
             return;
         }
         let cell = self.cell_of(&job.queue, job.work);
@@ -300,33 +301,21 @@
         });
         let fitting = executors.map(|(_, executor)| {
             let fitting = self.fitting_tasks(executor, step);
-            match step.max_per_executor {
-                0 => fitting,
-                max => fitting.min(u64::from(max)),
-            }
+            u64::from(step.within_max_per_executor(fitting))
         });
         fitting.fold(0, u64::saturating_add) >= u64::from(step.count)
     }
 
     /// Returns how many tasks of a step fit into what is free on an executor.
-    fn fitting_tasks(&self, executor: &Executor, step: &StepSpec) -> u64 {
-        let free = executor.free();
-        let size = step.allocated_size();
-        let parts = [
-            (free.cpu_millis, size.cpu_millis),
-            (free.memory_mib, size.memory_mib),
-            (free.accelerators, size.accelerators),
-        ];
-        let fitting = parts
-            .iter()
-            .map(|(free, each)| free.checked_div(*each).unwrap_or(u64::MAX));
-        let fitting = fitting.min().unwrap_or(0);
+    fn fitting_tasks(&self, executor: &Executor, step: &StepSpec) -> u32 {
+        let fitting = units(&executor.free(), &step.allocated_size());
         if !step.best_effort {
             return fitting;
         }
         let suits = self.score(executor, step, Relaxation::NONE).is_some();
         let spare = crate::placement::spare_cpu(executor);
         let spare = spare.checked_div(step.size.cpu_millis).unwrap_or(u64::MAX);
+        let spare = u32::try_from(spare).unwrap_or(u32::MAX);
         if suits { fitting.min(spare) } else { 0 }
     }
 }
--- a/crates/job/src/admission/decision.rs
+++ b/crates/job/src/admission/decision.rs
@@ -58,8 +58,8 @@
     }
 
     /// Returns how long after its arrival the job may start and still have value, in milliseconds.
-    pub(super) const fn latest_start_ms(&self) -> u64 {
-        let value_ms = self.objective_ms.saturating_mul(LATE_FACTOR);
+    pub(super) fn latest_start_ms(&self) -> u64 {
+        let value_ms = self.objective_ms.saturating_mul(u64::from(LATE_FACTOR));
         value_ms.saturating_sub(self.path_ms)
     }
 
@@ -99,8 +99,8 @@
 }
 
 /// Compares the wait of a job whose caller has waited for `elapsed` with the time in which it has
-/// value. The work ahead has become less in the `age` of the estimate; what has arrived since is not
-/// counted.
+/// value. What the estimated rate completes in the `age` of the estimate is subtracted from the work
+/// ahead; what has arrived since is not counted.
 #[must_use]
 pub fn judge(
     estimate: &AdmissionEstimate,
--- a/crates/job/src/admission/estimate.rs
+++ b/crates/job/src/admission/estimate.rs
@@ -17,9 +17,8 @@
 const COUNTED_PART: f64 = 0.8;
 /// The least part of its share of the completion rate that a job in time gets, whatever arrives.
 const MIN_RATE: f64 = 0.05;
-
-/// The least part of its share of the completion rate that a late job gets, and at which callers
-/// return.
+/// The least part of its share of the completion rate that a late job gets, and the least part of the
+/// completion rate at which callers return.
 const MIN_LATE_RATE: f64 = 0.1;
 /// The maximum number of queues in an estimate, which is sent with each answer to a ping.
 const MAX_QUEUES: usize = 16;
@@ -136,8 +135,9 @@
 }
 
 /// Work that competes with a job for a part of the pool's rate. While capacity is short, size classes
-/// take turns. A queue that has less than an equal part of its class is not held back by the others.
-/// What is in the job's favour counts.
+/// take turns, and a queue that has less than an equal part of its class is not held back by the
+/// others. So a job starts by the order within its class or by the one within its queue, whichever is
+/// earlier.
 struct Order<'o> {
     /// The part of the pool's rate for the work that the order is about.
     share: f64,
--- a/crates/job/src/admission/mod.rs
+++ b/crates/job/src/admission/mod.rs
@@ -153,8 +153,8 @@
         self.returns.len()
     }
 
-    /// Returns the pools with their observed rates, for the dump: whether the rate was observed, and
-    /// the rate in thousandths of a core.
+    /// Returns the rate at which a pool completes work while work waits, in thousandths of a core, or
+    /// `None` if it is not known. See [`PoolRates::completion_rate`].
     #[must_use]
     pub fn completion_rate(&self, pool: &PoolSummary) -> Option<f64> {
         self.pools.get(&pool.key)?.completion_rate(pool)
--- a/crates/job/src/admission/rates.rs
+++ b/crates/job/src/admission/rates.rs
@@ -20,9 +20,10 @@
 const COMPLETED_PERCENT: usize = 90;
 /// The quantile of the sums of arrived work that is taken for the rate, in percent.
 const ARRIVED_PERCENT: usize = 25;
-/// Work waits in an interval if it would take all CPU of the pool for this long, in milliseconds.
-/// Less waits for a moment in a calm system too, and then little is completed for lack of work.
-const SHORT_MS: u64 = 100;
+/// An interval counts as one in which work waits if the waiting work would take all CPU of the pool for
+/// longer than this, in milliseconds. Less may wait for a moment in a calm system too, and little is
+/// completed then for lack of work.
+const MIN_BACKLOG_MS: u64 = 100;
 
 /// What was observed in an interval.
 #[derive(Clone, Debug)]
@@ -31,8 +32,8 @@
     /// The CPU of the pool times the duration of the interval.
     capacity: u64,
     completed: u64,
-    /// Whether work waited.
-    is_short: bool,
+    /// Whether work waited, see [`MIN_BACKLOG_MS`].
+    has_backlog: bool,
     arrived: Vec<(CellKey, u32, u64)>,
 }
 
@@ -55,7 +56,7 @@
             ms,
             capacity: pool.cpu_millis.saturating_mul(ms),
             completed: pool.completed,
-            is_short: waiting > pool.cpu_millis.saturating_mul(SHORT_MS),
+            has_backlog: waiting > pool.cpu_millis.saturating_mul(MIN_BACKLOG_MS),
             arrived: arrived
                 .map(|cell| (cell.cell.clone(), cell.priority, cell.arrived))
                 .collect(),
@@ -74,7 +75,7 @@
     pub fn completion_rate(&self, pool: &PoolSummary) -> Option<f64> {
         let cpu = float(pool.cpu_millis);
         let mut ratios: Vec<f64> = self
-            .sums(|interval| interval.is_short)
+            .sums(|interval| interval.has_backlog)
             .map(|(sum, capacity, _)| sum / capacity.max(1.0))
             .collect();
         if ratios.len() < MIN_SUMS {
--- a/crates/job/src/admission/returns.rs
+++ b/crates/job/src/admission/returns.rs
@@ -20,9 +20,10 @@
 const MAX_DELAY: Duration = Duration::from_secs(60);
 /// The longest time after which a caller comes back that was refused at its time.
 const MAX_REPEATED_DELAY: Duration = Duration::from_secs(5);
-/// Capacity is left for callers that come back within this time, ...
+/// Capacity is left for callers that are to come back within this time.
 const LOOKAHEAD: Duration = Duration::from_secs(1);
-/// ... and for those that should have come back this long ago. The header has whole seconds.
+/// Capacity is left for a caller until this long after its time, because `Retry-After` has whole
+/// seconds.
 const GRACE: Duration = Duration::from_secs(2);
 /// How long after its time a caller is remembered.
 const RETENTION: Duration = Duration::from_secs(15);
--- a/crates/job/src/compact_record.rs
+++ b/crates/job/src/compact_record.rs
@@ -110,7 +110,7 @@
             slot: task.slot,
             run: task.run,
             failures: task.failures,
-            failed_gang_runs: task.failed_gang_runs.clone(),
+            failed_gang_runs: task.failed_gang_runs,
             stalls: task.stalls,
             crashes: task.crashes,
             executor,
--- a/crates/job/src/fault_attribution.rs
+++ b/crates/job/src/fault_attribution.rs
@@ -1,8 +1,8 @@
 //! Whether a fault is the executor's or the job's.
 //!
-//! A task that stalls or fails says nothing about the cause by itself. Its executor is at fault if
-//! tasks of several jobs fare badly there while it shows no sign of health; a job is at fault if it
-//! fares badly wherever it runs. See `docs/design/fault-attribution.md`.
+//! A stall or failure of one task does not show the cause. Its executor is at fault if tasks of several
+//! jobs stall or fail there and none progresses or succeeds in between; a job is at fault if it stalls
+//! or fails wherever it runs. See `docs/design/fault-attribution.md`.
 
 use std::time::Duration;
 
@@ -21,12 +21,12 @@
 /// The number of distinct jobs that fail on an executor, without a success in between, from which it is
 /// suspected.
 const FAILED_JOBS: usize = 3;
-/// The number of failed jobs that are remembered of an executor, and of executors of a job.
+/// The maximum number of failed jobs that are remembered for an executor, and of executors for a job.
 const MAX_REMEMBERED: usize = 16;
 /// At most one part in this many of the executors that could run the same tasks is in cooldown.
 const MAX_COOLING_DIVISOR: usize = 3;
 
-/// What an executor's reports say about stalls there.
+/// The stalls on an executor, and the progress that speaks against a fault of the executor.
 #[derive(Clone, Debug, Default)]
 pub struct StallEvidence {
     /// The jobs that have stalled, with the time of the latest stall, since a task was last seen to
@@ -68,7 +68,8 @@
 
     /// Records that a task of a job has stalled since the time `since`, and returns the cause.
     pub fn record_stall(&mut self, job: JobKey, since: Mono, now: Mono) -> StallCause {
-        // What was gained before an executor hangs is reported up to one interval after it.
+        // Progress from before an executor hung is reported up to one interval later, so only progress
+        // in the second half of the stall counts.
         let settled = since.after(now.since(since) / 2);
         if self.progressed_at.is_some_and(|at| at > settled) {
             return StallCause::Task;
@@ -115,11 +116,11 @@
 struct FailedJob {
     job: JobKey,
     at: Mono,
-    /// The other executors on which it has failed.
+    /// The other executors on which it has failed recently.
     elsewhere: Vec<ExecutorKey>,
 }
 
-/// What an executor's reports say about failures there.
+/// The failures on an executor since a run last succeeded there.
 #[derive(Clone, Debug, Default)]
 pub struct FailureEvidence {
     /// The distinct jobs that have failed since a run succeeded, oldest first.
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -75,10 +75,10 @@
     pub evacuated: bool,
     /// Until when the executor is slow after its start.
     pub cold_until: Mono,
-    /// The list entry that tells so: the start of the incarnation, the executor's clock and how much
-    /// longer it was slow then.
+    /// The list entry that `cold_until` was derived from: the start of the incarnation, the executor's
+    /// clock and [`Listing::cold_remaining`]. An entry that is read again changes nothing.
     pub warmth_entry: Option<(u64, u64, Duration)>,
-    /// The tasks that it received lately while it was cold.
+    /// The tasks that it received within the latest second while it was cold.
     pub cold_starts: crate::warmup::ColdStarts,
     /// The end of the executor's cooldown; no task is placed on it earlier.
     pub not_before: Mono,
@@ -121,8 +121,10 @@
     /// The sequence number up to which ended runs have been processed by the scheduler.
     pub ends_received: u64,
     /// Sequence numbers of ends that must not be acknowledged, because the tasks were started again
-    /// later; cleared when the executor reports that its lease expired since. Acknowledgements stop
-    /// before the first of them.
+    /// later or the job's row is not stored ([`Scheduler::set_aside`]); cleared when the executor
+    /// reports that its lease expired since. Acknowledgements stop before the first of them.
+    ///
+    /// [`Scheduler::set_aside`]: crate::scheduler::Scheduler::set_aside
     pub withheld_ends: Vec<u64>,
     /// The recovery from withheld ends, if one is under way. Meanwhile the executor gets one task at a
     /// time, and only while nothing runs there and no lease is left.
@@ -141,9 +143,9 @@
     pub relaxed_tasks: u32,
     /// The measurements used for the latest interference estimate.
     pub baseline: crate::interference::Baseline,
-    /// The stalls on the executor.
+    /// The stalls on the current incarnation.
     pub stalls: crate::fault_attribution::StallEvidence,
-    /// The failures on the executor.
+    /// The failures on the current incarnation.
     pub failures: crate::fault_attribution::FailureEvidence,
     /// The end of the latest cooldown for stalls or failures, which also counts in `not_before`.
     pub fault_cooldown_until: Mono,
--- a/crates/job/src/interference.rs
+++ b/crates/job/src/interference.rs
@@ -154,9 +154,7 @@
                 })
             })
             .collect();
-        learned.sort_by(|left, right| {
-            (&left.service, &left.best_effort).cmp(&(&right.service, &right.best_effort))
-        });
+        sort_by_images(&mut learned);
         learned
     }
 
@@ -175,9 +173,7 @@
         });
         let fitting = fitting.count();
         learned.truncate(fitting);
-        learned.sort_by(|left, right| {
-            (&left.service, &left.best_effort).cmp(&(&right.service, &right.best_effort))
-        });
+        sort_by_images(&mut learned);
         learned
     }
 
@@ -307,3 +303,9 @@
     changes.retain(|(_, change)| change.abs() >= MIN_USAGE_CHANGE);
     changes
 }
+
+fn sort_by_images(learned: &mut [LearnedPair]) {
+    learned.sort_by(|left, right| {
+        (&left.service, &left.best_effort).cmp(&(&right.service, &right.best_effort))
+    });
+}
--- a/crates/job/src/locality.rs
+++ b/crates/job/src/locality.rs
@@ -42,7 +42,7 @@
 pub enum ChangeKind {
     /// A task left the executor.
     Freed,
-    /// A task was placed that wants this rack.
+    /// A task was placed that is faster in this rack: its data is there, or its gang prefers one rack.
     TakenNear,
     /// A task was placed that would run as well elsewhere.
     TakenByOther,
@@ -89,7 +89,7 @@
     pub task: TaskKey,
     /// How long it is expected to run in the better place.
     pub run: Duration,
-    /// By how much longer it runs elsewhere.
+    /// By how much longer it runs elsewhere, which a wait for the better place saves.
     pub gain: Duration,
     /// The number of openings after which it finds room, if those ahead of it take theirs first.
     pub needed: u32,
--- a/crates/job/src/migration.rs
+++ b/crates/job/src/migration.rs
@@ -28,8 +28,6 @@
 /// Each executor loses at most one task in this time on average, so that the tasks that move do not
 /// arrive on the same few executors.
 const MOVE_INTERVAL_PER_EXECUTOR: Duration = Duration::from_secs(5);
-/// A job that is older than this multiple of its objective has no value, and its tasks do not move.
-const LATE_FACTOR: u32 = 3;
 
 /// A run of a best-effort task whose CPU share is low.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,7 +40,7 @@
     pub progress: u32,
     /// The expected duration of a whole run at its full share.
     pub expected: Duration,
-    /// Whether another run resumes from a checkpoint of this one.
+    /// Whether the task saves checkpoints, so that another run resumes from one.
     pub has_checkpoint: bool,
 }
 
@@ -102,7 +100,7 @@
         let step = self.step(key).filter(|step| step.best_effort)?;
         let job = self.job(key.job)?;
         let expected = Duration::from_millis(self.durations.expected_ms(&job.queue, step));
-        let saves_checkpoints = step.checkpoints;
+        let has_checkpoint = step.checkpoints;
         let assignment = self.assignment_mut(key)?;
         let is_running = matches!(assignment.start_state, StartState::Confirmed(_));
         if !is_running || assignment.stopping || assignment.cpu_percent >= LOW_CPU_PERCENT {
@@ -115,15 +113,14 @@
             cpu_percent: assignment.cpu_percent,
             progress: assignment.metrics?.progress,
             expected,
-            has_checkpoint: saves_checkpoints,
+            has_checkpoint,
         })
     }
 
     /// Returns whether the job of a task can still be done in a time of value to its caller.
     fn has_value(&self, key: TaskKey, now: Mono) -> bool {
-        self.job(key.job).is_some_and(|job| {
-            job.age(now) < ranking::objective(self, job).saturating_mul(LATE_FACTOR)
-        })
+        self.job(key.job)
+            .is_some_and(|job| job.age(now) < ranking::value_period(ranking::objective(self, job)))
     }
 
     /// Stops a run so that its task starts on another executor.
--- a/crates/job/src/placement/mod.rs
+++ b/crates/job/src/placement/mod.rs
@@ -54,8 +54,9 @@
 /// How well an executor suits a task. The fields are compared in order of declaration.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Preference {
-    /// Whether the run can be expected to go on, or costs little if it ends with its lease.
-    lasts: bool,
+    /// Whether the executor is not recovering, or the task loses little if its run ends with the
+    /// expiry of the lease that the recovery needs ([`crate::ack_recovery`]).
+    avoids_costly_expiry: bool,
     /// Whether the task's latest failed or stalled run was not on this executor.
     not_failed_here: bool,
     /// How bad it is to start the task beside those on the executor, if one of them may crash it.
@@ -75,7 +76,7 @@
 impl Preference {
     /// Returns whether only a higher score could make another executor better.
     fn is_limited_by_score_only(&self) -> bool {
-        self.lasts
+        self.avoids_costly_expiry
             && self.not_failed_here
             && self.not_suspected
             && self.exposure.0 == 0
@@ -85,8 +86,8 @@
     }
 
     pub(crate) fn compare(&self, other: &Self) -> Ordering {
-        self.lasts
-            .cmp(&other.lasts)
+        self.avoids_costly_expiry
+            .cmp(&other.avoids_costly_expiry)
             .then(self.not_failed_here.cmp(&other.not_failed_here))
             .then(self.exposure.cmp(&other.exposure))
             .then(self.not_suspected.cmp(&other.not_suspected))
@@ -97,7 +98,8 @@
     }
 }
 
-/// Returns whether a fault that was observed on an executor a moment ago may be its own.
+/// Returns whether a run has stalled or failed on an executor a moment ago, for which the executor may
+/// be at fault.
 fn is_suspected(executor: &Executor, now: Mono) -> bool {
     executor.stalls.is_suspected(now) || executor.failures.has_just_failed(now)
 }
@@ -330,7 +332,7 @@
         let failed_on = self.task(key).and_then(|task| task.failed_on);
         let loses_much = step.long_running || step.gang;
         Some(Preference {
-            lasts: executor.recovery.is_none() || !loses_much,
+            avoids_costly_expiry: executor.recovery.is_none() || !loses_much,
             not_failed_here: Some(executor_key) != failed_on,
             exposure: Reverse(self.exposure(key, step, executor)?),
             not_suspected: !is_suspected(executor, now),
--- a/crates/job/src/placement/place_wait.rs
+++ b/crates/job/src/placement/place_wait.rs
@@ -26,7 +26,7 @@
 
 /// What a task gains in the better place, and how much time it has.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Stake {
+pub(super) struct PlaceTiming {
     /// How long it is expected to run in the better place.
     pub(super) run: Duration,
     /// By how much longer it runs elsewhere.
@@ -40,19 +40,19 @@
 pub(super) struct PlaceSearch {
     pub(super) service: Arc<str>,
     pub(super) rack: Arc<str>,
-    stake: Stake,
+    timing: PlaceTiming,
     /// How often room for a task has become free, or `None` if the rack has no executor that could
-    /// ever take it. Found out when it is first needed.
-    outlook: Option<Option<Openings>>,
-    /// Whether a task of the step was told to start elsewhere. Those after it have more ahead of
-    /// them.
-    has_declined: bool,
+    /// ever take it. Computed when it is first needed.
+    openings: Option<Option<Openings>>,
+    /// Whether a wait does not pay off for a task of the step. It does not for those after it either,
+    /// which have more ahead of them.
+    is_rejected: bool,
 }
 
 impl Scheduler {
     /// Returns whether places differ for the tasks of a step and whether its tasks may wait for a
     /// better one. Best-effort steps and those of queues with an advisor have conditions of their own,
-    /// and what cannot be in time must not be later.
+    /// and a step that cannot be in time must not become later.
     pub(super) fn may_wait_for_place(&self, queue: &Queue, step: &StepSpec, rank: &Rank) -> bool {
         self.timing.remote_factor > 1.0
             && rank.outlook == DeadlineOutlook::InTime
@@ -78,18 +78,23 @@
             })?;
             self.locality.observe(service, rack, now);
         }
-        let stake = self.stake(queue_name, step, rank);
+        let timing = self.place_timing(queue_name, step, rank);
         Some(PlaceSearch {
             service: service.clone(),
             rack: rack.clone(),
-            stake,
-            outlook: None,
-            has_declined: false,
+            timing,
+            openings: None,
+            is_rejected: false,
         })
     }
 
     /// Returns what a task of a step gains in the right place, and how much time it has.
-    pub(super) fn stake(&self, queue_name: &Arc<str>, step: &StepSpec, rank: &Rank) -> Stake {
+    pub(super) fn place_timing(
+        &self,
+        queue_name: &Arc<str>,
+        step: &StepSpec,
+        rank: &Rank,
+    ) -> PlaceTiming {
         let run_ms = self.durations.expected_ms(queue_name, step);
         let run = Duration::from_millis(run_ms);
         let excess = self.timing.remote_factor - 1.0;
@@ -97,7 +102,7 @@
         // The slack of the rank rests on the estimate of the caller.
         let longer = Duration::from_millis(run_ms.saturating_sub(step.estimate_ms));
         let slack = Duration::from_millis(rank.slack_ms);
-        Stake {
+        PlaceTiming {
             run,
             gain: gain.unwrap_or(Duration::MAX),
             slack: slack.saturating_sub(longer).saturating_sub(START_TIME),
@@ -115,7 +120,7 @@
         now: Mono,
     ) -> bool {
         let executor = self.fleet.get(executor);
-        if search.has_declined || executor.is_none_or(|executor| near_data(executor, step)) {
+        if search.is_rejected || executor.is_none_or(|executor| near_data(executor, step)) {
             return false;
         }
         let place = self.place_near_data(key, step, search, round, now);
@@ -128,7 +133,7 @@
             }
             Decision::Start => {
                 self.locality.end_wait(key);
-                search.has_declined = true;
+                search.is_rejected = true;
                 false
             }
         }
@@ -152,7 +157,7 @@
         }
         let waited = self.locality.waited(key, now)?;
         let size = step.allocated_size();
-        let outlook = *search.outlook.get_or_insert_with(|| {
+        let openings = *search.openings.get_or_insert_with(|| {
             let mut executors = self.fleet.iter();
             let is_possible = executors.any(|(_, executor)| {
                 executor.has_label(&search.rack)
@@ -164,11 +169,11 @@
         let ahead = round.awaiting(&search.service, &search.rack, step);
         Some(Place {
             task: key,
-            run: search.stake.run,
-            gain: search.stake.gain,
+            run: search.timing.run,
+            gain: search.timing.gain,
             needed: ahead + 1,
-            openings: outlook?,
-            slack: search.stake.slack,
+            openings: openings?,
+            slack: search.timing.slack,
             waited,
         })
     }
--- a/crates/job/src/placement/same_rack.rs
+++ b/crates/job/src/placement/same_rack.rs
@@ -61,7 +61,8 @@
             if let Some(executor) = self.fleet.get(executor)
                 && let Some(rack) = &executor.rack
             {
-                let units = units_within(step, units(&executor.free(), &step.allocated_size()));
+                let units = units(&executor.free(), &step.allocated_size());
+                let units = step.within_max_per_executor(units);
                 *free.entry(rack.clone()).or_default() += units;
             }
         }
@@ -128,13 +129,14 @@
             if let Some(rack) = &executor.rack
                 && could_ever_take(executor, &queue.service, step, now)
             {
-                let units = units_within(step, units(&executor.listing.capacity, &size));
+                let units = units(&executor.listing.capacity, &size);
+                let units = step.within_max_per_executor(units);
                 *possible.entry(rack.clone()).or_default() += units;
             }
         }
         possible.retain(|_, units| *units >= step.count);
         let free = self.free_units_by_rack(key, step, room, now);
-        let stake = self.stake(&queue.name, step, rank);
+        let timing = self.place_timing(&queue.name, step, rank);
         let mut best: Option<(Arc<str>, Place)> = None;
         for rack in possible.into_keys() {
             if !self.locality.keep_observing(&queue.service, &rack, now) {
@@ -143,11 +145,11 @@
             let free = free.get(&rack).copied().unwrap_or(0);
             let place = Place {
                 task: key,
-                run: stake.run,
-                gain: stake.gain,
+                run: timing.run,
+                gain: timing.gain,
                 needed: step.count.saturating_sub(free).max(1),
                 openings: self.locality.openings(&queue.service, &rack, &size, now),
-                slack: stake.slack,
+                slack: timing.slack,
                 waited,
             };
             let wait = |place: &Place| place.openings.expected_wait(place.needed);
@@ -165,11 +167,3 @@
         best
     }
 }
-
-/// Returns how many tasks of a step an executor may have that has room for this many.
-fn units_within(step: &StepSpec, units: u32) -> u32 {
-    match step.max_per_executor {
-        0 => units,
-        max => units.min(max),
-    }
-}
--- a/crates/job/src/rack.rs
+++ b/crates/job/src/rack.rs
@@ -1,4 +1,4 @@
-//! Finds out which executors are in the same rack.
+//! Derives the rack of each executor from its labels.
 
 use std::sync::Arc;
 
@@ -7,10 +7,12 @@
 
 use crate::fleet::Fleet;
 
-/// The racks of executors are named by one of their labels, and no list tells which one. A rack is in
-/// one data centre. So a label is taken for the rack if it is the only one of the executor that
-/// occurs in a single data centre. Otherwise executors count as being in one rack only if all their
-/// labels are the same, which is certain because the rack is among them.
+/// Sets the rack of each listed executor.
+///
+/// One of an executor's labels names its rack, and the list does not say which one. A rack is in one
+/// data centre. So a label is taken for the rack if it is the executor's only one that occurs in a
+/// single data centre. Otherwise executors count as being in one rack only if all their labels are the
+/// same: the rack is among the labels, so that this never joins two racks, but it may split one.
 pub(crate) fn assign_racks(fleet: &mut Fleet) {
     let mut data_centres: Map<Arc<str>, Set<Arc<str>>> = Map::default();
     for (_, executor) in fleet.iter().filter(|(_, executor)| executor.listed) {
--- a/crates/job/src/ranking.rs
+++ b/crates/job/src/ranking.rs
@@ -21,7 +21,7 @@
 use crate::terms::Terms;
 
 /// A job has partial value until this multiple of its objective.
-pub const LATE_FACTOR: u64 = 3;
+pub const LATE_FACTOR: u32 = 3;
 
 /// The sort key of a ready step. Smaller keys are placed first; fields are compared in order of
 /// declaration.
@@ -103,6 +103,11 @@
     objective_under(&Terms::from(queue), spec)
 }
 
+/// Returns the age until which a job with this objective has value to its caller.
+pub(crate) const fn value_period(objective: Duration) -> Duration {
+    objective.saturating_mul(LATE_FACTOR)
+}
+
 /// Returns the time from its arrival within which a job with these terms should end.
 fn objective_under(terms: &Terms, spec: &JobSpec) -> Duration {
     let path = Duration::from_millis(spec.critical_path_ms());
@@ -128,7 +133,7 @@
     let terms = scheduler.terms(job);
     let priority = terms.map_or(u32::MAX, |terms| terms.priority);
     let step = &job.spec.steps[ready.step as usize];
-    let late_ms = objective_ms.saturating_mul(LATE_FACTOR);
+    let late_ms = objective_ms.saturating_mul(u64::from(LATE_FACTOR));
     let elapsed_ms = elapsed_ms(job, ready.occurrence, now, unix_ms);
     let ends_ms = elapsed_ms.saturating_add(job.critical_path_from(ready.step));
     let (outlook, slack_ms) = if step.long_running {
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -68,7 +68,7 @@
     /// How many runs of the task have failed.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub failures: u32,
-    /// The runs that this member of a gang counts as failed; empty in records of earlier releases.
+    /// [`crate::task::Task::failed_gang_runs`]; empty in records of earlier releases.
     #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
     pub failed_gang_runs: Vec<RunNumber>,
     /// How often a run of the task was stopped because its progress had stalled.
--- a/crates/job/src/reservation.rs
+++ b/crates/job/src/reservation.rs
@@ -139,7 +139,7 @@
         let Some((job, queue)) = job.zip(queue) else {
             return false;
         };
-        // A cold executor may have room and take no more at the moment, which a reservation does not help.
+        // A cold executor may refuse a task although it has room, which a reservation does not change.
         executor.reservation.is_none()
             && executor.accepts_tasks(now)
             && !executor.is_cold(now)
--- a/crates/job/src/scheduler/evacuation.rs
+++ b/crates/job/src/scheduler/evacuation.rs
@@ -1,4 +1,4 @@
-//! Evacuations as the scheduler obeys them.
+//! Applies evacuations to the executors, and records what changes and which problems there are.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -29,16 +29,16 @@
     /// Replaces the evacuated data centres by those of all rows. Returns whether anything changed.
     pub fn replace_evacuations(&mut self, data_centres: &[Arc<str>], now: Mono) -> bool {
         let changes = self.evacuations.replace(data_centres, now);
-        self.obey_evacuations(changes, now)
+        self.apply_evacuation_changes(changes, now)
     }
 
     /// Applies changes of evacuations. Returns whether anything changed.
     pub fn update_evacuations(&mut self, updates: &[EvacuationUpdate], now: Mono) -> bool {
         let changes = self.evacuations.update(updates, now);
-        self.obey_evacuations(changes, now)
+        self.apply_evacuation_changes(changes, now)
     }
 
-    fn obey_evacuations(&mut self, changes: Vec<EvacuationChange>, now: Mono) -> bool {
+    fn apply_evacuation_changes(&mut self, changes: Vec<EvacuationChange>, now: Mono) -> bool {
         if changes.is_empty() {
             return false;
         }
--- a/crates/job/src/scheduler/gang.rs
+++ b/crates/job/src/scheduler/gang.rs
@@ -43,7 +43,7 @@
         }
     }
 
-    /// Returns whether a run of a gang has failed in another member.
+    /// Returns whether a member of a gang has already counted the failure of this run.
     pub(super) fn is_failure_counted(&self, key: TaskKey, run: RunNumber) -> bool {
         self.step(key).is_some_and(|step| step.gang)
             && self.members(key).into_iter().any(|member| {
--- a/crates/job/src/scheduler/leases.rs
+++ b/crates/job/src/scheduler/leases.rs
@@ -13,10 +13,10 @@
     /// Returns the deadline, on the executor's clock, of the lease that a call sent now grants.
     ///
     /// An unreachable executor is granted no lease: each attempt would extend the lease that has to
-    /// expire before its tasks may start elsewhere. Nor is one that recovers from withheld ends.
+    /// expire before its tasks may start elsewhere. Nor is one that recovers from withheld ends while it
+    /// is empty or has only a probe, because its lease has to expire ([`crate::ack_recovery`]).
     pub fn grant_lease(&mut self, key: ExecutorKey, now: Mono) -> Option<u64> {
         let executor = self.fleet.get(key)?;
-        // The lease of a recovering executor has to expire.
         let must_expire = executor
             .recovery
             .is_some_and(|recovery| recovery.probing || executor.tasks.is_empty());
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -87,7 +87,7 @@
 use crate::warmup::ServiceWarmth;
 use crate::warmup::WarmupLimits;
 
-/// The largest record of a job with rows of 65,536 bytes.
+/// The maximum size of a job's record in bytes where the rows of the store hold 65,536 bytes.
 pub const DEFAULT_MAX_RECORD_BYTES: usize = 60 << 10;
 
 new_key_type! {
@@ -155,7 +155,7 @@
     /// The largest record of a job that the store accepts, in bytes. [`DEFAULT_MAX_RECORD_BYTES`]
     /// unless the settings say otherwise.
     pub max_record_bytes: usize,
-    /// The jobs that were set aside, and when, the earliest first.
+    /// The jobs that were set aside ([`Self::set_aside`]), each with the time, the earliest first.
     set_aside: Vec<(Mono, JobKey)>,
     /// The executors with ends whose effect is not stored.
     unstored_ends: Vec<ExecutorKey>,
@@ -201,11 +201,11 @@
     previous_owner_sends_until: Mono,
     /// When the newest executor list arrived.
     listed_at: Mono,
-    /// What warm executors have received, by service, for the services that have cold ones.
+    /// The warm and cold executors by service, for the services that have cold ones.
     warmth: Map<Arc<str>, ServiceWarmth>,
     /// The evacuated data centres.
     evacuations: Evacuations,
-    /// What is wrong with these evacuations, as last recorded.
+    /// The problems of these evacuations that were last recorded.
     evacuation_problems: BTreeSet<EvacuationProblem>,
 }
 
--- a/crates/job/src/scheduler/places.rs
+++ b/crates/job/src/scheduler/places.rs
@@ -1,6 +1,5 @@
-//! Records what becomes free and is taken in observed racks, and which waits for a place have ended.
-
-use std::time::Duration;
+//! Records changes of free capacity in observed racks, and ends of waits for a place
+//! ([`crate::locality`]).
 
 use model::Mono;
 
@@ -69,7 +68,7 @@
         let is_near = self.fleet.get(executor).is_some_and(|executor| {
             executor.has_label(&wait.rack) || executor.rack.as_ref() == Some(&wait.rack)
         });
-        let waited: Duration = now.since(wait.since);
+        let waited = now.since(wait.since);
         self.record_event(Event::PlaceWaitEnded {
             task: key,
             rack: wait.rack,
--- a/crates/job/src/scheduler/recovery.rs
+++ b/crates/job/src/scheduler/recovery.rs
@@ -1,4 +1,4 @@
-//! Lets executors recover that list ends which must not be acknowledged ([`crate::ack_recovery`]).
+//! Recovery of executors that list ends which must not be acknowledged ([`crate::ack_recovery`]).
 
 use std::time::Duration;
 
@@ -80,8 +80,9 @@
         }
     }
 
-    /// Adapts the lease of the next probe after this one ended by itself, or after its lease had
-    /// expired when its start arrived.
+    /// Adapts the lease of the next probe: a shorter one after this one ended by itself, and a longer one
+    /// if the lease had expired when the start command arrived (`too_late`). Does nothing if the task is
+    /// no probe.
     pub(super) fn adapt_probe_lease(
         &mut self,
         key: TaskKey,
@@ -102,7 +103,7 @@
         }
     }
 
-    /// Returns the lease of a task that was started to let the lease of its executor expire.
+    /// Returns the lease of a probe, or `None` if the executor runs none.
     fn probe_lease(&self, key: TaskKey, executor: ExecutorKey) -> Option<Duration> {
         let recovery = self.fleet.get(executor)?.recovery?;
         let job = self.job(key.job)?;
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -215,7 +215,7 @@
             && !resumed
         {
             let spec = &job.spec.steps[step as usize];
-            // Estimates of callers are for the right place, and so is what is learned.
+            // Callers estimate runs near the data or in one rack, so that the same is learned.
             let took = now.since(since).div_f64(self.run_factor(key));
             self.durations
                 .observe(&job.queue, spec, model::time::millis(took));
--- a/crates/job/src/scheduler/set_aside.rs
+++ b/crates/job/src/scheduler/set_aside.rs
@@ -18,7 +18,8 @@
 use crate::fleet::ExecutorKey;
 use crate::task::StartState;
 
-/// Interval at which the row of a job that was set aside is tried again. It shrinks as tasks end.
+/// The interval at which the row of a job that was set aside is tried again. The record becomes smaller
+/// as tasks end.
 const RETRY_INTERVAL: Duration = Duration::from_secs(30);
 
 /// The end of a run that changed a job.
@@ -31,7 +32,7 @@
 }
 
 impl Scheduler {
-    /// Sets the job aside whose row was refused. Returns its batch without that row.
+    /// Sets aside the job whose row was refused, alone in its batch. Returns the batch without that row.
     pub fn set_aside(&mut self, mut batch: Batch, now: Mono) -> Batch {
         batch.rows.clear();
         batch.starts.clear();
--- a/crates/job/src/scheduler/warmup.rs
+++ b/crates/job/src/scheduler/warmup.rs
@@ -14,7 +14,8 @@
 use crate::task::StartState;
 use crate::warmup::ServiceWarmth;
 
-/// A start that takes longer than this may reach its executor together with later ones.
+/// A start that takes longer than this no longer counts in the window of its executor's received tasks,
+/// and may reach the executor together with later ones.
 const USUAL_START: Duration = Duration::from_secs(1);
 
 impl Scheduler {
--- a/crates/job/src/short_work.rs
+++ b/crates/job/src/short_work.rs
@@ -133,7 +133,8 @@
         let slots = ready.first_slot..ready.first_slot + step.count;
         let startable = slots.zip(job.tasks.iter().skip(ready.first_slot as usize));
         let startable = startable.filter(|(_, task)| task.may_start(now));
-        // Keeping an executor does not help a task that has one and waits for a better place.
+        // A task that waits for a better place could start elsewhere now, so that no executor is kept
+        // for it.
         let startable = startable.filter(|(slot, _)| {
             let (job, slot) = (ready.job, *slot);
             self.locality.wait_of(TaskKey { job, slot }).is_none()
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -227,6 +227,14 @@
 }
 
 impl StepSpec {
+    /// Returns how many tasks of this step an executor may have that has room for this many.
+    pub(crate) fn within_max_per_executor(&self, tasks: u32) -> u32 {
+        match self.max_per_executor {
+            0 => tasks,
+            max => tasks.min(max),
+        }
+    }
+
     /// Returns the resources that a task takes from an executor's capacity.
     #[must_use]
     pub const fn allocated_size(&self) -> Size {
--- a/crates/job/src/stall.rs
+++ b/crates/job/src/stall.rs
@@ -31,11 +31,14 @@
 /// A task is too slow when its remaining time exceeds this multiple of the expected duration of a
 /// whole run, plus [`RESTART_COST`].
 const SLOWDOWN_FACTOR: u32 = 2;
-/// How much longer a task may take that is not near its data or the other tasks of its step.
+/// How many times as long a task may take that is not near its data, or whose step is to be in one
+/// rack. The platform's [`Timing::remote_factor`] is 1.5 to 3.
+///
+/// [`Timing::remote_factor`]: crate::scheduler::Timing::remote_factor
 const REMOTE_FACTOR: u32 = 3;
 /// The time it takes to stop a task and start it again.
 const RESTART_COST: Duration = Duration::from_millis(400);
-/// How long no task is placed on an executor that tasks of several jobs stalled on.
+/// How long no task is placed on an executor on which tasks of several jobs have stalled.
 const EXECUTOR_COOLDOWN: Duration = Duration::from_millis(2_500);
 /// How long a task that has stalled does not start on the same executor. A restart there at once would
 /// use up its stops while an executor that hangs is the only one with room.
@@ -137,7 +140,7 @@
     }
 }
 
-/// Returns how long a task may gain no percent that is expected to take this long in all.
+/// Returns for how long a task that is expected to take `expected` in all may make no progress.
 fn no_progress_timeout(expected: Duration) -> Duration {
     NO_PROGRESS_TIMEOUT.max((expected / 100).saturating_mul(NO_PROGRESS_FACTOR))
 }
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -22,9 +22,10 @@
     /// How many of the latest runs have certainly never started, because every copy of their start
     /// commands was refused or none was sent; 0 while this is unknown, as after a takeover.
     pub unstarted_runs: RunNumber,
-    /// How many runs have failed; of a run of a gang that failed, only one member counts it.
+    /// How many runs have failed. A failed run of a gang is counted by one member only.
     pub failures: u32,
-    /// The failed runs that this member of a gang counts. At most as many as may fail.
+    /// The failed runs that this member of a gang counts, at most as many as may fail. Those of
+    /// long-running gangs, which do not fail for good, are not limited.
     pub failed_gang_runs: Vec<RunNumber>,
     /// How often a run was stopped because its progress had stalled.
     pub stalls: u32,
--- a/crates/job/src/terms.rs
+++ b/crates/job/src/terms.rs
@@ -1,4 +1,4 @@
-//! The terms of a queue under which a job was accepted.
+//! The terms of a queue: attempts, priority and objective of its jobs.
 //!
 //! The document in force decides about the jobs of the queues that it has. A job whose queue it lacks
 //! keeps the terms under which it was accepted, which are stored with the job, so that each owner
@@ -11,7 +11,7 @@
 
 use crate::plan::Queue;
 
-/// What a queue promises to its jobs.
+/// The attempts, priority and objective that a queue gives its jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Terms {
     /// How many runs of a task may fail before its job fails.
--- a/crates/job/src/warmup.rs
+++ b/crates/job/src/warmup.rs
@@ -25,7 +25,7 @@
     pub slack: u32,
 }
 
-/// What the warm executors of a service have received.
+/// The warm and cold executors of a service, and the tasks that the warm ones have received.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServiceWarmth {
     /// The number of listed executors that are warm.
@@ -49,7 +49,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Charge {
     at: Mono,
-    /// The part that no later task of the warm executors has made up for, in millionths of a task.
+    /// The part that later tasks of the warm executors have not offset, in millionths of a task.
     open: u64,
 }
 
@@ -81,9 +81,9 @@
 impl ColdStarts {
     /// Returns how many tasks the executor may take now.
     ///
-    /// Each task counts for a second against the slack. Tasks that warm executors get afterwards, but not
-    /// those before, make up for it: so whichever second is looked at, what it allows by itself is not
-    /// exceeded. Without a listed warm executor there is nothing to compare with, and no limit.
+    /// Each task counts against the slack for a second, and less once warm executors have received tasks
+    /// after it. Tasks that they received before it do not count, so that the limit holds in each window
+    /// of a second. Without a listed warm executor there is no limit.
     #[must_use]
     pub fn allowance(&self, service: &ServiceWarmth, limits: WarmupLimits, now: Mono) -> u64 {
         if service.warm == 0 {
@@ -104,7 +104,7 @@
         self.credit = service.credit;
     }
 
-    /// Returns the tasks of the window that nothing has made up for.
+    /// Returns the charges of the window that later tasks of the warm executors have not offset.
     fn open_charges(&self, service: &ServiceWarmth, now: Mono) -> Vec<Charge> {
         let mut credit = service.credit.saturating_sub(self.credit);
         let recent = self.charges.iter();
--- a/crates/job/tests/all/ack_recovery.rs
+++ b/crates/job/tests/all/ack_recovery.rs
@@ -69,6 +69,7 @@
     tasks[0]
 }
 
+/// Guards against an executor that gets no tasks any more after an end that must not be acknowledged.
 #[test]
 fn an_executor_recovers_with_the_expiry_of_the_lease_of_one_task() {
     let (mut fixture, end) = with_a_withheld_end();
@@ -107,7 +108,7 @@
     assert_eq!(fixture.scheduler.state(id), Some(JobState::Running));
 }
 
-/// Leases that were granted earlier would keep the task alive.
+/// Guards against a probe that is kept alive by a lease which was granted earlier.
 #[test]
 fn no_task_is_placed_on_a_recovering_executor_before_its_leases_have_expired() {
     let (mut fixture, end) = with_a_withheld_end();
@@ -125,7 +126,7 @@
     assert_eq!(fixture.tasks_on(1).len(), 1);
 }
 
-/// While a service runs there, polls keep the lease of the executor alive for good.
+/// Guards against a recovery that never begins, because polls extend the lease while a service runs.
 #[test]
 fn an_executor_with_a_long_running_task_recovers_before_its_list_is_full() {
     let (mut fixture, end) = with_a_withheld_end();
@@ -164,7 +165,8 @@
     assert!(lasting.iter().all(stopping), "it moves elsewhere");
 }
 
-/// Durations are estimates, and clocks drift while an executor is not polled.
+/// Guards against probes whose lease never expires in time: durations are estimates, and clocks drift
+/// while an executor is not polled.
 #[test]
 fn the_lease_of_a_probe_adapts_until_it_expires_while_the_task_runs() {
     let second = Duration::from_secs(1);
@@ -183,7 +185,7 @@
     assert_eq!(recovery.probe_lease(second), Duration::from_millis(20));
 }
 
-/// The record of a long job would grow with each abandoned run for as long as the job runs.
+/// Guards against a record that grows with each abandoned run for as long as the job runs.
 #[test]
 fn an_abandoned_run_leaves_the_record_once_its_executor_has_restarted() {
     let mut fixture = Fixture::new(2);
--- a/crates/job/tests/all/admission.rs
+++ b/crates/job/tests/all/admission.rs
@@ -6,7 +6,7 @@
 use crate::admission_load::Load;
 use crate::admission_load::Outcome;
 use crate::admission_load::Policy;
-use crate::admission_world::play;
+use crate::admission_world::replay;
 use crate::fixture::Fixture;
 use crate::fixture::step;
 
@@ -81,11 +81,11 @@
     Policy::Admission,
 ];
 
-/// Plays a load with each policy, prints the outcomes of the callers, and returns them added up over
+/// Replays a load with each policy, prints the outcomes of the callers, and returns them added up over
 /// the seeds: by policy, then by caller.
 fn compare(load: Load) -> [Vec<Outcome>; 3] {
     POLICIES.map(|policy| {
-        let outcomes = SEEDS.map(|seed| play(load, policy, seed));
+        let outcomes = SEEDS.map(|seed| replay(load, policy, seed));
         let callers = 0..load.callers.len();
         let sums: Vec<Outcome> = callers
             .map(|caller| Outcome::sum(outcomes.iter().map(|outcome| &outcome[caller])))
--- a/crates/job/tests/all/admission_load.rs
+++ b/crates/job/tests/all/admission_load.rs
@@ -62,7 +62,7 @@
 }
 
 impl Outcome {
-    /// Adds up outcomes of several plays.
+    /// Adds up outcomes of several replays.
     pub fn sum<'o>(outcomes: impl Iterator<Item = &'o Self>) -> Self {
         outcomes.fold(Self::default(), |sum, outcome| Self {
             jobs: sum.jobs + outcome.jobs,
--- a/crates/job/tests/all/admission_world.rs
+++ b/crates/job/tests/all/admission_world.rs
@@ -80,8 +80,8 @@
     returned_at: Vec<Mono>,
 }
 
-/// Plays a load. Returns the outcome by caller.
-pub fn play(load: Load, policy: Policy, seed: u64) -> Vec<Outcome> {
+/// Replays a load. Returns the outcome by caller.
+pub fn replay(load: Load, policy: Policy, seed: u64) -> Vec<Outcome> {
     let mut world = World::new(load, policy, seed);
     let end = load.phases.last().expect("a phase").0;
     for at in (0..end + AFTERMATH_MS).step_by(usize::try_from(ROUND_MS).expect("small")) {
--- a/crates/job/tests/all/evacuation.rs
+++ b/crates/job/tests/all/evacuation.rs
@@ -65,6 +65,7 @@
     }
 }
 
+/// Guards against an evacuation that is logged again, or that a read of all rows begins anew or loses.
 #[test]
 fn updates_and_whole_reads_lead_to_the_same_set_and_tell_each_change_once() {
     let mut evacuations = Evacuations::default();
@@ -117,6 +118,7 @@
     }
 }
 
+/// Guards against a kind of task whose placement does not look at evacuations.
 #[test]
 fn nothing_of_any_kind_is_placed_in_an_evacuated_data_centre() {
     let gang = StepSpec {
@@ -140,7 +142,7 @@
     }
 }
 
-/// The list may say later than the evacuation that an executor is there.
+/// Guards against an executor that is first listed in the data centre after the evacuation has begun.
 #[test]
 fn an_executor_that_is_listed_during_an_evacuation_gets_nothing_until_it_ends() {
     let mut fixture = Fixture::new(0);
@@ -163,6 +165,7 @@
     assert_eq!(fixture.place(), 1, "the executor is listed elsewhere");
 }
 
+/// Guards against tasks that start after an evacuation because they were assigned before it.
 #[test]
 fn starts_are_withdrawn_whatever_became_of_them_so_far() {
     // Stored after the evacuation, waiting for a slot, sent without an answer.
@@ -210,8 +213,7 @@
     }
 }
 
-/// A start that is withdrawn because its job was cancelled does not count as one that the evacuation
-/// has prevented.
+/// Guards against a count of starts withdrawn by an evacuation that includes those of cancelled jobs.
 #[test]
 fn a_start_that_is_stopped_for_another_reason_is_not_counted() {
     let mut fixture = Fixture::new(0);
@@ -229,6 +231,7 @@
     );
 }
 
+/// Guards against runs that are stopped by an evacuation or lose their lease.
 #[test]
 fn what_runs_in_an_evacuated_data_centre_runs_to_its_end() {
     let mut fixture = Fixture::new(0);
@@ -301,6 +304,8 @@
     }
 }
 
+/// Guards against a long-running task that is stopped so that another one takes its place, in a data
+/// centre where nothing may start.
 #[test]
 fn a_task_whose_turn_it_is_does_not_wait_for_a_place_in_an_evacuated_data_centre() {
     for evacuated in [false, true] {
@@ -338,6 +343,7 @@
     }
 }
 
+/// Guards against limits and usage that count capacity where nothing may start.
 #[test]
 fn capacity_in_an_evacuated_data_centre_is_not_capacity_of_its_service() {
     let mut fixture = two_data_centres();
@@ -349,6 +355,8 @@
     assert_eq!(fixture.scheduler.fleet.len_without_evacuated(), 1);
 }
 
+/// Guards against a misspelt name or a lost service that nobody notices, and against a log line for each
+/// list of executors.
 #[test]
 fn an_evacuation_that_cannot_have_the_expected_effect_is_told_once_and_obeyed() {
     let unknown = Event::EvacuationProblemFound {
@@ -377,8 +385,8 @@
     assert_eq!(fixture.place(), 1);
 }
 
-/// A successor reads the evacuations before it has the list of executors, and must not take every data
-/// centre for an unknown one.
+/// Guards against a successor that reports every data centre as unknown, because it reads the evacuations
+/// before it has the list of executors.
 #[test]
 fn no_data_centre_is_called_unknown_before_there_is_a_list() {
     let mut fixture = two_data_centres();
--- a/crates/job/tests/all/locality_loads.rs
+++ b/crates/job/tests/all/locality_loads.rs
@@ -72,10 +72,10 @@
     }
 }
 
-fn play(load: Load, rule: Rule) -> Outcome {
+fn replay(load: Load, rule: Rule) -> Outcome {
     let outcomes = SEEDS.map(|seed| {
         SKIPPED.take();
-        LocalityWorld::new(load, rule, seed).play()
+        LocalityWorld::new(load, rule, seed).replay()
     });
     outcomes.fold(Outcome::default(), |sum, outcome| sum + outcome)
 }
@@ -95,7 +95,7 @@
                 remote_factor,
             };
             let outcomes = RULES.map(|(rule_name, rule)| {
-                let outcome = play(load, rule);
+                let outcome = replay(load, rule);
                 println!("{remote_factor}, {name}, {rule_name}: {outcome}");
                 outcome
             });
--- a/crates/job/tests/all/locality_rule.rs
+++ b/crates/job/tests/all/locality_rule.rs
@@ -65,6 +65,7 @@
     assert_eq!(openings.span, Duration::from_secs(1));
 }
 
+/// Guards against a wait that costs more than it gains, rests on too few openings or makes a task late.
 #[test]
 fn the_decision_weighs_gain_wait_certainty_and_the_time_that_is_left() {
     let second = Duration::from_secs(1);
--- a/crates/job/tests/all/locality_world.rs
+++ b/crates/job/tests/all/locality_world.rs
@@ -219,7 +219,7 @@
     }
 
     /// Lets all jobs arrive and returns what became of them.
-    pub fn play(mut self) -> Outcome {
+    pub fn replay(mut self) -> Outcome {
         let begin = self.fixture.now.0;
         let per_round = self.load.jobs_per_s * Duration::from_millis(ROUND_MS).as_secs_f64();
         let mut due = 0.0;
--- a/crates/job/tests/all/plan_check.rs
+++ b/crates/job/tests/all/plan_check.rs
@@ -87,6 +87,7 @@
     findings.into_iter().map(pair).collect()
 }
 
+/// Guards against findings on documents that are in order, which operators would learn to ignore.
 #[test]
 fn a_document_without_problems_has_no_findings() {
     let executors = executors();
@@ -103,6 +104,7 @@
     assert_eq!(check(&plan, &surroundings), []);
 }
 
+/// Guards against a problem that is missed, found twice or reported at another field.
 #[test]
 fn each_problem_of_a_queue_is_found_once_and_at_its_field() {
     let expected = |field, problem| vec![(on_queue(0, "a", field), problem)];
@@ -169,6 +171,7 @@
     }
 }
 
+/// Guards against a finding at the queue whose terms apply instead of the one whose terms do not.
 #[test]
 fn a_name_that_is_used_twice_is_found_at_the_queue_that_is_not_found_by_it() {
     let queues = vec![queue("a", "/a/"), queue("a", "/b/")];
@@ -194,6 +197,7 @@
     );
 }
 
+/// Guards against requests that go to another queue unnoticed, because of the first digits of a job id.
 #[test]
 fn a_prefix_that_continues_another_with_digits_of_job_ids_takes_its_jobs() {
     let plan = with_queues(plan(), vec![queue("a", "/a/"), queue("b", "/a/0f")]);
@@ -216,6 +220,7 @@
     }
 }
 
+/// Guards against findings about executors while no list of them is known.
 #[test]
 fn services_without_executors_and_labels_that_none_has_are_found_with_a_list_only() {
     let mut plan = plan();
@@ -299,8 +304,8 @@
     }
 }
 
-/// Hosts ignore a document whose version is not above the one in force, so that a change under an
-/// old version would have no effect.
+/// Guards against a change without effect: hosts ignore a document whose version is not above the one in
+/// force.
 #[test]
 fn a_change_without_a_higher_version_is_found() {
     let in_force = plan();
--- a/crates/job/tests/all/plan_diff.rs
+++ b/crates/job/tests/all/plan_diff.rs
@@ -29,6 +29,7 @@
     QuickCheck::new().rng(Gen::from_size_and_seed(GEN_SIZE, SEED))
 }
 
+/// Guards against changes that are reported although the document means the same.
 #[test]
 fn a_document_does_not_differ_from_itself_in_another_order_and_version() {
     fn property(plan: ValidPlan) -> bool {
@@ -41,6 +42,7 @@
     quickcheck().quickcheck(property as fn(ValidPlan) -> bool);
 }
 
+/// Guards against changed queues that are missed, and against unchanged ones that are named.
 #[test]
 fn the_difference_names_each_queue_that_was_added_removed_or_changed_and_no_other() {
     fn property(plan: ValidPlan, kinds: Vec<u8>) -> bool {
--- a/crates/job/tests/all/stall.rs
+++ b/crates/job/tests/all/stall.rs
@@ -12,6 +12,7 @@
 use crate::fixture::Fixture;
 use crate::fixture::step;
 
+/// Guards against a verdict after too little time or progress, and against restarts that gain nothing.
 #[test]
 fn progress_is_assessed_by_the_remaining_time_against_a_new_run() {
     let cases = [
--- a/crates/job/tests/all/warmup.rs
+++ b/crates/job/tests/all/warmup.rs
@@ -34,6 +34,8 @@
     ServiceWarmth::new(warm, 1)
 }
 
+/// Guards against tasks of warm executors that allow a cold one more than once, and against an allowance
+/// that outlasts the window.
 #[test]
 fn each_task_counts_for_a_second_and_later_tasks_of_warm_executors_make_up_for_it() {
     let mut warm = service(2);
@@ -54,7 +56,7 @@
     assert_eq!(cold.allowance(&warm, LIMITS, Mono(200)), 2, "used once");
 }
 
-/// Work must not stand still with a slack of zero, nor where no executor is warm.
+/// Guards against work that never starts with a slack of zero, or where no executor is warm.
 #[test]
 fn a_cold_executor_gets_something_whatever_the_limits_say() {
     let none = WarmupLimits {
@@ -81,7 +83,8 @@
     excess.fold(f64::MIN, f64::max)
 }
 
-/// A limit by the mean of the latest second, which is simpler, is exceeded in other seconds.
+/// Guards against a limit that holds only in the latest second: one by the mean of that second, which is
+/// simpler, is exceeded in other windows.
 #[test]
 fn no_order_of_starts_exceeds_the_limit_in_any_second() {
     let seed = 20_261_205;
@@ -422,6 +425,7 @@
     assert_eq!(fixture.place(), 5);
 }
 
+/// Guards against an executor that stays cold because an old list entry is read again.
 #[test]
 fn an_executor_is_cold_for_as_long_as_its_entry_says_and_not_longer() {
     let mut fixture = Fixture::new(0);
@@ -441,6 +445,7 @@
     assert!(cold.expect("executor 2").is_cold(fixture.now));
 }
 
+/// Guards against limits on cold executors where the settings have none.
 #[test]
 fn a_deployment_without_limits_treats_cold_executors_like_warm_ones() {
     let mut fixture = Fixture::new(0);
