--- a/crates/job/src/admission/backlog.rs
+++ b/crates/job/src/admission/backlog.rs
@@ -4,6 +4,7 @@
 
 use model::Map;
 use model::Mono;
+use model::Set;
 
 use crate::fleet::Executor;
 use crate::locality::units;
@@ -219,7 +220,7 @@
         }
     }
 
-    /// Returns the queues with an objective whose service has work that waits.
+    /// Returns the queues with an objective that have work, and whose service has work that waits.
     fn queues_with_objective(&self, pools: &Map<PoolKey, PoolSummary>) -> Vec<QueueSummary> {
         let waits = |service: &Arc<str>| {
             let mut of_service = pools.values().filter(|pool| pool.key.service == *service);
@@ -228,8 +229,12 @@
                 cells.any(|cell| cell.in_time > 0 || cell.late > 0)
             })
         };
+        // A document may have thousands of queues, and each one in the summary is estimated.
+        let cells = pools.values().flat_map(|pool| &pool.cells);
+        let used: Set<&str> = cells.map(|cell| &*cell.cell.queue).collect();
         let queues = self.plan.queues.iter();
         queues
+            .filter(|queue| used.contains(&*queue.name))
             .filter(|queue| !queue.target.is_zero() && waits(&queue.service))
             .map(|queue| QueueSummary {
                 queue: queue.name.clone(),
--- a/crates/job/tests/all/admission.rs
+++ b/crates/job/tests/all/admission.rs
@@ -1,5 +1,8 @@
 //! Replays of loads with admission control, without it and with a fixed limit of waiting jobs.
 
+use std::sync::Arc;
+
+use job::plan::Queue;
 use job::scheduler::RunOutcome;
 
 use crate::admission_load::Caller;
@@ -8,6 +11,7 @@
 use crate::admission_load::Policy;
 use crate::admission_world::replay;
 use crate::fixture::Fixture;
+use crate::fixture::QUEUE;
 use crate::fixture::step;
 
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -215,3 +219,27 @@
         assert!(!starts(hopeless), "{hopeless_cores} {cores}");
     }
 }
+
+/// Guards against an estimate that costs as much for each queue of the document as for one with jobs: a
+/// document of thousands of queues took the owner's processor.
+#[test]
+fn queues_without_work_are_not_estimated() {
+    let mut fixture = Fixture::new(1);
+    let mut plan = (*fixture.scheduler.plan).clone();
+    let mut queues: Vec<Queue> = plan.queues.iter().cloned().collect();
+    let own = queues[0].clone();
+    queues.extend((0..3_000).map(|number| Queue {
+        name: format!("idle-{number}").into(),
+        path_prefix: format!("/idle-{number}/").into(),
+        ..own.clone()
+    }));
+    plan.queues = queues.into();
+    fixture.scheduler.plan = Arc::new(plan);
+    for number in 1..=20 {
+        fixture.submit(number, vec![step(10, 8, 2_000)]);
+    }
+    fixture.start_all();
+    let backlog = fixture.scheduler.take_backlog(fixture.now);
+    let names: Vec<&str> = backlog.queues.iter().map(|queue| &*queue.queue).collect();
+    assert_eq!(names, [QUEUE]);
+}
