--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -75,10 +75,10 @@
     pub evacuated: bool,
     /// Until when the executor is slow after its start.
     pub cold_until: Mono,
-    /// The list entry that tells so: the start of the incarnation, the executor's clock and how much
-    /// longer it was slow then.
+    /// The list entry that `cold_until` was derived from: the start of the incarnation, the executor's
+    /// clock and [`Listing::cold_remaining`]. An entry that is read again changes nothing.
     pub warmth_entry: Option<(u64, u64, Duration)>,
-    /// The tasks that it received lately while it was cold.
+    /// The tasks that it received within the latest second while it was cold.
     pub cold_starts: crate::warmup::ColdStarts,
     /// The end of the executor's cooldown; no task is placed on it earlier.
     pub not_before: Mono,
@@ -121,9 +121,14 @@
     /// The sequence number up to which ended runs have been processed by the scheduler.
     pub ends_received: u64,
     /// Sequence numbers of ends that must not be acknowledged, because the tasks were started again
-    /// later; cleared when the executor reports that its lease expired since. Acknowledgements stop
-    /// before the first of them.
+    /// later or the job's row is not stored ([`Scheduler::set_aside`]); cleared when the executor
+    /// reports that its lease expired since. Acknowledgements stop before the first of them.
+    ///
+    /// [`Scheduler::set_aside`]: crate::scheduler::Scheduler::set_aside
     pub withheld_ends: Vec<u64>,
+    /// Sequence numbers of ends that no row holds because the store refuses the record of their job. An
+    /// expiry of the lease does not release them: a successor would start their tasks again.
+    pub unstorable_ends: Vec<u64>,
     /// The recovery from withheld ends, if one is under way. Meanwhile the executor gets one task at a
     /// time, and only while nothing runs there and no lease is left.
     pub recovery: Option<AckRecovery>,
@@ -141,9 +146,9 @@
     pub relaxed_tasks: u32,
     /// The measurements used for the latest interference estimate.
     pub baseline: crate::interference::Baseline,
-    /// The stalls on the executor.
+    /// The stalls on the current incarnation.
     pub stalls: crate::fault_attribution::StallEvidence,
-    /// The failures on the executor.
+    /// The failures on the current incarnation.
     pub failures: crate::fault_attribution::FailureEvidence,
     /// The end of the latest cooldown for stalls or failures, which also counts in `not_before`.
     pub fault_cooldown_until: Mono,
@@ -236,10 +241,19 @@
     #[must_use]
     pub fn listed_withheld_ends(&self) -> usize {
         let first = self.withheld_ends.iter().min();
-        first.map_or(0, |first| {
-            let listed = (self.ends_received + 1).saturating_sub(*first);
-            usize::try_from(listed).unwrap_or(usize::MAX)
-        })
+        first.map_or(0, |first| self.listed_from(*first))
+    }
+
+    /// Returns the number of ends that the executor lists from this one on.
+    fn listed_from(&self, first: u64) -> usize {
+        let listed = (self.ends_received + 1).saturating_sub(first);
+        usize::try_from(listed).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the first end that must not be acknowledged.
+    fn first_unacknowledgeable(&self) -> Option<u64> {
+        let ends = self.withheld_ends.iter().chain(&self.unstorable_ends);
+        ends.copied().min()
     }
 
     /// Returns whether the executor is slow after its start.
@@ -251,8 +265,11 @@
     /// Returns whether the end of another run would appear in reports. All ends from the first
     /// withheld one on stay in the executor's list.
     fn can_list_another_end(&self) -> bool {
-        let listed = self.listed_withheld_ends();
-        listed == 0 || listed.saturating_add(self.tasks.len() + 1) < MAX_REPORTED_ENDS
+        let first = self.first_unacknowledgeable();
+        first.is_none_or(|first| {
+            let listed = self.listed_from(first);
+            listed.saturating_add(self.tasks.len() + 1) < MAX_REPORTED_ENDS
+        })
     }
 
     /// Returns whether the executor still lists ended runs that can be acknowledged to it.
@@ -268,7 +285,7 @@
     }
 
     fn before_withheld(&self, sequence: u64) -> u64 {
-        let first = self.withheld_ends.iter().copied().min();
+        let first = self.first_unacknowledgeable();
         first.map_or(sequence, |first| sequence.min(first - 1))
     }
 
--- a/crates/job/src/scheduler/set_aside.rs
+++ b/crates/job/src/scheduler/set_aside.rs
@@ -18,7 +18,8 @@
 use crate::fleet::ExecutorKey;
 use crate::task::StartState;
 
-/// Interval at which the row of a job that was set aside is tried again. It shrinks as tasks end.
+/// The interval at which the row of a job that was set aside is tried again. The record becomes smaller
+/// as tasks end.
 const RETRY_INTERVAL: Duration = Duration::from_secs(30);
 
 /// The end of a run that changed a job.
@@ -31,7 +32,7 @@
 }
 
 impl Scheduler {
-    /// Sets the job aside whose row was refused. Returns its batch without that row.
+    /// Sets aside the job whose row was refused, alone in its batch. Returns the batch without that row.
     pub fn set_aside(&mut self, mut batch: Batch, now: Mono) -> Batch {
         batch.rows.clear();
         batch.starts.clear();
@@ -110,9 +111,9 @@
         for end in ends {
             if let Some(executor) = self.fleet.get_mut(end.executor)
                 && executor.listing.started_unix_ms == end.started_unix_ms
-                && !executor.withheld_ends.contains(&end.sequence)
+                && !executor.unstorable_ends.contains(&end.sequence)
             {
-                executor.withheld_ends.push(end.sequence);
+                executor.unstorable_ends.push(end.sequence);
             }
         }
     }
@@ -124,7 +125,7 @@
                 && executor.listing.started_unix_ms == end.started_unix_ms
             {
                 executor
-                    .withheld_ends
+                    .unstorable_ends
                     .retain(|sequence| *sequence != end.sequence);
             }
         }
