fix(job): a successor learns of abandoned runs before it places tasks

What callers saw: jobs that need an executor which was cut off for longer than its lease had nothing running for 3.2 to 5.4 s if all hosts were killed soon after the cut had healed, with 64 cores free.

Cause: only the earlier owner knew where the runs were that it had abandoned. The successor placed tasks there with usual leases, and the first report then listed an end that must not be acknowledged. The recovery that follows waits until all leases have expired, and until then the executor is empty. The same holds if a command is answered before the first poll after the cut, and if a takeover comes while a probe runs: its lease was extended. With a task of 60 s beside it, the executor got no more tasks at 250 ends until that task ended.

Change: the record of a job names the executor and the incarnation of each abandoned run. From the abandonment, or the takeover, until it has answered a poll sent later, such an executor gets neither tasks nor leases. A successor that finds such an end beside a single task takes this for the probe and lets its lease expire. Records of earlier releases do not name the executor, so that each executor is polled first. The compact encoding marks that the names follow the record; hosts of earlier releases read it as before.

--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -71,13 +71,11 @@
     }
 }
 
-/// Returns whether an executor needs polls: it has tasks or ended runs to acknowledge, or it is
-/// listed but unreachable and may answer again.
+/// Returns whether an executor needs polls and can be called.
 fn needs_poll(scheduler: &Scheduler, key: ExecutorKey) -> bool {
     scheduler.fleet.get(key).is_some_and(|executor| {
-        let unreachable = executor.listed && !executor.reachable;
-        let answers = !executor.listing.address.is_empty() && executor.clock.is_some();
-        answers && (!executor.tasks.is_empty() || executor.has_unacknowledged_ends() || unreachable)
+        let is_known = !executor.listing.address.is_empty() && executor.clock.is_some();
+        is_known && executor.needs_poll()
     })
 }
 
@@ -334,7 +332,10 @@
     let Some(executor) = scheduler.fleet.get(key) else {
         return POLL_WAIT;
     };
-    if !executor.reachable || executor.ends_received > executor.ends_stored {
+    if !executor.reachable
+        || executor.report_due_since.is_some()
+        || executor.ends_received > executor.ends_stored
+    {
         return Duration::ZERO;
     }
     let first_poll = executor
--- a/crates/job/src/compact_record.rs
+++ b/crates/job/src/compact_record.rs
@@ -30,6 +30,36 @@
     abandoned: Vec<(u32, u64)>,
 }
 
+/// Follows a record whose last executor is [`HAS_LOCATIONS`]: the executors of the abandoned runs, as
+/// indices into those of the record. Hosts of earlier releases ignore what follows the record.
+type Locations = Vec<Option<u32>>;
+
+/// In the place of an executor's name, which is never empty.
+const HAS_LOCATIONS: &str = "";
+
+/// Numbers the executors that a record names.
+#[derive(Default)]
+struct Executors<'r> {
+    names: Vec<(Arc<str>, Option<u64>)>,
+    positions: Map<(&'r str, Option<u64>), u32>,
+}
+
+impl<'r> Executors<'r> {
+    /// Returns the index of an executor, if there is one.
+    fn index(&mut self, id: Option<&'r Arc<str>>, started_unix_ms: Option<u64>) -> Option<u32> {
+        let id = id?;
+        let names = &mut self.names;
+        let index = self
+            .positions
+            .entry((id, started_unix_ms))
+            .or_insert_with(|| {
+                names.push((id.clone(), started_unix_ms));
+                u32::try_from(names.len() - 1).unwrap_or(u32::MAX)
+            });
+        Some(*index)
+    }
+}
+
 #[derive(Serialize, Deserialize)]
 struct CompactTask {
     slot: u32,
@@ -50,17 +80,10 @@
 ///
 /// Never: the record contains nothing that the encoding cannot represent.
 pub(crate) fn encode(record: &JobRecord) -> Vec<u8> {
-    let mut executors = Vec::new();
-    let mut positions: Map<(&Arc<str>, Option<u64>), u32> = Map::default();
+    let mut executors = Executors::default();
     let mut tasks = Vec::with_capacity(record.tasks.len());
     for task in &record.tasks {
-        let executor = task.executor.as_ref().map(|id| {
-            let name = (id, task.executor_started_unix_ms);
-            *positions.entry(name).or_insert_with(|| {
-                executors.push((id.clone(), name.1));
-                u32::try_from(executors.len() - 1).unwrap_or(u32::MAX)
-            })
-        });
+        let executor = executors.index(task.executor.as_ref(), task.executor_started_unix_ms);
         tasks.push(CompactTask {
             slot: task.slot,
             run: task.run,
@@ -73,11 +96,20 @@
             checkpoint: task.checkpoint.clone(),
         });
     }
+    let locations: Locations = record
+        .abandoned
+        .iter()
+        .map(|run| executors.index(run.executor.as_ref(), run.executor_started_unix_ms))
+        .collect();
+    let has_locations = locations.iter().any(Option::is_some);
+    if has_locations {
+        executors.names.push((HAS_LOCATIONS.into(), None));
+    }
     let compact = CompactRecord {
         state: record.state,
         row_version: record.row_version,
         done: record.done.clone(),
-        executors,
+        executors: executors.names,
         tasks,
         abandoned: record
             .abandoned
@@ -85,7 +117,11 @@
             .map(|run| (run.slot, run.run))
             .collect(),
     };
-    postcard::to_extend(&compact, vec![VERSION]).expect("a record can always be serialised")
+    let mut bytes = postcard::to_extend(&compact, vec![VERSION]);
+    if has_locations {
+        bytes = bytes.and_then(|bytes| postcard::to_extend(&locations, bytes));
+    }
+    bytes.expect("a record can always be serialised")
 }
 
 /// Deserialises a record without its first byte.
@@ -94,18 +130,25 @@
 ///
 /// Returns why the bytes are no record.
 pub(crate) fn decode(bytes: &[u8]) -> Result<JobRecord, String> {
-    let compact: CompactRecord = postcard::from_bytes(bytes).map_err(|error| error.to_string())?;
+    let (compact, rest): (CompactRecord, _) =
+        postcard::take_from_bytes(bytes).map_err(|error| error.to_string())?;
+    let last = compact.executors.last();
+    let locations: Locations = if last.is_some_and(|(id, _)| &**id == HAS_LOCATIONS) {
+        postcard::from_bytes(rest).map_err(|error| error.to_string())?
+    } else {
+        Vec::new()
+    };
+    let executor = |index: Option<u32>| match index {
+        Some(index) => {
+            let known = compact.executors.get(index as usize);
+            let (id, started) = known.ok_or_else(|| format!("no executor {index}"))?.clone();
+            Ok::<_, String>((Some(id), started))
+        }
+        None => Ok((None, None)),
+    };
     let mut tasks = Vec::with_capacity(compact.tasks.len());
     for task in compact.tasks {
-        let executor = match task.executor {
-            Some(index) => {
-                let known = compact.executors.get(index as usize);
-                Some(known.ok_or_else(|| format!("no executor {index}"))?.clone())
-            }
-            None => None,
-        };
-        let (executor, executor_started_unix_ms) =
-            executor.map_or((None, None), |(id, started)| (Some(id), started));
+        let (executor, executor_started_unix_ms) = executor(task.executor)?;
         tasks.push(TaskRecord {
             slot: task.slot,
             run: task.run,
@@ -119,15 +162,22 @@
             checkpoint: task.checkpoint,
         });
     }
+    let mut abandoned = Vec::with_capacity(compact.abandoned.len());
+    for (position, (slot, run)) in compact.abandoned.into_iter().enumerate() {
+        let (executor, executor_started_unix_ms) =
+            executor(locations.get(position).copied().flatten())?;
+        abandoned.push(AbandonedRun {
+            slot,
+            run,
+            executor,
+            executor_started_unix_ms,
+        });
+    }
     Ok(JobRecord {
         state: compact.state,
         done: compact.done,
         tasks,
-        abandoned: compact
-            .abandoned
-            .into_iter()
-            .map(|(slot, run)| AbandonedRun { slot, run })
-            .collect(),
+        abandoned,
         row_version: compact.row_version,
     })
 }
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -134,6 +134,10 @@
     pub recovery: Option<AckRecovery>,
     /// Runs that were abandoned on the current incarnation.
     pub(crate) abandoned: Vec<(TaskKey, RunNumber)>,
+    /// Since when the executor may list the end of an abandoned run that no report has shown. Until it
+    /// answers a poll sent later, it gets no tasks and no leases, which would have to expire before it
+    /// can recover ([`crate::ack_recovery`]).
+    pub report_due_since: Option<Mono>,
     /// When the CPU share of a best-effort task on the executor last changed.
     pub throttled_at: Mono,
     /// Since when a service on the executor has exceeded its tail latency target.
@@ -232,6 +236,7 @@
             && !self.listing.draining
             && !self.evacuated
             && now >= self.not_before
+            && self.report_due_since.is_none()
             && self.can_list_another_end()
             && (self.recovery.is_none() || (self.tasks.is_empty() && now >= self.leases_expire_at))
     }
@@ -272,6 +277,14 @@
         })
     }
 
+    /// Returns whether the executor needs polls: it has tasks or ended runs to acknowledge, or it is
+    /// listed and unreachable or may list the end of a run that was abandoned.
+    #[must_use]
+    pub fn needs_poll(&self) -> bool {
+        let is_due = !self.reachable || self.report_due_since.is_some();
+        !self.tasks.is_empty() || self.has_unacknowledged_ends() || (self.listed && is_due)
+    }
+
     /// Returns whether the executor still lists ended runs that can be acknowledged to it.
     #[must_use]
     pub fn has_unacknowledged_ends(&self) -> bool {
--- a/crates/job/src/record.rs
+++ b/crates/job/src/record.rs
@@ -180,6 +180,10 @@
         for task in &mut record.tasks {
             task.address = None;
         }
+        for run in &mut record.abandoned {
+            run.executor = None;
+            run.executor_started_unix_ms = None;
+        }
         bytes = compact_record::encode(&record);
     }
     EncodedRecord {
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -87,6 +87,9 @@
                 at: now,
             });
             executor.reachable = true;
+            if self.has_unlocated_runs {
+                executor.report_due_since = Some(now);
+            }
         }
         self.update_warmth(key, clock_ms, now);
     }
--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -41,6 +41,9 @@
         {
             executor.incarnation_uncertain_since = None;
         }
+        if executor.report_due_since.is_some_and(|since| since <= sent) {
+            executor.report_due_since = None;
+        }
         let tasks: Vec<TaskKey> = executor.tasks.iter().copied().collect();
         let mut suspects = self.suspects_missing_in(key, report);
         suspects.extend(self.take_unexplained_losses(key));
@@ -116,14 +119,33 @@
         executor.failures = FailureEvidence::default();
         executor.stalls = StallEvidence::default();
         executor.recovery = None;
-        let abandoned = std::mem::take(&mut executor.abandoned);
         executor.announced_departure = false;
         executor.failing_since = None;
-        // The ends of the previous incarnation are listed nowhere any more.
-        for (task, run) in abandoned {
+        self.forget_runs_of_earlier_incarnations(key, started_unix_ms);
+        true
+    }
+
+    /// Forgets the abandoned runs on earlier incarnations of an executor, whose ends are listed nowhere
+    /// any more.
+    fn forget_runs_of_earlier_incarnations(&mut self, key: ExecutorKey, started_unix_ms: u64) {
+        let Some(executor) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let abandoned = std::mem::take(&mut executor.abandoned);
+        let jobs = &self.jobs;
+        let (kept, lost): (Vec<_>, Vec<_>) = abandoned.into_iter().partition(|(task, run)| {
+            let job = jobs.get(task.job);
+            let abandoned = job.and_then(|job| job.abandoned_run(task.slot, *run));
+            let started = abandoned.and_then(|abandoned| abandoned.executor_started_unix_ms);
+            started.is_some_and(|started| started >= started_unix_ms)
+        });
+        if kept.is_empty() {
+            executor.report_due_since = None;
+        }
+        executor.abandoned = kept;
+        for (task, run) in lost {
             self.forget_abandoned(task, run);
         }
-        true
     }
 
     /// Releases a task that a new incarnation of its executor does not run. A start command sent to
--- a/crates/job/src/scheduler/late_end.rs
+++ b/crates/job/src/scheduler/late_end.rs
@@ -5,6 +5,8 @@
 //! counts, so that it must not be acknowledged after a later start of the same task, unless the
 //! executor itself reports that the lease expired after the end. See "Late ends" in `docs/JOBS.md`.
 
+use std::sync::Arc;
+
 use model::Mono;
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,7 +25,7 @@
 use crate::task::StartState;
 
 /// A run whose lease expired while its executor was unreachable, so that its end is unknown.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AbandonedRun {
     /// The task's index among all tasks of the job.
     #[serde(rename = "n")]
@@ -31,6 +33,20 @@
     /// The number of the run.
     #[serde(rename = "r")]
     pub run: RunNumber,
+    /// The executor that may list the end; `None` in records of earlier releases.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub executor: Option<Arc<str>>,
+    /// The incarnation of that executor: its start time in milliseconds since 1970.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub executor_started_unix_ms: Option<u64>,
+}
+
+impl AbandonedRun {
+    /// Returns whether this is the run of a task with this number.
+    #[must_use]
+    pub const fn is(&self, slot: u32, run: RunNumber) -> bool {
+        self.slot == slot && self.run == run
+    }
 }
 
 impl Job {
@@ -42,14 +58,21 @@
             .retain(|run| tasks[run.slot as usize].run > run.run);
     }
 
+    /// Returns an abandoned run of a task.
+    pub(super) fn abandoned_run(&self, slot: u32, run: RunNumber) -> Option<&AbandonedRun> {
+        let mut abandoned = self.abandoned.iter();
+        abandoned.find(|abandoned| abandoned.is(slot, run))
+    }
+
     fn is_abandoned(&self, slot: u32, run: RunNumber) -> bool {
-        self.abandoned.contains(&AbandonedRun { slot, run })
+        self.abandoned_run(slot, run).is_some()
     }
 }
 
 impl Scheduler {
-    /// Records that the current run of a task is abandoned.
-    pub(super) fn abandon_run(&mut self, key: TaskKey) {
+    /// Records that the current run of a task is abandoned. Its executor gets neither tasks nor leases
+    /// until it has answered a poll, which may show an end that must not be acknowledged.
+    pub(super) fn abandon_run(&mut self, key: TaskKey, now: Mono) {
         let restarts_anyway = self.step(key).is_none_or(|step| step.long_running);
         let Some((run, executor)) = self
             .task(key)
@@ -61,10 +84,16 @@
             && !job.state.is_final()
             && !restarts_anyway
         {
-            let slot = key.slot;
-            job.abandoned.push(AbandonedRun { slot, run });
-            if let Some(executor) = self.fleet.get_mut(executor) {
-                executor.abandoned.push((key, run));
+            let known = self.fleet.get_mut(executor);
+            job.abandoned.push(AbandonedRun {
+                slot: key.slot,
+                run,
+                executor: known.as_ref().map(|known| known.listing.id.clone()),
+                executor_started_unix_ms: known.as_ref().map(|known| known.listing.started_unix_ms),
+            });
+            if let Some(known) = known {
+                known.abandoned.push((key, run));
+                known.report_due_since = Some(now);
             }
         }
     }
@@ -191,8 +220,7 @@
             return;
         }
         if let Some(job) = self.jobs.get_mut(key.job) {
-            job.abandoned
-                .retain(|abandoned| *abandoned != AbandonedRun { slot, run });
+            job.abandoned.retain(|abandoned| !abandoned.is(slot, run));
         }
         self.mark_dirty(key.job);
     }
--- a/crates/job/src/scheduler/leases.rs
+++ b/crates/job/src/scheduler/leases.rs
@@ -14,13 +14,14 @@
     ///
     /// An unreachable executor is granted no lease: each attempt would extend the lease that has to
     /// expire before its tasks may start elsewhere. Nor is one that recovers from withheld ends while it
-    /// is empty or has only a probe, because its lease has to expire ([`crate::ack_recovery`]).
+    /// is empty or has only a probe, because its lease has to expire ([`crate::ack_recovery`]), nor one
+    /// whose next report may be the first to show such ends.
     pub fn grant_lease(&mut self, key: ExecutorKey, now: Mono) -> Option<u64> {
         let executor = self.fleet.get(key)?;
         let must_expire = executor
             .recovery
             .is_some_and(|recovery| recovery.probing || executor.tasks.is_empty());
-        if must_expire {
+        if must_expire || executor.report_due_since.is_some() {
             return None;
         }
         self.grant_lease_of(key, self.timing.lease, now)
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -199,6 +199,9 @@
     pub(crate) advice_requests: Vec<AdviceRequest>,
     /// Until when the previous owner may still send commands.
     previous_owner_sends_until: Mono,
+    /// Whether the stored record of a job has an abandoned run without the name of its executor, so
+    /// that any executor may list the end.
+    has_unlocated_runs: bool,
     /// When the newest executor list arrived.
     listed_at: Mono,
     /// The warm and cold executors by service, for the services that have cold ones.
@@ -247,6 +250,7 @@
             advice: AdviceCache::default(),
             advice_requests: Vec::new(),
             previous_owner_sends_until: Mono::ZERO,
+            has_unlocated_runs: false,
             listed_at: Mono::ZERO,
             warmth: Map::default(),
             evacuations: Evacuations::default(),
--- a/crates/job/src/scheduler/recovery.rs
+++ b/crates/job/src/scheduler/recovery.rs
@@ -28,6 +28,43 @@
         }
     }
 
+    /// Returns whether an executor may list ends that no report has shown.
+    pub(super) fn is_report_due(&self, key: ExecutorKey) -> bool {
+        let executor = self.fleet.get(key);
+        executor.is_some_and(|executor| executor.report_due_since.is_some())
+    }
+
+    /// Takes the only task on an executor for the probe of an earlier owner, if the executor lists ends
+    /// that must not be acknowledged. This owner has granted it no lease yet, and a usual one would carry
+    /// the probe to its end and keep other tasks away for as long.
+    pub(super) fn resume_probe(&mut self, key: ExecutorKey, now: Mono) {
+        let Some(executor) = self.fleet.get(key) else {
+            return;
+        };
+        let mut tasks = executor.tasks.iter().copied();
+        let (Some(task), None) = (tasks.next(), tasks.next()) else {
+            return;
+        };
+        let is_due = executor.recovery.is_none() && executor.listed_withheld_ends() > 0;
+        let loses_much = self
+            .step(task)
+            .is_none_or(|step| step.long_running || step.gang);
+        if !is_due || loses_much || !self.is_inherited(task) {
+            return;
+        }
+        if let Some(executor) = self.fleet.get_mut(key) {
+            let mut recovery = AckRecovery::new(now);
+            recovery.probing = true;
+            executor.recovery = Some(recovery);
+            let ends = executor.listed_withheld_ends();
+            self.record_event(Event::RecoveryBegan {
+                executor: key,
+                ends,
+                tasks: 1,
+            });
+        }
+    }
+
     /// Begins recoveries that are due. Long-running tasks on executors that are to become empty move
     /// elsewhere, because they do not end by themselves, as far as their steps allow it.
     pub(super) fn recover_executors(&mut self, now: Mono) {
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -108,6 +108,7 @@
     /// Processes a report; `sent` is when the poll was sent.
     pub fn report(&mut self, executor: ExecutorKey, report: &Report, sent: Mono, now: Mono) {
         self.locality.advance(now);
+        let was_due = self.is_report_due(executor);
         if !self.accept_report(executor, report, sent, now) {
             return;
         }
@@ -120,6 +121,9 @@
         }
         self.prune_abandoned(executor);
         self.begin_due_recovery(executor, now);
+        if was_due && !self.is_report_due(executor) {
+            self.resume_probe(executor, now);
+        }
         for run in &report.running {
             self.handle_running(executor, run, sent, now);
         }
--- a/crates/job/src/scheduler/restore.rs
+++ b/crates/job/src/scheduler/restore.rs
@@ -4,10 +4,12 @@
 
 use model::Mono;
 
+use super::AbandonedRun;
 use super::JobKey;
 use super::JobState;
 use super::Scheduler;
 use super::TaskKey;
+use crate::fleet::ExecutorKey;
 use crate::id::JobId;
 use crate::record::JobRecord;
 use crate::record::TaskRecord;
@@ -59,9 +61,6 @@
         }
         if let Some(job) = self.jobs.get_mut(key) {
             job.state = record.state();
-            job.abandoned.clone_from(&record.abandoned);
-            let tasks = job.tasks.len();
-            job.abandoned.retain(|run| (run.slot as usize) < tasks);
             job.stored_state = job.state;
             job.waiting = u32::try_from(
                 job.tasks
@@ -71,9 +70,50 @@
             )
             .unwrap_or(u32::MAX);
         }
+        for run in &record.abandoned {
+            self.restore_abandoned(key, run, now);
+        }
         self.stop_remaining_tasks(key);
     }
 
+    /// Restores an abandoned run. Its executor has to answer a poll before it gets tasks or leases,
+    /// because it may list an end that must not be acknowledged.
+    fn restore_abandoned(&mut self, key: JobKey, run: &AbandonedRun, now: Mono) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if run.slot as usize >= job.tasks.len() {
+            return;
+        }
+        job.abandoned.push(run.clone());
+        let Some(id) = &run.executor else {
+            self.has_unlocated_runs = true;
+            return;
+        };
+        let executor = self.restore_executor(id, run.executor_started_unix_ms);
+        if let Some(executor) = self.fleet.get_mut(executor) {
+            let task = TaskKey {
+                job: key,
+                slot: run.slot,
+            };
+            executor.abandoned.push((task, run.run));
+            executor.report_due_since = Some(now);
+        }
+    }
+
+    /// Returns an executor that a record names; its incarnation is that of the record if no other is
+    /// known.
+    fn restore_executor(&mut self, id: &Arc<str>, started_unix_ms: Option<u64>) -> ExecutorKey {
+        let key = self.fleet.intern(id);
+        if let Some(started_unix_ms) = started_unix_ms
+            && let Some(executor) = self.fleet.get_mut(key)
+            && executor.listing.started_unix_ms == 0
+        {
+            executor.listing.started_unix_ms = started_unix_ms;
+        }
+        key
+    }
+
     /// Marks a task as succeeded. A record that names a task which the job does not have, or names one
     /// twice, must not end the takeover, because it would end each one.
     fn restore_done(&mut self, key: TaskKey) {
@@ -99,15 +139,15 @@
         if !self.is_restorable(key) {
             return;
         }
-        let executor = record.executor.as_ref().map(|id| self.fleet.intern(id));
-        if let (Some(executor), Some(started_unix_ms)) = (executor, record.executor_started_unix_ms)
-            && let Some(executor) = self.fleet.get_mut(executor)
-            && executor.listing.started_unix_ms == 0
+        let executor = record
+            .executor
+            .as_ref()
+            .map(|id| self.restore_executor(id, record.executor_started_unix_ms));
+        if let Some(executor) = executor.and_then(|key| self.fleet.get_mut(key))
+            && executor.listing.address.is_empty()
+            && let Some(address) = &record.address
         {
-            executor.listing.started_unix_ms = started_unix_ms;
-            if let Some(address) = &record.address {
-                executor.listing.address = address.clone();
-            }
+            executor.listing.address = address.clone();
         }
         let Some(task) = self.task_mut(key) else {
             return;
--- a/crates/job/src/scheduler/retire.rs
+++ b/crates/job/src/scheduler/retire.rs
@@ -88,7 +88,7 @@
             .and_then(|job| job.abandoned.as_ref())
             .is_some_and(|runs| {
                 let slot = runs.spec.slot(task.occurrence, task.step, task.index);
-                runs.runs.contains(&AbandonedRun { slot, run })
+                runs.runs.iter().any(|abandoned| abandoned.is(slot, run))
             })
     }
 
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -37,7 +37,7 @@
         match reason {
             LossReason::Refused => self.release_unstarted(key, not_before),
             LossReason::LeaseExpired => {
-                self.abandon_run(key);
+                self.abandon_run(key, not_before);
                 self.release(key, not_before);
             }
             _ => self.release(key, not_before),
--- a/crates/job/tests/all/ack_recovery.rs
+++ b/crates/job/tests/all/ack_recovery.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use job::ack_recovery::AckRecovery;
+use job::fleet::Listing;
+use job::record::JobRecord;
 use job::scheduler::EndedRun;
 use job::scheduler::JobState;
 use job::scheduler::RunOutcome;
@@ -13,6 +15,7 @@
 use crate::fixture::Fixture;
 use crate::fixture::LEASE;
 use crate::fixture::MAX_LEASE;
+use crate::fixture::listing;
 use crate::fixture::service;
 use crate::fixture::step;
 
@@ -206,3 +209,127 @@
     fixture.list(vec![restarted, crate::fixture::listing(2)]);
     assert_eq!(record(&fixture).abandoned.len(), 0);
 }
+
+/// Returns a new owner of the same executors, which has read the record of the first job.
+fn successor_of(fixture: &mut Fixture) -> Fixture {
+    finish_on_second(fixture, 100);
+    let mut next = fixture.successor();
+    next.list(vec![listing(1), listing(2)]);
+    next.scheduler
+        .previous_owner_stopped(next.now, next.now, next.now);
+    next
+}
+
+/// Guards against a successor that places tasks before it knows of the end. Their leases would have to
+/// expire while the executor is empty.
+#[test]
+fn a_successor_waits_for_the_first_report_of_an_executor_with_an_abandoned_run() {
+    let (mut fixture, end) = with_a_withheld_end();
+    let mut next = successor_of(&mut fixture);
+    next.submit(2, vec![step(6, 16, 3_000)]);
+    next.start_all();
+    assert_eq!(next.tasks_on(1).len(), 0);
+    let executor = next.executor(1);
+    assert_eq!(next.scheduler.grant_lease(executor, next.now), None);
+    next.report_rows(1, vec![], vec![end]);
+    finish_on_second(&mut next, 200);
+    next.submit(3, vec![step(6, 16, 3_000)]);
+    next.start_all();
+    let tasks = next.tasks_on(1);
+    assert_eq!(tasks.len(), 1, "a probe at once");
+    assert_eq!(next.scheduler.grant_lease(executor, next.now), None);
+}
+
+/// Guards against an executor that no task is placed on any more, because no report was due.
+#[test]
+fn a_report_without_the_end_makes_the_executor_usable_for_a_successor() {
+    let (mut fixture, _) = with_a_withheld_end();
+    let mut next = successor_of(&mut fixture);
+    next.report_rows(1, vec![], vec![]);
+    next.submit(2, vec![step(6, 16, 3_000)]);
+    next.start_all();
+    assert!(next.tasks_on(1).len() > 1, "usable as before");
+}
+
+/// Guards against a successor that extends the lease of an inherited probe, so that the probe ends
+/// by itself and the extended lease has to expire while the executor is empty.
+#[test]
+fn a_successor_lets_the_lease_of_an_inherited_probe_expire() {
+    let (mut fixture, end) = with_a_withheld_end();
+    finish_on_second(&mut fixture, 100);
+    fixture.list(vec![listing(1)]);
+    fixture.submit(2, vec![step(6, 16, 3_000)]);
+    fixture.place();
+    assert_eq!(fixture.tasks_on(1).len(), 1, "a probe");
+    let mut next = fixture.successor_of_all();
+    next.list(vec![listing(1)]);
+    next.scheduler
+        .previous_owner_stopped(next.now, next.now, next.now);
+    let executor = next.executor(1);
+    let probe = next.tasks_on(1)[0];
+    assert_eq!(next.scheduler.grant_lease(executor, next.now), None);
+    next.report_rows(1, vec![next.running(probe, 10, 0)], vec![end.clone()]);
+    assert_eq!(next.scheduler.grant_lease(executor, next.now), None);
+    let expired = next.end(2, probe, RunOutcome::LeaseExpired);
+    next.report_rows(1, vec![], vec![end, expired]);
+    next.store();
+    assert_eq!(acknowledgement(&next), 2);
+    next.start_all();
+    assert!(next.tasks_on(1).len() > 1, "usable as before");
+}
+
+/// Guards against a record of an earlier release, which does not name the executor: any may list the
+/// end.
+#[test]
+fn a_successor_waits_for_the_first_report_of_each_executor_if_a_record_does_not_name_it() {
+    let (mut fixture, end) = with_a_withheld_end();
+    finish_on_second(&mut fixture, 100);
+    let batch = fixture.scheduler.take_batch(100, usize::MAX);
+    let (id, row) = &batch.rows[0];
+    let mut record: JobRecord = serde_json::from_slice(row).expect("a valid record");
+    for run in &mut record.abandoned {
+        run.executor = None;
+        run.executor_started_unix_ms = None;
+    }
+    let mut next = Fixture::new(0);
+    next.scheduler
+        .restore(fixture.submission(*id), &record, next.now);
+    next.list(vec![listing(1), listing(2)]);
+    next.submit(2, vec![step(6, 16, 3_000)]);
+    next.start_all();
+    assert_eq!(next.tasks_on(1).len() + next.tasks_on(2).len(), 0);
+    next.report_rows(1, vec![], vec![end]);
+    next.start_all();
+    assert_eq!(next.tasks_on(1).len(), 1, "a probe");
+}
+
+/// Guards against an executor that waits for a report about runs of an earlier incarnation.
+#[test]
+fn a_restarted_executor_gets_tasks_from_a_successor_at_once() {
+    let (mut fixture, _) = with_a_withheld_end();
+    finish_on_second(&mut fixture, 100);
+    let mut next = fixture.successor();
+    let restarted = Listing {
+        started_unix_ms: 2_000,
+        ..listing(1)
+    };
+    next.list(vec![restarted, listing(2)]);
+    next.submit(2, vec![step(6, 16, 3_000)]);
+    next.start_all();
+    assert!(next.tasks_on(1).len() > 1);
+}
+
+/// Guards against a record that is not read because its encoding names executors of abandoned runs.
+#[test]
+fn the_compact_record_names_the_executors_of_abandoned_runs() {
+    let (mut fixture, _) = with_a_withheld_end();
+    finish_on_second(&mut fixture, 100);
+    fixture.scheduler.max_record_bytes = 100;
+    let batch = fixture.scheduler.take_batch(100, usize::MAX);
+    let record = job::record::decode(&batch.rows[0].1).expect("a valid record");
+    assert!(!record.abandoned.is_empty());
+    for run in &record.abandoned {
+        assert_eq!(run.executor.as_deref(), Some("e1"));
+        assert_eq!(run.executor_started_unix_ms, Some(1_000));
+    }
+}
--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -147,16 +147,27 @@
     /// Returns a new owner that restores the only job from the record that this one would store.
     pub fn successor(&mut self) -> Self {
         let batch = self.scheduler.take_batch(100, usize::MAX);
-        let [(id, row)] = &batch.rows[..] else {
-            panic!("expected one row, got {}", batch.rows.len());
-        };
-        let record: JobRecord = serde_json::from_slice(row).expect("a valid record");
-        let submission = self.submission(*id);
+        assert_eq!(batch.rows.len(), 1, "one row");
+        self.successor_with(&batch.rows)
+    }
+
+    /// Returns a new owner that restores all jobs with unstored changes.
+    pub fn successor_of_all(&mut self) -> Self {
+        let batch = self.scheduler.take_batch(100, usize::MAX);
+        self.successor_with(&batch.rows)
+    }
+
+    fn successor_with(&self, rows: &[(JobId, Vec<u8>)]) -> Self {
         let mut next = Self {
             scheduler: Scheduler::new(plan(2), self.scheduler.timing),
             now: Mono(5_000),
         };
-        next.scheduler.restore(submission, &record, next.now);
+        for (id, row) in rows {
+            let record: JobRecord = serde_json::from_slice(row).expect("a valid record");
+            let mut submission = self.submission(*id);
+            submission.row_version = record.row_version.unwrap_or(submission.row_version);
+            next.scheduler.restore(submission, &record, next.now);
+        }
         next
     }
 
--- a/crates/job/tests/all/model/step.rs
+++ b/crates/job/tests/all/model/step.rs
@@ -247,10 +247,7 @@
         for at in 0..2 {
             let executor = owner.scheduler.fleet.get(owner.key(at));
             let Some(executor) = executor else { continue };
-            let polls = !executor.tasks.is_empty()
-                || executor.has_unacknowledged_ends()
-                || !executor.reachable;
-            if !polls {
+            if !executor.needs_poll() {
                 continue;
             }
             if self.executors[at].reachable {
--- a/crates/job/tests/all/odd_records.rs
+++ b/crates/job/tests/all/odd_records.rs
@@ -56,6 +56,10 @@
     let abandoned = slots(rng).into_iter().map(|slot| AbandonedRun {
         slot,
         run: u64::from(slot % 3),
+        executor: slot
+            .is_multiple_of(2)
+            .then(|| format!("e{}", slot % 6).into()),
+        executor_started_unix_ms: slot.is_multiple_of(3).then_some(u64::from(slot % 3_000)),
     });
     JobRecord {
         state: ['q', 'r', 's', 'f', 'c', '?'][rng.random_range(0..6)],
