fix(job): a successor does not acknowledge an earlier success of a task that was done again

Cause: when a job ends, abandoned runs that no later run of their task has followed leave its record, because their ends have no effect then. A record does not tell by which run a task was done, so that after a takeover the number of each such task was 0, and all abandoned runs were forgotten when the successor ended the job. It then acknowledged their ends, although the tasks had been started again (TWICE).

Change: a task that is done and has an abandoned run was done by a later one, because a run that settles its task leaves the record with it. The restored task gets the next number.

The new test of late_ends acknowledges 7 instead of 6 ends without the change.

--- a/crates/dispatch/tests/all/ack_recovery.rs
+++ b/crates/dispatch/tests/all/ack_recovery.rs
@@ -45,3 +45,44 @@
     );
     world.assert_no_violations();
 }
+
+/// Guards against an executor that is empty for as long as a usual lease because a successor placed tasks
+/// there before it knew of the end. All hosts are lost soon after the executor is reached again.
+#[tokio::test(start_paused = true)]
+async fn an_executor_that_was_cut_off_is_not_empty_for_long_after_a_takeover() {
+    let world = World::new(2);
+    world.start("a");
+    world.advance(SECOND).await;
+    for executor in [1, 2] {
+        let duration = Duration::from_millis(1_500);
+        world.fleet.executor(executor).task_duration.set(duration);
+    }
+    world.submit("a", 1, job(8)).await;
+    world.advance(SECOND / 2).await;
+    let cut = world.fleet.executor(1);
+    cut.reachable.set(false);
+    world.advance(Duration::from_millis(7_000)).await;
+    cut.reachable.set(true);
+    world.advance(SECOND / 2).await;
+    world.kill("a");
+    world.start("b");
+    world.advance(4 * SECOND).await;
+    world.fleet.executor(2).listed.set(false);
+    cut.task_duration.set(Duration::from_millis(300));
+    let mut jobs = vec![1];
+    let mut longest_pause = Duration::ZERO;
+    for number in 2..=12 {
+        world.submit("b", number, job(8)).await;
+        jobs.push(number);
+        let begun = cut.starts.get();
+        let mut pause = Duration::ZERO;
+        while cut.starts.get() == begun {
+            world.advance(SECOND / 10).await;
+            pause += SECOND / 10;
+        }
+        longest_pause = longest_pause.max(pause);
+    }
+    assert!(longest_pause < 3 * SECOND, "{longest_pause:?}");
+    world.wait_until_succeeded("b", &jobs, 20 * SECOND).await;
+    world.assert_no_violations();
+}
--- a/crates/job/src/scheduler/restore.rs
+++ b/crates/job/src/scheduler/restore.rs
@@ -86,6 +86,11 @@
             return;
         }
         job.abandoned.push(run.clone());
+        // Records do not tell by which run a task was done: not by this one, or it would be settled.
+        let task = &mut job.tasks[run.slot as usize];
+        if task.phase == Phase::Done {
+            task.run = task.run.max(run.run.saturating_add(1));
+        }
         let Some(id) = &run.executor else {
             self.has_unlocated_runs = true;
             return;
--- a/crates/job/tests/all/late_ends.rs
+++ b/crates/job/tests/all/late_ends.rs
@@ -251,6 +251,36 @@
     assert_eq!(acknowledgement(&fixture, first), 6);
 }
 
+/// Guards against a successor that acknowledges an earlier success once the job has ended, because
+/// records do not tell by which run a task was done.
+#[test]
+fn a_successor_that_ends_the_job_does_not_acknowledge_the_late_success_of_a_task_that_started_again()
+ {
+    let mut fixture = Fixture::new(2);
+    let second_step = StepSpec {
+        after: vec![0],
+        ..step(1, 4, 1_000)
+    };
+    let steps = vec![step(1, 4, 1_000), second_step];
+    let (first, end) = restarted(&mut fixture, steps, RunOutcome::Done);
+    let second = 3 - first;
+    let again = fixture.tasks_on(second)[0];
+    let last = fixture.end(1, again, RunOutcome::Done);
+    fixture.report_rows(second, vec![], vec![last]);
+    let mut next = successor(&mut fixture);
+    next.start_all();
+    let key = next.tasks_on(second)[0];
+    let last = next.end(2, key, RunOutcome::Done);
+    next.report_rows(second, vec![], vec![last]);
+    next.store();
+    next.scheduler.tick(next.now);
+    let id = end.task.expect("a task").job;
+    assert_eq!(next.scheduler.find(id), None, "the job is retired");
+    next.report_rows(first, vec![], vec![end]);
+    next.store();
+    assert_eq!(acknowledgement(&next, first), 6);
+}
+
 #[test]
 fn late_failures_count_against_the_attempts() {
     let mut fixture = Fixture::new(2);
