fix(platform): entries of the executor list that name no executor get no tasks

Cause: an entry was taken for an executor if its used fields could be read, whatever the address. Tasks placed on an address that cannot be called were given up after three attempts and started again, on the next such entry; a capacity of 2^64 - 1 made such an entry the best place for each task. Rejected entries were logged at debug level only.

The owner keeps the rejected entries with their reasons: a warning for each new reason, a list in `/dump`, and a gauge. `/dump` also shows executors whose report is due.

--- a/crates/dispatch/src/dependencies.rs
+++ b/crates/dispatch/src/dependencies.rs
@@ -275,10 +275,29 @@
     pub follow: Call<(u64, Duration), Result<EvacuationChanges, StoreError>>,
 }
 
-/// The list of executors, each with the reading of its clock.
+/// The list of executors.
 pub struct ExecutorList {
     /// Reads the whole list.
-    pub read: Call<(), Result<Vec<(Listing, u64)>, StoreError>>,
+    pub read: Call<(), Result<ExecutorRead, StoreError>>,
+}
+
+/// The list of executors as it was read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ExecutorRead {
+    /// The executors, each with the reading of its clock.
+    pub listings: Vec<(Listing, u64)>,
+    /// The entries that name no executor which could be used.
+    pub rejected: Vec<RejectedEntry>,
+}
+
+/// An entry in the list of executors that names none, because another program or a faulty executor
+/// has written it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct RejectedEntry {
+    /// The key of the entry.
+    pub key: String,
+    /// What is wrong with it.
+    pub reason: String,
 }
 
 /// Calls to executors.
--- a/crates/dispatch/src/dump.rs
+++ b/crates/dispatch/src/dump.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::admission::EstimateReport;
+use crate::dependencies::RejectedEntry;
 use crate::node::Node;
 use crate::owner::Owner;
 use crate::rows::OwnerRecord;
@@ -60,6 +61,9 @@
     /// Executors that accept no tasks at the moment, with the causes.
     #[serde(rename = "executors_away")]
     pub unavailable_executors: Vec<ExecutorDump>,
+    /// Entries in the list of executors that name none which could be used, with the reasons.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub rejected_entries: Vec<RejectedEntry>,
     /// Executors that are slow after their start.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub cold_executors: Vec<ColdExecutorDump>,
@@ -153,6 +157,9 @@
     pub cooldown_ms: u64,
     /// Number of tasks assigned to it.
     pub tasks: usize,
+    /// Whether it first has to report what has ended there since contact with it was lost.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub report_due: bool,
     /// Number of the ends that it lists, counted from the first one that must not be acknowledged.
     pub withheld_ends: usize,
 }
@@ -191,6 +198,7 @@
             evacuated: executor.evacuated,
             cooldown_ms: millis_since(executor.not_before, now),
             tasks: executor.tasks.len(),
+            report_due: executor.report_due_since.is_some(),
             withheld_ends: executor.listed_withheld_ends(),
         });
     let executors = scheduler.fleet.iter().map(|(_, executor)| executor);
@@ -200,6 +208,8 @@
         remaining_ms: millis_since(executor.cold_until, now),
         tasks: executor.tasks.len(),
     });
+    let rejected_entries = owner.rejected_entries.borrow();
+    let rejected = rejected_entries.iter();
     let (refused, returning_callers) = owner.admission_counts();
     OwnerDump {
         refused,
@@ -210,6 +220,7 @@
         jobs: jobs.collect(),
         known_executors: scheduler.fleet.iter().count(),
         unavailable_executors: unavailable.collect(),
+        rejected_entries: rejected.take(MAX_LISTED).cloned().collect(),
         cold_executors: cold.collect(),
         evacuations: owner
             .evacuations_age()
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -345,6 +345,11 @@
     log::warn!(event = "checkpoints_omitted", job = id.as_str(), checkpoints; "");
 }
 
+/// Logs that an entry in the list of executors names none that could be used.
+pub fn executor_entry_rejected(key: &str, reason: &str) {
+    log::warn!(event = "executor_entry_rejected", key, reason; "");
+}
+
 /// Logs a row that cannot be read and is skipped.
 pub fn unreadable_row(table: &str, key: &str, error: &str) {
     log::warn!(event = "unreadable_row", table, key, error; "");
--- a/crates/dispatch/src/metrics/state.rs
+++ b/crates/dispatch/src/metrics/state.rs
@@ -254,6 +254,11 @@
         let waiting = scheduler.locality.waiting();
         self.place_waits
             .set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        let rejected = owner.rejected_entries.borrow().len();
+        let outcome = "rejected";
+        self.executors
+            .get_or_create(&OutcomeLabel { outcome })
+            .set(i64::try_from(rejected).unwrap_or(i64::MAX));
         for (_, executor) in scheduler.fleet.iter() {
             let outcome = executor_label(executor);
             self.executors
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -60,6 +60,7 @@
 use self::processor_pace::ProcessorPace;
 pub use self::takeover::Claim;
 pub use self::takeover::take_over;
+use crate::dependencies::RejectedEntry;
 use crate::dependencies::Target;
 use crate::events;
 use crate::node::Node;
@@ -149,6 +150,8 @@
     evacuations: EvacuationFeed,
     /// Limits requests to the advisor to one at a time.
     advisor_slot: Semaphore,
+    /// The entries in the newest list of executors that name none which could be used.
+    pub(crate) rejected_entries: RefCell<Vec<RejectedEntry>>,
 }
 
 impl Owner {
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -122,8 +122,10 @@
     let commands_until = claim.sent.after(MAX_UNCONFIRMED).after(call_delay);
     let assumed_lease_end = commands_until.after(lease);
     scheduler.inherit_leases(commands_until, assumed_lease_end);
+    let mut rejected = Vec::new();
     if let Ok(list) = (node.dependencies.executor_list.read)(()).await {
-        scheduler.update_executors(list, node.now());
+        scheduler.update_executors(list.listings, node.now());
+        rejected = list.rejected;
     }
     if let Some(snapshot) = &stored.evacuations {
         scheduler.replace_evacuations(&snapshot.data_centres, node.now());
@@ -170,7 +172,9 @@
         load: OwnerLoad::default(),
         evacuations: EvacuationFeed::new(stored.evacuations.as_ref()),
         advisor_slot: Semaphore::new(1),
+        rejected_entries: RefCell::default(),
     });
+    owner.record_rejected_entries(rejected);
     owner.add_markers(&stored.jobs);
     *node.owner.borrow_mut() = Some(owner.clone());
     *node.known_owner.borrow_mut() = Some(kept.record);
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -10,6 +10,8 @@
 
 use dispatch::dependencies::CommandOutcome;
 use dispatch::dependencies::CommandReply;
+use dispatch::dependencies::ExecutorRead;
+use dispatch::dependencies::RejectedEntry;
 use dispatch::dependencies::RunRequest;
 use dispatch::dependencies::StartRequest;
 use dispatch::dependencies::Target;
@@ -109,6 +111,8 @@
     pub callers: Callers,
     /// Carries calls to executors.
     pub relay: Relay,
+    /// The entries of the list that name no executor.
+    pub rejected: RefCell<Vec<RejectedEntry>>,
     /// Descriptions of observed violations.
     pub violations: RefCell<Vec<String>>,
 }
@@ -198,6 +202,14 @@
             .collect()
     }
 
+    /// Returns the list of executors as a host reads it, with the entries that name none.
+    pub fn read_list(&self) -> ExecutorRead {
+        ExecutorRead {
+            listings: self.listings(),
+            rejected: self.rejected.borrow().clone(),
+        }
+    }
+
     /// Returns whether the advisor grants an executor.
     pub fn grants(&self, id: &str) -> bool {
         let granted_executors = self.granted_executors.borrow();
--- a/crates/dispatch/tests/all/state.rs
+++ b/crates/dispatch/tests/all/state.rs
@@ -4,6 +4,7 @@
 
 use dispatch::api;
 use dispatch::api::SubmitOutcome;
+use dispatch::dependencies::RejectedEntry;
 use dispatch::dump;
 use job::spec::JobSpec;
 use job::spec::StepSpec;
@@ -143,3 +144,38 @@
     world.advance(6 * SECOND).await;
     assert_eq!(metric(&world, &owner, name), None, "nothing waits");
 }
+
+/// Guards against entries of the list that are passed over without a word, and against a line each time
+/// that the list is read.
+#[tokio::test(start_paused = true)]
+async fn operators_see_why_an_entry_of_the_list_names_no_executor() {
+    log_capture::begin();
+    let world = World::new(2);
+    let entry = |key: &str, reason: &str| RejectedEntry {
+        key: key.to_owned(),
+        reason: reason.to_owned(),
+    };
+    let port = entry("odd", "address: \"10.0.0.9:99999\" is no address");
+    *world.fleet.rejected.borrow_mut() = vec![port.clone()];
+    world.start("a");
+    world.advance(SECOND * 5).await;
+    let shown = dump::dump(&world.host("a").node);
+    let owner = shown.owner.expect("it owns the executors");
+    assert_eq!(owner.rejected_entries, [port]);
+    assert_eq!(log_capture::lines("executor_entry_rejected").len(), 1);
+    *world.fleet.rejected.borrow_mut() = vec![entry("odd", "capacity.cpu: too high")];
+    world.advance(SECOND * 5).await;
+    assert_eq!(log_capture::lines("executor_entry_rejected").len(), 2);
+    world.kill("a");
+    world.start("b");
+    world.advance(SECOND * 5).await;
+    assert_eq!(log_capture::lines("executor_entry_rejected").len(), 3);
+    world.submit("b", 1, job(8)).await;
+    world.wait_until_succeeded("b", &[1], SECOND * 10).await;
+    world.fleet.rejected.borrow_mut().clear();
+    world.advance(SECOND * 5).await;
+    let shown = dump::dump(&world.host("b").node);
+    let owner = shown.owner.expect("it owns the executors");
+    assert_eq!(owner.rejected_entries, []);
+    world.assert_no_violations();
+}
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -213,7 +213,7 @@
             executor_list: ExecutorList {
                 read: Box::new(move |()| {
                     let fleet = fleet.clone();
-                    async move { Ok(fleet.listings()) }.boxed_local()
+                    async move { Ok(fleet.read_list()) }.boxed_local()
                 }),
             },
             executors: called_by(
