fix(job): sums of capacities do not overflow

Jobs come from callers and entries from other writers, so that sizes can be as large as numbers go. Sums of the short work's share, of admission, of wait reasons, of clocks and of what is allocated overflowed: a panic with overflow checks, a wrapped sum and a wrong decision in releases. They have the highest number as the upper bound now, as `Size` had.

Wait reasons tell how many executors have yet to report what has ended there.

--- a/crates/job/src/admission/backlog.rs
+++ b/crates/job/src/admission/backlog.rs
@@ -343,7 +343,7 @@
             completed: 0,
             cells: Vec::new(),
         });
-        pool.cpu_millis += all.saturating_sub(held);
+        pool.cpu_millis = pool.cpu_millis.saturating_add(all.saturating_sub(held));
     }
 }
 
--- a/crates/job/src/admission/estimate.rs
+++ b/crates/job/src/admission/estimate.rs
@@ -167,7 +167,12 @@
             .iter()
             .filter(|cell| cell.in_time > 0 || cell.late > 0)
             .map(|cell| 1 << cell.cell.magnitude)
-            .chain(queue.class_limits.iter().map(|limit| limit + 1))
+            .chain(
+                queue
+                    .class_limits
+                    .iter()
+                    .map(|limit| limit.saturating_add(1)),
+            )
             .collect();
         works.sort_unstable();
         works.dedup();
--- a/crates/job/src/admission/rates.rs
+++ b/crates/job/src/admission/rates.rs
@@ -49,7 +49,10 @@
         if self.intervals.len() == KEPT_INTERVALS {
             self.intervals.pop_front();
         }
-        let waiting = pool.cells.iter().map(|cell| cell.in_time + cell.late);
+        let waiting = pool
+            .cells
+            .iter()
+            .map(|cell| cell.in_time.saturating_add(cell.late));
         let waiting: u64 = waiting.fold(0, u64::saturating_add);
         let arrived = pool.cells.iter().filter(|cell| cell.arrived > 0);
         self.intervals.push_back(Interval {
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -197,7 +197,8 @@
     /// Returns the time on the executor's clock that lies `lease` after `now`.
     #[must_use]
     pub fn deadline(&self, now: Mono, lease: Duration) -> u64 {
-        self.executor_ms + model::time::millis(now.since(self.at)) + model::time::millis(lease)
+        let ahead = now.since(self.at).saturating_add(lease);
+        self.executor_ms.saturating_add(model::time::millis(ahead))
     }
 
     /// Returns whether `later` can be a reading of the same clock. The clock of an executor
@@ -205,8 +206,10 @@
     #[must_use]
     pub fn is_continued_by(&self, later: &Self) -> bool {
         let elapsed = model::time::millis(later.at.since(self.at));
-        let least = self.executor_ms + elapsed - elapsed / CLOCK_DRIFT_DIVISOR;
-        later.executor_ms + REORDERING_TOLERANCE_MS >= least
+        let least = self
+            .executor_ms
+            .saturating_add(elapsed - elapsed / CLOCK_DRIFT_DIVISOR);
+        later.executor_ms.saturating_add(REORDERING_TOLERANCE_MS) >= least
     }
 
     /// Returns the time by which the executor's clock has certainly passed `deadline_ms`, allowing
@@ -214,7 +217,7 @@
     #[must_use]
     pub fn deadline_passed_at(&self, deadline_ms: u64) -> Mono {
         let left = deadline_ms.saturating_sub(self.executor_ms);
-        let slow = left + left / (CLOCK_DRIFT_DIVISOR - 1) + 1;
+        let slow = left.saturating_add(left / (CLOCK_DRIFT_DIVISOR - 1) + 1);
         self.at
             .after(Duration::from_millis(slow))
             .after(EXPIRY_MARGIN)
@@ -306,7 +309,7 @@
     pub(crate) fn add_service(&mut self, image: &Arc<str>, key: ImageKey, cpu_millis: u64) {
         let known = self.services.iter_mut().find(|load| load.image == *image);
         if let Some(load) = known {
-            load.cpu_millis += cpu_millis;
+            load.cpu_millis = load.cpu_millis.saturating_add(cpu_millis);
             load.tasks += 1;
         } else {
             self.services.push(ServiceLoad {
--- a/crates/job/src/placement/best_effort.rs
+++ b/crates/job/src/placement/best_effort.rs
@@ -154,10 +154,13 @@
 
 /// Returns the CPU in thousandths of a core that tasks that are not best-effort leave unused.
 const fn cpu_left_by_others(executor: &Executor) -> u64 {
-    let long_running_load = executor.long_running_cpu_millis * SERVICE_LOAD_PERCENT / 100;
+    let long_running_load = executor
+        .long_running_cpu_millis
+        .saturating_mul(SERVICE_LOAD_PERCENT)
+        / 100;
     executor
         .listing
         .capacity
         .cpu_millis
-        .saturating_sub(executor.batch_cpu_millis + long_running_load)
+        .saturating_sub(executor.batch_cpu_millis.saturating_add(long_running_load))
 }
--- a/crates/job/src/placement/score.rs
+++ b/crates/job/src/placement/score.rs
@@ -32,17 +32,17 @@
     /// are packed, so that some executors run none.
     #[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
     fn service_score(&self, executor: &Executor, step: &StepSpec) -> f64 {
-        let mut same_image = 0_u64;
-        let mut other_images = 0_u64;
+        let mut same_image = 0.0;
+        let mut other_images = 0.0;
         for service in &executor.services {
             if step.image.as_ref() == Some(&service.image) {
-                same_image += service.cpu_millis;
+                same_image += service.cpu_millis as f64;
             } else {
-                other_images += service.cpu_millis;
+                other_images += service.cpu_millis as f64;
             }
         }
         let capacity = executor.listing.capacity.cpu_millis.max(1) as f64;
-        (same_image as f64 - other_images as f64) / capacity
+        (same_image - other_images) / capacity
     }
 }
 
--- a/crates/job/src/scheduler/allocation.rs
+++ b/crates/job/src/scheduler/allocation.rs
@@ -28,13 +28,14 @@
             if let Some((image, key)) = &service_image {
                 executor.add_service(image, *key, cpu);
             }
-            if best_effort {
-                executor.best_effort_cpu_millis += cpu;
+            let allocated = if best_effort {
+                &mut executor.best_effort_cpu_millis
             } else if long_running {
-                executor.long_running_cpu_millis += cpu;
+                &mut executor.long_running_cpu_millis
             } else {
-                executor.batch_cpu_millis += cpu;
-            }
+                &mut executor.batch_cpu_millis
+            };
+            *allocated = allocated.saturating_add(cpu);
         }
     }
 
--- a/crates/job/src/short_work.rs
+++ b/crates/job/src/short_work.rs
@@ -204,8 +204,12 @@
             .short_demand
             .get(service)
             .map_or(0, ShortDemand::cpu_millis);
-        let owed = (demand / 100 * OWED_PERCENT).min(cpu.all / MAX_OWED_DIVISOR);
-        let limit = cpu.all.saturating_sub(owed + cpu.all / FRAGMENTS_DIVISOR);
+        let owed = (demand / 100)
+            .saturating_mul(OWED_PERCENT)
+            .min(cpu.all / MAX_OWED_DIVISOR);
+        let limit = cpu
+            .all
+            .saturating_sub(owed.saturating_add(cpu.all / FRAGMENTS_DIVISOR));
         let is_met = cpu.coming >= shortage.cpu_millis || cpu.long_running <= limit;
         if is_met || now < self.keep_not_before {
             return;
@@ -218,7 +222,7 @@
             if cpu.coming >= shortage.cpu_millis || cpu.long_running <= limit {
                 return;
             }
-            cpu.coming += candidate.room.cpu_millis;
+            cpu.coming = cpu.coming.saturating_add(candidate.room.cpu_millis);
             cpu.long_running = cpu.long_running.saturating_sub(candidate.freed.cpu_millis);
             self.keep_executor(candidate, shortage.task, now);
         }
@@ -276,11 +280,13 @@
         let executors = self.fleet.iter().map(|(_, executor)| executor);
         let executors = executors.filter(|executor| &*executor.listing.service == service);
         for executor in executors.filter(|executor| executor.accepts_tasks(now)) {
-            cpu.all += executor.listing.capacity.cpu_millis;
+            let long_running = executor.long_running_cpu_millis;
+            cpu.all = cpu.all.saturating_add(executor.listing.capacity.cpu_millis);
             if is_kept(executor) {
-                cpu.coming += executor.free().cpu_millis + executor.long_running_cpu_millis;
+                let coming = executor.free().cpu_millis.saturating_add(long_running);
+                cpu.coming = cpu.coming.saturating_add(coming);
             } else {
-                cpu.long_running += executor.long_running_cpu_millis;
+                cpu.long_running = cpu.long_running.saturating_add(long_running);
             }
         }
         cpu
@@ -322,7 +328,7 @@
         let used = self
             .fleet
             .sum_by_service(|demand: &mut ShortDemand, executor| {
-                demand.used += executor.batch_cpu_millis;
+                demand.used = demand.used.saturating_add(executor.batch_cpu_millis);
             });
         let mut observed: Map<Arc<str>, ShortDemand> = used.into_iter().collect();
         self.expected_short_work.retain(|work| now < work.until);
--- a/crates/job/src/usage.rs
+++ b/crates/job/src/usage.rs
@@ -55,6 +55,11 @@
     smallest: Option<Size>,
 }
 
+/// Adds to a sum, with the highest number as the upper bound.
+const fn add(sum: &mut u64, cpu_millis: u64) {
+    *sum = sum.saturating_add(cpu_millis);
+}
+
 impl WaitingDemand {
     fn add(&mut self, step: &StepSpec, tasks: u64) {
         let size = step.allocated_size();
@@ -78,11 +83,15 @@
         self.executors += 1;
         self.capacity += executor.listing.capacity;
         self.free += executor.free();
-        self.long_running_cpu_millis += executor.long_running_cpu_millis;
-        self.batch_cpu_millis += executor.batch_cpu_millis;
+        add(
+            &mut self.long_running_cpu_millis,
+            executor.long_running_cpu_millis,
+        );
+        add(&mut self.batch_cpu_millis, executor.batch_cpu_millis);
         if is_kept(executor) {
-            self.kept_cpu_millis += executor.listing.capacity.cpu_millis;
-            self.kept_free_cpu_millis += executor.free().cpu_millis;
+            let capacity = executor.listing.capacity.cpu_millis;
+            add(&mut self.kept_cpu_millis, capacity);
+            add(&mut self.kept_free_cpu_millis, executor.free().cpu_millis);
         }
         for waiting in [&mut self.in_time, &mut self.late, &mut self.long_running] {
             waiting.count_if_fitting(executor);
--- a/crates/job/src/wait_reason/mod.rs
+++ b/crates/job/src/wait_reason/mod.rs
@@ -322,15 +322,17 @@
     };
     let sum = |cpu_millis: &dyn Fn(&Executor) -> u64| -> u64 {
         let executors = candidates.iter();
-        executors.map(|(_, executor)| cpu_millis(executor)).sum()
+        let amounts = executors.map(|(_, executor)| cpu_millis(executor));
+        amounts.fold(0, u64::saturating_add)
     };
     let capacity = sum(&|executor| executor.listing.capacity.cpu_millis).max(1);
+    let percent = |amount: u64| amount.saturating_mul(100) / capacity;
     WaitReason::NoCapacity {
         candidates: candidates.len(),
         cpu_short: count(&|free| free.cpu_millis < needed.cpu_millis),
         memory_short: count(&|free| free.memory_mib < needed.memory_mib),
-        long_running_percent: sum(&|executor| executor.long_running_cpu_millis) * 100 / capacity,
-        batch_percent: sum(&|executor| executor.batch_cpu_millis) * 100 / capacity,
+        long_running_percent: percent(sum(&|executor| executor.long_running_cpu_millis)),
+        batch_percent: percent(sum(&|executor| executor.batch_cpu_millis)),
     }
 }
 
@@ -345,6 +347,7 @@
         evacuated: count(&|executor| {
             executor.reachable && !executor.listing.draining && executor.evacuated
         }),
+        report_due: count(&|executor| executor.reachable && executor.report_due_since.is_some()),
         cooling_down: count(&|executor| {
             executor.reachable
                 && !executor.listing.draining
--- a/crates/job/src/wait_reason/reason.rs
+++ b/crates/job/src/wait_reason/reason.rs
@@ -50,8 +50,9 @@
     },
     /// No executor of the service accepts tasks.
     #[display(
-        "none of the {listed} executors of {service} takes tasks: {unreachable} do not answer, {draining} leave, {}{cooling_down} rest",
-        evacuated_part(*evacuated)
+        "none of the {listed} executors of {service} takes tasks: {unreachable} do not answer, {draining} leave, {}{}{cooling_down} rest",
+        evacuated_part(*evacuated),
+        report_due_part(*report_due)
     )]
     NoExecutor {
         /// The name of the service.
@@ -67,6 +68,10 @@
         /// The number of other reachable executors whose data centre is evacuated.
         #[serde(skip_serializing_if = "is_zero")]
         evacuated: usize,
+        /// The number of executors that first have to report what has ended there
+        /// ([`crate::fleet::Executor::report_due_since`]).
+        #[serde(skip_serializing_if = "is_zero")]
+        report_due: usize,
         /// The number of executors in cooldown after refused starts or failures.
         #[serde(rename = "resting")]
         cooling_down: usize,
@@ -271,6 +276,14 @@
     pub reason: String,
 }
 
+/// Returns the part of the text that names executors whose report is due, or nothing without any.
+fn report_due_part(report_due: usize) -> String {
+    if report_due == 0 {
+        return String::new();
+    }
+    format!("{report_due} have yet to report, ")
+}
+
 /// Returns what the text says of executors in evacuated data centres: nothing if there are none.
 fn evacuated_part(evacuated: usize) -> String {
     if evacuated == 0 {
