fix(platform): only a status that rejects a transaction counts as a refusal for good

On the other side, a submission whose row the store rejects was repeated until the caller's deadline and answered with 504.

A submission that the store rejects is refused at once with 503, if no earlier write of it is unaccounted for.

--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -251,7 +251,10 @@
                 };
             }
             Err(StoreError::Conflict { rows }) => return compare_with_stored(id, &rows, record),
-            Err(StoreError::Unanswered | StoreError::Protocol) => may_be_stored = true,
+            Err(StoreError::Unanswered) => may_be_stored = true,
+            // The store would reject the same write again.
+            Err(StoreError::Protocol) if !may_be_stored => return SubmitOutcome::Refused,
+            Err(StoreError::Protocol) => {}
             Err(StoreError::Refused | StoreError::HistoryGone) => {}
         }
         if !may_be_stored && node.now().since(started) > REFUSE_AFTER {
--- a/crates/dispatch/src/dependencies.rs
+++ b/crates/dispatch/src/dependencies.rs
@@ -231,7 +231,7 @@
         /// Current state of the rows whose versions were expected.
         rows: Vec<Row>,
     },
-    /// Nothing was done: the store was unreachable or rejected the call.
+    /// Nothing was done: the store was unreachable, busy or full.
     #[display("the store turned the call away")]
     Refused,
     /// No answer; a write may have been applied, or may still be applied later.
@@ -240,7 +240,8 @@
     /// The store no longer retains the requested changes.
     #[display("the store no longer keeps these changes")]
     HistoryGone,
-    /// The answer cannot be read, or the store considers the call malformed.
+    /// Nothing was done, and the same call would be rejected again: the store considers it malformed or
+    /// too large, or does not allow it. Of a read: the answer cannot be read.
     #[display("the store and this host do not understand each other")]
     Protocol,
 }
--- a/crates/dispatch/tests/all/refused_rows.rs
+++ b/crates/dispatch/tests/all/refused_rows.rs
@@ -172,3 +172,17 @@
     assert!(bytes > max_bytes && max_bytes < DEFAULT_ROW_BYTES);
     assert_eq!(world.store.value(&rows::job_row_id(job_id(1))), None);
 }
+
+/// Guards against a caller that waits for its deadline and hears nothing certain although the store has
+/// rejected the row of its job.
+#[tokio::test(start_paused = true)]
+async fn a_submission_whose_row_the_store_rejects_is_refused_at_once() {
+    let world = World::new(1);
+    world.start("a");
+    world.advance(SECOND).await;
+    refuse(&world, &rows::job_row_id(job_id(1)));
+    let begun = tokio::time::Instant::now();
+    let outcome = world.submit("a", 1, job(2)).await;
+    assert_eq!(outcome, SubmitOutcome::Refused);
+    assert!(begun.elapsed() < SECOND / 2, "{:?}", begun.elapsed());
+}
