fix(job): a start is withdrawn once its queue runs on another service

Found while looking for what else is read from the newest document for work that was accepted under an older one. Since a start that waits to be sent is withdrawn while its queue is absent, but not if a newer document sends the queue to another service: the command went to an executor that the queue had left. Attempts, priority and objective come from the terms, services and advisors are looked up when a task is placed, and a service that the document lacks counts as one that does not guard its capacity; no further place was found.

The new test of absent_queue fails without the change.

--- a/crates/job/src/scheduler/commands.rs
+++ b/crates/job/src/scheduler/commands.rs
@@ -142,8 +142,9 @@
     }
 
     /// Returns whether a start command should still be sent. It should not once its task is to stop,
-    /// the document lacks its queue, its executor drains, is in an evacuated data centre or has been
-    /// replaced, or it no longer fits on an executor that would execute it nevertheless.
+    /// the document lacks its queue or sends it to another service, its executor drains, is in an
+    /// evacuated data centre or has been replaced, or it no longer fits on an executor that would execute
+    /// it nevertheless.
     #[must_use]
     pub fn is_start_wanted(&self, key: TaskKey, run: RunNumber) -> bool {
         let Some(assignment) = self.unconfirmed_start(key, run) else {
@@ -155,10 +156,15 @@
                 || executor.is_replaced
                 || self.is_overcommitted(executor)
         });
-        let has_queue = self
+        let queue = self
             .job(key.job)
-            .is_some_and(|job| self.plan.queue(&job.queue).is_some());
-        has_queue && !assignment.stopping && !unsuitable
+            .and_then(|job| self.plan.queue(&job.queue));
+        let runs_there = self
+            .fleet
+            .get(assignment.executor)
+            .zip(queue)
+            .is_some_and(|(executor, queue)| executor.listing.service == queue.service);
+        runs_there && !assignment.stopping && !unsuitable
     }
 
     /// Withdraws a start command that should no longer be sent. If it was sent before without a
--- a/crates/job/tests/all/absent_queue.rs
+++ b/crates/job/tests/all/absent_queue.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use job::fleet::Listing;
 use job::id::JobId;
 use job::plan::Plan;
 use job::ranking::objective;
@@ -15,6 +16,7 @@
 use job::terms::Terms;
 
 use crate::fixture::Fixture;
+use crate::fixture::listing;
 use crate::fixture::plan;
 use crate::fixture::step;
 
@@ -132,6 +134,33 @@
     }
 }
 
+/// Guards against a start on an executor of a service that the document in force no longer sends the
+/// queue to, because the command waited for its turn.
+#[test]
+fn no_task_starts_on_a_service_that_its_queue_has_left() {
+    let mut fixture = Fixture::new(1);
+    fixture.scheduler.plan = plan(ATTEMPTS);
+    fixture.submit(1, vec![step(1, 4, 6_000)]);
+    let (key, run) = fixture.only_start();
+    assert!(fixture.scheduler.is_start_wanted(key, run));
+    let mut moved = (*plan(ATTEMPTS)).clone();
+    let mut queue = moved.queues[0].clone();
+    queue.service = "other".into();
+    moved.queues = vec![queue].into();
+    fixture.scheduler.plan = moved.into();
+    assert!(!fixture.scheduler.is_start_wanted(key, run));
+    fixture.scheduler.withdraw_start(key, run, fixture.now);
+    assert_eq!(fixture.place(), 0, "no executor of the other service");
+    let other = Listing {
+        service: "other".into(),
+        ..listing(2)
+    };
+    fixture.list(vec![listing(1), other]);
+    fixture.pass(1_000);
+    assert_eq!(fixture.place(), 1);
+    assert_eq!(fixture.tasks_on(2), [key]);
+}
+
 /// Guards against a format that other releases cannot read: they run side by side for a while.
 #[test]
 fn a_submission_is_read_with_and_without_terms() {
