fix(dispatch): frames to relays are bounded in bytes as well

Found while looking for messages that grow. A frame held up to 1,000 messages of any size, while a host of 160 MB reads frames of 2.5 MB at most. Starts with long payloads that collect while the owner is paused or behind exceed that: the relay ends the session, the calls count as failed, collect again and end the next session as well. Answers of many executors that each list 500 ends could exceed the 16 MB that the owner reads.

Change: messages of more than 512 KB are sent in several frames. A message of its own is sent whatever its size.

The new test sends 900 starts with payloads of 4,000 bytes to a host that reads frames of 1 MB: without the change the connection breaks. Other rows and messages that grow were read and have limits: the record of a job, submissions, what was learned, tombstones, the document between hosts and requests of peers; answers to pings with the estimate of admission are limited in rows for each queue and by 16 MB in all.

--- a/crates/dispatch/src/relay/transport.rs
+++ b/crates/dispatch/src/relay/transport.rs
@@ -27,8 +27,12 @@
 const MAX_SILENT_INTERVALS: u32 = 4;
 /// Maximum number of messages in a frame.
 pub(super) const MAX_FRAME_MESSAGES: usize = 1_000;
-/// Maximum size of a frame, in bytes.
+/// Maximum size of a received frame, in bytes. Hosts with little memory set a lower one.
 pub(crate) const MAX_FRAME_BYTES: usize = 16 << 20;
+/// Maximum size of a frame with more than one message that is sent, in bytes. Messages that collect in a
+/// burst, such as starts with long payloads, would otherwise exceed what a small host accepts, end the
+/// session, and collect again.
+const MAX_SENT_FRAME_BYTES: usize = 512 << 10;
 
 /// Messages that wait to be sent.
 pub(super) struct Outbox<M> {
@@ -97,13 +101,23 @@
         {
             tokio::time::sleep(BATCH_TIME).await;
         }
-        let frame = Frame {
-            sent_ms: now_ms(),
-            received_ms: outbox.received_ms.get(),
-            messages: outbox.take(),
-        };
-        let bytes = postcard::to_stdvec(&frame).map_err(io::Error::other)?;
-        frames.send(Bytes::from(bytes)).await?;
+        // The messages still to be sent, in parts; the last part goes next.
+        let mut parts = vec![outbox.take()];
+        while let Some(messages) = parts.pop() {
+            let mut frame = Frame {
+                sent_ms: now_ms(),
+                received_ms: outbox.received_ms.get(),
+                messages,
+            };
+            let bytes = postcard::to_stdvec(&frame).map_err(io::Error::other)?;
+            if bytes.len() > MAX_SENT_FRAME_BYTES && frame.messages.len() > 1 {
+                let second = frame.messages.split_off(frame.messages.len() / 2);
+                parts.push(second);
+                parts.push(frame.messages);
+            } else {
+                frames.send(Bytes::from(bytes)).await?;
+            }
+        }
     }
 }
 
--- a/crates/dispatch/tests/all/relay_sessions.rs
+++ b/crates/dispatch/tests/all/relay_sessions.rs
@@ -365,6 +365,37 @@
     }
 }
 
+/// Guards against a burst of starts with long payloads that exceeds the largest frame which a small host
+/// reads: the session would end, and the repeated starts would end the next one.
+#[tokio::test(start_paused = true)]
+async fn a_burst_of_starts_is_sent_in_frames_that_a_small_host_reads() {
+    const STARTS: u32 = 900;
+    let world = started().await;
+    let node = world.host(RELAY).node.clone();
+    node.max_relay_frame_bytes.set(1 << 20);
+    let link = Rc::new(RelayLink::default());
+    let starts = (0..STARTS).map(|index| {
+        let payload: Arc<str> = format!("{index}{}", "x".repeat(4_000)).into();
+        link.start(start_request(EPOCH, task(u64::from(index), 0), payload))
+    });
+    let all = async {
+        // The connection has opened by then.
+        tokio::time::sleep(SECOND).await;
+        join_all(starts).await
+    };
+    let replies = world
+        .run_on(RELAY, async {
+            tokio::select! {
+                result = link.run(&node, RELAY.into(), EPOCH) => panic!("{result:?}"),
+                replies = all => replies,
+            }
+        })
+        .await;
+    for reply in replies {
+        assert_eq!(Some(reply.outcome), STARTED);
+    }
+}
+
 /// Guards against frames that take far more memory than their bytes: 16 MB of messages of two bytes each
 /// would be built into more than a gigabyte.
 #[tokio::test(start_paused = true)]
