--- a/crates/dispatch/tests/all/relay_sessions.rs
+++ b/crates/dispatch/tests/all/relay_sessions.rs
@@ -319,7 +319,6 @@
     const JOBS: u64 = 1_500;
     const STARTS: u32 = 6_000;
     let world = started().await;
-    let node = world.host(RELAY).node.clone();
     let link = Rc::new(RelayLink::default());
     let mut random = SmallRng::seed_from_u64(20_261_204);
     let mut expected: BTreeMap<TaskId, Arc<str>> = BTreeMap::new();
@@ -342,6 +341,17 @@
         })
         .collect();
     assert!(versions.len() > 1_024, "more payloads than are kept");
+    start_all(&world, &link, calls).await;
+    let starts = world.fleet.callers.starts.borrow();
+    assert_eq!(starts.len(), expected.len());
+    for start in starts.iter() {
+        assert_eq!(start.payload, expected[&start.task], "{:?}", start.task);
+    }
+}
+
+/// Sends start commands over a link at once, and checks that all runs have started.
+async fn start_all(world: &World, link: &Rc<RelayLink>, calls: Vec<StartRequest>) {
+    let node = world.host(RELAY).node.clone();
     let all = async {
         // The first answer shows that the connection is open.
         tokio::time::sleep(SECOND).await;
@@ -358,11 +368,6 @@
     for reply in replies {
         assert_eq!(Some(reply.outcome), STARTED);
     }
-    let starts = world.fleet.callers.starts.borrow();
-    assert_eq!(starts.len(), expected.len());
-    for start in starts.iter() {
-        assert_eq!(start.payload, expected[&start.task], "{:?}", start.task);
-    }
 }
 
 /// Guards against a burst of starts with long payloads that exceeds the largest frame which a small host
@@ -376,24 +381,9 @@
     let link = Rc::new(RelayLink::default());
     let starts = (0..STARTS).map(|index| {
         let payload: Arc<str> = format!("{index}{}", "x".repeat(4_000)).into();
-        link.start(start_request(EPOCH, task(u64::from(index), 0), payload))
+        start_request(EPOCH, task(u64::from(index), 0), payload)
     });
-    let all = async {
-        // The connection has opened by then.
-        tokio::time::sleep(SECOND).await;
-        join_all(starts).await
-    };
-    let replies = world
-        .run_on(RELAY, async {
-            tokio::select! {
-                result = link.run(&node, RELAY.into(), EPOCH) => panic!("{result:?}"),
-                replies = all => replies,
-            }
-        })
-        .await;
-    for reply in replies {
-        assert_eq!(Some(reply.outcome), STARTED);
-    }
+    start_all(&world, &link, starts.collect()).await;
 }
 
 /// Guards against frames that take far more memory than their bytes: 16 MB of messages of two bytes each
