feat(dispatch): logs tell until when an owner waits for the one before it

The record could not tell whether a successor waits for leases of an owner that is gone, for whom, until when, and what would end the wait. leases_inherited (after takeover) and predecessor_stopped (with what shows it) do, and executor lines tell until when the leases of a silent executor last. The part that asks the earlier owner to stop moves to a module of its own; no decision changes.

--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -21,6 +21,7 @@
 mod load;
 pub mod pacing;
 pub mod polls;
+mod predecessor;
 pub mod processor_pace;
 mod refused;
 mod release;
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -298,7 +298,7 @@
             scheduler.move_throttled(key, now);
             scheduler.stop_stalled(key, now);
             if !was_reachable {
-                log_reachability(&scheduler, key);
+                log_reachability(&scheduler, key, now);
             }
         }
         self.dispatch_pending();
@@ -313,17 +313,18 @@
             .is_some_and(|executor| executor.reachable);
         scheduler.mark_unreachable(key, now);
         if was_reachable {
-            log_reachability(&scheduler, key);
+            log_reachability(&scheduler, key, now);
         }
     }
 }
 
-fn log_reachability(scheduler: &Scheduler, key: ExecutorKey) {
+fn log_reachability(scheduler: &Scheduler, key: ExecutorKey, now: Mono) {
     if let Some(executor) = scheduler.fleet.get(key) {
         events::executor_reachability(
             &executor.listing.id,
             executor.reachable,
             executor.tasks.len(),
+            model::time::millis(executor.leases_expire_at.since(now)),
         );
     }
 }
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -16,7 +15,6 @@
 use job::scheduler::Scheduler;
 use job::scheduler::Submission;
 use job::scheduler::Timing;
-use link::client::TimeLimits;
 use model::Map;
 use model::Mono;
 use model::Set;
@@ -24,7 +22,6 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
-use super::MAX_UNCONFIRMED;
 use super::Owner;
 use super::admission::OwnerAdmission;
 use super::calls;
@@ -36,6 +33,7 @@
 use super::keep_claim;
 use super::load;
 use super::load::OwnerLoad;
+use super::predecessor::Predecessor;
 use super::waiting;
 use crate::dependencies::Page;
 use crate::dependencies::Range;
@@ -43,9 +41,6 @@
 use crate::dependencies::StoreError;
 use crate::events;
 use crate::node::Node;
-use crate::peers;
-use crate::peers::PeerRequest;
-use crate::relay;
 use crate::relay::pool::RelayPool;
 use crate::rows;
 use crate::rows::JobsKey;
@@ -58,14 +53,6 @@
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// A successor that cannot read the stored state for this long leaves the takeover to another host.
 const READ_TIMEOUT: Duration = Duration::from_secs(4);
-/// Interval at which the takeover is announced to the earlier owner until it answers.
-const SUPERSEDE_INTERVAL: Duration = Duration::from_millis(300);
-/// Time limit for its answer.
-const SUPERSEDE_TIMEOUT: Duration = Duration::from_millis(600);
-/// A slow clock extends a lease by at most the duration of the lease divided by this number.
-const CLOCK_DRIFT_DIVISOR: u32 = 49;
-/// Added to leases for late timers and messages.
-const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
 /// A claim that the store has confirmed.
 #[derive(Clone, Debug)]
@@ -117,11 +104,8 @@
         .iter()
         .map(|(_, executor)| executor.tasks.len())
         .sum();
-    let lease = node.timing.lease + node.timing.lease / CLOCK_DRIFT_DIVISOR + LEASE_MARGIN;
-    let call_delay = relay_delay(&claim.earlier);
-    let commands_until = claim.sent.after(MAX_UNCONFIRMED).after(call_delay);
-    let assumed_lease_end = commands_until.after(lease);
-    scheduler.inherit_leases(commands_until, assumed_lease_end);
+    let predecessor = Predecessor::new(&claim, node.timing.lease);
+    let inherited_leases = predecessor.inherit_leases(&mut scheduler, node.now());
     let mut rejected = Vec::new();
     if let Ok(list) = (node.dependencies.executor_list.read)(()).await {
         scheduler.update_executors(list.listings, node.now());
@@ -139,6 +123,7 @@
         inherited,
         took,
     );
+    events::leases_inherited(claim.record.epoch, &claim.earlier.host, &inherited_leases);
     let owner = Rc::new(Owner {
         node: node.clone(),
         epoch: claim.record.epoch,
@@ -179,13 +164,7 @@
     *node.owner.borrow_mut() = Some(owner.clone());
     *node.known_owner.borrow_mut() = Some(kept.record);
     spawn_tasks(&owner, &stored);
-    let stop = stop_earlier_owner(
-        owner.clone(),
-        claim.earlier,
-        claim.sent,
-        assumed_lease_end,
-        lease,
-    );
+    let stop = predecessor.stop(owner.clone());
     spawn_part(&owner, "stop_earlier_owner", stop);
 }
 
@@ -210,57 +189,6 @@
     owner.dispatch_pending();
 }
 
-/// Makes sure that the earlier owner grants no more leases. Otherwise the successor has to assume
-/// that they were extended for as long as an owner may continue without confirmation. An earlier owner
-/// that had ended before the claim, at `claimed`, has sent nothing since.
-async fn stop_earlier_owner(
-    owner: Rc<Owner>,
-    earlier: OwnerRecord,
-    claimed: Mono,
-    assumed_lease_end: Mono,
-    lease: Duration,
-) {
-    let node = &owner.node;
-    let is_over = earlier.epoch == 0 || earlier.released || node.identity.is_own_record(&earlier);
-    let address: Arc<str> = earlier.address.as_str().into();
-    let request = PeerRequest::Superseded(owner.epoch);
-    let mut stopped = is_over;
-    while !stopped && node.now() < assumed_lease_end && !owner.shutdown.is_cancelled() {
-        // Any answer is sufficient: a later incarnation of the process does not extend the leases
-        // of the earlier one.
-        stopped = peers::send(
-            node,
-            &address,
-            request.clone(),
-            TimeLimits::total(SUPERSEDE_TIMEOUT),
-        )
-        .await
-        .is_some();
-        if !stopped {
-            tokio::time::sleep(SUPERSEDE_INTERVAL).await;
-        }
-    }
-    if stopped {
-        let now = node.now();
-        let stopped_at = if is_over { claimed } else { now };
-        let stopped_at = stopped_at.after(relay_delay(&earlier));
-        let until = now.after(lease);
-        owner
-            .scheduler
-            .borrow_mut()
-            .previous_owner_stopped(stopped_at, until, assumed_lease_end);
-    }
-}
-
-/// Returns how long calls of an earlier owner may still be carried out after it has ended.
-const fn relay_delay(earlier: &OwnerRecord) -> Duration {
-    if earlier.relays {
-        relay::MAX_CALL_DELAY
-    } else {
-        Duration::ZERO
-    }
-}
-
 /// Reads the stored state and keeps the claim meanwhile. Returns the state, the claim as last written
 /// and when the store last confirmed it.
 ///
