--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -217,6 +217,11 @@
         names.is_none_or(|names| names.iter().any(|name| name == id))
     }
 
+    /// Returns when a run of the task was last started.
+    pub fn last_start(&self, task: TaskId) -> Option<Instant> {
+        self.last_start.borrow().get(&task).copied()
+    }
+
     /// Ends all runs that are due on all executors.
     pub fn settle(&self) {
         let executors: Vec<Rc<FakeExecutor>> = self.executors.borrow().values().cloned().collect();
@@ -289,6 +294,11 @@
         self.runs.borrow().contains_key(&task)
     }
 
+    /// Returns the tasks that run on the executor.
+    pub fn tasks(&self) -> Vec<TaskId> {
+        self.runs.borrow().keys().copied().collect()
+    }
+
     /// Returns the progress in percent of a run that started at this time.
     fn progress(&self, since: Instant) -> u32 {
         let duration = self.task_duration.get().as_millis().max(1);
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod late_writes;
 mod log_capture;
 mod lost_answers;
+mod lost_executors;
 mod odd_rows;
 mod owner_choice;
 mod owner_load;
