--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -71,6 +71,8 @@
 struct OwnerRow {
     record: OwnerRecord,
     version: u64,
+    /// When the store's answer with this version arrived.
+    read_at: Mono,
 }
 
 /// Becomes the owner whenever that is necessary, until the process is draining.
@@ -115,6 +117,7 @@
     Ok(Some(OwnerRow {
         record,
         version: stored.version,
+        read_at: node.now(),
     }))
 }
 
@@ -123,7 +126,12 @@
         wait_for_document(node).await;
         let delay = claim_delay(node, round_trip);
         tokio::time::sleep(delay).await;
-        claim_and_log(node, &OwnerRecord::default(), 0, (round_trip, delay)).await;
+        let absent = OwnerRow {
+            record: OwnerRecord::default(),
+            version: 0,
+            read_at: node.now(),
+        };
+        claim_and_log(node, &absent, (round_trip, delay)).await;
         return;
     };
     *node.known_owner.borrow_mut() = Some(row.record.clone());
@@ -142,7 +150,7 @@
             }
         };
         tokio::time::sleep(delay).await;
-        claim_and_log(node, &row.record, row.version, (round_trip, delay)).await;
+        claim_and_log(node, &row, (round_trip, delay)).await;
         return;
     }
     let address: Arc<str> = row.record.address.as_str().into();
@@ -240,26 +248,26 @@
 
 /// Reads the row of a suspected owner until it changes or has stayed unchanged for long enough.
 async fn watch_suspect(node: &Rc<Node>, first: OwnerRow, round_trip: Duration) {
-    let mut since: Option<(u64, Mono)> = None;
+    let mut unchanged: Option<OwnerRow> = None;
     let wait = OWNER_ROW_TIMEOUT + claim_delay(node, round_trip);
     while !node.draining.is_cancelled() {
         let Ok(Some(row)) = read_owner_row(node).await else {
-            since = None;
+            unchanged = None;
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
         if row.record.epoch != first.record.epoch || row.record.released {
             return;
         }
-        match since {
-            Some((version, at)) if version == row.version => {
-                if node.now().since(at) >= wait {
-                    claim_and_log(node, &row.record, row.version, (round_trip, wait)).await;
+        match &unchanged {
+            Some(first) if first.version == row.version => {
+                if node.now().since(first.read_at) >= wait {
+                    claim_and_log(node, first, (round_trip, wait)).await;
                     return;
                 }
             }
             Some(_) => return,
-            None => since = Some((row.version, node.now())),
+            None => unchanged = Some(row),
         }
         tokio::time::sleep(SUSPECT_READ_INTERVAL).await;
     }
@@ -299,14 +307,13 @@
 /// outcome with the round trip to the store and the delay that led to it.
 async fn claim_and_log(
     node: &Rc<Node>,
-    earlier: &OwnerRecord,
-    version: u64,
+    earlier: &OwnerRow,
     (round_trip, delay): (Duration, Duration),
 ) {
-    let result = claim(node, earlier, version).await;
+    let result = claim(node, earlier).await;
     let outcome = result.as_ref().map_or_else(|outcome| *outcome, |_| "won");
     events::claim(
-        earlier.epoch,
+        earlier.record.epoch,
         outcome,
         model::time::millis(round_trip),
         model::time::millis(delay),
@@ -323,31 +330,30 @@
 
 /// Tries to become the owner in succession of `earlier`. Returns why it failed, with the value that
 /// logs show.
-async fn claim(
-    node: &Rc<Node>,
-    earlier: &OwnerRecord,
-    version: u64,
-) -> Result<Claim, &'static str> {
+async fn claim(node: &Rc<Node>, earlier: &OwnerRow) -> Result<Claim, &'static str> {
     if node.draining.is_cancelled() || node.plan().is_none() {
         return Err(NOT_READY);
     }
+    let earlier_record = &earlier.record;
     let record = OwnerRecord {
-        epoch: earlier.epoch.max(node.highest_epoch.get()) + 1,
+        epoch: earlier_record.epoch.max(node.highest_epoch.get()) + 1,
         host: node.identity.host.clone(),
         incarnation: node.identity.incarnation,
         address: node.identity.peer_address.clone(),
         transaction: 0,
         released: false,
         relays: false,
+        witnessed: earlier_record.witnessed,
+        settled: false,
         successor: None,
     };
     let value = serde_json::to_vec(&record).map_err(|_| "invalid")?;
     let transaction = Transaction {
-        expect: vec![(rows::owner_row_id(), version)],
+        expect: vec![(rows::owner_row_id(), earlier.version)],
         puts: vec![(rows::owner_row_id(), value)],
         removes: Vec::new(),
     };
-    let sent = node.now();
+    let sent = node.send_time();
     let result = (node.dependencies.store.commit)(transaction).await;
     let version = match result {
         Ok(version) => version,
@@ -360,7 +366,8 @@
     };
     Ok(Claim {
         record,
-        earlier: earlier.clone(),
+        earlier: earlier_record.clone(),
+        earlier_read_at: earlier.read_at,
         version,
         sent,
     })
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -73,6 +73,8 @@
 pub struct InheritedLeases {
     /// The number of executors with inherited tasks.
     pub executors: usize,
+    /// The number of executors that the earlier owner has stored as silent.
+    pub silent: usize,
     /// How long the earlier owner is assumed to send commands, in milliseconds.
     pub sends_ms: u64,
     /// The time until the leases that it may have granted expire at the latest, in milliseconds.
@@ -84,10 +86,11 @@
 pub fn leases_inherited(epoch: u64, earlier: &str, leases: &InheritedLeases) {
     let InheritedLeases {
         executors,
+        silent,
         sends_ms,
         lease_ms,
     } = *leases;
-    log::info!(event = "leases_inherited", epoch, earlier, executors, sends_ms, lease_ms; "");
+    log::info!(event = "leases_inherited", epoch, earlier, executors, silent, sends_ms, lease_ms; "");
 }
 
 /// Logs that the earlier owner sends nothing any more, what shows it, how long that took after the
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -110,6 +110,15 @@
     pub warmup: Option<WarmupLimits>,
 }
 
+/// When a call was sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SendTime {
+    /// The time on the monotonic clock.
+    pub mono: Mono,
+    /// The time on a clock that counts the time for which the machine was suspended.
+    pub boot: Mono,
+}
+
 /// The state of a process and its connections to external services.
 pub struct Node {
     /// Identity of the process.
@@ -216,6 +225,21 @@
         self.now().0 + (self.suspended_ms)()
     }
 
+    /// Returns the time on a clock that counts the time for which the machine was suspended.
+    #[must_use]
+    pub fn boot_time(&self) -> Mono {
+        Mono(self.uptime_ms())
+    }
+
+    /// Returns the present time, at which a call is sent.
+    #[must_use]
+    pub fn send_time(&self) -> SendTime {
+        SendTime {
+            mono: self.now(),
+            boot: self.boot_time(),
+        }
+    }
+
     /// Returns the document in force.
     #[must_use]
     pub fn plan(&self) -> Option<Arc<Plan>> {
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -7,9 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use job::scheduler::Batch;
-use model::Mono;
-
 use super::Owner;
 use super::pacing;
 use super::release::Release;
@@ -19,9 +16,11 @@
 use crate::dependencies::Transaction;
 use crate::events;
 use crate::metrics::OutcomeLabel;
+use crate::node::SendTime;
 use crate::rows;
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
+use job::scheduler::Batch;
 
 /// Interval at which an owner without changes writes its row, to show other hosts that it is alive.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -100,8 +99,13 @@
         release: Option<&Release>,
     ) -> CommitOutcome {
         let transaction_number = self.record.borrow().transaction + 1;
+        let lease_row = self.begin_lease_row_write();
+        let stores_leases = lease_row.is_some();
+        let witnessed = lease_row.as_ref().is_some_and(|write| write.witnessed);
         let record = OwnerRecord {
             transaction: transaction_number,
+            witnessed: witnessed || self.record.borrow().witnessed,
+            settled: self.settled.get(),
             released: release.is_some(),
             successor: release.and_then(Release::successor),
             relays: self.record.borrow().relays || self.relays_wanted.get(),
@@ -117,14 +121,16 @@
                 .iter()
                 .map(|(id, row)| (rows::run_row_id(*id), row.clone())),
         );
-        puts.extend(interference);
+        puts.extend(interference.clone());
+        puts.extend(lease_row.map(|write| write.row));
         let removes: Vec<RowId> = batch
             .removed
             .iter()
             .map(|id| rows::run_row_id(*id))
             .collect();
+        let first_sent = self.node.send_time();
         loop {
-            let sent = self.now();
+            let sent = self.node.send_time();
             let transaction = Transaction {
                 expect: vec![(rows::owner_row_id(), self.row_version.get())],
                 puts: puts.clone(),
@@ -136,17 +142,23 @@
                 .record_store_result(StoreCall::Transaction, answered);
             match result {
                 Ok(version) => {
-                    self.record_commit(record, version, sent);
+                    self.record_commit(record, version, sent, stores_leases);
                     return CommitOutcome::Applied;
                 }
                 Err(StoreError::Conflict { rows }) => match self.conflict_cause(&rows, &record) {
                     ConflictCause::OwnTransaction(version) => {
-                        self.record_commit(record, version, sent);
+                        // Any of the attempts may have taken effect.
+                        self.record_commit(record, version, first_sent, stores_leases);
                         return CommitOutcome::Applied;
                     }
                     ConflictCause::Earlier(version) => self.row_version.set(version),
                     ConflictCause::OtherOwner => return CommitOutcome::Superseded,
                 },
+                Err(StoreError::Protocol) if stores_leases => {
+                    // The other rows go on without the row about leases.
+                    self.end_lease_row_write(false);
+                    return Box::pin(self.commit(batch, interference, release)).await;
+                }
                 Err(StoreError::Protocol) => return CommitOutcome::Rejected,
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
@@ -174,10 +186,19 @@
         Some((rows::interference_row_id(), value))
     }
 
-    fn record_commit(&self, record: OwnerRecord, version: u64, sent: Mono) {
+    fn record_commit(
+        &self,
+        record: OwnerRecord,
+        version: u64,
+        sent: SendTime,
+        stores_leases: bool,
+    ) {
         self.row_version.set(version);
-        self.confirmed_at.set(sent);
+        self.record_confirmation(sent);
         *self.record.borrow_mut() = record;
+        if stores_leases {
+            self.end_lease_row_write(true);
+        }
     }
 
     /// Determines from the owner's row why a transaction conflicted.
--- a/crates/dispatch/src/owner/keep_claim.rs
+++ b/crates/dispatch/src/owner/keep_claim.rs
@@ -5,7 +5,6 @@
 
 use std::time::Duration;
 
-use model::Mono;
 use tokio_util::sync::CancellationToken;
 
 use super::Claim;
@@ -13,6 +12,7 @@
 use crate::dependencies::StoreError;
 use crate::dependencies::Transaction;
 use crate::node::Node;
+use crate::node::SendTime;
 use crate::rows;
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
@@ -37,7 +37,7 @@
     node: &Node,
     claim: &Claim,
     done: &CancellationToken,
-) -> Result<(Claim, Mono), Superseded> {
+) -> Result<(Claim, SendTime), Superseded> {
     let mut claim = claim.clone();
     let mut confirmed_at = claim.sent;
     loop {
@@ -50,19 +50,20 @@
 }
 
 /// Writes the owner's row once, and returns when the write that took effect was sent at the latest.
-async fn write(node: &Node, claim: &mut Claim) -> Result<Mono, Superseded> {
+async fn write(node: &Node, claim: &mut Claim) -> Result<SendTime, Superseded> {
     let record = OwnerRecord {
         transaction: claim.record.transaction + 1,
         ..claim.record.clone()
     };
     let value = serde_json::to_vec(&record).map_err(|_| Superseded)?;
+    let first_sent = node.send_time();
     loop {
         let transaction = Transaction {
             expect: vec![(rows::owner_row_id(), claim.version)],
             puts: vec![(rows::owner_row_id(), value.clone())],
             removes: Vec::new(),
         };
-        let sent = node.now();
+        let sent = node.send_time();
         let result = (node.dependencies.store.commit)(transaction).await;
         let answered = matches!(result, Ok(_) | Err(StoreError::Conflict { .. }));
         node.record_store_result(StoreCall::Transaction, answered);
@@ -77,7 +78,8 @@
                 if current == record {
                     claim.record = record;
                     claim.version = version;
-                    return Ok(sent);
+                    // Any of the attempts may have taken effect.
+                    return Ok(first_sent);
                 }
                 if current != claim.record {
                     return Err(Superseded);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -18,6 +18,7 @@
 mod evacuations;
 pub mod feeds;
 mod keep_claim;
+mod lease_row;
 mod load;
 pub mod pacing;
 pub mod polls;
@@ -29,6 +30,7 @@
 pub mod takeover;
 mod telemetry;
 mod waiting;
+mod witnesses;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -36,6 +38,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use job::authority::Authority;
 use job::fleet::ExecutorKey;
 use job::id::JobId;
 use job::id::TaskId;
@@ -56,6 +59,7 @@
 use self::admission::OwnerAdmission;
 use self::command_slots::CommandSlots;
 use self::evacuations::EvacuationFeed;
+use self::lease_row::LeaseRow;
 use self::load::OwnerLoad;
 use self::pacing::CommandWindow;
 use self::processor_pace::ProcessorPace;
@@ -65,6 +69,7 @@
 use crate::dependencies::Target;
 use crate::events;
 use crate::node::Node;
+use crate::node::SendTime;
 use crate::relay::pool::RelayPool;
 use crate::rows::OwnerRecord;
 use crate::tombstones::Tombstones;
@@ -97,6 +102,16 @@
     row_version: Cell<u64>,
     /// When the last confirmed transaction was sent.
     confirmed_at: Cell<Mono>,
+    /// What entitles this owner to extend leases.
+    authority: RefCell<Authority>,
+    /// The row about leases.
+    lease_row: LeaseRow,
+    /// Witnesses that are being asked.
+    asked_witnesses: RefCell<Set<ExecutorKey>>,
+    /// Whether all earlier owners are known to have ended.
+    settled: Cell<bool>,
+    /// Notified once a majority of the inherited witnesses has accepted this owner.
+    majority: Notify,
     /// When the learned interference was last stored.
     interference_stored_at: Cell<Mono>,
     /// Whether the store refuses the row with the learned interference.
@@ -216,7 +231,9 @@
     /// confirmed it for too long. This is checked before each message to an executor, because after
     /// a pause of the process the timers that are due fire in any order.
     fn may_act(&self) -> bool {
-        if self.now().since(self.confirmed_at.get()) > MAX_UNCONFIRMED {
+        let authority = self.authority.borrow();
+        if authority.is_unconfirmed_for(MAX_UNCONFIRMED, self.node.boot_time()) {
+            drop(authority);
             self.end("the store has not confirmed the ownership for too long");
         }
         !self.shutdown.is_cancelled()
@@ -243,7 +260,11 @@
         commands::send_pending(self);
         advice::request_pending(self);
         polls::ensure(self);
-        if self.scheduler.borrow().has_changes() {
+        let has_changes = {
+            let scheduler = self.scheduler.borrow();
+            scheduler.has_changes() || scheduler.is_silence_due(self.now())
+        };
+        if has_changes {
             self.commit_requested.notify_one();
         }
         self.placement_requested.notify_one();
@@ -253,6 +274,19 @@
         self.node.now()
     }
 
+    /// Records that the store has confirmed the ownership with a call sent at `sent`.
+    fn record_confirmation(&self, sent: SendTime) {
+        self.confirmed_at.set(sent.mono);
+        self.authority.borrow_mut().confirmed(sent.boot);
+    }
+
+    /// Limits the leases that the scheduler grants now to what this owner is entitled to.
+    fn limit_leases(&self, scheduler: &mut Scheduler) {
+        let horizon = self.authority.borrow().horizon();
+        let left = horizon.map(|horizon| horizon.since(self.node.boot_time()));
+        scheduler.grants_until = left.map_or(Mono(u64::MAX), |left| self.now().after(left));
+    }
+
     fn target(&self, executor: ExecutorKey) -> Option<Target> {
         let scheduler = self.scheduler.borrow();
         let listing = &scheduler.fleet.get(executor)?.listing;
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -16,6 +16,7 @@
 use crate::dependencies::PollError;
 use crate::dependencies::PollRequest;
 use crate::events;
+use crate::node::SendTime;
 use crate::supervise::spawn_part;
 
 /// How long an executor waits for a run to end before it answers.
@@ -122,7 +123,7 @@
 #[derive(Clone, Copy)]
 struct SentPoll {
     executor: ExecutorKey,
-    sent: Mono,
+    sent: SendTime,
     /// The sequence number up to which the poll acknowledges ended runs.
     acknowledged: u64,
 }
@@ -213,10 +214,11 @@
             return Err(PollError::Failed);
         }
         let target = self.target(key).ok_or(PollError::Failed)?;
-        let sent = self.now();
+        let sent = self.node.send_time();
         let call = {
             let mut scheduler = self.scheduler.borrow_mut();
-            let lease_deadline_ms = scheduler.grant_lease(key, sent);
+            self.limit_leases(&mut scheduler);
+            let lease_deadline_ms = scheduler.grant_lease(key, sent.mono);
             PollRequest {
                 target,
                 lease_deadline_ms,
@@ -225,6 +227,32 @@
                 timeout: LATE_ANSWER_TIMEOUT,
             }
         };
+        self.send_poll(key, call, sent).await
+    }
+
+    /// Polls a witness, without a lease and without a wait. Nothing follows from a failure.
+    pub(super) async fn poll_witness(self: &Rc<Self>, key: ExecutorKey) -> Result<(), PollError> {
+        let target = self.target(key).ok_or(PollError::Failed)?;
+        let call = PollRequest {
+            target,
+            lease_deadline_ms: None,
+            acknowledged: self.scheduler.borrow().acknowledgement(key),
+            wait: Duration::ZERO,
+            timeout: LATE_ANSWER_TIMEOUT,
+        };
+        let result = self.send_poll(key, call, self.node.send_time()).await;
+        if result == Err(PollError::Fenced) {
+            self.end("an executor has seen a higher epoch");
+        }
+        result
+    }
+
+    async fn send_poll(
+        self: &Rc<Self>,
+        key: ExecutorKey,
+        call: PollRequest,
+        sent: SendTime,
+    ) -> Result<(), PollError> {
         let poll = SentPoll {
             executor: key,
             sent,
@@ -266,7 +294,7 @@
     }
 
     fn log_late_answer(&self, poll: SentPoll, report: &Report) {
-        let took = self.now().since(poll.sent);
+        let took = self.now().since(poll.sent.mono);
         if let Some(executor) = self.scheduler.borrow().fleet.get(poll.executor) {
             let took_ms = model::time::millis(took);
             events::late_answer(&executor.listing.id, took_ms, report.ended.len());
@@ -281,13 +309,14 @@
         } = poll;
         let now = self.now();
         self.load.count_poll(report.ended.len());
+        self.record_acceptance(key, report, sent.boot);
         {
             let mut scheduler = self.scheduler.borrow_mut();
             let was_reachable = scheduler
                 .fleet
                 .get(key)
                 .is_some_and(|executor| executor.reachable);
-            scheduler.report(key, report, sent, now);
+            scheduler.report(key, report, sent.mono, now);
             scheduler.acknowledgement_confirmed(
                 key,
                 report.started_unix_ms.unwrap_or_default(),
@@ -315,6 +344,9 @@
         if was_reachable {
             log_reachability(&scheduler, key, now);
         }
+        if scheduler.is_silence_due(now) {
+            self.commit_requested.notify_one();
+        }
     }
 }
 
--- a/crates/dispatch/src/owner/refused.rs
+++ b/crates/dispatch/src/owner/refused.rs
@@ -93,7 +93,7 @@
         None
     }
 
-    fn record_refused_row(&self, table: &'static str, key: &str) {
+    pub(super) fn record_refused_row(&self, table: &'static str, key: &str) {
         events::refused_row(table, key);
         let metrics = &self.node.metrics;
         metrics
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -204,6 +204,13 @@
                 () = self.shutdown.cancelled() => return Err(CommandEnd::OWNER_ENDED),
                 acquired = &mut slot => {
                     self.check_start(start, command_slots)?;
+                    if !self.authority.borrow().may_start(self.node.boot_time()) {
+                        // Another owner may have followed. This one ends, or is confirmed again.
+                        drop(acquired);
+                        tokio::time::sleep(RETRY_DELAY).await;
+                        slot.set(command_slots.for_command());
+                        continue;
+                    }
                     if self.knows_evacuations(self.now()) {
                         return acquired.ok_or(CommandEnd::OWNER_ENDED);
                     }
@@ -247,16 +254,23 @@
         }
     }
 
+    /// Returns the deadline of the lease that a start command grants, or `None` if it must not be sent.
+    fn grant_start_lease(&self, start: &StartRun, now: Mono) -> Option<u64> {
+        if !self.authority.borrow().may_start(self.node.boot_time()) {
+            return None;
+        }
+        let mut scheduler = self.scheduler.borrow_mut();
+        self.limit_leases(&mut scheduler);
+        scheduler.grant_start_lease(start.key, start.executor, now)
+    }
+
     async fn try_start(&self, start: &StartRun) -> CommandOutcome<StartAnswer> {
         let target = self.target(start.executor).filter(|_| self.may_send());
         let Some(target) = target else {
             return CommandOutcome::NotSent;
         };
         let now = self.now();
-        let lease_deadline_ms =
-            self.scheduler
-                .borrow_mut()
-                .grant_start_lease(start.key, start.executor, now);
+        let lease_deadline_ms = self.grant_start_lease(start, now);
         let Some(lease_deadline_ms) = lease_deadline_ms else {
             // The executor is unreachable. Whether earlier copies of the command arrived becomes
             // known when it answers again, or no longer matters once the lease has expired.
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use job::authority::Authority;
 use job::id::JobId;
 use job::interference::LearnedPair;
+use job::lease_record::LeaseRecord;
 use job::record;
 use job::record::JobRecord;
 use job::record::SubmissionRecord;
@@ -31,16 +33,20 @@
 use super::evacuations::EvacuationSnapshot;
 use super::feeds;
 use super::keep_claim;
+use super::lease_row;
+use super::lease_row::LeaseRow;
 use super::load;
 use super::load::OwnerLoad;
 use super::predecessor::Predecessor;
 use super::waiting;
+use super::witnesses;
 use crate::dependencies::Page;
 use crate::dependencies::Range;
 use crate::dependencies::Row;
 use crate::dependencies::StoreError;
 use crate::events;
 use crate::node::Node;
+use crate::node::SendTime;
 use crate::relay::pool::RelayPool;
 use crate::rows;
 use crate::rows::JobsKey;
@@ -61,10 +67,13 @@
     pub record: OwnerRecord,
     /// The owner's row before the claim.
     pub earlier: OwnerRecord,
+    /// When the owner's row was first read as it was before the claim. The store has not confirmed the
+    /// earlier owner since.
+    pub earlier_read_at: Mono,
     /// Version of the owner's row after the claim.
     pub version: u64,
     /// When the claim was sent.
-    pub sent: Mono,
+    pub sent: SendTime,
 }
 
 struct StoredState {
@@ -72,6 +81,7 @@
     jobs_version: u64,
     runs: Vec<Row>,
     learned: Vec<Row>,
+    leases: LeaseRecord,
     evacuations: Option<EvacuationSnapshot>,
 }
 
@@ -105,7 +115,8 @@
         .map(|(_, executor)| executor.tasks.len())
         .sum();
     let predecessor = Predecessor::new(&claim, node.timing.lease);
-    let inherited_leases = predecessor.inherit_leases(&mut scheduler, node.now());
+    let inherited_leases = predecessor.inherit_leases(&mut scheduler, &stored.leases, node.now());
+    let authority = Authority::new(confirmed_at.boot, predecessor.witnesses(&stored.leases));
     let mut rejected = Vec::new();
     if let Ok(list) = (node.dependencies.executor_list.read)(()).await {
         scheduler.update_executors(list.listings, node.now());
@@ -130,8 +141,13 @@
         scheduler: RefCell::new(scheduler),
         record: RefCell::new(kept.record.clone()),
         row_version: Cell::new(kept.version),
-        confirmed_at: Cell::new(confirmed_at),
-        interference_stored_at: Cell::new(claim.sent),
+        confirmed_at: Cell::new(confirmed_at.mono),
+        authority: RefCell::new(authority),
+        lease_row: LeaseRow::default(),
+        asked_witnesses: RefCell::default(),
+        settled: Cell::new(false),
+        majority: Notify::new(),
+        interference_stored_at: Cell::new(claim.sent.mono),
         interference_refused: Cell::new(false),
         tombstones: RefCell::new(tombstones),
         jobs_synced_at: Cell::new(node.now()),
@@ -164,6 +180,7 @@
     *node.owner.borrow_mut() = Some(owner.clone());
     *node.known_owner.borrow_mut() = Some(kept.record);
     spawn_tasks(&owner, &stored);
+    spawn_part(&owner, "witnesses", witnesses::maintain(owner.clone()));
     let stop = predecessor.stop(owner.clone());
     spawn_part(&owner, "stop_earlier_owner", stop);
 }
@@ -198,7 +215,7 @@
 async fn read_and_keep_claim(
     node: &Node,
     claim: &Claim,
-) -> Result<(StoredState, Claim, Mono), &'static str> {
+) -> Result<(StoredState, Claim, SendTime), &'static str> {
     let done = CancellationToken::new();
     let mut keep = pin!(keep_claim::keep(node, claim, &done));
     let stored = tokio::select! {
@@ -218,15 +235,22 @@
         let jobs = read_jobs(node).await;
         let runs = read_all(node, rows::RUNS_TABLE, rows::OWNED_PART).await;
         let learned = read_all(node, rows::LEARNED_TABLE, rows::OWNED_PART).await;
+        let leases = lease_row::read(node).await;
         let evacuations = evacuations::read(node).await;
-        if let (Ok((jobs, jobs_version)), Ok((runs, _)), Ok((learned, _)), Ok(evacuations)) =
-            (jobs, runs, learned, evacuations)
+        if let (
+            Ok((jobs, jobs_version)),
+            Ok((runs, _)),
+            Ok((learned, _)),
+            Ok(leases),
+            Ok(evacuations),
+        ) = (jobs, runs, learned, leases, evacuations)
         {
             return Some(StoredState {
                 jobs,
                 jobs_version,
                 runs,
                 learned,
+                leases,
                 evacuations,
             });
         }
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -3,6 +3,7 @@
 //! | table | part | key | value | written by |
 //! |---|---|---|---|---|
 //! | `owner` | `owned` | `owner` | the owner and its epoch, [`OwnerRecord`] | the owner |
+//! | `owner` | `owned` | `leases` | whose leases are not extended, `job::lease_record::LeaseRecord` | the owner |
 //! | `runs` | `owned` | job | durable state of a job, `job::record::JobRecord` | the owner |
 //! | `learned` | `owned` | `interference` | `job::interference::LearnedPair` | the owner |
 //! | `jobs` | `jobs-`digit | job | the job as submitted | the host that accepted it |
@@ -34,6 +35,8 @@
 pub const INTERFERENCE_KEY: &str = "interference";
 /// The part that holds all rows written by the owner.
 pub const OWNED_PART: &str = "owned";
+/// Key of the row about leases.
+pub const LEASES_KEY: &str = "leases";
 /// Key of the owner's row.
 pub const OWNER_KEY: &str = "owner";
 /// Table with accepted jobs and cancellations.
@@ -68,6 +71,13 @@
     /// ended.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub relays: bool,
+    /// Whether this owner, and each earlier one that may still act, extends leases only with the support
+    /// of the witnesses in the row about leases. Owners of earlier releases do not.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub witnessed: bool,
+    /// Whether all earlier owners are known to have ended.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub settled: bool,
     /// Name of the host that claims first after the release; others wait longer. `None` from earlier
     /// releases, and while the executors are not released.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -118,6 +128,27 @@
     }
 }
 
+/// Returns the id of the row about leases.
+#[must_use]
+pub fn leases_row_id() -> RowId {
+    RowId {
+        table: OWNER_TABLE,
+        part: OWNED_PART,
+        key: LEASES_KEY.to_owned(),
+    }
+}
+
+/// Returns the range that contains the row about leases, and no other.
+#[must_use]
+pub fn leases_row_range() -> Range {
+    Range {
+        table: OWNER_TABLE,
+        part: OWNED_PART,
+        from: LEASES_KEY.to_owned(),
+        to: Some(format!("{LEASES_KEY}\0")),
+    }
+}
+
 /// Returns the id of the row with the learned interference.
 #[must_use]
 pub fn interference_row_id() -> RowId {
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -341,6 +341,17 @@
         }
     }
 
+    /// Interrupts all runs, as those of a gang that has lost a member.
+    pub fn interrupt_all(&self) {
+        let runs: Vec<(TaskId, u64)> = {
+            let runs = self.runs.borrow();
+            runs.iter().map(|(task, (run, _))| (*task, *run)).collect()
+        };
+        for (task, run) in runs {
+            self.end(task, run, RunOutcome::Interrupted);
+        }
+    }
+
     fn end(&self, task: TaskId, run: u64, outcome: RunOutcome) {
         self.runs.borrow_mut().remove(&task);
         self.highest_run.borrow_mut().insert(task, run);
--- a/crates/dispatch/tests/all/lost_executors.rs
+++ b/crates/dispatch/tests/all/lost_executors.rs
@@ -9,6 +9,7 @@
 use model::Size;
 use tokio::time::Instant;
 
+use crate::store::StoreFault;
 use crate::world::World;
 
 /// A task of a lost executor runs again within this time, whoever the owner is by then.
@@ -38,6 +39,13 @@
     }
 }
 
+fn gang() -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..ending()
+    }
+}
+
 fn ending() -> StepSpec {
     StepSpec {
         estimate_ms: 60_000,
@@ -88,6 +96,29 @@
         owner
     }
 
+    /// Cuts an owner off from the store and from the other hosts. It still reaches these executors, and the
+    /// other hosts reach all but those that it keeps for itself.
+    fn isolate(&mut self, owner: &str, reached: &[usize], kept: &[usize]) {
+        let host = self.world.host(owner);
+        host.isolated.set(true);
+        host.store_fault.set(StoreFault::Silent);
+        let callers = &self.world.fleet.callers;
+        for number in 1..=EXECUTORS {
+            let executor = format!("e{number}");
+            callers.cut(owner, &executor, !reached.contains(&number));
+            if kept.contains(&number) {
+                for other in HOSTS.iter().filter(|other| **other != owner) {
+                    callers.cut(other, &executor, true);
+                }
+            }
+        }
+        for number in kept {
+            let tasks = self.world.fleet.executor(*number).tasks();
+            assert!(!tasks.is_empty(), "nothing runs on executor {number}");
+            self.lost.push((*number, Instant::now(), tasks));
+        }
+    }
+
     /// Lets time pass, within which the list forgets lost executors.
     async fn pass(&self, duration: Duration) {
         let end = Instant::now() + duration;
@@ -178,3 +209,167 @@
         losses.check(&name).await;
     }
 }
+
+/// The same, for executors that are taken away, and for several at once.
+#[tokio::test(start_paused = true)]
+async fn tasks_of_executors_that_are_taken_away_run_again_in_time_although_the_owner_is_lost_too() {
+    let mut losses = Losses::new(long_running()).await;
+    for number in 1..=3 {
+        losses.lose_executor(number);
+        losses.world.fleet.executor(number).listed.set(false);
+    }
+    losses.pass(Duration::from_millis(1_000)).await;
+    losses.lose_owner();
+    losses.check("three executors").await;
+}
+
+/// The same, for all members of a gang of which some were on the lost executor.
+#[tokio::test(start_paused = true)]
+async fn a_gang_runs_again_in_time_although_the_owner_is_lost_too() {
+    let mut losses = Losses::new(gang()).await;
+    losses.lose_executor(1);
+    for number in 2..=EXECUTORS {
+        losses.world.fleet.executor(number).interrupt_all();
+    }
+    losses.pass(Duration::from_millis(1_000)).await;
+    losses.lose_owner();
+    losses.check("a gang").await;
+}
+
+/// The same, for hosts that are all restarted.
+#[tokio::test(start_paused = true)]
+async fn long_running_tasks_run_again_in_time_although_all_hosts_are_restarted() {
+    for after_ms in [0, 1_500, 4_000] {
+        let mut losses = Losses::new(long_running()).await;
+        losses.lose_executor(1);
+        losses.pass(Duration::from_millis(after_ms)).await;
+        for host in HOSTS {
+            losses.world.kill(host);
+        }
+        losses.pass(Duration::from_millis(500)).await;
+        for host in HOSTS {
+            losses.world.start(host);
+        }
+        let name = format!("all hosts {after_ms} ms later");
+        losses.check(&name).await;
+    }
+}
+
+/// The same, for an owner that is frozen, or cut off from the store, and goes on later.
+#[tokio::test(start_paused = true)]
+async fn long_running_tasks_run_again_in_time_although_the_owner_is_out_of_touch_and_comes_back() {
+    for after_ms in [0, 1_500, 4_000] {
+        for store_only in [false, true] {
+            let mut losses = Losses::new(long_running()).await;
+            losses.lose_executor(1);
+            losses.pass(Duration::from_millis(after_ms)).await;
+            let owner = losses.world.owner().expect("an owner");
+            let host = losses.world.host(&owner);
+            if store_only {
+                host.store_fault.set(StoreFault::Silent);
+            } else {
+                host.frozen.set(true);
+            }
+            let name = format!("store only: {store_only}, {after_ms} ms later");
+            losses.check(&name).await;
+            host.frozen.set(false);
+            host.store_fault.set(StoreFault::None);
+            losses.pass(Duration::from_secs(6)).await;
+            losses.world.assert_no_violations();
+        }
+    }
+}
+
+/// TWICE: an owner that is cut off together with an executor must not extend its leases once a successor
+/// counts on it that they have expired, however many other executors it still reaches.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_is_cut_off_with_an_executor_extends_no_lease_that_its_successor_counts_out()
+{
+    for reached in [&[1][..], &[1, 2], &[1, 2, 3]] {
+        let mut losses = Losses::new(long_running()).await;
+        let owner = losses.world.owner().expect("an owner");
+        losses.isolate(&owner, reached, &[1]);
+        losses.pass(Duration::from_secs(25)).await;
+        let name = format!("reaches {reached:?}");
+        losses.check(&name).await;
+    }
+}
+
+/// TWICE: where the isolated owner keeps a majority of the executors, its successor waits for as long as an
+/// owner may go on without the store.
+#[tokio::test(start_paused = true)]
+async fn a_successor_without_a_majority_waits_for_an_owner_that_has_one() {
+    let mut losses = Losses::new(long_running()).await;
+    let owner = losses.world.owner().expect("an owner");
+    let kept = [1, 2, 3, 4, 5];
+    losses.isolate(&owner, &kept, &kept);
+    losses.pass(Duration::from_secs(25)).await;
+    losses.world.assert_no_violations();
+}
+
+/// TWICE: the answer of an owner that has ended says nothing of the one before it, which is cut off with an
+/// executor.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_ends_soon_does_not_vouch_for_the_one_before_it() {
+    for second_ms in [2_100, 2_300, 3_000, 5_000] {
+        let mut losses = Losses::new(long_running()).await;
+        let first = losses.world.owner().expect("an owner");
+        losses.isolate(&first, &[1, 2, 3, 4, 5], &[1, 2, 3, 4, 5]);
+        losses.pass(Duration::from_millis(second_ms)).await;
+        for host in HOSTS.iter().filter(|host| **host != first) {
+            if losses.world.host(host).node.owner().is_some() {
+                losses.world.kill(host);
+                losses.world.start(host);
+            }
+        }
+        losses.pass(Duration::from_secs(25)).await;
+        losses.world.assert_no_violations();
+    }
+}
+
+/// An owner must not give up sooner than before while the store is away: nothing that runs is lost in an
+/// outage of less than 10 s, and what an executor that is lost meanwhile ran goes on after it.
+#[tokio::test(start_paused = true)]
+async fn running_tasks_outlast_an_outage_of_the_store() {
+    for fault in [StoreFault::Refuses, StoreFault::Silent] {
+        for lost in [false, true] {
+            let mut losses = Losses::new(long_running()).await;
+            let starts = losses.world.fleet.starts.get();
+            for host in HOSTS {
+                losses.world.host(host).store_fault.set(fault);
+            }
+            losses.pass(Duration::from_secs(2)).await;
+            if lost {
+                losses.lose_executor(1);
+            }
+            losses.pass(Duration::from_secs(7)).await;
+            assert_eq!(losses.world.fleet.starts.get(), starts, "{fault:?}");
+            for host in HOSTS {
+                losses.world.host(host).store_fault.set(StoreFault::None);
+            }
+            losses.pass(Duration::from_secs(3)).await;
+            let moved = losses
+                .lost
+                .iter()
+                .map(|(_, _, tasks)| tasks.len())
+                .sum::<usize>();
+            let restarted = losses.world.fleet.starts.get() - starts;
+            assert_eq!(restarted, moved as u64, "{fault:?}, lost: {lost}");
+            losses.world.assert_no_violations();
+        }
+    }
+}
+
+/// An executor that was stored as silent and answers again is used and granted leases as before.
+#[tokio::test(start_paused = true)]
+async fn an_executor_that_was_silent_for_a_while_keeps_its_tasks() {
+    let losses = Losses::new(long_running()).await;
+    let executor = losses.world.fleet.executor(1);
+    let starts = losses.world.fleet.starts.get();
+    executor.reachable.set(false);
+    losses.pass(Duration::from_millis(2_500)).await;
+    executor.reachable.set(true);
+    losses.pass(Duration::from_secs(8)).await;
+    assert_eq!(losses.world.fleet.starts.get(), starts);
+    losses.world.assert_no_violations();
+}
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -73,6 +73,8 @@
     pub evacuation_fault: Rc<Cell<StoreFault>>,
     /// Whether the process is frozen and answers no requests.
     pub frozen: Rc<Cell<bool>>,
+    /// Whether no call between this host and another one arrives.
+    pub isolated: Rc<Cell<bool>>,
     /// If set, the processor runs a few dozen tasks of the process once in this interval, in
     /// milliseconds, and all others wait.
     pub slow_processor: Cell<Option<u64>>,
@@ -202,6 +204,7 @@
         let evacuations = self.evacuation_deadline.get();
         let evacuations =
             evacuations.map(|deadline| evacuation_source(&self.store, faults, distance, deadline));
+        let isolated = Rc::new(Cell::new(false));
         let fleet = self.fleet.clone();
         if self.fleet.granted_executors.borrow().is_some() {
             self.document.change(plan(1, true));
@@ -222,7 +225,7 @@
                 relayed(&self.fleet, executors(&self.fleet)),
             ),
             advisor: advisor(&self.fleet),
-            peers: self.peers(),
+            peers: self.peers(&isolated),
             relays: self.relays(),
             logs: Box::new(LogCounts::default),
         };
@@ -254,20 +257,24 @@
             store_fault,
             evacuation_fault,
             frozen: Rc::new(Cell::new(false)),
+            isolated,
             slow_processor: Cell::new(None),
             tasks,
         });
         self.hosts.borrow_mut().insert(name.to_owned(), host);
     }
 
-    fn peers(&self) -> PeerClient {
+    fn peers(&self, isolated: &Rc<Cell<bool>>) -> PeerClient {
         let hosts = self.hosts.clone();
+        let isolated = isolated.clone();
         PeerClient {
             call: Box::new(move |call: PeerCall| {
                 let host = hosts.borrow().get(&*call.address).cloned();
+                let is_cut = isolated.get();
                 async move {
                     tokio::time::sleep(Duration::from_millis(1)).await;
-                    match host.filter(|host| !host.frozen.get()) {
+                    let reached = host.filter(|host| !host.frozen.get() && !host.isolated.get());
+                    match reached.filter(|_| !is_cut) {
                         Some(host) => Some(peers::respond(&host.node, &call.request)),
                         None => {
                             tokio::time::sleep(call.limits.response).await;
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -108,8 +108,14 @@
     /// Since when the current incarnation is uncertain because the executor's clock showed less
     /// than expected. The next poll resolves the uncertainty.
     pub incarnation_uncertain_since: Option<Mono>,
-    /// When every lease that this owner granted has certainly expired.
+    /// When every lease that this owner or an earlier one granted has certainly expired.
     pub leases_expire_at: Mono,
+    /// When every lease that this owner granted has certainly expired.
+    pub own_leases_expire_at: Mono,
+    /// When every lease that an earlier owner may have granted has certainly expired.
+    pub inherited_leases_expire_at: Mono,
+    /// Whether the executor may be stored as silent, so that it is granted no lease.
+    pub leases_withheld: bool,
     /// When the executor began to drain.
     pub draining_since: Option<Mono>,
     /// The sequence number up to which ended runs have been acknowledged to the executor.
@@ -190,6 +196,9 @@
 /// and for the processor of a busy owner. A clock that shows less than expected by more than this
 /// belongs to another incarnation, unless the executor restarted within this time of its start.
 const REORDERING_TOLERANCE_MS: u64 = 1_000;
+/// The lease that the first call of a new owner grants to an executor with inherited tasks. It carries
+/// them to the second call.
+const FIRST_LEASE: Duration = Duration::from_millis(2_500);
 /// Added to the expiry of a lease because timers on the executor may fire late.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(150);
 
@@ -240,10 +249,39 @@
             && !self.evacuated
             && now >= self.not_before
             && self.report_due_since.is_none()
+            && !self.leases_withheld
             && self.can_list_another_end()
             && (self.recovery.is_none() || (self.tasks.is_empty() && now >= self.leases_expire_at))
     }
 
+    /// Records that this owner has granted a lease, or may have extended one, until this time.
+    pub(crate) fn extend_own_leases(&mut self, until: Mono) {
+        self.own_leases_expire_at = self.own_leases_expire_at.max(until);
+        self.leases_expire_at = self.leases_expire_at.max(until);
+    }
+
+    /// Records that the leases which earlier owners granted expire by this time.
+    pub(crate) fn limit_inherited_leases(&mut self, until: Mono) {
+        self.inherited_leases_expire_at = self.inherited_leases_expire_at.min(until);
+        let inherited = self.inherited_leases_expire_at;
+        self.leases_expire_at = self.own_leases_expire_at.max(inherited);
+    }
+
+    /// Returns whether the executor has inherited tasks and has not answered this owner.
+    pub(crate) fn is_inherited_unseen(&self) -> bool {
+        self.inherited_leases_expire_at > Mono::ZERO && self.answered_at == Mono::ZERO
+    }
+
+    /// Returns the lease that a call grants where it is usually `lease`. The first call to an executor
+    /// that an earlier owner used grants a short one: if it is gone, its tasks wait for that as well.
+    pub(crate) fn lease_of_next_call(&self, lease: Duration) -> Duration {
+        if self.is_inherited_unseen() {
+            lease.min(FIRST_LEASE)
+        } else {
+            lease
+        }
+    }
+
     /// Returns the number of ends that the executor lists from the first one on that must not be
     /// acknowledged.
     #[must_use]
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ack_recovery;
 pub mod admission;
 pub mod advice;
+pub mod authority;
 mod compact_record;
 pub mod durations;
 pub mod evacuation;
@@ -22,6 +23,7 @@
 pub mod fleet;
 pub mod id;
 pub mod interference;
+pub mod lease_record;
 pub mod locality;
 pub mod migration;
 pub mod placement;
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -28,6 +28,7 @@
             .fleet
             .iter()
             .filter(|(_, executor)| !executor.listed && executor.tasks.is_empty())
+            .filter(|(_, executor)| !executor.leases_withheld)
             .filter(|(_, executor)| {
                 let mut losses = executor.unexplained_losses.iter();
                 executor.is_replaced || !losses.any(|loss| loss.is_open(now))
@@ -87,6 +88,9 @@
                 at: now,
             });
             executor.reachable = true;
+            if executor.leases_withheld {
+                self.silence.mark_changed();
+            }
             if self.has_unlocated_runs {
                 executor.report_due_since = Some(now);
             }
@@ -107,6 +111,9 @@
         let known = executor.clock.replace(reading);
         executor.answered_at = now;
         executor.reachable = true;
+        if executor.leases_withheld {
+            self.silence.mark_changed();
+        }
         executor.is_replaced = false;
         executor.unexplained_losses.clear();
         executor.failing_since = None;
@@ -164,6 +171,9 @@
     /// Records that a call to an executor failed.
     pub fn mark_unreachable(&mut self, key: ExecutorKey, now: Mono) {
         if let Some(executor) = self.fleet.get_mut(key) {
+            if executor.reachable && !executor.tasks.is_empty() {
+                self.silence.mark_changed();
+            }
             executor.reachable = false;
             executor.failing_since.get_or_insert(now);
             self.poll_candidates.push(key);
--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -32,6 +32,9 @@
             return false;
         }
         executor.reachable = true;
+        if executor.leases_withheld {
+            self.silence.mark_changed();
+        }
         executor.is_replaced = false;
         executor.answered_at = now;
         executor.failing_since = None;
--- a/crates/job/src/scheduler/leases.rs
+++ b/crates/job/src/scheduler/leases.rs
@@ -13,7 +13,8 @@
     /// Returns the deadline, on the executor's clock, of the lease that a call sent now grants.
     ///
     /// An unreachable executor is granted no lease: each attempt would extend the lease that has to
-    /// expire before its tasks may start elsewhere. Nor is one that recovers from withheld ends while it
+    /// expire before its tasks may start elsewhere. Nor is one that may be stored as silent, because a
+    /// successor counts on that. Nor is one that recovers from withheld ends while it
     /// is empty or has only a probe, because its lease has to expire ([`crate::ack_recovery`]), nor one
     /// whose next report may be the first to show such ends.
     pub fn grant_lease(&mut self, key: ExecutorKey, now: Mono) -> Option<u64> {
@@ -24,7 +25,8 @@
         if must_expire || executor.report_due_since.is_some() {
             return None;
         }
-        self.grant_lease_of(key, self.timing.lease, now)
+        let lease = executor.lease_of_next_call(self.timing.lease);
+        self.grant_lease_of(key, lease, now)
     }
 
     /// Like [`Self::grant_lease`], with a lease of this duration.
@@ -34,15 +36,14 @@
         lease: Duration,
         now: Mono,
     ) -> Option<u64> {
+        let lease = lease.min(self.grants_until.since(now));
         let executor = self.fleet.get_mut(key)?;
-        if !executor.reachable {
+        if !executor.reachable || executor.leases_withheld || lease.is_zero() {
             return None;
         }
         let clock = executor.clock?;
         let deadline = clock.deadline(now, lease);
-        executor.leases_expire_at = executor
-            .leases_expire_at
-            .max(clock.deadline_passed_at(deadline));
+        executor.extend_own_leases(clock.deadline_passed_at(deadline));
         Some(deadline)
     }
 
@@ -51,27 +52,26 @@
     pub fn inherit_leases(&mut self, sends_until: Mono, until: Mono) {
         self.previous_owner_sends_until = sends_until;
         for (_, executor) in self.fleet.iter_mut() {
-            let inherited = executor.tasks.len();
-            if inherited > 0 && executor.leases_expire_at < until {
-                executor.leases_expire_at = until;
+            if !executor.tasks.is_empty() {
+                executor.inherited_leases_expire_at = until;
+                executor.leases_expire_at = executor.leases_expire_at.max(until);
             }
         }
     }
 
     /// Records that the previous owner sends no commands after `stopped`, so that the leases it
-    /// granted expire by `until` instead of `assumed`.
+    /// granted expire by `until`.
     ///
     /// A poll that was sent earlier does not prove that an inherited run cannot start any more: the
     /// previous owner may have sent its command after the executor answered, and a restarted
     /// executor would have accepted it.
-    pub fn previous_owner_stopped(&mut self, stopped: Mono, until: Mono, assumed: Mono) {
+    pub fn previous_owner_stopped(&mut self, stopped: Mono, until: Mono) {
         let sends_until = stopped.after(Duration::from_millis(1));
         self.previous_owner_sends_until = self.previous_owner_sends_until.min(sends_until);
         for (_, executor) in self.fleet.iter_mut() {
-            if executor.leases_expire_at == assumed && until < assumed {
-                executor.leases_expire_at = until;
-            }
+            executor.limit_inherited_leases(until);
         }
+        self.silence.mark_changed();
     }
 
     /// Extends the expiry of an executor's leases to the longest lease that an executor accepts. A
@@ -85,7 +85,7 @@
                 at: now,
             };
             let until = clock.deadline_passed_at(clock.deadline(now, longest));
-            executor.leases_expire_at = executor.leases_expire_at.max(until);
+            executor.extend_own_leases(until);
         }
     }
 }
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod restore;
 mod retire;
 mod set_aside;
+mod silence;
 mod store;
 mod store_queue;
 mod transitions;
@@ -197,6 +198,10 @@
     pub locality: Locality,
     pub(crate) advice: AdviceCache,
     pub(crate) advice_requests: Vec<AdviceRequest>,
+    /// The time after which no lease that this owner grants may end.
+    pub grants_until: Mono,
+    /// The executors that are stored as silent.
+    silence: silence::StoredSilence,
     /// Until when the previous owner may still send commands.
     previous_owner_sends_until: Mono,
     /// Whether the stored record of a job has an abandoned run without the name of its executor, so
@@ -249,6 +254,8 @@
             locality: Locality::default(),
             advice: AdviceCache::default(),
             advice_requests: Vec::new(),
+            grants_until: Mono(u64::MAX),
+            silence: silence::StoredSilence::default(),
             previous_owner_sends_until: Mono::ZERO,
             has_unlocated_runs: false,
             listed_at: Mono::ZERO,
--- /dev/null
+++ b/crates/job/tests/all/authority_model.rs
@@ -0,0 +1,590 @@
+//! A model check of what owners conclude about the leases of earlier ones (`job::authority`): every order
+//! of commits, claims, polls, late messages, lost answers, restarts of executors and changes of witnesses
+//! within a budget. An owner that is frozen, cut off or gone is one that does nothing for a while, so
+//! that cuts need no state of their own.
+
+use std::time::Duration;
+
+use job::authority;
+use job::authority::Authority;
+use job::authority::AuthorityEnd;
+use job::authority::Witness;
+use model::Mono;
+use model::Set;
+
+use crate::fixture::LEASE;
+
+/// The executor whose leases matter; the others only accept epochs.
+const TARGET: usize = 0;
+const EXECUTORS: usize = 4;
+const OWNERS: usize = 3;
+const STEP: Duration = Duration::from_millis(1_700);
+/// How long an owner continues without the store, as in the crate `dispatch`.
+const MAX_UNCONFIRMED: Duration = Duration::from_secs(10);
+
+/// The witnesses that an owner may choose in the place of the first three executors.
+const OTHER_WITNESSES: [[bool; EXECUTORS]; 2] =
+    [[true, false, false, true], [false, false, true, true]];
+
+/// A rule that the system violates, to show that the model detects it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mutation {
+    None,
+    /// Leases are extended as if the owner were always entitled to.
+    IgnoreHorizon,
+    /// A later incarnation of a witness counts.
+    IgnoreIncarnations,
+    /// An owner obeys only the new witnesses while their write is in flight.
+    ForgetOldWitnesses,
+    /// An owner changes the witnesses while earlier owners may go on.
+    ChangeUnsettled,
+    /// A successor trusts the answer of an owner whose predecessors may go on.
+    TrustUnsettled,
+    /// A commit whose answer was lost confirms the owner when its outcome is known.
+    ConfirmLate,
+}
+
+/// The incarnations of the executors that are witnesses.
+type Witnesses = [Option<u8>; EXECUTORS];
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Executor {
+    incarnation: u8,
+    epoch: u8,
+    lease_until: u64,
+    /// The epoch of the owner that granted the latest lease.
+    granted_by: u8,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Write {
+    sent: u64,
+    row: u8,
+    witnesses: Option<Witnesses>,
+    applied: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Owner {
+    ended: bool,
+    confirmed: u64,
+    /// The incarnation that has accepted a call, and when that was sent.
+    accepted: [Option<(u8, u64)>; EXECUTORS],
+    row: u8,
+    witnesses: Witnesses,
+    write: Option<Write>,
+    row_read_at: u64,
+    earlier_settled: bool,
+    settled: bool,
+    end: Option<(u64, u64)>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Budget {
+    steps: u8,
+    owners: u8,
+    polls: u8,
+    late_polls: u8,
+    commits: u8,
+    lost_answers: u8,
+    restarts: u8,
+    changes: u8,
+    answers: u8,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct LatePoll {
+    owner: usize,
+    executor: usize,
+    sent: u64,
+    lease_until: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct State {
+    now: u64,
+    /// The owner's row: its version, the witnesses, and whether its writer was settled.
+    row: (u8, Witnesses, bool),
+    owners: [Option<Owner>; OWNERS],
+    executors: [Executor; EXECUTORS],
+    /// The row as a host that may claim has read it first, and when.
+    read: Option<(u8, u64)>,
+    late: Option<LatePoll>,
+    budget: Budget,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Pass,
+    Commit(usize),
+    CommitWithoutAnswer(usize),
+    Confirm(usize),
+    ChangeWitnesses(usize, [bool; EXECUTORS]),
+    Poll(usize, usize),
+    SendLatePoll(usize, usize),
+    DeliverLatePoll,
+    Restart(usize),
+    ReadRow,
+    Claim,
+    Answer(usize),
+}
+
+fn witness(executor: usize, incarnation: u8) -> Witness {
+    Witness {
+        id: format!("e{executor}").into(),
+        started_unix_ms: u64::from(incarnation) + 1,
+    }
+}
+
+fn list(witnesses: &Witnesses) -> Vec<Witness> {
+    let all = witnesses.iter().enumerate();
+    all.filter_map(|(at, incarnation)| Some(witness(at, (*incarnation)?)))
+        .collect()
+}
+
+impl Owner {
+    fn authority(&self, mutation: Mutation) -> Authority {
+        let mut authority = Authority::new(Mono(self.confirmed), list(&self.witnesses));
+        if let Some(next) = self.write.and_then(|write| write.witnesses) {
+            authority.begin_change(list(&next));
+            if mutation == Mutation::ForgetOldWitnesses {
+                authority.end_change(true);
+            }
+        }
+        for (at, accepted) in self.accepted.iter().enumerate() {
+            if let Some((incarnation, sent)) = accepted {
+                let counted = match mutation {
+                    Mutation::IgnoreIncarnations => self.witnesses[at].unwrap_or(*incarnation),
+                    _ => *incarnation,
+                };
+                let witness = witness(at, counted);
+                authority.accepted(&witness.id, witness.started_unix_ms, Mono(*sent));
+            }
+        }
+        authority
+    }
+
+    /// Returns when the lease ends that a poll sent now grants.
+    fn lease_until(&self, now: u64, mutation: Mutation) -> Option<u64> {
+        let horizon = self.authority(mutation).horizon();
+        let limit = horizon.filter(|_| mutation != Mutation::IgnoreHorizon);
+        let until = Mono(now).after(LEASE).min(limit.unwrap_or(Mono(u64::MAX)));
+        // The clock of the executor is 2% slow.
+        let lease = until.since(Mono(now));
+        (!lease.is_zero()).then(|| Mono(now).after(lease * 50 / 49).0)
+    }
+}
+
+impl State {
+    fn new(budget: Budget) -> Self {
+        let witnesses = [Some(0), Some(0), Some(0), None];
+        let owner = Owner {
+            witnesses,
+            settled: true,
+            earlier_settled: true,
+            row: 1,
+            ..Owner::default()
+        };
+        Self {
+            now: 0,
+            row: (1, witnesses, true),
+            owners: [Some(owner), None, None],
+            executors: [Executor::default(); EXECUTORS],
+            read: None,
+            late: None,
+            budget,
+        }
+    }
+
+    fn events(&self, mutation: Mutation) -> Vec<Event> {
+        let mut events = Vec::new();
+        let budget = &self.budget;
+        if budget.steps > 0 {
+            events.push(Event::Pass);
+        }
+        for (at, owner) in self.owners.iter().enumerate() {
+            let Some(owner) = owner.filter(|owner| !owner.ended) else {
+                continue;
+            };
+            if owner.write.is_some() {
+                events.push(Event::Confirm(at));
+            } else {
+                if budget.commits > 0 {
+                    events.push(Event::Commit(at));
+                }
+                if budget.lost_answers > 0 {
+                    events.push(Event::CommitWithoutAnswer(at));
+                }
+                let may_change = owner.settled || mutation == Mutation::ChangeUnsettled;
+                if budget.changes > 0 && may_change {
+                    events.extend(OTHER_WITNESSES.map(|named| Event::ChangeWitnesses(at, named)));
+                }
+            }
+            for executor in (0..EXECUTORS).filter(|it| self.matters(at, *it)) {
+                if budget.polls > 0 {
+                    events.push(Event::Poll(at, executor));
+                }
+                if budget.late_polls > 0 && self.late.is_none() {
+                    events.push(Event::SendLatePoll(at, executor));
+                }
+            }
+            if budget.answers > 0 && at + 1 < OWNERS && self.owners[at + 1].is_some() {
+                events.push(Event::Answer(at));
+            }
+        }
+        if self.late.is_some() {
+            events.push(Event::DeliverLatePoll);
+        }
+        if budget.restarts > 0 {
+            events.extend([1, 2].map(Event::Restart));
+        }
+        if budget.owners > 0 {
+            events.push(match self.read {
+                Some((version, _)) if version == self.row.0 => Event::Claim,
+                _ => Event::ReadRow,
+            });
+        }
+        events
+    }
+
+    /// Returns whether a poll of an executor can matter to an owner.
+    fn matters(&self, at: usize, executor: usize) -> bool {
+        let owner = self.owners[at];
+        let named = owner.is_some_and(|owner| {
+            let next = owner.write.and_then(|write| write.witnesses);
+            let is_next = next.is_some_and(|next| next[executor].is_some());
+            owner.witnesses[executor].is_some() || is_next
+        });
+        executor == TARGET || named
+    }
+
+    /// Returns the same state with the executors 1 and 2, which are alike, in a fixed order.
+    fn normalized(self) -> Self {
+        let mut swapped = self;
+        swapped.executors.swap(1, 2);
+        swapped.row.1.swap(1, 2);
+        for owner in swapped.owners.iter_mut().flatten() {
+            owner.accepted.swap(1, 2);
+            owner.witnesses.swap(1, 2);
+            if let Some(next) = owner
+                .write
+                .as_mut()
+                .and_then(|write| write.witnesses.as_mut())
+            {
+                next.swap(1, 2);
+            }
+        }
+        if let Some(late) = &mut swapped.late {
+            late.executor = [0, 2, 1, 3][late.executor];
+        }
+        let key = |state: &Self| {
+            let owners = state.owners.map(|it| it.map(|it| it.accepted[1]));
+            let executor = state.executors[1];
+            let late = state.late.map(|late| late.executor);
+            (executor.incarnation, executor.epoch, owners, late)
+        };
+        if key(&swapped) < key(&self) {
+            swapped
+        } else {
+            self
+        }
+    }
+
+    /// Returns the state after an event, or the violation.
+    fn after(&self, event: Event, mutation: Mutation) -> Result<Self, String> {
+        let mut next = *self;
+        match event {
+            Event::Pass => {
+                next.budget.steps -= 1;
+                next.now += model::time::millis(STEP);
+                for owner in next.owners.iter_mut().flatten() {
+                    let unconfirmed = Mono(next.now).since(Mono(owner.confirmed));
+                    owner.ended |= unconfirmed > MAX_UNCONFIRMED;
+                    owner.settled |= owner.end.is_some_and(|(sends, _)| next.now >= sends);
+                }
+            }
+            Event::Commit(at) => {
+                next.budget.commits -= 1;
+                next.begin_write(at, None);
+                next.finish_write(at, mutation);
+            }
+            Event::CommitWithoutAnswer(at) => {
+                next.budget.lost_answers -= 1;
+                next.begin_write(at, None);
+            }
+            Event::ChangeWitnesses(at, named) => {
+                next.budget.changes -= 1;
+                let witnesses =
+                    std::array::from_fn(|it| named[it].then_some(next.executors[it].incarnation));
+                next.begin_write(at, Some(witnesses));
+            }
+            Event::Confirm(at) => next.finish_write(at, mutation),
+            Event::Poll(at, executor) => {
+                next.budget.polls -= 1;
+                let poll = next.poll(at, executor, mutation);
+                next.deliver(poll, mutation)?;
+            }
+            Event::SendLatePoll(at, executor) => {
+                next.budget.late_polls -= 1;
+                next.late = Some(next.poll(at, executor, mutation));
+            }
+            Event::DeliverLatePoll => {
+                if let Some(poll) = next.late.take() {
+                    next.deliver(poll, mutation)?;
+                }
+            }
+            Event::Restart(executor) => {
+                next.budget.restarts -= 1;
+                next.executors[executor] = Executor {
+                    incarnation: next.executors[executor].incarnation + 1,
+                    ..Executor::default()
+                };
+            }
+            Event::ReadRow => next.read = Some((next.row.0, next.now)),
+            Event::Claim => next.claim(),
+            Event::Answer(at) => next.answer(at, mutation)?,
+        }
+        Ok(next.normalized())
+    }
+
+    /// Sends a commit, which takes effect at once if the row is as expected.
+    fn begin_write(&mut self, at: usize, witnesses: Option<Witnesses>) {
+        let Some(owner) = &mut self.owners[at] else {
+            return;
+        };
+        let applied = self.row.0 == owner.row;
+        if applied {
+            let stored = witnesses.unwrap_or(owner.witnesses);
+            self.row = (self.row.0 + 1, stored, owner.settled);
+        }
+        owner.write = Some(Write {
+            sent: self.now,
+            row: owner.row + 1,
+            witnesses,
+            applied,
+        });
+    }
+
+    /// Learns the outcome of a commit, or that another owner has followed.
+    fn finish_write(&mut self, at: usize, mutation: Mutation) {
+        let (now, row) = (self.now, self.row.0);
+        let Some(owner) = &mut self.owners[at] else {
+            return;
+        };
+        let Some(write) = owner.write.take() else {
+            return;
+        };
+        if !write.applied || row != write.row {
+            owner.ended = true;
+            return;
+        }
+        owner.row = write.row;
+        owner.witnesses = write.witnesses.unwrap_or(owner.witnesses);
+        owner.confirmed = match mutation {
+            Mutation::ConfirmLate => now,
+            _ => owner.confirmed.max(write.sent),
+        };
+    }
+
+    fn poll(&self, at: usize, executor: usize, mutation: Mutation) -> LatePoll {
+        let lease_until = self.owners[at]
+            .filter(|_| executor == TARGET)
+            .and_then(|owner| owner.lease_until(self.now, mutation));
+        LatePoll {
+            owner: at,
+            executor,
+            sent: self.now,
+            lease_until,
+        }
+    }
+
+    fn deliver(&mut self, poll: LatePoll, mutation: Mutation) -> Result<(), String> {
+        let epoch = u8::try_from(poll.owner + 1).expect("few owners");
+        let executor = &mut self.executors[poll.executor];
+        let Some(owner) = &mut self.owners[poll.owner] else {
+            return Ok(());
+        };
+        if epoch < executor.epoch {
+            owner.ended = true;
+            return Ok(());
+        }
+        executor.epoch = epoch;
+        if let Some(until) = poll.lease_until
+            && until > executor.lease_until
+        {
+            executor.lease_until = until;
+            executor.granted_by = epoch;
+        }
+        owner.accepted[poll.executor] = Some((executor.incarnation, poll.sent));
+        if owner.end.is_none() && poll.owner > 0 && owner.authority(mutation).has_majority() {
+            let end = AuthorityEnd::proven(Mono(owner.row_read_at), Mono(self.now));
+            owner.end = Some((end.sends_until.0, end.leases_until.0));
+        }
+        self.check()
+    }
+
+    fn claim(&mut self) {
+        self.budget.owners -= 1;
+        let Some((_, row_read_at)) = self.read.take() else {
+            return;
+        };
+        let at = self.owners.iter().flatten().count();
+        if at == OWNERS {
+            return;
+        }
+        let (version, witnesses, earlier_settled) = self.row;
+        self.row = (version + 1, witnesses, false);
+        self.owners[at] = Some(Owner {
+            confirmed: self.now,
+            row: version + 1,
+            witnesses,
+            row_read_at,
+            earlier_settled,
+            ..Owner::default()
+        });
+    }
+
+    /// Lets an owner answer its successor, and end.
+    fn answer(&mut self, at: usize, mutation: Mutation) -> Result<(), String> {
+        self.budget.answers -= 1;
+        let now = Mono(self.now);
+        if let Some(owner) = &mut self.owners[at] {
+            owner.ended = true;
+        }
+        if let Some(successor) = &mut self.owners[at + 1] {
+            let is_proof = successor.earlier_settled || mutation == Mutation::TrustUnsettled;
+            if successor.end.is_none() && is_proof {
+                successor.end = Some((now.0, authority::expiry(now, LEASE).0));
+            }
+        }
+        self.check()
+    }
+
+    /// No lease that an earlier owner granted outlasts what a successor has concluded.
+    fn check(&self) -> Result<(), String> {
+        let target = self.executors[TARGET];
+        for (at, owner) in self.owners.iter().enumerate() {
+            let Some((_, leases_until)) = owner.and_then(|owner| owner.end) else {
+                continue;
+            };
+            if usize::from(target.granted_by) <= at && target.lease_until > leases_until {
+                return Err(format!(
+                    "epoch {} counts on {leases_until}, epoch {} granted {}",
+                    at + 1,
+                    target.granted_by,
+                    target.lease_until
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Explores all states. Returns their number, and a violation with the state and the event that led to it.
+fn explore(budget: Budget, mutation: Mutation) -> (usize, Option<String>) {
+    let first = State::new(budget);
+    let mut seen: Set<State> = Set::default();
+    seen.insert(first);
+    let mut open = vec![first];
+    while let Some(state) = open.pop() {
+        for event in state.events(mutation) {
+            match state.after(event, mutation) {
+                Err(violation) => {
+                    let text = format!("{violation}, by {event:?} in {state:?}");
+                    return (seen.len(), Some(text));
+                }
+                Ok(next) if seen.insert(next) => open.push(next),
+                Ok(_) => {}
+            }
+        }
+    }
+    (seen.len(), None)
+}
+
+/// Budgets of one kind of fault each beside a takeover, polls and time.
+const BUDGETS: [(&str, Budget); 5] = [
+    (
+        "late polls",
+        Budget {
+            steps: 2,
+            late_polls: 1,
+            commits: 1,
+            polls: 4,
+            ..NO_FAULTS
+        },
+    ),
+    (
+        "a restart",
+        Budget {
+            restarts: 1,
+            ..NO_FAULTS
+        },
+    ),
+    (
+        "lost answers of the store",
+        Budget {
+            steps: 2,
+            lost_answers: 1,
+            ..NO_FAULTS
+        },
+    ),
+    (
+        "other witnesses",
+        Budget {
+            changes: 1,
+            ..NO_FAULTS
+        },
+    ),
+    (
+        "two takeovers",
+        Budget {
+            owners: 2,
+            steps: 1,
+            polls: 4,
+            answers: 1,
+            changes: 1,
+            ..NO_FAULTS
+        },
+    ),
+];
+
+const NO_FAULTS: Budget = Budget {
+    steps: 2,
+    owners: 1,
+    polls: 5,
+    late_polls: 0,
+    commits: 0,
+    lost_answers: 0,
+    restarts: 0,
+    changes: 0,
+    answers: 0,
+};
+
+#[test]
+fn no_lease_outlasts_what_a_successor_concludes() {
+    for (name, budget) in BUDGETS {
+        let (states, violation) = explore(budget, Mutation::None);
+        println!("{name}: {states} states");
+        assert_eq!(violation, None, "{name}");
+    }
+}
+
+#[test]
+fn the_model_detects_violated_rules() {
+    for mutation in [
+        Mutation::IgnoreHorizon,
+        Mutation::IgnoreIncarnations,
+        Mutation::ForgetOldWitnesses,
+        Mutation::ChangeUnsettled,
+        Mutation::TrustUnsettled,
+        Mutation::ConfirmLate,
+    ] {
+        let mut found = BUDGETS.into_iter().filter_map(|(name, budget)| {
+            let (_, violation) = explore(budget, mutation);
+            Some((name, violation?))
+        });
+        let found = found.next();
+        println!("{mutation:?}: {found:?}");
+        assert!(found.is_some(), "{mutation:?}");
+    }
+}
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod admission_world;
 mod advice;
 mod age;
+mod authority_model;
 mod capacity;
 mod crash_world;
 mod crashes;
--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -324,7 +324,7 @@
         let Some(owner) = &mut self.owners[host] else {
             return;
         };
-        if let Some(assumed) = owner.assumed.take() {
+        if owner.assumed.take().is_some() {
             let lease = crate::fixture::LEASE;
             let until = now
                 .after(lease + lease / 49)
@@ -333,9 +333,7 @@
                 Mutation::TrustEarlierPolls => Mono::ZERO,
                 _ => now,
             };
-            owner
-                .scheduler
-                .previous_owner_stopped(stopped, until, assumed);
+            owner.scheduler.previous_owner_stopped(stopped, until);
         }
         self.settle(host);
     }
