fix(job): ends of inherited runs are acknowledged once no earlier owner can repeat their start

Cause: a successor acknowledged the end of an inherited run at once. An earlier owner that was still alive could repeat the start command to a new incarnation of the executor, which knows neither the epoch nor the end.

Change: executors that had inherited tasks get no acknowledgement until the earlier owners are known to send no start any more. Both tests pass.

--- a/crates/dispatch/src/owner/predecessor.rs
+++ b/crates/dispatch/src/owner/predecessor.rs
@@ -136,7 +136,7 @@
         owner
             .scheduler
             .borrow_mut()
-            .previous_owner_stopped(end.sends_until, end.leases_until);
+            .previous_owner_stopped(end.sends_until, end.leases_until, now);
         events::predecessor_stopped(
             owner.epoch,
             &self.record.host,
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -267,9 +267,14 @@
         self.leases_expire_at = self.own_leases_expire_at.max(inherited);
     }
 
-    /// Returns whether the executor has inherited tasks and has not answered this owner.
+    /// Returns whether an earlier owner had tasks on the executor at the takeover.
+    pub(crate) fn had_inherited_tasks(&self) -> bool {
+        self.inherited_leases_expire_at > Mono::ZERO
+    }
+
+    /// Returns whether the executor had inherited tasks and has not answered this owner.
     pub(crate) fn is_inherited_unseen(&self) -> bool {
-        self.inherited_leases_expire_at > Mono::ZERO && self.answered_at == Mono::ZERO
+        self.had_inherited_tasks() && self.answered_at == Mono::ZERO
     }
 
     /// Returns the lease that a call grants where it is usually `lease`. The first call to an executor
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -140,7 +140,9 @@
 
     /// Returns the sequence number up to which ended runs may be acknowledged to an executor.
     /// Returns 0 while a start command is in flight or the incarnation is uncertain, because a new
-    /// incarnation would apply the number to its own ended runs.
+    /// incarnation would apply the number to its own ended runs. Returns 0 as well while the executor
+    /// may list ends of inherited runs and the previous owner may repeat its start commands: an
+    /// executor that starts anew would carry them out.
     #[must_use]
     pub fn acknowledgement(&self, key: ExecutorKey) -> u64 {
         let Some(executor) = self.fleet.get(key) else {
@@ -156,7 +158,8 @@
                     )
                 })
         });
-        if in_flight || executor.incarnation_uncertain_since.is_some() {
+        let may_repeat = self.previous_owner_may_send && executor.had_inherited_tasks();
+        if in_flight || may_repeat || executor.incarnation_uncertain_since.is_some() {
             return 0;
         }
         executor.ends_acknowledgeable()
@@ -185,6 +188,7 @@
     /// short work, lets long-running tasks take turns, removes ended jobs and waits for places from
     /// memory, and records which services have free capacity and which have cold executors.
     pub fn tick(&mut self, now: Mono) {
+        self.previous_owner_may_send &= now < self.previous_owner_sends_until;
         self.retire(now);
         self.retry_set_aside(now);
         self.find_idle_services();
--- a/crates/job/src/scheduler/leases.rs
+++ b/crates/job/src/scheduler/leases.rs
@@ -51,6 +51,7 @@
     /// leases that expire by `until`.
     pub fn inherit_leases(&mut self, sends_until: Mono, until: Mono) {
         self.previous_owner_sends_until = sends_until;
+        self.previous_owner_may_send = true;
         for (_, executor) in self.fleet.iter_mut() {
             if !executor.tasks.is_empty() {
                 executor.inherited_leases_expire_at = until;
@@ -59,15 +60,16 @@
         }
     }
 
-    /// Records that the previous owner sends no commands after `stopped`, so that the leases it
+    /// Records that the previous owner sends no commands after `stopped`, which may lie ahead, so that the leases it
     /// granted expire by `until`.
     ///
     /// A poll that was sent earlier does not prove that an inherited run cannot start any more: the
     /// previous owner may have sent its command after the executor answered, and a restarted
     /// executor would have accepted it.
-    pub fn previous_owner_stopped(&mut self, stopped: Mono, until: Mono) {
+    pub fn previous_owner_stopped(&mut self, stopped: Mono, until: Mono, now: Mono) {
         let sends_until = stopped.after(Duration::from_millis(1));
         self.previous_owner_sends_until = self.previous_owner_sends_until.min(sends_until);
+        self.previous_owner_may_send &= stopped > now;
         for (_, executor) in self.fleet.iter_mut() {
             executor.limit_inherited_leases(until);
         }
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -202,6 +202,8 @@
     pub grants_until: Mono,
     /// The executors that are stored as silent.
     silence: silence::StoredSilence,
+    /// Whether the previous owner may still send commands.
+    previous_owner_may_send: bool,
     /// Until when the previous owner may still send commands.
     previous_owner_sends_until: Mono,
     /// Whether the stored record of a job has an abandoned run without the name of its executor, so
@@ -256,6 +258,7 @@
             advice_requests: Vec::new(),
             grants_until: Mono(u64::MAX),
             silence: silence::StoredSilence::default(),
+            previous_owner_may_send: false,
             previous_owner_sends_until: Mono::ZERO,
             has_unlocated_runs: false,
             listed_at: Mono::ZERO,
--- a/crates/job/tests/all/ack_recovery.rs
+++ b/crates/job/tests/all/ack_recovery.rs
@@ -215,7 +215,8 @@
     finish_on_second(fixture, 100);
     let mut next = fixture.successor();
     next.list(vec![listing(1), listing(2)]);
-    next.scheduler.previous_owner_stopped(next.now, next.now);
+    next.scheduler
+        .previous_owner_stopped(next.now, next.now, next.now);
     next
 }
 
@@ -262,7 +263,8 @@
     assert_eq!(fixture.tasks_on(1).len(), 1, "a probe");
     let mut next = fixture.successor_of_all();
     next.list(vec![listing(1)]);
-    next.scheduler.previous_owner_stopped(next.now, next.now);
+    next.scheduler
+        .previous_owner_stopped(next.now, next.now, next.now);
     let executor = next.executor(1);
     let probe = next.tasks_on(1)[0];
     assert_eq!(next.scheduler.grant_lease(executor, next.now), None);
--- a/crates/job/tests/all/known_red.rs
+++ b/crates/job/tests/all/known_red.rs
@@ -37,7 +37,7 @@
         "the previous owner may start the task again"
     );
     next.scheduler
-        .previous_owner_stopped(next.now, next.now.after(LEASE));
+        .previous_owner_stopped(next.now, next.now.after(LEASE), next.now);
     assert_eq!(next.scheduler.acknowledgement(executor), 1);
 }
 
--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -333,7 +333,7 @@
                 Mutation::TrustEarlierPolls => Mono::ZERO,
                 _ => now,
             };
-            owner.scheduler.previous_owner_stopped(stopped, until);
+            owner.scheduler.previous_owner_stopped(stopped, until, now);
         }
         self.settle(host);
     }
--- a/crates/job/tests/all/record.rs
+++ b/crates/job/tests/all/record.rs
@@ -101,7 +101,7 @@
     let requested = next.now;
     next.pass(20);
     next.scheduler
-        .previous_owner_stopped(next.now, next.now.after(LEASE));
+        .previous_owner_stopped(next.now, next.now.after(LEASE), next.now);
     next.pass(20);
     let empty = Report {
         started_unix_ms: Some(1_000),
