fix(dispatch): a run is not stopped for want of an answer to its start while its report is on its way

Cause: after three attempts without an answer a run was stopped, and an attempt that was not sent because the executor counted as unreachable counted as one. An executor whose answers take a second longer than its wait counted as unreachable with each poll, was granted no lease, and its runs were lost after 5 s.

Change: after three attempts the next report that was requested since the first of them decides, and only attempts that were sent count. The margin within which a poll has to be answered doubles with each late answer, up to 2.8 s, for 30 s. Both tests pass. A lost executor that was slow before is noticed later, still before its lease expires.

Failed on the way: waiting for a report requested after the last attempt, with which an executor that lets starts hang kept a job of two steps for more than 12 s; dropping the longer margin with the next answer in time, because answers that list ends come before the wait is over.

The test of answers that take longer than a lease passed by chance with one executor since silent executors are stored, so that it has three as well; it stays listed.

--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -106,6 +106,10 @@
     authority: RefCell<Authority>,
     /// The row about leases.
     lease_row: LeaseRow,
+    /// How much longer than its wait a poll of a slow executor may take, and until when that holds.
+    answer_margins: RefCell<Map<ExecutorKey, (Duration, Mono)>>,
+    /// When the latest poll was sent whose report has arrived.
+    reports_requested: RefCell<Map<ExecutorKey, Mono>>,
     /// Witnesses that are being asked.
     asked_witnesses: RefCell<Set<ExecutorKey>>,
     /// Whether all earlier owners are known to have ended.
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -33,9 +33,15 @@
 /// Interval between polls of an executor that lists ends which must not be acknowledged. It answers
 /// each poll at once, because polls only wait while no end is listed.
 const WITHHELD_ENDS_INTERVAL: Duration = Duration::from_millis(250);
-/// How much longer an answer may take than the wait that its poll requests, before the executor
-/// counts as unreachable.
+/// How much longer an answer usually takes at most than the wait that its poll requests, before the
+/// executor counts as unreachable.
 const ANSWER_MARGIN: Duration = Duration::from_millis(700);
+/// Upper limit of this margin, which doubles with each answer that comes later. An executor that answers
+/// each poll is not silent, however slow the way to it is.
+const MAX_ANSWER_MARGIN: Duration = Duration::from_millis(2_800);
+/// How long after a late answer the margin stays longer. Answers that list ends come before the wait is
+/// over, so that they do not show that the way has become faster.
+const LONGER_MARGIN_DURATION: Duration = Duration::from_secs(30);
 /// How long a late answer is still awaited. An executor counts an end as reported once it has sent
 /// the answer, so that answers are processed even if the executor is considered unreachable.
 const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
@@ -258,7 +264,7 @@
             sent,
             acknowledged: call.acknowledged,
         };
-        let expected_within = call.wait + ANSWER_MARGIN;
+        let expected_within = call.wait + self.answer_margin(key);
         let mut answer = self.call_poll(key, call);
         if let Ok(answer) = tokio::time::timeout(expected_within, &mut answer).await {
             self.process_report(poll, &answer?);
@@ -285,6 +291,7 @@
         };
         match answer {
             Ok(report) => {
+                self.double_answer_margin(poll.executor);
                 self.log_late_answer(poll, &report);
                 self.process_report(poll, &report);
             }
@@ -293,6 +300,21 @@
         }
     }
 
+    /// Returns how much longer the answer to a poll may take than the wait that it requests.
+    fn answer_margin(&self, key: ExecutorKey) -> Duration {
+        let margins = self.answer_margins.borrow();
+        let longer = margins.get(&key).filter(|(_, until)| self.now() < *until);
+        longer.map_or(ANSWER_MARGIN, |(margin, _)| *margin)
+    }
+
+    fn double_answer_margin(&self, key: ExecutorKey) {
+        let doubled = (self.answer_margin(key) * 2).min(MAX_ANSWER_MARGIN);
+        let until = self.now().after(LONGER_MARGIN_DURATION);
+        self.answer_margins
+            .borrow_mut()
+            .insert(key, (doubled, until));
+    }
+
     fn log_late_answer(&self, poll: SentPoll, report: &Report) {
         let took = self.now().since(poll.sent.mono);
         if let Some(executor) = self.scheduler.borrow().fleet.get(poll.executor) {
@@ -310,6 +332,7 @@
         let now = self.now();
         self.load.count_poll(report.ended.len());
         self.record_acceptance(key, report, sent.boot);
+        self.record_report_requested(key, sent.mono);
         {
             let mut scheduler = self.scheduler.borrow_mut();
             let was_reachable = scheduler
@@ -333,6 +356,12 @@
         self.dispatch_pending();
     }
 
+    fn record_report_requested(&self, key: ExecutorKey, sent: Mono) {
+        let mut requested = self.reports_requested.borrow_mut();
+        let latest = requested.entry(key).or_default();
+        *latest = sent.max(*latest);
+    }
+
     fn record_poll_failure(self: &Rc<Self>, key: ExecutorKey) {
         let now = self.now();
         let mut scheduler = self.scheduler.borrow_mut();
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -33,8 +33,8 @@
 /// Number of attempts to send a start before another executor is chosen.
 const MAX_START_ATTEMPTS: usize = 3;
 
-/// Number of attempts without an answer in a row before the run is stopped, so that another
-/// executor can be chosen once the stop is answered.
+/// Number of attempts without an answer in a row after which the next report decides: if it does not show
+/// the run, the run is stopped, so that another executor can be chosen once the stop is answered.
 const MAX_UNANSWERED_STARTS: usize = 3;
 
 /// A command to start a run.
@@ -116,6 +116,7 @@
         let command_slots = self.command_slots(start.executor);
         let mut failed_sends = 0;
         let mut unanswered = 0;
+        let mut first_sent_at = None;
         loop {
             let slot_awaited_since = self.now();
             let slot = self.wait_for_start_slot(start, &command_slots).await;
@@ -130,6 +131,7 @@
             self.unsent_starts
                 .borrow_mut()
                 .remove(&(start.key, start.run));
+            let first_sent_at = *first_sent_at.get_or_insert(self.now());
             let outcome = self.try_start(start).await;
             drop(slot);
             trace.count_attempt(&outcome);
@@ -140,6 +142,11 @@
                     (answer, CommandEnd::Answered(outcome_label(outcome)))
                 }
                 CommandOutcome::Fenced => return CommandEnd::FENCED,
+                CommandOutcome::NotSent if unanswered > 0 => {
+                    // An earlier attempt may have been executed. A report shows it, or the lease expires.
+                    tokio::time::sleep(RETRY_DELAY).await;
+                    continue;
+                }
                 CommandOutcome::NotSent | CommandOutcome::WrongExecutor => {
                     failed_sends += 1;
                     if failed_sends < MAX_START_ATTEMPTS {
@@ -163,6 +170,13 @@
                         tokio::time::sleep(RETRY_DELAY).await;
                         continue;
                     }
+                    if let Err(end) = self
+                        .wait_for_report(start, &command_slots, first_sent_at)
+                        .await
+                    {
+                        self.abandon_start(start, end);
+                        return end;
+                    }
                     (StartAnswer::Unhealthy, CommandEnd::GIVEN_UP)
                 }
             };
@@ -189,6 +203,30 @@
         }
     }
 
+    /// Waits for a report requested after the first attempt, at `sent_at`. Returns an error if the run was confirmed or
+    /// lost meanwhile, or should no longer start.
+    async fn wait_for_report(
+        &self,
+        start: &StartRun,
+        command_slots: &CommandSlots,
+        sent_at: Mono,
+    ) -> Result<(), CommandEnd> {
+        while !self.has_report_since(start.executor, sent_at) {
+            tokio::select! {
+                () = self.shutdown.cancelled() => return Err(CommandEnd::OWNER_ENDED),
+                () = command_slots.starts_changed() => {}
+                () = tokio::time::sleep(RETRY_DELAY) => {}
+            }
+            self.check_start(start, command_slots)?;
+        }
+        Ok(())
+    }
+
+    fn has_report_since(&self, executor: ExecutorKey, since: Mono) -> bool {
+        let requested = self.reports_requested.borrow().get(&executor).copied();
+        requested.is_some_and(|requested| requested >= since)
+    }
+
     /// Waits for a slot for one attempt. Returns an error as soon as the start should not be sent.
     async fn wait_for_start_slot<'s>(
         &self,
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -144,6 +144,8 @@
         confirmed_at: Cell::new(confirmed_at.mono),
         authority: RefCell::new(authority),
         lease_row: LeaseRow::default(),
+        answer_margins: RefCell::default(),
+        reports_requested: RefCell::default(),
         asked_witnesses: RefCell::default(),
         settled: Cell::new(false),
         majority: Notify::new(),
--- a/crates/dispatch/tests/all/lost_answers.rs
+++ b/crates/dispatch/tests/all/lost_answers.rs
@@ -93,8 +93,8 @@
     run_without_answers_to_starts(Duration::ZERO).await;
 }
 
-/// Known red: the run is stopped after three attempts without an answer, before the report that shows
-/// it arrives, and its task starts again and again.
+/// The run was stopped after three attempts without an answer, before the report that shows it arrived, and
+/// its task started again and again.
 #[tokio::test(start_paused = true)]
 async fn a_task_whose_start_was_executed_starts_once_although_reports_come_a_second_late() {
     run_without_answers_to_starts(SECOND).await;
--- a/crates/dispatch/tests/all/owners.rs
+++ b/crates/dispatch/tests/all/owners.rs
@@ -284,18 +284,22 @@
 /// task must not start again although the owner has not heard of it.
 #[tokio::test(start_paused = true)]
 async fn no_task_starts_again_while_answers_to_polls_take_longer_than_a_lease() {
-    let world = World::new(1);
-    world.start("a");
-    world.advance(SECOND).await;
-    let executor = world.fleet.executor(1);
-    executor.answer_delay.set(6 * SECOND);
-    world.submit("a", 1, job(2)).await;
-    world.advance(40 * SECOND).await;
-    assert!(
-        world.fleet.starts.get() <= 4,
-        "{} starts of 4 tasks",
-        world.fleet.starts.get()
-    );
+    for executors in [1, 3] {
+        let world = World::new(executors);
+        world.start("a");
+        world.advance(SECOND).await;
+        for number in 1..=executors {
+            let executor = world.fleet.executor(number);
+            executor.answer_delay.set(6 * SECOND);
+        }
+        world.submit("a", 1, job(2)).await;
+        world.advance(40 * SECOND).await;
+        assert!(
+            world.fleet.starts.get() <= 4,
+            "{} starts of 4 tasks on {executors} executors",
+            world.fleet.starts.get()
+        );
+    }
 }
 
 /// Reads of many rows over a full link: other hosts took each successor for dead while it read, claimed
