--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod events;
 pub mod handover;
 pub mod hosts;
+mod lease_events;
 pub mod metrics;
 pub mod node;
 pub mod owner;
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -7,6 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use job::scheduler::Batch;
+
 use super::Owner;
 use super::pacing;
 use super::release::Release;
@@ -20,7 +22,6 @@
 use crate::rows;
 use crate::rows::OwnerRecord;
 use crate::store_call::StoreCall;
-use job::scheduler::Batch;
 
 /// Interval at which an owner without changes writes its row, to show other hosts that it is alive.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
--- a/crates/dispatch/src/owner/predecessor.rs
+++ b/crates/dispatch/src/owner/predecessor.rs
@@ -15,8 +15,8 @@
 use super::Claim;
 use super::MAX_UNCONFIRMED;
 use super::Owner;
-use crate::events;
-use crate::events::InheritedLeases;
+use crate::lease_events;
+use crate::lease_events::InheritedLeases;
 use crate::node::Node;
 use crate::peers;
 use crate::peers::PeerRequest;
@@ -137,7 +137,7 @@
             .scheduler
             .borrow_mut()
             .previous_owner_stopped(end.sends_until, end.leases_until, now);
-        events::predecessor_stopped(
+        lease_events::predecessor_stopped(
             owner.epoch,
             &self.record.host,
             proof.as_str(),
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -45,6 +45,7 @@
 use crate::dependencies::Row;
 use crate::dependencies::StoreError;
 use crate::events;
+use crate::lease_events;
 use crate::node::Node;
 use crate::node::SendTime;
 use crate::relay::pool::RelayPool;
@@ -134,7 +135,7 @@
         inherited,
         took,
     );
-    events::leases_inherited(claim.record.epoch, &claim.earlier.host, &inherited_leases);
+    lease_events::leases_inherited(claim.record.epoch, &claim.earlier.host, &inherited_leases);
     let owner = Rc::new(Owner {
         node: node.clone(),
         epoch: claim.record.epoch,
--- a/crates/job/tests/all/authority_model.rs
+++ b/crates/job/tests/all/authority_model/state.rs
@@ -1,7 +1,4 @@
-//! A model check of what owners conclude about the leases of earlier ones (`job::authority`): every order
-//! of commits, claims, polls, late messages, lost answers, restarts of executors and changes of witnesses
-//! within a budget. An owner that is frozen, cut off or gone is one that does nothing for a while, so
-//! that cuts need no state of their own.
+//! The state of the model, and the effect of each event.
 
 use std::time::Duration;
 
@@ -10,25 +7,24 @@
 use job::authority::AuthorityEnd;
 use job::authority::Witness;
 use model::Mono;
-use model::Set;
 
 use crate::fixture::LEASE;
 
 /// The executor whose leases matter; the others only accept epochs.
-const TARGET: usize = 0;
-const EXECUTORS: usize = 4;
-const OWNERS: usize = 3;
-const STEP: Duration = Duration::from_millis(1_700);
+pub const TARGET: usize = 0;
+pub const EXECUTORS: usize = 4;
+pub const OWNERS: usize = 3;
+pub const STEP: Duration = Duration::from_millis(1_700);
 /// How long an owner continues without the store, as in the crate `dispatch`.
-const MAX_UNCONFIRMED: Duration = Duration::from_secs(10);
+pub const MAX_UNCONFIRMED: Duration = Duration::from_secs(10);
 
 /// The witnesses that an owner may choose in the place of the first three executors.
-const OTHER_WITNESSES: [[bool; EXECUTORS]; 2] =
+pub const OTHER_WITNESSES: [[bool; EXECUTORS]; 2] =
     [[true, false, false, true], [false, false, true, true]];
 
 /// A rule that the system violates, to show that the model detects it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Mutation {
+pub enum Mutation {
     None,
     /// Leases are extended as if the owner were always entitled to.
     IgnoreHorizon,
@@ -45,10 +41,10 @@
 }
 
 /// The incarnations of the executors that are witnesses.
-type Witnesses = [Option<u8>; EXECUTORS];
+pub type Witnesses = [Option<u8>; EXECUTORS];
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-struct Executor {
+pub struct Executor {
     incarnation: u8,
     epoch: u8,
     lease_until: u64,
@@ -57,7 +53,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Write {
+pub struct Write {
     sent: u64,
     row: u8,
     witnesses: Option<Witnesses>,
@@ -65,7 +61,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-struct Owner {
+pub struct Owner {
     ended: bool,
     confirmed: u64,
     /// The incarnation that has accepted a call, and when that was sent.
@@ -80,20 +76,20 @@
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-struct Budget {
-    steps: u8,
-    owners: u8,
-    polls: u8,
-    late_polls: u8,
-    commits: u8,
-    lost_answers: u8,
-    restarts: u8,
-    changes: u8,
-    answers: u8,
+pub struct Budget {
+    pub steps: u8,
+    pub owners: u8,
+    pub polls: u8,
+    pub late_polls: u8,
+    pub commits: u8,
+    pub lost_answers: u8,
+    pub restarts: u8,
+    pub changes: u8,
+    pub answers: u8,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct LatePoll {
+pub struct LatePoll {
     owner: usize,
     executor: usize,
     sent: u64,
@@ -101,7 +97,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct State {
+pub struct State {
     now: u64,
     /// The owner's row: its version, the witnesses, and whether its writer was settled.
     row: (u8, Witnesses, bool),
@@ -114,7 +110,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-enum Event {
+pub enum Event {
     Pass,
     Commit(usize),
     CommitWithoutAnswer(usize),
@@ -129,14 +125,14 @@
     Answer(usize),
 }
 
-fn witness(executor: usize, incarnation: u8) -> Witness {
+pub fn witness(executor: usize, incarnation: u8) -> Witness {
     Witness {
         id: format!("e{executor}").into(),
         started_unix_ms: u64::from(incarnation) + 1,
     }
 }
 
-fn list(witnesses: &Witnesses) -> Vec<Witness> {
+pub fn list(witnesses: &Witnesses) -> Vec<Witness> {
     let all = witnesses.iter().enumerate();
     all.filter_map(|(at, incarnation)| Some(witness(at, (*incarnation)?)))
         .collect()
@@ -176,7 +172,7 @@
 }
 
 impl State {
-    fn new(budget: Budget) -> Self {
+    pub fn new(budget: Budget) -> Self {
         let witnesses = [Some(0), Some(0), Some(0), None];
         let owner = Owner {
             witnesses,
@@ -196,7 +192,7 @@
         }
     }
 
-    fn events(&self, mutation: Mutation) -> Vec<Event> {
+    pub fn events(&self, mutation: Mutation) -> Vec<Event> {
         let mut events = Vec::new();
         let budget = &self.budget;
         if budget.steps > 0 {
@@ -291,7 +287,7 @@
     }
 
     /// Returns the state after an event, or the violation.
-    fn after(&self, event: Event, mutation: Mutation) -> Result<Self, String> {
+    pub fn after(&self, event: Event, mutation: Mutation) -> Result<Self, String> {
         let mut next = *self;
         match event {
             Event::Pass => {
@@ -479,112 +475,3 @@
         Ok(())
     }
 }
-
-/// Explores all states. Returns their number, and a violation with the state and the event that led to it.
-fn explore(budget: Budget, mutation: Mutation) -> (usize, Option<String>) {
-    let first = State::new(budget);
-    let mut seen: Set<State> = Set::default();
-    seen.insert(first);
-    let mut open = vec![first];
-    while let Some(state) = open.pop() {
-        for event in state.events(mutation) {
-            match state.after(event, mutation) {
-                Err(violation) => {
-                    let text = format!("{violation}, by {event:?} in {state:?}");
-                    return (seen.len(), Some(text));
-                }
-                Ok(next) if seen.insert(next) => open.push(next),
-                Ok(_) => {}
-            }
-        }
-    }
-    (seen.len(), None)
-}
-
-/// Budgets of one kind of fault each beside a takeover, polls and time.
-const BUDGETS: [(&str, Budget); 5] = [
-    (
-        "late polls",
-        Budget {
-            steps: 2,
-            late_polls: 1,
-            commits: 1,
-            polls: 4,
-            ..NO_FAULTS
-        },
-    ),
-    (
-        "a restart",
-        Budget {
-            restarts: 1,
-            ..NO_FAULTS
-        },
-    ),
-    (
-        "lost answers of the store",
-        Budget {
-            steps: 2,
-            lost_answers: 1,
-            ..NO_FAULTS
-        },
-    ),
-    (
-        "other witnesses",
-        Budget {
-            changes: 1,
-            ..NO_FAULTS
-        },
-    ),
-    (
-        "two takeovers",
-        Budget {
-            owners: 2,
-            steps: 1,
-            polls: 4,
-            answers: 1,
-            changes: 1,
-            ..NO_FAULTS
-        },
-    ),
-];
-
-const NO_FAULTS: Budget = Budget {
-    steps: 2,
-    owners: 1,
-    polls: 5,
-    late_polls: 0,
-    commits: 0,
-    lost_answers: 0,
-    restarts: 0,
-    changes: 0,
-    answers: 0,
-};
-
-#[test]
-fn no_lease_outlasts_what_a_successor_concludes() {
-    for (name, budget) in BUDGETS {
-        let (states, violation) = explore(budget, Mutation::None);
-        println!("{name}: {states} states");
-        assert_eq!(violation, None, "{name}");
-    }
-}
-
-#[test]
-fn the_model_detects_violated_rules() {
-    for mutation in [
-        Mutation::IgnoreHorizon,
-        Mutation::IgnoreIncarnations,
-        Mutation::ForgetOldWitnesses,
-        Mutation::ChangeUnsettled,
-        Mutation::TrustUnsettled,
-        Mutation::ConfirmLate,
-    ] {
-        let mut found = BUDGETS.into_iter().filter_map(|(name, budget)| {
-            let (_, violation) = explore(budget, mutation);
-            Some((name, violation?))
-        });
-        let found = found.next();
-        println!("{mutation:?}: {found:?}");
-        assert!(found.is_some(), "{mutation:?}");
-    }
-}
