--- a/crates/dispatch/src/owner/lease_row.rs
+++ b/crates/dispatch/src/owner/lease_row.rs
@@ -11,6 +11,7 @@
 use job::authority;
 use job::authority::Witness;
 use job::lease_record::LeaseRecord;
+use job::scheduler::Scheduler;
 use model::Mono;
 
 use super::Owner;
@@ -73,7 +74,7 @@
         let now = self.now();
         let mut scheduler = self.scheduler.borrow_mut();
         let wanted = self.lease_row.wanted.borrow_mut().take();
-        let is_due = wanted.is_some() || scheduler.is_silence_due(now);
+        let is_due = wanted.is_some() || self.is_lease_row_due(&scheduler);
         if !is_due || self.lease_row.is_refused(now) {
             return None;
         }
@@ -92,6 +93,12 @@
         })
     }
 
+    /// Returns whether silent executors have to be stored.
+    pub(super) fn is_lease_row_due(&self, scheduler: &Scheduler) -> bool {
+        let now = self.now();
+        scheduler.is_silence_due(now) && !self.lease_row.is_refused(now)
+    }
+
     /// Ends a write of the row that was stored or refused.
     pub(super) fn end_lease_row_write(&self, is_stored: bool) {
         self.authority.borrow_mut().end_change(is_stored);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -266,7 +266,7 @@
         polls::ensure(self);
         let has_changes = {
             let scheduler = self.scheduler.borrow();
-            scheduler.has_changes() || scheduler.is_silence_due(self.now())
+            scheduler.has_changes() || self.is_lease_row_due(&scheduler)
         };
         if has_changes {
             self.commit_requested.notify_one();
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -373,7 +373,7 @@
         if was_reachable {
             log_reachability(&scheduler, key, now);
         }
-        if scheduler.is_silence_due(now) {
+        if self.is_lease_row_due(&scheduler) {
             self.commit_requested.notify_one();
         }
     }
--- a/crates/dispatch/tests/all/refused_rows.rs
+++ b/crates/dispatch/tests/all/refused_rows.rs
@@ -44,6 +44,25 @@
     jobs.iter().filter(|job| job.set_aside).count()
 }
 
+/// Guards against an owner that repeats transactions without a pause, or sets jobs aside, because the store
+/// refuses the row about leases.
+#[tokio::test(start_paused = true)]
+async fn a_refused_row_about_leases_stops_no_job() {
+    let world = World::new(4);
+    refuse(&world, &rows::leases_row_id());
+    world.start("a");
+    world.start("b");
+    world.advance(SECOND).await;
+    world.submit("b", 1, job(4)).await;
+    world.fleet.executor(1).reachable.set(false);
+    world.wait_until_succeeded("b", &[1], 15 * SECOND).await;
+    assert_eq!(set_aside(&world), 0);
+    let before = world.store.version();
+    world.advance(4 * SECOND).await;
+    let written = world.store.version() - before;
+    assert!(written < 40, "{written} transactions in 4 s without work");
+}
+
 /// Guards against an owner, or a successor, that repeats the refused transaction for as long as it owns
 /// the executors, so that no job of any queue makes progress.
 #[tokio::test(start_paused = true)]
--- a/crates/dispatch/tests/all/store.rs
+++ b/crates/dispatch/tests/all/store.rs
@@ -69,6 +69,11 @@
         self.rows.borrow().get(&key)?.0.clone()
     }
 
+    /// Returns the number of transactions that have taken effect.
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+
     /// Writes a row.
     pub fn put(&self, row_id: RowId, value: Vec<u8>) {
         let transaction = Transaction {
--- a/crates/job/src/scheduler/silence.rs
+++ b/crates/job/src/scheduler/silence.rs
@@ -66,10 +66,10 @@
 
     /// Records that the silent executors are stored, or that the store refuses to.
     pub fn silence_stored(&mut self, is_stored: bool) {
-        if let Some(keys) = self.silence.being_stored.take()
-            && is_stored
-        {
-            self.silence.stored = keys;
+        let keys = self.silence.being_stored.take();
+        match keys.filter(|_| is_stored) {
+            Some(keys) => self.silence.stored = keys,
+            None => self.silence.mark_changed(),
         }
         self.withhold_leases_of_silent();
     }
