refactor(dispatch): what is kept of polls and acceptances is bounded

The acceptances of all executors, the margins of slow ones and the times of their polls were kept for as long as a host owned the executors, also of those that had left. The majority is looked for at each report only until the owner is settled; before, at each report of the whole ownership. That an executor answers again is recorded in one place instead of three.

--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -362,6 +362,16 @@
         *latest = sent.max(*latest);
     }
 
+    /// Forgets what is known of the polls of executors that are gone.
+    pub(super) fn forget_old_polls(&self) {
+        let now = self.now();
+        let scheduler = self.scheduler.borrow();
+        let mut margins = self.answer_margins.borrow_mut();
+        margins.retain(|_, (_, until)| now < *until);
+        let mut requested = self.reports_requested.borrow_mut();
+        requested.retain(|key, _| scheduler.fleet.get(*key).is_some());
+    }
+
     fn record_poll_failure(self: &Rc<Self>, key: ExecutorKey) {
         let now = self.now();
         let mut scheduler = self.scheduler.borrow_mut();
--- a/crates/dispatch/src/owner/witnesses.rs
+++ b/crates/dispatch/src/owner/witnesses.rs
@@ -30,6 +30,7 @@
         let now = owner.now();
         if now.since(reviewed_at) >= REVIEW_INTERVAL {
             owner.review_witnesses();
+            owner.forget_old_polls();
             reviewed_at = now;
         }
         owner.ask_witnesses();
@@ -78,7 +79,7 @@
         };
         let mut authority = self.authority.borrow_mut();
         authority.accepted(&executor.listing.id, started_unix_ms, sent_boot);
-        if authority.has_majority() {
+        if !self.settled.get() && authority.has_majority() {
             self.majority.notify_one();
         }
     }
--- a/crates/job/src/authority.rs
+++ b/crates/job/src/authority.rs
@@ -100,9 +100,17 @@
         self.confirmed_at = self.confirmed_at.max(sent);
     }
 
-    /// Records that an incarnation of an executor has accepted a call sent at `sent`.
+    /// Records that an incarnation of an executor has accepted a call sent at `sent`, if the executor is a
+    /// witness.
     pub fn accepted(&mut self, id: &Arc<str>, started_unix_ms: u64, sent: Mono) {
-        self.accepted.record(id, started_unix_ms, sent);
+        if self.all_witnesses().any(|witness| witness.id == *id) {
+            self.accepted.record(id, started_unix_ms, sent);
+        }
+    }
+
+    /// Returns the witnesses that are stored and those that are being stored.
+    fn all_witnesses(&self) -> impl Iterator<Item = &Witness> {
+        self.stored.iter().chain(self.being_stored.iter().flatten())
     }
 
     /// Returns the witnesses that the store names.
@@ -123,6 +131,9 @@
         {
             self.stored = witnesses;
         }
+        let stored = &self.stored;
+        let is_witness = |id: &Arc<str>| stored.iter().any(|witness| witness.id == *id);
+        self.accepted.0.retain(|id, _| is_witness(id));
     }
 
     /// Returns whether a majority of the stored witnesses has accepted this owner, so that no earlier one
@@ -134,8 +145,8 @@
 
     /// Returns the witnesses that have not accepted a call sent at `since` or later.
     pub fn overdue(&self, since: Mono) -> impl Iterator<Item = &Witness> {
-        let all = self.stored.iter().chain(self.being_stored.iter().flatten());
-        all.filter(move |it| self.accepted.sent(it).is_none_or(|sent| sent < since))
+        self.all_witnesses()
+            .filter(move |it| self.accepted.sent(it).is_none_or(|sent| sent < since))
     }
 
     /// Returns since when no successor can have been accepted by a majority; `None` without a proof.
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -87,10 +87,7 @@
                 executor_ms: clock_ms,
                 at: now,
             });
-            executor.reachable = true;
-            if executor.leases_withheld {
-                self.silence.mark_changed();
-            }
+            self.silence.executor_answered(executor);
             if self.has_unlocated_runs {
                 executor.report_due_since = Some(now);
             }
@@ -110,10 +107,7 @@
         };
         let known = executor.clock.replace(reading);
         executor.answered_at = now;
-        executor.reachable = true;
-        if executor.leases_withheld {
-            self.silence.mark_changed();
-        }
+        self.silence.executor_answered(executor);
         executor.is_replaced = false;
         executor.unexplained_losses.clear();
         executor.failing_since = None;
--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -31,10 +31,7 @@
         if started_unix_ms < earlier {
             return false;
         }
-        executor.reachable = true;
-        if executor.leases_withheld {
-            self.silence.mark_changed();
-        }
+        self.silence.executor_answered(executor);
         executor.is_replaced = false;
         executor.answered_at = now;
         executor.failing_since = None;
--- a/crates/job/src/scheduler/leases.rs
+++ b/crates/job/src/scheduler/leases.rs
@@ -60,8 +60,8 @@
         }
     }
 
-    /// Records that the previous owner sends no commands after `stopped`, which may lie ahead, so that the leases it
-    /// granted expire by `until`.
+    /// Records that the previous owner sends no commands after `stopped`, which may lie ahead, so that
+    /// the leases it granted expire by `until`.
     ///
     /// A poll that was sent earlier does not prove that an inherited run cannot start any more: the
     /// previous owner may have sent its command after the executor answered, and a restarted
--- a/crates/job/src/scheduler/silence.rs
+++ b/crates/job/src/scheduler/silence.rs
@@ -35,6 +35,12 @@
         self.changed = true;
     }
 
+    /// Records that an executor answers. If it may be stored as silent, the record has to change.
+    pub(super) const fn executor_answered(&mut self, executor: &mut Executor) {
+        executor.reachable = true;
+        self.changed |= executor.leases_withheld;
+    }
+
     fn names(&self, key: ExecutorKey) -> bool {
         let being_stored = self.being_stored.as_ref();
         self.stored.contains(&key) || being_stored.is_some_and(|keys| keys.contains(&key))
