--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -40,7 +40,9 @@
         exit(2);
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let seed = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok());
+    let seed = std::env::var("SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok());
     let record = record::Record::create(folder);
     record.line(&format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
--- a/review/cases-2/blamed.rs
+++ b/review/cases-2/blamed.rs
@@ -28,7 +28,8 @@
 const SUBMIT_INTERVAL: Duration = Duration::from_millis(90);
 const WORK: Duration = Duration::from_millis(2_000);
 const CONFIG: &str = r#"{"version":3,"routes":[{"name":"q","host":"cases.example","path_prefix":"/q/","service":"s","priority":0,"attempts":4,"stretch":2.0,"target_completion_ms":1000}],"services":[{"name":"s","enforces_capacity":true}],"limits":{}}"#;
-const JOB: &str = r#"{"spec":"x","steps":[{"count":10,"cpu":2000,"mem_mb":1000,"estimated_ms":2000}]}"#;
+const JOB: &str =
+    r#"{"spec":"x","steps":[{"count":10,"cpu":2000,"mem_mb":1000,"estimated_ms":2000}]}"#;
 
 pub fn run(record: &Record, trouble: bool, seed: u64) -> Verdict {
     match try_run(record, trouble, seed) {
@@ -42,7 +43,9 @@
     let network = hosts::network();
     let store = Store::new();
     let store_address = format!("{network}.200:8169");
-    store.serve(&store_address).map_err(|error| error.to_string())?;
+    store
+        .serve(&store_address)
+        .map_err(|error| error.to_string())?;
     store.put("op", "config", CONFIG);
     let kind = Arc::new(Kind {
         service: "s",
@@ -54,8 +57,14 @@
         let address = format!("{network}.{}:8721", 20 + number);
         let rack = format!("r{}", number / 7);
         let place = ("a", rack.as_str(), "z1");
-        let executor =
-            Executor::start(&format!("w{number}"), &address, place, &kind, &store, record);
+        let executor = Executor::start(
+            &format!("w{number}"),
+            &address,
+            place,
+            &kind,
+            &store,
+            record,
+        );
         executors.push(executor.map_err(|error| error.to_string())?);
     }
     let mut hosts = Hosts::start(3, &network, &store_address)?;
@@ -123,8 +132,15 @@
     let mut lost = BTreeMap::new();
     for executor in executors {
         let starts = executor.starts();
-        runs.started += starts.iter().filter(|start| start.task.starts_with(job)).count();
-        for task in executor.lost().into_iter().filter(|task| task.starts_with(job)) {
+        runs.started += starts
+            .iter()
+            .filter(|start| start.task.starts_with(job))
+            .count();
+        for task in executor
+            .lost()
+            .into_iter()
+            .filter(|task| task.starts_with(job))
+        {
             *lost.entry(task).or_insert(0) += 1;
         }
     }
@@ -135,7 +151,9 @@
 fn lose_power(executors: &[Arc<Executor>], random: &mut u64) {
     let mut chosen = Vec::new();
     while chosen.len() < OFF_AT_ONCE {
-        *random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        *random = random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
         let index = (*random >> 33) as usize % executors.len();
         if !chosen.contains(&index) {
             chosen.push(index);
--- a/review/cases-2/executor.rs
+++ b/review/cases-2/executor.rs
@@ -122,7 +122,8 @@
     }
 
     fn end(&mut self, task: &str, run: u64, how: &'static str) {
-        self.finished.push((self.next_end, task.to_owned(), run, how));
+        self.finished
+            .push((self.next_end, task.to_owned(), run, how));
         self.next_end += 1;
         let ended = self.ended.entry(task.to_owned()).or_default();
         *ended = run.max(*ended);
@@ -198,7 +199,8 @@
         }
         let how = if is_silent { "loses power" } else { "crashes" };
         let runs = state.life.running.len();
-        self.record.line(&format!("{} {how}, {runs} runs are lost", state.life.id));
+        self.record
+            .line(&format!("{} {how}, {runs} runs are lost", state.life.id));
         let running = std::mem::take(&mut state.life.running);
         state.lost.extend(running.into_keys());
         drop(state);
@@ -218,7 +220,10 @@
             state.life = Life::new(&id, number, label);
             state.lives = state.lives.max(number);
             state.is_off = false;
-            self.record.line(&format!("{id} begins, born {}, label {label}", state.life.born));
+            self.record.line(&format!(
+                "{id} begins, born {}, label {label}",
+                state.life.born
+            ));
             number
         };
         self.changed.notify_all();
@@ -265,7 +270,11 @@
     fn goes_on(&self, life: u64) -> bool {
         let mut state = self.lock();
         while state.is_off && state.lives <= life {
-            state = self.changed.wait_timeout(state, Duration::from_millis(100)).unwrap().0;
+            state = self
+                .changed
+                .wait_timeout(state, Duration::from_millis(100))
+                .unwrap()
+                .0;
         }
         state.life.number == life && !state.is_off
     }
@@ -280,7 +289,11 @@
         std::thread::spawn(move || {
             let mut state = watching.lock();
             while state.life.number == life && state.lives <= life {
-                state = watching.changed.wait_timeout(state, Duration::from_millis(200)).unwrap().0;
+                state = watching
+                    .changed
+                    .wait_timeout(state, Duration::from_millis(200))
+                    .unwrap()
+                    .0;
             }
             let _ = closer.shutdown(std::net::Shutdown::Both);
         });
@@ -315,10 +328,15 @@
             "/run-stop" => {
                 let (task, run) = run_of(&body);
                 let life = &mut state.life;
-                if life.running.get(&task).is_some_and(|known| known.run == run) {
+                if life
+                    .running
+                    .get(&task)
+                    .is_some_and(|known| known.run == run)
+                {
                     life.running.remove(&task);
                     life.end(&task, run, "stopped");
-                    self.record.line(&format!("{} stops {task} run {run}", life.id));
+                    self.record
+                        .line(&format!("{} stops {task} run {run}", life.id));
                     self.changed.notify_all();
                 } else {
                     let ended = life.ended.entry(task).or_default();
@@ -340,7 +358,11 @@
             return refusal(life, "late");
         }
         life.extend_lease(deadline);
-        if life.running.get(&task).is_some_and(|known| known.run == run) {
+        if life
+            .running
+            .get(&task)
+            .is_some_and(|known| known.run == run)
+        {
             return (200, clock(life));
         }
         if life.ended.get(&task).is_some_and(|ended| run <= *ended) {
@@ -351,7 +373,10 @@
         }
         let until = Instant::now() + self.kind.work;
         life.running.insert(task.clone(), Run { run, until });
-        self.record.line(&format!("{} ({}) starts {task} run {run}", life.id, life.label));
+        self.record.line(&format!(
+            "{} ({}) starts {task} run {run}",
+            life.id, life.label
+        ));
         let start = Start {
             task,
             run,
@@ -384,12 +409,24 @@
             let left = run.until.saturating_duration_since(Instant::now());
             let part = 1.0 - left.as_secs_f64() / self.kind.work.as_secs_f64();
             let percent = (part * 100.0).floor().clamp(0.0, 99.0);
-            let row = vec![text(task), number(run.run), text(""), Json::Number(percent), number(1_000)];
+            let row = vec![
+                text(task),
+                number(run.run),
+                text(""),
+                Json::Number(percent),
+                number(1_000),
+            ];
             Json::List(row)
         });
         let running = running.collect();
         let finished = life.finished.iter().take(500).map(|(end, task, run, how)| {
-            Json::List(vec![number(*end), text(task), number(*run), text(how), text("")])
+            Json::List(vec![
+                number(*end),
+                text(task),
+                number(*run),
+                text(how),
+                text(""),
+            ])
         });
         let body = object(vec![
             ("clock_ms", number(life.clock_ms())),
@@ -416,13 +453,17 @@
             let life = &mut state.life;
             let now = Instant::now();
             let has_lapsed = life.clock_ms() >= life.lease_until_ms;
-            let due = life.running.iter().filter(|(_, run)| has_lapsed || run.until <= now);
+            let due = life
+                .running
+                .iter()
+                .filter(|(_, run)| has_lapsed || run.until <= now);
             let due: Vec<(String, u64)> = due.map(|(task, run)| (task.clone(), run.run)).collect();
             for (task, run) in &due {
                 life.running.remove(task);
                 let how = if has_lapsed { "lapsed" } else { "done" };
                 life.end(task, *run, how);
-                self.record.line(&format!("{} ends {task} run {run}: {how}", life.id));
+                self.record
+                    .line(&format!("{} ends {task} run {run}: {how}", life.id));
             }
             drop(state);
             if !due.is_empty() {
@@ -455,7 +496,10 @@
                 ("cold_remaining_ms", number(0)),
                 ("sequence", number(life.sequence)),
                 ("capacity", capacity),
-                ("labels", Json::List(vec![text(&life.label), text(&self.rack)])),
+                (
+                    "labels",
+                    Json::List(vec![text(&life.label), text(&self.rack)]),
+                ),
                 ("clock_ms", number(life.clock_ms())),
                 ("born", number(life.born)),
             ]);
@@ -488,6 +532,9 @@
 }
 
 fn refusal(life: &Life, reason: &str) -> (u16, Json) {
-    let body = object(vec![("clock_ms", number(life.clock_ms())), ("reason", text(reason))]);
+    let body = object(vec![
+        ("clock_ms", number(life.clock_ms())),
+        ("reason", text(reason)),
+    ]);
     (409, body)
 }
--- a/review/cases-2/hosts.rs
+++ b/review/cases-2/hosts.rs
@@ -31,8 +31,12 @@
 /// Returns the words of the first `run` of the deploy file.
 fn deploy_command() -> Result<Vec<String>, String> {
     let text = fs::read_to_string("deploy/system.toml").map_err(|error| error.to_string())?;
-    let line = text.lines().find(|line| line.trim_start().starts_with("run"));
-    let quoted = line.and_then(|line| line.split('"').nth(1)).ok_or("no command")?;
+    let line = text
+        .lines()
+        .find(|line| line.trim_start().starts_with("run"));
+    let quoted = line
+        .and_then(|line| line.split('"').nth(1))
+        .ok_or("no command")?;
     Ok(quoted.split_whitespace().map(str::to_owned).collect())
 }
 
@@ -150,8 +154,14 @@
 fn wait_until_ready(address: &str) -> Result<(), String> {
     let limit = Instant::now() + Duration::from_secs(10);
     while Instant::now() < limit {
-        let answer =
-            http::call(address, "GET", "/ready", "x", "", Duration::from_millis(500));
+        let answer = http::call(
+            address,
+            "GET",
+            "/ready",
+            "x",
+            "",
+            Duration::from_millis(500),
+        );
         if answer.is_some_and(|(status, _)| status == 200) {
             return Ok(());
         }
--- a/review/cases-2/http.rs
+++ b/review/cases-2/http.rs
@@ -24,11 +24,17 @@
     pub fn parameter(&self, name: &str) -> Option<String> {
         let query = self.target.split_once('?')?.1;
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| decode(value))
+        pairs
+            .into_iter()
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| decode(value))
     }
 
     pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map_or("", |(_, value)| value)
     }
 
@@ -42,7 +48,9 @@
     let mut decoded = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let escaped = (bytes[at] == b'%').then(|| value.get(at + 1..at + 3)).flatten();
+        let escaped = (bytes[at] == b'%')
+            .then(|| value.get(at + 1..at + 3))
+            .flatten();
         match escaped.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
             Some(byte) => {
                 decoded.push(byte);
@@ -79,8 +87,12 @@
 }
 
 fn body(reader: &mut BufReader<TcpStream>, headers: &[(String, String)]) -> Option<Vec<u8>> {
-    let length = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
-    let length = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+    let length = headers
+        .iter()
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let length = length
+        .and_then(|(_, value)| value.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
     Some(body)
@@ -99,7 +111,11 @@
 }
 
 pub fn write_response(stream: &mut TcpStream, status: u16, body: &Json) -> bool {
-    let body = if *body == Json::Null { String::new() } else { body.to_string() };
+    let body = if *body == Json::Null {
+        String::new()
+    } else {
+        body.to_string()
+    };
     let text = format!(
         "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
--- a/review/cases-2/json.rs
+++ b/review/cases-2/json.rs
@@ -23,7 +23,11 @@
     }
 
     pub fn text(&self) -> &str {
-        if let Self::Text(text) = self { text } else { "" }
+        if let Self::Text(text) = self {
+            text
+        } else {
+            ""
+        }
     }
 
     pub fn number(&self) -> Option<u64> {
@@ -35,7 +39,11 @@
     }
 
     pub fn list(&self) -> &[Json] {
-        if let Self::List(list) = self { list } else { &[] }
+        if let Self::List(list) = self {
+            list
+        } else {
+            &[]
+        }
     }
 
     pub fn parse(text: &[u8]) -> Option<Json> {
@@ -46,7 +54,12 @@
 }
 
 pub fn object(fields: Vec<(&str, Json)>) -> Json {
-    Json::Object(fields.into_iter().map(|(name, value)| (name.to_owned(), value)).collect())
+    Json::Object(
+        fields
+            .into_iter()
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect(),
+    )
 }
 
 pub fn text(value: &str) -> Json {
@@ -141,7 +154,11 @@
 
     fn digits(&mut self) -> Option<Json> {
         let begin = self.at;
-        while self.text.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+        while self
+            .text
+            .get(self.at)
+            .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+        {
             self.at += 1;
         }
         let digits = std::str::from_utf8(&self.text[begin..self.at]).ok()?;
--- a/review/cases-2/kinds.rs
+++ b/review/cases-2/kinds.rs
@@ -42,7 +42,9 @@
     let network = hosts::network();
     let store = Store::new();
     let store_address = format!("{network}.200:8169");
-    store.serve(&store_address).map_err(|error| error.to_string())?;
+    store
+        .serve(&store_address)
+        .map_err(|error| error.to_string())?;
     store.put("op", "config", CONFIG);
     let kind = Arc::new(Kind {
         service: "s",
@@ -54,8 +56,14 @@
         let address = format!("{network}.{}:8721", 20 + number);
         let rack = format!("r{}", number / 7);
         let place = (LABELS[number % 2], rack.as_str(), "z1");
-        let executor =
-            Executor::start(&format!("w{number}"), &address, place, &kind, &store, record);
+        let executor = Executor::start(
+            &format!("w{number}"),
+            &address,
+            place,
+            &kind,
+            &store,
+            record,
+        );
         executors.push(executor.map_err(|error| error.to_string())?);
     }
     let mut hosts = Hosts::start(3, &network, &store_address)?;
@@ -117,7 +125,9 @@
         }
     }
     record.line(&format!("{} accepted jobs: {counts:?}", ids.len()));
-    record.line(&format!("{broken} starts without the label, {before_poll} more before the first poll"));
+    record.line(&format!(
+        "{broken} starts without the label, {before_poll} more before the first poll"
+    ));
     for text in hosts.ended() {
         record.line(&text);
     }
--- a/review/cases-2/store.rs
+++ b/review/cases-2/store.rs
@@ -154,8 +154,11 @@
         let in_part = state.rows.range(begin..);
         let in_part = in_part.take_while(|(key, _)| key.0 == table && key.1 == part);
         let mut found = in_part.filter(|(key, _)| to.as_ref().is_none_or(|to| key.2 < *to));
-        let rows: Vec<Json> =
-            found.by_ref().take(MAX_ROWS).map(|(key, row)| row_body(key, row)).collect();
+        let rows: Vec<Json> = found
+            .by_ref()
+            .take(MAX_ROWS)
+            .map(|(key, row)| row_body(key, row))
+            .collect();
         let has_more = found.next().is_some();
         (200, self.page(rows, has_more, state.version))
     }
