--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -5,23 +5,23 @@
 //! rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves out the disruption,
 //! `SEED` chooses other executors. Everything listens on addresses in 127.0.0.0/8.
 
-#[path = "cases-2/blamed.rs"]
+#[path = "cases-2-blamed.rs"]
 mod blamed;
-#[path = "cases-2/client.rs"]
+#[path = "cases-2-client.rs"]
 mod client;
-#[path = "cases-2/executor.rs"]
+#[path = "cases-2-executor.rs"]
 mod executor;
-#[path = "cases-2/hosts.rs"]
+#[path = "cases-2-hosts.rs"]
 mod hosts;
-#[path = "cases-2/http.rs"]
+#[path = "cases-2-http.rs"]
 mod http;
-#[path = "cases-2/json.rs"]
+#[path = "cases-2-json.rs"]
 mod json;
-#[path = "cases-2/kinds.rs"]
+#[path = "cases-2-kinds.rs"]
 mod kinds;
-#[path = "cases-2/record.rs"]
+#[path = "cases-2-record.rs"]
 mod record;
-#[path = "cases-2/store.rs"]
+#[path = "cases-2-store.rs"]
 mod store;
 
 use std::process::exit;
