--- a/review/cases-2-executor.rs
+++ b/review/cases-2-executor.rs
@@ -26,8 +26,6 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_100);
 pub const HOLD_MAX_MS: u64 = 10_000;
 const TICK: Duration = Duration::from_millis(5);
-/// An entry is removed after so many heartbeats of silence.
-const SILENT_HEARTBEATS: u32 = 3;
 
 /// What the executors of a case have in common.
 pub struct Kind {
@@ -77,8 +75,6 @@
     /// Connections of lives before this number are closed.
     lives: u64,
     starts: Vec<Start>,
-    /// The tasks whose runs were lost with a life, one entry for each run.
-    lost: Vec<String>,
 }
 
 pub struct Executor {
@@ -157,7 +153,6 @@
                 is_off: false,
                 lives: 1,
                 starts: Vec::new(),
-                lost: Vec::new(),
             }),
             changed: Condvar::new(),
             store: store.clone(),
@@ -180,11 +175,6 @@
         self.lock().starts.clone()
     }
 
-    /// Returns the task of each run that was lost with a life.
-    pub fn lost(&self) -> Vec<String> {
-        self.lock().lost.clone()
-    }
-
     pub fn label(&self) -> String {
         self.lock().life.label.clone()
     }
@@ -201,8 +191,7 @@
         let runs = state.life.running.len();
         self.record
             .line(&format!("{} {how}, {runs} runs are lost", state.life.id));
-        let running = std::mem::take(&mut state.life.running);
-        state.lost.extend(running.into_keys());
+        state.life.running.clear();
         drop(state);
         self.changed.notify_all();
     }
@@ -507,19 +496,6 @@
         };
         self.store.put("servers", &id, &entry.to_string());
     }
-
-    /// Removes the entry of a life that is gone after the usual silence.
-    pub fn expire_entry_of_last_life(self: &Arc<Self>, id: String) {
-        let store = self.store.clone();
-        std::thread::spawn(move || {
-            std::thread::sleep(HEARTBEAT * SILENT_HEARTBEATS);
-            store.remove("servers", &id);
-        });
-    }
-
-    pub fn id(&self) -> String {
-        self.lock().life.id.clone()
-    }
 }
 
 fn run_of(body: &Json) -> (String, u64) {
--- a/review/cases-2-store.rs
+++ b/review/cases-2-store.rs
@@ -89,18 +89,6 @@
         changed.notify_all();
     }
 
-    /// Removes a row as the platform does with that of an executor that is gone.
-    pub fn remove(&self, table: &str, key: &str) {
-        let (state, changed) = &*self.state;
-        let mut state = state.lock().unwrap();
-        let key = (table.to_owned(), String::new(), key.to_owned());
-        if state.rows.contains_key(&key) {
-            state.version += 1;
-            put(&mut state, key, None);
-            changed.notify_all();
-        }
-    }
-
     fn answer(&self, request: &Request) -> (u16, Json) {
         std::thread::sleep(ANSWER_TIME);
         match request.path() {
--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -2,11 +2,9 @@
 //! around processes of the project that are started with the command of the deploy file.
 //!
 //! `cases-2 CASE FOLDER` runs one case and writes `record.txt` into the folder. It exits with 1 if the
-//! rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves out the disruption,
-//! `SEED` chooses other executors. Everything listens on addresses in 127.0.0.0/8.
+//! rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
+//! Everything listens on addresses in 127.0.0.0/8.
 
-#[path = "cases-2-blamed.rs"]
-mod blamed;
 #[path = "cases-2-client.rs"]
 mod client;
 #[path = "cases-2-executor.rs"]
@@ -36,17 +34,13 @@
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: cases-2 blamed|kinds FOLDER");
+        eprintln!("usage: cases-2 kinds FOLDER");
         exit(2);
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let seed = std::env::var("SEED")
-        .ok()
-        .and_then(|seed| seed.parse().ok());
     let record = record::Record::create(folder);
     record.line(&format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
-        "blamed" => blamed::run(&record, trouble, seed.unwrap_or(1)),
         "kinds" => kinds::run(&record, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
