--- a/crates/dispatch/src/lease_events.rs
+++ b/crates/dispatch/src/lease_events.rs
@@ -29,3 +29,11 @@
 pub fn predecessor_stopped(epoch: u64, earlier: &str, proof: &str, after_ms: u64, lease_ms: u64) {
     log::info!(event = "predecessor_stopped", epoch, earlier, proof, after_ms, lease_ms; "");
 }
+
+/// Logs that an executor took a call, `start` or `poll`, with a deadline that lies further ahead on its clock
+/// than any owner grants: the deadline was computed for the clock of an earlier incarnation. The
+/// executor shortens the lease to the longest that it accepts.
+pub fn lease_too_long(executor: &str, call: &str, deadline_ms: u64, clock_ms: u64) {
+    let lease_ms = deadline_ms.saturating_sub(clock_ms);
+    log::warn!(event = "lease_too_long", executor, call, lease_ms, clock_ms; "");
+}
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -16,6 +16,7 @@
 use crate::dependencies::PollError;
 use crate::dependencies::PollRequest;
 use crate::events;
+use crate::lease_events;
 use crate::node::SendTime;
 use crate::supervise::spawn_part;
 
@@ -132,6 +133,8 @@
     sent: SendTime,
     /// The sequence number up to which the poll acknowledges ended runs.
     acknowledged: u64,
+    /// The deadline of the lease that the poll grants.
+    lease_deadline_ms: Option<u64>,
 }
 
 impl Owner {
@@ -263,6 +266,7 @@
             executor: key,
             sent,
             acknowledged: call.acknowledged,
+            lease_deadline_ms: call.lease_deadline_ms,
         };
         let expected_within = call.wait + self.answer_margin(key);
         let mut answer = self.call_poll(key, call);
@@ -328,6 +332,7 @@
             executor: key,
             sent,
             acknowledged,
+            lease_deadline_ms,
         } = poll;
         let now = self.now();
         self.load.count_poll(report.ended.len());
@@ -335,6 +340,10 @@
         self.record_report_requested(key, sent.mono);
         {
             let mut scheduler = self.scheduler.borrow_mut();
+            if let Some(executor) = scheduler.fleet.get(key) {
+                let clock_ms = Some(report.clock_ms);
+                self.check_lease(&executor.listing.id, "poll", lease_deadline_ms, clock_ms);
+            }
             let was_reachable = scheduler
                 .fleet
                 .get(key)
@@ -356,6 +365,24 @@
         self.dispatch_pending();
     }
 
+    /// Logs a call whose deadline was meant for the clock of an earlier incarnation. An owner may take a clock
+    /// for a little ahead of its reading, but never by as much as the usual lease.
+    pub(super) fn check_lease(
+        &self,
+        executor: &str,
+        call: &str,
+        deadline_ms: Option<u64>,
+        clock_ms: Option<u64>,
+    ) {
+        let (Some(deadline_ms), Some(clock_ms)) = (deadline_ms, clock_ms) else {
+            return;
+        };
+        let lease = Duration::from_millis(deadline_ms.saturating_sub(clock_ms));
+        if lease > self.node.timing.lease * 2 {
+            lease_events::lease_too_long(executor, call, deadline_ms, clock_ms);
+        }
+    }
+
     fn record_report_requested(&self, key: ExecutorKey, sent: Mono) {
         let mut requested = self.reports_requested.borrow_mut();
         let latest = requested.entry(key).or_default();
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -326,6 +326,7 @@
         };
         let id = call.target.id.clone();
         let reply = self.call_start(start.executor, call).await;
+        self.check_lease(&id, "start", Some(lease_deadline_ms), reply.clock_ms);
         let outcome = self.record_reply(start.executor, &reply);
         let answered_at = self.now();
         if matches!(outcome, CommandOutcome::Answered(_)) {
