--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -29,6 +29,8 @@
 use crate::by_caller::Callers;
 use crate::relay::Relay;
 
+/// The longest lease that an executor accepts; a longer one is shortened.
+pub const MAX_LEASE: Duration = Duration::from_secs(10);
 /// Default duration of a task.
 pub const TASK_DURATION: Duration = Duration::from_millis(600);
 
@@ -379,9 +381,10 @@
         true
     }
 
-    /// Extends the lease.
+    /// Extends the lease, by at most the longest that the executor accepts.
     pub fn extend(&self, lease_deadline_ms: u64) {
         let deadline = self.started_at + Duration::from_millis(lease_deadline_ms);
+        let deadline = deadline.min(Instant::now() + MAX_LEASE);
         self.lease_end.set(self.lease_end.get().max(deadline));
     }
 
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod document;
 mod document_findings;
 mod document_relay;
+mod earlier_incarnation;
 mod evacuation;
 mod evacuation_source;
 mod executor;
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -42,6 +42,7 @@
 use crate::document::FakeDocument;
 use crate::evacuation_source::evacuation_source;
 use crate::executor::Fleet;
+use crate::executor::MAX_LEASE;
 use crate::executor_calls::advisor;
 use crate::executor_calls::executors;
 use crate::relay::relayed;
@@ -244,7 +245,7 @@
         };
         let timing = Timing {
             lease: Duration::from_secs(5),
-            max_lease: Duration::from_secs(10),
+            max_lease: MAX_LEASE,
             stop_timeout: Duration::from_millis(900),
             remote_factor: 1.0,
             shutdown_grace: Duration::from_secs(6),
