fix(dispatch): a call reaches the incarnation of an executor that it is meant for, or none

Cause: a start that the owner had sent for the earlier incarnation opened its connection to the next one. Its deadline, on a clock that is minutes ahead of the new one, gave that incarnation the longest lease that it accepts (10 s). The owner learns this from the lower clock and counts on it, in memory only; a successor counts on the 5 s that owners grant. The class of fault: what is known of one incarnation is used for the next one, because the name and the address do not tell them apart.

Change: each call names the incarnation that it is meant for, whose clock its deadline refers to. It is sent only on a connection over which that incarnation has said when it started; a new connection asks first, with a poll that extends and acknowledges nothing. A connection ends with its process, so that a later incarnation receives nothing that was meant for an earlier one, however late. If another incarnation answers, nothing is sent and the owner polls it, which also shows a restart sooner. The answer of an incarnation that has ended no longer changes the reading of the present one's clock. Nothing is stored, and no wait is longer.

The tests of relayed calls keep calls that reach the next incarnation, which the owner still counts on.

--- a/crates/dispatch/src/dependencies.rs
+++ b/crates/dispatch/src/dependencies.rs
@@ -320,6 +320,9 @@
     pub address: Arc<str>,
     /// Name of the executor; an executor with another name rejects the call.
     pub id: Arc<str>,
+    /// When the intended incarnation of the executor started, in milliseconds since 1970. A later one
+    /// never receives the call. `None` if any may receive it.
+    pub incarnation: Option<u64>,
     /// Epoch of the owner; an executor that has seen a higher one rejects the call.
     pub epoch: u64,
 }
@@ -378,8 +381,8 @@
 pub struct CommandReply<T> {
     /// The outcome of the command.
     pub outcome: CommandOutcome<T>,
-    /// Reading of the executor's clock in milliseconds. The reply does not name the incarnation of
-    /// the executor; a clock that went backwards means a restart.
+    /// Reading of the executor's clock in milliseconds. If the command was meant for any incarnation, a
+    /// clock that went backwards means a restart.
     pub clock_ms: Option<u64>,
 }
 
@@ -392,6 +395,8 @@
     Fenced,
     /// Another executor answers at the address; nothing was done.
     WrongExecutor,
+    /// Another incarnation of the executor answers than the intended one; the command was not sent.
+    OtherIncarnation,
     /// The command was not sent.
     NotSent,
     /// No answer; the command may have been executed, or may still be executed later.
@@ -410,6 +415,9 @@
     /// Another executor answers at the address.
     #[display("another executor answers there")]
     WrongExecutor,
+    /// Another incarnation of the executor answers than the intended one; the poll was not sent.
+    #[display("another incarnation of the executor answers")]
+    OtherIncarnation,
     /// There was no usable answer.
     #[display("the executor did not answer")]
     Failed,
--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -127,26 +127,29 @@
         command_slots.entry(executor).or_default().clone()
     }
 
-    /// Records the executor's clock from a reply; ends the ownership if the executor has seen a
-    /// higher epoch.
+    /// Records the executor's clock from the reply to a command that was meant for this incarnation; ends
+    /// the ownership if the executor has seen a higher epoch.
     pub(super) fn record_reply<T: Copy>(
-        &self,
+        self: &Rc<Self>,
         executor: ExecutorKey,
+        incarnation: Option<u64>,
         reply: &CommandReply<T>,
     ) -> CommandOutcome<T> {
         if let Some(clock_ms) = reply.clock_ms {
             let now = self.now();
             self.scheduler
                 .borrow_mut()
-                .command_answered(executor, clock_ms, now);
+                .command_answered(executor, incarnation, clock_ms, now);
         }
-        if matches!(reply.outcome, CommandOutcome::Fenced) {
-            self.end("an executor has seen a higher epoch");
+        match reply.outcome {
+            CommandOutcome::Fenced => self.end("an executor has seen a higher epoch"),
+            CommandOutcome::OtherIncarnation => self.poll_once_more(executor),
+            _ => {}
         }
         reply.outcome
     }
 
-    async fn execute_stop(&self, stop: StopRun) {
+    async fn execute_stop(self: &Rc<Self>, stop: StopRun) {
         if self.withdraw_unsent_start(&stop) {
             return;
         }
@@ -179,7 +182,7 @@
         !self.is_assigned(key, stop.run)
     }
 
-    async fn stop_run(&self, stop: &StopRun, trace: &mut CommandTrace) -> CommandEnd {
+    async fn stop_run(self: &Rc<Self>, stop: &StopRun, trace: &mut CommandTrace) -> CommandEnd {
         let command_slots = self.command_slots(stop.executor);
         let mut attempts = 0;
         loop {
@@ -207,6 +210,7 @@
                 }
                 CommandOutcome::Fenced => return CommandEnd::FENCED,
                 CommandOutcome::WrongExecutor
+                | CommandOutcome::OtherIncarnation
                 | CommandOutcome::NotSent
                 | CommandOutcome::Unanswered => {}
                 CommandOutcome::RelayFailed => {
@@ -222,7 +226,11 @@
         }
     }
 
-    async fn try_stop(&self, stop: &StopRun, slots: &CommandSlots) -> CommandOutcome<bool> {
+    async fn try_stop(
+        self: &Rc<Self>,
+        stop: &StopRun,
+        slots: &CommandSlots,
+    ) -> CommandOutcome<bool> {
         let target = self.target(stop.executor).filter(|_| self.may_send());
         let Some(target) = target else {
             return CommandOutcome::NotSent;
@@ -233,10 +241,11 @@
             run: stop.run,
             timeout: slots.timeout(),
         };
+        let incarnation = call.target.incarnation;
         let sent = self.now();
         let reply = self.call_stop(stop.executor, call).await;
         slots.record_attempt(&reply.outcome, self.now().since(sent));
-        self.record_reply(stop.executor, &reply)
+        self.record_reply(stop.executor, incarnation, &reply)
     }
 
     fn is_assigned(&self, key: TaskKey, run: RunNumber) -> bool {
@@ -249,7 +258,7 @@
     /// Sends the CPU share of a run until the executor answers, because reports do not contain the
     /// share. An unanswered command may be executed after newer ones, so the current share is sent
     /// repeatedly until that is no longer possible.
-    async fn set_cpu_share(&self, set_share: SetShare) {
+    async fn set_cpu_share(self: &Rc<Self>, set_share: SetShare) {
         let mut resend_until = None;
         while !self.shutdown.is_cancelled() {
             let Some(cpu_percent) = self
@@ -272,6 +281,7 @@
                 run: set_share.run,
                 timeout: command_slots.timeout(),
             };
+            let incarnation = call.target.incarnation;
             let sent = self.call_set_cpu_share(set_share.executor, call, cpu_percent);
             let slot = command_slots.for_command().await;
             if !self.may_send() {
@@ -281,7 +291,7 @@
             let reply = sent.await;
             drop(slot);
             command_slots.record_attempt(&reply.outcome, self.now().since(sent_at));
-            let pause = match self.record_reply(set_share.executor, &reply) {
+            let pause = match self.record_reply(set_share.executor, incarnation, &reply) {
                 CommandOutcome::Fenced | CommandOutcome::WrongExecutor => return,
                 CommandOutcome::Answered(_)
                     if resend_until.is_none_or(|until| self.now() >= until) =>
@@ -293,7 +303,7 @@
                     resend_until = Some(self.now().after(MAX_COMMAND_DELAY));
                     RETRY_DELAY
                 }
-                CommandOutcome::NotSent => RETRY_DELAY,
+                CommandOutcome::NotSent | CommandOutcome::OtherIncarnation => RETRY_DELAY,
             };
             tokio::time::sleep(pause).await;
         }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -111,7 +111,7 @@
     /// When the latest poll was sent whose report has arrived.
     reports_requested: RefCell<Map<ExecutorKey, Mono>>,
     /// Witnesses that are being asked.
-    asked_witnesses: RefCell<Set<ExecutorKey>>,
+    asked_executors: RefCell<Set<ExecutorKey>>,
     /// Whether all earlier owners are known to have ended.
     settled: Cell<bool>,
     /// Notified once a majority of the inherited witnesses has accepted this owner.
@@ -291,12 +291,15 @@
         scheduler.grants_until = left.map_or(Mono(u64::MAX), |left| self.now().after(left));
     }
 
+    /// Returns the target of a call to the known incarnation of an executor, whose clock the deadlines of
+    /// leases refer to.
     fn target(&self, executor: ExecutorKey) -> Option<Target> {
         let scheduler = self.scheduler.borrow();
         let listing = &scheduler.fleet.get(executor)?.listing;
         (!listing.address.is_empty()).then(|| Target {
             address: listing.address.clone(),
             id: listing.id.clone(),
+            incarnation: Some(listing.started_unix_ms).filter(|started| *started > 0),
             epoch: self.epoch,
         })
     }
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -15,6 +15,7 @@
 use crate::dependencies::CallFuture;
 use crate::dependencies::PollError;
 use crate::dependencies::PollRequest;
+use crate::dependencies::Target;
 use crate::events;
 use crate::lease_events;
 use crate::node::SendTime;
@@ -107,7 +108,12 @@
             Err(PollError::RelayFailed) if owner.has_answered_lately(key, begun) => {
                 tokio::time::sleep(RELAY_RETRY_DELAY).await;
             }
-            Err(PollError::WrongExecutor | PollError::Failed | PollError::RelayFailed) => {
+            Err(
+                PollError::WrongExecutor
+                | PollError::OtherIncarnation
+                | PollError::Failed
+                | PollError::RelayFailed,
+            ) => {
                 let had_relay = owner.relays.bypass(key, owner.now());
                 if had_relay && owner.has_answered_lately(key, begun) {
                     // Asked directly, the executor may answer: only its path to the relay may be cut.
@@ -236,16 +242,26 @@
                 timeout: LATE_ANSWER_TIMEOUT,
             }
         };
-        self.send_poll(key, call, sent).await
+        match self.send_poll(key, call, sent).await {
+            Err(PollError::OtherIncarnation) => self.poll_any_incarnation(key).await,
+            result => result,
+        }
     }
 
-    /// Polls a witness, without a lease and without a wait. Nothing follows from a failure.
-    pub(super) async fn poll_witness(self: &Rc<Self>, key: ExecutorKey) -> Result<(), PollError> {
-        let target = self.target(key).ok_or(PollError::Failed)?;
+    /// Polls whichever incarnation of an executor answers. A later one than the owner knows must receive
+    /// neither a deadline nor an acknowledgement, so that the poll has none. Nothing follows from a failure.
+    pub(super) async fn poll_any_incarnation(
+        self: &Rc<Self>,
+        key: ExecutorKey,
+    ) -> Result<(), PollError> {
+        let target = Target {
+            incarnation: None,
+            ..self.target(key).ok_or(PollError::Failed)?
+        };
         let call = PollRequest {
             target,
             lease_deadline_ms: None,
-            acknowledged: self.scheduler.borrow().acknowledgement(key),
+            acknowledged: 0,
             wait: Duration::ZERO,
             timeout: LATE_ANSWER_TIMEOUT,
         };
@@ -300,7 +316,12 @@
                 self.process_report(poll, &report);
             }
             Err(PollError::Fenced) => self.end("an executor has seen a higher epoch"),
-            Err(PollError::WrongExecutor | PollError::Failed | PollError::RelayFailed) => {}
+            Err(
+                PollError::WrongExecutor
+                | PollError::OtherIncarnation
+                | PollError::Failed
+                | PollError::RelayFailed,
+            ) => {}
         }
     }
 
--- a/crates/dispatch/src/owner/starts.rs
+++ b/crates/dispatch/src/owner/starts.rs
@@ -89,7 +89,7 @@
 }
 
 impl Owner {
-    async fn execute_start(&self, start: &StartRun, counted: &CountedStart) {
+    async fn execute_start(self: &Rc<Self>, start: &StartRun, counted: &CountedStart) {
         let now = self.now();
         let run = (start.task, start.run);
         let decided_at = self.assigned_at(start.key).unwrap_or(now);
@@ -108,7 +108,7 @@
     }
 
     async fn start_run(
-        &self,
+        self: &Rc<Self>,
         start: &StartRun,
         counted: &CountedStart,
         trace: &mut CommandTrace,
@@ -142,12 +142,14 @@
                     (answer, CommandEnd::Answered(outcome_label(outcome)))
                 }
                 CommandOutcome::Fenced => return CommandEnd::FENCED,
-                CommandOutcome::NotSent if unanswered > 0 => {
+                CommandOutcome::NotSent | CommandOutcome::OtherIncarnation if unanswered > 0 => {
                     // An earlier attempt may have been executed. A report shows it, or the lease expires.
                     tokio::time::sleep(RETRY_DELAY).await;
                     continue;
                 }
-                CommandOutcome::NotSent | CommandOutcome::WrongExecutor => {
+                CommandOutcome::NotSent
+                | CommandOutcome::WrongExecutor
+                | CommandOutcome::OtherIncarnation => {
                     failed_sends += 1;
                     if failed_sends < MAX_START_ATTEMPTS {
                         tokio::time::sleep(RETRY_DELAY).await;
@@ -302,7 +304,7 @@
         scheduler.grant_start_lease(start.key, start.executor, now)
     }
 
-    async fn try_start(&self, start: &StartRun) -> CommandOutcome<StartAnswer> {
+    async fn try_start(self: &Rc<Self>, start: &StartRun) -> CommandOutcome<StartAnswer> {
         let target = self.target(start.executor).filter(|_| self.may_send());
         let Some(target) = target else {
             return CommandOutcome::NotSent;
@@ -325,9 +327,10 @@
             timeout: COMMAND_TIMEOUT,
         };
         let id = call.target.id.clone();
+        let incarnation = call.target.incarnation;
         let reply = self.call_start(start.executor, call).await;
         self.check_lease(&id, "start", Some(lease_deadline_ms), reply.clock_ms);
-        let outcome = self.record_reply(start.executor, &reply);
+        let outcome = self.record_reply(start.executor, incarnation, &reply);
         let answered_at = self.now();
         if matches!(outcome, CommandOutcome::Answered(_)) {
             let took = answered_at.since(now);
@@ -362,6 +365,7 @@
         CommandOutcome::Answered(StartAnswer::NoTicket) => "no_ticket",
         CommandOutcome::Fenced => "fenced",
         CommandOutcome::WrongExecutor => "elsewhere",
+        CommandOutcome::OtherIncarnation => "other_incarnation",
         CommandOutcome::NotSent => "not_sent",
         CommandOutcome::RelayFailed => "relay_failed",
         CommandOutcome::Answered(StartAnswer::Unanswered) | CommandOutcome::Unanswered => {
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -147,7 +147,7 @@
         lease_row: LeaseRow::default(),
         answer_margins: RefCell::default(),
         reports_requested: RefCell::default(),
-        asked_witnesses: RefCell::default(),
+        asked_executors: RefCell::default(),
         settled: Cell::new(false),
         majority: Notify::new(),
         interference_stored_at: Cell::new(claim.sent.mono),
--- a/crates/dispatch/src/owner/witnesses.rs
+++ b/crates/dispatch/src/owner/witnesses.rs
@@ -44,9 +44,14 @@
             return;
         }
         for key in self.overdue_witnesses() {
-            if self.asked_witnesses.borrow_mut().insert(key) {
-                spawn_part(self, "witnesses", ask(self.clone(), key));
-            }
+            self.poll_once_more(key);
+        }
+    }
+
+    /// Polls an executor once beside its usual polls, unless such a poll is in flight.
+    pub(super) fn poll_once_more(self: &Rc<Self>, key: ExecutorKey) {
+        if self.asked_executors.borrow_mut().insert(key) {
+            spawn_part(self, "witnesses", ask(self.clone(), key));
         }
     }
 
@@ -85,9 +90,9 @@
     }
 }
 
-/// Polls a witness once. Whether it answers says nothing about its tasks, which the usual polls look
+/// Polls an executor once. Whether it answers says nothing about its tasks, which the usual polls look
 /// after.
 async fn ask(owner: Rc<Owner>, key: ExecutorKey) {
-    let _ = owner.poll_witness(key).await;
-    owner.asked_witnesses.borrow_mut().remove(&key);
+    let _ = owner.poll_any_incarnation(key).await;
+    owner.asked_executors.borrow_mut().remove(&key);
 }
--- a/crates/dispatch/src/relay/message.rs
+++ b/crates/dispatch/src/relay/message.rs
@@ -75,11 +75,6 @@
 /// What the owner sends to a relay.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Request {
-    /// Opens a session. Calls of owners with a lower epoch are not carried out any more.
-    Hello {
-        /// Epoch of the owner.
-        epoch: u64,
-    },
     /// Starts a run.
     Start {
         /// The call.
@@ -112,6 +107,12 @@
         /// The poll.
         request: PollRequest,
     },
+    /// Opens a session. Calls of owners with a lower epoch are not carried out any more. A release whose
+    /// targets name no incarnation expects it in another position, so that no session with one opens.
+    Hello {
+        /// Epoch of the owner.
+        epoch: u64,
+    },
 }
 
 /// The payload of a start command. All tasks of a job have the same one, which is sent once.
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -372,6 +372,13 @@
         });
     }
 
+    /// Returns whether a call is meant for this incarnation.
+    pub fn is_meant(&self, target: &Target) -> bool {
+        target
+            .incarnation
+            .is_none_or(|it| it == self.started_unix_ms)
+    }
+
     /// Returns whether a call is from the latest owner known here, and remembers its epoch.
     pub fn accepts_epoch(&self, target: &Target) -> bool {
         if target.epoch < self.fencing_epoch.get() {
--- a/crates/dispatch/tests/all/relay_routes.rs
+++ b/crates/dispatch/tests/all/relay_routes.rs
@@ -84,6 +84,7 @@
         let target = Target {
             address: "".into(),
             id: id.clone(),
+            incarnation: None,
             epoch: 1,
         };
         if let Some(route) = pool.route(*key, &target, data_centre, now) {
--- a/crates/dispatch/tests/all/relay_sessions.rs
+++ b/crates/dispatch/tests/all/relay_sessions.rs
@@ -57,6 +57,7 @@
     Target {
         address: "e1".into(),
         id: "e1".into(),
+        incarnation: None,
         epoch,
     }
 }
--- a/crates/dispatch/tests/all/relayed_calls.rs
+++ b/crates/dispatch/tests/all/relayed_calls.rs
@@ -36,6 +36,7 @@
 
 fn carry_after(world: &World, late_ms: u64) {
     let after = Carriage::After(Duration::from_millis(late_ms));
+    world.fleet.relay.any_incarnation.set(true);
     world.fleet.relay.set(FAR, Some(after));
 }
 
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -95,12 +95,22 @@
         self.update_warmth(key, clock_ms, now);
     }
 
-    /// Records that an executor answered a command, together with the reading of its clock. The
-    /// answer does not identify the incarnation, but a clock that fell behind indicates a new one.
-    pub fn command_answered(&mut self, key: ExecutorKey, clock_ms: u64, now: Mono) {
+    /// Records that an executor answered a command, together with the reading of its clock. An answer of an
+    /// `incarnation` that has ended is ignored: a deadline on its clock would give the present one the
+    /// longest lease. An answer that identifies no incarnation shows a new one by a clock that fell behind.
+    pub fn command_answered(
+        &mut self,
+        key: ExecutorKey,
+        incarnation: Option<u64>,
+        clock_ms: u64,
+        now: Mono,
+    ) {
         let Some(executor) = self.fleet.get_mut(key) else {
             return;
         };
+        if incarnation.is_some_and(|started| started != executor.listing.started_unix_ms) {
+            return;
+        }
         let reading = ClockReading {
             executor_ms: clock_ms,
             at: now,
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -53,6 +53,21 @@
     /// the timeout expired. The call may have been executed.
     #[display("the call was sent and not answered")]
     Unanswered,
+    /// Another process answers at the address than the one that the call is meant for. The call was
+    /// not sent.
+    #[display("another process answers at the address")]
+    OtherProcess,
+}
+
+/// The process that a call is meant for, where a later process at the same address must not receive it.
+#[derive(Clone, Copy)]
+pub struct ExpectedProcess<'p> {
+    /// The identity that the process states. Processes at one address have different ones.
+    pub identity: u64,
+    /// Returns a request that asks a process for its identity and changes nothing there.
+    pub greeting: &'p dyn Fn() -> Result<Request<Full<Bytes>>, CallError>,
+    /// Reads the identity from a successful response to the greeting.
+    pub identify: fn(&Response) -> Option<u64>,
 }
 
 /// Time limits of a call.
@@ -78,8 +93,15 @@
     }
 }
 
-struct IdleConnection {
+/// An open connection.
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// The identity that the process has stated on this connection, if it was asked.
+    identity: Option<u64>,
+}
+
+struct IdleConnection {
+    connection: Connection,
     /// When the connection was returned to the pool.
     since: Instant,
 }
@@ -118,27 +140,63 @@
         request: Request<Full<Bytes>>,
         limits: TimeLimits,
     ) -> Result<Response, CallError> {
-        let started = Instant::now();
-        let response_deadline = started + limits.response.min(limits.total);
-        let mut sender = match self.take_idle(address) {
-            Some(sender) => sender,
-            None => connect(address, response_deadline).await?,
+        let deadlines = Deadlines::new(limits);
+        let connection = match self.take_idle(address, |_| true) {
+            Some(connection) => connection,
+            None => connect(address, deadlines.response).await?,
         };
-        let response = tokio::time::timeout_at(response_deadline, sender.send_request(request))
-            .await
-            .map_err(|_| CallError::Unanswered)?
-            .map_err(|_| CallError::Unanswered)?;
-        let (head, body) = response.into_parts();
-        let body = read_body(body, limits.idle);
-        let body = tokio::time::timeout_at(started + limits.total, body)
-            .await
-            .map_err(|_| CallError::Unanswered)??;
-        self.return_to_pool(address, sender);
-        Ok(Response {
-            status: head.status,
-            headers: head.headers,
-            body,
-        })
+        self.call_on(connection, address, request, deadlines).await
+    }
+
+    /// Like [`Self::call`], for a call that only one process may receive.
+    ///
+    /// The call is sent on a connection over which that process has stated its identity. A connection
+    /// ends with its process, so that a later process never receives the call, however late it arrives.
+    /// A response to the greeting that is not successful is returned in place of one to the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::OtherProcess`] if another process answers the greeting,
+    /// [`CallError::NotSent`] if none does, and otherwise the errors of [`Self::call`].
+    pub async fn call_process(
+        &self,
+        address: &Arc<str>,
+        process: ExpectedProcess<'_>,
+        request: Request<Full<Bytes>>,
+        limits: TimeLimits,
+    ) -> Result<Response, CallError> {
+        let deadlines = Deadlines::new(limits);
+        let expected = Some(process.identity);
+        if let Some(connection) = self.take_idle(address, |idle| idle.identity == expected) {
+            return self.call_on(connection, address, request, deadlines).await;
+        }
+        let mut connection = connect(address, deadlines.response).await?;
+        let greeting = (process.greeting)()?;
+        let greeted = exchange(&mut connection, greeting, deadlines).await;
+        let answer = greeted.map_err(|_| CallError::NotSent)?;
+        if !answer.status.is_success() {
+            return Ok(answer);
+        }
+        connection.identity = (process.identify)(&answer);
+        if connection.identity != expected {
+            self.close_idle(address);
+            self.return_to_pool(address, connection);
+            return Err(CallError::OtherProcess);
+        }
+        self.call_on(connection, address, request, deadlines).await
+    }
+
+    /// Sends a request on a connection, which returns to the pool after a complete response.
+    async fn call_on(
+        &self,
+        mut connection: Connection,
+        address: &Arc<str>,
+        request: Request<Full<Bytes>>,
+        deadlines: Deadlines,
+    ) -> Result<Response, CallError> {
+        let response = exchange(&mut connection, request, deadlines).await?;
+        self.return_to_pool(address, connection);
+        Ok(response)
     }
 
     /// Closes all idle connections to `address`, for example after a call without a response.
@@ -146,32 +204,79 @@
         self.pool.borrow_mut().remove(address);
     }
 
-    fn take_idle(&self, address: &Arc<str>) -> Option<SendRequest<Full<Bytes>>> {
+    /// Takes the connection that was used last among the idle ones that are `suitable`.
+    fn take_idle(
+        &self,
+        address: &Arc<str>,
+        suitable: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
         let mut pool = self.pool.borrow_mut();
-        let connections = pool.get_mut(address)?;
-        while let Some(candidate) = connections.pop() {
-            if candidate.since.elapsed() < IDLE_TIMEOUT && candidate.sender.is_ready() {
-                return Some(candidate.sender);
-            }
-        }
-        None
+        let idle = pool.get_mut(address)?;
+        idle.retain(|it| it.since.elapsed() < IDLE_TIMEOUT && it.connection.sender.is_ready());
+        let latest = idle.iter().rposition(|it| suitable(&it.connection))?;
+        Some(idle.remove(latest).connection)
     }
 
-    fn return_to_pool(&self, address: &Arc<str>, sender: SendRequest<Full<Bytes>>) {
-        if sender.is_closed() {
+    fn return_to_pool(&self, address: &Arc<str>, connection: Connection) {
+        if connection.sender.is_closed() {
             return;
         }
         let mut pool = self.pool.borrow_mut();
-        let connections = pool.entry(address.clone()).or_default();
-        if connections.len() < MAX_IDLE_PER_ADDRESS {
-            connections.push(IdleConnection {
-                sender,
+        let idle = pool.entry(address.clone()).or_default();
+        if idle.len() < MAX_IDLE_PER_ADDRESS {
+            idle.push(IdleConnection {
+                connection,
                 since: Instant::now(),
             });
         }
     }
 }
 
+/// When a call ends at the latest.
+#[derive(Clone, Copy)]
+struct Deadlines {
+    /// Until when the response has to begin.
+    response: Instant,
+    /// Until when it has to be complete.
+    total: Instant,
+    /// How long two parts of its body may be apart.
+    idle: Duration,
+}
+
+impl Deadlines {
+    fn new(limits: TimeLimits) -> Self {
+        let now = Instant::now();
+        Self {
+            response: now + limits.response.min(limits.total),
+            total: now + limits.total,
+            idle: limits.idle,
+        }
+    }
+}
+
+/// Sends a request and reads the complete response.
+async fn exchange(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    deadlines: Deadlines,
+) -> Result<Response, CallError> {
+    let response = connection.sender.send_request(request);
+    let response = tokio::time::timeout_at(deadlines.response, response)
+        .await
+        .map_err(|_| CallError::Unanswered)?
+        .map_err(|_| CallError::Unanswered)?;
+    let (head, body) = response.into_parts();
+    let body = read_body(body, deadlines.idle);
+    let body = tokio::time::timeout_at(deadlines.total, body)
+        .await
+        .map_err(|_| CallError::Unanswered)??;
+    Ok(Response {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
+
 /// Reads a body completely; `idle` limits the time between two parts of it.
 async fn read_body(body: Incoming, idle: Duration) -> Result<Bytes, CallError> {
     let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
@@ -192,7 +297,7 @@
     }
 }
 
-async fn connect(address: &str, deadline: Instant) -> Result<SendRequest<Full<Bytes>>, CallError> {
+async fn connect(address: &str, deadline: Instant) -> Result<Connection, CallError> {
     let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let stream = tokio::time::timeout_at(limit, TcpStream::connect(address))
         .await
@@ -208,5 +313,8 @@
         // A connection error also fails the call in progress, which returns it to the caller.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Connection {
+        sender,
+        identity: None,
+    })
 }
--- a/crates/measure/src/fleet_load.rs
+++ b/crates/measure/src/fleet_load.rs
@@ -316,7 +316,7 @@
             let started = Instant::now();
             self.scheduler.grant_lease(executor, Mono(self.now_ms));
             self.scheduler
-                .command_answered(executor, self.now_ms, Mono(self.now_ms));
+                .command_answered(executor, None, self.now_ms, Mono(self.now_ms));
             self.scheduler
                 .start_answered(key, run, StartAnswer::Started, Mono(self.now_ms));
             self.spent.starting += started.elapsed().as_secs_f64();
