fix(dispatch): ask the store too while an owner that is lost should send the document

Cause: such a host takes the document from the owner, and waited 2 s for the first byte of an owner whose machine had lost power, in the loop that also reads the store. A second attempt, at the same owner or at the next one, could wait for 2 s more. A transfer that had begun waited 1 s for its next byte, and was then repeated as well.

Change: during a transfer that lasts longer than 150 ms the host pings the owner. Once a ping has had no answer for 500 ms, the store is asked as well, the transfer goes on, and the first copy counts. So an owner that is lost costs 650 ms, before the first byte and after it. The first byte has to come within 1.2 s instead of 2 s; the limits of a transfer in progress stay. A transfer that fails after more than 300 ms is followed by the store at once, one that fails sooner is tried once more. A host also keeps the highest version of the store that it has followed, so that it does not read the same document again after the owner's report of a lower one.

Weighed: a short limit to the first byte gives up transfers that are queued on a full link, and larger copies from the store take their place. Asking the store after a short time sends a second copy of each large document over the narrow link. An unanswered ping tells a lost owner from a slow transfer; on a link that delays pings by 500 ms the election takes the owner for lost too, and each host may then read one more copy. Another host near the store would be a second source, but far hosts know the address of the owner alone.

--- a/crates/dispatch/src/document/mod.rs
+++ b/crates/dispatch/src/document/mod.rs
@@ -4,12 +4,14 @@
 //! returns it. The whole document is read again only if the store has dropped its history. A host
 //! far from the store takes the document from the owner instead, compressed, because the link to
 //! the store's region is shared and a large document for each host would fill it; see "The
-//! document" in `docs/JOBS.md`. [`relay`] decides which of the two applies. A version lower than
-//! the one in force is never accepted.
+//! document" in `docs/JOBS.md`. [`relay`] decides which of the two applies, and `transfer` asks the
+//! store as well if the owner is lost during a transfer. A version lower than the one in force is
+//! never accepted.
 
 mod findings;
 pub mod packed;
 pub mod relay;
+mod transfer;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -18,18 +20,15 @@
 use std::time::Duration;
 
 use job::plan::Plan;
-use link::client::TimeLimits;
 use model::Mono;
 
 use self::packed::PackedPlan;
 use self::relay::OwnerDocument;
+pub use self::transfer::TRANSFER_LIMITS;
 use crate::dependencies::StoreError;
 use crate::events;
 use crate::node::Node;
-use crate::peers;
 use crate::peers::DocumentInfo;
-use crate::peers::PeerRequest;
-use crate::peers::PeerResponse;
 use crate::rows;
 use crate::store_call::StoreCall;
 
@@ -39,15 +38,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Interval at which a host that takes the document from the owner checks for a new version.
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time limits for receiving the document from the owner. Many hosts may receive a large document at
-/// once over the owner's link. A transfer that is given up is repeated and has used the link for
-/// nothing, so that one that makes progress goes on.
-pub const TRANSFER_LIMITS: TimeLimits = TimeLimits {
-    response: Duration::from_millis(2_000),
-    idle: Duration::from_millis(1_000),
-    total: Duration::from_secs(20),
-};
-/// Number of failed transfers after which a host reads the document from the store.
+/// Number of failed transfers after which a host reads the document from the store, if they failed
+/// soon enough for another one.
 const MAX_FAILED_TRANSFERS: u32 = 2;
 /// Interval at which a host checks that the store answers, if no other call tells it.
 const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -144,16 +136,17 @@
         let source = owner_document(&node).filter(|_| failed_transfers < MAX_FAILED_TRANSFERS);
         node.document.is_relayed.set(source.is_some());
         if let Some(source) = source {
-            match take_from_owner(&node, &source).await {
+            match transfer::take_from_owner(&node, &source, followed).await {
                 Ok(store_version) => {
                     failed_transfers = 0;
-                    followed = Some(store_version);
+                    followed = store_version;
                     tokio::time::sleep(OWNER_CHECK_INTERVAL).await;
                 }
-                Err(TransferFailed) => {
+                Err(failed) if failed.is_repeatable => {
                     failed_transfers += 1;
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
+                Err(_) => failed_transfers = MAX_FAILED_TRANSFERS,
             }
         } else {
             followed = take_from_store(&node, followed).await;
@@ -172,26 +165,6 @@
     relay::is_preferred(&owner, round_trip, node.now()).then_some(owner)
 }
 
-/// The owner did not send the document that it had reported.
-struct TransferFailed;
-
-/// Brings the document up to date with that of the owner. Returns the version of the store up to
-/// which the owner has followed it.
-async fn take_from_owner(node: &Node, owner: &OwnerDocument) -> Result<u64, TransferFailed> {
-    let current = node.plan().map_or(0, |plan| plan.version);
-    if owner.info.version <= current {
-        return Ok(owner.info.store_version);
-    }
-    let request = PeerRequest::Document;
-    let response = peers::send(node, &owner.address, request, TRANSFER_LIMITS).await;
-    let Some(PeerResponse::Document(packed)) = response else {
-        return Err(TransferFailed);
-    };
-    let plan = packed.unpack().ok_or(TransferFailed)?;
-    accept(node, plan, Origin::Owner);
-    Ok(owner.info.store_version)
-}
-
 /// Follows the document in the store after a version, or reads it if there is none. Returns the
 /// version up to which it has been followed, or `None` if changes after it can no longer be read. A
 /// call without an answer misses nothing: the next one asks for changes after the same version.
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -33,7 +33,7 @@
 /// Maximum interval between pings of the owner.
 const MAX_PING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit for the answer to a ping.
-const PING_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// An owner is suspected if the store has not confirmed it for this long.
 const MAX_CONFIRMATION_AGE_MS: u64 = 900;
 /// How long the row of a suspected owner has to stay unchanged over successful reads before a
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -21,7 +21,6 @@
 use dispatch::node::Identity;
 use dispatch::node::Node;
 use dispatch::node::Timing;
-use dispatch::peers;
 use dispatch::relay::server;
 use futures::FutureExt;
 use job::id::JobId;
@@ -45,6 +44,8 @@
 use crate::executor::MAX_LEASE;
 use crate::executor_calls::advisor;
 use crate::executor_calls::executors;
+use crate::peer_faults;
+use crate::peer_faults::PeerFaults;
 use crate::relay::relayed;
 use crate::store::MemoryStore;
 use crate::store::StoreFault;
@@ -81,6 +82,10 @@
     pub frozen: Rc<Cell<bool>>,
     /// Whether no call between this host and another one arrives.
     pub isolated: Rc<Cell<bool>>,
+    /// The faults of the host's answers to other hosts.
+    pub peer_faults: Cell<PeerFaults>,
+    /// Number of requests for the operators' document that have reached the host.
+    pub document_requests: Cell<u32>,
     /// If set, the processor runs a few dozen tasks of the process once in this interval, in
     /// milliseconds, and all others wait.
     pub slow_processor: Cell<Option<u64>>,
@@ -270,6 +275,8 @@
             evacuation_fault,
             frozen: Rc::new(Cell::new(false)),
             isolated,
+            peer_faults: Cell::default(),
+            document_requests: Cell::new(0),
             slow_processor: Cell::new(None),
             tasks,
         });
@@ -287,7 +294,7 @@
                     tokio::time::sleep(Duration::from_millis(1)).await;
                     let reached = host.filter(|host| !host.frozen.get() && !host.isolated.get());
                     match reached.filter(|_| !is_cut) {
-                        Some(host) => Some(peers::respond(&host.node, &call.request)),
+                        Some(host) => peer_faults::answer(host, &call).await,
                         None => {
                             tokio::time::sleep(call.limits.response).await;
                             None
