test(job): let the target of the lease model start anew

The model of what successors conclude about leases let only the other executors start anew. A new incarnation's clock starts at zero, so that a deadline for the clock of the earlier one is far ahead, and the executor shortens it to the longest lease that it accepts: 10 s, 10.204 s on a clock that is 2% slow. A successor counts on 5 s.

The target starts anew up to twice, an owner learns of the incarnations one by one or not at all, and a call with a deadline is lost if the executor is in another incarnation when it arrives. Calls without a deadline reach any incarnation. Two rules are violated on purpose: UnboundCalls lets deadlines reach later incarnations, UnboundInFlight only those that were in flight at the restart.

--- a/crates/job/tests/all/authority_model/mod.rs
+++ b/crates/job/tests/all/authority_model/mod.rs
@@ -3,6 +3,7 @@
 //! within a budget. An owner that is frozen, cut off or gone is one that does nothing for a while, so
 //! that cuts need no state of their own.
 
+mod calls;
 mod state;
 
 use model::Set;
@@ -33,7 +34,7 @@
 }
 
 /// Budgets of one kind of fault each beside a takeover, polls and time.
-const BUDGETS: [(&str, Budget); 5] = [
+const BUDGETS: [(&str, Budget); 7] = [
     (
         "late polls",
         Budget {
@@ -66,6 +67,26 @@
             ..NO_FAULTS
         },
     ),
+    (
+        "a restart of the target and a late poll",
+        Budget {
+            target_restarts: 1,
+            late_polls: 1,
+            polls: 3,
+            answers: 1,
+            ..NO_FAULTS
+        },
+    ),
+    (
+        "two restarts of the target and a late poll",
+        Budget {
+            steps: 1,
+            target_restarts: 2,
+            late_polls: 1,
+            polls: 3,
+            ..NO_FAULTS
+        },
+    ),
     (
         "two takeovers",
         Budget {
@@ -87,6 +108,7 @@
     commits: 0,
     lost_answers: 0,
     restarts: 0,
+    target_restarts: 0,
     changes: 0,
     answers: 0,
 };
@@ -119,3 +141,17 @@
         assert!(found.is_some(), "{mutation:?}");
     }
 }
+
+/// A deadline for the clock of an earlier incarnation grants the longest lease that an executor accepts,
+/// and a successor does not wait for that.
+#[test]
+fn the_model_detects_deadlines_that_reach_a_later_incarnation() {
+    let restarts = |(_, budget): &(&str, Budget)| budget.target_restarts > 0;
+    for (name, budget) in BUDGETS.into_iter().filter(restarts) {
+        for mutation in [Mutation::UnboundCalls, Mutation::UnboundInFlight] {
+            let (_, violation) = explore(budget, mutation);
+            println!("{mutation:?}, {name}: {violation:?}");
+            assert!(violation.is_some(), "{mutation:?}, {name}");
+        }
+    }
+}
--- a/crates/job/tests/all/authority_model/state.rs
+++ b/crates/job/tests/all/authority_model/state.rs
@@ -4,10 +4,10 @@
 
 use job::authority;
 use job::authority::Authority;
-use job::authority::AuthorityEnd;
 use job::authority::Witness;
 use model::Mono;
 
+use super::calls::LatePoll;
 use crate::fixture::LEASE;
 
 /// The executor whose leases matter; the others only accept epochs.
@@ -38,6 +38,10 @@
     TrustUnsettled,
     /// A commit whose answer was lost confirms the owner when its outcome is known.
     ConfirmLate,
+    /// A later incarnation accepts a deadline that was computed for the clock of an earlier one.
+    UnboundCalls,
+    /// A call that is in flight when an executor starts anew reaches the next incarnation.
+    UnboundInFlight,
 }
 
 /// The incarnations of the executors that are witnesses.
@@ -45,11 +49,11 @@
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Executor {
-    incarnation: u8,
-    epoch: u8,
-    lease_until: u64,
+    pub(super) incarnation: u8,
+    pub(super) epoch: u8,
+    pub(super) lease_until: u64,
     /// The epoch of the owner that granted the latest lease.
-    granted_by: u8,
+    pub(super) granted_by: u8,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -62,17 +66,19 @@
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Owner {
-    ended: bool,
-    confirmed: u64,
+    pub(super) ended: bool,
+    pub(super) confirmed: u64,
     /// The incarnation that has accepted a call, and when that was sent.
-    accepted: [Option<(u8, u64)>; EXECUTORS],
-    row: u8,
-    witnesses: Witnesses,
-    write: Option<Write>,
-    row_read_at: u64,
-    earlier_settled: bool,
-    settled: bool,
-    end: Option<(u64, u64)>,
+    pub(super) accepted: [Option<(u8, u64)>; EXECUTORS],
+    pub(super) row: u8,
+    pub(super) witnesses: Witnesses,
+    pub(super) write: Option<Write>,
+    pub(super) row_read_at: u64,
+    pub(super) earlier_settled: bool,
+    pub(super) settled: bool,
+    pub(super) end: Option<(u64, u64)>,
+    /// The incarnation of the target whose clock deadlines are computed for.
+    pub(super) target: u8,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -84,29 +90,22 @@
     pub commits: u8,
     pub lost_answers: u8,
     pub restarts: u8,
+    pub target_restarts: u8,
     pub changes: u8,
     pub answers: u8,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct LatePoll {
-    owner: usize,
-    executor: usize,
-    sent: u64,
-    lease_until: Option<u64>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct State {
-    now: u64,
+    pub(super) now: u64,
     /// The owner's row: its version, the witnesses, and whether its writer was settled.
-    row: (u8, Witnesses, bool),
-    owners: [Option<Owner>; OWNERS],
-    executors: [Executor; EXECUTORS],
+    pub(super) row: (u8, Witnesses, bool),
+    pub(super) owners: [Option<Owner>; OWNERS],
+    pub(super) executors: [Executor; EXECUTORS],
     /// The row as a host that may claim has read it first, and when.
-    read: Option<(u8, u64)>,
-    late: Option<LatePoll>,
-    budget: Budget,
+    pub(super) read: Option<(u8, u64)>,
+    pub(super) late: Option<LatePoll>,
+    pub(super) budget: Budget,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -119,6 +118,8 @@
     Poll(usize, usize),
     SendLatePoll(usize, usize),
     DeliverLatePoll,
+    /// An owner learns from the executor list, or from an answer, of the target's next incarnation.
+    LearnIncarnation(usize),
     Restart(usize),
     ReadRow,
     Claim,
@@ -139,7 +140,7 @@
 }
 
 impl Owner {
-    fn authority(&self, mutation: Mutation) -> Authority {
+    pub(super) fn authority(&self, mutation: Mutation) -> Authority {
         let mut authority = Authority::new(Mono(self.confirmed), list(&self.witnesses));
         if let Some(next) = self.write.and_then(|write| write.witnesses) {
             authority.begin_change(list(&next));
@@ -159,16 +160,6 @@
         }
         authority
     }
-
-    /// Returns when the lease ends that a poll sent now grants.
-    fn lease_until(&self, now: u64, mutation: Mutation) -> Option<u64> {
-        let horizon = self.authority(mutation).horizon();
-        let limit = horizon.filter(|_| mutation != Mutation::IgnoreHorizon);
-        let until = Mono(now).after(LEASE).min(limit.unwrap_or(Mono(u64::MAX)));
-        // The clock of the executor is 2% slow.
-        let lease = until.since(Mono(now));
-        (!lease.is_zero()).then(|| Mono(now).after(lease * 50 / 49).0)
-    }
 }
 
 impl State {
@@ -224,6 +215,9 @@
                     events.push(Event::SendLatePoll(at, executor));
                 }
             }
+            if owner.target < self.executors[TARGET].incarnation {
+                events.push(Event::LearnIncarnation(at));
+            }
             if budget.answers > 0 && at + 1 < OWNERS && self.owners[at + 1].is_some() {
                 events.push(Event::Answer(at));
             }
@@ -234,6 +228,9 @@
         if budget.restarts > 0 {
             events.extend([1, 2].map(Event::Restart));
         }
+        if budget.target_restarts > 0 {
+            events.push(Event::Restart(TARGET));
+        }
         if budget.owners > 0 {
             events.push(match self.read {
                 Some((version, _)) if version == self.row.0 => Event::Claim,
@@ -310,8 +307,8 @@
             }
             Event::ChangeWitnesses(at, named) => {
                 next.budget.changes -= 1;
-                let witnesses =
-                    std::array::from_fn(|it| named[it].then_some(next.executors[it].incarnation));
+                let known = next.known_incarnations(at);
+                let witnesses = std::array::from_fn(|it| named[it].then_some(known[it]));
                 next.begin_write(at, Some(witnesses));
             }
             Event::Confirm(at) => next.finish_write(at, mutation),
@@ -329,8 +326,16 @@
                     next.deliver(poll, mutation)?;
                 }
             }
+            Event::LearnIncarnation(at) => {
+                if let Some(owner) = &mut next.owners[at] {
+                    owner.target += 1;
+                }
+            }
             Event::Restart(executor) => {
-                next.budget.restarts -= 1;
+                match executor {
+                    TARGET => next.budget.target_restarts -= 1,
+                    _ => next.budget.restarts -= 1,
+                }
                 next.executors[executor] = Executor {
                     incarnation: next.executors[executor].incarnation + 1,
                     ..Executor::default()
@@ -343,6 +348,13 @@
         Ok(next.normalized())
     }
 
+    /// Returns the incarnations of the executors as an owner knows them.
+    fn known_incarnations(&self, at: usize) -> [u8; EXECUTORS] {
+        let mut known = self.executors.map(|executor| executor.incarnation);
+        known[TARGET] = self.owners[at].map_or(known[TARGET], |owner| owner.target);
+        known
+    }
+
     /// Sends a commit, which takes effect at once if the row is as expected.
     fn begin_write(&mut self, at: usize, witnesses: Option<Witnesses>) {
         let Some(owner) = &mut self.owners[at] else {
@@ -382,43 +394,6 @@
         };
     }
 
-    fn poll(&self, at: usize, executor: usize, mutation: Mutation) -> LatePoll {
-        let lease_until = self.owners[at]
-            .filter(|_| executor == TARGET)
-            .and_then(|owner| owner.lease_until(self.now, mutation));
-        LatePoll {
-            owner: at,
-            executor,
-            sent: self.now,
-            lease_until,
-        }
-    }
-
-    fn deliver(&mut self, poll: LatePoll, mutation: Mutation) -> Result<(), String> {
-        let epoch = u8::try_from(poll.owner + 1).expect("few owners");
-        let executor = &mut self.executors[poll.executor];
-        let Some(owner) = &mut self.owners[poll.owner] else {
-            return Ok(());
-        };
-        if epoch < executor.epoch {
-            owner.ended = true;
-            return Ok(());
-        }
-        executor.epoch = epoch;
-        if let Some(until) = poll.lease_until
-            && until > executor.lease_until
-        {
-            executor.lease_until = until;
-            executor.granted_by = epoch;
-        }
-        owner.accepted[poll.executor] = Some((executor.incarnation, poll.sent));
-        if owner.end.is_none() && poll.owner > 0 && owner.authority(mutation).has_majority() {
-            let end = AuthorityEnd::proven(Mono(owner.row_read_at), Mono(self.now));
-            owner.end = Some((end.sends_until.0, end.leases_until.0));
-        }
-        self.check()
-    }
-
     fn claim(&mut self) {
         self.budget.owners -= 1;
         let Some((_, row_read_at)) = self.read.take() else {
@@ -457,7 +432,7 @@
     }
 
     /// No lease that an earlier owner granted outlasts what a successor has concluded.
-    fn check(&self) -> Result<(), String> {
+    pub(super) fn check(&self) -> Result<(), String> {
         let target = self.executors[TARGET];
         for (at, owner) in self.owners.iter().enumerate() {
             let Some((_, leases_until)) = owner.and_then(|owner| owner.end) else {
