test(job): explore calls that are bound to an incarnation

In the scheduler's model a start, a stop or a poll that is sent after a restart reaches the new incarnation, whose clock is lower, and the executor shortens the deadline to the longest lease that it accepts. Calls in flight at the restart were lost already.

Calls::Bound is the other rule: starts, stops and polls that grant a lease reach only the incarnation on whose clock the owner computes deadlines, and an owner polls another one without granting a lease. Answers of an incarnation that the owner knows to be gone tell it nothing of the clock. All explorations of before stay as they are, with calls that are not bound.

Mutation::IgnoreMaxLease lets an owner assume no longest lease for a new incarnation.

--- a/crates/job/tests/all/model/apply.rs
+++ b/crates/job/tests/all/model/apply.rs
@@ -77,7 +77,9 @@
             }
             Step::Deliver(at) => {
                 let late_call = self.late_calls.remove(at);
-                self.deliver(&late_call);
+                if !self.is_lost(&late_call) {
+                    self.deliver(&late_call);
+                }
             }
             Step::Poll(host, at) => self.poll(host, at, Mono(self.now.0 + 1), false),
             Step::PollLate(host, at) => {
@@ -89,6 +91,10 @@
             Step::Report(host, at) => self.report(host, at),
             Step::ReportTimesOut(host, at) => self.report_times_out(host, at),
             Step::PollFails(host, at) => self.poll_fails(host, at),
+            Step::PollLost(host, at) => {
+                self.budget.polls -= 1;
+                self.poll_fails(host, at);
+            }
             Step::ReceiveCancel(host) => {
                 let ignored = self.mutation == Mutation::IgnoreCancellation;
                 if let Some(owner) = &mut self.owners[host] {
@@ -231,11 +237,15 @@
         let now = self.now;
         let epochs_checked = self.mutation != Mutation::IgnoreEpochs;
         let unstored = self.mutation == Mutation::AcknowledgeBeforeStore;
+        let disconnected = self.is_disconnected(host, at);
         let Some(owner) = &mut self.owners[host] else {
             return;
         };
         let key = owner.key(at);
-        let deadline_ms = owner.scheduler.grant_lease(key, now);
+        let deadline_ms = match disconnected {
+            true => None,
+            false => owner.scheduler.grant_lease(key, now),
+        };
         let known = owner
             .scheduler
             .fleet
@@ -287,6 +297,7 @@
             };
             owner.scheduler.report(key, &late.report, sent, now);
             let started_unix_ms = late.report.started_unix_ms.unwrap_or_default();
+            owner.record_clock(late.executor, started_unix_ms);
             owner
                 .scheduler
                 .acknowledgement_confirmed(key, started_unix_ms, late.acknowledged);
--- a/crates/job/tests/all/model/calls.rs
+++ b/crates/job/tests/all/model/calls.rs
@@ -16,7 +16,7 @@
         let Some((command, late_call)) = self.prepare(host, at) else {
             return;
         };
-        if !self.executors[late_call.executor].reachable {
+        if !self.executors[late_call.executor].reachable || self.is_lost(&late_call) {
             self.answer(host, &command, StartAnswer::Unanswered);
             return;
         }
@@ -26,7 +26,7 @@
             return;
         }
         let clock_ms = self.executors[late_call.executor].clock_ms(self.now);
-        self.receive_response(host, &command, late_call.executor, response, clock_ms);
+        self.receive_response(host, &command, &late_call, response, clock_ms);
     }
 
     /// Sends a start command that the executor refuses, whatever it has done with earlier copies.
@@ -34,9 +34,13 @@
         let Some((command, late_call)) = self.prepare(host, at) else {
             return;
         };
+        if self.is_lost(&late_call) {
+            self.answer(host, &command, StartAnswer::Unanswered);
+            return;
+        }
         let response = self.refuse(&late_call, reason);
         let clock_ms = self.executors[late_call.executor].clock_ms(self.now);
-        self.receive_response(host, &command, late_call.executor, response, clock_ms);
+        self.receive_response(host, &command, &late_call, response, clock_ms);
     }
 
     pub(super) fn send_late(&mut self, host: usize, at: usize) {
@@ -62,9 +66,14 @@
         });
     }
 
-    /// Executes a slow command, or refuses it.
+    /// Executes a slow command, or refuses it. It has no answer if its executor is in another incarnation.
     pub(super) fn execute_slow(&mut self, at: usize, refusal: Option<StartAnswer>) {
         let call = self.slow_calls[at].call.clone();
+        if self.is_lost(&call) {
+            let slow_call = self.slow_calls.remove(at);
+            self.answer(slow_call.host, &slow_call.command, StartAnswer::Unanswered);
+            return;
+        }
         let response = match refusal {
             Some(reason) => self.refuse(&call, reason),
             None => self.deliver(&call),
@@ -77,11 +86,10 @@
     pub(super) fn receive_slow(&mut self, at: usize) {
         let slow_call = self.slow_calls.remove(at);
         if let Some((response, clock_ms)) = slow_call.response {
-            let executor = slow_call.call.executor;
             self.receive_response(
                 slow_call.host,
                 &slow_call.command,
-                executor,
+                &slow_call.call,
                 response,
                 clock_ms,
             );
@@ -125,14 +133,19 @@
         &mut self,
         host: usize,
         command: &Command,
-        executor: usize,
+        call: &LateCall,
         response: Response,
         clock_ms: u64,
     ) {
         let now = self.now;
-        if let Some(owner) = &mut self.owners[host] {
-            let key = owner.key(executor);
+        // The answer to a bound call tells nothing of the clock of a later incarnation.
+        let is_current = call.incarnation == self.bound_incarnation(host, call.executor);
+        if let Some(owner) = &mut self.owners[host]
+            && is_current
+        {
+            let key = owner.key(call.executor);
             owner.scheduler.command_answered(key, None, clock_ms, now);
+            owner.record_clock(call.executor, call.incarnation);
         }
         let answer = match response {
             Response::Fenced => {
@@ -155,6 +168,7 @@
         let call = |owner: &Owner, executor, task, run, deadline_ms| LateCall {
             epoch: owner.epoch,
             executor: owner.number(executor),
+            incarnation: 0,
             task,
             run,
             deadline_ms,
@@ -208,6 +222,11 @@
         if late_call.deadline_ms.is_some() {
             self.check_send(host);
         }
+        let incarnation = self.bound_incarnation(host, late_call.executor);
+        let late_call = LateCall {
+            incarnation,
+            ..late_call
+        };
         Some((command, late_call))
     }
 
--- a/crates/job/tests/all/model/digest.rs
+++ b/crates/job/tests/all/model/digest.rs
@@ -10,6 +10,7 @@
 use job::scheduler::TaskKey;
 use model::Mono;
 
+use super::binding::Calls;
 use super::state::LateCall;
 use super::state::LateReport;
 use super::state::Owner;
@@ -90,6 +91,10 @@
         for owner in &self.owners {
             let text = owner.as_ref().map(|owner| owner.state_text(precision));
             text.hash(&mut hasher);
+            if self.calls == Calls::Bound {
+                let clocks = owner.as_ref().map(|owner| owner.clocks);
+                clocks.map(|it| it.map(|(_, of)| of)).hash(&mut hasher);
+            }
         }
         hasher.finish()
     }
--- a/crates/job/tests/all/model/explore.rs
+++ b/crates/job/tests/all/model/explore.rs
@@ -7,6 +7,7 @@
 use job::task::RunNumber;
 use model::Set;
 
+use super::binding::Calls;
 use super::state::Budget;
 use super::state::Mutation;
 use super::state::State;
@@ -43,8 +44,8 @@
 }
 
 /// Explores all states within a budget of faults.
-pub fn explore(world: World, budget: Budget, mutation: Mutation) -> Exploration {
-    let first = State::new(world, budget, mutation);
+pub fn explore(world: World, budget: Budget, calls: Calls, mutation: Mutation) -> Exploration {
+    let first = State::new(world, budget, calls, mutation);
     let mut seen: Set<u64> = Set::default();
     seen.insert(first.digest());
     let mut queue = VecDeque::from([(first, None)]);
--- a/crates/job/tests/all/model/mod.rs
+++ b/crates/job/tests/all/model/mod.rs
@@ -7,6 +7,7 @@
 //! rule that the product relies on, to show that the check notices.
 
 mod apply;
+mod binding;
 mod calls;
 mod check;
 mod clocks;
@@ -28,6 +29,7 @@
 
 use std::time::Instant;
 
+use self::binding::Calls;
 use self::explore::explore;
 use self::faults::faults;
 use self::state::Budget;
@@ -77,10 +79,19 @@
 }
 
 fn assert_holds_in(world: World, name: &str, budget: Budget) {
+    assert_holds_with(world, name, budget, (Calls::Unbound, Mutation::None));
+}
+
+fn assert_holds_with(
+    world: World,
+    name: &str,
+    budget: Budget,
+    (calls, mutation): (Calls, Mutation),
+) {
     let started = Instant::now();
-    let exploration = explore(world, budget, Mutation::None);
+    let exploration = explore(world, budget, calls, mutation);
     println!(
-        "{world:?}, {name}: {} states, depth {}, {:.1} s",
+        "{world:?}, {calls:?}, {name}: {} states, depth {}, {:.1} s",
         exploration.states,
         exploration.depth,
         started.elapsed().as_secs_f64()
@@ -100,7 +111,7 @@
 
 fn assert_violated_in(world: World, mutation: Mutation, budget: Budget) {
     let started = Instant::now();
-    let exploration = explore(world, budget, mutation);
+    let exploration = explore(world, budget, Calls::Unbound, mutation);
     println!(
         "{world:?}, {mutation:?}: {} states, {:.1} s, {:?}",
         exploration.states,
@@ -112,7 +123,7 @@
 
 fn assert_stuck_in(world: World, mutation: Mutation, budget: Budget) {
     let started = Instant::now();
-    let exploration = explore(world, budget, mutation);
+    let exploration = explore(world, budget, Calls::Unbound, mutation);
     println!(
         "{world:?}, {mutation:?}: {} states, {:.1} s, never ends after {:?}",
         exploration.states,
--- a/crates/job/tests/all/model/state.rs
+++ b/crates/job/tests/all/model/state.rs
@@ -15,6 +15,8 @@
 use job::task::RunNumber;
 use model::Mono;
 
+use super::binding::Calls;
+use super::binding::KnownClocks;
 use super::executor::Executor;
 use super::executor::Response;
 use super::step::FAULTY;
@@ -127,6 +129,8 @@
     TrustEarlierPolls,
     /// A slow clock is ten times slower than owners allow for.
     SlowerClocks,
+    /// An owner does not assume the longest lease for a new incarnation of an executor.
+    IgnoreMaxLease,
 }
 
 impl Mutation {
@@ -134,7 +138,7 @@
     pub const fn is_checked_at_the_end(self) -> bool {
         matches!(
             self,
-            Self::None | Self::LoseMemberStart | Self::IgnoreLongRunning
+            Self::None | Self::LoseMemberStart | Self::IgnoreLongRunning | Self::IgnoreMaxLease
         )
     }
 }
@@ -190,6 +194,8 @@
     /// The time until which the previous owner was assumed at the takeover to have granted leases.
     pub assumed: Option<Mono>,
     pub cancel_received: bool,
+    /// The incarnations of the executors on whose clocks it computes deadlines.
+    pub clocks: KnownClocks,
 }
 
 /// An answer to a poll that has not arrived.
@@ -211,6 +217,8 @@
 pub struct LateCall {
     pub epoch: u64,
     pub executor: usize,
+    /// The start time of the incarnation that the call is bound to.
+    pub incarnation: u64,
     pub task: TaskId,
     pub run: RunNumber,
     /// The end of the lease that it grants, on the executor's clock as known to the owner; `None`
@@ -242,6 +250,7 @@
     pub late_writes: Vec<LateWrite>,
     pub world: World,
     pub budget: Budget,
+    pub calls: Calls,
     pub mutation: Mutation,
     /// Steps whose task or gang has succeeded, and whether the end was acknowledged.
     pub done: BTreeMap<u32, bool>,
@@ -283,7 +292,7 @@
 
 impl State {
     /// Creates a state in which the job is accepted and the first host has taken over.
-    pub fn new(world: World, budget: Budget, mutation: Mutation) -> Self {
+    pub fn new(world: World, budget: Budget, calls: Calls, mutation: Mutation) -> Self {
         let mut state = Self {
             now: Mono(10_000),
             store: Store::default(),
@@ -295,6 +304,7 @@
             late_writes: Vec::new(),
             world,
             budget,
+            calls,
             mutation,
             done: BTreeMap::new(),
             failed: Vec::new(),
--- a/crates/job/tests/all/model/step.rs
+++ b/crates/job/tests/all/model/step.rs
@@ -1,5 +1,6 @@
 //! The possible steps of the model.
 
+use job::fleet::Executor as KnownExecutor;
 use job::scheduler::Command;
 use job::scheduler::StartAnswer;
 use model::Mono;
@@ -78,6 +79,8 @@
     ReportTimesOut(usize, usize),
     /// An owner polls an executor, and the response is lost or the executor is unreachable.
     PollFails(usize, usize),
+    /// An owner sends a poll to an incarnation that is gone.
+    PollLost(usize, usize),
     /// An owner learns that the job was cancelled.
     ReceiveCancel(usize),
     /// An owner reads the executor list.
@@ -169,6 +172,12 @@
         expiries.filter(|expiry| *expiry > self.now).min()
     }
 
+    /// Returns whether an owner that knows this of an executor knows its incarnation.
+    fn is_known(&self, known: &KnownExecutor, at: usize) -> bool {
+        let listed = known.listing.started_unix_ms;
+        known.announced_start_unix_ms.max(listed) == self.executors[at].started_unix_ms
+    }
+
     fn steps_of_slow_calls(&self, steps: &mut Vec<Step>) {
         for (at, slow_call) in self.slow_calls.iter().enumerate() {
             if slow_call.response.is_some() {
@@ -223,6 +232,14 @@
             None if owner.scheduler.has_changes() => steps.push(Step::Write(host)),
             None => {}
         }
+        // Without this step an owner would repeat commands to an earlier incarnation forever.
+        let is_unlisted = |at: &usize| {
+            let executor = owner.scheduler.fleet.get(owner.key(*at));
+            self.is_disconnected(host, *at) && executor.is_some_and(|it| !self.is_known(it, *at))
+        };
+        if (0..2).any(|at| is_unlisted(&at)) {
+            steps.push(Step::List(host));
+        }
         for (at, command) in owner.commands.iter().enumerate() {
             steps.push(Step::Send(host, at));
             if self.budget.slow_calls > 0 {
@@ -255,15 +272,15 @@
             } else if executor.reachable {
                 steps.push(Step::PollFails(host, at));
             }
+            if self.budget.polls > 0 && self.is_disconnected(host, at) {
+                steps.push(Step::PollLost(host, at));
+            }
             // In the small world, where more of them are in flight, answers are late at one executor.
             let may_be_late = at == FAULTY || self.world == World::TwoSteps;
             if self.budget.polls > 0 && may_be_late {
                 steps.push(Step::PollLate(host, at));
             }
-            let known = executor
-                .announced_start_unix_ms
-                .max(executor.listing.started_unix_ms);
-            if known != self.executors[at].started_unix_ms {
+            if !self.is_known(executor, at) {
                 steps.push(Step::List(host));
             }
         }
--- a/crates/job/tests/all/model/takeover.rs
+++ b/crates/job/tests/all/model/takeover.rs
@@ -130,7 +130,10 @@
         let row = takeover.row.unwrap_or_else(|| self.write_claim());
         let timing = Timing {
             lease: LEASE,
-            max_lease: MAX_LEASE,
+            max_lease: match self.mutation {
+                Mutation::IgnoreMaxLease => Duration::ZERO,
+                _ => MAX_LEASE,
+            },
             stop_timeout: Duration::from_millis(900),
             warmup: None,
             remote_factor: 1.0,
@@ -169,6 +172,7 @@
             reports: Vec::new(),
             assumed: (row.0 > 1).then_some(assumed),
             cancel_received: cancelled,
+            clocks: [(None, 0); 2],
         });
         self.list(host, takeover.executors.unwrap_or_default());
     }
@@ -197,6 +201,9 @@
             .collect();
         if let Some(owner) = &mut self.owners[host] {
             owner.scheduler.update_executors(listings, self.now);
+            for (at, (started_unix_ms, _)) in executors.into_iter().enumerate() {
+                owner.record_clock(at, started_unix_ms);
+            }
         }
         self.settle(host);
     }
