fix(scheduler): count crashes under runs of a lost owner

A crash becomes known some seconds later, when the next process is listed; an owner that had taken over in between did not count it.

Cause: a successor did not know whether an inherited run had just started when its executor became silent, and suspected only tasks that had a stored crash. It did not know the address of an executor that is no longer listed either, so that it could not recognise the next process there.

Change: the row about leases, which already names silent executors, also names the address of each and the runs that the owner suspects there, 256 at most. A successor takes over those whose run number, executor and incarnation match, and stores them again for its own successor. A start that becomes unanswered on a silent executor is stored as well. Starts that the lost owner had not sent, and runs that their executor had survived, are not suspected.

Not covered: a task's first crash if the owner is lost before it has stored that the executor is silent, and losses by an expired lease that were not yet explained when the owner was lost. The same rule as for own runs suspects a start that never reached its executor (KNOWN-RED.txt).

--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod cleanup;
 mod command_logs;
 mod commands;
+mod crashing_tasks;
 mod document;
 mod document_findings;
 mod document_relay;
--- a/crates/job/src/scheduler/commands.rs
+++ b/crates/job/src/scheduler/commands.rs
@@ -209,6 +209,7 @@
                 {
                     assignment.start_unanswered = true;
                 }
+                self.mark_suspicion_changed(executor);
             }
             StartAnswer::NoRoom | StartAnswer::Unhealthy => {
                 if let Some(executor) = self.fleet.get_mut(executor) {
--- a/crates/job/src/scheduler/crashes.rs
+++ b/crates/job/src/scheduler/crashes.rs
@@ -15,6 +15,7 @@
 use super::Scheduler;
 use super::TaskKey;
 use crate::fleet::ExecutorKey;
+use crate::lease_record::SuspectedRun;
 use crate::task::RunKnowledge;
 use crate::task::RunNumber;
 use crate::task::StartState;
@@ -90,8 +91,42 @@
         suspects
     }
 
+    /// Returns the runs on a silent executor that may have crashed it, as stored for a successor.
+    pub(super) fn suspected_runs(&self, executor: ExecutorKey) -> Vec<SuspectedRun> {
+        let suspects = self.suspects_on(executor).into_iter();
+        let runs = suspects.filter_map(|key| {
+            Some(SuspectedRun {
+                job: self.job(key.job)?.id,
+                slot: key.slot,
+                run: self.task(key)?.run,
+            })
+        });
+        runs.collect()
+    }
+
+    /// Takes over the suspected runs that the previous owner has stored for a silent executor. A run that
+    /// is no longer assigned there has been counted, or its lease has expired.
+    pub(super) fn inherit_suspects(&mut self, executor: ExecutorKey, suspects: &[SuspectedRun]) {
+        for suspect in suspects {
+            let Some(job) = self.find(suspect.job) else {
+                continue;
+            };
+            let key = TaskKey {
+                job,
+                slot: suspect.slot,
+            };
+            if let Some(task) = self.task_mut(key)
+                && task.run == suspect.run
+                && task.assignment().is_some_and(|it| it.executor == executor)
+            {
+                task.suspected_run = suspect.run;
+            }
+        }
+    }
+
     /// Returns whether a task's current run may have started and is not cleared. A run of a previous
-    /// owner may have been cleared by that one, so that only tasks suspected before count.
+    /// owner may have been cleared by that one, so that it counts only if that owner has stored it as
+    /// suspected, or if executors have crashed under the task before.
     pub(super) fn is_suspect(&self, key: TaskKey) -> bool {
         let Some(task) = self.task(key) else {
             return false;
@@ -99,7 +134,9 @@
         let Some(assignment) = task.assignment() else {
             return false;
         };
-        let may_be_new = assignment.start_state != StartState::Inherited || task.crashes > 0;
+        let may_be_new = assignment.start_state != StartState::Inherited
+            || task.crashes > 0
+            || task.suspected_run == task.run;
         may_be_new
             && assignment.knowledge() != RunKnowledge::NotStarted
             && task.cleared_run != task.run
--- a/crates/job/src/scheduler/silence.rs
+++ b/crates/job/src/scheduler/silence.rs
@@ -2,7 +2,8 @@
 //!
 //! A successor cannot know when an executor that does not answer it was last granted a lease. What
 //! is stored tells it, because an owner grants no lease to an executor that the stored record
-//! names, or that a write in flight names.
+//! names, or that a write in flight names. It also tells which runs are suspected if such an executor
+//! turns out to have crashed ([`super::crashes`]).
 
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use crate::fleet::Executor;
 use crate::fleet::ExecutorKey;
 use crate::lease_record::MAX_SILENT_EXECUTORS;
+use crate::lease_record::MAX_STORED_SUSPECTS;
 use crate::lease_record::SilentExecutor;
 
 /// Interval at which the record is written again while it names executors, because the time until their
@@ -59,9 +61,16 @@
     /// Returns the silent executors as they are to be stored. From now on none of them is granted a lease.
     pub fn begin_storing_silence(&mut self, now: Mono) -> Vec<SilentExecutor> {
         let silent = self.fleet.iter().filter(|(_, it)| is_silent(it, now));
+        let mut room = MAX_STORED_SUSPECTS;
         let (keys, silent): (Set<ExecutorKey>, Vec<SilentExecutor>) = silent
             .take(MAX_SILENT_EXECUTORS)
-            .map(|(key, executor)| (key, silent_executor(executor, now)))
+            .map(|(key, executor)| {
+                let mut entry = silent_executor(executor, now);
+                entry.suspects = self.suspected_runs(key);
+                entry.suspects.truncate(room);
+                room -= entry.suspects.len();
+                (key, entry)
+            })
             .unzip();
         self.silence.being_stored = Some(keys);
         self.silence.changed = false;
@@ -80,6 +89,14 @@
         self.withhold_leases_of_silent();
     }
 
+    /// Records that a run on an executor is suspected from now on. If the executor is silent already,
+    /// the record has to change.
+    pub(super) fn mark_suspicion_changed(&mut self, key: ExecutorKey) {
+        if self.fleet.get(key).is_some_and(|it| !it.reachable) {
+            self.silence.mark_changed();
+        }
+    }
+
     fn withhold_leases_of_silent(&mut self) {
         let silence = &self.silence;
         for (key, executor) in self.fleet.iter_mut() {
@@ -101,6 +118,10 @@
             if executor.listing.started_unix_ms == entry.executor.started_unix_ms {
                 let until = read_at.after(Duration::from_millis(entry.lease_ms));
                 executor.limit_inherited_leases(until);
+                if executor.listing.address.is_empty() {
+                    executor.listing.address = entry.address.clone();
+                }
+                self.inherit_suspects(key, &entry.suspects);
             }
         }
         // What follows is stored with the first assignments, so that an executor that has no tasks any
@@ -124,5 +145,7 @@
             started_unix_ms: executor.listing.started_unix_ms,
         },
         lease_ms: model::time::millis(executor.leases_expire_at.since(now)),
+        address: executor.listing.address.clone(),
+        suspects: Vec::new(),
     }
 }
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -33,6 +33,8 @@
     pub crashes: u32,
     /// The latest run that has shown that it does not crash its executor; 0 if there is none.
     pub cleared_run: RunNumber,
+    /// The run that an earlier owner suspected when its executor became silent; 0 if there is none.
+    pub suspected_run: RunNumber,
     /// The latest checkpoint.
     pub checkpoint: Option<Arc<str>>,
     /// The executor of the latest failed or stalled run, or the latest that was too unhealthy to start
--- a/crates/job/tests/all/crash_world.rs
+++ b/crates/job/tests/all/crash_world.rs
@@ -7,6 +7,7 @@
 use job::fleet::Listing;
 use job::id::JobId;
 use job::id::TaskId;
+use job::lease_record::LeaseRecord;
 use job::scheduler::ActiveRun;
 use job::scheduler::Command;
 use job::scheduler::EndedRun;
@@ -69,6 +70,8 @@
     drains: bool,
     /// The latest record of each job.
     stored: Map<JobId, Vec<u8>>,
+    /// The latest row about leases.
+    stored_leases: Vec<u8>,
     /// The number of starts of each task.
     pub starts: Map<TaskKey, u32>,
     /// The number of crashes during which each task was active.
@@ -121,6 +124,7 @@
             returns,
             drains: false,
             stored: Map::default(),
+            stored_leases: b"{}".to_vec(),
             starts: Map::default(),
             crashes: Map::default(),
         };
@@ -172,6 +176,8 @@
             self.fixture.scheduler.restore(submission, &record, now);
         }
         self.fixture.scheduler.inherit_leases(now, now.after(LEASE));
+        let leases: LeaseRecord = serde_json::from_slice(&self.stored_leases).expect("a valid row");
+        self.fixture.scheduler.inherit_silence(&leases.silent, now);
         self.list();
     }
 
@@ -218,6 +224,14 @@
         let batch = scheduler.take_batch(100, usize::MAX);
         self.stored.extend(batch.rows.iter().cloned());
         scheduler.batch_stored(batch, self.fixture.now);
+        if scheduler.is_silence_due(self.fixture.now) {
+            let leases = LeaseRecord {
+                witnesses: Vec::new(),
+                silent: scheduler.begin_storing_silence(self.fixture.now),
+            };
+            self.stored_leases = serde_json::to_vec(&leases).expect("a row can be serialised");
+            scheduler.silence_stored(true);
+        }
     }
 
     fn return_processes(&mut self) {
--- a/crates/job/tests/all/crashes.rs
+++ b/crates/job/tests/all/crashes.rs
@@ -8,6 +8,7 @@
 
 use crate::crash_world::CrashWorld;
 use crate::crash_world::Return;
+use crate::fixture::Fixture;
 use crate::fixture::service;
 use crate::fixture::step;
 
@@ -22,6 +23,12 @@
     TaskKey { job, slot: 0 }
 }
 
+/// Returns the number of crashes that a task is suspected of.
+fn crashes(fixture: &Fixture, key: TaskKey) -> u32 {
+    let task = fixture.scheduler.task(key);
+    task.expect("the task exists").crashes
+}
+
 fn assert_given_up_in_time(world: &CrashWorld, key: TaskKey) {
     let crashes = world.crashes.get(&key).copied().unwrap_or(0);
     let starts = world.starts.get(&key).copied().unwrap_or(0);
@@ -186,6 +193,67 @@
     assert!(state.is_some_and(|state| !state.is_final()), "{state:?}");
 }
 
+/// BUDGET: with owners that were lost between each crash and its discovery, such a task was started
+/// again and again, because the successor neither knew that its run was new nor the address at which
+/// a later process shows the crash.
+#[test]
+fn crashes_that_become_known_after_a_takeover_are_counted() {
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 30, 600)
+    };
+    let steps = [step(4, 4, 600), service(3, 4, "image"), gang];
+    let returns = [Return::Renamed(AWAY_MS), Return::SameName(AWAY_MS)];
+    for (step, returns) in steps
+        .iter()
+        .flat_map(|step| returns.map(|returns| (step, returns)))
+    {
+        // The times after which owners are lost; the second one may store nothing.
+        for owners in [&[300][..], &[300, 300], &[300, 0]] {
+            let mut world = CrashWorld::new(12, returns);
+            let job = world.submit(1, vec![step.clone()]);
+            let key = world.make_deadly(job, 0);
+            let is_failed =
+                |world: &CrashWorld| world.fixture.scheduler.state(job) == Some(JobState::Failed);
+            for crash in 1..=6 {
+                world.run_until(20_000, |world| {
+                    world.crashes.get(&key) == Some(&crash) || is_failed(world)
+                });
+                for lost_after_ms in owners {
+                    world.run(*lost_after_ms);
+                    if !is_failed(&world) {
+                        world.take_over();
+                    }
+                }
+            }
+            assert!(
+                is_failed(&world),
+                "{owners:?}, {returns:?}, {step:?}: started {:?} times",
+                world.starts.get(&key)
+            );
+            assert_given_up_in_time(&world, key);
+        }
+    }
+}
+
+#[test]
+fn a_run_that_its_executor_had_survived_is_not_suspected_after_a_takeover() {
+    for returns in [Return::Renamed(AWAY_MS), Return::SameName(AWAY_MS)] {
+        let mut world = CrashWorld::new(12, returns);
+        let job = world.submit(1, vec![service(1, 4, "image")]);
+        let key = first_task(&world, job);
+        for _ in 0..4 {
+            world.run_until(10_000, |world| world.is_running(key));
+            world.run(3_000);
+            world.crash_below(key);
+            world.run(300);
+            world.take_over();
+            world.run_until(10_000, |world| world.is_running(key));
+            assert_eq!(crashes(&world.fixture, key), 0, "{returns:?}");
+        }
+    }
+}
+
 #[test]
 fn a_crash_that_is_known_only_after_the_lease_has_lapsed_counts() {
     let mut world = CrashWorld::new(12, Return::Renamed(8_000));
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod faulty_executors;
 mod fixture;
 mod gang_failures;
+mod inherited_crashes;
 mod interference;
 mod known_red;
 mod larger_steps;
