fix(link): what is left of a call that was given up is not sent any more

Cause, by reading: a call whose time limit passes drops its request, but the task that carries the connection goes on writing what it has, and the system sends what a closed connection has left until the other side has it. Change: the connection ends with the call, and is reset, so that nothing of it is sent later.

Evidence: what_is_left_of_a_call_that_was_given_up_is_not_sent_any_more failed before (all 32 MiB arrived after the call had been given up), and with the reset alone.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -19,8 +19,10 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use model::Map;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
 /// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -98,6 +100,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// The identity that the process has stated on this connection, if it was asked.
     identity: Option<u64>,
+    /// Carries the connection, and closes it when it is dropped.
+    _task: AbortOnDropHandle<()>,
 }
 
 struct IdleConnection {
@@ -303,18 +307,22 @@
         .await
         .map_err(|_| CallError::NotSent)?
         .map_err(|_| CallError::NotSent)?;
+    // Otherwise what is left of a call that was given up is sent after the connection is closed, and may
+    // reach the server seconds later, once a cut has healed. The call works without the option.
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
     // Without `TCP_NODELAY` Nagle's algorithm delays small requests. The connection also works
     // if the option cannot be set.
     let _ = stream.set_nodelay(true);
     let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| CallError::NotSent)?;
-    tokio::task::spawn_local(async move {
+    let task = tokio::task::spawn_local(async move {
         // A connection error also fails the call in progress, which returns it to the caller.
         let _ = connection.await;
     });
     Ok(Connection {
         sender,
         identity: None,
+        _task: AbortOnDropHandle::new(task),
     })
 }
