fix(job): a late answer of the present incarnation is no sign of a restart

An answer that came over a second late made an executor look as if it had restarted: it got no tasks until the next poll was answered, its ends were not acknowledged, its leases counted as the longest, and new ones were shorter by the delay. Calls are bound to an incarnation since, so that the answer proves the opposite. A reading that is behind is ignored; an answer of an incarnation that has ended already was. Without a named incarnation a lower clock still shows a restart.

--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -104,7 +104,8 @@
 
     /// Records that an executor answered a command, together with the reading of its clock. An answer of an
     /// `incarnation` that has ended is ignored: a deadline on its clock would give the present one the
-    /// longest lease. An answer that identifies no incarnation shows a new one by a clock that fell behind.
+    /// longest lease. An answer that identifies no incarnation shows a new one by a clock that fell behind;
+    /// any other whose clock is behind has come late, and leases computed from it would be too short.
     pub fn command_answered(
         &mut self,
         key: ExecutorKey,
@@ -122,13 +123,17 @@
             executor_ms: clock_ms,
             at: now,
         };
-        let known = executor.clock.replace(reading);
+        let known = executor.clock;
+        let is_behind = known.is_some_and(|known| !known.is_continued_by(&reading));
+        if !is_behind || incarnation.is_none() {
+            executor.clock = Some(reading);
+        }
         executor.answered_at = now;
         self.silence.executor_answered(executor);
         executor.is_replaced = false;
         executor.unexplained_losses.clear();
         executor.failing_since = None;
-        if known.is_some_and(|known| !known.is_continued_by(&reading)) {
+        if is_behind && incarnation.is_none() {
             executor.incarnation_uncertain_since.get_or_insert(now);
             self.poll_candidates.push(key);
             self.assume_max_lease(key, now);
--- a/crates/job/tests/all/leases.rs
+++ b/crates/job/tests/all/leases.rs
@@ -377,3 +377,53 @@
     let expected = fixture.now.after(LEASE).0;
     assert_eq!(deadline, Some(expected));
 }
+
+/// TWICE: a deadline that was computed from the clock of an earlier incarnation gave the present one the longest
+/// lease.
+#[test]
+fn the_answer_of_an_incarnation_that_has_ended_says_nothing_of_the_present_clock() {
+    let mut fixture = Fixture::new(1);
+    fixture.pass(60_000);
+    let first = listing(1);
+    fixture.list(vec![first.clone()]);
+    let second = new_listing();
+    fixture
+        .scheduler
+        .update_executors(vec![(second, 0)], fixture.now);
+    let executor = fixture.executor(1);
+
+    let (ended, late_ms) = (Some(first.started_unix_ms), fixture.now.0);
+    fixture
+        .scheduler
+        .command_answered(executor, ended, late_ms, fixture.now);
+    let deadline = fixture.scheduler.grant_lease(executor, fixture.now);
+    let longest = model::time::millis(LEASE);
+    assert!(
+        deadline.is_some_and(|deadline| deadline <= longest),
+        "{deadline:?}"
+    );
+}
+
+/// An answer on a connection to the present incarnation proves that there was no restart, however late it
+/// comes. Taken for one, it kept all tasks from the executor; taken for a present reading, it shortened its leases.
+#[test]
+fn a_late_answer_of_the_present_incarnation_changes_nothing() {
+    let mut fixture = Fixture::new(1);
+    fixture.pass(60_000);
+    fixture.list(vec![listing(1)]);
+    let executor = fixture.executor(1);
+    let present = Some(listing(1).started_unix_ms);
+    let clock_ms = fixture.now.0;
+    fixture
+        .scheduler
+        .command_answered(executor, present, clock_ms, fixture.now);
+    let expected = fixture.scheduler.grant_lease(executor, fixture.now);
+    let late_ms = fixture.now.0 - 4_000;
+    fixture
+        .scheduler
+        .command_answered(executor, present, late_ms, fixture.now);
+    let granted = fixture.scheduler.grant_lease(executor, fixture.now);
+    assert_eq!(granted, expected);
+    fixture.submit(1, vec![step(1, 4, 60_000)]);
+    assert_eq!(fixture.place(), 1);
+}
--- a/crates/job/tests/all/restart_as_another_kind.rs
+++ b/crates/job/tests/all/restart_as_another_kind.rs
@@ -85,7 +85,8 @@
             ShownBy::Report => self.poll_new_incarnation(&[]),
             ShownBy::Answer => {
                 let executor = self.executor(1);
-                self.scheduler.command_answered(executor, 10, self.now);
+                self.scheduler
+                    .command_answered(executor, None, 10, self.now);
             }
             ShownBy::List => self.list(vec![entry(1, "kind-b", RESTARTED)]),
         }
