--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -29,7 +29,7 @@
 /// Idle time after which a connection is not reused, because a device on the network path may have
 /// dropped its state.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Maximum number of idle connections in the pool per address.
+/// Maximum number of idle connections in the pool per address, unless a client has another.
 const MAX_IDLE_PER_ADDRESS: usize = 4;
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -111,9 +111,16 @@
 }
 
 /// An HTTP client. Clones share one connection pool.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
     pool: Rc<RefCell<Map<Arc<str>, Vec<IdleConnection>>>>,
+    max_idle_per_address: usize,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::with_max_idle(MAX_IDLE_PER_ADDRESS)
+    }
 }
 
 impl std::fmt::Debug for Client {
@@ -129,6 +136,18 @@
         Self::default()
     }
 
+    /// Creates a client that keeps at most this many idle connections to an address.
+    ///
+    /// A machine that loses power leaves its connections open at the other end, where they count against the
+    /// server's limit until the server notices. Fewer idle ones let more machines be lost before it is reached.
+    #[must_use]
+    pub fn with_max_idle(max_idle_per_address: usize) -> Self {
+        Self {
+            pool: Rc::default(),
+            max_idle_per_address,
+        }
+    }
+
     /// Sends a request to `address` and reads the complete response.
     ///
     /// The connection returns to the pool only after a complete response. New connections are
@@ -227,12 +246,13 @@
         }
         let mut pool = self.pool.borrow_mut();
         let idle = pool.entry(address.clone()).or_default();
-        if idle.len() < MAX_IDLE_PER_ADDRESS {
-            idle.push(IdleConnection {
-                connection,
-                since: Instant::now(),
-            });
-        }
+        idle.push(IdleConnection {
+            connection,
+            since: Instant::now(),
+        });
+        // The oldest is the likeliest to have died without a sign.
+        let surplus = idle.len().saturating_sub(self.max_idle_per_address);
+        idle.drain(..surplus);
     }
 }
 
--- a/crates/link/tests/all/client.rs
+++ b/crates/link/tests/all/client.rs
@@ -1,5 +1,7 @@
 //! Calls of a client to servers that misbehave.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use link::client::Client;
 use link::client::TimeLimits;
 use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
@@ -43,3 +46,53 @@
         })
         .await;
 }
+
+/// Accepts connections on loopback and answers each request, and counts the connections that are open.
+async fn counting_server() -> (Arc<str>, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let open = Rc::new(Cell::new(0));
+    let counted = open.clone();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let open = counted.clone();
+            open.set(open.get() + 1);
+            tokio::task::spawn_local(async move {
+                let mut buf = [0_u8; 1_024];
+                while let Ok(1..) = stream.read(&mut buf).await {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    if stream.write_all(response).await.is_err() {
+                        break;
+                    }
+                }
+                open.set(open.get() - 1);
+            });
+        }
+    });
+    (address.into(), open)
+}
+
+/// Machines that lose power leave their idle connections open at the server, until none is left for others.
+#[tokio::test]
+async fn a_client_keeps_no_more_idle_connections_than_its_limit() {
+    LocalSet::new()
+        .run_until(async {
+            let (address, open) = counting_server().await;
+            let client = Client::with_max_idle(1);
+            let limits = TimeLimits::total(Duration::from_secs(5));
+            let request = || {
+                Request::get("/")
+                    .body(Full::default())
+                    .expect("a valid request")
+            };
+            for _ in 0..2 {
+                let call = || client.call(&address, request(), limits);
+                let answers = tokio::join!(call(), call(), call());
+                assert!(matches!(answers, (Ok(_), Ok(_), Ok(_))), "{answers:?}");
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            assert_eq!(open.get(), 1);
+        })
+        .await;
+}
