revert(platform): executors get as many idle connections as before

Each new connection asks for the incarnation, which the users price as a probe.

The pool still keeps the newest connections.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -32,7 +32,7 @@
 /// Idle time after which a connection is not reused, because a device on the network path may have
 /// dropped its state.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Maximum number of idle connections in the pool per address, unless a client has another.
+/// Maximum number of idle connections in the pool per address.
 const MAX_IDLE_PER_ADDRESS: usize = 4;
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -130,16 +130,9 @@
 }
 
 /// An HTTP client. Clones share one connection pool.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct Client {
     pool: Rc<RefCell<Map<Arc<str>, Vec<IdleConnection>>>>,
-    max_idle_per_address: usize,
-}
-
-impl Default for Client {
-    fn default() -> Self {
-        Self::with_max_idle(MAX_IDLE_PER_ADDRESS)
-    }
 }
 
 impl std::fmt::Debug for Client {
@@ -155,18 +148,6 @@
         Self::default()
     }
 
-    /// Creates a client that keeps at most this many idle connections to an address.
-    ///
-    /// A machine that loses power leaves its connections open at the other end, where they count against the
-    /// server's limit until the server notices. Fewer idle ones let more machines be lost before it is reached.
-    #[must_use]
-    pub fn with_max_idle(max_idle_per_address: usize) -> Self {
-        Self {
-            pool: Rc::default(),
-            max_idle_per_address,
-        }
-    }
-
     /// Sends a request to `address` and reads the complete response.
     ///
     /// The connection returns to the pool only after a complete response. New connections are
@@ -302,7 +283,7 @@
             since: Instant::now(),
         });
         // The oldest is the likeliest to have died without a sign.
-        let surplus = idle.len().saturating_sub(self.max_idle_per_address);
+        let surplus = idle.len().saturating_sub(MAX_IDLE_PER_ADDRESS);
         idle.drain(..surplus);
     }
 }
