fix(job): after a restart an owner waits only for leases that were granted

Callers would see tasks without a run for more than 9 s (LOST): an executor crashes and is back under its name, the owner is lost before it notices, and the new incarnation is lost too. The successor read of it in the list and counted on the longest lease that executors accept, 10.35 s from then on.

Cause: the assumption is from a time when a deadline for the earlier clock could reach the next incarnation. Calls are bound to an incarnation since, so that nobody grants such a lease, and the wait trades TWICE for LOST. Change: it holds for executors whose incarnation is not known, and while calls of an owner of an earlier release may arrive: the owner's row says binds_calls, from its first owner on, or 12 s after an owner that follows an earlier release has settled.

The model explores unbound calls with the assumption, as before.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -344,6 +344,7 @@
         released: false,
         relays: false,
         witnessed: earlier_record.witnessed,
+        binds_calls: earlier_record.epoch == 0 || earlier_record.binds_calls,
         settled: false,
         successor: None,
     };
--- a/crates/dispatch/src/owner/commands.rs
+++ b/crates/dispatch/src/owner/commands.rs
@@ -29,7 +29,7 @@
 /// Delay before a command is sent again.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How long after it was sent an unanswered command may still be executed.
-const MAX_COMMAND_DELAY: Duration = Duration::from_secs(12);
+pub(super) const MAX_COMMAND_DELAY: Duration = Duration::from_secs(12);
 /// Interval at which a CPU share is sent again during that time.
 const SHARE_RESEND_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of attempts to stop a run that the scheduler does not know; the next poll shows whether
--- a/crates/dispatch/src/owner/commit.rs
+++ b/crates/dispatch/src/owner/commit.rs
@@ -107,6 +107,7 @@
             transaction: transaction_number,
             witnessed: witnessed || self.record.borrow().witnessed,
             settled: self.settled.get(),
+            binds_calls: self.record.borrow().binds_calls || self.outlives_earlier_calls(),
             released: release.is_some(),
             successor: release.and_then(Release::successor),
             relays: self.record.borrow().relays || self.relays_wanted.get(),
--- a/crates/dispatch/src/owner/predecessor.rs
+++ b/crates/dispatch/src/owner/predecessor.rs
@@ -15,6 +15,7 @@
 use super::Claim;
 use super::MAX_UNCONFIRMED;
 use super::Owner;
+use super::commands::MAX_COMMAND_DELAY;
 use crate::lease_events;
 use crate::lease_events::InheritedLeases;
 use crate::node::Node;
@@ -231,6 +232,11 @@
 }
 
 impl Owner {
+    /// Returns whether no call of an earlier owner can arrive any more.
+    pub(super) fn outlives_earlier_calls(&self) -> bool {
+        self.settled.get() && self.now().since(self.owned_since) >= MAX_COMMAND_DELAY
+    }
+
     /// Records that no earlier owner goes on, so that a successor has to consider this one alone.
     fn settle(self: &Rc<Self>) {
         self.settled.set(true);
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -108,6 +108,7 @@
         remote_factor: node.timing.remote_factor,
     };
     let mut scheduler = Scheduler::new(plan, timing);
+    scheduler.calls_may_stray = !claim.record.binds_calls;
     scheduler.max_record_bytes = node.dependencies.store.max_value_bytes();
     let tombstones = restore(node, &mut scheduler, &stored);
     let inherited = scheduler
--- a/crates/dispatch/src/rows.rs
+++ b/crates/dispatch/src/rows.rs
@@ -75,6 +75,10 @@
     /// of the witnesses in the row about leases. Owners of earlier releases do not.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub witnessed: bool,
+    /// Whether the calls of this owner, and of each earlier one whose calls may still arrive, reach only the
+    /// incarnation of an executor that they are meant for. Those of earlier releases do not.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub binds_calls: bool,
     /// Whether all earlier owners are known to have ended.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub settled: bool,
--- a/crates/dispatch/tests/all/lost_executors.rs
+++ b/crates/dispatch/tests/all/lost_executors.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 
 use dispatch::api::SubmitOutcome;
+use dispatch::rows;
+use dispatch::rows::OwnerRecord;
 use job::id::TaskId;
 use job::spec::JobSpec;
 use job::spec::StepSpec;
 use model::Size;
 use tokio::time::Instant;
 
+use crate::executor::MAX_LEASE;
 use crate::store::StoreFault;
 use crate::world::World;
 
@@ -374,3 +377,86 @@
     assert_eq!(losses.world.fleet.starts.get(), starts);
     losses.world.assert_no_violations();
 }
+
+/// LOST: a successor that read of a later incarnation in the list waited for the longest lease that executors
+/// accept, although nobody had granted that one any.
+#[tokio::test(start_paused = true)]
+async fn tasks_run_again_in_time_although_the_owner_and_the_next_incarnation_are_lost() {
+    for after_ms in [0, 300, 700] {
+        let mut losses = Losses::new(long_running()).await;
+        let crashed = losses.world.fleet.executor(1).tasks();
+        assert!(!crashed.is_empty(), "nothing runs on executor 1");
+        losses.world.fleet.restart(1);
+        losses.world.fleet.executor(1).reachable.set(false);
+        losses.lost.push((1, Instant::now(), crashed));
+        losses.pass(Duration::from_millis(after_ms)).await;
+        losses.lose_owner();
+        let name = format!("the owner {after_ms} ms later");
+        losses.check(&name).await;
+    }
+}
+
+/// LOST: an owner that learned of a restart counted on the longest lease that executors accept, although nobody
+/// had granted one.
+#[tokio::test(start_paused = true)]
+async fn tasks_run_again_in_time_although_their_executor_had_restarted_shortly_before() {
+    for lost_after_ms in [100, 600, 1_500, 3_000] {
+        for owner_lost_after_ms in [None, Some(0), Some(700), Some(2_000)] {
+            let mut losses = Losses::new(long_running()).await;
+            let world = &losses.world;
+            world.fleet.restart(1);
+            let restarted = world.fleet.executor(1);
+            restarted.task_duration.set(Duration::from_secs(60));
+            let host = world.owner().expect("an owner");
+            while restarted.tasks().is_empty() {
+                world.submit(&host, 2, tasks(long_running())).await;
+                losses.pass(Duration::from_millis(50)).await;
+            }
+            losses.pass(Duration::from_millis(lost_after_ms)).await;
+            losses.lose_executor(1);
+            if let Some(after_ms) = owner_lost_after_ms {
+                losses.pass(Duration::from_millis(after_ms)).await;
+                losses.lose_owner();
+            }
+            let name = format!("{lost_after_ms} ms later, owner lost {owner_lost_after_ms:?}");
+            losses.check(&name).await;
+        }
+    }
+}
+
+/// TWICE: the calls of an owner of an earlier release may give a later incarnation the longest lease, so that a
+/// successor waits for that, until no call of such an owner can arrive any more.
+#[tokio::test(start_paused = true)]
+async fn a_successor_of_an_earlier_release_waits_for_the_longest_lease_after_a_restart() {
+    let mut losses = Losses::new(long_running()).await;
+    let owner = losses.lose_owner();
+    let row = rows::owner_row_id();
+    let value = losses.world.store.value(&row).expect("an owner's row");
+    let record: OwnerRecord = serde_json::from_slice(&value).expect("a valid row");
+    assert!(record.binds_calls);
+    let earlier_release = OwnerRecord {
+        binds_calls: false,
+        ..record
+    };
+    let value = serde_json::to_vec(&earlier_release).expect("a row can be serialised");
+    losses.world.store.put(row.clone(), value);
+
+    let crashed = losses.world.fleet.executor(1).tasks();
+    losses.world.fleet.restart(1);
+    losses.world.fleet.executor(1).reachable.set(false);
+    let restarted_at = Instant::now();
+    losses.pass(MAX_LEASE).await;
+    for task in &crashed {
+        let started = losses.world.fleet.last_start(*task);
+        assert!(started.is_some_and(|started| started < restarted_at));
+    }
+    losses.pass(Duration::from_secs(4)).await;
+    for task in &crashed {
+        let started = losses.world.fleet.last_start(*task);
+        assert!(started.is_some_and(|started| started > restarted_at));
+    }
+    let value = losses.world.store.value(&row).expect("an owner's row");
+    let record: OwnerRecord = serde_json::from_slice(&value).expect("a valid row");
+    assert!(record.host != owner && record.binds_calls);
+    losses.world.assert_no_violations();
+}
--- a/crates/job/src/scheduler/leases.rs
+++ b/crates/job/src/scheduler/leases.rs
@@ -76,10 +76,18 @@
         self.silence.mark_changed();
     }
 
-    /// Extends the expiry of an executor's leases to the longest lease that an executor accepts. A
-    /// new incarnation may have received a deadline that was computed for the clock of the previous
-    /// one, so that only this maximum limits its lease.
+    /// Extends the expiry of an executor's leases to the longest lease that an executor accepts, if a new
+    /// incarnation may have received a deadline that was computed for the clock of the previous one. Only
+    /// this maximum limits its lease then. A call that names its incarnation reaches no other
+    /// (`docs/design/calls-to-one-incarnation.md`).
     pub(super) fn assume_max_lease(&mut self, key: ExecutorKey, now: Mono) {
+        let names_incarnations = self
+            .fleet
+            .get(key)
+            .is_some_and(|executor| executor.listing.started_unix_ms != 0);
+        if names_incarnations && !self.calls_may_stray {
+            return;
+        }
         let longest = self.timing.max_lease;
         if let Some(executor) = self.fleet.get_mut(key) {
             let clock = ClockReading {
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -200,6 +200,9 @@
     pub(crate) advice_requests: Vec<AdviceRequest>,
     /// The time after which no lease that this owner grants may end.
     pub grants_until: Mono,
+    /// Whether calls may reach a later incarnation of an executor than they are meant for, as those of an owner of
+    /// an earlier release do. A new incarnation may then hold the longest lease that executors accept.
+    pub calls_may_stray: bool,
     /// The executors that are stored as silent.
     silence: silence::StoredSilence,
     /// Whether the previous owner may still send commands.
@@ -257,6 +260,7 @@
             advice: AdviceCache::default(),
             advice_requests: Vec::new(),
             grants_until: Mono(u64::MAX),
+            calls_may_stray: false,
             silence: silence::StoredSilence::default(),
             previous_owner_may_send: false,
             previous_owner_sends_until: Mono::ZERO,
--- a/crates/job/tests/all/leases.rs
+++ b/crates/job/tests/all/leases.rs
@@ -247,6 +247,7 @@
 #[test]
 fn a_new_incarnation_with_a_deadline_of_the_previous_clock_may_run_for_the_longest_lease() {
     let mut fixture = Fixture::new(1);
+    fixture.scheduler.calls_may_stray = true;
     fixture.submit(1, vec![step(1, 4, 60_000)]);
     fixture.start_all();
     let executor = fixture.executor(1);
--- a/crates/job/tests/all/model/takeover.rs
+++ b/crates/job/tests/all/model/takeover.rs
@@ -13,6 +13,7 @@
 use job::spec::StepSpec;
 use model::Mono;
 
+use super::binding::Calls;
 use super::state::ATTEMPTS;
 use super::state::Mutation;
 use super::state::Owner;
@@ -139,6 +140,7 @@
             remote_factor: 1.0,
         };
         let mut scheduler = Scheduler::new(plan(ATTEMPTS), timing);
+        scheduler.calls_may_stray = self.calls == Calls::Unbound;
         match takeover.record.flatten() {
             Some(row) => {
                 let record: JobRecord = serde_json::from_slice(&row).expect("a valid record");
