test(link): the test of a slow greeting depends on events, not on times

It had a server that answers after 20 ms and limits of 5 and 35 ms, so that a busy machine could fail it. The server answers when the test releases it, and the test counts connections: one, because the second call uses the one on which the identity has arrived. The test of idle connections waits for turns of the runtime in place of 200 ms.

--- a/crates/link/tests/all/client.rs
+++ b/crates/link/tests/all/client.rs
@@ -16,10 +16,14 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tokio::task::LocalSet;
 
 /// The number of idle connections that a client keeps to an address.
 const MAX_IDLE: usize = 4;
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+/// How often the runtime looks for events before a test relies on those that have happened.
+const TURNS: usize = 50;
 /// More than the buffers of a connection on loopback take.
 const BODY_BYTES: usize = 32 << 20;
 
@@ -65,8 +69,7 @@
                 let mut buf = [0_u8; 1_024];
                 while let Ok(1..) = stream.read(&mut buf).await {
                     tokio::time::sleep(Duration::from_millis(20)).await;
-                    let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
-                    if stream.write_all(response).await.is_err() {
+                    if stream.write_all(OK).await.is_err() {
                         break;
                     }
                 }
@@ -98,19 +101,46 @@
                     assert!(answer.is_ok(), "{answer:?}");
                 }
             }
-            tokio::time::sleep(Duration::from_millis(200)).await;
+            for _ in 0..TURNS {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
             assert_eq!(open.get(), MAX_IDLE);
         })
         .await;
 }
 
+/// Accepts connections on loopback and answers requests once it is released. Returns the number of connections.
+async fn gated_server(gate: Rc<Semaphore>) -> (Arc<str>, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let accepted = Rc::new(Cell::new(0));
+    let counted = accepted.clone();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            counted.set(counted.get() + 1);
+            let gate = gate.clone();
+            tokio::task::spawn_local(async move {
+                let mut buf = [0_u8; 1_024];
+                while let Ok(1..) = stream.read(&mut buf).await {
+                    let _released = gate.acquire().await;
+                    if stream.write_all(OK).await.is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    (address.into(), accepted)
+}
+
 /// A path on which the identity of a process does not arrive within the time of a call must not keep all calls
-/// from it.
+/// from it: the next one uses the connection on which it has arrived meanwhile.
 #[tokio::test]
 async fn a_call_is_sent_once_a_slow_process_has_stated_its_identity_to_an_earlier_one() {
     LocalSet::new()
         .run_until(async {
-            let (address, _) = counting_server().await;
+            let gate = Rc::new(Semaphore::new(0));
+            let (address, accepted) = gated_server(gate.clone()).await;
             let client = Client::new();
             let request = || {
                 Request::get("/")
@@ -122,17 +152,21 @@
                 greeting: &|| Ok(request()),
                 identify: |_| Some(7),
             };
-            let short = TimeLimits::total(Duration::from_millis(5));
-            let call = client.call_process(&address, process, request(), short);
-            assert_eq!(call.await.err(), Some(CallError::NotSent));
-            tokio::time::sleep(Duration::from_millis(200)).await;
-            let long = TimeLimits::total(Duration::from_millis(35));
-            let call = client.call_process(&address, process, request(), long);
-            let answer = call.await;
+            let call = |limit| {
+                let limits = TimeLimits::total(Duration::from_millis(limit));
+                client.call_process(&address, process, request(), limits)
+            };
+            assert_eq!(call(50).await.err(), Some(CallError::NotSent));
+            gate.add_permits(1);
+            for _ in 0..TURNS {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let answer = call(5_000).await;
             assert!(
                 matches!(answer, Ok(ProcessAnswer::Answered(_))),
                 "{answer:?}"
             );
+            assert_eq!(accepted.get(), 1, "connections");
         })
         .await;
 }
