--- a/crates/dispatch/tests/all/lost_executors.rs
+++ b/crates/dispatch/tests/all/lost_executors.rs
@@ -428,7 +428,7 @@
 /// successor waits for that, until no call of such an owner can arrive any more.
 #[tokio::test(start_paused = true)]
 async fn a_successor_of_an_earlier_release_waits_for_the_longest_lease_after_a_restart() {
-    let mut losses = Losses::new(long_running()).await;
+    let losses = Losses::new(long_running()).await;
     let owner = losses.lose_owner();
     let row = rows::owner_row_id();
     let value = losses.world.store.value(&row).expect("an owner's row");
