--- a/crates/dispatch/src/document/transfer.rs
+++ b/crates/dispatch/src/document/transfer.rs
@@ -59,21 +59,24 @@
     owner: &OwnerDocument,
     followed: Option<u64>,
 ) -> Result<Option<u64>, TransferFailed> {
+    let with_owner = followed.max(Some(owner.info.store_version));
     if owner.info.version <= version(node) {
-        return Ok(followed.max(Some(owner.info.store_version)));
+        return Ok(with_owner);
     }
     let started = node.now();
     let mut transfer = pin!(transfer(node, owner));
-    tokio::select! {
+    let received = tokio::select! {
         biased;
-        received = &mut transfer => {
-            if received {
-                return Ok(followed.max(Some(owner.info.store_version)));
-            }
+        received = &mut transfer => Some(received),
+        () = lost_ping(node, &owner.address) => None,
+    };
+    match received {
+        Some(true) => return Ok(with_owner),
+        Some(false) => {
             let is_repeatable = node.now().since(started) <= MAX_REPEATABLE;
             return Err(TransferFailed { is_repeatable });
         }
-        () = lost_ping(node, &owner.address) => {}
+        None => {}
     }
     let mut followed = followed;
     let mut has_failed = false;
@@ -83,7 +86,7 @@
             biased;
             received = &mut transfer => {
                 if received {
-                    return Ok(followed.max(Some(owner.info.store_version)));
+                    return Ok(with_owner);
                 }
                 has_failed = true;
                 followed = from_store.await;
