--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -4,7 +4,7 @@
 //! A refusal says that the job is not and never will be stored. An earlier attempt, at any host, may
 //! have sent a write that the store applies seconds later. So a refusal first replaces the row of the
 //! job, which must be absent, by a marker: a late write expects an absent row and no longer applies.
-//! The submission that comes back reads the marker before it writes, and expects its version.
+//! The repeated submission reads the marker before it writes, and expects its version.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -41,7 +41,7 @@
 const MAX_ESTIMATE_AGE: Duration = Duration::from_millis(2_500);
 /// Time limit for the owner's answer. Without one the job is accepted.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
-/// Refused callers may come back for so long after the last estimate in which jobs wait: the longest
+/// Refused callers may retry for so long after the last estimate in which jobs wait: the longest
 /// `Retry-After` and the time that callers take besides.
 const RETURN_PERIOD: Duration = Duration::from_secs(75);
 /// How often a marker is written if the row has changed in between.
@@ -70,7 +70,7 @@
 /// The owner's decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdmitReply {
-    /// When the caller should come back, in milliseconds; `None` if the job may be stored.
+    /// When the caller should retry, in milliseconds; `None` if the job may be stored.
     pub retry_after_ms: Option<u64>,
 }
 
@@ -118,7 +118,7 @@
         self.overloaded_at.set(Some(now));
     }
 
-    /// Returns whether callers whose jobs were refused may come back now.
+    /// Returns whether callers whose jobs were refused may retry now.
     fn expects_returns(&self, now: Mono) -> bool {
         let at = self.overloaded_at.get();
         at.is_some_and(|at| now.since(at) <= RETURN_PERIOD)
@@ -153,7 +153,7 @@
     Taken,
 }
 
-/// Returns what is stored under the id of a job. It is read only while refused callers may come back,
+/// Returns what is stored under the id of a job. It is read only while refused callers may retry,
 /// and counts as absent otherwise and if the store does not answer: then the write itself finds out.
 pub(crate) async fn stored_row(node: &Node, id: JobId) -> StoredRow {
     if !node.admission.expects_returns(node.now()) {
@@ -170,7 +170,7 @@
     }
 }
 
-/// Refuses a job if the owner decides so. Returns when its caller should come back, or `None` if the job
+/// Refuses a job if the owner decides so. Returns when its caller should retry, or `None` if the job
 /// is to be stored: it is not hopeless, the owner does not answer, or an earlier attempt may be stored.
 pub(crate) async fn refuse(
     node: &Rc<Node>,
@@ -194,7 +194,7 @@
     store_marker(node, id, version).await.then_some(retry_after)
 }
 
-/// Returns when the caller should come back if the owner refuses the job.
+/// Returns when the caller should retry if the owner refuses the job.
 async fn ask_owner(node: &Rc<Node>, request: AdmitRequest) -> Option<Duration> {
     let reply = if let Some(owner) = node.owner() {
         owner.admit(&request)
--- a/crates/dispatch/src/api.rs
+++ b/crates/dispatch/src/api.rs
@@ -70,7 +70,7 @@
     Refused,
     /// The job is not stored and never will be, because it could not be done while it has value.
     Overloaded {
-        /// When the caller should come back, in seconds.
+        /// When the caller should retry, in seconds.
         retry_after_s: u64,
     },
     /// The job may have been stored, or may still be stored later.
--- a/crates/dispatch/src/dump.rs
+++ b/crates/dispatch/src/dump.rs
@@ -54,7 +54,7 @@
     pub jobs: Vec<JobDump>,
     /// Number of jobs that this owner has refused because they could not be done in time.
     pub refused: u64,
-    /// Number of refused callers that are expected to come back.
+    /// Number of refused callers that are expected to retry.
     pub returning_callers: usize,
     /// Number of executors known to the scheduler.
     pub known_executors: usize,
--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -19,7 +19,7 @@
 }
 
 /// Logs that jobs are refused because they cannot be done while they have value: how many since the
-/// last line, how many callers are expected to come back, the queue whose jobs wait longest and the
+/// last line, how many callers are expected to retry, the queue whose jobs wait longest and the
 /// work before them, as the time in milliseconds that the executors take for it. At most one line a second.
 pub fn overload(queue: &str, refused: u64, returning: usize, ahead_ms: u64) {
     log::info!(event = "overload", queue, refused, returning, ahead_ms; "");
--- a/crates/dispatch/src/owner/admission.rs
+++ b/crates/dispatch/src/owner/admission.rs
@@ -30,7 +30,7 @@
 /// decide already.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(900);
 /// How long a marker stays: longer than a write of the job may be late (6 s were observed), and than
-/// a refused caller takes to come back.
+/// a refused caller takes to retry.
 const MARKER_RETENTION: Duration = Duration::from_secs(75);
 /// No more jobs are refused while this many markers are stored.
 const MAX_MARKERS: usize = 8_192;
@@ -70,7 +70,7 @@
         })
     }
 
-    /// Returns the number of refusals by this owner and of callers that are expected to come back.
+    /// Returns the number of refusals by this owner and of callers that are expected to retry.
     #[must_use]
     pub fn admission_counts(&self) -> (u64, usize) {
         let state = self.admission.state.borrow();
--- a/crates/job/src/admission/decision.rs
+++ b/crates/job/src/admission/decision.rs
@@ -93,7 +93,7 @@
     Accept,
     /// The job is not stored.
     Refuse {
-        /// When its caller should come back.
+        /// When its caller should retry.
         retry_after: Duration,
     },
 }
--- a/crates/job/src/admission/mod.rs
+++ b/crates/job/src/admission/mod.rs
@@ -1,9 +1,9 @@
-//! Admission control: which new jobs are refused under overload, and when their callers come back.
+//! Admission control: which new jobs are refused under overload, and when their callers retry.
 //!
 //! [`backlog`] summarizes the work that waits and the capacity for it, [`rates`] observes how fast
 //! such work is completed and arrives, and [`estimate`] derives from both how long a new job would
 //! wait. [`decision`] compares that with the time in which the job has value. [`returns`] hands out
-//! the times at which refused callers come back. [`Admission`] holds the state of the owner.
+//! the times at which refused callers retry. [`Admission`] holds the state of the owner.
 //! `docs/design/admission.md` explains the rules.
 
 pub mod backlog;
--- a/crates/job/src/admission/returns.rs
+++ b/crates/job/src/admission/returns.rs
@@ -1,7 +1,7 @@
-//! When refused callers come back.
+//! When refused callers retry.
 //!
 //! The callers of a queue get times in the order in which they were refused, as far apart as capacity
-//! becomes free. A caller that comes back at its time goes before new jobs of its queue.
+//! becomes free. A caller that retries at its time goes before new jobs of its queue.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,13 +14,13 @@
 
 /// The maximum number of callers that are remembered. No more are refused.
 const MAX_BOOKINGS: usize = 4_096;
-/// The shortest time after which a caller comes back. Within it, the refusal is known to all hosts.
+/// The shortest time after which a caller retries. Within it, the refusal is known to all hosts.
 const MIN_DELAY: Duration = Duration::from_secs(1);
-/// The longest time after which a caller comes back.
+/// The longest time after which a caller retries.
 const MAX_DELAY: Duration = Duration::from_secs(60);
-/// The longest time after which a caller comes back that was refused at its time.
+/// The longest time after which a caller retries that was refused at its time.
 const MAX_REPEATED_DELAY: Duration = Duration::from_secs(5);
-/// Capacity is left for callers that are to come back within this time.
+/// Capacity is left for callers that are to retry within this time.
 const LOOKAHEAD: Duration = Duration::from_secs(1);
 /// Capacity is left for a caller until this long after its time, because `Retry-After` has whole
 /// seconds.
@@ -75,7 +75,7 @@
         self.bookings.is_empty()
     }
 
-    /// Returns whether a caller has come back at its time.
+    /// Returns whether a caller has retried at its time.
     #[must_use]
     pub fn is_due(&self, id: JobId, now: Mono) -> bool {
         let booking = self.bookings.get(&id);
@@ -94,7 +94,7 @@
         self.bookings.remove(&id);
     }
 
-    /// Forgets callers that have not come back.
+    /// Forgets callers that have not retried.
     pub fn expire(&mut self, now: Mono) {
         self.bookings
             .retain(|_, booking| now < booking.due_at.after(RETENTION));
@@ -127,7 +127,7 @@
     /// one of its queue may return `interval` after it. Returns the time after which the caller comes
     /// back, or `None` if no more callers can be remembered.
     ///
-    /// A caller that comes back too early is told its time again. One that was refused at its time
+    /// A caller that retries too early is told its time again. One that was refused at its time
     /// gets the earliest possible one and does not wait behind those that came later.
     pub fn book(
         &mut self,
--- a/crates/job/src/placement/place_wait.rs
+++ b/crates/job/src/placement/place_wait.rs
@@ -99,7 +99,7 @@
         let run = Duration::from_millis(run_ms);
         let excess = self.timing.remote_factor - 1.0;
         let gain = Duration::try_from_secs_f64(run.as_secs_f64() * excess);
-        // The slack of the rank rests on the estimate of the caller.
+        // The slack of the rank depends on the estimate of the caller.
         let longer = Duration::from_millis(run_ms.saturating_sub(step.estimate_ms));
         let slack = Duration::from_millis(rank.slack_ms);
         PlaceTiming {
