--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -101,7 +101,7 @@
     pub stop_timeout: Duration,
     /// How many times as long a task takes away from its data, or a gang in more than one rack; 1 if
     /// places make no difference.
-    pub remote_factor: f64,
+    pub remote_slowdown: f64,
     /// Time that the process has for a graceful shutdown.
     pub shutdown_grace: Duration,
     /// How long callers can query a job after its end.
--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -105,7 +105,7 @@
         max_lease: node.timing.max_lease,
         stop_timeout: node.timing.stop_timeout,
         warmup: node.timing.warmup,
-        remote_factor: node.timing.remote_factor,
+        remote_slowdown: node.timing.remote_slowdown,
     };
     let mut scheduler = Scheduler::new(plan, timing);
     scheduler.calls_may_stray = !claim.record.binds_calls;
--- a/crates/dispatch/tests/all/relay_routes.rs
+++ b/crates/dispatch/tests/all/relay_routes.rs
@@ -40,7 +40,7 @@
         max_lease: 10 * SECOND,
         stop_timeout: SECOND,
         warmup: None,
-        remote_factor: 1.0,
+        remote_slowdown: 1.0,
     };
     let mut scheduler = Scheduler::new(Arc::new(plan(1, false)), timing);
     let listings = ["north", "south", "west"]
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -252,7 +252,7 @@
             lease: Duration::from_secs(5),
             max_lease: MAX_LEASE,
             stop_timeout: Duration::from_millis(900),
-            remote_factor: 1.0,
+            remote_slowdown: 1.0,
             shutdown_grace: Duration::from_secs(6),
             retention: RETENTION,
             warmup: self.warmup.get(),
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -55,7 +55,7 @@
     /// The properties published most recently, with the start time of the current incarnation. Until
     /// that one is listed, the others are those of an earlier one ([`Executor::has_current_entry`]).
     pub listing: Listing,
-    /// The rack, where places matter ([`crate::scheduler::Timing::remote_factor`]); `None` if unknown.
+    /// The rack, where places matter ([`crate::scheduler::Timing::remote_slowdown`]); `None` if unknown.
     pub rack: Option<Arc<str>>,
     /// Whether the newest executor list contains the executor.
     pub listed: bool,
--- a/crates/job/src/locality.rs
+++ b/crates/job/src/locality.rs
@@ -1,12 +1,12 @@
 //! Decides how long a wait for a better place pays off.
 //!
-//! A task takes [`Timing::remote_factor`] times as long in another rack than its data, and so does a
+//! A task takes [`Timing::remote_slowdown`] times as long in another rack than its data, and so does a
 //! gang in more than one rack. Waiting for room in the right rack gains the difference and costs the
 //! time until such room is free, for this task and for those that want the same rack after it. The
 //! rate at which room becomes free is observed by rack. `docs/design/locality.md` explains the rule
 //! and what it was compared with.
 //!
-//! [`Timing::remote_factor`]: crate::scheduler::Timing::remote_factor
+//! [`Timing::remote_slowdown`]: crate::scheduler::Timing::remote_slowdown
 
 use std::collections::VecDeque;
 use std::sync::Arc;
--- a/crates/job/src/placement/place_wait.rs
+++ b/crates/job/src/placement/place_wait.rs
@@ -54,7 +54,7 @@
     /// better one. Best-effort steps and those of queues with an advisor have conditions of their own,
     /// and a step that cannot be in time must not become later.
     pub(super) fn may_wait_for_place(&self, queue: &Queue, step: &StepSpec, rank: &Rank) -> bool {
-        self.timing.remote_factor > 1.0
+        self.timing.remote_slowdown > 1.0
             && rank.outlook == DeadlineOutlook::InTime
             && !step.best_effort
             && queue.advisor.is_none()
@@ -97,7 +97,7 @@
     ) -> PlaceTiming {
         let run_ms = self.durations.expected_ms(queue_name, step);
         let run = Duration::from_millis(run_ms);
-        let excess = self.timing.remote_factor - 1.0;
+        let excess = self.timing.remote_slowdown - 1.0;
         let gain = Duration::try_from_secs_f64(run.as_secs_f64() * excess);
         // The slack of the rank depends on the estimate of the caller.
         let longer = Duration::from_millis(run_ms.saturating_sub(step.estimate_ms));
@@ -181,7 +181,7 @@
     /// Returns whether a task takes this many times as long as near its data or in one rack, because
     /// of where it was assigned; 1 if it does not.
     pub(crate) fn run_factor(&self, key: TaskKey) -> f64 {
-        let factor = self.timing.remote_factor;
+        let factor = self.timing.remote_slowdown;
         let Some(step) = self.step(key).filter(|_| factor > 1.0) else {
             return 1.0;
         };
--- a/crates/job/src/placement/same_rack.rs
+++ b/crates/job/src/placement/same_rack.rs
@@ -21,7 +21,7 @@
 impl Scheduler {
     /// Returns whether it matters in how many racks the tasks of a gang are.
     pub(super) fn prefers_one_rack(&self, step: &StepSpec) -> bool {
-        self.timing.remote_factor > 1.0 && step.gang && step.same_rack && step.count > 1
+        self.timing.remote_slowdown > 1.0 && step.gang && step.same_rack && step.count > 1
     }
 
     /// Returns executors of one rack for all members of a gang, or `None` if no rack has room for all.
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -49,7 +49,7 @@
         self.find_replaced_executors(now);
         self.find_evacuation_problems();
         self.find_cold_services(now);
-        if self.timing.remote_factor > 1.0 {
+        if self.timing.remote_slowdown > 1.0 {
             crate::rack::assign_racks(&mut self.fleet);
         }
     }
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -132,7 +132,7 @@
     pub warmup: Option<WarmupLimits>,
     /// How many times as long a task takes in another rack than its data, and a gang with
     /// [`StepSpec::same_rack`] in more than one rack. At 1 and below, places make no difference.
-    pub remote_factor: f64,
+    pub remote_slowdown: f64,
 }
 
 /// The state of all jobs of one owner.
--- a/crates/job/src/stall.rs
+++ b/crates/job/src/stall.rs
@@ -32,9 +32,9 @@
 /// whole run, plus [`RESTART_COST`].
 const SLOWDOWN_FACTOR: u32 = 2;
 /// How many times as long a task may take that is not near its data, or whose step is to be in one
-/// rack. The platform's [`Timing::remote_factor`] is 1.5 to 3.
+/// rack. The platform's [`Timing::remote_slowdown`] is 1.5 to 3.
 ///
-/// [`Timing::remote_factor`]: crate::scheduler::Timing::remote_factor
+/// [`Timing::remote_slowdown`]: crate::scheduler::Timing::remote_slowdown
 const REMOTE_FACTOR: u32 = 3;
 /// The time it takes to stop a task and start it again.
 const RESTART_COST: Duration = Duration::from_millis(400);
--- a/crates/job/tests/all/fixture.rs
+++ b/crates/job/tests/all/fixture.rs
@@ -134,7 +134,7 @@
             max_lease: MAX_LEASE,
             stop_timeout: Duration::from_millis(900),
             warmup: None,
-            remote_factor: 1.0,
+            remote_slowdown: 1.0,
         };
         let mut fixture = Self {
             scheduler: Scheduler::new(plan(2), timing),
--- a/crates/job/tests/all/locality.rs
+++ b/crates/job/tests/all/locality.rs
@@ -27,7 +27,7 @@
 
 fn fixture(names: &[&str]) -> Fixture {
     let mut fixture = Fixture::new(0);
-    fixture.scheduler.timing.remote_factor = 2.0;
+    fixture.scheduler.timing.remote_slowdown = 2.0;
     racks(&mut fixture, names);
     fixture
 }
@@ -98,7 +98,7 @@
     ] {
         let mut fixture = fixture(&["r1", "r2"]);
         keep_first_executor_turning_over(&mut fixture);
-        fixture.scheduler.timing.remote_factor = factor;
+        fixture.scheduler.timing.remote_slowdown = factor;
         fixture.submit(1, vec![step]);
         assert_eq!(fixture.place(), 1);
         assert_eq!(fixture.tasks_on(2).len(), 1);
@@ -162,7 +162,7 @@
 fn a_wait_goes_on_while_there_is_no_room_elsewhere() {
     let mut fixture = fixture(&["r1", "r2"]);
     keep_first_executor_turning_over(&mut fixture);
-    fixture.scheduler.timing.remote_factor = 3.0;
+    fixture.scheduler.timing.remote_slowdown = 3.0;
     fixture.submit(1, vec![near(1, CORES, 500)]);
     assert_eq!(fixture.place(), 0);
     fixture.submit(2, vec![step(1, CORES, 1_000)]);
@@ -319,7 +319,7 @@
 #[test]
 fn a_run_elsewhere_counts_by_what_it_would_take_near() {
     let mut fixture = fixture(&["r2"]);
-    fixture.scheduler.timing.remote_factor = 3.0;
+    fixture.scheduler.timing.remote_slowdown = 3.0;
     fixture.submit(1, vec![near(1, 1, 4_000)]);
     fixture.start_all();
     let task = fixture.tasks_on(1)[0];
--- a/crates/job/tests/all/locality_loads.rs
+++ b/crates/job/tests/all/locality_loads.rs
@@ -87,16 +87,16 @@
     println!(
         "factor, load, rule: in time / late / worthless of data, gang, anywhere; waited near / elsewhere"
     );
-    for remote_factor in [1.5, 2.0, 3.0] {
+    for remote_slowdown in [1.5, 2.0, 3.0] {
         for (name, trouble, jobs_per_s) in LOADS {
             let load = Load {
                 trouble,
                 jobs_per_s,
-                remote_factor,
+                remote_slowdown,
             };
             let outcomes = RULES.map(|(rule_name, rule)| {
                 let outcome = replay(load, rule);
-                println!("{remote_factor}, {name}, {rule_name}: {outcome}");
+                println!("{remote_slowdown}, {name}, {rule_name}: {outcome}");
                 outcome
             });
             let in_time = outcomes.map(|outcome| outcome.in_time());
@@ -108,7 +108,7 @@
             let allowed = f64::from(outcomes[0].jobs()) * TOLERANCE;
             assert!(
                 f64::from(own) >= f64::from(best) - allowed,
-                "{remote_factor}, {name}: {own} in time, {best} by another rule"
+                "{remote_slowdown}, {name}: {own} in time, {best} by another rule"
             );
         }
     }
--- a/crates/job/tests/all/locality_world.rs
+++ b/crates/job/tests/all/locality_world.rs
@@ -74,7 +74,7 @@
     pub trouble: Trouble,
     /// Jobs a second, of which half have data and one in ten is a gang.
     pub jobs_per_s: f64,
-    pub remote_factor: f64,
+    pub remote_slowdown: f64,
 }
 
 /// What became of the jobs of one class.
@@ -189,7 +189,7 @@
     pub fn new(load: Load, rule: Rule, seed: u64) -> Self {
         let executors = RACKS * EXECUTORS_PER_RACK;
         let mut fixture = Fixture::new(0);
-        fixture.scheduler.timing.remote_factor = load.remote_factor;
+        fixture.scheduler.timing.remote_slowdown = load.remote_slowdown;
         fixture.scheduler.locality.rule = rule;
         fixture.list((1..=executors).map(listing_of).collect());
         let mut world = Self {
@@ -432,7 +432,7 @@
                 if self.is_near(run.key, number) {
                     1.0
                 } else {
-                    1.0 / self.load.remote_factor
+                    1.0 / self.load.remote_slowdown
                 }
             })
             .collect();
--- a/crates/job/tests/all/model/takeover.rs
+++ b/crates/job/tests/all/model/takeover.rs
@@ -137,7 +137,7 @@
             },
             stop_timeout: Duration::from_millis(900),
             warmup: None,
-            remote_factor: 1.0,
+            remote_slowdown: 1.0,
         };
         let mut scheduler = Scheduler::new(plan(ATTEMPTS), timing);
         scheduler.calls_may_stray = self.calls == Calls::Unbound;
--- a/crates/measure/src/fleet_load.rs
+++ b/crates/measure/src/fleet_load.rs
@@ -153,7 +153,7 @@
             max_lease: Duration::from_secs(6),
             stop_timeout: Duration::from_millis(200),
             warmup: None,
-            remote_factor: 1.0,
+            remote_slowdown: 1.0,
         };
         let mut scheduler = Scheduler::new(plan(), timing);
         scheduler.update_executors(listings(), Mono(1));
--- a/crates/measure/src/jobs.rs
+++ b/crates/measure/src/jobs.rs
@@ -111,7 +111,7 @@
             max_lease: Duration::from_secs(10),
             stop_timeout: Duration::from_secs(1),
             warmup: None,
-            remote_factor: 1.0,
+            remote_slowdown: 1.0,
         };
         let mut scheduler = Scheduler::new(plan(), timing);
         let listings = (0..EXECUTORS).map(|number| (listing(number), 1)).collect();
