refactor(job): name the start in an executor's list entry as assignments do

Executor::announced_start_unix_ms and Assignment::entry_started_unix_ms were two names for the start time of the incarnation that wrote a list entry.

--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -108,7 +108,7 @@
     /// The start time of the newest incarnation in the executor list, in milliseconds since 1970, whose
     /// properties `listing` holds. A list entry does not say which tasks the new incarnation runs; only
     /// a poll does.
-    pub announced_start_unix_ms: u64,
+    pub entry_started_unix_ms: u64,
     /// Since when the executor list has held an entry of an earlier incarnation than the newest known.
     pub stale_entry_since: Option<Mono>,
     /// Since when the current incarnation is uncertain, because the executor's clock showed less than
--- a/crates/job/src/fleet/availability.rs
+++ b/crates/job/src/fleet/availability.rs
@@ -28,19 +28,19 @@
     #[must_use]
     pub const fn has_current_entry(&self) -> bool {
         self.incarnation_uncertain_since.is_none()
-            && self.announced_start_unix_ms >= self.listing.started_unix_ms
+            && self.entry_started_unix_ms >= self.listing.started_unix_ms
     }
 
     /// Returns whether the executor was chosen for a task by its present list entry, and that is the
     /// entry of the current incarnation.
     pub(crate) const fn is_still_chosen_by_entry(&self, assignment: &Assignment) -> bool {
-        self.has_current_entry() && self.announced_start_unix_ms == assignment.entry_started_unix_ms
+        self.has_current_entry() && self.entry_started_unix_ms == assignment.entry_started_unix_ms
     }
 
     /// Returns the start time of the newest incarnation that the executor list or a poll has shown, in
     /// milliseconds since 1970.
     pub(crate) fn newest_start_unix_ms(&self) -> u64 {
-        let announced = self.announced_start_unix_ms;
+        let announced = self.entry_started_unix_ms;
         announced.max(self.listing.started_unix_ms)
     }
 
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -83,7 +83,7 @@
         if listing.draining && listing.started_unix_ms == executor.listing.started_unix_ms {
             executor.announced_departure = true;
         }
-        executor.announced_start_unix_ms = listing.started_unix_ms;
+        executor.entry_started_unix_ms = listing.started_unix_ms;
         executor.stale_entry_since = None;
         executor.listing = listing;
         executor.listing.started_unix_ms = started_unix_ms;
--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -93,7 +93,7 @@
         let Some(executor) = self.fleet.get_mut(key) else {
             return;
         };
-        if started_unix_ms > executor.announced_start_unix_ms {
+        if started_unix_ms > executor.entry_started_unix_ms {
             self.assume_max_lease(key, now);
         }
     }
--- a/crates/job/src/scheduler/transitions.rs
+++ b/crates/job/src/scheduler/transitions.rs
@@ -96,7 +96,7 @@
         now: Mono,
     ) {
         let entry = self.fleet.get(executor);
-        let entry_started_unix_ms = entry.map_or(0, |entry| entry.announced_start_unix_ms);
+        let entry_started_unix_ms = entry.map_or(0, |entry| entry.entry_started_unix_ms);
         let Some(task) = self.task_mut(key) else {
             return;
         };
--- a/crates/job/tests/all/model/digest.rs
+++ b/crates/job/tests/all/model/digest.rs
@@ -149,7 +149,7 @@
                 // Only an unconfirmed start that is still wanted depends on the list entry, and only on
                 // whether it is the present one, since later entries replace it for good.
                 let entry = self.scheduler.fleet.get(assignment.executor);
-                let present = entry.map(|entry| entry.announced_start_unix_ms);
+                let present = entry.map(|entry| entry.entry_started_unix_ms);
                 let is_unconfirmed = matches!(
                     assignment.start_state,
                     StartState::Storing | StartState::Sent
--- a/crates/job/tests/all/model/step.rs
+++ b/crates/job/tests/all/model/step.rs
@@ -175,7 +175,7 @@
     /// Returns whether an owner that knows this of an executor knows its incarnation.
     fn is_known(&self, known: &KnownExecutor, at: usize) -> bool {
         let listed = known.listing.started_unix_ms;
-        known.announced_start_unix_ms.max(listed) == self.executors[at].started_unix_ms
+        known.entry_started_unix_ms.max(listed) == self.executors[at].started_unix_ms
     }
 
     fn steps_of_slow_calls(&self, steps: &mut Vec<Step>) {
--- a/crates/job/tests/all/model/takeover.rs
+++ b/crates/job/tests/all/model/takeover.rs
@@ -201,13 +201,13 @@
         let is_due = known
             .iter()
             .flatten()
-            .any(|executor| executor.announced_start_unix_ms < executor.listing.started_unix_ms);
+            .any(|executor| executor.entry_started_unix_ms < executor.listing.started_unix_ms);
         if !is_due {
             return;
         }
         let executors = [0, 1].map(|at: usize| {
             let newest = known[at].map_or(0, |executor| {
-                let announced = executor.announced_start_unix_ms;
+                let announced = executor.entry_started_unix_ms;
                 announced.max(executor.listing.started_unix_ms)
             });
             (newest, self.executors[at].clock_ms(now))
