--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -148,7 +148,8 @@
     }
 
     /// Releases a task that a new incarnation of its executor does not run. A start command sent to
-    /// the previous incarnation may still reach the new one; such a run is stopped there first. A
+    /// the previous incarnation may still reach the new one if calls may stray; such a run is stopped there
+    /// first. A
     /// start that was confirmed after the report was requested may have been confirmed by the new
     /// incarnation.
     fn lose_with_incarnation(&mut self, key: TaskKey, report: &Report, sent: Mono, now: Mono) {
