--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -541,6 +541,19 @@
             [sys.executable, os.path.abspath(__file__), "executor", json.dumps(self.settings)],
             stdin=subprocess.DEVNULL)
 
+    async def start_and_listen(self):
+        """Starts it and waits until it accepts connections, however long its start takes here."""
+        self.start()
+        ip, port = self.settings["address"].rsplit(":", 1)
+        for _ in range(500):
+            try:
+                _, writer = await asyncio.open_connection(ip, int(port))
+                writer.close()
+                return
+            except OSError:
+                await asyncio.sleep(0.01)
+        raise RuntimeError("an executor does not start")
+
     def kill(self):
         if self.child is not None:
             self.child.kill()
