--- a/review/11/case.py
+++ b/review/11/case.py
@@ -51,7 +51,9 @@
         "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
         "capacity": cut.settings["capacity"], "labels": cut.settings["labels"], "clock_ms": 5000,
         "sequence": 1, "born": unix_ms()}
-    writer = asyncio.ensure_future(beat(d, entry))
+    # ENTRY=0 leaves the entry out and keeps the disruption: a control that tells what the entry does.
+    has_entry = os.environ.get("ENTRY", "1") != "0"
+    writer = asyncio.ensure_future(beat(d, entry)) if has_entry else None
     # Each executor gets a task and has room for another one.
     steps = [{"count": EXECUTORS, "cpu": 3000, "mem_mb": 1000, "estimated_ms": WORK_MS}]
     status, _ = await d.client("POST", job_id(), {"spec": f"work={WORK_MS} cpu=3000 mem=1000", "steps": steps})
@@ -63,7 +65,8 @@
     if trouble:
         cut.child.send_signal(signal.SIGUSR1)
     await asyncio.sleep(18)
-    writer.cancel()
+    if writer is not None:
+        writer.cancel()
     return overlaps(d.events())
 
 
