--- a/crates/dispatch/src/events.rs
+++ b/crates/dispatch/src/events.rs
@@ -261,7 +261,13 @@
     log::warn!(event = "task_given_up", job, step, index, executor, crashes; "");
 }
 
-/// Logs that the process of an unreachable executor has ended, because a later one is listed at its
+/// Logs that an executor is listed as a later process at the address of a silent one, which only its own
+/// answer proves.
+pub fn successor_asked(id: &str, successor: &str) {
+    log::info!(event = "successor_asked", id, successor; "");
+}
+
+/// Logs that the process of a silent executor has ended, because a later one has answered at its
 /// address, with the number of tasks that were assigned to it.
 pub fn executor_replaced(id: &str, successor: &str, tasks: usize) {
     log::info!(event = "executor_replaced", id, successor, tasks; "");
--- a/crates/dispatch/src/metrics/mod.rs
+++ b/crates/dispatch/src/metrics/mod.rs
@@ -120,6 +120,8 @@
     pub moved_tasks: Counter,
     /// Tasks that were given up because executors crashed under them.
     pub tasks_given_up: Counter,
+    /// Executors that were asked whether they have followed a silent one.
+    pub asked_successors: Counter,
     /// Start commands withdrawn because of an evacuation, by data centre.
     pub withdrawn_starts: Family<DataCentreLabel, Counter>,
     /// Ended jobs by final state.
@@ -163,6 +165,7 @@
             failed_runs: Counter::default(),
             moved_tasks: Counter::default(),
             tasks_given_up: Counter::default(),
+            asked_successors: Counter::default(),
             withdrawn_starts: Family::default(),
             jobs_ended: Family::default(),
             job_seconds: histogram(JOB_BUCKETS),
@@ -233,6 +236,12 @@
             "Tasks that were given up because executors crashed under them",
             &self.tasks_given_up,
         );
+        register(
+            registry,
+            "asked_successors",
+            "Executors listed at the address of a silent one that were asked whether they are there",
+            &self.asked_successors,
+        );
         register(
             registry,
             "withdrawn_starts",
--- a/crates/dispatch/src/owner/telemetry.rs
+++ b/crates/dispatch/src/owner/telemetry.rs
@@ -257,6 +257,17 @@
             };
             metrics.withdrawn_starts.get_or_create(&label).inc();
         }
+        Event::SuccessorAsked {
+            executor,
+            successor,
+        } => {
+            metrics.asked_successors.inc();
+            let (executor, successor) = (
+                executor_name(scheduler, *executor),
+                executor_name(scheduler, *successor),
+            );
+            events::successor_asked(executor, successor);
+        }
         Event::ExecutorReplaced {
             executor,
             successor,
--- a/crates/dispatch/tests/all/executor.rs
+++ b/crates/dispatch/tests/all/executor.rs
@@ -34,6 +34,9 @@
 /// Default duration of a task.
 pub const TASK_DURATION: Duration = Duration::from_millis(600);
 
+/// The reading of a clock in entries that no executor has written.
+const FOREIGN_CLOCK_MS: u64 = 5_000;
+
 /// An ended run that has not been acknowledged.
 struct UnacknowledgedEnd {
     end: EndedRun,
@@ -115,6 +118,8 @@
     pub relay: Relay,
     /// The entries of the list that name no executor.
     pub rejected: RefCell<Vec<RejectedEntry>>,
+    /// Entries of the list that no executor has written.
+    pub foreign: RefCell<Vec<Listing>>,
     /// Descriptions of observed violations.
     pub violations: RefCell<Vec<String>>,
 }
@@ -134,6 +139,24 @@
         self.insert(id, &earlier, 2);
     }
 
+    /// Adds a process under another name at the address of an executor that has crashed and is still listed.
+    pub fn follow(&self, number: usize, id: &str) {
+        let earlier = self.executor(number);
+        earlier.interrupt_all();
+        self.insert(id, &earlier.address, earlier.started_unix_ms + 1);
+    }
+
+    /// Adds an entry that no executor has written. It repeats that of an executor under another name, and
+    /// names a later start.
+    pub fn add_foreign_entry(&self, number: usize, id: &str) {
+        let copied = self.executor(number).listing();
+        self.foreign.borrow_mut().push(Listing {
+            id: id.into(),
+            started_unix_ms: copied.started_unix_ms + 1,
+            ..copied
+        });
+    }
+
     /// Lets an executor crash and start anew under its name. What ran there is gone.
     pub fn restart(&self, number: usize) {
         let earlier = self.executor(number);
@@ -197,6 +220,13 @@
         self.find(id).filter(|executor| executor.reachable.get())
     }
 
+    /// Returns whether another executor than the intended one answers a call.
+    pub fn is_answered_by_another(&self, target: &Target) -> bool {
+        let executors = self.executors.borrow();
+        let mut others = executors.values().filter(|other| other.id != target.id);
+        others.any(|other| other.reachable.get() && other.address == target.address)
+    }
+
     /// Returns the list of executors with the readings of their clocks.
     ///
     /// # Panics
@@ -204,11 +234,12 @@
     /// Panics once if the test asks for it.
     pub fn listings(&self) -> Vec<(Listing, u64)> {
         assert!(!self.list_panics.take(), "the list makes its reader panic");
-        self.executors
-            .borrow()
-            .values()
-            .filter(|executor| executor.listed.get())
+        let foreign = self.foreign.borrow().clone().into_iter();
+        let executors = self.executors.borrow();
+        let listed = executors.values().filter(|executor| executor.listed.get());
+        listed
             .map(|executor| (executor.listing(), executor.clock_ms()))
+            .chain(foreign.map(|entry| (entry, FOREIGN_CLOCK_MS)))
             .collect()
     }
 
--- a/crates/dispatch/tests/all/executor_calls.rs
+++ b/crates/dispatch/tests/all/executor_calls.rs
@@ -48,6 +48,9 @@
     fleet.calls.set(fleet.calls.get() + 1);
     tokio::time::sleep(CALL_DELAY).await;
     let Some(executor) = fleet.find_reachable(&target.id) else {
+        if fleet.is_answered_by_another(&target) {
+            return without_clock(CommandOutcome::WrongExecutor);
+        }
         tokio::time::sleep(timeout).await;
         return without_clock(CommandOutcome::NotSent);
     };
@@ -94,6 +97,9 @@
         "the report makes its reader panic"
     );
     let Some(executor) = fleet.find_reachable(&call.target.id) else {
+        if fleet.is_answered_by_another(&call.target) {
+            return Err(PollError::WrongExecutor);
+        }
         tokio::time::sleep(POLL_FAILURE_DELAY).await;
         return Err(PollError::Failed);
     };
--- a/crates/dispatch/tests/all/lost_executors.rs
+++ b/crates/dispatch/tests/all/lost_executors.rs
@@ -93,6 +93,14 @@
         self.lost.push((number, Instant::now(), tasks));
     }
 
+    /// Lists a later process at the address of a lost executor that is out of reach as well.
+    fn follow_out_of_reach(&self, number: usize) {
+        let id = format!("e{number}-later");
+        self.world.fleet.follow(number, &id);
+        let later = self.world.fleet.find(&id).expect("listed");
+        later.reachable.set(false);
+    }
+
     fn lose_owner(&self) -> String {
         let owner = self.world.owner().expect("an owner");
         self.world.kill(&owner);
@@ -240,6 +248,27 @@
     losses.check("a gang").await;
 }
 
+/// The same, for an executor that crashed and was followed by another process at its address, which no host
+/// reaches either, so that nothing shows the crash.
+#[tokio::test(start_paused = true)]
+async fn long_running_tasks_run_again_in_time_although_the_next_process_at_the_address_is_cut_off()
+{
+    for listed_ms in [0, 600, 2_000] {
+        for owner_ms in [None, Some(0), Some(300), Some(1_500), Some(4_000)] {
+            let mut losses = Losses::new(long_running()).await;
+            losses.lose_executor(1);
+            losses.pass(Duration::from_millis(listed_ms)).await;
+            losses.follow_out_of_reach(1);
+            if let Some(owner_ms) = owner_ms {
+                losses.pass(Duration::from_millis(owner_ms)).await;
+                losses.lose_owner();
+            }
+            let name = format!("listed {listed_ms} ms later, the owner {owner_ms:?} after that");
+            losses.check(&name).await;
+        }
+    }
+}
+
 /// The same, for hosts that are all restarted.
 #[tokio::test(start_paused = true)]
 async fn long_running_tasks_run_again_in_time_although_all_hosts_are_restarted() {
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod evacuation_source;
 mod executor;
 mod executor_calls;
+mod foreign_entries;
 mod handover;
 mod late_writes;
 mod log_capture;
--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -63,8 +63,14 @@
     pub reachable: bool,
     /// When the executor last answered a command or a poll.
     pub answered_at: Mono,
-    /// Whether a later process is listed at the executor's address, so that this one has ended.
+    /// At which address an incarnation of the executor has answered a poll last; `None` if none has.
+    pub presence: Option<Presence>,
+    /// When another address was listed for the executor; `None` if it has had one only.
+    pub(crate) address_changed_at: Option<Mono>,
+    /// Whether a later process has answered at the executor's address, so that this one has ended.
     pub is_replaced: bool,
+    /// The first executors that were asked whether they have followed this one, since it last answered.
+    pub(crate) asked_successors: Vec<Arc<str>>,
     /// Whether the current incarnation has announced that it shuts down. Its end is not a crash, also
     /// if a later incarnation returns under its name.
     pub announced_departure: bool,
@@ -146,9 +152,10 @@
     pub recovery: Option<AckRecovery>,
     /// Runs that were abandoned on the current incarnation.
     pub(crate) abandoned: Vec<(TaskKey, RunNumber)>,
-    /// Since when the executor may list the end of an abandoned run that no report has shown. Until it
-    /// answers a poll sent later, it gets no tasks and no leases, which would have to expire before it
-    /// can recover ([`crate::ack_recovery`]).
+    /// Since when the executor may list the end of an abandoned run that no report has shown, or is asked
+    /// whether it has followed a silent executor ([`crate::scheduler`]). Until it answers a poll sent later,
+    /// it gets no tasks and no leases, which would have to expire before it can recover
+    /// ([`crate::ack_recovery`]).
     pub report_due_since: Option<Mono>,
     /// When the CPU share of a best-effort task on the executor last changed.
     pub throttled_at: Mono,
@@ -170,6 +177,27 @@
     pub fault_cooldown_until: Mono,
 }
 
+/// That a process listens at an address, as its answer to a poll shows. An entry in the executor list
+/// shows nothing: it may come from another writer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Presence {
+    /// The address.
+    pub address: Arc<str>,
+    /// When the process started, in milliseconds since 1970.
+    pub started_unix_ms: u64,
+    /// When the poll was sent that it has answered.
+    pub asked_at: Mono,
+}
+
+impl Presence {
+    /// Returns whether the process of an executor at the same address has ended, because two processes
+    /// cannot listen there at the same time.
+    pub(crate) fn follows(&self, earlier: &Executor) -> bool {
+        earlier.listing.started_unix_ms < self.started_unix_ms
+            && earlier.answered_at < self.asked_at
+    }
+}
+
 /// The tasks of one service image on an executor.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceLoad {
@@ -246,6 +274,27 @@
         self.listing.capacity.saturating_sub(&self.used)
     }
 
+    /// Records that the process which started at `started_unix_ms` has answered a poll that was sent at
+    /// `asked_at`. A poll that was sent before the address changed may have gone to the former one.
+    pub(crate) fn record_presence(&mut self, started_unix_ms: u64, asked_at: Mono) {
+        if self.address_changed_at.is_some_and(|at| asked_at <= at) {
+            return;
+        }
+        self.presence = Some(Presence {
+            address: self.listing.address.clone(),
+            started_unix_ms,
+            asked_at,
+        });
+    }
+
+    /// Returns the address of the current incarnation: where it has answered, or else as listed.
+    pub(crate) fn address_of_incarnation(&self) -> &Arc<str> {
+        let presence = self.presence.as_ref();
+        presence
+            .filter(|presence| presence.started_unix_ms == self.listing.started_unix_ms)
+            .map_or(&self.listing.address, |presence| &presence.address)
+    }
+
     /// Records that this owner has granted a lease, or may have extended one, until this time.
     pub(crate) fn extend_own_leases(&mut self, until: Mono) {
         self.own_leases_expire_at = self.own_leases_expire_at.max(until);
--- a/crates/job/src/scheduler/event.rs
+++ b/crates/job/src/scheduler/event.rs
@@ -117,7 +117,14 @@
         /// The time since the recovery began, in milliseconds.
         after_ms: u64,
     },
-    /// A later process is listed at the address of an unreachable executor.
+    /// A later process is listed at the address of a silent executor, and is asked whether it is there.
+    SuccessorAsked {
+        /// The silent executor.
+        executor: ExecutorKey,
+        /// The executor that the later process is.
+        successor: ExecutorKey,
+    },
+    /// A later process has answered at the address of a silent executor.
     ExecutorReplaced {
         /// The executor whose process has ended.
         executor: ExecutorKey,
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -47,6 +47,7 @@
             self.fleet.remove(key);
         }
         self.find_replaced_executors(now);
+        self.ask_listed_successors(now);
         self.find_evacuation_problems();
         self.find_cold_services(now);
         if self.timing.remote_slowdown > 1.0 {
@@ -83,6 +84,10 @@
         if listing.draining && listing.started_unix_ms == executor.listing.started_unix_ms {
             executor.announced_departure = true;
         }
+        let known_address = &executor.listing.address;
+        if !known_address.is_empty() && *known_address != listing.address {
+            executor.address_changed_at = Some(now);
+        }
         executor.entry_started_unix_ms = listing.started_unix_ms;
         executor.stale_entry_since = None;
         executor.listing = listing;
@@ -131,6 +136,7 @@
         executor.answered_at = now;
         self.silence.executor_answered(executor);
         executor.is_replaced = false;
+        executor.asked_successors.clear();
         executor.unexplained_losses.clear();
         executor.failing_since = None;
         if is_behind && incarnation.is_none() {
--- a/crates/job/src/scheduler/incarnation.rs
+++ b/crates/job/src/scheduler/incarnation.rs
@@ -33,7 +33,11 @@
         }
         self.silence.executor_answered(executor);
         executor.is_replaced = false;
+        executor.asked_successors.clear();
         executor.answered_at = now;
+        if let Some(started_unix_ms) = report.started_unix_ms {
+            executor.record_presence(started_unix_ms, sent);
+        }
         executor.failing_since = None;
         if executor
             .incarnation_uncertain_since
--- a/crates/job/src/scheduler/report.rs
+++ b/crates/job/src/scheduler/report.rs
@@ -123,6 +123,7 @@
         self.begin_due_recovery(executor, now);
         if was_due && !self.is_report_due(executor) {
             self.resume_probe(executor, now);
+            self.find_replaced_executors(now);
         }
         for run in &report.running {
             self.handle_running(executor, run, sent, now);
--- a/crates/job/tests/all/crash_world.rs
+++ b/crates/job/tests/all/crash_world.rs
@@ -206,8 +206,8 @@
         if now.0.is_multiple_of(LIST_INTERVAL_MS) {
             self.list();
         }
-        if now.0.is_multiple_of(REPORT_INTERVAL_MS) {
-            for place in 0..self.places.len() {
+        for place in 0..self.places.len() {
+            if now.0.is_multiple_of(REPORT_INTERVAL_MS) || self.is_report_due(place) {
                 self.report(place);
             }
         }
@@ -267,6 +267,15 @@
         self.fixture.list(listings);
     }
 
+    /// Returns whether the owner polls an executor at once, which it has not done yet in this step.
+    fn is_report_due(&self, index: usize) -> bool {
+        let key = self.key_of(index);
+        let executor = key.and_then(|key| self.fixture.scheduler.fleet.get(key));
+        executor
+            .and_then(|executor| executor.report_due_since)
+            .is_some_and(|since| since < self.fixture.now)
+    }
+
     fn report(&mut self, index: usize) {
         let now = self.fixture.now;
         let Some(executor) = self.key_of(index) else {
--- a/crates/job/tests/all/crashes.rs
+++ b/crates/job/tests/all/crashes.rs
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn tasks_of_a_crashed_executor_start_again_once_a_later_process_is_listed_at_its_address() {
+fn tasks_of_a_crashed_executor_start_again_once_a_later_process_answers_at_its_address() {
     let mut world = CrashWorld::new(2, Return::Renamed(AWAY_MS));
     let job = world.submit(1, vec![step(1, 4, 60_000)]);
     world.run(3_000);
--- a/crates/job/tests/all/inherited_crashes.rs
+++ b/crates/job/tests/all/inherited_crashes.rs
@@ -8,6 +8,7 @@
 use job::lease_record::SilentExecutor;
 use job::record::JobRecord;
 use job::scheduler::Command;
+use job::scheduler::Report;
 use job::scheduler::StartAnswer;
 use job::scheduler::TaskKey;
 
@@ -19,6 +20,9 @@
 /// The largest value that the owner stores: a row of the store less a sixteenth.
 const VALUE_BYTES: usize = 61_440;
 
+/// When the process started that follows the executor.
+const LATER_START: u64 = 5_000;
+
 /// An owner of one executor and one task that it has assigned there, and its stored rows.
 struct Predecessor {
     fixture: Fixture,
@@ -69,7 +73,7 @@
     }
 
     /// Returns a successor that reads the rows, with these changes to the row about leases. A later
-    /// process is listed at the executor's address.
+    /// process is listed at the executor's address and answers there.
     fn successor(&self, change: impl Fn(&mut SilentExecutor)) -> Fixture {
         let mut next = Fixture::new(0);
         let record: JobRecord = serde_json::from_slice(&self.row).expect("a valid row");
@@ -82,9 +86,17 @@
         next.scheduler.inherit_silence(&leases.silent, next.now);
         next.list(vec![Listing {
             id: "later".into(),
-            started_unix_ms: 5_000,
+            started_unix_ms: LATER_START,
             ..listing(1)
         }]);
+        next.pass(1);
+        let later = next.scheduler.fleet.find("later").expect("listed");
+        let report = Report {
+            started_unix_ms: Some(LATER_START),
+            clock_ms: next.now.0,
+            ..Report::default()
+        };
+        next.scheduler.report(later, &report, next.now, next.now);
         next
     }
 
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -42,6 +42,7 @@
 mod preemption;
 mod record;
 mod relaxation;
+mod replacement;
 mod reservation;
 mod restart_as_another_kind;
 mod retire;
--- a/crates/job/tests/all/model/digest.rs
+++ b/crates/job/tests/all/model/digest.rs
@@ -171,6 +171,8 @@
                 tasks.sort();
                 let mut executor = executor.clone();
                 executor.tasks.clear();
+                // Only an executor at the same address depends on it, and no two share one.
+                executor.presence = None;
                 executor.leases_expire_at = precision.time(executor.leases_expire_at);
                 executor.clock = executor.clock.map(|clock| ClockReading {
                     executor_ms: precision.ms(clock.executor_ms),
