--- a/crates/dispatch/src/dump.rs
+++ b/crates/dispatch/src/dump.rs
@@ -213,7 +213,7 @@
         tasks: executor.tasks.len(),
     });
     let rejected_entries = owner.rejected_entries.borrow();
-    let rejected = rejected_entries.iter();
+    let rejected = rejected_entries.present().iter();
     let (refused, returning_callers) = owner.admission_counts();
     OwnerDump {
         refused,
--- a/crates/dispatch/src/metrics/state.rs
+++ b/crates/dispatch/src/metrics/state.rs
@@ -254,7 +254,7 @@
         let waiting = scheduler.locality.waiting();
         self.place_waits
             .set(i64::try_from(waiting).unwrap_or(i64::MAX));
-        let rejected = owner.rejected_entries.borrow().len();
+        let rejected = owner.rejected_entries.borrow().present().len();
         let outcome = "rejected";
         self.executors
             .get_or_create(&OutcomeLabel { outcome })
--- a/crates/dispatch/src/owner/feeds.rs
+++ b/crates/dispatch/src/owner/feeds.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use job::id::JobId;
-use model::Map;
 use model::Set;
 
 use super::Owner;
@@ -12,7 +11,6 @@
 use super::pacing;
 use super::takeover;
 use crate::dependencies::FollowRequest;
-use crate::dependencies::RejectedEntry;
 use crate::dependencies::Row;
 use crate::dependencies::StoreError;
 use crate::events;
@@ -127,23 +125,6 @@
     }
 }
 
-impl Owner {
-    /// Replaces the entries of the list of executors that name none, and logs those that are new or
-    /// are rejected for another reason than before.
-    pub(super) fn record_rejected_entries(&self, rejected: Vec<RejectedEntry>) {
-        let earlier = self.rejected_entries.replace(rejected);
-        let reasons: Map<&str, &str> = earlier
-            .iter()
-            .map(|entry| (entry.key.as_str(), entry.reason.as_str()))
-            .collect();
-        for entry in self.rejected_entries.borrow().iter() {
-            if reasons.get(entry.key.as_str()) != Some(&entry.reason.as_str()) {
-                events::executor_entry_rejected(&entry.key, &entry.reason);
-            }
-        }
-    }
-}
-
 /// Ingests the list of executors periodically.
 pub async fn follow_executors(owner: Rc<Owner>) {
     while !owner.shutdown.is_cancelled() {
@@ -154,11 +135,11 @@
         match result {
             Ok(list) => {
                 let now = owner.now();
-                owner.record_rejected_entries(list.rejected);
                 owner
                     .scheduler
                     .borrow_mut()
                     .update_executors(list.listings, now);
+                owner.record_rejected_entries(list.rejected);
                 owner.dispatch_pending();
                 let executors = owner.scheduler.borrow().fleet.len();
                 let link_mbps = owner.node.identity.capacity.link_mbps;
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -25,6 +25,7 @@
 mod predecessor;
 pub mod processor_pace;
 mod refused;
+mod rejected_entries;
 mod release;
 mod starts;
 pub mod takeover;
@@ -63,9 +64,9 @@
 use self::load::OwnerLoad;
 use self::pacing::CommandWindow;
 use self::processor_pace::ProcessorPace;
+use self::rejected_entries::RejectedEntries;
 pub use self::takeover::Claim;
 pub use self::takeover::take_over;
-use crate::dependencies::RejectedEntry;
 use crate::dependencies::Target;
 use crate::events;
 use crate::node::Node;
@@ -171,7 +172,7 @@
     /// Limits requests to the advisor to one at a time.
     advisor_slot: Semaphore,
     /// The entries in the newest list of executors that name none which could be used.
-    pub(crate) rejected_entries: RefCell<Vec<RejectedEntry>>,
+    pub(crate) rejected_entries: RefCell<RejectedEntries>,
 }
 
 impl Owner {
@@ -201,7 +202,8 @@
 
     /// Puts a newer document into force.
     pub fn set_plan(self: &Rc<Self>, plan: Arc<Plan>) {
-        self.scheduler.borrow_mut().plan = plan;
+        let now = self.now();
+        self.scheduler.borrow_mut().set_plan(plan, now);
         self.dispatch_pending();
     }
 
--- a/crates/dispatch/tests/all/relay_routes.rs
+++ b/crates/dispatch/tests/all/relay_routes.rs
@@ -49,6 +49,7 @@
             (0..EXECUTORS).map(move |number| {
                 let listing = Listing {
                     id: format!("{data_centre}-{number}").into(),
+                    service: "service".into(),
                     data_centre: data_centre.into(),
                     ..Listing::default()
                 };
--- a/crates/dispatch/tests/all/state.rs
+++ b/crates/dispatch/tests/all/state.rs
@@ -179,3 +179,47 @@
     assert_eq!(owner.rejected_entries, []);
     world.assert_no_violations();
 }
+
+/// Guards against a line each time that an odd entry comes and goes, or changes what its reason repeats.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_comes_and_goes_is_logged_once_for_each_reason() {
+    log_capture::begin();
+    let world = World::new(2);
+    world.start("a");
+    world.advance(SECOND * 2).await;
+    for number in 0..30 {
+        let reason = if number % 2 == 0 {
+            "missing field `born`".to_owned()
+        } else {
+            format!("capacity.cpu: {number}000000000 is over 1000000000")
+        };
+        let key = "odd".to_owned();
+        *world.fleet.rejected.borrow_mut() = vec![RejectedEntry { key, reason }];
+        world.advance(SECOND * 3).await;
+        world.fleet.rejected.borrow_mut().clear();
+        world.advance(SECOND * 3).await;
+    }
+    assert_eq!(log_capture::lines("executor_entry_rejected").len(), 4);
+}
+
+/// The same, for an entry whose service no document names; it is counted and shown like the others.
+#[tokio::test(start_paused = true)]
+async fn operators_see_an_entry_of_a_service_that_the_document_does_not_name() {
+    log_capture::begin();
+    let world = World::new(2);
+    world.fleet.add_foreign_entry(1, "x-copy");
+    world.fleet.foreign.borrow_mut()[0].service = "other".into();
+    world.start("a");
+    world.advance(SECOND * 10).await;
+    let shown = dump::dump(&world.host("a").node);
+    let owner = shown.owner.expect("it owns the executors");
+    let rejected = RejectedEntry {
+        key: "x-copy".to_owned(),
+        reason: "service: the document names no \"other\"".to_owned(),
+    };
+    assert_eq!(owner.rejected_entries, [rejected]);
+    assert_eq!(owner.known_executors, 2);
+    assert_eq!(log_capture::lines("executor_entry_rejected").len(), 1);
+    let name = "fireflynotch_executors{outcome=\"rejected\"}";
+    assert_eq!(metric(&world, "a", name), Some(1.0));
+}
--- a/crates/job/src/plan.rs
+++ b/crates/job/src/plan.rs
@@ -157,6 +157,13 @@
             .max_by_key(|(queue, _)| queue.path_prefix.len())
     }
 
+    /// Returns whether the document names a service, on its own or as that of a queue.
+    #[must_use]
+    pub fn names_service(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+            || self.queues.iter().any(|queue| &*queue.service == service)
+    }
+
     /// Returns the queue with this name.
     #[must_use]
     pub fn queue(&self, name: &str) -> Option<&Queue> {
--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -19,13 +19,14 @@
 
 impl Scheduler {
     /// Processes the whole executor list; each entry comes with the executor's clock in
-    /// milliseconds.
+    /// milliseconds. An entry of a service that the document does not name is set aside
+    /// ([`Self::unnamed_entries`]).
     pub fn update_executors(&mut self, listings: Vec<(Listing, u64)>, now: Mono) {
         self.listed_at = now;
         for (_, executor) in self.fleet.iter_mut() {
             executor.listed = false;
         }
-        for (listing, clock_ms) in listings {
+        for (listing, clock_ms) in self.set_unnamed_aside(listings) {
             self.update_executor(listing, clock_ms, now);
         }
         let removed: Vec<ExecutorKey> = self
@@ -46,6 +47,11 @@
         for key in removed {
             self.fleet.remove(key);
         }
+        self.conclude_from_list(now);
+    }
+
+    /// Draws the conclusions from the list that concern several executors.
+    pub(super) fn conclude_from_list(&mut self, now: Mono) {
         self.find_replaced_executors(now);
         self.ask_listed_successors(now);
         self.find_evacuation_problems();
@@ -55,7 +61,7 @@
         }
     }
 
-    fn update_executor(&mut self, listing: Listing, clock_ms: u64, now: Mono) {
+    pub(super) fn update_executor(&mut self, listing: Listing, clock_ms: u64, now: Mono) {
         let key = self.fleet.intern(&listing.id);
         let started_unix_ms = listing.started_unix_ms;
         let Some(executor) = self.fleet.get_mut(key) else {
--- a/crates/job/src/scheduler/mod.rs
+++ b/crates/job/src/scheduler/mod.rs
@@ -30,6 +30,7 @@
 mod store;
 mod store_queue;
 mod transitions;
+mod unnamed;
 mod warmup;
 
 use std::collections::BTreeSet;
@@ -72,6 +73,7 @@
 use crate::fault_attribution::FailedOn;
 use crate::fleet::ExecutorKey;
 use crate::fleet::Fleet;
+use crate::fleet::Listing;
 use crate::id::JobId;
 use crate::id::TaskId;
 use crate::interference::Interference;
@@ -140,7 +142,7 @@
 pub struct Scheduler {
     /// The executors.
     pub fleet: Fleet,
-    /// The current version of the operators' document.
+    /// The current version of the operators' document; [`Self::set_plan`] replaces it.
     pub plan: Arc<Plan>,
     /// Learned task durations.
     pub durations: Durations,
@@ -214,6 +216,8 @@
     has_unlocated_runs: bool,
     /// When the newest executor list arrived.
     listed_at: Mono,
+    /// The entries of this list whose service the document does not name.
+    unnamed: Vec<(Listing, u64)>,
     /// The warm and cold executors by service, for the services that have cold ones.
     warmth: Map<Arc<str>, ServiceWarmth>,
     /// The evacuated data centres.
@@ -266,6 +270,7 @@
             previous_owner_sends_until: Mono::ZERO,
             has_unlocated_runs: false,
             listed_at: Mono::ZERO,
+            unnamed: Vec::new(),
             warmth: Map::default(),
             evacuations: Evacuations::default(),
             evacuation_problems: BTreeSet::default(),
--- a/crates/job/tests/all/main.rs
+++ b/crates/job/tests/all/main.rs
@@ -55,5 +55,6 @@
 mod store_order;
 mod stream_world;
 mod suspension;
+mod unnamed_services;
 mod wait_reason;
 mod warmup;
