--- a/crates/dispatch/src/owner/takeover.rs
+++ b/crates/dispatch/src/owner/takeover.rs
@@ -124,6 +124,10 @@
         scheduler.update_executors(list.listings, node.now());
         rejected = list.rejected;
     }
+    // One that came meanwhile found no owner to put it into force.
+    if let Some(plan) = node.plan() {
+        scheduler.set_plan(plan, node.now());
+    }
     if let Some(snapshot) = &stored.evacuations {
         scheduler.replace_evacuations(&snapshot.data_centres, node.now());
     }
--- a/crates/dispatch/tests/all/owners.rs
+++ b/crates/dispatch/tests/all/owners.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use dispatch::api::SubmitOutcome;
+use job::plan::Plan;
 
 use crate::log_capture;
 use crate::store::StoreFault;
 use crate::world::World;
 use crate::world::job;
+use crate::world::plan;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -318,6 +320,40 @@
         .await;
 }
 
+/// A job waited for as long as its document was in force, because the owner had taken the earlier one at the
+/// start of its takeover.
+#[tokio::test(start_paused = true)]
+async fn an_owner_follows_a_document_that_comes_while_it_takes_over() {
+    let (world, owner, host) = with_three_jobs().await;
+    world
+        .wait_until_succeeded(host, &[1, 2, 3], 15 * SECOND)
+        .await;
+    world.document.change(with_service(2, "absent"));
+    world.advance(2 * SECOND).await;
+    let submitted = world.submit(host, 4, job(1)).await;
+    assert_eq!(submitted, SubmitOutcome::Accepted);
+    world.store.set_read_transfer(Duration::from_millis(1_300));
+    let epoch = world.host(&owner).node.highest_epoch.get();
+    world.kill(&owner);
+    let names = ["a", "b", "c"].into_iter().filter(|name| *name != owner);
+    let names: Vec<&str> = names.collect();
+    let claims = |name: &&&str| world.host(name).node.highest_epoch.get() > epoch;
+    while !names.iter().any(|name| claims(&name)) {
+        world.advance(Duration::from_millis(50)).await;
+    }
+    assert_eq!(world.owner(), None, "the takeover is under way");
+    world.document.change(with_service(3, "service"));
+    world.wait_until_succeeded(host, &[4], 10 * SECOND).await;
+}
+
+fn with_service(version: u64, service: &str) -> Plan {
+    let mut plan = plan(version, false);
+    let mut queue = plan.queues[0].clone();
+    queue.service = service.into();
+    plan.queues = vec![queue].into();
+    plan
+}
+
 /// A successor that another host supersedes while it reads leaves the executors to that host.
 #[tokio::test(start_paused = true)]
 async fn a_successor_that_is_frozen_while_it_reads_is_superseded() {
