job: an entry that a document names later changes its executor then

An entry that was set aside counted as read again, at the time of its reading, when a document named its service. A poll that had been sent to the address before then would have counted as one to the address of the entry. Only the clock is now as of the reading; what changes, changes when the document comes.

--- a/crates/job/src/scheduler/executors.rs
+++ b/crates/job/src/scheduler/executors.rs
@@ -61,7 +61,9 @@
         }
     }
 
+    /// Processes an entry of the newest list, with the executor's clock in milliseconds when that was read.
     pub(super) fn update_executor(&mut self, listing: Listing, clock_ms: u64, now: Mono) {
+        let read_at = self.listed_at;
         let key = self.fleet.intern(&listing.id);
         let started_unix_ms = listing.started_unix_ms;
         let Some(executor) = self.fleet.get_mut(key) else {
@@ -103,14 +105,14 @@
         if executor.clock.is_none() {
             executor.clock = Some(ClockReading {
                 executor_ms: clock_ms,
-                at: now,
+                at: read_at,
             });
             self.silence.executor_answered(executor);
             if self.has_unlocated_runs {
                 executor.report_due_since = Some(now);
             }
         }
-        self.update_warmth(key, clock_ms, now);
+        self.update_warmth(key, clock_ms, read_at);
     }
 
     /// Records that an executor answered a command, together with the reading of its clock. An answer of an
--- a/crates/job/src/scheduler/unnamed.rs
+++ b/crates/job/src/scheduler/unnamed.rs
@@ -22,7 +22,7 @@
         let set_aside = std::mem::take(&mut self.unnamed);
         let before = set_aside.len();
         for (listing, clock_ms) in self.set_unnamed_aside(set_aside) {
-            self.update_executor(listing, clock_ms, self.listed_at);
+            self.update_executor(listing, clock_ms, now);
         }
         if self.unnamed.len() < before {
             self.conclude_from_list(now);
