--- a/crates/dispatch/tests/all/crashing_tasks.rs
+++ b/crates/dispatch/tests/all/crashing_tasks.rs
@@ -78,15 +78,7 @@
 async fn a_task_that_crashes_executors_is_given_up_although_each_crash_is_known_to_a_later_owner() {
     for (renamed, long_running) in [(true, false), (false, true)] {
         let case = format!("renamed: {renamed}, long-running: {long_running}");
-        let world = World::new(EXECUTORS);
-        for number in 1..=EXECUTORS {
-            let executor = world.fleet.executor(number);
-            executor.task_duration.set(Duration::from_secs(60));
-        }
-        for host in HOSTS {
-            world.start(host);
-        }
-        world.advance(Duration::from_secs(1)).await;
+        let world = World::with_owner(EXECUTORS, &HOSTS).await;
         let host = world.owner().expect("an owner");
         let submitted = world.submit(&host, 1, task(long_running)).await;
         assert_eq!(submitted, SubmitOutcome::Accepted);
--- a/crates/dispatch/tests/all/foreign_entries.rs
+++ b/crates/dispatch/tests/all/foreign_entries.rs
@@ -80,15 +80,7 @@
 
 /// Returns a system with tasks of this kind on all executors.
 async fn world_with(step: StepSpec, entry: Presence) -> World {
-    let world = World::new(EXECUTORS);
-    for number in 1..=EXECUTORS {
-        let executor = world.fleet.executor(number);
-        executor.task_duration.set(Duration::from_secs(60));
-    }
-    for host in HOSTS {
-        world.start(host);
-    }
-    world.advance(Duration::from_secs(1)).await;
+    let world = World::with_owner(EXECUTORS, &HOSTS).await;
     let owner = world.owner().expect("an owner");
     let submitted = world.submit(&owner, 1, tasks(step)).await;
     assert_eq!(submitted, SubmitOutcome::Accepted);
--- a/crates/dispatch/tests/all/lost_executors.rs
+++ b/crates/dispatch/tests/all/lost_executors.rs
@@ -65,15 +65,7 @@
 impl Losses {
     /// Returns a system with tasks of this kind on all executors.
     async fn new(step: StepSpec) -> Self {
-        let world = World::new(EXECUTORS);
-        for number in 1..=EXECUTORS {
-            let executor = world.fleet.executor(number);
-            executor.task_duration.set(Duration::from_secs(60));
-        }
-        for host in HOSTS {
-            world.start(host);
-        }
-        world.advance(Duration::from_secs(1)).await;
+        let world = World::with_owner(EXECUTORS, &HOSTS).await;
         let host = world.owner().expect("an owner");
         let submitted = world.submit(&host, 1, tasks(step)).await;
         assert_eq!(submitted, SubmitOutcome::Accepted);
--- a/crates/dispatch/tests/all/world.rs
+++ b/crates/dispatch/tests/all/world.rs
@@ -206,6 +206,20 @@
         self.start_with(name, distance, CAPACITY);
     }
 
+    /// Creates a world with these hosts, one of which owns the executors, whose tasks last for a minute.
+    pub async fn with_owner(executors: usize, hosts: &[&str]) -> Self {
+        let world = Self::new(executors);
+        for number in 1..=executors {
+            let executor = world.fleet.executor(number);
+            executor.task_duration.set(Duration::from_secs(60));
+        }
+        for host in hosts {
+            world.start(host);
+        }
+        world.advance(Duration::from_secs(1)).await;
+        world
+    }
+
     /// Starts the process of a host of this capacity whose calls to the store take `distance` longer.
     pub fn start_with(&self, name: &str, distance: Duration, capacity: HostCapacity) {
         self.incarnations.set(self.incarnations.get() + 1);
