job: a test of answers at a former address that could not fail

Cause: the last list of the test lacked the process that had answered, so that it was forgotten before anything was concluded from its answer. The test passed without the check that it is about.

Change: the list keeps the process; the assertion is the same.

Behaviour is the same.

--- a/crates/job/src/fleet.rs
+++ b/crates/job/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Executors: their capacity, the resources allocated on them, and when their leases expire.
 
 mod availability;
+mod presence;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+pub use self::presence::Presence;
 use crate::ack_recovery::AckRecovery;
 use crate::interference::ImageKey;
 use crate::scheduler::TaskKey;
@@ -177,27 +179,6 @@
     pub fault_cooldown_until: Mono,
 }
 
-/// That a process listens at an address, as its answer to a poll shows. An entry in the executor list
-/// shows nothing: it may come from another writer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Presence {
-    /// The address.
-    pub address: Arc<str>,
-    /// When the process started, in milliseconds since 1970.
-    pub started_unix_ms: u64,
-    /// When the poll was sent that it has answered.
-    pub asked_at: Mono,
-}
-
-impl Presence {
-    /// Returns whether the process of an executor at the same address has ended, because two processes
-    /// cannot listen there at the same time.
-    pub(crate) fn follows(&self, earlier: &Executor) -> bool {
-        earlier.listing.started_unix_ms < self.started_unix_ms
-            && earlier.answered_at < self.asked_at
-    }
-}
-
 /// The tasks of one service image on an executor.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceLoad {
@@ -274,27 +255,6 @@
         self.listing.capacity.saturating_sub(&self.used)
     }
 
-    /// Records that the process which started at `started_unix_ms` has answered a poll that was sent at
-    /// `asked_at`. A poll that was sent before the address changed may have gone to the former one.
-    pub(crate) fn record_presence(&mut self, started_unix_ms: u64, asked_at: Mono) {
-        if self.address_changed_at.is_some_and(|at| asked_at <= at) {
-            return;
-        }
-        self.presence = Some(Presence {
-            address: self.listing.address.clone(),
-            started_unix_ms,
-            asked_at,
-        });
-    }
-
-    /// Returns the address of the current incarnation: where it has answered, or else as listed.
-    pub(crate) fn address_of_incarnation(&self) -> &Arc<str> {
-        let presence = self.presence.as_ref();
-        presence
-            .filter(|presence| presence.started_unix_ms == self.listing.started_unix_ms)
-            .map_or(&self.listing.address, |presence| &presence.address)
-    }
-
     /// Records that this owner has granted a lease, or may have extended one, until this time.
     pub(crate) fn extend_own_leases(&mut self, until: Mono) {
         self.own_leases_expire_at = self.own_leases_expire_at.max(until);
--- a/crates/job/src/scheduler/replacement.rs
+++ b/crates/job/src/scheduler/replacement.rs
@@ -116,8 +116,8 @@
         })
     }
 
-    /// Returns the silent executors that other ones have followed, where `presence` tells of those at which
-    /// address they are.
+    /// Returns the silent executors that have a successor at their address. `presence` gives the address and
+    /// the start of a possible successor.
     fn successions(&self, presence: impl Fn(&Executor) -> Option<Presence>) -> Vec<Succession> {
         let is_silent = |executor: &Executor| {
             let has_lost = !executor.tasks.is_empty() || !executor.unexplained_losses.is_empty();
--- a/crates/job/tests/all/replacement.rs
+++ b/crates/job/tests/all/replacement.rs
@@ -156,9 +156,10 @@
         address: listing(1).address,
         ..moving
     };
-    fixture.list(vec![listing(1), moved]);
+    let list = vec![listing(1), moved];
+    fixture.list(list.clone());
     fixture.pass(10);
     answer(&mut fixture, "e2", LATER_START, 20);
-    fixture.list(vec![listing(1)]);
+    fixture.list(list);
     assert_eq!(fixture.tasks_on(1), [task]);
 }
